--- /dev/null
+++ b/crates/geranium_core/src/event/kind.rs
@@ -0,0 +1,110 @@
+//! Kinds of event.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! event_kinds {
+    ($($(#[$doc:meta])* $name:ident => $text:literal,)*) => {
+        /// What happened.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum EventKind {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl EventKind {
+            /// Every kind, in declaration order.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the name used in logs, filters and metrics.
+            #[must_use]
+            pub const fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+        }
+
+        impl fmt::Display for EventKind {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(self.as_str())
+            }
+        }
+    };
+}
+
+event_kinds! {
+    /// The process started.
+    ProcessStarted => "process_started",
+    /// The process began a graceful shutdown.
+    ShutdownStarted => "shutdown_started",
+    /// The process became the leader of its failure domain.
+    LeadershipGained => "leadership_gained",
+    /// The process stopped leading its failure domain.
+    LeadershipLost => "leadership_lost",
+    /// A replica group was written to the group table.
+    GroupFormed => "group_formed",
+    /// A member of a group was replaced.
+    GroupRepaired => "group_repaired",
+    /// A group was taken out of the group table.
+    GroupDissolved => "group_dissolved",
+    /// The gate of a group opened: it takes requests.
+    GateOpened => "gate_opened",
+    /// The gate of a group closed: it takes no new requests.
+    GateClosed => "gate_closed",
+    /// An order was sent to a host.
+    OrderSent => "order_sent",
+    /// A host refused an order.
+    OrderRefused => "order_refused",
+    /// A write to the platform's store took effect.
+    StoreWritten => "store_written",
+    /// A write to the platform's store lost a race.
+    StoreConflict => "store_conflict",
+    /// The outcome of a write to the platform's store is not known yet.
+    StoreAmbiguous => "store_ambiguous",
+    /// The platform's store stopped answering.
+    StoreUnreachable => "store_unreachable",
+    /// The platform's store answers again.
+    StoreReachable => "store_reachable",
+    /// A record came into force on this process.
+    RecordInForce => "record_in_force",
+    /// A record older than the one in force was ignored.
+    RecordStale => "record_stale",
+    /// A record lost by the platform's store was written back.
+    RecordRestored => "record_restored",
+    /// A peer was heard of for the first time or came back.
+    PeerJoined => "peer_joined",
+    /// A peer is suspected to have failed.
+    PeerSuspected => "peer_suspected",
+    /// A peer left on purpose.
+    PeerLeft => "peer_left",
+    /// A failure domain was taken out of service.
+    DomainOut => "domain_out",
+    /// A failure domain came back into service.
+    DomainBack => "domain_back",
+    /// A host began to leave.
+    HostLeaving => "host_leaving",
+    /// A backend server stopped answering.
+    HostSilent => "host_silent",
+    /// A backend server answers again.
+    HostHeard => "host_heard",
+    /// A warm group turned cold.
+    GroupCold => "group_cold",
+    /// A cold group warmed up.
+    GroupWarm => "group_warm",
+    /// A request was refused.
+    RequestRefused => "request_refused",
+    /// A stream was resumed on another group.
+    StreamResumed => "stream_resumed",
+    /// A stream ended without its whole answer.
+    StreamFailed => "stream_failed",
+    /// A claim was made for a call that must not repeat.
+    ClaimMade => "claim_made",
+    /// A claim ended with a kept answer.
+    ClaimDone => "claim_done",
+    /// The outcome of a claimed call is not known.
+    ClaimUnknown => "claim_unknown",
+    /// A request was found to crash backend servers.
+    CrashSuspected => "crash_suspected",
+}
--- /dev/null
+++ b/crates/geranium_core/src/event/mod.rs
@@ -0,0 +1,12 @@
+//! Events that explain decisions.
+//!
+//! A decision that changes what is served returns an [`EventDraft`]; the driver
+//! adds the time, the host and its incarnation.
+
+mod draft;
+mod kind;
+mod subject;
+
+pub use draft::EventDraft;
+pub use kind::EventKind;
+pub use subject::EventSubject;
--- /dev/null
+++ b/crates/geranium_core/src/group/mod.rs
@@ -0,0 +1,1 @@
+//! Replica groups: formation, membership, fencing numbers and repair.
--- /dev/null
+++ b/crates/geranium_core/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! Entry hosts that know of each other, and failure detection.
--- /dev/null
+++ b/crates/geranium_core/src/prelude.rs
@@ -0,0 +1,12 @@
+//! The types that most users of this crate need.
+
+pub use crate::collections::{HashMap, HashSet};
+pub use crate::engine::{
+    Assignment, EnginePhase, EngineReport, HostEntry, HostState, LoadOrder, Order, OrderAction,
+};
+pub use crate::event::{EventDraft, EventKind, EventSubject};
+pub use crate::id::{
+    AccountId, FabricDomainId, FailureDomainId, FencingNumber, GroupId, HostId, Incarnation,
+    ModelId, RecordName, RequestId, StoreRevision,
+};
+pub use crate::time::Timestamp;
--- /dev/null
+++ b/crates/geranium_core/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of a replica group for a request.
--- /dev/null
+++ b/crates/geranium_daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/geranium_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder front page, replaced by the first commit of the crate.
--- /dev/null
+++ b/crates/geranium_platform/src/error.rs
@@ -0,0 +1,34 @@
+//! Failures of the platform's service.
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Failure of a call to the platform's service.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum StoreError {
+        /// The call did not reach the service: it had no effect.
+        Unreachable(endpoint: String, detail: String) {
+            display("platform service at {} is unreachable: {}", endpoint, detail)
+        }
+        /// The call may or may not have taken effect; it has to be read back.
+        Ambiguous(key: String, detail: String) {
+            display("outcome of the write to {:?} is unknown: {}", key, detail)
+        }
+        /// The service refused the call: it had no effect.
+        Refused(key: String, status: u16, detail: String) {
+            display("platform service refused the call for {:?} with status {}: {}", key, status, detail)
+        }
+        /// The answer was not understood; reads only.
+        Malformed(key: String, detail: String) {
+            display("answer of the platform service for {:?} is malformed: {}", key, detail)
+        }
+        /// The lease has expired or was revoked.
+        LeaseNotFound(lease: u64) {
+            display("lease {} does not exist", lease)
+        }
+        /// Changes before the wanted revision are gone; a full read is needed.
+        Compacted(revision: u64) {
+            display("changes since revision {} are compacted", revision)
+        }
+    }
+}
