--- a/crates/geranium_core/src/engine/mod.rs
+++ b/crates/geranium_core/src/engine/mod.rs
@@ -8,5 +8,5 @@
 mod report;
 
 pub use host::{HostEntry, HostState};
-pub use order::{LoadOrder, Order, OrderAction};
+pub use order::{LoadOrder, Member, Order, OrderAction};
 pub use report::{Assignment, EnginePhase, EngineReport};
--- a/crates/geranium_core/src/engine/order.rs
+++ b/crates/geranium_core/src/engine/order.rs
@@ -1,9 +1,20 @@
 //! Orders to engines.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::id::{FencingNumber, GroupId, HostId};
 
+/// A member of a replica group.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Member {
+    /// Host of the member.
+    pub host: HostId,
+    /// Address of its engine.
+    pub address: SocketAddr,
+}
+
 /// What a member of a group is to load.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LoadOrder {
@@ -18,7 +29,7 @@
     /// Position of the host among the members; rank 0 takes requests.
     pub rank: u32,
     /// Every member of the group, by rank.
-    pub members: Vec<HostId>,
+    pub members: Vec<Member>,
 }
 
 /// What an order asks for.
--- a/crates/geranium_core/src/prelude.rs
+++ b/crates/geranium_core/src/prelude.rs
@@ -2,7 +2,8 @@
 
 pub use crate::collections::{HashMap, HashSet};
 pub use crate::engine::{
-    Assignment, EnginePhase, EngineReport, HostEntry, HostState, LoadOrder, Order, OrderAction,
+    Assignment, EnginePhase, EngineReport, HostEntry, HostState, LoadOrder, Member, Order,
+    OrderAction,
 };
 pub use crate::event::{EventDraft, EventKind, EventSubject};
 pub use crate::id::{
