Add the HTTP client, the HTTP server and typed refusals

Cause: every process needs HTTP with limits, and a failed call has to tell whether the other side may have seen it. Ruled out: viz's own server, which offers no limit on connections and cuts requests off ten seconds after a shutdown began; its router and responder are kept.

--- /dev/null
+++ b/crates/geranium_net/src/client.rs
@@ -0,0 +1,229 @@
+//! HTTP client by IP address.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::{ClientError, read_incoming};
+
+/// Limits of a client.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClientConfig {
+    /// Longest time to make a connection.
+    pub connect_timeout: Duration,
+    /// Time after which an unused connection is closed; below the header timeout
+    /// of servers, so that a request is not sent on a connection about to close.
+    pub idle_timeout: Duration,
+    /// Unused connections kept for each address.
+    pub max_idle_per_host: usize,
+    /// Largest body of a whole answer, in bytes.
+    pub max_body: usize,
+}
+
+impl Default for ClientConfig {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            idle_timeout: Duration::from_secs(4),
+            max_idle_per_host: 64,
+            max_body: 4 << 20,
+        }
+    }
+}
+
+/// A request to one address.
+#[derive(Clone, Debug)]
+pub struct HttpRequest {
+    address: SocketAddr,
+    method: Method,
+    path: String,
+    headers: Vec<(HeaderName, HeaderValue)>,
+    body: Bytes,
+}
+
+impl HttpRequest {
+    /// Makes a request without a body; `path` may carry a query.
+    pub fn new(address: SocketAddr, method: Method, path: impl Into<String>) -> Self {
+        Self {
+            address,
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    /// Makes a GET request.
+    pub fn get(address: SocketAddr, path: impl Into<String>) -> Self {
+        Self::new(address, Method::GET, path)
+    }
+
+    /// Makes a POST request.
+    pub fn post(address: SocketAddr, path: impl Into<String>) -> Self {
+        Self::new(address, Method::POST, path)
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: HeaderName, value: HeaderValue) -> Self {
+        self.headers.push((name, value));
+        self
+    }
+
+    /// Adds a header from text.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the text is not a valid header value.
+    pub fn header_text(self, name: &'static str, value: &str) -> Result<Self, ClientError> {
+        let value = HeaderValue::from_str(value)
+            .map_err(|_| ClientError::InvalidRequest(format!("value of header {name:?}")))?;
+        Ok(self.header(HeaderName::from_static(name), value))
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn body(mut self, body: Bytes) -> Self {
+        self.body = body;
+        self
+    }
+
+    /// Sets a JSON body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value cannot be serialised.
+    pub fn json<T: Serialize>(self, value: &T) -> Result<Self, ClientError> {
+        let body =
+            serde_json::to_vec(value).map_err(|e| ClientError::InvalidRequest(e.to_string()))?;
+        let json = HeaderValue::from_static("application/json");
+        Ok(self.header(CONTENT_TYPE, json).body(Bytes::from(body)))
+    }
+
+    /// Returns the address that the request goes to.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn into_hyper(self) -> Result<Request<Full<Bytes>>, ClientError> {
+        let uri = format!("http://{}{}", self.address, self.path);
+        let mut builder = Request::builder().method(self.method).uri(uri);
+        for (name, value) in self.headers {
+            builder = builder.header(name, value);
+        }
+        builder
+            .body(Full::new(self.body))
+            .map_err(|e| ClientError::InvalidRequest(e.to_string()))
+    }
+}
+
+/// An HTTP client with pooled connections.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    inner: Client<HttpConnector, Full<Bytes>>,
+    max_body: usize,
+}
+
+impl HttpClient {
+    /// Makes a client.
+    #[must_use]
+    pub fn new(cfg: &ClientConfig) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(cfg.connect_timeout));
+        connector.set_nodelay(true);
+        let inner = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(cfg.idle_timeout)
+            .pool_max_idle_per_host(cfg.max_idle_per_host)
+            .build(connector);
+        Self {
+            inner,
+            max_body: cfg.max_body,
+        }
+    }
+
+    /// Sends a request and returns the head of the answer with its body unread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer began within `limit`;
+    /// [`ClientError::is_not_sent`] tells whether the request may have been seen.
+    pub async fn send(
+        &self,
+        req: HttpRequest,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, ClientError> {
+        let address = req.address;
+        let req = req.into_hyper()?;
+        match tokio::time::timeout(limit, self.inner.request(req)).await {
+            Ok(Ok(res)) => Ok(res),
+            Ok(Err(e)) if e.is_connect() => Err(ClientError::Connect(address, source_text(&e))),
+            Ok(Err(e)) => Err(ClientError::NoAnswer(address, source_text(&e))),
+            Err(_) => Err(ClientError::Timeout(address, limit)),
+        }
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the whole answer did not arrive within `limit`.
+    pub async fn send_whole(
+        &self,
+        req: HttpRequest,
+        limit: Duration,
+    ) -> Result<(StatusCode, Bytes), ClientError> {
+        let address = req.address;
+        let whole = async {
+            let res = self.send(req, limit).await?;
+            let status = res.status();
+            let body = read_incoming(address, res.into_body(), self.max_body).await?;
+            Ok((status, body))
+        };
+        match tokio::time::timeout(limit, whole).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(ClientError::Timeout(address, limit)),
+        }
+    }
+
+    /// Sends a request and parses the whole answer as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the whole answer did not arrive within `limit` or is
+    /// not the expected JSON.
+    pub async fn send_json<T: DeserializeOwned>(
+        &self,
+        req: HttpRequest,
+        limit: Duration,
+    ) -> Result<(StatusCode, T), ClientError> {
+        let address = req.address;
+        let (status, body) = self.send_whole(req, limit).await?;
+        let value = serde_json::from_slice(&body)
+            .map_err(|e| ClientError::Malformed(address, format!("status {status}: {e}")))?;
+        Ok((status, value))
+    }
+}
+
+/// Renders an error with its sources, since hyper's own text names only the layer.
+fn source_text(e: &dyn std::error::Error) -> String {
+    let mut text = e.to_string();
+    let mut source = e.source();
+    while let Some(e) = source {
+        text.push_str(": ");
+        text.push_str(&e.to_string());
+        source = e.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/geranium_net/src/prelude.rs
@@ -0,0 +1,6 @@
+//! The types that most users of this crate need.
+
+pub use crate::{
+    ApiError, ClientConfig, ClientError, HttpClient, HttpRequest, HttpServer, ServerConfig,
+    ServerError,
+};
--- /dev/null
+++ b/crates/geranium_net/src/server.rs
@@ -0,0 +1,142 @@
+//! HTTP server with limits.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_util::sync::CancellationToken;
+use viz::{Responder, Router, Tree};
+
+use crate::ServerError;
+
+/// Pause after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Limits of a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerConfig {
+    /// Connections at a time; more wait in the listener's queue.
+    pub max_connections: usize,
+    /// Longest time for the head of a request.
+    pub header_timeout: Duration,
+    /// Largest head of a request, in bytes; also bounds the buffer of a connection.
+    pub max_head: usize,
+    /// Largest number of headers.
+    pub max_headers: usize,
+    /// Longest time for running requests after the shutdown began.
+    pub shutdown_timeout: Duration,
+}
+
+impl Default for ServerConfig {
+    fn default() -> Self {
+        Self {
+            max_connections: 4_096,
+            header_timeout: Duration::from_secs(10),
+            max_head: 32 << 10,
+            max_headers: 64,
+            shutdown_timeout: Duration::from_secs(600),
+        }
+    }
+}
+
+/// A bound HTTP server.
+pub struct HttpServer {
+    listener: TcpListener,
+    cfg: ServerConfig,
+}
+
+impl HttpServer {
+    /// Binds the server to an address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be listened on.
+    pub async fn bind(address: SocketAddr, cfg: ServerConfig) -> Result<Self, ServerError> {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|e| ServerError::Bind(address, e))?;
+        Ok(Self { listener, cfg })
+    }
+
+    /// Returns the address that the server listens on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the system cannot tell the address.
+    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves until `shutdown` is cancelled and the running requests are done.
+    pub async fn run(self, router: Router, shutdown: CancellationToken) {
+        let tree = Arc::new(Tree::from(router));
+        let graceful = GracefulShutdown::new();
+        let slots = Arc::new(Semaphore::new(self.cfg.max_connections));
+        loop {
+            let accepted = tokio::select! {
+                accepted = accept(&self.listener, &slots) => accepted,
+                () = shutdown.cancelled() => break,
+            };
+            match accepted {
+                Ok((stream, remote, slot)) => {
+                    self.serve(&tree, &graceful, stream, remote, slot);
+                }
+                Err(e) => {
+                    log::warn!("cannot accept a connection: {e}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        drop(self.listener);
+        if tokio::time::timeout(self.cfg.shutdown_timeout, graceful.shutdown())
+            .await
+            .is_err()
+        {
+            log::warn!("connections are still open at the end of the shutdown timeout");
+        }
+    }
+
+    fn serve(
+        &self,
+        tree: &Arc<Tree>,
+        graceful: &GracefulShutdown,
+        stream: TcpStream,
+        remote: SocketAddr,
+        slot: OwnedSemaphorePermit,
+    ) {
+        // Tokens are small writes that must not wait for each other.
+        let _ = stream.set_nodelay(true);
+        let responder = Responder::new(tree.clone(), Some(remote));
+        let conn = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.cfg.header_timeout)
+            .max_buf_size(self.cfg.max_head)
+            .max_headers(self.cfg.max_headers)
+            .serve_connection(TokioIo::new(stream), responder);
+        let conn = graceful.watch(conn);
+        tokio::spawn(async move {
+            if let Err(e) = conn.await {
+                log::debug!("connection of {remote} ended: {e}");
+            }
+            drop(slot);
+        });
+    }
+}
+
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+) -> std::io::Result<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+    let slot = slots
+        .clone()
+        .acquire_owned()
+        .await
+        .map_err(std::io::Error::other)?;
+    let (stream, remote) = listener.accept().await?;
+    Ok((stream, remote, slot))
+}
