Add settings, events and JSON logs

Cause: each process needs settings whose faults come all at once, and decisions need to leave events that merge into one causal order. Ruled out: a JSON logger of our own; simplelog keeps the level, the lock and the output, and gets one rendered object a line with its prefixes off.

--- a/crates/geranium_settings/src/lib.rs
+++ b/crates/geranium_settings/src/lib.rs
@@ -1,1 +1,34 @@
-//! Placeholder front page, replaced by the first commit of the crate.
+//! Settings from flags and environment variables.
+//!
+//! A setting named `caller-address` is given by the flag `--caller-address` or
+//! by the variable `GERANIUM_CALLER_ADDRESS`; the flag wins. A
+//! [`SettingsReader`] collects every fault, so that all are reported at once.
+//!
+//! # Examples
+//!
+//! ```
+//! use geranium_settings::{SettingSpec, SettingsReader};
+//!
+//! const PORT: SettingSpec = SettingSpec::new("--port", "NUMBER", "Port to listen on.");
+//!
+//! let args = vec!["--port".into(), "8080".into()];
+//! let mut reader = SettingsReader::new(args, |_| None);
+//! let port: Option<u16> = reader.required(&PORT);
+//! assert!(reader.finish().is_ok());
+//! assert_eq!(port, Some(8080));
+//! ```
+
+mod help;
+mod reader;
+mod settings_error;
+mod spec;
+
+pub mod prelude;
+
+pub use help::render_help;
+pub use reader::SettingsReader;
+pub use settings_error::{SettingFault, SettingsError};
+pub use spec::SettingSpec;
+
+/// Exit code of a process whose settings or arguments are not valid.
+pub const EXIT_INVALID_SETTINGS: u8 = 2;
--- a/crates/geranium_telemetry/src/lib.rs
+++ b/crates/geranium_telemetry/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder front page, replaced by the first commit of the crate.
+//! Events of a process, their merge into one time line, and JSON logs.
+
+mod event;
+mod event_filter;
+mod json_logger;
+mod json_logger_error;
+mod recorder;
+mod timeline;
+
+pub mod prelude;
+
+pub use event::{Event, EventId};
+pub use event_filter::EventFilter;
+pub use json_logger::JsonLogger;
+pub use json_logger_error::JsonLoggerError;
+pub use recorder::{EventPage, EventRecorder, ProcessIdentity};
+pub use timeline::merge;
