--- /dev/null
+++ b/crates/geranium_ctl/src/command/apply.rs
@@ -0,0 +1,148 @@
+//! Commands that check and change records.
+
+use std::time::{Duration, Instant};
+
+use geranium_operator::{ApplyAnswer, ApplyOutcome, ApplyRequest, InForceView};
+use serde_json::Value;
+
+use super::session::Session;
+use crate::ctl_error::CtlError;
+use crate::document::RecordFile;
+use crate::exit::Exit;
+use crate::output::print_json;
+
+/// Time between two questions whether a record is in force.
+const WAIT_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Checks a record.
+pub async fn validate(session: &Session<'_>, path: &str) -> Result<Exit, CtlError> {
+    let file = RecordFile::read(path)?;
+    let client = &session.client;
+    let answer = session.ask(|host| client.validate(host, &file.document)).await?;
+    if session.invocation.json {
+        print_json(&answer)?;
+    } else {
+        print_lines("fault", &answer.faults);
+        print_lines("warning", &answer.warnings);
+        if answer.faults.is_empty() {
+            println!("{} {} is valid", file.kind, file.name);
+        }
+    }
+    Ok(if answer.faults.is_empty() { Exit::Done } else { Exit::InvalidRecord })
+}
+
+/// Shows what a record would change.
+pub async fn diff(session: &Session<'_>, path: &str) -> Result<Exit, CtlError> {
+    let file = RecordFile::read(path)?;
+    let client = &session.client;
+    let answer = session.ask(|host| client.validate(host, &file.document)).await?;
+    if session.invocation.json {
+        print_json(&answer)?;
+    } else {
+        print_lines("fault", &answer.faults);
+        for change in &answer.changes {
+            println!("{change}");
+        }
+    }
+    if !answer.faults.is_empty() {
+        return Ok(Exit::InvalidRecord);
+    }
+    Ok(if answer.changes.is_empty() { Exit::Done } else { Exit::Different })
+}
+
+/// Writes a record.
+pub async fn apply(session: &Session<'_>, path: &str) -> Result<Exit, CtlError> {
+    let file = RecordFile::read(path)?;
+    write(session, &file.kind, &file.name, file.document).await
+}
+
+/// Deletes a record.
+pub async fn delete(session: &Session<'_>, kind: &str, name: &str) -> Result<Exit, CtlError> {
+    write(session, kind, name, Value::Null).await
+}
+
+/// Writes a document or, with null, deletes it.
+pub async fn write(
+    session: &Session<'_>,
+    kind: &str,
+    name: &str,
+    document: Value,
+) -> Result<Exit, CtlError> {
+    let req = ApplyRequest {
+        document,
+        expected_generation: session.invocation.generation,
+        operator: session.invocation.operator.clone(),
+    };
+    let client = &session.client;
+    let answer = session.ask(|host| client.apply(host, kind, name, &req)).await?;
+    let exit = if answer.outcome == ApplyOutcome::LostRace { Exit::LostRace } else { Exit::Done };
+    if session.invocation.json && !session.invocation.wait {
+        print_json(&answer)?;
+    } else if !session.invocation.json {
+        print_answer(kind, name, &answer);
+    }
+    if exit == Exit::Done && session.invocation.wait {
+        return wait(session, kind, name, answer.generation).await;
+    }
+    Ok(exit)
+}
+
+fn print_answer(kind: &str, name: &str, answer: &ApplyAnswer) {
+    let generation = answer.generation;
+    print_lines("warning", &answer.warnings);
+    match answer.outcome {
+        ApplyOutcome::Accepted => println!("{kind} {name} accepted as generation {generation}"),
+        ApplyOutcome::Unchanged => println!("{kind} {name} unchanged at generation {generation}"),
+        ApplyOutcome::LostRace => println!("{kind} {name} not written: the race was lost"),
+    }
+    for change in &answer.changes {
+        println!("  {change}");
+    }
+    if let Some(race) = &answer.lost_race {
+        let winner = &race.winner;
+        println!("  {} wrote generation {} first", winner.operator, winner.generation);
+        for difference in &race.differences {
+            println!("  {difference}");
+        }
+    }
+}
+
+async fn wait(
+    session: &Session<'_>,
+    kind: &str,
+    name: &str,
+    generation: u64,
+) -> Result<Exit, CtlError> {
+    let end = Instant::now() + session.invocation.timeout;
+    let client = &session.client;
+    loop {
+        let views = session.ask(|host| client.in_force(host, kind, name, generation)).await?;
+        let done = !views.is_empty() && views.iter().all(|view| view.in_force);
+        if done || Instant::now() >= end {
+            report(session, &views)?;
+            return Ok(if done { Exit::Done } else { Exit::NotInForce });
+        }
+        tokio::time::sleep(WAIT_INTERVAL).await;
+    }
+}
+
+fn report(session: &Session<'_>, views: &[InForceView]) -> Result<(), CtlError> {
+    if session.invocation.json {
+        return print_json(&views);
+    }
+    let there = views.iter().filter(|view| view.in_force).count();
+    println!("in force on {there} of {} hosts", views.len());
+    for view in views.iter().filter(|view| !view.in_force) {
+        println!(
+            "  not on {} in {}, last heard of {} ms ago",
+            view.host, view.failure_domain, view.heard_ms_ago
+        );
+    }
+    Ok(())
+}
+
+fn print_lines(label: &str, lines: &[String]) {
+    for line in lines {
+        println!("{label}: {line}");
+    }
+}
--- /dev/null
+++ b/crates/geranium_ctl/src/command/drain.rs
@@ -0,0 +1,34 @@
+//! Commands that take something out of service and bring it back.
+
+use serde_json::json;
+
+use super::apply::write;
+use super::session::Session;
+use crate::ctl_error::CtlError;
+use crate::exit::Exit;
+
+/// Kind of the record that a drain writes.
+const KIND: &str = "drain";
+
+/// Takes a failure domain or a host out of service.
+pub async fn drain(session: &Session<'_>, what: &str, name: &str) -> Result<Exit, CtlError> {
+    let target = if what == "domain" { "failure_domain" } else { "host" };
+    let record = record_name(what, name);
+    let document = json!({
+        "schema_version": 2,
+        "kind": KIND,
+        "name": record,
+        "target": { target: name },
+        "reason": session.invocation.reason,
+    });
+    write(session, KIND, &record, document).await
+}
+
+/// Brings a failure domain or a host back.
+pub async fn undrain(session: &Session<'_>, what: &str, name: &str) -> Result<Exit, CtlError> {
+    write(session, KIND, &record_name(what, name), serde_json::Value::Null).await
+}
+
+fn record_name(what: &str, name: &str) -> String {
+    format!("{what}-{name}")
+}
--- /dev/null
+++ b/crates/geranium_ctl/src/command/mod.rs
@@ -0,0 +1,47 @@
+//! The commands.
+
+mod apply;
+mod drain;
+mod hash_key;
+mod records;
+mod session;
+mod status;
+mod timeline;
+
+use crate::cli::{Command, Invocation, help};
+use crate::ctl_error::CtlError;
+use crate::exit::Exit;
+
+use session::Session;
+
+/// Runs a command.
+///
+/// # Errors
+///
+/// Returns an error if the command could not be carried out.
+pub async fn run(invocation: Invocation) -> Result<Exit, CtlError> {
+    let session = Session::new(&invocation);
+    match &invocation.command {
+        Command::Help => {
+            print!("{}", help());
+            Ok(Exit::Done)
+        }
+        Command::Version => {
+            println!("geraniumctl {}", env!("CARGO_PKG_VERSION"));
+            Ok(Exit::Done)
+        }
+        Command::HashKey => hash_key::run(),
+        Command::Validate(path) => apply::validate(&session, path).await,
+        Command::Apply(path) => apply::apply(&session, path).await,
+        Command::Diff(path) => apply::diff(&session, path).await,
+        Command::Delete(kind, name) => apply::delete(&session, kind, name).await,
+        Command::Get(kind, name) => records::get(&session, kind, name).await,
+        Command::List(kind) => records::list(&session, kind.as_deref()).await,
+        Command::History(kind, name) => records::history(&session, kind, name).await,
+        Command::Status => status::run(&session).await,
+        Command::Drain(what, name) => drain::drain(&session, what, name).await,
+        Command::Undrain(what, name) => drain::undrain(&session, what, name).await,
+        Command::Timeline(filter) => timeline::run(&session, filter).await,
+        Command::Explain(what, id) => status::explain(&session, what, id).await,
+    }
+}
--- /dev/null
+++ b/crates/geranium_ctl/src/command/records.rs
@@ -0,0 +1,78 @@
+//! Commands that show records.
+
+use geranium_operator::RecordView;
+
+use super::session::Session;
+use crate::ctl_error::CtlError;
+use crate::exit::Exit;
+use crate::output::{print_json, table, time_of_day};
+
+/// Shows a record.
+pub async fn get(session: &Session<'_>, kind: &str, name: &str) -> Result<Exit, CtlError> {
+    let client = &session.client;
+    let record = session.ask(|host| client.record(host, kind, name)).await?;
+    if session.invocation.json {
+        print_json(&record)?;
+        return Ok(Exit::Done);
+    }
+    println!(
+        "# {} {}, generation {}, by {} at {}",
+        record.kind,
+        record.name,
+        record.generation,
+        record.operator,
+        time_of_day(record.written_at)
+    );
+    print_json(&record.document)?;
+    Ok(Exit::Done)
+}
+
+/// Lists records.
+pub async fn list(session: &Session<'_>, kind: Option<&str>) -> Result<Exit, CtlError> {
+    let client = &session.client;
+    let page = session.ask(|host| client.list(host, kind.unwrap_or_default())).await?;
+    if session.invocation.json {
+        print_json(&page)?;
+        return Ok(Exit::Done);
+    }
+    let mut rows = table(&["KIND", "NAME", "GENERATION", "OPERATOR", "WRITTEN"]);
+    for record in page.records.iter().filter(|record| !record.deleted) {
+        rows.add_row(row(record));
+    }
+    println!("{rows}");
+    Ok(Exit::Done)
+}
+
+/// Shows the changes of a record.
+pub async fn history(session: &Session<'_>, kind: &str, name: &str) -> Result<Exit, CtlError> {
+    let client = &session.client;
+    let entries = session.ask(|host| client.history(host, kind, name)).await?;
+    if session.invocation.json {
+        print_json(&entries)?;
+        return Ok(Exit::Done);
+    }
+    for entry in &entries {
+        let record = &entry.record;
+        let verb = if record.deleted { "deleted" } else { "written" };
+        println!(
+            "generation {} {verb} by {} at {}",
+            record.generation,
+            record.operator,
+            time_of_day(record.written_at)
+        );
+        for change in &entry.changes {
+            println!("  {change}");
+        }
+    }
+    Ok(Exit::Done)
+}
+
+fn row(record: &RecordView) -> [String; 5] {
+    [
+        record.kind.clone(),
+        record.name.clone(),
+        record.generation.to_string(),
+        record.operator.clone(),
+        time_of_day(record.written_at),
+    ]
+}
--- /dev/null
+++ b/crates/geranium_ctl/src/command/status.rs
@@ -0,0 +1,155 @@
+//! Commands that show and explain the state.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use geranium_core::id::FailureDomainId;
+use geranium_operator::StatusView;
+
+use super::session::Session;
+use crate::ctl_error::CtlError;
+use crate::exit::Exit;
+use crate::output::{print_json, table};
+
+/// Shows one screen: what is asked for, served, missing, and what needs a person.
+pub async fn run(session: &Session<'_>) -> Result<Exit, CtlError> {
+    let client = &session.client;
+    let first = session.ask(|host| client.status(host)).await?;
+    let (views, unreached) = other_domains(session, first).await;
+    if session.invocation.json {
+        print_json(&views)?;
+        return Ok(Exit::Done);
+    }
+    print_hosts(&views[0]);
+    print_models(&views);
+    print_problems(&views, &unreached);
+    Ok(Exit::Done)
+}
+
+/// Explains a request, a group, a host or a record.
+pub async fn explain(session: &Session<'_>, what: &str, id: &str) -> Result<Exit, CtlError> {
+    let client = &session.client;
+    let first = session.ask(|host| client.status(host)).await?;
+    let mut found = Vec::new();
+    for address in operator_addresses(session, &first) {
+        if let Ok(explanation) = client.explain(address, what, id).await {
+            found.push(explanation);
+        }
+    }
+    if session.invocation.json {
+        print_json(&found)?;
+    } else {
+        for explanation in &found {
+            for line in &explanation.lines {
+                println!("{line}");
+            }
+            for line in &explanation.would_change {
+                println!("would change it: {line}");
+            }
+        }
+    }
+    if found.is_empty() {
+        eprintln!("no entry host knows {what} {id}");
+        return Ok(Exit::NotFound);
+    }
+    Ok(Exit::Done)
+}
+
+/// Returns the operator addresses of every known entry host, without repeats.
+pub fn operator_addresses(session: &Session<'_>, view: &StatusView) -> Vec<SocketAddr> {
+    let known = view.hosts.iter().filter_map(|host| host.operator_address);
+    let mut addresses: Vec<SocketAddr> =
+        known.chain(session.invocation.hosts.iter().copied()).collect();
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses
+}
+
+/// Asks one entry host of each other failure domain.
+async fn other_domains(
+    session: &Session<'_>,
+    first: StatusView,
+) -> (Vec<StatusView>, Vec<FailureDomainId>) {
+    let mut candidates: BTreeMap<FailureDomainId, Vec<SocketAddr>> = BTreeMap::new();
+    for host in &first.hosts {
+        if host.failure_domain != first.process.failure_domain {
+            let addresses = candidates.entry(host.failure_domain.clone()).or_default();
+            addresses.extend(host.operator_address);
+        }
+    }
+    let mut views = vec![first];
+    let mut unreached = Vec::new();
+    for (domain, addresses) in candidates {
+        let mut answered = false;
+        for address in addresses {
+            if let Ok(view) = session.client.status(address).await {
+                views.push(view);
+                answered = true;
+                break;
+            }
+        }
+        if !answered {
+            unreached.push(domain);
+        }
+    }
+    (views, unreached)
+}
+
+fn print_hosts(view: &StatusView) {
+    let mut rows = table(&["ENTRY HOST", "FAILURE DOMAIN", "STATE", "HEARD", "RECORDS"]);
+    for host in &view.hosts {
+        rows.add_row([
+            host.host.to_string(),
+            host.failure_domain.to_string(),
+            host.state.clone(),
+            format!("{} ms ago", host.heard_ms_ago),
+            if host.same_records { "same" } else { "differ" }.to_owned(),
+        ]);
+    }
+    println!("{rows}\n");
+}
+
+fn print_models(views: &[StatusView]) {
+    let mut rows = table(&["MODEL", "RECORD", "VERSION", "FAILURE DOMAIN", "WANTED", "SERVING", ""]);
+    for model in views.iter().flat_map(|view| &view.models) {
+        rows.add_row([
+            model.served_model.to_string(),
+            model.record.to_string(),
+            model.version.clone(),
+            model.failure_domain.to_string(),
+            model.wanted.to_string(),
+            model.serving.to_string(),
+            model.missing.clone().unwrap_or_default(),
+        ]);
+    }
+    println!("{rows}\n");
+    let mut rows = table(&["FAILURE DOMAIN", "ACCELERATORS", "SERVING", "STRANDED"]);
+    for view in views {
+        let accelerators = &view.accelerators;
+        let stranded: Vec<String> =
+            accelerators.stranded.iter().map(|(why, n)| format!("{n} {why}")).collect();
+        rows.add_row([
+            view.process.failure_domain.to_string(),
+            accelerators.total.to_string(),
+            accelerators.serving.to_string(),
+            stranded.join(", "),
+        ]);
+    }
+    println!("{rows}\n");
+}
+
+fn print_problems(views: &[StatusView], unreached: &[FailureDomainId]) {
+    for domain in unreached {
+        println!("not reached: no entry host of {domain} answered");
+    }
+    for view in views.iter().filter(|view| !view.store.reachable) {
+        println!("{}: the platform's service is unreachable", view.process.failure_domain);
+    }
+    let needs: Vec<&String> = views.iter().flat_map(|view| &view.needs_person).collect();
+    if needs.is_empty() {
+        println!("needs a person: nothing");
+    }
+    for need in needs {
+        println!("needs a person: {need}");
+    }
+}
--- /dev/null
+++ b/crates/geranium_ctl/src/command/timeline.rs
@@ -0,0 +1,118 @@
+//! The time line of all entry hosts.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use geranium_core::time::Timestamp;
+use geranium_telemetry::{Event, EventId, merge};
+use serde::Serialize;
+
+use super::session::Session;
+use super::status::operator_addresses;
+use crate::cli::TimelineFilter;
+use crate::ctl_error::CtlError;
+use crate::exit::Exit;
+use crate::output::{print_json, time_of_day};
+use crate::timeline_svg;
+
+/// Time between two rounds of `--follow`.
+const FOLLOW_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Events of all entry hosts in causal order.
+#[derive(Default, Serialize)]
+struct Timeline {
+    events: Vec<Event>,
+    dropped: u64,
+    unreached: Vec<SocketAddr>,
+}
+
+/// Merges and prints events.
+pub async fn run(session: &Session<'_>, filter: &TimelineFilter) -> Result<Exit, CtlError> {
+    let first = session.ask(|host| session.client.status(host)).await?;
+    let addresses = operator_addresses(session, &first);
+    let query = render_query(filter);
+    let timeline = collect(session, &addresses, &query).await;
+    if let Some(path) = &session.invocation.svg {
+        timeline_svg::write(path, &timeline.events)?;
+    }
+    if session.invocation.json {
+        print_json(&timeline)?;
+    } else {
+        print_events(&timeline.events);
+        for address in &timeline.unreached {
+            println!("not reached: {address}");
+        }
+        if timeline.dropped > 0 {
+            println!("{} older events are no longer kept", timeline.dropped);
+        }
+    }
+    if session.invocation.follow {
+        follow(session, &addresses, &query, &timeline.events).await;
+    }
+    Ok(Exit::Done)
+}
+
+async fn collect(session: &Session<'_>, addresses: &[SocketAddr], query: &str) -> Timeline {
+    let mut timeline = Timeline::default();
+    let mut pages = Vec::new();
+    for &address in addresses {
+        match session.client.events(address, query).await {
+            Ok(page) => {
+                timeline.dropped += page.dropped;
+                pages.push(page.events);
+            }
+            Err(_) => timeline.unreached.push(address),
+        }
+    }
+    timeline.events = merge(pages);
+    timeline
+}
+
+async fn follow(session: &Session<'_>, addresses: &[SocketAddr], query: &str, seen: &[Event]) {
+    let mut newest: BTreeMap<_, EventId> = BTreeMap::new();
+    remember(&mut newest, seen);
+    loop {
+        tokio::time::sleep(FOLLOW_INTERVAL).await;
+        let timeline = collect(session, addresses, query).await;
+        let is_new = |event: &&Event| {
+            let key = (event.id.host.clone(), event.id.incarnation);
+            newest.get(&key).is_none_or(|id| event.id.sequence > id.sequence)
+        };
+        let fresh: Vec<Event> = timeline.events.iter().filter(is_new).cloned().collect();
+        print_events(&fresh);
+        remember(&mut newest, &fresh);
+    }
+}
+
+fn remember<K: From<EventKey> + Ord>(newest: &mut BTreeMap<K, EventId>, events: &[Event]) {
+    for event in events {
+        let key = K::from((event.id.host.clone(), event.id.incarnation));
+        newest.insert(key, event.id.clone());
+    }
+}
+
+type EventKey = (geranium_core::id::HostId, geranium_core::id::Incarnation);
+
+fn print_events(events: &[Event]) {
+    for event in events {
+        println!(
+            "{} {:<14} {:<18} {}",
+            time_of_day(event.time.wall),
+            event.id.host.as_str(),
+            event.kind.as_str(),
+            event.reason
+        );
+    }
+}
+
+fn render_query(filter: &TimelineFilter) -> String {
+    let mut pairs: Vec<String> =
+        filter.pairs.iter().map(|(name, value)| format!("{name}={value}")).collect();
+    if let Some(since) = filter.since {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let start = (Timestamp::default() + elapsed) - since;
+        pairs.push(format!("since={}", start.0));
+    }
+    pairs.join("&")
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/clock.rs
@@ -0,0 +1,33 @@
+//! The clock of the process.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use geranium_core::time::Timestamp;
+
+/// Wall time at the start of the process, carried on by a monotonic clock.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessClock {
+    started_at: Timestamp,
+    started: Instant,
+}
+
+impl ProcessClock {
+    /// Starts the clock.
+    #[must_use]
+    pub fn start() -> Self {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { started_at: Timestamp::default() + elapsed, started: Instant::now() }
+    }
+
+    /// Returns the present time, which never decreases.
+    #[must_use]
+    pub fn now(&self) -> Timestamp {
+        self.started_at + self.started.elapsed()
+    }
+
+    /// Returns the time at which the process started.
+    #[must_use]
+    pub const fn started_at(&self) -> Timestamp {
+        self.started_at
+    }
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/settings.rs
@@ -0,0 +1,302 @@
+//! Settings of the daemon.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use geranium_core::id::{FailureDomainId, HostId};
+use geranium_settings::{SettingSpec, SettingsError, SettingsReader, render_help};
+use log::LevelFilter;
+
+const HOST: SettingSpec =
+    SettingSpec::new("--host", "NAME", "Name of this entry host, unique in the system.");
+const FAILURE_DOMAIN: SettingSpec =
+    SettingSpec::new("--failure-domain", "NAME", "Failure domain of this entry host.");
+const CALLER_ADDRESS: SettingSpec =
+    SettingSpec::new("--caller-address", "IP:PORT", "Listener for callers.");
+const OPERATOR_ADDRESS: SettingSpec =
+    SettingSpec::new("--operator-address", "IP:PORT", "Listener for operators and metrics.");
+const PEER_ADDRESS: SettingSpec =
+    SettingSpec::new("--peer-address", "IP:PORT", "Listener for other entry hosts.");
+const PEERS: SettingSpec = SettingSpec::new(
+    "--peers",
+    "IP:PORT,...",
+    "Peer addresses of entry hosts to join; this host's own may be among them.",
+)
+.or("");
+const PLATFORM: SettingSpec = SettingSpec::new(
+    "--platform",
+    "IP:PORT,...",
+    "Addresses of the platform's key-value service.",
+);
+const OPERATOR_TOKEN: SettingSpec = SettingSpec::new(
+    "--operator-token",
+    "TEXT of 16 bytes or more",
+    "Token that operator calls must carry; prefer the variable.",
+)
+.secret();
+const PEER_TOKEN: SettingSpec = SettingSpec::new(
+    "--peer-token",
+    "TEXT of 16 bytes or more",
+    "Token that entry hosts show each other; prefer the variable.",
+)
+.secret();
+const LOG_LEVEL: SettingSpec =
+    SettingSpec::new("--log-level", "off|error|warn|info|debug|trace", "Least level logged.")
+        .or("info");
+const EVENT_CAPACITY: SettingSpec =
+    SettingSpec::new("--event-capacity", "1 to 1000000", "Events kept in memory.").or("8192");
+const REPORT_INTERVAL: SettingSpec = SettingSpec::new(
+    "--report-interval-ms",
+    "50 to 5000",
+    "Time between two reports asked of a backend server.",
+)
+.or("250");
+const DEFAULT_DEADLINE: SettingSpec = SettingSpec::new(
+    "--default-deadline-ms",
+    "1 to 3600000",
+    "Deadline of a request that names none.",
+)
+.or("60000");
+const MAX_BODY: SettingSpec =
+    SettingSpec::new("--max-body-bytes", "1024 to 67108864", "Largest request body.").or("1048576");
+const MAX_CONNECTIONS: SettingSpec =
+    SettingSpec::new("--max-connections", "1 to 100000", "Caller connections at a time.").or("4096");
+const SHUTDOWN_TIMEOUT: SettingSpec = SettingSpec::new(
+    "--shutdown-timeout-ms",
+    "1 to 3600000",
+    "Longest time for running requests after a stop was asked for.",
+)
+.or("600000");
+const MAX_LOADS: SettingSpec = SettingSpec::new(
+    "--max-loads",
+    "1 to 1000",
+    "Weight loads of this failure domain at a time, the weight store's rate.",
+)
+.or("4");
+
+/// Every setting, in the order of the help text.
+pub const SPECS: &[SettingSpec] = &[
+    HOST,
+    FAILURE_DOMAIN,
+    CALLER_ADDRESS,
+    OPERATOR_ADDRESS,
+    PEER_ADDRESS,
+    PEERS,
+    PLATFORM,
+    OPERATOR_TOKEN,
+    PEER_TOKEN,
+    LOG_LEVEL,
+    EVENT_CAPACITY,
+    REPORT_INTERVAL,
+    DEFAULT_DEADLINE,
+    MAX_BODY,
+    MAX_CONNECTIONS,
+    SHUTDOWN_TIMEOUT,
+    MAX_LOADS,
+];
+
+/// Shortest token, in bytes.
+const MIN_TOKEN_LEN: usize = 16;
+
+/// Checked settings of the daemon.
+#[derive(Clone, PartialEq, Eq)]
+pub struct DaemonSettings {
+    /// Name of this entry host.
+    pub host: HostId,
+    /// Failure domain of this entry host.
+    pub failure_domain: FailureDomainId,
+    /// Listener for callers.
+    pub caller_address: SocketAddr,
+    /// Listener for operators.
+    pub operator_address: SocketAddr,
+    /// Listener for other entry hosts.
+    pub peer_address: SocketAddr,
+    /// Peer addresses to join.
+    pub peers: Vec<SocketAddr>,
+    /// Addresses of the platform's service.
+    pub platform: Vec<SocketAddr>,
+    /// Token of operators.
+    pub operator_token: String,
+    /// Token of entry hosts.
+    pub peer_token: String,
+    /// Least level logged.
+    pub log_level: LevelFilter,
+    /// Events kept in memory.
+    pub event_capacity: usize,
+    /// Time between two reports of a backend server.
+    pub report_interval: Duration,
+    /// Deadline of a request that names none.
+    pub default_deadline: Duration,
+    /// Largest request body, in bytes.
+    pub max_body: usize,
+    /// Caller connections at a time.
+    pub max_connections: usize,
+    /// Longest time for running requests after a stop was asked for.
+    pub shutdown_timeout: Duration,
+    /// Weight loads at a time in this failure domain.
+    pub max_loads: usize,
+}
+
+/// What the command line asks for.
+pub enum DaemonCommand {
+    /// Serve.
+    Run(Box<DaemonSettings>),
+    /// Check the settings and exit.
+    Check,
+    /// Print the help text and exit.
+    Help,
+    /// Print the version and exit.
+    Version,
+}
+
+impl DaemonCommand {
+    /// Reads the command line and the environment.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault of the settings.
+    pub fn read(
+        args: Vec<OsString>,
+        env: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, SettingsError> {
+        let mut reader = SettingsReader::new(args, env);
+        if reader.switch("--help") {
+            return Ok(Self::Help);
+        }
+        if reader.switch("--version") {
+            return Ok(Self::Version);
+        }
+        let check = reader.switch("--check");
+        let settings = read_settings(&mut reader);
+        reader.finish()?;
+        match settings {
+            Some(_) if check => Ok(Self::Check),
+            Some(settings) => Ok(Self::Run(Box::new(settings))),
+            // Every absent value has recorded its fault, so finish has failed.
+            None => Err(SettingsError { faults: Vec::new() }),
+        }
+    }
+}
+
+/// Renders the help text.
+#[must_use]
+pub fn help() -> String {
+    format!(
+        "geraniumd: entry host of the geraniumcourse serving system\n\n\
+         usage: geraniumd [--check] SETTING...\n\n\
+         --check checks the settings and exits; --version prints the version.\n\
+         Each setting is a flag or an environment variable; the flag wins.\n\n{}",
+        render_help(SPECS)
+    )
+}
+
+fn read_settings<E>(reader: &mut SettingsReader<E>) -> Option<DaemonSettings>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let host = reader.required(&HOST);
+    let failure_domain = reader.required(&FAILURE_DOMAIN);
+    let caller_address = address(reader, &CALLER_ADDRESS);
+    let operator_address = address(reader, &OPERATOR_ADDRESS);
+    let peer_address = address(reader, &PEER_ADDRESS);
+    let peers = reader.list(&PEERS);
+    let platform = platform(reader);
+    let operator_token = token(reader, &OPERATOR_TOKEN);
+    let peer_token = token(reader, &PEER_TOKEN);
+    let log_level = reader.required(&LOG_LEVEL);
+    let event_capacity = in_range(reader, &EVENT_CAPACITY, 1, 1_000_000);
+    let report_interval = in_range(reader, &REPORT_INTERVAL, 50, 5_000);
+    let default_deadline = in_range(reader, &DEFAULT_DEADLINE, 1, 3_600_000);
+    let max_body = in_range(reader, &MAX_BODY, 1_024, 64 << 20);
+    let max_connections = in_range(reader, &MAX_CONNECTIONS, 1, 100_000);
+    let shutdown_timeout = in_range(reader, &SHUTDOWN_TIMEOUT, 1, 3_600_000);
+    let max_loads = in_range(reader, &MAX_LOADS, 1, 1_000);
+    check_distinct(reader, [caller_address, operator_address, peer_address]);
+    Some(DaemonSettings {
+        host: host?,
+        failure_domain: failure_domain?,
+        caller_address: caller_address?,
+        operator_address: operator_address?,
+        peer_address: peer_address?,
+        peers,
+        platform,
+        operator_token: operator_token?,
+        peer_token: peer_token?,
+        log_level: log_level?,
+        event_capacity: event_capacity?,
+        report_interval: millis(report_interval?),
+        default_deadline: millis(default_deadline?),
+        max_body: max_body?,
+        max_connections: max_connections?,
+        shutdown_timeout: millis(shutdown_timeout?),
+        max_loads: max_loads?,
+    })
+}
+
+fn millis(value: usize) -> Duration {
+    Duration::from_millis(value as u64)
+}
+
+fn address<E>(reader: &mut SettingsReader<E>, spec: &SettingSpec) -> Option<SocketAddr>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let address: SocketAddr = reader.required(spec)?;
+    if address.ip().is_unspecified() {
+        reader.invalid(spec, address, "other hosts need the exact IP number");
+        return None;
+    }
+    Some(address)
+}
+
+fn platform<E>(reader: &mut SettingsReader<E>) -> Vec<SocketAddr>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let addresses = reader.list(&PLATFORM);
+    if addresses.is_empty() {
+        reader.invalid(&PLATFORM, "", "at least one address is needed");
+    }
+    addresses
+}
+
+fn token<E>(reader: &mut SettingsReader<E>, spec: &SettingSpec) -> Option<String>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let token: String = reader.required(spec)?;
+    if token.len() < MIN_TOKEN_LEN {
+        reader.invalid(spec, &token, format!("it has {} bytes", token.len()));
+        return None;
+    }
+    Some(token)
+}
+
+fn in_range<E>(
+    reader: &mut SettingsReader<E>,
+    spec: &SettingSpec,
+    least: usize,
+    most: usize,
+) -> Option<usize>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let value: usize = reader.required(spec)?;
+    if (least..=most).contains(&value) {
+        return Some(value);
+    }
+    reader.invalid(spec, value, "it is out of range");
+    None
+}
+
+fn check_distinct<E>(reader: &mut SettingsReader<E>, addresses: [Option<SocketAddr>; 3])
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let [caller, operator, peer] = addresses;
+    let clash = |a: Option<SocketAddr>, b: Option<SocketAddr>| a.is_some() && a == b;
+    if clash(caller, operator) || clash(caller, peer) || clash(operator, peer) {
+        reader.conflict("--caller-address, --operator-address and --peer-address must differ");
+    }
+}
