Add operator records: documents, merging, checks, operators' changes

Cause: records need one place that parses, validates, orders and merges them, used by daemon, command-line tool and spread alike.

Ruled out: serde derive with deny_unknown_fields alone, since it stops at the first fault; operators get every fault with field, value and what is valid. Ruled out: digest over sorted records at each change; an XOR of one digest a record is order-independent and changes in constant time. Ruled out: comparing generations alone, since a restored store can give one generation twice; time of write, then writer, break the tie.

--- /dev/null
+++ b/crates/geranium_core/src/record/check/drain.rs
@@ -0,0 +1,50 @@
+//! Checks drains against the other records.
+
+use super::{Findings, KnownPlaces, list_names};
+use crate::id::FailureDomainId;
+use crate::record::{DrainSpec, DrainTarget, RecordSet};
+
+pub(super) fn check(
+    set: &RecordSet,
+    spec: &DrainSpec,
+    places: &KnownPlaces,
+    findings: &mut Findings,
+) {
+    match &spec.target {
+        DrainTarget::FailureDomain(id) => {
+            if !places.may_have_domain(id) {
+                let names = places.failure_domains.iter().map(FailureDomainId::as_str);
+                let valid = format!("a known failure domain: {}", list_names(names));
+                findings.warning("target.failure_domain", id, valid);
+            }
+            check_models_left(set, id, findings);
+        }
+        DrainTarget::Host(id) => {
+            if !places.may_have_host(id) {
+                findings.warning("target.host", id, "a host of the platform's list");
+            }
+        }
+    }
+    let mut others = set.drains().filter(|drain| drain.name != spec.name);
+    if let Some(other) = others.find(|drain| drain.target == spec.target) {
+        let valid = format!(
+            "one drain a target; it stays out until {} goes too",
+            other.name
+        );
+        findings.warning("target", &spec.name, valid);
+    }
+}
+
+/// Warns of models that no failure domain serves once `drained` is out.
+fn check_models_left(set: &RecordSet, drained: &FailureDomainId, findings: &mut Findings) {
+    let view = set.drained();
+    let is_out = |id: &FailureDomainId| id == drained || view.failure_domains.contains(id);
+    for model in set.models() {
+        let mut places = model.placements.iter().filter(|p| p.replicas > 0);
+        let was_served = places.clone().any(|p| p.failure_domain == *drained);
+        if was_served && places.all(|p| is_out(&p.failure_domain)) {
+            let valid = format!("model {} is served nowhere else", model.name);
+            findings.warning("target.failure_domain", drained, valid);
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/record/check/finding.rs
@@ -0,0 +1,70 @@
+//! Findings of the check of a change.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::record::Fault;
+
+/// Whether a finding forbids the change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Severity {
+    /// The change is accepted; the operator is told.
+    Warning,
+    /// The change is refused.
+    Error,
+}
+
+/// Something about a change that the operator should know.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// Whether it forbids the change.
+    pub severity: Severity,
+    /// The field, its value and what would be valid.
+    #[serde(flatten)]
+    pub fault: Fault,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let severity = match self.severity {
+            Severity::Warning => "warning",
+            Severity::Error => "error",
+        };
+        write!(f, "{severity}: {}", self.fault)
+    }
+}
+
+/// Collects findings.
+#[derive(Debug, Default)]
+pub(super) struct Findings(pub(super) Vec<Finding>);
+
+impl Findings {
+    pub(super) fn error(
+        &mut self,
+        field: impl Into<String>,
+        value: impl fmt::Display,
+        valid: impl Into<String>,
+    ) {
+        self.push(Severity::Error, field.into(), &value, valid.into());
+    }
+
+    pub(super) fn warning(
+        &mut self,
+        field: impl Into<String>,
+        value: impl fmt::Display,
+        valid: impl Into<String>,
+    ) {
+        self.push(Severity::Warning, field.into(), &value, valid.into());
+    }
+
+    fn push(&mut self, severity: Severity, field: String, value: &dyn fmt::Display, valid: String) {
+        let fault = Fault {
+            field,
+            value: format!("{:?}", value.to_string()),
+            valid,
+        };
+        self.0.push(Finding { severity, fault });
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/record/check/places.rs
@@ -0,0 +1,41 @@
+//! Failure domains and hosts that are known to exist.
+
+use std::collections::BTreeSet;
+
+use crate::engine::HostEntry;
+use crate::id::{FailureDomainId, HostId};
+
+/// Failure domains and hosts that are known to exist.
+///
+/// An empty set means that nothing is known, and nothing is checked.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct KnownPlaces {
+    /// Failure domains with an entry host or a backend server host.
+    pub failure_domains: BTreeSet<FailureDomainId>,
+    /// Backend server hosts.
+    pub hosts: BTreeSet<HostId>,
+}
+
+impl KnownPlaces {
+    /// Collects the places of the platform's list of hosts.
+    pub fn from_hosts<'a>(hosts: impl IntoIterator<Item = &'a HostEntry>) -> Self {
+        let mut places = Self::default();
+        for entry in hosts {
+            places.failure_domains.insert(entry.failure_domain.clone());
+            places.hosts.insert(entry.host.clone());
+        }
+        places
+    }
+
+    /// Returns whether a failure domain may exist.
+    #[must_use]
+    pub fn may_have_domain(&self, id: &FailureDomainId) -> bool {
+        self.failure_domains.is_empty() || self.failure_domains.contains(id)
+    }
+
+    /// Returns whether a host may exist.
+    #[must_use]
+    pub fn may_have_host(&self, id: &HostId) -> bool {
+        self.hosts.is_empty() || self.hosts.contains(id)
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/record/check/service.rs
@@ -0,0 +1,52 @@
+//! Checks plain services against the other records.
+
+use super::{Findings, KnownPlaces, check_account_exists, list_names};
+use crate::id::FailureDomainId;
+use crate::record::{RecordSet, ServiceEndpoint, ServiceSpec};
+
+pub(super) fn check(
+    set: &RecordSet,
+    spec: &ServiceSpec,
+    places: &KnownPlaces,
+    findings: &mut Findings,
+) {
+    for (i, account) in spec.accounts.iter().enumerate() {
+        check_account_exists(set, format!("accounts[{i}]"), account, findings);
+    }
+    if spec.endpoints.is_empty() {
+        findings.warning(
+            "endpoints",
+            "",
+            "at least one endpoint; this serves nothing",
+        );
+    }
+    if spec.routes.is_empty() {
+        findings.warning("routes", "", "at least one route; every call is refused");
+    }
+    for (i, endpoint) in spec.endpoints.iter().enumerate() {
+        check_endpoint(set, spec, places, i, endpoint, findings);
+    }
+}
+
+fn check_endpoint(
+    set: &RecordSet,
+    spec: &ServiceSpec,
+    places: &KnownPlaces,
+    i: usize,
+    endpoint: &ServiceEndpoint,
+    findings: &mut Findings,
+) {
+    let id = &endpoint.failure_domain;
+    if !places.may_have_domain(id) {
+        let names = places.failure_domains.iter().map(FailureDomainId::as_str);
+        let valid = format!("a known failure domain: {}", list_names(names));
+        findings.warning(format!("endpoints[{i}].failure_domain"), id, valid);
+    }
+    let mut others = set.services().filter(|service| service.name != spec.name);
+    let has_address = |e: &ServiceEndpoint| e.address == endpoint.address;
+    if let Some(other) = others.find(|s| s.endpoints.iter().any(has_address)) {
+        let field = format!("endpoints[{i}].address");
+        let valid = format!("an address of its own; service {} has it too", other.name);
+        findings.warning(field, endpoint.address, valid);
+    }
+}
--- a/crates/geranium_core/src/record/mod.rs
+++ b/crates/geranium_core/src/record/mod.rs
@@ -1,8 +1,42 @@
 //! Operator records, their validation and their spread.
+//!
+//! An operator writes a [`Document`]. Accepted documents are kept as
+//! [`StoredRecord`] values in the platform's store. Each host holds them in a
+//! [`RecordSet`], whose typed views the other aggregates read.
 
+mod apply;
+mod check;
+mod diff;
+mod digest;
+mod document;
+mod error;
+mod fault;
+mod fields;
+mod json;
+mod key;
+mod kind;
+mod read;
+mod set;
 mod spec;
+mod stored;
+mod upgrade;
+mod version;
+mod view;
 
+pub use apply::{ApplyError, ApplyOutcome, ApplyPlan, ApplyRequest, CurrentRecord, Expectation};
+pub use check::{Finding, KnownPlaces, Severity, check_change};
+pub use diff::{FieldChange, diff};
+pub use digest::ConfigDigest;
+pub use document::{Document, MAX_DOCUMENT_LEN};
+pub use error::RecordError;
+pub use fault::{Fault, Faults};
+pub use key::{RECORD_PREFIX, RecordKey};
+pub use kind::RecordKind;
+pub use set::{MergeOutcome, RecordEntry, RecordIndex, RecordSet};
 pub use spec::{
-    AccountShare, AccountSpec, DrainSpec, DrainTarget, ModelSpec, Placement, ServiceEndpoint,
-    ServiceRoute, ServiceSpec,
+    AccountShare, AccountSpec, DrainSpec, DrainTarget, ModelSpec, Placement, RecordSpec,
+    ServiceEndpoint, ServiceRoute, ServiceSpec,
 };
+pub use stored::{Generation, MAX_HISTORY_LEN, RecordChange, RecordRank, StoredRecord, WriterId};
+pub use version::SchemaVersion;
+pub use view::DrainView;
--- /dev/null
+++ b/crates/geranium_core/src/record/read/mod.rs
@@ -0,0 +1,26 @@
+//! Reads documents into their normal form, one file a kind.
+
+mod account;
+mod drain;
+mod model;
+mod service;
+
+pub(super) use account::read_account;
+pub(super) use drain::read_drain;
+pub(super) use model::{DEFAULT_COLD_CONCURRENCY, DEFAULT_WARM_CONCURRENCY, read_model};
+pub(super) use service::read_service;
+
+use super::fields::Fields;
+
+/// Adds a fault for each element that occurs more than once.
+fn unique<T: PartialEq + std::fmt::Display>(
+    fields: &mut Fields<'_>,
+    name: &'static str,
+    elements: &[T],
+) {
+    for (i, element) in elements.iter().enumerate() {
+        if elements[..i].contains(element) {
+            fields.fault(name, format!("each element once; {element} occurs again"));
+        }
+    }
+}
--- a/crates/geranium_core/src/record/spec.rs
+++ b/crates/geranium_core/src/record/spec.rs
@@ -117,3 +117,17 @@
     /// Why, for people.
     pub reason: String,
 }
+
+/// A record of any kind in normal form.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum RecordSpec {
+    /// A client account.
+    Account(AccountSpec),
+    /// A failure domain or host out of service.
+    Drain(DrainSpec),
+    /// A model.
+    Model(ModelSpec),
+    /// A plain service.
+    Service(ServiceSpec),
+}
