Add claims for calls that must not repeat and assembly of streams

A call is claimed by compare-and-swap before its one dispatch. The claim names host, incarnation and nonce; nobody takes over a claim, so no clock and no failure detector decides about a second run. A read before the first write was ruled out: a lost race returns the present value, so the claim costs one round trip. An ambiguous claim write is read back; what is given up is written over as not run at the same expected revision, so a write still under way fails.

Not run, outcome unknown, in progress and key reused are four types with their own statuses.

--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -107,4 +107,6 @@
     ClaimUnknown => "claim_unknown",
     /// A request was found to crash backend servers.
     CrashSuspected => "crash_suspected",
+    /// A claim was given up because its call was not run.
+    ClaimWithdrawn => "claim_withdrawn",
 }
--- a/crates/geranium_core/src/lib.rs
+++ b/crates/geranium_core/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`route`] | choice of a replica group for a request |
 //! | [`limit`] | admission, cold-start budget, retry budget |
 //! | [`once`] | claims for calls that must not repeat |
+//! | [`stream`] | assembly of answers from their pieces |
 
 pub mod collections;
 pub mod engine;
@@ -29,4 +30,5 @@
 pub mod prelude;
 pub mod record;
 pub mod route;
+pub mod stream;
 pub mod time;
--- /dev/null
+++ b/crates/geranium_core/src/once/call/claiming.rs
@@ -0,0 +1,262 @@
+//! From the submission to a claim that is known to be in the store.
+
+use super::{
+    CLAIM_SCHEMA_VERSION, Claim, ClaimAnswer, ClaimCall, ClaimEffect, ClaimInput, ClaimState,
+    Claiming, Dispatched, EventKind, NotRunReason, OtherAttempts, Pending, Phase, StoreRevision,
+    StoredClaim, Timestamp,
+};
+use crate::once::{OutcomeUnknown, ReadOutcome, UnknownReason, WriteOutcome};
+
+impl ClaimCall {
+    /// Writes a claim over the value at `expected`, whose attempt was `attempt`.
+    pub(super) fn claim_over(
+        &mut self,
+        now: Timestamp,
+        expected: StoreRevision,
+        attempt: u32,
+        renews_own: bool,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        let claim = Claim {
+            version: CLAIM_SCHEMA_VERSION,
+            fingerprint: self.request.fingerprint.clone(),
+            attempt: attempt + 1,
+            holder: self.holder.clone(),
+            dispatch_before: self.request.deadline.min(now + self.cfg.dispatch_window),
+            expires_at: now + self.cfg.retention,
+            state: ClaimState::Running,
+        };
+        self.claim_writes += 1;
+        let pending = self.write(&claim, expected, effects);
+        self.phase = Phase::Claiming(Claiming {
+            claim,
+            expected,
+            ambiguous: false,
+            renews_own,
+            pending,
+        });
+    }
+
+    pub(super) fn step_claiming(
+        &mut self,
+        now: Timestamp,
+        mut state: Claiming,
+        input: ClaimInput,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        if now >= state.claim.dispatch_before {
+            let refusal = self.not_run(self.lateness(now), OtherAttempts::NotChecked);
+            self.answer(ClaimAnswer::NotRun(refusal), effects);
+        }
+        match input {
+            ClaimInput::Written { op, outcome } if state.pending == Pending::Write(op) => {
+                self.claim_written(now, state, outcome, effects);
+            }
+            ClaimInput::Read { op, outcome } if state.pending == Pending::Read(op) => {
+                self.claim_read_back(now, state, outcome, effects);
+            }
+            _ => {
+                if matches!(state.pending, Pending::Pause(until) if now >= until) {
+                    state.pending = self.read(effects);
+                }
+                let given_up = self.answered && now >= self.settle_until();
+                if !given_up {
+                    self.phase = Phase::Claiming(state);
+                }
+            }
+        }
+    }
+
+    fn claim_written(
+        &mut self,
+        now: Timestamp,
+        mut state: Claiming,
+        outcome: WriteOutcome,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        match outcome {
+            WriteOutcome::Applied(revision) => self.claim_held(now, state.claim, revision, effects),
+            WriteOutcome::Conflict(present) => self.claim_refused(now, state, present, effects),
+            WriteOutcome::NoEffect if !state.ambiguous => {
+                self.claim_impossible(now, state, effects);
+            }
+            WriteOutcome::NoEffect => {
+                state.pending = self.retry_pause(now);
+                self.phase = Phase::Claiming(state);
+            }
+            WriteOutcome::Ambiguous => {
+                state.ambiguous = true;
+                state.pending = self.read(effects);
+                self.emit(
+                    EventKind::StoreAmbiguous,
+                    "outcome of the claim write is unknown; reading it back",
+                    effects,
+                );
+                self.phase = Phase::Claiming(state);
+            }
+        }
+    }
+
+    /// The store can't take the claim, and no write of it is under way.
+    fn claim_impossible(
+        &mut self,
+        now: Timestamp,
+        state: Claiming,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        let refusal = self.not_run(NotRunReason::StoreUnavailable, OtherAttempts::NotChecked);
+        self.answer(ClaimAnswer::NotRun(refusal), effects);
+        if state.renews_own {
+            self.withdraw(now, state.claim, state.expected, effects);
+        }
+    }
+
+    fn claim_read_back(
+        &mut self,
+        now: Timestamp,
+        mut state: Claiming,
+        outcome: ReadOutcome,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        match outcome {
+            ReadOutcome::Failed => {
+                state.pending = self.retry_pause(now);
+                self.phase = Phase::Claiming(state);
+            }
+            ReadOutcome::Found(present) if revision_of(present.as_ref()) == state.expected => {
+                self.claim_not_there_yet(now, state, effects);
+            }
+            ReadOutcome::Found(present) => self.claim_refused(now, state, present, effects),
+        }
+    }
+
+    /// A write whose outcome is unknown has not taken effect, but still may.
+    ///
+    /// The same value with the same expected revision is harmless to write
+    /// again: whichever of the two comes first makes the other one fail.
+    fn claim_not_there_yet(
+        &mut self,
+        now: Timestamp,
+        mut state: Claiming,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        if self.answered {
+            self.withdraw(now, state.claim, state.expected, effects);
+            return;
+        }
+        state.pending = self.write(&state.claim, state.expected, effects);
+        self.phase = Phase::Claiming(state);
+    }
+
+    /// The value is not at the expected revision any more.
+    fn claim_refused(
+        &mut self,
+        now: Timestamp,
+        state: Claiming,
+        present: Option<StoredClaim>,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        let own = present.as_ref().and_then(|stored| {
+            let claim = stored.claim.as_ref()?;
+            (*claim == state.claim).then_some(stored.revision)
+        });
+        match own {
+            Some(revision) => self.claim_held(now, state.claim, revision, effects),
+            None => self.take_up(now, present, effects),
+        }
+    }
+
+    /// The claim is known to be in the store: dispatches unless it is too late.
+    fn claim_held(
+        &mut self,
+        now: Timestamp,
+        claim: Claim,
+        revision: StoreRevision,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        if self.answered || now >= claim.dispatch_before {
+            let refusal = self.not_run(self.lateness(now), OtherAttempts::NoneRan);
+            self.answer(ClaimAnswer::NotRun(refusal), effects);
+            self.withdraw(now, claim, revision, effects);
+            return;
+        }
+        self.attempts += 1;
+        effects.push(ClaimEffect::Dispatch {
+            attempt: claim.attempt,
+            before: claim.dispatch_before,
+        });
+        let reason = format!("attempt {} is claimed and dispatched", claim.attempt);
+        self.emit(EventKind::ClaimMade, reason, effects);
+        self.phase = Phase::Dispatched(Dispatched { claim, revision });
+    }
+
+    /// Acts on the claim of another call that was found in place of its own.
+    pub(super) fn take_up(
+        &mut self,
+        now: Timestamp,
+        present: Option<StoredClaim>,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        if self.answered {
+            return;
+        }
+        let Some(StoredClaim { claim, revision }) = present else {
+            self.claim_again(now, StoreRevision(0), 0, effects);
+            return;
+        };
+        let Some(claim) = claim else {
+            self.answer_unknown(UnknownReason::Unreadable, 0, effects);
+            return;
+        };
+        if claim.fingerprint != self.request.fingerprint {
+            self.answer(ClaimAnswer::KeyReused, effects);
+            return;
+        }
+        match claim.state {
+            ClaimState::Done(answer) => self.answer(ClaimAnswer::Replayed(answer), effects),
+            ClaimState::Unknown => {
+                self.answer_unknown(UnknownReason::Recorded, claim.attempt, effects);
+            }
+            ClaimState::NotRun => self.claim_again(now, revision, claim.attempt, effects),
+            ClaimState::Running => self.wait_for(now, claim, effects),
+        }
+    }
+
+    /// Returns why a claim came too late to be dispatched.
+    fn lateness(&self, now: Timestamp) -> NotRunReason {
+        if now >= self.request.deadline {
+            NotRunReason::DeadlinePassed
+        } else {
+            NotRunReason::StoreUnavailable
+        }
+    }
+
+    fn claim_again(
+        &mut self,
+        now: Timestamp,
+        expected: StoreRevision,
+        attempt: u32,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        if self.claim_writes >= self.cfg.max_claim_writes {
+            let refusal = self.not_run(NotRunReason::Contended, OtherAttempts::NotChecked);
+            self.answer(ClaimAnswer::NotRun(refusal), effects);
+            return;
+        }
+        self.claim_over(now, expected, attempt, false, effects);
+    }
+
+    pub(super) fn answer_unknown(
+        &mut self,
+        reason: UnknownReason,
+        attempt: u32,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        let unknown = OutcomeUnknown { reason, attempt };
+        self.answer(ClaimAnswer::OutcomeUnknown(unknown), effects);
+    }
+}
+
+fn revision_of(present: Option<&StoredClaim>) -> StoreRevision {
+    present.map_or(StoreRevision(0), |stored| stored.revision)
+}
--- /dev/null
+++ b/crates/geranium_core/src/once/call/dispatched.rs
@@ -0,0 +1,107 @@
+//! From the dispatch to the service's answer.
+
+use super::{
+    ClaimAnswer, ClaimCall, ClaimEffect, ClaimInput, ClaimState, Dispatched, NotRunReason,
+    OtherAttempts, Phase, Timestamp,
+};
+use crate::once::{KeptAnswer, UnknownReason, UpstreamAnswer, UpstreamOutcome};
+
+impl ClaimCall {
+    pub(super) fn step_dispatched(
+        &mut self,
+        now: Timestamp,
+        state: Dispatched,
+        input: ClaimInput,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        match input {
+            ClaimInput::Upstream { attempt, outcome } if attempt == state.claim.attempt => {
+                self.upstream_ended(now, state, outcome, effects);
+            }
+            _ => self.wait_for_upstream(now, state, effects),
+        }
+    }
+
+    /// Answers at the deadline, and gives a late answer some time to be recorded.
+    fn wait_for_upstream(
+        &mut self,
+        now: Timestamp,
+        state: Dispatched,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        if now >= self.request.deadline {
+            self.answer_unknown(UnknownReason::DeadlinePassed, state.claim.attempt, effects);
+        }
+        if now >= self.late_answer_until() {
+            self.record(
+                now,
+                state.claim,
+                state.revision,
+                ClaimState::Unknown,
+                effects,
+            );
+        } else {
+            self.phase = Phase::Dispatched(state);
+        }
+    }
+
+    fn upstream_ended(
+        &mut self,
+        now: Timestamp,
+        state: Dispatched,
+        outcome: UpstreamOutcome,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        match outcome {
+            UpstreamOutcome::Answered(answer) => self.upstream_done(now, state, answer, effects),
+            UpstreamOutcome::NotSent => self.upstream_not_sent(now, state, effects),
+            UpstreamOutcome::Unknown => {
+                self.answer_unknown(UnknownReason::ConnectionLost, state.claim.attempt, effects);
+                self.record(
+                    now,
+                    state.claim,
+                    state.revision,
+                    ClaimState::Unknown,
+                    effects,
+                );
+            }
+        }
+    }
+
+    fn upstream_done(
+        &mut self,
+        now: Timestamp,
+        state: Dispatched,
+        answer: UpstreamAnswer,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        let kept = KeptAnswer::of(&answer, self.cfg.max_kept_body);
+        self.answer(ClaimAnswer::Done(answer), effects);
+        self.record(
+            now,
+            state.claim,
+            state.revision,
+            ClaimState::Done(kept),
+            effects,
+        );
+    }
+
+    /// Claims a new attempt while there is time, and otherwise withdraws.
+    fn upstream_not_sent(
+        &mut self,
+        now: Timestamp,
+        state: Dispatched,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        let in_time = !self.answered && now < self.request.deadline;
+        let attempts_left = self.attempts < self.cfg.max_attempts;
+        let writes_left = self.claim_writes < self.cfg.max_claim_writes;
+        if in_time && attempts_left && writes_left {
+            self.claim_over(now, state.revision, state.claim.attempt, true, effects);
+            return;
+        }
+        let refusal = self.not_run(NotRunReason::ServiceUnreachable, OtherAttempts::NoneRan);
+        self.answer(ClaimAnswer::NotRun(refusal), effects);
+        self.withdraw(now, state.claim, state.revision, effects);
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/once/call/phase.rs
@@ -0,0 +1,63 @@
+//! Phases of a claimed call.
+
+use crate::id::StoreRevision;
+use crate::once::{Claim, OpId};
+use crate::time::Timestamp;
+
+/// What a call waits for from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) enum Pending {
+    /// A write is in flight.
+    Write(OpId),
+    /// A read is in flight.
+    Read(OpId),
+    /// Nothing is in flight before this time.
+    Pause(Timestamp),
+}
+
+/// The claim is being written; nothing was dispatched for it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Claiming {
+    pub claim: Claim,
+    pub expected: StoreRevision,
+    /// Whether a write of this claim may still take effect.
+    pub ambiguous: bool,
+    /// Whether the value at `expected` is an earlier attempt of this call.
+    pub renews_own: bool,
+    pub pending: Pending,
+}
+
+/// The call was dispatched under a claim that is known to be in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Dispatched {
+    pub claim: Claim,
+    pub revision: StoreRevision,
+}
+
+/// The final state of an attempt is being written.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Recording {
+    pub claim: Claim,
+    pub expected: StoreRevision,
+    pub pending: Pending,
+    pub until: Timestamp,
+}
+
+/// Another holder works on the call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Waiting {
+    pub claim: Claim,
+    pub holder_gone: bool,
+    pub store_failed: bool,
+    pub pending: Pending,
+}
+
+/// Phase of a claimed call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) enum Phase {
+    Claiming(Claiming),
+    Dispatched(Dispatched),
+    Recording(Recording),
+    Waiting(Waiting),
+    Ended,
+}
--- /dev/null
+++ b/crates/geranium_core/src/once/call/recording.rs
@@ -0,0 +1,113 @@
+//! Recording of the final state of an attempt.
+
+use super::{
+    Claim, ClaimCall, ClaimEffect, ClaimInput, ClaimState, EventKind, Pending, Phase, Recording,
+    StoreRevision, StoredClaim, Timestamp,
+};
+use crate::once::WriteOutcome;
+
+impl ClaimCall {
+    /// Records that the attempt was not run and never will be.
+    ///
+    /// Written over the value that the claim itself expected, the record also
+    /// makes a claim write that is still under way fail.
+    pub(super) fn withdraw(
+        &mut self,
+        now: Timestamp,
+        claim: Claim,
+        expected: StoreRevision,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        self.record(now, claim, expected, ClaimState::NotRun, effects);
+    }
+
+    /// Records a final state over the value at `expected`.
+    pub(super) fn record(
+        &mut self,
+        now: Timestamp,
+        mut claim: Claim,
+        expected: StoreRevision,
+        state: ClaimState,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        claim.state = state;
+        claim.expires_at = now + self.cfg.retention;
+        let pending = self.write(&claim, expected, effects);
+        self.phase = Phase::Recording(Recording {
+            claim,
+            expected,
+            pending,
+            until: now + self.cfg.settle,
+        });
+    }
+
+    pub(super) fn step_recording(
+        &mut self,
+        now: Timestamp,
+        mut state: Recording,
+        input: ClaimInput,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        match input {
+            ClaimInput::Written { op, outcome } if state.pending == Pending::Write(op) => {
+                self.record_written(now, state, outcome, effects);
+            }
+            _ => {
+                if matches!(state.pending, Pending::Pause(until) if now >= until) {
+                    state.pending = self.write(&state.claim, state.expected, effects);
+                }
+                if now < state.until {
+                    self.phase = Phase::Recording(state);
+                }
+            }
+        }
+    }
+
+    fn record_written(
+        &mut self,
+        now: Timestamp,
+        mut state: Recording,
+        outcome: WriteOutcome,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        match outcome {
+            WriteOutcome::Applied(_) => self.recorded(&state.claim, effects),
+            WriteOutcome::Conflict(present) => {
+                let Some(revision) = own_revision(&state.claim, present.as_ref()) else {
+                    return;
+                };
+                if present.and_then(|stored| stored.claim).as_ref() == Some(&state.claim) {
+                    self.recorded(&state.claim, effects);
+                    return;
+                }
+                state.expected = revision;
+                state.pending = self.write(&state.claim, revision, effects);
+                self.phase = Phase::Recording(state);
+            }
+            // The expected revision makes a second write of the same state harmless.
+            WriteOutcome::Ambiguous | WriteOutcome::NoEffect => {
+                state.pending = self.retry_pause(now);
+                self.phase = Phase::Recording(state);
+            }
+        }
+    }
+
+    fn recorded(&self, claim: &Claim, effects: &mut Vec<ClaimEffect>) {
+        let attempt = claim.attempt;
+        let (kind, reason) = match claim.state {
+            ClaimState::Done(_) => (EventKind::ClaimDone, "its answer is kept"),
+            ClaimState::NotRun => (EventKind::ClaimWithdrawn, "it was not run"),
+            ClaimState::Unknown | ClaimState::Running => {
+                (EventKind::ClaimUnknown, "its outcome is not known")
+            }
+        };
+        self.emit(kind, format!("attempt {attempt} ended: {reason}"), effects);
+    }
+}
+
+/// Returns the revision of the present value if it belongs to the same attempt.
+fn own_revision(claim: &Claim, present: Option<&StoredClaim>) -> Option<StoreRevision> {
+    let stored = present?;
+    let other = stored.claim.as_ref()?;
+    other.is_same_attempt(claim).then_some(stored.revision)
+}
--- /dev/null
+++ b/crates/geranium_core/src/once/call/waiting.rs
@@ -0,0 +1,145 @@
+//! Waiting for another holder of the same call.
+
+use super::{
+    Claim, ClaimAnswer, ClaimCall, ClaimEffect, ClaimInput, ClaimState, Pending, Phase,
+    StoredClaim, Timestamp, Waiting,
+};
+use crate::once::{HolderStatus, InProgress, ReadOutcome, UnknownReason};
+
+impl ClaimCall {
+    /// Waits for the holder, unless the deadline leaves no time to.
+    pub(super) fn wait_for(
+        &mut self,
+        now: Timestamp,
+        claim: Claim,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        let next_poll = now + self.cfg.poll_interval;
+        if next_poll >= self.request.deadline {
+            self.answer_in_progress(claim.attempt, effects);
+            return;
+        }
+        effects.push(ClaimEffect::CheckHolder {
+            holder: claim.holder.clone(),
+        });
+        self.phase = Phase::Waiting(Waiting {
+            claim,
+            holder_gone: false,
+            store_failed: false,
+            pending: Pending::Pause(next_poll),
+        });
+    }
+
+    pub(super) fn step_waiting(
+        &mut self,
+        now: Timestamp,
+        mut state: Waiting,
+        input: ClaimInput,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        match input {
+            ClaimInput::Read { op, outcome } if state.pending == Pending::Read(op) => {
+                self.waiting_read(now, state, outcome, effects);
+                return;
+            }
+            ClaimInput::Holder { holder, status }
+                if status == HolderStatus::Gone
+                    && holder == state.claim.holder
+                    && !state.holder_gone =>
+            {
+                // It may have recorded its outcome before it went.
+                state.holder_gone = true;
+                state.pending = self.read(effects);
+            }
+            _ => {}
+        }
+        if now >= self.request.deadline {
+            self.stop_waiting(&state, effects);
+            return;
+        }
+        if matches!(state.pending, Pending::Pause(until) if now >= until) {
+            state.pending = self.read(effects);
+        }
+        self.phase = Phase::Waiting(state);
+    }
+
+    fn waiting_read(
+        &mut self,
+        now: Timestamp,
+        mut state: Waiting,
+        outcome: ReadOutcome,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        match outcome {
+            ReadOutcome::Failed => {
+                state.store_failed = true;
+                state.pending = self.retry_pause(now);
+                self.keep_waiting(now, state, effects);
+            }
+            ReadOutcome::Found(None) => {
+                self.answer_unknown(UnknownReason::ClaimExpired, state.claim.attempt, effects);
+            }
+            ReadOutcome::Found(Some(stored)) => {
+                let still_running = stored.claim.as_ref() == Some(&state.claim);
+                if !still_running {
+                    self.take_up_or_refuse(now, &state, stored, effects);
+                } else if state.holder_gone {
+                    self.answer_unknown(UnknownReason::HolderGone, state.claim.attempt, effects);
+                } else {
+                    state.store_failed = false;
+                    state.pending = Pending::Pause(now + self.cfg.poll_interval);
+                    effects.push(ClaimEffect::CheckHolder {
+                        holder: state.claim.holder.clone(),
+                    });
+                    self.keep_waiting(now, state, effects);
+                }
+            }
+        }
+    }
+
+    /// Acts on a claim that changed; past the deadline no new claim is made.
+    fn take_up_or_refuse(
+        &mut self,
+        now: Timestamp,
+        state: &Waiting,
+        stored: StoredClaim,
+        effects: &mut Vec<ClaimEffect>,
+    ) {
+        let may_run = stored
+            .claim
+            .as_ref()
+            .is_some_and(|claim| matches!(claim.state, ClaimState::NotRun | ClaimState::Running));
+        if may_run && now >= self.request.deadline {
+            self.stop_waiting(state, effects);
+        } else {
+            self.take_up(now, Some(stored), effects);
+        }
+    }
+
+    fn keep_waiting(&mut self, now: Timestamp, state: Waiting, effects: &mut Vec<ClaimEffect>) {
+        if now >= self.request.deadline {
+            self.stop_waiting(&state, effects);
+        } else {
+            self.phase = Phase::Waiting(state);
+        }
+    }
+
+    fn stop_waiting(&mut self, state: &Waiting, effects: &mut Vec<ClaimEffect>) {
+        let attempt = state.claim.attempt;
+        if state.holder_gone {
+            self.answer_unknown(UnknownReason::HolderGone, attempt, effects);
+        } else if state.store_failed {
+            self.answer_unknown(UnknownReason::StoreUnavailable, attempt, effects);
+        } else {
+            self.answer_in_progress(attempt, effects);
+        }
+    }
+
+    fn answer_in_progress(&mut self, attempt: u32, effects: &mut Vec<ClaimEffect>) {
+        let refusal = InProgress {
+            attempt,
+            retry_after: self.cfg.unavailable_retry_after,
+        };
+        self.answer(ClaimAnswer::InProgress(refusal), effects);
+    }
+}
--- a/crates/geranium_core/src/once/mod.rs
+++ b/crates/geranium_core/src/once/mod.rs
@@ -1,1 +1,32 @@
-//! Claims for calls that must not repeat, and assembly of streams.
+//! Claims for calls that must not repeat.
+//!
+//! A call that is not idempotent is dispatched only by the holder of its claim,
+//! a value in the platform's store that is written by compare-and-swap before the
+//! dispatch. [`ClaimCall`] decides for one call of one caller; its driver carries
+//! out the [`ClaimEffect`]s and feeds the outcomes back as [`ClaimInput`]s.
+
+mod answer;
+mod budget;
+mod call;
+mod claim;
+mod config;
+mod effect;
+mod error;
+mod input;
+mod key;
+mod outcome;
+mod sweep;
+
+pub use answer::{KeptAnswer, KeptBody, UpstreamAnswer};
+pub use budget::ClaimBudget;
+pub use call::ClaimCall;
+pub use claim::{CLAIM_SCHEMA_VERSION, Claim, ClaimHolder, ClaimState, StoredClaim};
+pub use config::ClaimConfig;
+pub use effect::{ClaimEffect, OpId};
+pub use error::ClaimError;
+pub use input::{ClaimInput, HolderStatus, ReadOutcome, UpstreamOutcome, WriteOutcome};
+pub use key::{CLAIM_PREFIX, ClaimRequest, Fingerprint, IdempotencyKey, claim_key};
+pub use outcome::{
+    ClaimAnswer, InProgress, NotRun, NotRunReason, OtherAttempts, OutcomeUnknown, UnknownReason,
+};
+pub use sweep::{SweepAction, claim_sweep_prefix, expired_claims};
--- /dev/null
+++ b/crates/geranium_core/src/stream/assembler.rs
@@ -0,0 +1,258 @@
+//! The state machine that assembles one answer.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::{
+    Delivery, FinishReason, Piece, PieceBody, ResumePoint, StreamEnd, StreamError, StreamLimits,
+};
+use crate::id::RequestId;
+
+/// What became of a piece.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Acceptance {
+    /// The piece continued the answer.
+    Placed,
+    /// The piece waits for an earlier one.
+    Held,
+    /// The piece belongs to another request or attempt, was there already, or
+    /// came after the end.
+    Dropped,
+}
+
+/// The state machine that assembles one answer.
+///
+/// # Examples
+///
+/// ```
+/// # use geranium_core::prelude::*;
+/// # use geranium_core::stream::*;
+/// let id = RequestId::new("r1");
+/// let piece = |sequence, body| Piece { request: id.clone(), attempt: 1, sequence, body };
+/// let mut stream = StreamAssembler::new(id.clone(), StreamLimits::default());
+///
+/// let end = PieceBody::End { tokens: 1, reason: FinishReason::Stop };
+/// stream.accept(piece(1, end));
+/// assert_eq!(stream.take(), None); // the token before it is still missing
+///
+/// let token = PieceBody::Tokens { first: 0, count: 1, text: "hola".into() };
+/// stream.accept(piece(0, token));
+/// assert!(matches!(stream.take(), Some(Delivery::Tokens { first: 0, count: 1, .. })));
+/// assert!(matches!(stream.take(), Some(Delivery::End(_))));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamAssembler {
+    request: RequestId,
+    limits: StreamLimits,
+    attempt: u32,
+    next_sequence: u64,
+    tokens: u64,
+    /// Text of all assembled tokens, unless it grew too long to resume.
+    text: Option<String>,
+    text_bytes: usize,
+    held: BTreeMap<u64, PieceBody>,
+    ready: VecDeque<Delivery>,
+    ready_bytes: usize,
+    ended: bool,
+}
+
+impl StreamAssembler {
+    /// Makes an assembler that expects the pieces of attempt 1.
+    #[must_use]
+    pub fn new(request: RequestId, limits: StreamLimits) -> Self {
+        Self {
+            request,
+            limits,
+            attempt: 1,
+            next_sequence: 0,
+            tokens: 0,
+            text: Some(String::new()),
+            text_bytes: 0,
+            held: BTreeMap::new(),
+            ready: VecDeque::new(),
+            ready_bytes: 0,
+            ended: false,
+        }
+    }
+
+    /// Returns the attempt whose pieces are accepted.
+    #[must_use]
+    pub fn attempt(&self) -> u32 {
+        self.attempt
+    }
+
+    /// Returns the number of tokens assembled so far.
+    #[must_use]
+    pub fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    /// Returns whether the end or an error was assembled.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Returns whether the reader keeps up, so that the driver may read on.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.ready_bytes < self.limits.max_buffered_bytes / 2
+    }
+
+    /// Takes in one piece; a fault in it ends the stream with a typed error.
+    pub fn accept(&mut self, piece: Piece) -> Acceptance {
+        let foreign = piece.request != self.request || piece.attempt != self.attempt;
+        if self.ended || foreign || piece.sequence < self.next_sequence {
+            return Acceptance::Dropped;
+        }
+        if piece.sequence > self.next_sequence {
+            return self.hold(piece.sequence, piece.body);
+        }
+        self.place(piece.body);
+        while let Some(body) = self.held.remove(&self.next_sequence) {
+            self.place(body);
+        }
+        Acceptance::Placed
+    }
+
+    /// Returns what the caller gets next, if anything is ready.
+    pub fn take(&mut self) -> Option<Delivery> {
+        let delivery = self.ready.pop_front()?;
+        if let Delivery::Tokens { text, .. } = &delivery {
+            self.ready_bytes -= text.len();
+        }
+        Some(delivery)
+    }
+
+    /// Starts a new attempt that continues after the assembled tokens.
+    ///
+    /// Tokens that wait for the reader stay; pieces that wait for a missing one
+    /// are dropped, because the new replica produces them again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream has ended or its text is too long.
+    pub fn resume(&mut self) -> Result<ResumePoint, StreamError> {
+        if self.ended {
+            return Err(StreamError::AlreadyEnded(self.request.clone()));
+        }
+        let Some(text) = self.text.clone() else {
+            let bytes = self.text_bytes;
+            return Err(StreamError::TooLongToResume(self.request.clone(), bytes));
+        };
+        self.attempt += 1;
+        self.next_sequence = 0;
+        self.held.clear();
+        Ok(ResumePoint {
+            attempt: self.attempt,
+            resume_from: self.tokens,
+            text,
+        })
+    }
+
+    /// Ends the stream because its replica broke off and none takes over.
+    pub fn cut(&mut self) {
+        let error = StreamError::Cut(self.request.clone(), self.tokens);
+        self.fail(error);
+    }
+
+    /// Ends the stream with an error, unless it has ended already.
+    pub fn fail(&mut self, error: StreamError) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        self.held.clear();
+        self.ready.push_back(Delivery::Error(error));
+    }
+
+    fn hold(&mut self, sequence: u64, body: PieceBody) -> Acceptance {
+        if self.held.contains_key(&sequence) {
+            return Acceptance::Dropped;
+        }
+        if self.held.len() >= self.limits.max_reordered_pieces {
+            let missing = self.next_sequence;
+            self.fail(StreamError::ReorderOverflow(self.request.clone(), missing));
+            return Acceptance::Dropped;
+        }
+        self.held.insert(sequence, body);
+        Acceptance::Held
+    }
+
+    fn place(&mut self, body: PieceBody) {
+        self.next_sequence += 1;
+        match body {
+            PieceBody::Tokens { first, count, text } => {
+                self.place_tokens(first, u64::from(count), text);
+            }
+            PieceBody::End { tokens, reason } => self.place_end(tokens, reason),
+            PieceBody::Whole {
+                tokens,
+                text,
+                reason,
+            } => self.place_whole(tokens, text, reason),
+            PieceBody::Failure { detail } => {
+                self.fail(StreamError::Replica(self.request.clone(), detail));
+            }
+        }
+    }
+
+    fn place_tokens(&mut self, first: u64, count: u64, text: String) {
+        if self.ended {
+            return;
+        }
+        let repeated = count > 0 && first.saturating_add(count) <= self.tokens;
+        if repeated {
+            return;
+        }
+        if first != self.tokens {
+            let request = self.request.clone();
+            self.fail(StreamError::TokenGap(request, self.tokens, first));
+            return;
+        }
+        let full = self.ready_bytes + text.len() > self.limits.max_buffered_bytes;
+        if self.ready_bytes > 0 && full {
+            let request = self.request.clone();
+            self.fail(StreamError::ReaderTooSlow(request, self.ready_bytes));
+            return;
+        }
+        self.tokens += count;
+        self.keep_for_resume(&text);
+        self.ready_bytes += text.len();
+        self.ready
+            .push_back(Delivery::Tokens { first, count, text });
+    }
+
+    fn place_end(&mut self, tokens: u64, reason: FinishReason) {
+        if self.ended {
+            return;
+        }
+        if tokens != self.tokens {
+            let request = self.request.clone();
+            self.fail(StreamError::Incomplete(request, tokens, self.tokens));
+            return;
+        }
+        self.ended = true;
+        self.held.clear();
+        self.ready
+            .push_back(Delivery::End(StreamEnd { tokens, reason }));
+    }
+
+    fn place_whole(&mut self, tokens: u64, text: String, reason: FinishReason) {
+        if self.tokens > 0 {
+            let request = self.request.clone();
+            self.fail(StreamError::UnexpectedWhole(request, self.tokens));
+            return;
+        }
+        self.place_tokens(0, tokens, text);
+        self.place_end(tokens, reason);
+    }
+
+    fn keep_for_resume(&mut self, text: &str) {
+        self.text_bytes += text.len();
+        if self.text_bytes > self.limits.max_resume_bytes {
+            self.text = None;
+        } else if let Some(kept) = &mut self.text {
+            kept.push_str(text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/tests/support/mod.rs
@@ -0,0 +1,138 @@
+//! Fixtures of the claim tests: a store with compare-and-swap and a service.
+
+use std::time::Duration;
+
+use geranium_core::once::{
+    Claim, ClaimAnswer, ClaimBudget, ClaimCall, ClaimConfig, ClaimEffect, ClaimHolder, ClaimInput,
+    ClaimRequest, Fingerprint, OpId, ReadOutcome, StoredClaim, UpstreamAnswer, UpstreamOutcome,
+    WriteOutcome,
+};
+use geranium_core::prelude::*;
+
+/// Time of the first submission.
+pub const START: Timestamp = Timestamp::from_millis(1_000_000_000);
+
+/// A store that holds one claim.
+#[derive(Default)]
+pub struct OneClaimStore {
+    pub present: Option<StoredClaim>,
+    pub revision: u64,
+}
+
+impl OneClaimStore {
+    pub fn write(&mut self, claim: &Claim, expected: StoreRevision) -> WriteOutcome {
+        let at = self
+            .present
+            .as_ref()
+            .map_or(StoreRevision(0), |stored| stored.revision);
+        if at != expected {
+            return WriteOutcome::Conflict(self.present.clone());
+        }
+        self.revision += 1;
+        let revision = StoreRevision(self.revision);
+        let key = "claim";
+        self.present = Some(StoredClaim::read(key, &claim.encode(), revision));
+        WriteOutcome::Applied(revision)
+    }
+
+    pub fn read(&self) -> ReadOutcome {
+        ReadOutcome::Found(self.present.clone())
+    }
+}
+
+/// What one step of a call asked for.
+#[derive(Debug, Default)]
+pub struct Asked {
+    pub write: Option<(OpId, Claim, StoreRevision)>,
+    pub read: Option<OpId>,
+    pub dispatch: Option<u32>,
+    pub answer: Option<ClaimAnswer>,
+    pub check: Option<ClaimHolder>,
+    pub events: Vec<EventKind>,
+}
+
+impl Asked {
+    pub fn of(effects: Vec<ClaimEffect>) -> Self {
+        let mut asked = Self::default();
+        for effect in effects {
+            match effect {
+                ClaimEffect::Read { op, .. } => asked.read = Some(op),
+                ClaimEffect::Write {
+                    op,
+                    claim,
+                    expected,
+                    ..
+                } => asked.write = Some((op, *claim, expected)),
+                ClaimEffect::CheckHolder { holder } => asked.check = Some(holder),
+                ClaimEffect::Dispatch { attempt, .. } => asked.dispatch = Some(attempt),
+                ClaimEffect::Answer(answer) => asked.answer = Some(answer),
+                ClaimEffect::Emit(draft) => asked.events.push(draft.kind),
+            }
+        }
+        asked
+    }
+}
+
+pub fn holder(host: &str, nonce: u64) -> ClaimHolder {
+    ClaimHolder {
+        host: HostId::new(host),
+        incarnation: Incarnation(1),
+        nonce,
+    }
+}
+
+pub fn request(body: &str) -> ClaimRequest {
+    ClaimRequest {
+        request: RequestId::new("r1"),
+        account: AccountId::new("editorial"),
+        key: "removal-17".parse().expect("valid key"),
+        key_issued_at: None,
+        fingerprint: Fingerprint::of("POST", "/removals", body.as_bytes()),
+        deadline: START + Duration::from_secs(10),
+    }
+}
+
+pub fn submit(request: ClaimRequest, holder: ClaimHolder, now: Timestamp) -> (ClaimCall, Asked) {
+    let mut budget = ClaimBudget::new(100.0, 100.0);
+    let (call, effects) =
+        ClaimCall::submit(ClaimConfig::default(), request, holder, &mut budget, now);
+    (call, Asked::of(effects))
+}
+
+pub fn step(call: &mut ClaimCall, now: Timestamp, input: ClaimInput) -> Asked {
+    Asked::of(call.step(now, input))
+}
+
+/// Carries out the write that a step asked for.
+pub fn carry_out(
+    call: &mut ClaimCall,
+    store: &mut OneClaimStore,
+    now: Timestamp,
+    asked: &Asked,
+) -> Asked {
+    let (op, claim, expected) = asked.write.as_ref().expect("a write was asked for");
+    let outcome = store.write(claim, *expected);
+    step(call, now, ClaimInput::Written { op: *op, outcome })
+}
+
+pub fn written(asked: &Asked, outcome: WriteOutcome) -> ClaimInput {
+    let (op, _, _) = asked.write.as_ref().expect("a write was asked for");
+    ClaimInput::Written { op: *op, outcome }
+}
+
+pub fn read_back(asked: &Asked, outcome: ReadOutcome) -> ClaimInput {
+    let op = asked.read.expect("a read was asked for");
+    ClaimInput::Read { op, outcome }
+}
+
+pub fn upstream(attempt: u32, outcome: UpstreamOutcome) -> ClaimInput {
+    ClaimInput::Upstream { attempt, outcome }
+}
+
+pub fn service_answer(body: &str) -> UpstreamAnswer {
+    UpstreamAnswer {
+        status: 200,
+        headers: vec![("content-type".into(), "text/plain".into())],
+        body: body.to_owned().into(),
+    }
+}
