--- /dev/null
+++ b/crates/geranium_core/src/record/account_key.rs
@@ -0,0 +1,21 @@
+//! Hashes of account keys.
+
+use sha2::{Digest, Sha256};
+
+/// Returns the SHA-256 of an account key in lower-case hexadecimal.
+///
+/// Records hold only this hash. Keys are long random texts, so that a fast hash
+/// does not help to guess them.
+///
+/// # Examples
+///
+/// ```
+/// use geranium_core::record::hash_key;
+///
+/// assert!(hash_key("k").starts_with("8254c329"));
+/// ```
+#[must_use]
+pub fn hash_key(key: &str) -> String {
+    let digest = Sha256::digest(key.as_bytes());
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- a/crates/geranium_core/src/record/mod.rs
+++ b/crates/geranium_core/src/record/mod.rs
@@ -4,6 +4,7 @@
 //! [`StoredRecord`] values in the platform's store. Each host holds them in a
 //! [`RecordSet`], whose typed views the other aggregates read.
 
+mod account_key;
 mod apply;
 mod check;
 mod diff;
@@ -23,6 +24,7 @@
 mod version;
 mod view;
 
+pub use account_key::hash_key;
 pub use apply::{ApplyError, ApplyOutcome, ApplyPlan, ApplyRequest, CurrentRecord, Expectation};
 pub use check::{Finding, KnownPlaces, Severity, check_change};
 pub use diff::{FieldChange, diff};
--- a/crates/geranium_ctl/src/command/records.rs
+++ b/crates/geranium_ctl/src/command/records.rs
@@ -51,19 +51,16 @@
         print_json(&entries)?;
         return Ok(Exit::Done);
     }
+    let mut rows = table(&["GENERATION", "CHANGE", "OPERATOR", "TIME"]);
     for entry in &entries {
-        let record = &entry.record;
-        let verb = if record.deleted { "deleted" } else { "written" };
-        println!(
-            "generation {} {verb} by {} at {}",
-            record.generation,
-            record.operator,
-            time_of_day(record.written_at)
-        );
-        for change in &entry.changes {
-            println!("  {change}");
-        }
+        rows.add_row([
+            entry.generation.to_string(),
+            if entry.deleted { "deleted" } else { "written" }.to_owned(),
+            entry.operator.clone(),
+            time_of_day(entry.written_at),
+        ]);
     }
+    println!("{rows}");
     Ok(Exit::Done)
 }
 
--- /dev/null
+++ b/crates/geranium_daemon/src/claim/driver.rs
@@ -0,0 +1,151 @@
+//! Carries out the effects of one claimed call.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use geranium_core::id::StoreRevision;
+use geranium_core::once::{
+    Claim, ClaimAnswer, ClaimCall, ClaimEffect, ClaimHolder, ClaimInput, OpId, ReadOutcome,
+    StoredClaim, UpstreamOutcome, WriteOutcome,
+};
+use geranium_core::time::Timestamp;
+use geranium_platform::{CasOutcome, KvStore, StoreError, StoredValue, Swap};
+use tokio::sync::{mpsc, oneshot};
+
+use super::service::{ClaimService, HolderDirectory, UpstreamCall};
+
+/// Longest sleep between two looks at the clock.
+const MAX_SLEEP: Duration = Duration::from_secs(1);
+
+/// Drives one call to its end.
+pub struct ClaimDriver<S, D, U> {
+    service: Arc<ClaimService<S, D>>,
+    call: ClaimCall,
+    upstream: Option<U>,
+    answer: Option<oneshot::Sender<ClaimAnswer>>,
+    tx: mpsc::UnboundedSender<ClaimInput>,
+    rx: mpsc::UnboundedReceiver<ClaimInput>,
+    upstream_back: (mpsc::UnboundedSender<U>, mpsc::UnboundedReceiver<U>),
+}
+
+impl<S: KvStore, D: HolderDirectory, U: UpstreamCall> ClaimDriver<S, D, U> {
+    /// Makes a driver that answers over `answer`.
+    pub fn new(
+        service: Arc<ClaimService<S, D>>,
+        call: ClaimCall,
+        upstream: U,
+        answer: oneshot::Sender<ClaimAnswer>,
+    ) -> Self {
+        let (tx, rx) = mpsc::unbounded_channel();
+        Self {
+            service,
+            call,
+            upstream: Some(upstream),
+            answer: Some(answer),
+            tx,
+            rx,
+            upstream_back: mpsc::unbounded_channel(),
+        }
+    }
+
+    /// Carries out effects until nothing is left to do.
+    pub async fn run(mut self, effects: Vec<ClaimEffect>) {
+        self.carry_out(effects);
+        while !self.call.is_ended() {
+            let input = self.next_input().await;
+            let effects = self.call.step(self.service.clock.now(), input);
+            self.carry_out(effects);
+        }
+    }
+
+    async fn next_input(&mut self) -> ClaimInput {
+        let now = self.service.clock.now();
+        let wake = self.call.next_wake();
+        let sleep = wake.map_or(MAX_SLEEP, |wake| wake.since(now).min(MAX_SLEEP));
+        tokio::select! {
+            Some(input) = self.rx.recv() => input,
+            () = tokio::time::sleep(sleep) => ClaimInput::Tick,
+        }
+    }
+
+    fn carry_out(&mut self, effects: Vec<ClaimEffect>) {
+        for effect in effects {
+            match effect {
+                ClaimEffect::Read { op, key } => self.read(op, key),
+                ClaimEffect::Write { op, key, claim, expected } => {
+                    self.write(op, key, &claim, expected);
+                }
+                ClaimEffect::CheckHolder { holder } => self.check_holder(holder),
+                ClaimEffect::Dispatch { attempt, before } => self.dispatch(attempt, before),
+                ClaimEffect::Answer(answer) => self.answer(answer),
+                ClaimEffect::Emit(draft) => self.service.emit(draft),
+            }
+        }
+    }
+
+    fn answer(&mut self, answer: ClaimAnswer) {
+        if let Some(tx) = self.answer.take() {
+            // The caller may be gone; the call is recorded all the same.
+            let _ = tx.send(answer);
+        }
+    }
+
+    fn read(&self, op: OpId, key: String) {
+        let store = self.service.store.clone();
+        let tx = self.tx.clone();
+        tokio::spawn(async move {
+            let outcome = match store.get(&key).await {
+                Ok(value) => ReadOutcome::Found(value.as_ref().map(stored_claim)),
+                Err(_) => ReadOutcome::Failed,
+            };
+            let _ = tx.send(ClaimInput::Read { op, outcome });
+        });
+    }
+
+    fn write(&self, op: OpId, key: String, claim: &Claim, expected: StoreRevision) {
+        let store = self.service.store.clone();
+        let tx = self.tx.clone();
+        let swap = Swap { key, expected, value: Some(claim.encode()), lease: None };
+        tokio::spawn(async move {
+            let outcome = write_outcome(store.transact(vec![swap]).await);
+            let _ = tx.send(ClaimInput::Written { op, outcome });
+        });
+    }
+
+    fn check_holder(&self, holder: ClaimHolder) {
+        let status = self.service.directory.status(self.service.clock.now(), &holder);
+        let _ = self.tx.send(ClaimInput::Holder { holder, status });
+    }
+
+    fn dispatch(&mut self, attempt: u32, before: Timestamp) {
+        // An attempt whose dispatch never began gives the upstream back.
+        let upstream = self.upstream.take().or_else(|| self.upstream_back.1.try_recv().ok());
+        let tx = self.tx.clone();
+        let back = self.upstream_back.0.clone();
+        let Some(mut upstream) = upstream else {
+            let outcome = UpstreamOutcome::NotSent;
+            let _ = tx.send(ClaimInput::Upstream { attempt, outcome });
+            return;
+        };
+        tokio::spawn(async move {
+            let outcome = upstream.send(before).await;
+            let _ = back.send(upstream);
+            let _ = tx.send(ClaimInput::Upstream { attempt, outcome });
+        });
+    }
+}
+
+fn stored_claim(value: &StoredValue) -> StoredClaim {
+    StoredClaim::read(&value.key, &value.value, value.revision)
+}
+
+fn write_outcome(outcome: Result<CasOutcome, StoreError>) -> WriteOutcome {
+    match outcome {
+        Ok(CasOutcome::Applied(revision)) => WriteOutcome::Applied(revision),
+        Ok(CasOutcome::Conflict(values)) => {
+            WriteOutcome::Conflict(values.first().map(stored_claim))
+        }
+        Err(StoreError::Ambiguous(..) | StoreError::Malformed(..)) => WriteOutcome::Ambiguous,
+        Err(_) => WriteOutcome::NoEffect,
+    }
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/control/input.rs
@@ -0,0 +1,29 @@
+//! What the control task is told.
+
+use geranium_core::engine::{EngineReport, HostEntry, Order};
+use geranium_core::group::{GroupTable, OrderOutcome, WriteOutcome};
+use geranium_core::id::{HostId, StoreRevision};
+use geranium_core::record::StoredRecord;
+
+/// What the control task is told.
+#[derive(Debug)]
+pub enum ControlInput {
+    /// This process holds the leader's lease, or no longer does.
+    Leadership(bool),
+    /// The platform's store answers, or no longer does.
+    StoreReachable(bool),
+    /// Records read from the platform's store or learnt from a peer.
+    Records(Vec<StoredRecord>),
+    /// The platform's list of hosts.
+    Hosts(Vec<HostEntry>),
+    /// The group table of this failure domain as the store has it.
+    Table(Option<GroupTable>, StoreRevision),
+    /// The outcome of a write of the group table.
+    TableWritten(WriteOutcome),
+    /// An engine reported.
+    Report(Box<EngineReport>),
+    /// An engine gave no usable report.
+    ReportMissed(HostId),
+    /// The outcome of an order.
+    OrderAnswered(Box<Order>, OrderOutcome),
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/control/mirror.rs
@@ -0,0 +1,150 @@
+//! Follows values of the platform's store.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use futures::StreamExt;
+use geranium_core::engine::HostEntry;
+use geranium_core::group::GroupTable;
+use geranium_core::id::StoreRevision;
+use geranium_core::record::StoredRecord;
+use geranium_platform::{KvStore, StoreError, StoredValue, WatchBatch, WatchChange};
+use rand::Rng;
+use tokio::sync::mpsc;
+
+use super::ControlInput;
+
+/// Shortest pause before a failed read is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest random addition to the pause, so that hosts do not return in step.
+const RETRY_JITTER: Duration = Duration::from_millis(300);
+
+/// What a mirror follows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MirrorTarget {
+    /// Operator records below this prefix.
+    Records(String),
+    /// The platform's list of hosts below this prefix.
+    Hosts(String),
+    /// The group table under this key.
+    Table(String),
+}
+
+impl MirrorTarget {
+    fn prefix(&self) -> &str {
+        match self {
+            Self::Records(prefix) | Self::Hosts(prefix) | Self::Table(prefix) => prefix,
+        }
+    }
+}
+
+/// Follows the values below one prefix and reports them to the control task.
+pub struct StoreMirror<S> {
+    store: S,
+    target: MirrorTarget,
+    tx: mpsc::Sender<ControlInput>,
+    values: BTreeMap<String, StoredValue>,
+}
+
+impl<S: KvStore> StoreMirror<S> {
+    /// Makes a mirror.
+    pub fn new(store: S, target: MirrorTarget, tx: mpsc::Sender<ControlInput>) -> Self {
+        Self { store, target, tx, values: BTreeMap::new() }
+    }
+
+    /// Follows the values until the control task is gone.
+    pub async fn run(mut self) {
+        while !self.tx.is_closed() {
+            if let Err(e) = self.follow().await {
+                log::debug!("cannot follow {:?}: {e}", self.target.prefix());
+            }
+            tokio::time::sleep(retry_pause()).await;
+        }
+    }
+
+    /// Reads everything once, then follows changes until the first failure.
+    async fn follow(&mut self) -> Result<(), StoreError> {
+        let read = self.store.range(self.target.prefix()).await?;
+        self.values = read.values.into_iter().map(|v| (v.key.clone(), v)).collect();
+        self.report_all().await;
+        let mut watch = self.store.watch(self.target.prefix(), read.revision).await?;
+        while let Some(batch) = watch.next().await {
+            self.take_in(batch?).await;
+        }
+        Ok(())
+    }
+
+    async fn take_in(&mut self, batch: WatchBatch) {
+        let mut changed = Vec::new();
+        for change in batch.changes {
+            match change {
+                WatchChange::Put(value) => {
+                    changed.push(value.clone());
+                    self.values.insert(value.key.clone(), value);
+                }
+                WatchChange::Deleted { key, .. } => {
+                    self.values.remove(&key);
+                }
+            }
+        }
+        match self.target {
+            // A record that vanished from the store stays in force: only a
+            // deletion with a higher generation takes it away.
+            MirrorTarget::Records(_) => self.report_records(&changed).await,
+            MirrorTarget::Hosts(_) | MirrorTarget::Table(_) => self.report_all().await,
+        }
+    }
+
+    async fn report_all(&self) {
+        let values: Vec<StoredValue> = self.values.values().cloned().collect();
+        match &self.target {
+            MirrorTarget::Records(_) => self.report_records(&values).await,
+            MirrorTarget::Hosts(_) => self.report_hosts(&values).await,
+            MirrorTarget::Table(key) => self.report_table(key).await,
+        }
+    }
+
+    async fn report_records(&self, values: &[StoredValue]) {
+        let mut records = Vec::with_capacity(values.len());
+        for value in values {
+            match StoredRecord::from_store(&value.key, &value.value) {
+                Ok(record) => records.push(record),
+                Err(e) => log::warn!("{e}"),
+            }
+        }
+        self.send(ControlInput::Records(records)).await;
+    }
+
+    async fn report_hosts(&self, values: &[StoredValue]) {
+        let mut hosts: Vec<HostEntry> = Vec::with_capacity(values.len());
+        for value in values {
+            match serde_json::from_slice(&value.value) {
+                Ok(host) => hosts.push(host),
+                Err(e) => log::warn!("value of {:?} is not a host: {e}", value.key),
+            }
+        }
+        self.send(ControlInput::Hosts(hosts)).await;
+    }
+
+    async fn report_table(&self, key: &str) {
+        let Some(value) = self.values.get(key) else {
+            self.send(ControlInput::Table(None, StoreRevision::default())).await;
+            return;
+        };
+        match serde_json::from_slice::<GroupTable>(&value.value) {
+            Ok(table) => self.send(ControlInput::Table(Some(table), value.revision)).await,
+            Err(e) => log::error!("value of {key:?} is not a group table: {e}"),
+        }
+    }
+
+    async fn send(&self, input: ControlInput) {
+        // The control task is gone only while the process ends.
+        let _ = self.tx.send(input).await;
+    }
+}
+
+/// Returns a pause with jitter.
+pub fn retry_pause() -> Duration {
+    RETRY_PAUSE + rand::rng().random_range(Duration::ZERO..RETRY_JITTER)
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/control/orders.rs
@@ -0,0 +1,64 @@
+//! Sends orders to engines.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use geranium_core::engine::{HostEntry, Order};
+use geranium_core::group::OrderOutcome;
+use geranium_core::id::HostId;
+use geranium_engine::{EngineApi, EngineError};
+use tokio::sync::mpsc;
+
+use super::ControlInput;
+
+/// Sends orders and reports their outcomes to the control task.
+pub struct OrderSender<E> {
+    engines: E,
+    addresses: BTreeMap<HostId, SocketAddr>,
+    tx: mpsc::Sender<ControlInput>,
+}
+
+impl<E: EngineApi> OrderSender<E> {
+    /// Makes a sender that knows no host yet.
+    pub fn new(engines: E, tx: mpsc::Sender<ControlInput>) -> Self {
+        Self { engines, addresses: BTreeMap::new(), tx }
+    }
+
+    /// Takes over the addresses of the platform's list of hosts.
+    pub fn set_hosts(&mut self, hosts: &[HostEntry]) {
+        self.addresses = hosts.iter().map(|h| (h.host.clone(), h.address)).collect();
+    }
+
+    /// Sends an order; one for a host that is not listed gets no answer.
+    pub fn send(&self, order: Order) {
+        let engines = self.engines.clone();
+        let address = self.addresses.get(&order.host).copied();
+        let tx = self.tx.clone();
+        tokio::spawn(async move {
+            let outcome = match address {
+                Some(address) => send_to(&engines, address, &order, &tx).await,
+                None => OrderOutcome::NoAnswer,
+            };
+            let _ = tx.send(ControlInput::OrderAnswered(Box::new(order), outcome)).await;
+        });
+    }
+}
+
+async fn send_to<E: EngineApi>(
+    engines: &E,
+    address: SocketAddr,
+    order: &Order,
+    tx: &mpsc::Sender<ControlInput>,
+) -> OrderOutcome {
+    match engines.send_order(address, order).await {
+        Ok(report) => {
+            let _ = tx.send(ControlInput::Report(Box::new(report))).await;
+            OrderOutcome::Accepted
+        }
+        Err(EngineError::StaleFencing(_, highest)) => OrderOutcome::Refused { highest },
+        Err(e) => {
+            log::debug!("order to {} has no outcome: {e}", order.host);
+            OrderOutcome::NoAnswer
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/control/table_store.rs
@@ -0,0 +1,86 @@
+//! Reads and writes the group table.
+
+use geranium_core::group::{GroupTable, WriteOutcome};
+use geranium_core::id::{FailureDomainId, StoreRevision};
+use geranium_platform::{CasOutcome, KvStore, StoreError, Swap};
+use tokio::sync::mpsc;
+
+use super::ControlInput;
+
+/// Prefix of the group tables.
+const TABLE_PREFIX: &str = "/geranium/groups/";
+
+/// Returns the key of the group table of a failure domain.
+pub fn table_key(failure_domain: &FailureDomainId) -> String {
+    format!("{TABLE_PREFIX}{failure_domain}")
+}
+
+/// Reads and writes the group table of one failure domain.
+pub struct TableStore<S> {
+    store: S,
+    key: String,
+    tx: mpsc::Sender<ControlInput>,
+}
+
+impl<S: KvStore> TableStore<S> {
+    /// Makes the access to the table of a failure domain.
+    pub fn new(
+        store: S,
+        failure_domain: &FailureDomainId,
+        tx: mpsc::Sender<ControlInput>,
+    ) -> Self {
+        Self { store, key: table_key(failure_domain), tx }
+    }
+
+    /// Reads the table; a failed read sends nothing and is asked for again.
+    pub fn load(&self) {
+        let (store, key, tx) = (self.store.clone(), self.key.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let input = match store.get(&key).await {
+                Ok(None) => ControlInput::Table(None, StoreRevision::default()),
+                Ok(Some(value)) => match serde_json::from_slice::<GroupTable>(&value.value) {
+                    Ok(table) => ControlInput::Table(Some(table), value.revision),
+                    Err(e) => {
+                        log::error!("value of {key:?} is not a group table: {e}");
+                        return;
+                    }
+                },
+                Err(e) => {
+                    log::debug!("cannot read the group table: {e}");
+                    return;
+                }
+            };
+            let _ = tx.send(input).await;
+        });
+    }
+
+    /// Writes the table and sends the outcome.
+    pub fn write(&self, table: &GroupTable, expected: StoreRevision) {
+        let (store, tx) = (self.store.clone(), self.tx.clone());
+        let value = match serde_json::to_vec(table) {
+            Ok(value) => value,
+            Err(e) => {
+                log::error!("cannot render the group table: {e}");
+                return;
+            }
+        };
+        let key = self.key.clone();
+        let swap = Swap { key, expected, value: Some(value.into()), lease: None };
+        tokio::spawn(async move {
+            let outcome = write_outcome(store.transact(vec![swap]).await);
+            let _ = tx.send(ControlInput::TableWritten(outcome)).await;
+        });
+    }
+}
+
+fn write_outcome(outcome: Result<CasOutcome, StoreError>) -> WriteOutcome {
+    match outcome {
+        Ok(CasOutcome::Applied(revision)) => WriteOutcome::Applied { revision },
+        Ok(CasOutcome::Conflict(_)) => WriteOutcome::Conflict,
+        Err(StoreError::Ambiguous(..) | StoreError::Malformed(..)) => WriteOutcome::Ambiguous,
+        Err(e) => {
+            log::debug!("cannot write the group table: {e}");
+            WriteOutcome::Failed
+        }
+    }
+}
--- a/crates/geranium_operator/src/record_view.rs
+++ b/crates/geranium_operator/src/record_view.rs
@@ -60,9 +60,9 @@
 /// Who changed a record first, and what differs.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LostRace {
-    /// The record as it is now.
-    pub winner: RecordView,
-    /// Fields in which the winner differs from the refused change.
+    /// The change that won.
+    pub winner: HistoryEntry,
+    /// Fields in which the record differs from the refused change.
     pub differences: Vec<String>,
 }
 
@@ -107,10 +107,14 @@
 }
 
 /// One change in the history of a record.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HistoryEntry {
-    /// The record as this change left it.
-    pub record: RecordView,
-    /// Fields that changed.
-    pub changes: Vec<String>,
+    /// Number of the change.
+    pub generation: u64,
+    /// Operator who asked for it.
+    pub operator: String,
+    /// When it was written.
+    pub written_at: Timestamp,
+    /// Whether it deleted the record.
+    pub deleted: bool,
 }
