Add the group table, its controller and the gate

Cause: replica groups need one value per failure domain that keeps "no host in two groups", a leader that writes the intent before it sends an order, and a gate on every entry host that closes for the whole group on any fault.

Ruled out: comparing writer and sequence to settle an ambiguous write (the whole table is compared, as a resent write may carry the same number with other content); group ids from a counter of their own (the first fencing number is unique already).

--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -107,4 +107,6 @@
     ClaimUnknown => "claim_unknown",
     /// A request was found to crash backend servers.
     CrashSuspected => "crash_suspected",
+    /// A group table read from the store breaks a rule and is not used.
+    TableRejected => "table_rejected",
 }
--- /dev/null
+++ b/crates/geranium_core/src/group/config.rs
@@ -0,0 +1,81 @@
+//! Time limits of group control.
+
+use std::time::Duration;
+
+/// Age at which a report no longer holds a gate open.
+pub const REPORT_MAX_AGE: Duration = Duration::from_millis(750);
+
+/// Silence after which a member is taken for failed and replaced.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(1_250);
+
+/// Gap between two inputs after which the process takes itself to have paused.
+pub const PAUSE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time after which an order is sent again if no report shows its effect.
+pub const ORDER_RESEND_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Age of the last confirmation of the table beyond which no order is sent.
+pub const TABLE_CONFIRMATION_AGE: Duration = Duration::from_millis(1_000);
+
+/// Time after which a read or write without an outcome is settled by a new read.
+pub const STORE_TIMEOUT: Duration = Duration::from_millis(3_000);
+
+/// Time that a dissolving group must have been idle before its hosts are released.
+pub const DRAIN_SETTLE: Duration = Duration::from_millis(2_000);
+
+/// Longest time that a dissolving group may go on with running requests.
+pub const DRAIN_LIMIT: Duration = Duration::from_secs(900);
+
+/// Time that a host whose engine ignores fencing rests between two groups.
+pub const UNFENCED_REST: Duration = Duration::from_secs(30);
+
+/// Time after which a member that still loads, while another is done, is a straggler.
+pub const STRAGGLER_LIMIT: Duration = Duration::from_secs(120);
+
+/// Replica groups that load weights at the same time.
+pub const MAX_LOADING_GROUPS: usize = 4;
+
+/// Time limits of group control.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct GroupConfig {
+    /// Age at which a report no longer holds a gate open.
+    pub report_max_age: Duration,
+    /// Silence after which a member is taken for failed and replaced.
+    pub silence_limit: Duration,
+    /// Gap between two inputs after which the process takes itself to have paused.
+    pub pause_limit: Duration,
+    /// Time after which an order is sent again if no report shows its effect.
+    pub order_resend_interval: Duration,
+    /// Age of the last confirmation of the table beyond which no order is sent.
+    pub table_confirmation_age: Duration,
+    /// Time after which a read or write without an outcome is settled by a new read.
+    pub store_timeout: Duration,
+    /// Time that a dissolving group must have been idle before its hosts are released.
+    pub drain_settle: Duration,
+    /// Longest time that a dissolving group may go on with running requests.
+    pub drain_limit: Duration,
+    /// Time that a host whose engine ignores fencing rests between two groups.
+    pub unfenced_rest: Duration,
+    /// Time after which a member that still loads, while another is done, is a straggler.
+    pub straggler_limit: Duration,
+    /// Replica groups that load weights at the same time.
+    pub max_loading_groups: usize,
+}
+
+impl Default for GroupConfig {
+    fn default() -> Self {
+        Self {
+            report_max_age: REPORT_MAX_AGE,
+            silence_limit: SILENCE_LIMIT,
+            pause_limit: PAUSE_LIMIT,
+            order_resend_interval: ORDER_RESEND_INTERVAL,
+            table_confirmation_age: TABLE_CONFIRMATION_AGE,
+            store_timeout: STORE_TIMEOUT,
+            drain_settle: DRAIN_SETTLE,
+            drain_limit: DRAIN_LIMIT,
+            unfenced_rest: UNFENCED_REST,
+            straggler_limit: STRAGGLER_LIMIT,
+            max_loading_groups: MAX_LOADING_GROUPS,
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/group/dispatch.rs
@@ -0,0 +1,148 @@
+//! Which orders of the table are to be sent now.
+
+use std::collections::BTreeMap;
+
+use crate::engine::{Order, OrderAction};
+use crate::group::{GroupState, GroupTable, ReplicaGroup, World};
+use crate::id::{FencingNumber, GroupId, HostId};
+use crate::time::Timestamp;
+
+#[derive(Clone, Copy, Debug)]
+struct SentOrder {
+    fencing: FencingNumber,
+    at: Timestamp,
+}
+
+/// An order to be sent.
+#[derive(Clone, Debug)]
+pub(super) struct DueOrder {
+    /// The order.
+    pub(super) order: Order,
+    /// Whether it was not sent before.
+    pub(super) first: bool,
+}
+
+/// Decides which orders of the table are to be sent now.
+///
+/// An order is repeated, with the same content and number, until a report shows
+/// its effect. Loads start only while few groups load, the most needed first.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Dispatcher {
+    sent: BTreeMap<HostId, SentOrder>,
+}
+
+impl Dispatcher {
+    /// Takes note that an order was sent.
+    pub(super) fn note_sent(&mut self, now: Timestamp, order: &Order) {
+        let sent = SentOrder {
+            fencing: order.fencing,
+            at: now,
+        };
+        self.sent.insert(order.host.clone(), sent);
+    }
+
+    /// Returns the orders to be sent now.
+    pub(super) fn due(&self, now: Timestamp, world: &World, table: &GroupTable) -> Vec<DueOrder> {
+        let mut due = Vec::new();
+        for host in table.releasing().keys() {
+            due.extend(
+                table
+                    .order_for(host)
+                    .and_then(|o| self.due_order(now, world, o)),
+            );
+        }
+        for (id, group) in self.started_groups(now, world, table) {
+            let orders = (0..group.members.len()).map(|rank| group.load_order(id, rank));
+            due.extend(orders.filter_map(|o| self.due_order(now, world, o)));
+        }
+        due
+    }
+
+    fn due_order(&self, now: Timestamp, world: &World, order: Order) -> Option<DueOrder> {
+        if effect_seen(now, world, &order) {
+            return None;
+        }
+        let Some(sent) = self.sent.get(&order.host) else {
+            return Some(DueOrder { order, first: true });
+        };
+        if sent.fencing != order.fencing {
+            return Some(DueOrder { order, first: true });
+        }
+        let waited = now.since(sent.at) >= world.config().order_resend_interval;
+        let heard = world.recent(now, &order.host).is_some();
+        (waited && heard).then_some(DueOrder {
+            order,
+            first: false,
+        })
+    }
+
+    fn started_groups<'t>(
+        &self,
+        now: Timestamp,
+        world: &World,
+        table: &'t GroupTable,
+    ) -> Vec<(&'t GroupId, &'t ReplicaGroup)> {
+        let live = table
+            .groups()
+            .iter()
+            .filter(|(_, group)| group.state != GroupState::Dissolving);
+        let (mut started, mut waiting): (Vec<_>, Vec<_>) =
+            live.partition(|(_, group)| self.is_started(now, world, group));
+        let loading = started
+            .iter()
+            .filter(|(id, group)| is_loading(now, world, id, group))
+            .count();
+        let room = world.config().max_loading_groups.saturating_sub(loading);
+        waiting.sort_by_key(|(_, group)| (is_served(now, world, table, group), group.fencing));
+        started.extend(waiting.into_iter().take(room));
+        started
+    }
+
+    fn is_started(&self, now: Timestamp, world: &World, group: &ReplicaGroup) -> bool {
+        group.members.iter().any(|member| {
+            let sent = self.sent.get(&member.host).map(|sent| sent.fencing);
+            let followed = world
+                .recent(now, &member.host)
+                .and_then(|o| o.report.assignment.as_ref())
+                .map(|a| a.fencing);
+            sent == Some(group.fencing) || followed == Some(group.fencing)
+        })
+    }
+}
+
+/// Returns whether the latest report shows that an engine follows an order.
+fn effect_seen(now: Timestamp, world: &World, order: &Order) -> bool {
+    let Some(observation) = world.recent(now, &order.host) else {
+        return false;
+    };
+    let report = &observation.report;
+    match &order.action {
+        OrderAction::Load(load) => report.assignment.as_ref().is_some_and(|a| {
+            a.group == load.group
+                && a.fencing == order.fencing
+                && a.model == load.model
+                && a.version == load.version
+                && a.adapters == load.adapters
+                && a.rank == load.rank
+        }),
+        // A release is repeated until the table no longer asks for it.
+        OrderAction::Release => false,
+        OrderAction::Fence => report.fencing >= order.fencing,
+    }
+}
+
+/// Returns whether a started group still draws on the weight store.
+fn is_loading(now: Timestamp, world: &World, id: &GroupId, group: &ReplicaGroup) -> bool {
+    let broken = group
+        .members
+        .iter()
+        .any(|member| world.is_failed(now, &member.host));
+    !broken && world.group_fault(now, id, group).is_some()
+}
+
+/// Returns whether another group serves the same model already.
+fn is_served(now: Timestamp, world: &World, table: &GroupTable, group: &ReplicaGroup) -> bool {
+    table.groups().iter().any(|(id, other)| {
+        other.served_model == group.served_model && world.is_open(now, id, other)
+    })
+}
--- /dev/null
+++ b/crates/geranium_core/src/group/effect.rs
@@ -0,0 +1,102 @@
+//! Inputs and effects of the group controller.
+
+use crate::engine::{EngineReport, HostEntry, Order};
+use crate::event::EventDraft;
+use crate::group::GroupTable;
+use crate::id::{FencingNumber, HostId, StoreRevision};
+use crate::record::{DrainTarget, ModelSpec};
+
+/// Outcome of a write of the group table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum WriteOutcome {
+    /// The write took effect.
+    Applied {
+        /// Revision of the value written.
+        revision: StoreRevision,
+    },
+    /// Another write came first; nothing was written.
+    Conflict,
+    /// The write may or may not have taken effect.
+    Ambiguous,
+    /// The write certainly did not take effect.
+    Failed,
+}
+
+/// Outcome of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum OrderOutcome {
+    /// The engine took the order.
+    Accepted,
+    /// The engine has seen a higher fencing number.
+    Refused {
+        /// Highest fencing number that the engine has seen.
+        highest: FencingNumber,
+    },
+    /// No answer came; the order may have been taken.
+    NoAnswer,
+}
+
+/// What the group controller is told.
+#[derive(Clone, Debug)]
+pub enum GroupInput<'a> {
+    /// This process holds the leader's lease.
+    LeadershipGained,
+    /// This process no longer holds the leader's lease.
+    LeadershipLost,
+    /// The table was read; `None` if the store has none.
+    TableLoaded {
+        /// The table.
+        table: Option<GroupTable>,
+        /// Revision of the value; zero if absent.
+        revision: StoreRevision,
+    },
+    /// A write of the table has an outcome.
+    TableWritten(WriteOutcome),
+    /// An engine reported.
+    Report(&'a EngineReport),
+    /// An engine did not answer a request for its report.
+    ReportMissed {
+        /// Host of the engine.
+        host: &'a HostId,
+    },
+    /// An order has an outcome.
+    OrderAnswered {
+        /// The order.
+        order: &'a Order,
+        /// Its outcome.
+        outcome: OrderOutcome,
+    },
+    /// The records in force changed.
+    RecordsChanged {
+        /// Models of every failure domain.
+        models: &'a [ModelSpec],
+        /// What is taken out of service.
+        drained: &'a [DrainTarget],
+    },
+    /// The platform's list of hosts changed.
+    HostsChanged(&'a [HostEntry]),
+    /// The platform's store does not answer.
+    StoreUnreachable,
+    /// The platform's store answers again.
+    StoreReachable,
+    /// Time passed.
+    Tick,
+}
+
+/// What the group controller asks of its driver.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GroupEffect {
+    /// Read the table and answer with [`GroupInput::TableLoaded`].
+    LoadTable,
+    /// Write the table and answer with [`GroupInput::TableWritten`].
+    WriteTable {
+        /// The new table.
+        table: GroupTable,
+        /// Revision that the present value must have; zero if it must be absent.
+        expected: StoreRevision,
+    },
+    /// Send an order and answer with [`GroupInput::OrderAnswered`].
+    SendOrder(Order),
+    /// Record an event.
+    Emit(EventDraft),
+}
--- a/crates/geranium_core/src/group/mod.rs
+++ b/crates/geranium_core/src/group/mod.rs
@@ -1,5 +1,37 @@
 //! Replica groups: formation, membership, fencing numbers and repair.
+//!
+//! [`GroupTable`] is the aggregate that the platform's store keeps for each
+//! failure domain. [`GroupController`] is the state machine of the leader that
+//! changes it and derives orders from it. [`GroupGate`] runs on every entry host
+//! and decides from the table and the engines' reports which groups take requests.
 
+mod config;
+mod controller;
+mod demand;
+mod dispatch;
+mod effect;
+mod error;
+mod gate;
+mod member_check;
+mod placement;
+mod planner;
+mod progress;
+mod replica_group;
+mod reports;
 mod serving;
+mod table;
+mod table_check;
+mod world;
 
+pub use config::GroupConfig;
+pub use controller::GroupController;
+pub use demand::{Demand, Drains};
+pub use effect::{GroupEffect, GroupInput, OrderOutcome, WriteOutcome};
+pub use error::GroupError;
+pub use gate::GroupGate;
+pub use member_check::MemberFault;
+pub use replica_group::{GroupState, ReplicaGroup};
+pub use reports::{Observation, ReportBook};
 pub use serving::{ServingGroup, Temperature};
+pub use table::GroupTable;
+pub use world::World;
--- /dev/null
+++ b/crates/geranium_core/src/group/placement.rs
@@ -0,0 +1,85 @@
+//! Choice of hosts for new groups and of spares for broken ones.
+
+use std::collections::BTreeMap;
+
+use crate::engine::{HostEntry, HostState, Member};
+use crate::group::{GroupTable, World};
+use crate::id::{FabricDomainId, HostId};
+use crate::time::Timestamp;
+
+/// Returns whether a host may be put into a group now.
+pub(super) fn is_spare(
+    now: Timestamp,
+    world: &World,
+    table: &GroupTable,
+    entry: &HostEntry,
+) -> bool {
+    entry.state == HostState::Live
+        && !world.is_going(&entry.host)
+        && table.is_free(&entry.host)
+        && world
+            .recent(now, &entry.host)
+            .is_some_and(|o| o.report.assignment.is_none())
+}
+
+/// Returns the spares by fabric domain; engines that check fencing come first.
+pub(super) fn spares<'a>(
+    now: Timestamp,
+    world: &'a World,
+    table: &GroupTable,
+) -> BTreeMap<&'a FabricDomainId, Vec<&'a HostEntry>> {
+    let mut by_fabric: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for entry in world.hosts().into_iter().flat_map(BTreeMap::values) {
+        if is_spare(now, world, table, entry) {
+            by_fabric
+                .entry(&entry.fabric_domain)
+                .or_default()
+                .push(entry);
+        }
+    }
+    for entries in by_fabric.values_mut() {
+        entries.sort_by_key(|entry| (!entry.checks_fencing, entry.host.clone()));
+    }
+    by_fabric
+}
+
+/// Chooses the hosts of a new group by best fit: the fabric domain that keeps
+/// the fewest spares after it.
+pub(super) fn place(
+    now: Timestamp,
+    world: &World,
+    table: &GroupTable,
+    hosts: usize,
+) -> Option<(FabricDomainId, Vec<Member>)> {
+    let by_fabric = spares(now, world, table);
+    let (fabric_domain, entries) = by_fabric
+        .into_iter()
+        .filter(|(_, entries)| entries.len() >= hosts && hosts > 0)
+        .min_by_key(|(_, entries)| entries.len())?;
+    let members = entries.into_iter().take(hosts).map(member).collect();
+    Some((fabric_domain.clone(), members))
+}
+
+/// Chooses one spare of the fabric domain for each host to be replaced.
+pub(super) fn replacements(
+    now: Timestamp,
+    world: &World,
+    table: &GroupTable,
+    fabric_domain: &FabricDomainId,
+    lost: &[HostId],
+) -> Option<Vec<(HostId, Member)>> {
+    let by_fabric = spares(now, world, table);
+    let entries = by_fabric.get(fabric_domain)?;
+    if entries.len() < lost.len() {
+        return None;
+    }
+    let pairs = lost.iter().cloned().zip(entries.iter().map(|e| member(e)));
+    Some(pairs.collect())
+}
+
+fn member(entry: &HostEntry) -> Member {
+    Member {
+        host: entry.host.clone(),
+        address: entry.address,
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/group/planner/formation.rs
@@ -0,0 +1,112 @@
+//! Formation of new groups.
+
+use super::Planner;
+use crate::event::EventKind;
+use crate::group::{Demand, GroupError, GroupState, placement};
+use crate::id::{FabricDomainId, GroupId, HostId, RecordName};
+use crate::record::ModelSpec;
+
+impl Planner<'_> {
+    /// Forms the groups that are missing, as far as hosts suffice.
+    pub(super) fn form_groups(&mut self) -> Result<(), GroupError> {
+        loop {
+            let missing = self.missing();
+            let mut formed = false;
+            for (_, spec) in &missing {
+                if self.form(spec)? {
+                    formed = true;
+                    break;
+                }
+            }
+            if !formed {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Ends a group of an older state of its record if only its hosts make room
+    /// for the new one.
+    pub(super) fn make_room_for_changes(&mut self) -> Result<(), GroupError> {
+        let hosts_on_their_way = !self.table.releasing().is_empty()
+            || self
+                .table
+                .groups()
+                .values()
+                .any(|group| group.state == GroupState::Dissolving);
+        if hosts_on_their_way {
+            return Ok(());
+        }
+        for (_, spec) in self.missing() {
+            let forming = self
+                .groups_of(&spec.name, true)
+                .iter()
+                .any(|id| !self.is_open(id));
+            if forming {
+                continue;
+            }
+            if let Some(id) = self.outdated_in_the_way(&spec) {
+                self.dissolve(&id, "its hosts are needed for the changed record")?;
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the records that lack groups, with the number they have, those with fewest first.
+    fn missing(&self) -> Vec<(usize, ModelSpec)> {
+        let mut missing: Vec<(usize, ModelSpec)> = Vec::new();
+        for wanted in self.world.demand().into_iter().flat_map(Demand::iter) {
+            let present = self.groups_of(&wanted.spec.name, true).len();
+            if present < wanted.replicas {
+                missing.push((present, wanted.spec.clone()));
+            }
+        }
+        missing.sort_by_key(|(present, spec)| {
+            let size = std::cmp::Reverse(spec.hosts_per_replica);
+            (*present, size, spec.name.clone())
+        });
+        missing
+    }
+
+    fn form(&mut self, spec: &ModelSpec) -> Result<bool, GroupError> {
+        let size = spec.hosts_per_replica as usize;
+        let Some((fabric_domain, members)) =
+            placement::place(self.now, self.world, &self.table, size)
+        else {
+            return Ok(false);
+        };
+        let id = self.table.form(spec, &fabric_domain, members)?;
+        let reason = format!("record {} lacks a replica", spec.name);
+        self.note(EventKind::GroupFormed, &id, reason);
+        Ok(true)
+    }
+
+    fn outdated_in_the_way(&self, spec: &ModelSpec) -> Option<GroupId> {
+        let outdated = self.groups_of(&spec.name, false);
+        let mut last_first = outdated.iter().rev();
+        let makes_room = |id: &&GroupId| {
+            let fabric_domain = &self.table.groups()[*id].fabric_domain;
+            self.hosts_within_reach(&spec.name, fabric_domain) >= spec.hosts_per_replica
+        };
+        last_first.find(makes_room).cloned()
+    }
+
+    /// Hosts of a fabric domain that are spare or held by older groups of a record.
+    fn hosts_within_reach(&self, record: &RecordName, fabric_domain: &FabricDomainId) -> u32 {
+        let by_fabric = placement::spares(self.now, self.world, &self.table);
+        let spares = by_fabric.get(fabric_domain).map_or(0, Vec::len);
+        let held: usize = self
+            .groups_of(record, false)
+            .iter()
+            .map(|id| &self.table.groups()[id])
+            .filter(|group| &group.fabric_domain == fabric_domain)
+            .flat_map(|group| &group.members)
+            .filter(|member| self.is_usable(&member.host))
+            .count();
+        u32::try_from(spares + held).unwrap_or(u32::MAX)
+    }
+
+    fn is_usable(&self, host: &HostId) -> bool {
+        !self.world.is_going(host) && self.world.recent(self.now, host).is_some()
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/group/planner/release.rs
@@ -0,0 +1,118 @@
+//! Fencing numbers seen outside the table, releases and strays.
+
+use super::Planner;
+use crate::engine::EnginePhase;
+use crate::event::EventKind;
+use crate::group::{GroupError, GroupState, Observation};
+use crate::id::{FencingNumber, GroupId, HostId};
+
+impl Planner<'_> {
+    /// Follows numbers above those of the table, which a store restored from an
+    /// older copy leaves behind, and renumbers what engines would refuse.
+    pub(super) fn follow_fencing(&mut self) -> Result<(), GroupError> {
+        let hosts: Vec<HostId> = self.known_hosts();
+        for host in &hosts {
+            if let Some(o) = self.world.recent(self.now, host) {
+                let seen = highest_seen(o);
+                self.table.raise_fencing_above(seen)?;
+            }
+        }
+        let outrun: Vec<GroupId> = self
+            .table
+            .groups()
+            .iter()
+            .filter(|(_, group)| group.state != GroupState::Dissolving)
+            .filter(|(_, group)| {
+                group
+                    .members
+                    .iter()
+                    .any(|member| self.would_refuse(&member.host, group.fencing))
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &outrun {
+            self.table.renumber(id)?;
+            self.note(
+                EventKind::GroupRepaired,
+                id,
+                "a member knows a higher fencing number",
+            );
+        }
+        let releases = self.table.releasing().clone();
+        for (host, fencing) in releases {
+            if self.would_refuse(&host, fencing) {
+                self.table.renumber_release(&host)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Frees hosts whose engines have acknowledged their release.
+    pub(super) fn acknowledge_releases(&mut self) -> Result<(), GroupError> {
+        let releases = self.table.releasing().clone();
+        for (host, fencing) in releases {
+            if self.is_released(&host, fencing) || self.is_gone(&host) {
+                self.table.acknowledge_release(&host)?;
+            }
+        }
+        let world = self.world;
+        self.table.forget_hosts(|host| world.entry(host).is_some());
+        Ok(())
+    }
+
+    /// Releases free hosts that follow an order unknown to the table.
+    pub(super) fn release_strays(&mut self) -> Result<(), GroupError> {
+        for host in self.known_hosts() {
+            let assigned = self
+                .world
+                .recent(self.now, &host)
+                .is_some_and(|o| o.report.assignment.is_some());
+            if assigned && self.table.is_free(&host) {
+                self.table.release_stray(&host)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn known_hosts(&self) -> Vec<HostId> {
+        let hosts = self.world.hosts().into_iter();
+        hosts.flat_map(|hosts| hosts.keys().cloned()).collect()
+    }
+
+    fn would_refuse(&self, host: &HostId, fencing: FencingNumber) -> bool {
+        self.world.checks_fencing(host)
+            && self
+                .world
+                .recent(self.now, host)
+                .is_some_and(|o| highest_seen(o) > fencing)
+    }
+
+    fn is_released(&self, host: &HostId, fencing: FencingNumber) -> bool {
+        let Some(o) = self.world.recent(self.now, host) else {
+            return false;
+        };
+        let idle = o.report.assignment.is_none() && o.report.phase == EnginePhase::Idle;
+        if !idle {
+            return false;
+        }
+        if self.world.checks_fencing(host) {
+            return o.report.fencing >= fencing;
+        }
+        // Orders on their way may still reach an engine that ignores fencing;
+        // the rest lets most of them arrive before the host is used again.
+        self.progress
+            .release_accepted_at(host, fencing)
+            .is_some_and(|at| {
+                o.heard_at > at && self.now.since(at) >= self.world.config().unfenced_rest
+            })
+    }
+
+    fn is_gone(&self, host: &HostId) -> bool {
+        self.world.entry(host).is_none() && self.world.is_failed(self.now, host)
+    }
+}
+
+fn highest_seen(o: &Observation) -> FencingNumber {
+    let followed = o.report.assignment.as_ref().map(|a| a.fencing);
+    o.report.fencing.max(followed.unwrap_or_default())
+}
--- /dev/null
+++ b/crates/geranium_core/src/group/planner/surplus.rs
@@ -0,0 +1,79 @@
+//! Groups that are no longer wanted.
+
+use std::collections::BTreeSet;
+
+use super::Planner;
+use crate::event::EventKind;
+use crate::group::{GroupError, GroupState, ReplicaGroup};
+use crate::id::{GroupId, RecordName};
+
+impl Planner<'_> {
+    /// Dissolves groups beyond the number wanted, and groups of an older state
+    /// of their record as soon as newer ones serve in their place.
+    pub(super) fn dissolve_surplus(&mut self) -> Result<(), GroupError> {
+        let records: BTreeSet<RecordName> = self
+            .table
+            .groups()
+            .values()
+            .map(|group| group.record.clone())
+            .collect();
+        for record in &records {
+            self.dissolve_surplus_of(record)?;
+        }
+        Ok(())
+    }
+
+    fn dissolve_surplus_of(&mut self, record: &RecordName) -> Result<(), GroupError> {
+        let wanted = self
+            .world
+            .demand()
+            .and_then(|demand| demand.get(record))
+            .map_or(0, |wanted| wanted.replicas);
+        let current = self.groups_of(record, true);
+        let outdated = self.groups_of(record, false);
+        let open = current.iter().filter(|id| self.is_open(id)).count();
+        let still_needed = wanted.saturating_sub(open);
+        for id in current.iter().skip(wanted) {
+            self.dissolve(id, "the record asks for fewer replicas")?;
+        }
+        for id in outdated.iter().skip(still_needed) {
+            self.dissolve(id, "the record changed and newer groups take its place")?;
+        }
+        Ok(())
+    }
+
+    /// Returns the groups of a record, those worth most first: open ones, then older ones.
+    pub(super) fn groups_of(&self, record: &RecordName, current: bool) -> Vec<GroupId> {
+        let mut groups: Vec<(&GroupId, &ReplicaGroup)> = self
+            .table
+            .groups()
+            .iter()
+            .filter(|(_, group)| &group.record == record)
+            .filter(|(_, group)| group.state != GroupState::Dissolving)
+            .filter(|(_, group)| self.is_current(group) == current)
+            .collect();
+        groups.sort_by_key(|(id, group)| (!self.is_open(id), group.fencing));
+        groups.into_iter().map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns whether a group is what its record asks for now.
+    pub(super) fn is_current(&self, group: &ReplicaGroup) -> bool {
+        self.world
+            .demand()
+            .and_then(|demand| demand.get(&group.record))
+            .is_some_and(|wanted| group.matches(&wanted.spec))
+    }
+
+    /// Returns whether a group takes requests now.
+    pub(super) fn is_open(&self, id: &GroupId) -> bool {
+        let group = &self.table.groups()[id];
+        self.world.is_open(self.now, id, group)
+    }
+
+    /// Ends the intake of a group.
+    pub(super) fn dissolve(&mut self, id: &GroupId, reason: &str) -> Result<(), GroupError> {
+        self.table.begin_dissolve(id)?;
+        self.note(EventKind::GroupDissolved, id, reason);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/group/table_check.rs
@@ -0,0 +1,82 @@
+//! Rules of a group table.
+
+use std::collections::BTreeMap;
+
+use crate::group::table::TABLE_SCHEMA_VERSION;
+use crate::group::{GroupError, GroupTable};
+use crate::id::{FencingNumber, GroupId, HostId};
+
+/// Checks every rule of a table.
+pub(super) fn check(table: &GroupTable) -> Result<(), GroupError> {
+    if table.schema_version != TABLE_SCHEMA_VERSION {
+        return Err(GroupError::SchemaUnknown(table.schema_version));
+    }
+    check_hosts(table)?;
+    check_group_fencing(table)?;
+    for (host, &fencing) in &table.releasing {
+        check_noted(table, host, fencing)?;
+    }
+    check_below_next(table)
+}
+
+fn check_hosts(table: &GroupTable) -> Result<(), GroupError> {
+    let mut owner: BTreeMap<&HostId, &GroupId> = BTreeMap::new();
+    for (id, group) in &table.groups {
+        if group.members.is_empty() {
+            return Err(GroupError::NoMembers(id.clone()));
+        }
+        for member in &group.members {
+            if let Some(first) = owner.insert(&member.host, id) {
+                return Err(GroupError::HostInTwoGroups(
+                    member.host.clone(),
+                    first.clone(),
+                    id.clone(),
+                ));
+            }
+            if table.releasing.contains_key(&member.host) {
+                return Err(GroupError::HostNotFree(member.host.clone()));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn check_group_fencing(table: &GroupTable) -> Result<(), GroupError> {
+    let mut owner: BTreeMap<FencingNumber, &GroupId> = BTreeMap::new();
+    for (id, group) in &table.groups {
+        if let Some(first) = owner.insert(group.fencing, id) {
+            return Err(GroupError::FencingShared(
+                group.fencing,
+                first.clone(),
+                id.clone(),
+            ));
+        }
+        for member in &group.members {
+            check_noted(table, &member.host, group.fencing)?;
+        }
+    }
+    Ok(())
+}
+
+fn check_noted(table: &GroupTable, host: &HostId, used: FencingNumber) -> Result<(), GroupError> {
+    match table.fences.get(host) {
+        None => Err(GroupError::FencingMissing(host.clone())),
+        Some(&noted) if noted != used => {
+            Err(GroupError::FencingMismatch(host.clone(), noted, used))
+        }
+        Some(_) => Ok(()),
+    }
+}
+
+fn check_below_next(table: &GroupTable) -> Result<(), GroupError> {
+    for (host, &fencing) in &table.fences {
+        if fencing >= table.next_fencing {
+            return Err(GroupError::FencingNotBelowNext(
+                host.clone(),
+                fencing,
+                table.next_fencing,
+            ));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/geranium_core/src/group/world.rs
@@ -0,0 +1,197 @@
+//! What one process knows about the hosts and records of its failure domain.
+
+use std::collections::BTreeMap;
+
+use crate::engine::{EngineReport, HostEntry, HostState};
+use crate::group::{
+    Demand, Drains, GroupConfig, GroupState, MemberFault, Observation, ReplicaGroup, ReportBook,
+};
+use crate::id::{FailureDomainId, GroupId, HostId};
+use crate::record::{DrainTarget, ModelSpec};
+use crate::time::Timestamp;
+
+/// What one process knows about the hosts and records of its failure domain.
+#[derive(Clone, Debug)]
+pub struct World {
+    cfg: GroupConfig,
+    failure_domain: FailureDomainId,
+    demand: Option<Demand>,
+    drains: Drains,
+    hosts: Option<BTreeMap<HostId, HostEntry>>,
+    reports: ReportBook,
+    last_seen: Timestamp,
+    observing_since: Timestamp,
+}
+
+impl World {
+    /// Makes a world of which nothing is known yet.
+    #[must_use]
+    pub fn new(cfg: GroupConfig, failure_domain: FailureDomainId) -> Self {
+        Self {
+            cfg,
+            failure_domain,
+            demand: None,
+            drains: Drains::default(),
+            hosts: None,
+            reports: ReportBook::default(),
+            last_seen: Timestamp::default(),
+            observing_since: Timestamp::default(),
+        }
+    }
+
+    /// Returns the time limits.
+    #[must_use]
+    pub fn config(&self) -> &GroupConfig {
+        &self.cfg
+    }
+
+    /// Returns the failure domain.
+    #[must_use]
+    pub fn failure_domain(&self) -> &FailureDomainId {
+        &self.failure_domain
+    }
+
+    /// Returns what the records ask for, once they are known.
+    #[must_use]
+    pub fn demand(&self) -> Option<&Demand> {
+        self.demand.as_ref()
+    }
+
+    /// Returns what is taken out of service.
+    #[must_use]
+    pub fn drains(&self) -> &Drains {
+        &self.drains
+    }
+
+    /// Returns the platform's hosts of the failure domain, once they are known.
+    #[must_use]
+    pub fn hosts(&self) -> Option<&BTreeMap<HostId, HostEntry>> {
+        self.hosts.as_ref()
+    }
+
+    /// Returns the latest reports.
+    #[must_use]
+    pub fn reports(&self) -> &ReportBook {
+        &self.reports
+    }
+
+    /// Takes note of the present time and returns whether the process paused before it.
+    ///
+    /// After a pause no host counts as silent until it had time to report again.
+    pub fn advance(&mut self, now: Timestamp) -> bool {
+        let paused = now.since(self.last_seen) > self.cfg.pause_limit;
+        if paused {
+            self.observing_since = now;
+        }
+        self.last_seen = self.last_seen.max(now);
+        paused
+    }
+
+    /// Takes note of a report and returns whether it was news.
+    pub fn observe(&mut self, now: Timestamp, report: &EngineReport) -> bool {
+        self.reports.observe(now, report)
+    }
+
+    /// Takes note of the records in force.
+    pub fn set_records(&mut self, models: &[ModelSpec], drained: &[DrainTarget]) {
+        self.demand = Some(Demand::new(&self.failure_domain, models));
+        self.drains = Drains::new(&self.failure_domain, drained);
+    }
+
+    /// Takes note of the platform's list of hosts.
+    pub fn set_hosts(&mut self, hosts: &[HostEntry]) {
+        let own = hosts
+            .iter()
+            .filter(|entry| entry.failure_domain == self.failure_domain)
+            .map(|entry| (entry.host.clone(), entry.clone()))
+            .collect();
+        self.hosts = Some(own);
+    }
+
+    /// Returns the platform's entry of a host.
+    #[must_use]
+    pub fn entry(&self, host: &HostId) -> Option<&HostEntry> {
+        self.hosts.as_ref()?.get(host)
+    }
+
+    /// Returns whether the engine of a host refuses old fencing numbers.
+    #[must_use]
+    pub fn checks_fencing(&self, host: &HostId) -> bool {
+        self.entry(host).is_some_and(|entry| entry.checks_fencing)
+    }
+
+    /// Returns the last report of a host if it is recent enough to rely on.
+    #[must_use]
+    pub fn recent(&self, now: Timestamp, host: &HostId) -> Option<&Observation> {
+        self.reports
+            .get(host)
+            .filter(|o| now.since(o.heard_at) <= self.cfg.report_max_age)
+    }
+
+    /// Returns whether a host has been silent for so long that it is taken for failed.
+    #[must_use]
+    pub fn is_failed(&self, now: Timestamp, host: &HostId) -> bool {
+        let heard_at = self
+            .reports
+            .get(host)
+            .map_or(Timestamp::default(), |o| o.heard_at);
+        now.since(heard_at.max(self.observing_since)) > self.cfg.silence_limit
+    }
+
+    /// Returns whether a host is leaving or taken out of service.
+    #[must_use]
+    pub fn is_going(&self, host: &HostId) -> bool {
+        let listed = self
+            .entry(host)
+            .is_some_and(|e| e.state == HostState::Leaving);
+        let reported = self.reports.get(host).is_some_and(|o| o.report.leaving);
+        listed || reported || self.drains.hosts.contains(host)
+    }
+
+    /// Returns why the member of a rank does not do what the table asks of it.
+    #[must_use]
+    pub fn member_fault(
+        &self,
+        now: Timestamp,
+        id: &GroupId,
+        group: &ReplicaGroup,
+        rank: usize,
+    ) -> Option<MemberFault> {
+        let host = &group.members[rank].host;
+        if self.drains.hosts.contains(host) {
+            return Some(MemberFault::Drained(host.clone()));
+        }
+        if self
+            .entry(host)
+            .is_some_and(|e| e.state == HostState::Leaving)
+        {
+            return Some(MemberFault::Leaving(host.clone()));
+        }
+        if self.reports.get(host).is_none() {
+            return Some(MemberFault::NeverHeard(host.clone()));
+        }
+        match self.recent(now, host) {
+            None => Some(MemberFault::Silent(host.clone())),
+            Some(o) => MemberFault::of_report(o, &group.assignment(id, rank)),
+        }
+    }
+
+    /// Returns why a group may not take requests, by its members alone.
+    #[must_use]
+    pub fn group_fault(
+        &self,
+        now: Timestamp,
+        id: &GroupId,
+        group: &ReplicaGroup,
+    ) -> Option<MemberFault> {
+        (0..group.members.len()).find_map(|rank| self.member_fault(now, id, group, rank))
+    }
+
+    /// Returns whether a group takes new requests now.
+    #[must_use]
+    pub fn is_open(&self, now: Timestamp, id: &GroupId, group: &ReplicaGroup) -> bool {
+        !self.drains.domain_out
+            && group.state != GroupState::Dissolving
+            && self.group_fault(now, id, group).is_none()
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/tests/group_controller.rs
@@ -0,0 +1,284 @@
+//! Leader of a failure domain.
+
+mod group_fixture;
+
+use std::time::Duration;
+
+use geranium_core::engine::{HostEntry, Order, OrderAction};
+use geranium_core::event::EventKind;
+use geranium_core::group::{
+    GroupConfig, GroupController, GroupEffect, GroupInput, GroupTable, OrderOutcome, WriteOutcome,
+};
+use geranium_core::id::{FencingNumber, HostId, Incarnation, StoreRevision};
+use geranium_core::record::ModelSpec;
+use geranium_core::time::Timestamp;
+use group_fixture::{domain, entry, host, idle_report, report_after, spec};
+
+const PROCESS: Incarnation = Incarnation(7);
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A controller with a store that answers at once.
+struct Fixture {
+    controller: GroupController,
+    now: Timestamp,
+    sequence: u64,
+    revision: StoreRevision,
+    stored: Option<GroupTable>,
+    orders: Vec<Order>,
+    events: Vec<EventKind>,
+    engines: Vec<(HostId, Option<Order>)>,
+}
+
+impl Fixture {
+    fn new(hosts: &[&str], models: &[ModelSpec]) -> Self {
+        let cfg = GroupConfig::default();
+        let mut f = Self {
+            controller: GroupController::new(cfg, domain(), PROCESS),
+            now: Timestamp::from_millis(10_000),
+            sequence: 0,
+            revision: StoreRevision(0),
+            stored: None,
+            orders: Vec::new(),
+            events: Vec::new(),
+            engines: hosts.iter().map(|name| (host(name), None)).collect(),
+        };
+        let entries: Vec<HostEntry> = hosts.iter().map(|name| entry(name)).collect();
+        f.input(GroupInput::HostsChanged(&entries));
+        f.set_models(models);
+        f
+    }
+
+    fn set_models(&mut self, models: &[ModelSpec]) {
+        let drained = &[];
+        self.input(GroupInput::RecordsChanged { models, drained });
+    }
+
+    fn input(&mut self, input: GroupInput<'_>) {
+        let effects = self.raw_input(input);
+        self.run(effects);
+    }
+
+    fn raw_input(&mut self, input: GroupInput<'_>) -> Vec<GroupEffect> {
+        let mut effects = Vec::new();
+        self.controller.handle(self.now, input, &mut effects);
+        effects
+    }
+
+    fn run(&mut self, effects: Vec<GroupEffect>) {
+        for effect in effects {
+            match effect {
+                GroupEffect::LoadTable => {
+                    let (table, revision) = (self.stored.clone(), self.revision);
+                    self.input(GroupInput::TableLoaded { table, revision });
+                }
+                GroupEffect::WriteTable { table, expected } => {
+                    assert_eq!(expected, self.revision);
+                    assert_eq!(table.check(), Ok(()));
+                    self.stored = Some(table);
+                    self.revision = self.revision.next();
+                    let revision = self.revision;
+                    self.input(GroupInput::TableWritten(WriteOutcome::Applied { revision }));
+                }
+                GroupEffect::SendOrder(order) => self.take_order(order),
+                GroupEffect::Emit(event) => self.events.push(event.kind),
+            }
+        }
+    }
+
+    fn take_order(&mut self, order: Order) {
+        self.orders.push(order.clone());
+        let engine = self
+            .engines
+            .iter_mut()
+            .find(|(host, _)| *host == order.host);
+        let Some((_, followed)) = engine else {
+            return;
+        };
+        *followed = Some(order.clone());
+        let outcome = OrderOutcome::Accepted;
+        self.input(GroupInput::OrderAnswered {
+            order: &order,
+            outcome,
+        });
+    }
+
+    fn remove_engine(&mut self, name: &str) {
+        self.engines.retain(|(engine, _)| *engine != host(name));
+    }
+
+    /// Lets time pass with a report of every engine each interval.
+    fn pass(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + REPORT_INTERVAL;
+            self.sequence += 1;
+            for (host, followed) in self.engines.clone() {
+                let report = match &followed {
+                    Some(order) => report_after(order, self.sequence),
+                    None => idle_report(host.as_str(), self.sequence),
+                };
+                self.input(GroupInput::Report(&report));
+            }
+            self.input(GroupInput::Tick);
+        }
+    }
+
+    fn lead(&mut self) {
+        self.input(GroupInput::LeadershipGained);
+        self.pass(Duration::from_secs(2));
+    }
+
+    fn open_groups(&self) -> usize {
+        let (table, _) = self.controller.table();
+        let world = self.controller.world();
+        let groups = table.groups().iter();
+        groups
+            .filter(|(id, group)| world.is_open(self.now, id, group))
+            .count()
+    }
+}
+
+#[test]
+fn a_leader_forms_the_groups_that_the_records_ask_for() {
+    let mut f = Fixture::new(&["h1", "h2", "h3", "h4", "h5"], &[spec("v1", 2)]);
+
+    f.lead();
+
+    assert_eq!(f.open_groups(), 2);
+    assert_eq!(f.orders.len(), 4);
+    assert!(f.events.contains(&EventKind::GroupFormed));
+}
+
+#[test]
+fn no_order_is_sent_before_its_intent_is_stored() {
+    let mut f = Fixture::new(&["h1", "h2"], &[spec("v1", 1)]);
+    f.input(GroupInput::LeadershipGained);
+    f.now = f.now + REPORT_INTERVAL;
+    f.input(GroupInput::Report(&idle_report("h1", 1)));
+
+    let effects = f.raw_input(GroupInput::Report(&idle_report("h2", 1)));
+
+    assert!(matches!(effects[..], [GroupEffect::WriteTable { .. }]));
+    let failed = f.raw_input(GroupInput::TableWritten(WriteOutcome::Failed));
+    assert!(failed.is_empty());
+}
+
+#[test]
+fn an_ambiguous_write_is_read_back_before_anything_else() {
+    let mut f = Fixture::new(&["h1", "h2"], &[spec("v1", 1)]);
+    f.input(GroupInput::LeadershipGained);
+    f.now = f.now + REPORT_INTERVAL;
+    f.input(GroupInput::Report(&idle_report("h1", 1)));
+    let mut effects = f.raw_input(GroupInput::Report(&idle_report("h2", 1)));
+    let Some(GroupEffect::WriteTable { table, .. }) = effects.pop() else {
+        panic!("no write");
+    };
+
+    let after = f.raw_input(GroupInput::TableWritten(WriteOutcome::Ambiguous));
+    let tick = f.raw_input(GroupInput::Tick);
+    let revision = StoreRevision(1);
+    let table = Some(table);
+    let read = f.raw_input(GroupInput::TableLoaded { table, revision });
+
+    assert!(after.contains(&GroupEffect::LoadTable));
+    assert!(tick.is_empty());
+    let orders = read
+        .iter()
+        .filter(|e| matches!(e, GroupEffect::SendOrder(_)));
+    assert_eq!(orders.count(), 2);
+}
+
+#[test]
+fn a_failed_member_is_replaced_within_two_seconds() {
+    let mut f = Fixture::new(&["h1", "h2", "h3"], &[spec("v1", 1)]);
+    f.lead();
+    f.orders.clear();
+
+    f.remove_engine("h2");
+    f.pass(Duration::from_secs(2));
+
+    assert_eq!(f.open_groups(), 1);
+    let loads = f
+        .orders
+        .iter()
+        .filter(|o| matches!(o.action, OrderAction::Load(_)));
+    let hosts: Vec<&str> = loads.map(|o| o.host.as_str()).collect();
+    assert_eq!(hosts, ["h1", "h3"]);
+}
+
+#[test]
+fn a_changed_record_keeps_the_old_group_until_the_new_one_serves() {
+    let mut f = Fixture::new(&["h1", "h2", "h3", "h4"], &[spec("v1", 1)]);
+    f.lead();
+
+    f.set_models(&[spec("v2", 1)]);
+    let mut lowest = f.open_groups();
+    for _ in 0..40 {
+        f.pass(REPORT_INTERVAL);
+        lowest = lowest.min(f.open_groups());
+    }
+
+    assert!(lowest >= 1);
+    let versions: Vec<&str> = f
+        .controller
+        .table()
+        .0
+        .groups()
+        .values()
+        .map(|group| group.version.as_str())
+        .collect();
+    assert_eq!(versions, ["v2"]);
+}
+
+#[test]
+fn a_changed_record_takes_hold_without_spare_hosts() {
+    let mut f = Fixture::new(&["h1", "h2"], &[spec("v1", 1)]);
+    f.lead();
+
+    f.set_models(&[spec("v2", 1)]);
+    f.pass(Duration::from_secs(10));
+
+    assert_eq!(f.open_groups(), 1);
+    let (table, _) = f.controller.table();
+    assert!(table.groups().values().all(|group| group.version == "v2"));
+}
+
+#[test]
+fn a_record_scaled_to_zero_frees_its_hosts() {
+    let mut f = Fixture::new(&["h1", "h2"], &[spec("v1", 1)]);
+    f.lead();
+
+    f.set_models(&[spec("v1", 0)]);
+    f.pass(Duration::from_secs(10));
+
+    let (table, _) = f.controller.table();
+    assert!(table.groups().is_empty());
+    assert!(table.releasing().is_empty());
+}
+
+#[test]
+fn a_leader_without_records_dissolves_nothing() {
+    let mut f = Fixture::new(&["h1", "h2"], &[spec("v1", 1)]);
+    f.lead();
+    let cfg = GroupConfig::default();
+    f.controller = GroupController::new(cfg, domain(), Incarnation(8));
+
+    f.lead();
+
+    assert_eq!(f.controller.table().0.groups().len(), 1);
+}
+
+#[test]
+fn numbers_above_a_restored_table_are_followed() {
+    let mut f = Fixture::new(&["h1", "h2"], &[spec("v1", 1)]);
+    f.input(GroupInput::LeadershipGained);
+    let mut ahead = idle_report("h1", 1);
+    ahead.fencing = FencingNumber(900);
+    f.now = f.now + REPORT_INTERVAL;
+
+    f.input(GroupInput::Report(&ahead));
+    f.input(GroupInput::Report(&idle_report("h2", 1)));
+
+    assert!(f.orders.iter().all(|order| order.fencing.0 > 900));
+    assert_eq!(f.orders.len(), 2);
+}
