--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -109,4 +109,6 @@
     CrashSuspected => "crash_suspected",
     /// A claim was given up because its call was not run.
     ClaimWithdrawn => "claim_withdrawn",
+    /// A group table read from the store breaks a rule and is not used.
+    TableRejected => "table_rejected",
 }
