--- /dev/null
+++ b/crates/geranium_daemon/src/apply.rs
@@ -0,0 +1,250 @@
+//! Carries out an operator's change.
+
+use std::time::Duration;
+
+use geranium_core::event::{EventDraft, EventKind, EventSubject};
+use geranium_core::record::{
+    ApplyError, ApplyOutcome as Settled, ApplyPlan, ApplyRequest as ChangeRequest, CurrentRecord,
+    Document, Expectation, Generation, KnownPlaces, RecordChange, RecordKey, Severity,
+    StoredRecord, diff,
+};
+use geranium_net::ApiError;
+use geranium_operator::{ApplyAnswer, ApplyOutcome, ApplyRequest, HistoryEntry, LostRace};
+use geranium_platform::{CasOutcome, KvStore, StoreError, StoredValue, Swap};
+use hyper::StatusCode;
+
+use crate::node::Node;
+
+/// Tries of a change whose write had no effect or an unknown one.
+const MAX_TRIES: usize = 5;
+
+/// Pause before a write with an unknown outcome is read back again.
+const SETTLE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time to come back while the platform's service does not answer.
+const STORE_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Writes a change by compare-and-swap on what the operator has read.
+///
+/// # Errors
+///
+/// Returns a refusal if the change is not valid, or if the platform's service
+/// gave no certain answer.
+pub async fn apply(
+    node: &Node,
+    key: RecordKey,
+    document: Option<Document>,
+    req: &ApplyRequest,
+) -> Result<ApplyAnswer, ApiError> {
+    let change = ChangeRequest {
+        key,
+        document,
+        expected: req
+            .expected_generation
+            .map_or(Expectation::Any, |g| Expectation::Generation(Generation(g))),
+        operator: req.operator.clone(),
+        writer: node.next_writer(),
+    };
+    for _ in 0..MAX_TRIES {
+        if let Some(answer) = try_once(node, &change).await? {
+            return Ok(answer);
+        }
+    }
+    Err(unknown_outcome(&change.key))
+}
+
+/// Plans and writes once; `None` asks for another plan.
+async fn try_once(node: &Node, change: &ChangeRequest) -> Result<Option<ApplyAnswer>, ApiError> {
+    let current = read(node, &change.key).await?;
+    let view = node.published.view();
+    let places = KnownPlaces::from_hosts(view.hosts.iter());
+    let plan =
+        match ApplyPlan::new(change, &current, &view.records, &places, node.clock.now()) {
+            Ok(plan) => plan,
+            Err(e) => return refused(change, e),
+        };
+    let base = newest(&current, view.records.get(&change.key).map(|e| e.stored.as_ref()));
+    if plan.unchanged {
+        let generation = base.map_or(0, |record| record.generation().0);
+        return Ok(Some(answer(ApplyOutcome::Unchanged, generation, &plan, base)));
+    }
+    let accepted = || answer(ApplyOutcome::Accepted, plan.record.generation().0, &plan, base);
+    match write(node, &plan).await {
+        Ok(CasOutcome::Applied(revision)) => {
+            note_written(node, &plan.record, revision.0);
+            Ok(Some(accepted()))
+        }
+        Ok(CasOutcome::Conflict(values)) => {
+            let now = read_value(values.into_iter().next());
+            lost_or_again(change, &plan, &now)
+        }
+        Err(StoreError::Ambiguous(..) | StoreError::Malformed(..)) => {
+            match settle(node, &plan).await? {
+                Settled::Applied => {
+                    note_written(node, &plan.record, 0);
+                    Ok(Some(accepted()))
+                }
+                Settled::Lost(winner) => Ok(Some(lost(change, &winner, None))),
+                Settled::NotYet | Settled::PlanAgain => Ok(None),
+                Settled::Unknown(_) => Err(unknown_outcome(&change.key)),
+            }
+        }
+        Err(e) => Err(unavailable(&e)),
+    }
+}
+
+async fn write(node: &Node, plan: &ApplyPlan) -> Result<CasOutcome, StoreError> {
+    let swap = Swap {
+        key: plan.record.key.store_key(),
+        expected: plan.expected,
+        value: Some(plan.record.to_store().into()),
+        lease: None,
+    };
+    node.store.transact(vec![swap]).await
+}
+
+/// Reads back until the store tells what became of a write.
+async fn settle(node: &Node, plan: &ApplyPlan) -> Result<Settled, ApiError> {
+    let mut settled = Settled::NotYet;
+    for _ in 0..MAX_TRIES {
+        tokio::time::sleep(SETTLE_PAUSE).await;
+        match read(node, &plan.record.key).await {
+            Ok(current) => settled = plan.settle(&current),
+            Err(_) => continue,
+        }
+        if settled != Settled::NotYet {
+            return Ok(settled);
+        }
+    }
+    match settled {
+        // The write may still be on its way: planning anew could write twice.
+        Settled::NotYet => Err(unknown_outcome(&plan.record.key)),
+        settled => Ok(settled),
+    }
+}
+
+async fn read(node: &Node, key: &RecordKey) -> Result<CurrentRecord, ApiError> {
+    match node.store.get(&key.store_key()).await {
+        Ok(value) => Ok(read_value(value)),
+        Err(e) => Err(unavailable(&e)),
+    }
+}
+
+fn read_value(value: Option<StoredValue>) -> CurrentRecord {
+    let Some(value) = value else { return CurrentRecord::default() };
+    let stored = StoredRecord::from_store(&value.key, &value.value).ok();
+    CurrentRecord { stored, revision: value.revision }
+}
+
+fn newest<'a>(
+    current: &'a CurrentRecord,
+    held: Option<&'a StoredRecord>,
+) -> Option<&'a StoredRecord> {
+    current.stored.iter().chain(held).max_by_key(|record| record.rank())
+}
+
+fn note_written(node: &Node, record: &StoredRecord, revision: u64) {
+    let reason = format!(
+        "{} wrote {} as generation {} at revision {revision}",
+        record.change.operator,
+        record.key,
+        record.generation()
+    );
+    let subject = EventSubject::record(&record.key.name);
+    node.record(EventDraft::new(EventKind::StoreWritten, subject, reason));
+    node.offer_record(record.clone());
+}
+
+fn refused(change: &ChangeRequest, e: ApplyError) -> Result<Option<ApplyAnswer>, ApiError> {
+    match e {
+        ApplyError::Conflict(_, _, winner, differences) => {
+            let differences = differences.iter().map(ToString::to_string).collect();
+            Ok(Some(lost(change, &winner, Some(differences))))
+        }
+        ApplyError::NotFound(key) => Err(ApiError::new(
+            StatusCode::NOT_FOUND,
+            "not_found",
+            format!("record {key} does not exist"),
+        )),
+        ApplyError::Rejected(key, findings) => Err(ApiError::new(
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "invalid_record",
+            format!("record {key} is not valid beside the others"),
+        )
+        .with_faults(findings.iter().map(ToString::to_string).collect())),
+    }
+}
+
+/// A write that lost: the operator is told, unless any version was to be replaced.
+fn lost_or_again(
+    change: &ChangeRequest,
+    plan: &ApplyPlan,
+    now: &CurrentRecord,
+) -> Result<Option<ApplyAnswer>, ApiError> {
+    let Some(stored) = &now.stored else { return Ok(None) };
+    if stored.descends_from(plan.record.writer()) {
+        // An earlier try of this very change took effect after all.
+        return Ok(Some(answer(ApplyOutcome::Accepted, stored.generation().0, plan, None)));
+    }
+    let changes = diff(plan.record.document.as_ref(), stored.document.as_ref());
+    let differences = changes.iter().map(ToString::to_string).collect();
+    Ok(Some(lost(change, &stored.change, Some(differences))))
+}
+
+fn lost(
+    change: &ChangeRequest,
+    winner: &RecordChange,
+    differences: Option<Vec<String>>,
+) -> ApplyAnswer {
+    log::info!("a change of {} lost to {:?}", change.key, winner.operator);
+    ApplyAnswer {
+        outcome: ApplyOutcome::LostRace,
+        generation: winner.generation.0,
+        changes: Vec::new(),
+        warnings: Vec::new(),
+        lost_race: Some(LostRace {
+            winner: history_entry(winner),
+            differences: differences.unwrap_or_default(),
+        }),
+    }
+}
+
+fn answer(
+    outcome: ApplyOutcome,
+    generation: u64,
+    plan: &ApplyPlan,
+    base: Option<&StoredRecord>,
+) -> ApplyAnswer {
+    let old = base.and_then(|record| record.document.as_ref());
+    let changes = diff(old, plan.record.document.as_ref());
+    let warnings = plan.warnings.iter().filter(|f| f.severity == Severity::Warning);
+    ApplyAnswer {
+        outcome,
+        generation,
+        changes: changes.iter().map(ToString::to_string).collect(),
+        warnings: warnings.map(ToString::to_string).collect(),
+        lost_race: None,
+    }
+}
+
+/// Renders a change for operators.
+#[must_use]
+pub fn history_entry(change: &RecordChange) -> HistoryEntry {
+    HistoryEntry {
+        generation: change.generation.0,
+        operator: change.operator.clone(),
+        written_at: change.written_at,
+        deleted: change.deleted,
+    }
+}
+
+fn unavailable(e: &StoreError) -> ApiError {
+    ApiError::new(StatusCode::SERVICE_UNAVAILABLE, "store_unavailable", e.to_string())
+        .not_run()
+        .retry_after(STORE_RETRY_AFTER)
+}
+
+fn unknown_outcome(key: &RecordKey) -> ApiError {
+    let message = format!("it is not known whether the change of {key} was accepted; read it back");
+    ApiError::new(StatusCode::GATEWAY_TIMEOUT, "outcome_unknown", message)
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/operator/events.rs
@@ -0,0 +1,42 @@
+//! Events of this process.
+
+use std::sync::Arc;
+
+use geranium_core::event::EventKind;
+use geranium_core::time::Timestamp;
+use geranium_net::ApiError;
+use geranium_telemetry::EventFilter;
+use viz::{Request, Response, Result};
+
+use super::query::{Query, bad_request};
+use super::reply::json;
+use crate::node::Node;
+
+/// Most events in one answer.
+const MAX_EVENTS: usize = 10_000;
+
+/// Returns the events that the query admits.
+pub async fn events(node: Arc<Node>, req: Request) -> Result<Response> {
+    let filter = filter(&Query::of(&req))?;
+    json(&node.recorder.page(&filter, MAX_EVENTS))
+}
+
+fn filter(query: &Query) -> std::result::Result<EventFilter, ApiError> {
+    Ok(EventFilter {
+        request: query.get("request")?,
+        group: query.get("group")?,
+        host: query.get("host")?,
+        record: query.get("record")?,
+        account: query.get("account")?,
+        kind: query.get::<String>("kind")?.map(|text| kind(&text)).transpose()?,
+        since: query.get("since")?.map(Timestamp),
+        after: query.get("after")?,
+    })
+}
+
+fn kind(text: &str) -> std::result::Result<EventKind, ApiError> {
+    let found = EventKind::ALL.iter().find(|kind| kind.as_str() == text);
+    found.copied().ok_or_else(|| {
+        bad_request("invalid_query", format!("event kind {text:?} does not exist"))
+    })
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/operator/reply.rs
@@ -0,0 +1,29 @@
+//! JSON answers.
+
+use bytes::Bytes;
+use geranium_net::ApiError;
+use http_body_util::Full;
+use hyper::StatusCode;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use serde::Serialize;
+use viz::{Body, Response, Result};
+
+/// Renders a value as a JSON answer.
+///
+/// # Errors
+///
+/// Returns a refusal if the value cannot be serialised.
+pub fn json(value: &impl Serialize) -> Result<Response> {
+    let body = serde_json::to_vec(value).map_err(|e| {
+        ApiError::new(StatusCode::INTERNAL_SERVER_ERROR, "unrenderable_answer", e.to_string())
+    })?;
+    Ok(typed(StatusCode::OK, "application/json", Bytes::from(body)))
+}
+
+/// Makes an answer with a content type.
+pub fn typed(status: StatusCode, content_type: &'static str, body: Bytes) -> Response {
+    let mut res = Response::new(Body::Full(Full::new(body)));
+    *res.status_mut() = status;
+    res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    res
+}
