Add routing, admission, cold budget, retry budget and crash registry

Cause: requests need a replica chosen by prefix, load, health and locality, and limits that hold over all entry hosts; the daemon needs the interface now.

Ruled out: cold credits by counts that travel as differences, because a lost message would leave them wrong for good; totals with a sequence number and a lifetime from the user's own clock need no such repair.

--- /dev/null
+++ b/crates/geranium_core/src/limit/account_queue.rs
@@ -0,0 +1,185 @@
+//! The queue and the share of one client account.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use super::Ticket;
+use crate::id::AccountId;
+use crate::time::Timestamp;
+
+/// Scale of the usage of an account, so that division by its weight stays exact enough.
+const USAGE_SCALE: u64 = 1_024;
+/// Usage charged for a start, so that ties do not fall to one account.
+const START_CHARGE_MICROS: u64 = 1_000;
+
+/// What a client account may use of a model on one entry host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AccountLimit {
+    /// The account.
+    pub account: AccountId,
+    /// Relative share when requests compete; at least 1.
+    pub weight: u32,
+    /// Requests that may be in progress at once.
+    pub max_concurrent: u32,
+}
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting {
+    pub(super) ticket: Ticket,
+    pub(super) queued_at: Timestamp,
+    pub(super) start_by: Timestamp,
+    pub(super) deadline: Timestamp,
+}
+
+/// The queue and the share of one client account.
+#[derive(Clone, Debug)]
+pub(super) struct AccountQueue {
+    pub(super) weight: u32,
+    pub(super) max_concurrent: u32,
+    pub(super) in_progress: u32,
+    /// Slot time used, divided by the weight.
+    usage: u64,
+    charged_at: Timestamp,
+    levels: BTreeMap<u8, VecDeque<Waiting>>,
+    queued: usize,
+}
+
+impl AccountQueue {
+    /// Makes an empty queue.
+    pub(super) fn new(now: Timestamp, limit: &AccountLimit) -> Self {
+        Self {
+            weight: limit.weight.max(1),
+            max_concurrent: limit.max_concurrent,
+            in_progress: 0,
+            usage: 0,
+            charged_at: now,
+            levels: BTreeMap::new(),
+            queued: 0,
+        }
+    }
+
+    /// Takes over a new weight and limit.
+    pub(super) fn set_limit(&mut self, now: Timestamp, limit: &AccountLimit) {
+        self.charge(now);
+        self.weight = limit.weight.max(1);
+        self.max_concurrent = limit.max_concurrent;
+    }
+
+    /// Returns the number of requests that wait.
+    pub(super) fn queued(&self) -> usize {
+        self.queued
+    }
+
+    /// Returns whether the account has requests that run or wait.
+    pub(super) fn is_active(&self) -> bool {
+        self.in_progress > 0 || self.queued > 0
+    }
+
+    /// Returns whether a waiting request may start.
+    pub(super) fn may_start(&self) -> bool {
+        self.queued > 0 && self.in_progress < self.max_concurrent
+    }
+
+    /// Charges the slot time used until now and returns the usage.
+    pub(super) fn charge(&mut self, now: Timestamp) -> u64 {
+        let micros = now.0.saturating_sub(self.charged_at.0) * u64::from(self.in_progress);
+        self.usage += micros * USAGE_SCALE / u64::from(self.weight);
+        self.charged_at = self.charged_at.max(now);
+        self.usage
+    }
+
+    /// Raises the usage to that of the accounts that were active while this one
+    /// was idle, so that idle time earns no claim on later capacity.
+    pub(super) fn catch_up(&mut self, floor: u64) {
+        self.usage = self.usage.max(floor);
+    }
+
+    /// Notes that a request starts.
+    pub(super) fn start(&mut self, now: Timestamp) {
+        self.charge(now);
+        self.usage += START_CHARGE_MICROS * USAGE_SCALE / u64::from(self.weight);
+        self.in_progress += 1;
+    }
+
+    /// Notes that a request ended.
+    pub(super) fn end(&mut self, now: Timestamp) {
+        self.charge(now);
+        self.in_progress = self.in_progress.saturating_sub(1);
+    }
+
+    /// Adds a request to the end of its priority's queue.
+    pub(super) fn push(&mut self, priority: u8, waiting: Waiting) {
+        self.levels.entry(priority).or_default().push_back(waiting);
+        self.queued += 1;
+    }
+
+    /// Returns the effective priority of the request that is next.
+    pub(super) fn next_priority(&self, now: Timestamp, step: Duration) -> Option<u64> {
+        self.next_level(now, step).map(|(effective, _)| effective)
+    }
+
+    /// Takes out the request that is next.
+    pub(super) fn pop(&mut self, now: Timestamp, step: Duration) -> Option<Waiting> {
+        let (_, priority) = self.next_level(now, step)?;
+        let level = self.levels.get_mut(&priority)?;
+        let waiting = level.pop_front();
+        if level.is_empty() {
+            self.levels.remove(&priority);
+        }
+        self.queued -= usize::from(waiting.is_some());
+        waiting
+    }
+
+    /// Takes out one request wherever it waits.
+    pub(super) fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
+        for level in self.levels.values_mut() {
+            if let Some(i) = level.iter().position(|w| w.ticket == ticket) {
+                self.queued -= 1;
+                return level.remove(i);
+            }
+        }
+        None
+    }
+
+    /// Takes out every request for which `keep` returns false; `keep` is told
+    /// how many kept requests are ahead. Higher priorities are asked first.
+    pub(super) fn retain(&mut self, mut keep: impl FnMut(usize, &Waiting) -> bool) -> Vec<Waiting> {
+        let mut dropped = Vec::new();
+        let mut kept = 0;
+        for level in self.levels.values_mut().rev() {
+            level.retain(|waiting| {
+                let stays = keep(kept, waiting);
+                if stays {
+                    kept += 1;
+                } else {
+                    dropped.push(*waiting);
+                }
+                stays
+            });
+        }
+        self.levels.retain(|_, level| !level.is_empty());
+        self.queued = kept;
+        dropped
+    }
+
+    /// Returns the number of requests that are served before a new one.
+    pub(super) fn ahead_of(&self, priority: u8) -> usize {
+        let levels = self.levels.range(priority..);
+        levels.map(|(_, level)| level.len()).sum()
+    }
+
+    /// Finds the priority whose first request is next: waiting raises a request,
+    /// and among equals the one that waited longest goes first.
+    fn next_level(&self, now: Timestamp, step: Duration) -> Option<(u64, u8)> {
+        let step = step.as_micros().max(1) as u64;
+        let heads = self.levels.iter().filter_map(|(&priority, level)| {
+            let head = level.front()?;
+            let aged = now.0.saturating_sub(head.queued_at.0) / step;
+            Some((u64::from(priority) + aged, head.queued_at, priority))
+        });
+        let best = heads
+            .max_by_key(|&(effective, queued_at, _)| (effective, std::cmp::Reverse(queued_at)));
+        best.map(|(effective, _, priority)| (effective, priority))
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/limit/admission.rs
@@ -0,0 +1,432 @@
+//! Admission of requests to one model on one entry host.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::account_queue::{AccountQueue, Waiting};
+use super::drain::DrainRate;
+use super::{
+    AccountLimit, AdmissionRefusal, AdmissionSettings, RefusedTicket, StartedTicket, Ticket,
+};
+use crate::collections::HashMap;
+use crate::id::AccountId;
+use crate::time::Timestamp;
+
+/// Waits that are this many times the time left make a queued request refused:
+/// an estimate that is off by less must not drop what would have started.
+const DROP_MARGIN: f64 = 2.0;
+
+/// A request that asks to start.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionRequest<'a> {
+    /// Client account of the caller.
+    pub account: &'a AccountId,
+    /// Priority, higher first.
+    pub priority: u8,
+    /// Time after which the caller no longer wants the answer.
+    pub deadline: Timestamp,
+}
+
+/// What became of a request that asked to start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdmissionOutcome {
+    /// It may start now.
+    Admitted(Ticket),
+    /// It waits; a later change starts or refuses it.
+    Queued(Ticket),
+    /// It was refused and was not run.
+    Refused(AdmissionRefusal),
+}
+
+/// Queued requests whose turn came or that were refused.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AdmissionChange {
+    /// Requests that may start now.
+    pub started: Vec<StartedTicket>,
+    /// Requests that were refused and not run.
+    pub refused: Vec<RefusedTicket>,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    account: AccountId,
+    started_at: Timestamp,
+}
+
+/// Shares the capacity for one model among client accounts.
+///
+/// An account below its guaranteed share goes first, the one that has used the
+/// least slot time for its weight before the others. What is left goes by
+/// priority. No slot stays idle while a request that may use it waits.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    settings: AdmissionSettings,
+    capacity: u32,
+    zero_since: Option<Timestamp>,
+    in_progress: u32,
+    queued: usize,
+    accounts: BTreeMap<AccountId, AccountQueue>,
+    running: HashMap<Ticket, Running>,
+    waiting: HashMap<Ticket, AccountId>,
+    drain: DrainRate,
+    next_ticket: u64,
+    rng: SmallRng,
+}
+
+impl Admission {
+    /// Makes an admission without accounts or capacity.
+    #[must_use]
+    pub fn new(settings: AdmissionSettings, seed: u64) -> Self {
+        Self {
+            settings,
+            capacity: 0,
+            zero_since: None,
+            in_progress: 0,
+            queued: 0,
+            accounts: BTreeMap::new(),
+            running: HashMap::default(),
+            waiting: HashMap::default(),
+            drain: DrainRate::new(settings.initial_service),
+            next_ticket: 0,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes over the accounts and their shares; requests of others are refused.
+    pub fn set_accounts(&mut self, now: Timestamp, limits: &[AccountLimit]) -> AdmissionChange {
+        let mut change = AdmissionChange::default();
+        let listed = |account: &AccountId| limits.iter().any(|l| l.account == *account);
+        let gone: Vec<AccountId> = self
+            .accounts
+            .keys()
+            .filter(|a| !listed(a))
+            .cloned()
+            .collect();
+        for account in gone {
+            self.remove_account(&account, &mut change);
+        }
+        for limit in limits {
+            match self.accounts.get_mut(&limit.account) {
+                Some(queue) => queue.set_limit(now, limit),
+                None => {
+                    let queue = AccountQueue::new(now, limit);
+                    self.accounts.insert(limit.account.clone(), queue);
+                }
+            }
+        }
+        self.start_waiting(now, &mut change);
+        change
+    }
+
+    /// Takes over the number of requests that may be in progress at once.
+    pub fn set_capacity(&mut self, now: Timestamp, capacity: u32) -> AdmissionChange {
+        self.zero_since = match (capacity, self.zero_since) {
+            (0, None) => Some(now),
+            (0, since) => since,
+            _ => None,
+        };
+        self.capacity = capacity;
+        let mut change = AdmissionChange::default();
+        self.start_waiting(now, &mut change);
+        change
+    }
+
+    /// Asks to start a request.
+    pub fn submit(&mut self, now: Timestamp, req: &AdmissionRequest<'_>) -> AdmissionOutcome {
+        match self.check(now, req) {
+            Ok(()) => self.accept(now, req),
+            Err(refusal) => AdmissionOutcome::Refused(refusal),
+        }
+    }
+
+    /// Notes that a request in progress ended, whatever its outcome.
+    pub fn finished(&mut self, now: Timestamp, ticket: Ticket) -> AdmissionChange {
+        let mut change = AdmissionChange::default();
+        if let Some(running) = self.running.remove(&ticket) {
+            self.in_progress -= 1;
+            self.drain.ended(now, now.since(running.started_at));
+            if let Some(queue) = self.accounts.get_mut(&running.account) {
+                queue.end(now);
+            }
+            self.start_waiting(now, &mut change);
+        }
+        change
+    }
+
+    /// Gives up a request, queued or in progress, because its caller left.
+    pub fn cancelled(&mut self, now: Timestamp, ticket: Ticket) -> AdmissionChange {
+        if let Some(account) = self.waiting.remove(&ticket) {
+            self.queued -= 1;
+            if let Some(queue) = self.accounts.get_mut(&account) {
+                queue.remove(ticket);
+            }
+            return AdmissionChange::default();
+        }
+        self.finished(now, ticket)
+    }
+
+    /// Refuses queued requests that can no longer start in time.
+    pub fn tick(&mut self, now: Timestamp) -> AdmissionChange {
+        let mut change = AdmissionChange::default();
+        let accounts: Vec<AccountId> = self
+            .accounts
+            .iter()
+            .filter(|(_, queue)| queue.queued() > 0)
+            .map(|(account, _)| account.clone())
+            .collect();
+        for account in accounts {
+            self.shed(now, &account, &mut change);
+        }
+        self.start_waiting(now, &mut change);
+        change
+    }
+
+    /// Returns the requests in progress.
+    #[must_use]
+    pub fn in_progress(&self) -> u32 {
+        self.in_progress
+    }
+
+    /// Returns the requests in progress of one account.
+    #[must_use]
+    pub fn in_progress_of(&self, account: &AccountId) -> u32 {
+        self.accounts.get(account).map_or(0, |q| q.in_progress)
+    }
+
+    /// Returns the requests that wait.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queued
+    }
+
+    fn check(&self, now: Timestamp, req: &AdmissionRequest<'_>) -> Result<(), AdmissionRefusal> {
+        if !self.accounts.contains_key(req.account) {
+            return Err(AdmissionRefusal::UnknownAccount(req.account.clone()));
+        }
+        if now >= req.deadline {
+            return Err(AdmissionRefusal::DeadlinePassed(req.account.clone()));
+        }
+        Ok(())
+    }
+
+    fn accept(&mut self, now: Timestamp, req: &AdmissionRequest<'_>) -> AdmissionOutcome {
+        self.catch_up(now, req.account);
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        if self.may_start_at_once(req.account) {
+            self.start(now, ticket, req.account);
+            return AdmissionOutcome::Admitted(ticket);
+        }
+        match self.enqueue(now, ticket, req) {
+            Ok(()) => AdmissionOutcome::Queued(ticket),
+            Err(refusal) => AdmissionOutcome::Refused(refusal),
+        }
+    }
+
+    fn may_start_at_once(&self, account: &AccountId) -> bool {
+        let free = self.in_progress < self.capacity;
+        let queue = &self.accounts[account];
+        free && queue.queued() == 0 && queue.in_progress < queue.max_concurrent
+    }
+
+    fn enqueue(
+        &mut self,
+        now: Timestamp,
+        ticket: Ticket,
+        req: &AdmissionRequest<'_>,
+    ) -> Result<(), AdmissionRefusal> {
+        let account = req.account.clone();
+        if self.capacity == 0 {
+            let retry_after = self.retry_after(self.settings.initial_service);
+            return Err(AdmissionRefusal::NoCapacity(account, retry_after));
+        }
+        let ahead = self.accounts[req.account].ahead_of(req.priority);
+        let wait = self.expected_wait(now, req.account, ahead);
+        let start_by = req.deadline - self.settings.reserve;
+        let left = start_by.since(now);
+        if wait > left {
+            let retry_after = self.retry_after(wait - left);
+            return Err(AdmissionRefusal::Overloaded(account, wait, retry_after));
+        }
+        if self.queued >= self.settings.max_queued {
+            let retry_after = self.retry_after(wait);
+            return Err(AdmissionRefusal::QueueFull(account, retry_after));
+        }
+        let waiting = Waiting {
+            ticket,
+            queued_at: now,
+            start_by,
+            deadline: req.deadline,
+        };
+        if let Some(queue) = self.accounts.get_mut(req.account) {
+            queue.push(req.priority, waiting);
+        }
+        self.waiting.insert(ticket, account);
+        self.queued += 1;
+        Ok(())
+    }
+
+    fn start(&mut self, now: Timestamp, ticket: Ticket, account: &AccountId) {
+        if self.in_progress == 0 {
+            self.drain.resumed(now);
+        }
+        if let Some(queue) = self.accounts.get_mut(account) {
+            queue.start(now);
+        }
+        self.in_progress += 1;
+        let running = Running {
+            account: account.clone(),
+            started_at: now,
+        };
+        self.running.insert(ticket, running);
+    }
+
+    fn start_waiting(&mut self, now: Timestamp, change: &mut AdmissionChange) {
+        while self.in_progress < self.capacity {
+            let Some(account) = self.next_account(now) else {
+                return;
+            };
+            let step = self.settings.aging_step;
+            let queue = self.accounts.get_mut(&account);
+            let Some(waiting) = queue.and_then(|q| q.pop(now, step)) else {
+                return;
+            };
+            self.waiting.remove(&waiting.ticket);
+            self.queued -= 1;
+            if now >= waiting.start_by {
+                let refusal = AdmissionRefusal::DeadlinePassed(account.clone());
+                change
+                    .refused
+                    .push(refused(waiting.ticket, &account, refusal));
+                continue;
+            }
+            self.start(now, waiting.ticket, &account);
+            change.started.push(StartedTicket {
+                ticket: waiting.ticket,
+                account,
+                deadline: waiting.deadline,
+                waited: now.since(waiting.queued_at),
+            });
+        }
+    }
+
+    /// Picks the account whose request starts next.
+    fn next_account(&mut self, now: Timestamp) -> Option<AccountId> {
+        let weights: u64 = self.accounts.values().map(|q| u64::from(q.weight)).sum();
+        let capacity = u64::from(self.capacity);
+        let step = self.settings.aging_step;
+        let candidates = self.accounts.iter_mut().filter(|(_, q)| q.may_start());
+        let candidates = candidates.map(|(account, queue)| {
+            let usage = queue.charge(now);
+            (account, queue, usage)
+        });
+        let best = candidates.min_by_key(|(_, queue, usage)| {
+            let guaranteed = (capacity * u64::from(queue.weight) / weights).max(1);
+            let entitled = u64::from(queue.in_progress) < guaranteed;
+            let priority = if entitled {
+                0
+            } else {
+                queue.next_priority(now, step).unwrap_or(0)
+            };
+            (!entitled, std::cmp::Reverse(priority), *usage)
+        });
+        best.map(|(account, _, _)| account.clone())
+    }
+
+    fn catch_up(&mut self, now: Timestamp, account: &AccountId) {
+        if self.accounts[account].is_active() {
+            return;
+        }
+        let active = self.accounts.values_mut().filter(|q| q.is_active());
+        let floor = active.map(|q| q.charge(now)).min();
+        if let Some(queue) = self.accounts.get_mut(account) {
+            queue.charge(now);
+            queue.catch_up(floor.unwrap_or(0));
+        }
+    }
+
+    /// Estimates the wait of a request of an account with `ahead` others before it.
+    fn expected_wait(&self, now: Timestamp, account: &AccountId, ahead: usize) -> Duration {
+        let queue = &self.accounts[account];
+        let is_rival = |(name, q): &(&AccountId, &AccountQueue)| q.queued() > 0 || *name == account;
+        let rivals: u32 = self
+            .accounts
+            .iter()
+            .filter(is_rival)
+            .map(|(_, q)| q.weight)
+            .sum();
+        let share = f64::from(queue.weight) / f64::from(rivals.max(1));
+        let slots = (f64::from(self.capacity) * share).min(f64::from(queue.max_concurrent));
+        let gap = self.drain.gap_secs(now, self.capacity) * f64::from(self.capacity) / slots;
+        let wait = gap * (ahead + 1) as f64;
+        Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
+    }
+
+    fn shed(&mut self, now: Timestamp, account: &AccountId, change: &mut AdmissionChange) {
+        let first = self.expected_wait(now, account, 0).as_secs_f64();
+        let grace = self.settings.zero_capacity_grace;
+        let no_capacity = self.zero_since.is_some_and(|t| now.since(t) >= grace);
+        let suspended = self.capacity == 0 && !no_capacity;
+        let Some(queue) = self.accounts.get_mut(account) else {
+            return;
+        };
+        let dropped = queue.retain(|ahead, waiting| {
+            let left = waiting.start_by.since(now).as_secs_f64();
+            let wait = if suspended {
+                0.0
+            } else {
+                first * (ahead + 1) as f64
+            };
+            left > 0.0 && !no_capacity && wait <= left * DROP_MARGIN
+        });
+        for waiting in dropped {
+            self.waiting.remove(&waiting.ticket);
+            self.queued -= 1;
+            let left = waiting.start_by.since(now);
+            let refusal = if no_capacity {
+                let retry_after = self.retry_after(self.settings.initial_service);
+                AdmissionRefusal::NoCapacity(account.clone(), retry_after)
+            } else if left.is_zero() {
+                AdmissionRefusal::DeadlinePassed(account.clone())
+            } else {
+                let wait = Duration::try_from_secs_f64(first).unwrap_or(Duration::MAX);
+                let retry_after = self.retry_after(wait);
+                AdmissionRefusal::Overloaded(account.clone(), wait, retry_after)
+            };
+            change
+                .refused
+                .push(refused(waiting.ticket, account, refusal));
+        }
+    }
+
+    fn remove_account(&mut self, account: &AccountId, change: &mut AdmissionChange) {
+        let Some(mut queue) = self.accounts.remove(account) else {
+            return;
+        };
+        for waiting in queue.retain(|_, _| false) {
+            self.waiting.remove(&waiting.ticket);
+            self.queued -= 1;
+            let refusal = AdmissionRefusal::UnknownAccount(account.clone());
+            change
+                .refused
+                .push(refused(waiting.ticket, account, refusal));
+        }
+    }
+
+    fn retry_after(&mut self, wait: Duration) -> Duration {
+        let settings = &self.settings;
+        let wait = wait.clamp(settings.min_retry_after, settings.max_retry_after);
+        wait.mul_f64(1.0 + settings.jitter * self.rng.random::<f64>())
+    }
+}
+
+fn refused(ticket: Ticket, account: &AccountId, refusal: AdmissionRefusal) -> RefusedTicket {
+    RefusedTicket {
+        ticket,
+        account: account.clone(),
+        refusal,
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/limit/authority.rs
@@ -0,0 +1,66 @@
+//! The authority of the one host that hands out credits.
+
+use std::time::Duration;
+
+use crate::time::Timestamp;
+
+/// Tells when a host may hand out credits of a failure domain.
+///
+/// A host that gains the authority waits until every credit of an earlier holder
+/// has expired. A holder whose authority lapsed while it was paused notices by the
+/// present time, before it grants.
+#[derive(Clone, Copy, Debug)]
+pub struct HolderAuthority {
+    wait: Duration,
+    until: Timestamp,
+    ready_at: Timestamp,
+}
+
+impl HolderAuthority {
+    /// Makes an authority that has not been gained; `wait` is the time after
+    /// which every credit of an earlier holder has expired.
+    #[must_use]
+    pub const fn new(wait: Duration) -> Self {
+        Self {
+            wait,
+            until: Timestamp(0),
+            ready_at: Timestamp(u64::MAX),
+        }
+    }
+
+    /// Gains or extends the authority until a time on this host's clock.
+    ///
+    /// Returns whether it was gained anew, so that the holder knows nothing of
+    /// the credits that are outstanding.
+    pub fn extend(&mut self, now: Timestamp, until: Timestamp) -> bool {
+        let gained = now >= self.until;
+        if gained {
+            self.ready_at = now + self.wait;
+        }
+        self.until = self.until.max(until);
+        gained
+    }
+
+    /// Gives the authority up.
+    pub fn resign(&mut self) {
+        self.until = Timestamp(0);
+    }
+
+    /// Returns whether this host is the holder.
+    #[must_use]
+    pub fn is_held(&self, now: Timestamp) -> bool {
+        now < self.until
+    }
+
+    /// Returns whether the holder may grant new credits.
+    #[must_use]
+    pub fn may_grant(&self, now: Timestamp) -> bool {
+        self.is_held(now) && now >= self.ready_at
+    }
+
+    /// Returns the time from which the holder may grant new credits.
+    #[must_use]
+    pub const fn ready_at(&self) -> Timestamp {
+        self.ready_at
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/limit/cold_group.rs
@@ -0,0 +1,238 @@
+//! The budget of one cold group, as its holder keeps it.
+
+use std::collections::BTreeMap;
+
+use super::{ColdSettings, CreditRequest};
+use crate::group::{ServingGroup, Temperature};
+use crate::id::{HostId, Incarnation};
+use crate::time::Timestamp;
+
+/// Credits that one user holds at most.
+#[derive(Clone, Debug)]
+struct UserCredits {
+    held: u32,
+    expires: Timestamp,
+    generation: u64,
+    sequence: u64,
+    successes: u32,
+    failures: u32,
+    marks: u32,
+}
+
+/// Requests that may still run although no live credit covers them.
+#[derive(Clone, Copy, Debug)]
+enum Uncovered {
+    /// Nothing is known; only a later load report tells.
+    Unknown,
+    /// At most this many.
+    AtMost(u32),
+}
+
+/// The budget of one cold group.
+#[derive(Clone, Debug)]
+pub(super) struct ColdGroup {
+    pub(super) generation: u64,
+    cold_concurrency: u32,
+    warm_concurrency: u32,
+    temperature: Temperature,
+    budget: u32,
+    warm: bool,
+    successes: u32,
+    users: BTreeMap<(HostId, Incarnation), UserCredits>,
+    uncovered: Uncovered,
+    uncovered_since: Timestamp,
+}
+
+impl ColdGroup {
+    /// Makes the budget of a group about whose load nothing is known at `since`.
+    pub(super) fn new(since: Timestamp, group: &ServingGroup) -> Self {
+        Self {
+            generation: group.generation,
+            cold_concurrency: group.cold_concurrency,
+            warm_concurrency: group.warm_concurrency.max(group.cold_concurrency),
+            temperature: group.temperature,
+            budget: group.cold_concurrency,
+            warm: group.temperature == Temperature::Warm,
+            successes: 0,
+            users: BTreeMap::new(),
+            uncovered: Uncovered::Unknown,
+            uncovered_since: since,
+        }
+    }
+
+    /// Returns the budget.
+    pub(super) fn budget(&self) -> u32 {
+        self.budget
+    }
+
+    /// Returns whether the group needs no credits.
+    pub(super) fn is_warm(&self) -> bool {
+        self.warm
+    }
+
+    /// Takes over a new description of the group.
+    pub(super) fn update(&mut self, now: Timestamp, group: &ServingGroup) {
+        let restarted = self.generation != group.generation;
+        let turned_cold = self.warm && group.temperature == Temperature::Cold;
+        let warmed_up =
+            self.temperature == Temperature::Cold && group.temperature == Temperature::Warm;
+        self.cold_concurrency = group.cold_concurrency;
+        self.warm_concurrency = group.warm_concurrency.max(group.cold_concurrency);
+        self.temperature = group.temperature;
+        self.generation = group.generation;
+        if restarted || turned_cold {
+            self.turn_cold(now);
+        }
+        if group.temperature == Temperature::Warm && (restarted || warmed_up) {
+            self.warm = true;
+        }
+        self.budget = self
+            .budget
+            .clamp(self.cold_concurrency, self.warm_concurrency);
+    }
+
+    /// Falls back to the cold budget. Requests sent while the group was warm may
+    /// still run, without credits.
+    pub(super) fn turn_cold(&mut self, now: Timestamp) {
+        self.budget = self.cold_concurrency;
+        self.warm = false;
+        self.successes = 0;
+        self.uncovered = Uncovered::Unknown;
+        self.uncovered_since = now;
+    }
+
+    /// Forgets what earlier holders granted and when.
+    pub(super) fn lose_track(&mut self, ready_at: Timestamp) {
+        self.users.clear();
+        self.budget = self.cold_concurrency;
+        self.successes = 0;
+        self.uncovered = Uncovered::Unknown;
+        self.uncovered_since = ready_at;
+    }
+
+    /// Takes in the requests that the engine reports, measured at a time on the
+    /// holder's clock.
+    pub(super) fn observe_load(&mut self, measured_at: Timestamp, load: u32) {
+        if measured_at < self.uncovered_since {
+            return;
+        }
+        self.uncovered = match self.uncovered {
+            Uncovered::Unknown => Uncovered::AtMost(load),
+            Uncovered::AtMost(count) => Uncovered::AtMost(count.min(load)),
+        };
+    }
+
+    /// Moves the credits that were not renewed to the uncovered requests: their
+    /// user may be paused while the engine works on.
+    pub(super) fn expire(&mut self, now: Timestamp, settings: &ColdSettings) {
+        if now.since(self.uncovered_since) >= settings.run_limit {
+            self.uncovered = Uncovered::AtMost(0);
+        }
+        let mut lapsed = 0;
+        self.users.retain(|_, user| {
+            let live = now < user.expires;
+            if !live {
+                lapsed += user.held;
+            }
+            live
+        });
+        if lapsed > 0 {
+            if let Uncovered::AtMost(count) = &mut self.uncovered {
+                *count += lapsed;
+            }
+            self.uncovered_since = now;
+        }
+    }
+
+    /// Returns whether a request is older than the last one of its user.
+    pub(super) fn is_stale(&self, req: &CreditRequest) -> bool {
+        let user = self.users.get(&(req.user.clone(), req.incarnation));
+        user.is_some_and(|user| req.sequence <= user.sequence)
+    }
+
+    /// Returns whether the user newly found that the group behaves as a cold one.
+    pub(super) fn is_newly_marked(&self, req: &CreditRequest) -> bool {
+        let user = self.users.get(&(req.user.clone(), req.incarnation));
+        let same = user.filter(|user| user.generation == req.generation);
+        req.marked && same.is_none_or(|user| req.marks > user.marks)
+    }
+
+    /// Answers a user's request; returns the credits that it holds now.
+    ///
+    /// `adopt` renews what the user holds from an earlier holder.
+    pub(super) fn grant(
+        &mut self,
+        now: Timestamp,
+        req: &CreditRequest,
+        adopt: bool,
+        settings: &ColdSettings,
+    ) -> u32 {
+        let key = (req.user.clone(), req.incarnation);
+        let known = self.users.remove(&key);
+        let (held, successes, failures) = match &known {
+            Some(user) if user.generation == req.generation => {
+                (user.held, user.successes, user.failures)
+            }
+            Some(user) => (user.held, 0, 0),
+            None if adopt => (req.keep, req.successes, req.failures),
+            None => (0, 0, 0),
+        };
+        self.learn(
+            req.successes.saturating_sub(successes),
+            req.failures.saturating_sub(failures),
+        );
+        let kept = req.keep.min(held);
+        let credits = self.credits(kept, req, adopt);
+        let user = UserCredits {
+            held: credits.max(kept),
+            expires: now + settings.holder_lifetime(),
+            generation: req.generation,
+            sequence: req.sequence,
+            successes: req.successes,
+            failures: req.failures,
+            marks: req.marks,
+        };
+        self.users.insert(key, user);
+        credits
+    }
+
+    /// Works out the credits of a user that holds `kept`, which the others do not
+    /// include.
+    fn credits(&self, kept: u32, req: &CreditRequest, adopt: bool) -> u32 {
+        if adopt {
+            return kept;
+        }
+        let others: u32 = self.users.values().map(|user| user.held).sum();
+        let Uncovered::AtMost(uncovered) = self.uncovered else {
+            return kept.min(req.in_use);
+        };
+        let taken = others + uncovered;
+        let room = self.budget.saturating_sub(taken);
+        if room <= kept {
+            return kept.min(room.max(req.in_use));
+        }
+        // Half of the free credits at most, so that one user does not get them all.
+        let free = room - kept;
+        let missing = req.wanted.saturating_sub(kept);
+        kept + missing.min(free.div_ceil(2))
+    }
+
+    /// Doubles the budget after as many successes; a failure resets it.
+    fn learn(&mut self, successes: u32, failures: u32) {
+        if self.warm {
+            return;
+        }
+        if failures > 0 {
+            self.budget = self.cold_concurrency;
+            self.successes = 0;
+            return;
+        }
+        self.successes += successes;
+        while self.successes >= self.budget.max(1) && self.budget < self.warm_concurrency {
+            self.successes -= self.budget;
+            self.budget = (self.budget.max(1) * 2).min(self.warm_concurrency);
+        }
+        let grown = self.budget >= self.warm_concurrency;
+        self.warm = grown && self.temperature == Temperature::Warm;
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/limit/cold_holder.rs
@@ -0,0 +1,174 @@
+//! The one host that hands out the credits of cold groups.
+
+use super::cold_group::ColdGroup;
+use super::{ColdSettings, CreditGrant, CreditRefusal, CreditRequest, HolderAuthority};
+use crate::collections::HashMap;
+use crate::group::{ServingGroup, Temperature};
+use crate::id::GroupId;
+use crate::time::Timestamp;
+
+/// Hands out the credits of the cold groups of one failure domain.
+///
+/// The sum of the credits outstanding for a group, and of the requests that may
+/// still run on it without one, never exceeds the group's budget. The budget
+/// starts at the cold concurrency and doubles after as many successes.
+#[derive(Clone, Debug)]
+pub struct ColdBudgetHolder {
+    settings: ColdSettings,
+    authority: HolderAuthority,
+    groups: HashMap<GroupId, ColdGroup>,
+}
+
+impl ColdBudgetHolder {
+    /// Makes a holder without authority.
+    #[must_use]
+    pub fn new(settings: ColdSettings) -> Self {
+        Self {
+            settings,
+            authority: HolderAuthority::new(settings.holder_lifetime()),
+            groups: HashMap::default(),
+        }
+    }
+
+    /// Gains or extends the authority until a time on this host's clock.
+    ///
+    /// The caller guarantees that no other host has authority at the same time,
+    /// by a lease whose time it counts from before it asked for it.
+    pub fn extend_authority(&mut self, now: Timestamp, until: Timestamp) {
+        if self.authority.extend(now, until) {
+            let ready_at = self.authority.ready_at();
+            for group in self.groups.values_mut() {
+                group.lose_track(ready_at);
+            }
+        }
+    }
+
+    /// Gives the authority up.
+    pub fn resign(&mut self) {
+        self.authority.resign();
+    }
+
+    /// Returns the authority.
+    #[must_use]
+    pub fn authority(&self) -> &HolderAuthority {
+        &self.authority
+    }
+
+    /// Takes over the serving groups of the failure domain.
+    pub fn update_groups(&mut self, now: Timestamp, groups: &[ServingGroup]) {
+        self.expire(now);
+        let since = if self.authority.is_held(now) {
+            now.max(self.authority.ready_at())
+        } else {
+            now
+        };
+        for group in groups {
+            match self.groups.get_mut(&group.group) {
+                Some(known) => known.update(now, group),
+                None => {
+                    let known = ColdGroup::new(since, group);
+                    self.groups.insert(group.group.clone(), known);
+                }
+            }
+        }
+    }
+
+    /// Forgets a group that was dissolved.
+    pub fn forget_group(&mut self, group: &GroupId) {
+        self.groups.remove(group);
+    }
+
+    /// Notes that a group which reports itself warm behaves as a cold one.
+    pub fn turned_cold(&mut self, now: Timestamp, group: &GroupId, generation: u64) {
+        if let Some(known) = self.groups.get_mut(group)
+            && known.generation == generation
+            && known.is_warm()
+        {
+            known.turn_cold(now);
+        }
+    }
+
+    /// Takes in the requests running and waiting in a group, measured at a time
+    /// on this host's clock.
+    pub fn observe_load(&mut self, group: &GroupId, measured_at: Timestamp, load: u32) {
+        if let Some(known) = self.groups.get_mut(group) {
+            known.observe_load(measured_at, load);
+        }
+    }
+
+    /// Answers a user's request for credits.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no answer can be given; the user's credits then run out.
+    pub fn request(
+        &mut self,
+        now: Timestamp,
+        req: &CreditRequest,
+    ) -> Result<CreditGrant, CreditRefusal> {
+        if !self.authority.is_held(now) {
+            return Err(CreditRefusal::NotHolder);
+        }
+        let adopt = !self.authority.may_grant(now);
+        if adopt && req.keep == 0 {
+            return Err(CreditRefusal::Waiting(self.authority.ready_at()));
+        }
+        let settings = self.settings;
+        let group = self
+            .groups
+            .get_mut(&req.group)
+            .ok_or_else(|| CreditRefusal::UnknownGroup(req.group.clone()))?;
+        group.expire(now, &settings);
+        Self::check(group, req)?;
+        if group.is_warm() && group.is_newly_marked(req) {
+            group.turn_cold(now);
+        }
+        let credits = group.grant(now, req, adopt, &settings);
+        Ok(CreditGrant {
+            group: req.group.clone(),
+            generation: req.generation,
+            sequence: req.sequence,
+            credits,
+            asked_at: req.asked_at,
+            warm: group.is_warm(),
+        })
+    }
+
+    /// Returns the budget of a group.
+    #[must_use]
+    pub fn budget(&self, group: &GroupId) -> Option<u32> {
+        self.groups.get(group).map(ColdGroup::budget)
+    }
+
+    /// Returns the temperature at which a group is treated.
+    #[must_use]
+    pub fn temperature(&self, group: &GroupId) -> Option<Temperature> {
+        let group = self.groups.get(group)?;
+        Some(if group.is_warm() {
+            Temperature::Warm
+        } else {
+            Temperature::Cold
+        })
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        for group in self.groups.values_mut() {
+            group.expire(now, &self.settings);
+        }
+    }
+
+    fn check(group: &ColdGroup, req: &CreditRequest) -> Result<(), CreditRefusal> {
+        if group.generation != req.generation {
+            let (asked, known) = (req.generation, group.generation);
+            return Err(CreditRefusal::OtherGeneration(
+                req.group.clone(),
+                asked,
+                known,
+            ));
+        }
+        if group.is_stale(req) {
+            return Err(CreditRefusal::StaleRequest(req.user.clone(), req.sequence));
+        }
+        Ok(())
+    }
+}
--- a/crates/geranium_core/src/limit/mod.rs
+++ b/crates/geranium_core/src/limit/mod.rs
@@ -1,1 +1,48 @@
 //! Admission per client account, cold-start budget, retry budget and deadlines.
+//!
+//! | type | duty |
+//! | --- | --- |
+//! | [`Admission`] | fair shares of one model's capacity among client accounts |
+//! | [`ColdBudgetHolder`] | hands out the credits of cold groups, on one host at a time |
+//! | [`ColdCreditUser`] | spends credits on each entry host |
+//! | [`RetryBudget`] | keeps retries and hedges a fraction of real requests |
+//! | [`CrashRegistry`] | recognises requests that crash backend servers |
+//! | [`TrialHolder`] | lets one suspect a group run at a time |
+
+mod account_queue;
+mod admission;
+mod admission_error;
+mod admission_settings;
+mod authority;
+mod backoff;
+mod cold_group;
+mod cold_holder;
+mod cold_message;
+mod cold_settings;
+mod cold_user;
+mod crash;
+mod crash_digest;
+mod credit_error;
+mod drain;
+mod fingerprint;
+mod retry_budget;
+mod ticket;
+mod trial;
+
+pub use account_queue::AccountLimit;
+pub use admission::{Admission, AdmissionChange, AdmissionOutcome, AdmissionRequest};
+pub use admission_error::AdmissionRefusal;
+pub use admission_settings::AdmissionSettings;
+pub use authority::HolderAuthority;
+pub use backoff::RetryBackoff;
+pub use cold_holder::ColdBudgetHolder;
+pub use cold_message::{CreditGrant, CreditRequest};
+pub use cold_settings::ColdSettings;
+pub use cold_user::{ColdCreditUser, ColdOutcome, ExpiredCredit};
+pub use crash::{CrashRegistry, CrashSettings, CrashVerdict, InFlight};
+pub use crash_digest::{ChargeState, CrashDigest, CrashId, ExplainedCrash, SuspicionEntry};
+pub use credit_error::CreditRefusal;
+pub use fingerprint::RequestFingerprint;
+pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use ticket::{RefusedTicket, StartedTicket, Ticket};
+pub use trial::{TrialGrant, TrialHolder, TrialRefusal, TrialRequest};
--- /dev/null
+++ b/crates/geranium_core/src/route/prefix_index.rs
@@ -0,0 +1,120 @@
+//! Which groups have cached which prompt prefixes.
+
+use super::BlockHash;
+use super::group_set::{GroupSet, MAX_TRACKED_GROUPS};
+use crate::collections::HashMap;
+
+/// Blocks of a prompt that one lookup examines.
+const MAX_PROBES: usize = 32;
+
+/// Maps block hashes to the groups that hold them, in bounded memory.
+///
+/// Entries live in two halves. A lookup or store moves an entry into the young
+/// half; when that is full, the old half is dropped and the young one takes its
+/// place, which approximates eviction of the least recently used entries.
+#[derive(Clone, Debug)]
+pub struct PrefixIndex {
+    young: HashMap<BlockHash, GroupSet>,
+    old: HashMap<BlockHash, GroupSet>,
+    half_capacity: usize,
+    cached: Box<[u32; MAX_TRACKED_GROUPS]>,
+}
+
+impl PrefixIndex {
+    /// Makes an index of at most `capacity` blocks.
+    #[must_use]
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            young: HashMap::default(),
+            old: HashMap::default(),
+            half_capacity: (capacity / 2).max(1),
+            cached: Box::new([0; MAX_TRACKED_GROUPS]),
+        }
+    }
+
+    /// Returns the number of blocks that the index knows.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    /// Returns whether the index knows no block.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Notes that a group holds a block.
+    pub(super) fn store(&mut self, slot: u16, block: BlockHash) {
+        let mut holders = self.touch(block).unwrap_or_default();
+        holders.insert(slot);
+        self.put(block, holders);
+    }
+
+    /// Notes that a group no longer holds a block.
+    pub(super) fn evict(&mut self, slot: u16, block: BlockHash) {
+        for half in [&mut self.young, &mut self.old] {
+            if let Some(holders) = half.get_mut(&block) {
+                holders.remove(slot);
+                if holders.is_empty() {
+                    half.remove(&block);
+                }
+            }
+        }
+    }
+
+    /// Forgets everything that a group holds.
+    pub(super) fn clear(&mut self, slot: u16) {
+        for half in [&mut self.young, &mut self.old] {
+            half.retain(|_, holders| {
+                holders.remove(slot);
+                !holders.is_empty()
+            });
+        }
+    }
+
+    /// Finds how many blocks of a prompt each group holds.
+    ///
+    /// Long prompts are probed at even distances: as hashes are chained and
+    /// engines evict the ends of prefixes first, a held block implies the blocks
+    /// before it.
+    pub(super) fn look_up(&mut self, prefix: &[BlockHash]) {
+        self.cached.fill(0);
+        let stride = prefix.len().div_ceil(MAX_PROBES).max(1);
+        let mut alive = GroupSet::all();
+        let mut end = 0;
+        while end < prefix.len() {
+            end = (end + stride).min(prefix.len());
+            let Some(holders) = self.touch(prefix[end - 1]) else {
+                break;
+            };
+            alive = alive.and(&holders);
+            if alive.is_empty() {
+                break;
+            }
+            let cached = &mut self.cached;
+            alive.for_each(|slot| cached[slot] = end as u32);
+        }
+    }
+
+    /// Returns how many blocks of the prompt last looked up a group holds.
+    pub(super) fn cached_blocks(&self, slot: u16) -> u32 {
+        self.cached.get(usize::from(slot)).copied().unwrap_or(0)
+    }
+
+    fn touch(&mut self, block: BlockHash) -> Option<GroupSet> {
+        if let Some(holders) = self.young.get(&block) {
+            return Some(*holders);
+        }
+        let holders = self.old.remove(&block)?;
+        self.put(block, holders);
+        Some(holders)
+    }
+
+    fn put(&mut self, block: BlockHash, holders: GroupSet) {
+        if self.young.len() >= self.half_capacity && !self.young.contains_key(&block) {
+            self.old = std::mem::take(&mut self.young);
+        }
+        self.young.insert(block, holders);
+    }
+}
