--- a/crates/geranium_core/src/stream/assembler.rs
+++ b/crates/geranium_core/src/stream/assembler.rs
@@ -86,6 +86,12 @@
         self.tokens
     }
 
+    /// Returns the sequence number of the piece that continues the answer.
+    #[must_use]
+    pub fn next_sequence(&self) -> u64 {
+        self.next_sequence
+    }
+
     /// Returns whether the end or an error was assembled.
     #[must_use]
     pub fn is_ended(&self) -> bool {
--- /dev/null
+++ b/crates/geranium_daemon/src/caller/auth.rs
@@ -0,0 +1,38 @@
+//! Keys of client accounts and tokens of entry hosts.
+
+use geranium_net::ApiError;
+use hyper::header::AUTHORIZATION;
+use subtle::ConstantTimeEq;
+use viz::Request;
+
+use super::{PEER_TOKEN_HEADER, refusal};
+use crate::node::Node;
+use crate::traffic::AccountKeys;
+
+/// Scheme of the authorization header.
+const SCHEME: &str = "Bearer ";
+
+/// Returns the client account of a call.
+///
+/// # Errors
+///
+/// Returns a refusal if the key is missing or not known.
+pub fn account(node: &Node, req: &Request) -> Result<AccountKeys, ApiError> {
+    let header = req.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let key = header.and_then(|text| text.strip_prefix(SCHEME));
+    key.and_then(|key| node.traffic.account_of(key)).ok_or_else(refusal::unknown_account)
+}
+
+/// Checks the token of another entry host.
+///
+/// # Errors
+///
+/// Returns a refusal if the token is missing or wrong.
+pub fn peer(node: &Node, req: &Request) -> Result<(), ApiError> {
+    let token = req.headers().get(PEER_TOKEN_HEADER).map(|value| value.as_bytes());
+    let wanted = node.settings.peer_token.as_bytes();
+    if token.unwrap_or_default().ct_eq(wanted).into() {
+        return Ok(());
+    }
+    Err(refusal::unknown_account())
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/caller/chat.rs
@@ -0,0 +1,222 @@
+//! Chat completions.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream::unfold;
+use geranium_core::id::{AccountId, ModelId, RequestId};
+use geranium_core::limit::{CrashVerdict, RequestFingerprint};
+use geranium_core::time::Timestamp;
+use geranium_engine::ChatRequest;
+use geranium_net::{ApiError, read_body};
+use hyper::StatusCode;
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::{mpsc, oneshot};
+use viz::{Body, Request, Response, Result};
+
+use super::{auth, headers, refusal};
+use crate::metrics::CallKind;
+use crate::node::Node;
+use crate::operator::reply;
+use crate::relay::{RelayJob, RelayOutput, RelayRequest, WholeAnswer, finish_text};
+use crate::traffic::{AccountKeys, Admitted, Entry, admission_request, prefix_of};
+
+/// Pieces that may wait for the caller's connection.
+const PIPE_CAPACITY: usize = 64;
+
+/// A checked completion.
+pub struct Completion {
+    /// What is relayed.
+    pub relay: RelayRequest,
+    /// Whether the caller reads a stream.
+    pub stream: bool,
+}
+
+/// Answers a chat completion.
+pub async fn completions(node: Arc<Node>, mut req: Request) -> Result<Response> {
+    let outcome = complete(&node, &mut req).await;
+    Ok(outcome.inspect_err(|e| node.metrics.answered(CallKind::Chat, &e.kind))?)
+}
+
+/// Lists the models that the caller may use.
+pub async fn models(node: Arc<Node>, req: Request) -> Result<Response> {
+    let account = auth::account(&node, &req)?;
+    let view = node.published.view();
+    let mut names: Vec<&str> = view
+        .records
+        .models()
+        .filter(|spec| spec.accounts.iter().any(|share| share.account == account.account))
+        .map(|spec| spec.served_model.as_str())
+        .collect();
+    names.dedup();
+    let data: Vec<Value> =
+        names.iter().map(|name| json!({"id": name, "object": "model"})).collect();
+    reply::json(&json!({"object": "list", "data": data}))
+}
+
+async fn complete(node: &Arc<Node>, req: &mut Request) -> std::result::Result<Response, ApiError> {
+    let account = auth::account(node, req)?;
+    let now = node.clock.now();
+    let deadline = headers::deadline(req.headers(), now, node.settings.default_deadline)?;
+    let request = headers::request_id(req.headers())?;
+    let body = read_body(req, node.settings.max_body).await.map_err(ApiError::not_run)?;
+    let completion = check(node, account, request, deadline, &body)?;
+    if node.is_stopping() {
+        return Err(refusal::stopping());
+    }
+    node.traffic.count_request(now);
+    serve(node, completion).await
+}
+
+/// Checks a body and makes the request to relay.
+///
+/// # Errors
+///
+/// Returns a typed refusal; no backend server has seen the request.
+pub fn check(
+    node: &Node,
+    account: AccountKeys,
+    request: RequestId,
+    deadline: Timestamp,
+    body: &Bytes,
+) -> std::result::Result<Completion, ApiError> {
+    let mut document: Value = serde_json::from_slice(body)
+        .map_err(|e| refusal::invalid("malformed_body", format!("body is not JSON: {e}")))?;
+    let chat = ChatRequest::deserialize(&document)
+        .map_err(|e| refusal::invalid("malformed_body", format!("body is not a chat: {e}")))?;
+    let model: ModelId = chat.model.parse().map_err(|_| refusal::unknown_model(&chat.model))?;
+    check_model(node, &account.account, &model)?;
+    let stream = chat.stream;
+    let resume = chat.resume.clone();
+    if let Some(fields) = document.as_object_mut() {
+        // The relay always reads a stream, so that it can resume elsewhere.
+        fields.insert("stream".to_owned(), Value::Bool(true));
+        fields.remove("resume");
+    }
+    let content = serde_json::to_vec(&document).unwrap_or_default();
+    let fingerprint = RequestFingerprint::of(&account.account, &model, &content);
+    if node.traffic.verdict(node.clock.now(), &fingerprint) == CrashVerdict::Refused {
+        return Err(refusal::crashes_servers());
+    }
+    let relay = RelayRequest {
+        request,
+        account: account.account,
+        priority: account.priority,
+        model,
+        body: Bytes::from(content),
+        prefix: prefix_of(&chat.prompt()),
+        fingerprint,
+        deadline,
+        forwarded: false,
+        resume,
+    };
+    Ok(Completion { relay, stream })
+}
+
+fn check_model(
+    node: &Node,
+    account: &AccountId,
+    model: &ModelId,
+) -> std::result::Result<(), ApiError> {
+    let view = node.published.view();
+    let mut specs = view.records.models_serving(model).peekable();
+    if specs.peek().is_none() {
+        return Err(refusal::unknown_model(model.as_str()));
+    }
+    let allowed = specs.any(|spec| spec.accounts.iter().any(|share| share.account == *account));
+    if allowed { Ok(()) } else { Err(refusal::not_allowed(account.as_str(), model.as_str())) }
+}
+
+/// Admits a completion and answers it.
+///
+/// # Errors
+///
+/// Returns a typed refusal or failure.
+pub async fn serve(
+    node: &Arc<Node>,
+    completion: Completion,
+) -> std::result::Result<Response, ApiError> {
+    let admitted = admit(node, &completion.relay).await?;
+    let request = completion.relay.request.clone();
+    let mut res = if completion.stream {
+        stream(node, completion.relay, admitted).await?
+    } else {
+        whole(node, completion.relay, admitted).await?
+    };
+    if let Ok(value) = HeaderValue::from_str(request.as_str()) {
+        res.headers_mut().insert(headers::REQUEST_HEADER, value);
+    }
+    Ok(res)
+}
+
+async fn admit(node: &Arc<Node>, relay: &RelayRequest) -> std::result::Result<Admitted, ApiError> {
+    let asked = admission_request(&relay.account, relay.priority, relay.deadline);
+    match node.traffic.enter(node.clock.now(), &relay.model, &asked) {
+        Entry::Refused(e) => Err(refusal::admission(&e)),
+        Entry::Admitted(ticket) => Ok(Admitted::new(node.clone(), relay.model.clone(), ticket)),
+        Entry::Queued(ticket, wait) => {
+            // Dropped if the caller leaves the queue.
+            let admitted = Admitted::new(node.clone(), relay.model.clone(), ticket);
+            match wait.await {
+                Ok(Ok(())) => Ok(admitted),
+                Ok(Err(e)) => Err(refusal::admission(&e)),
+                Err(_) => Err(refusal::stopping()),
+            }
+        }
+    }
+}
+
+async fn stream(
+    node: &Arc<Node>,
+    relay: RelayRequest,
+    admitted: Admitted,
+) -> std::result::Result<Response, ApiError> {
+    let (head_tx, head) = oneshot::channel();
+    let (pipe_tx, pipe) = mpsc::channel::<Bytes>(PIPE_CAPACITY);
+    let output = RelayOutput::Stream { head: Some(head_tx), pipe: pipe_tx };
+    tokio::spawn(RelayJob::new(node.clone(), relay, output, admitted).run());
+    head.await.unwrap_or_else(|_| Err(refusal::interrupted("the relay ended")))?;
+    let frames = unfold(pipe, |mut pipe| async move {
+        let frame = pipe.recv().await?;
+        Some((frame, pipe))
+    });
+    let body = Body::from_stream(frames.map(Ok::<Bytes, std::io::Error>));
+    let mut res = Response::new(body);
+    let headers = res.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    Ok(res)
+}
+
+async fn whole(
+    node: &Arc<Node>,
+    relay: RelayRequest,
+    admitted: Admitted,
+) -> std::result::Result<Response, ApiError> {
+    let (done_tx, done) = oneshot::channel();
+    let (request, model) = (relay.request.clone(), relay.model.clone());
+    let output = RelayOutput::Whole { done: Some(done_tx), text: String::new() };
+    let created = node.clock.now().as_millis() / 1_000;
+    tokio::spawn(RelayJob::new(node.clone(), relay, output, admitted).run());
+    let answer = done.await.unwrap_or_else(|_| Err(refusal::interrupted("the relay ended")))?;
+    let body = render_whole(&request, &model, created, &answer).to_string();
+    Ok(reply::typed(StatusCode::OK, "application/json", Bytes::from(body)))
+}
+
+fn render_whole(request: &RequestId, model: &ModelId, created: u64, answer: &WholeAnswer) -> Value {
+    json!({
+        "id": request,
+        "object": "chat.completion",
+        "created": created,
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": answer.text},
+            "finish_reason": finish_text(&answer.reason),
+        }],
+        "usage": {"completion_tokens": answer.tokens},
+    })
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/caller/service.rs
@@ -0,0 +1,315 @@
+//! Calls of plain services.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use geranium_core::id::{AccountId, RecordName, RequestId};
+use geranium_core::once::{
+    ClaimAnswer, ClaimRequest, Fingerprint, IdempotencyKey, KeptBody, OtherAttempts,
+    UpstreamAnswer, UpstreamOutcome,
+};
+use geranium_core::record::{ServiceRoute, ServiceSpec};
+use geranium_core::time::Timestamp;
+use geranium_engine::{ServiceAnswer, ServiceCall, ServiceClient, ServiceError};
+use geranium_net::{ApiError, read_body};
+use http_body_util::Full;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, StatusCode};
+use viz::{Body, Request, RequestExt, Response, Result};
+
+use super::{auth, headers, refusal};
+use crate::claim::UpstreamCall;
+use crate::clock::ProcessClock;
+use crate::metrics::{CallKind, ReasonLabel};
+use crate::node::Node;
+
+/// Header with the key that names a call over its resends.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Header that marks an answer kept from an earlier attempt.
+const REPLAYED_HEADER: &str = "idempotent-replayed";
+
+/// A checked call.
+struct CheckedCall {
+    request: RequestId,
+    account: AccountId,
+    service: RecordName,
+    method: Method,
+    /// Path below the service, with its query.
+    path: String,
+    headers: HeaderMap,
+    body: Bytes,
+    deadline: Timestamp,
+    idempotent: bool,
+    endpoints: Vec<SocketAddr>,
+}
+
+/// Answers a call of a plain service.
+pub async fn call(node: Arc<Node>, mut req: Request) -> Result<Response> {
+    let outcome = answer(&node, &mut req).await;
+    let label = outcome.as_ref().map_or_else(|e| e.kind.as_str(), |_| "complete");
+    node.metrics.answered(CallKind::Service, label);
+    Ok(outcome?)
+}
+
+async fn answer(node: &Arc<Node>, req: &mut Request) -> std::result::Result<Response, ApiError> {
+    let call = check(node, req).await?;
+    if node.is_stopping() {
+        return Err(refusal::stopping());
+    }
+    node.traffic.count_request(node.clock.now());
+    if call.idempotent {
+        return repeatable(node, call).await;
+    }
+    claimed(node, call).await
+}
+
+async fn check(node: &Node, req: &mut Request) -> std::result::Result<CheckedCall, ApiError> {
+    let account = auth::account(node, req)?.account;
+    let deadline =
+        headers::deadline(req.headers(), node.clock.now(), node.settings.default_deadline)?;
+    let request = headers::request_id(req.headers())?;
+    let (service, path) = split_path(req)?;
+    let view = node.published.view();
+    let spec = view.records.service(&service).ok_or_else(|| unknown_service(&service))?;
+    if !spec.accounts.contains(&account) {
+        return Err(refusal::not_allowed(account.as_str(), service.as_str()));
+    }
+    let route = find_route(spec, req.method(), &path)?;
+    let body = read_body(req, node.settings.max_body).await.map_err(ApiError::not_run)?;
+    let query = req.query_string().map_or_else(String::new, |query| format!("?{query}"));
+    Ok(CheckedCall {
+        request,
+        account,
+        method: req.method().clone(),
+        path: format!("{path}{query}"),
+        headers: req.headers().clone(),
+        body,
+        deadline,
+        idempotent: route.idempotent,
+        endpoints: endpoints(node, spec),
+        service,
+    })
+}
+
+/// Splits `/v1/services/NAME/REST` into the name and `/REST`.
+fn split_path(req: &Request) -> std::result::Result<(RecordName, String), ApiError> {
+    let rest = req.uri().path().strip_prefix("/v1/services/").unwrap_or_default();
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = name.parse().map_err(|_| {
+        let message = format!("service {name:?} does not exist");
+        ApiError::new(StatusCode::NOT_FOUND, "unknown_service", message).not_run()
+    })?;
+    Ok((service, format!("/{path}")))
+}
+
+fn unknown_service(service: &RecordName) -> ApiError {
+    let message = format!("service {:?} does not exist", service.as_str());
+    ApiError::new(StatusCode::NOT_FOUND, "unknown_service", message).not_run()
+}
+
+fn find_route<'a>(
+    spec: &'a ServiceSpec,
+    method: &Method,
+    path: &str,
+) -> std::result::Result<&'a ServiceRoute, ApiError> {
+    let matches = |route: &&ServiceRoute| {
+        let path_matches = match route.path.strip_suffix('*') {
+            Some(prefix) => path.starts_with(prefix),
+            None => route.path == path,
+        };
+        path_matches && route.method.eq_ignore_ascii_case(method.as_str())
+    };
+    // The longest path wins, so that a route overrides a wildcard around it.
+    let found = spec.routes.iter().filter(matches).max_by_key(|route| route.path.len());
+    found.ok_or_else(|| {
+        let message = format!("route {method} {path} of service {} does not exist", spec.name);
+        ApiError::new(StatusCode::NOT_FOUND, "unknown_route", message).not_run()
+    })
+}
+
+/// Returns where the service listens: this failure domain first, drained ones not at all.
+fn endpoints(node: &Node, spec: &ServiceSpec) -> Vec<SocketAddr> {
+    let view = node.published.view();
+    let drained = view.records.drained();
+    let usable = spec.endpoints.iter().filter(|e| !drained.covers(&e.failure_domain, &e.host));
+    let mut endpoints: Vec<_> = usable.collect();
+    endpoints.sort_by_key(|e| e.failure_domain != node.settings.failure_domain);
+    endpoints.into_iter().map(|e| e.address).collect()
+}
+
+/// Runs a call that may be repeated: a failure is tried at the next endpoint.
+async fn repeatable(
+    node: &Arc<Node>,
+    call: CheckedCall,
+) -> std::result::Result<Response, ApiError> {
+    let mut sent = false;
+    let mut last = "it listens nowhere that is in service".to_owned();
+    for (attempt, address) in call.endpoints.iter().enumerate() {
+        let now = node.clock.now();
+        if now >= call.deadline {
+            return Err(refusal::deadline_passed(sent));
+        }
+        if attempt > 0 && !node.traffic.try_retry(now) {
+            return Err(refusal::retries_exhausted(sent));
+        }
+        let outgoing = outgoing(&call, *address);
+        match node.services.call(outgoing, call.deadline.since(now)).await {
+            Ok(answer) => return Ok(render(answer)),
+            Err(e) => {
+                sent |= matches!(e, ServiceError::OutcomeUnknown(_));
+                last = e.to_string();
+            }
+        }
+    }
+    let message = format!("service {:?} gave no answer: {last}", call.service.as_str());
+    let failure = refusal::interrupted(&message);
+    Err(if sent { failure } else { failure.not_run() })
+}
+
+fn outgoing(call: &CheckedCall, address: SocketAddr) -> ServiceCall {
+    ServiceCall {
+        address,
+        method: call.method.clone(),
+        path: call.path.clone(),
+        headers: call.headers.clone(),
+        body: call.body.clone(),
+    }
+}
+
+fn render(answer: ServiceAnswer) -> Response {
+    let mut res = Response::new(Body::Full(Full::new(answer.body)));
+    *res.status_mut() = answer.status;
+    *res.headers_mut() = answer.headers;
+    res
+}
+
+/// Runs a call that must not repeat, under a claim.
+async fn claimed(node: &Arc<Node>, call: CheckedCall) -> std::result::Result<Response, ApiError> {
+    let Some(key) = headers::text(&call.headers, KEY_HEADER)? else {
+        let message = format!("the route is not idempotent: header {KEY_HEADER:?} is needed");
+        return Err(refusal::invalid("idempotency_key_required", message));
+    };
+    let key: IdempotencyKey =
+        key.parse().map_err(|e| refusal::invalid("invalid_idempotency_key", format!("{e}")))?;
+    let path = format!("/{}{}", call.service, call.path);
+    let claim = ClaimRequest {
+        request: call.request.clone(),
+        account: call.account.clone(),
+        key,
+        key_issued_at: None,
+        fingerprint: Fingerprint::of(call.method.as_str(), &path, &call.body),
+        deadline: call.deadline,
+    };
+    let upstream = ClaimedCall {
+        services: node.services.clone(),
+        clock: node.clock,
+        endpoints: call.endpoints.iter().map(|&address| outgoing(&call, address)).collect(),
+        deadline: call.deadline,
+    };
+    let answer = node.claims.call(claim, upstream).await;
+    let reason = answer.error_type().unwrap_or("done").to_owned();
+    node.metrics.claims.get_or_create(&ReasonLabel { reason }).inc();
+    render_claim(answer)
+}
+
+/// The upstream half of a claimed call.
+struct ClaimedCall {
+    services: ServiceClient,
+    clock: ProcessClock,
+    endpoints: Vec<ServiceCall>,
+    deadline: Timestamp,
+}
+
+impl UpstreamCall for ClaimedCall {
+    async fn send(&mut self, before: Timestamp) -> UpstreamOutcome {
+        for call in &self.endpoints {
+            let now = self.clock.now();
+            if now >= before || now >= self.deadline {
+                return UpstreamOutcome::NotSent;
+            }
+            match self.services.call(call.clone(), self.deadline.since(now)).await {
+                Ok(answer) => return UpstreamOutcome::Answered(upstream_answer(answer)),
+                Err(ServiceError::OutcomeUnknown(_)) => return UpstreamOutcome::Unknown,
+                // No byte left this process: the next endpoint may be tried.
+                Err(ServiceError::NotSent(_)) => {}
+            }
+        }
+        UpstreamOutcome::NotSent
+    }
+}
+
+fn upstream_answer(answer: ServiceAnswer) -> UpstreamAnswer {
+    let headers = answer.headers.iter().filter_map(|(name, value)| {
+        Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+    });
+    UpstreamAnswer {
+        status: answer.status.as_u16(),
+        headers: headers.collect(),
+        body: answer.body,
+    }
+}
+
+fn render_claim(answer: ClaimAnswer) -> std::result::Result<Response, ApiError> {
+    let status = StatusCode::from_u16(answer.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let kind = answer.error_type().unwrap_or_default();
+    let retry_after = answer.retry_after();
+    let refusal = match answer {
+        ClaimAnswer::Done(answer) => return Ok(kept(status, &answer.headers, answer.body)),
+        ClaimAnswer::Replayed(answer) => {
+            let mut res = match answer.body {
+                KeptBody::Whole(body) => kept(status, &answer.headers, body),
+                KeptBody::Digest { sha256, len } => digest_only(status, &sha256, len),
+            };
+            res.headers_mut().insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
+            return Ok(res);
+        }
+        ClaimAnswer::NotRun(refusal) => {
+            let message = format!("this attempt was not run: {:?}", refusal.reason);
+            let may = refusal.other_attempts == OtherAttempts::NotChecked;
+            ApiError::new(status, kind, message).not_run().earlier_attempt_may_have_run(may)
+        }
+        ClaimAnswer::OutcomeUnknown(unknown) => {
+            let message = format!(
+                "attempt {} may have run ({:?}); it is never run again under this key",
+                unknown.attempt, unknown.reason
+            );
+            ApiError::new(status, kind, message)
+        }
+        ClaimAnswer::InProgress(progress) => {
+            let message = format!("attempt {} with this key is in progress", progress.attempt);
+            ApiError::new(status, kind, message).not_run().earlier_attempt_may_have_run(true)
+        }
+        ClaimAnswer::KeyReused => {
+            let message = "the key was used before for another request";
+            ApiError::new(status, kind, message).not_run()
+        }
+    };
+    Err(match retry_after {
+        Some(after) => refusal.retry_after(after),
+        None => refusal,
+    })
+}
+
+fn kept(status: StatusCode, headers: &[(String, String)], body: Bytes) -> Response {
+    let mut res = Response::new(Body::Full(Full::new(body)));
+    *res.status_mut() = status;
+    for (name, value) in headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            res.headers_mut().insert(name, value);
+        }
+    }
+    res
+}
+
+/// Renders an answer whose body was too long to be kept.
+fn digest_only(status: StatusCode, sha256: &str, len: u64) -> Response {
+    let body = serde_json::json!({"body_not_kept": {"sha256": sha256, "bytes": len}});
+    let mut res = Response::new(Body::Full(Full::new(Bytes::from(body.to_string()))));
+    *res.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    res.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    res
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/relay/attempt.rs
@@ -0,0 +1,86 @@
+//! One try of a completion at one group.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use geranium_core::route::{RouteChoice, RoutePath};
+use geranium_core::time::Timestamp;
+use geranium_engine::{
+    CompletionRequest, CompletionStream, EngineApi, EngineError, Resume,
+};
+use geranium_net::{ApiError, ClientError, HttpRequest, read_incoming};
+
+use super::RelayRequest;
+use crate::caller::{ACCOUNT_HEADER, FORWARD_PATH, PEER_TOKEN_HEADER};
+use crate::node::Node;
+
+/// Longest time until a group accepts a completion.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Largest event of a stream, in bytes.
+const MAX_EVENT: usize = 256 << 10;
+
+/// Largest body of a refusal, in bytes.
+const MAX_REFUSAL: usize = 64 << 10;
+
+/// Opens the stream of one try.
+///
+/// # Errors
+///
+/// Returns an error if the group did not accept the completion.
+pub async fn open(
+    node: &Node,
+    now: Timestamp,
+    req: &RelayRequest,
+    choice: &RouteChoice,
+    resume: Option<Resume>,
+) -> Result<CompletionStream, EngineError> {
+    let completion = CompletionRequest {
+        request: req.request.clone(),
+        group: choice.group.clone(),
+        fencing: choice.fencing,
+        priority: req.priority,
+        remaining: req.deadline.since(now),
+        body: req.body.clone(),
+        resume,
+    };
+    match &choice.path {
+        RoutePath::Direct => node.engines.stream_completion(choice.address, &completion).await,
+        RoutePath::Through(host) => match node.caller_address(host) {
+            Some(address) => forward(node, address, req, &completion).await,
+            None => {
+                let detail = format!("entry host {host} is not known");
+                Err(EngineError::NotSent(ClientError::InvalidRequest(detail)))
+            }
+        },
+    }
+}
+
+/// Passes the completion on to an entry host of the group's failure domain.
+async fn forward(
+    node: &Node,
+    address: SocketAddr,
+    req: &RelayRequest,
+    completion: &CompletionRequest,
+) -> Result<CompletionStream, EngineError> {
+    let body = completion.body_with_resume()?;
+    let remaining = completion.remaining.as_millis().to_string();
+    let http = HttpRequest::post(address, FORWARD_PATH)
+        .body(body)
+        .header_text("content-type", "application/json")
+        .and_then(|r| r.header_text(PEER_TOKEN_HEADER, &node.settings.peer_token))
+        .and_then(|r| r.header_text(ACCOUNT_HEADER, req.account.as_str()))
+        .and_then(|r| r.header_text("x-request-id", req.request.as_str()))
+        .and_then(|r| r.header_text("x-deadline-ms", &remaining))
+        .map_err(EngineError::from_client)?;
+    let limit = ACCEPT_TIMEOUT.min(completion.remaining);
+    let res = node.http.send(http, limit).await.map_err(EngineError::from_client)?;
+    let status = res.status();
+    if status.is_success() {
+        return Ok(CompletionStream::new(address, res.into_body(), MAX_EVENT));
+    }
+    let body = read_incoming(address, res.into_body(), MAX_REFUSAL).await.unwrap_or_default();
+    let refusal = ApiError::parse(status, &body);
+    let (kind, message) = refusal.map_or_else(Default::default, |e| (e.kind, e.message));
+    Err(EngineError::Refused(address, status.as_u16(), kind, message, None))
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/relay/chunk.rs
@@ -0,0 +1,64 @@
+//! What the relay reads of a chunk.
+
+use std::borrow::Cow;
+
+use geranium_core::stream::{FinishReason, PieceBody};
+use geranium_engine::CompletionPiece;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+struct Chunk<'a> {
+    #[serde(borrow, default)]
+    choices: Vec<Choice<'a>>,
+}
+
+#[derive(Deserialize)]
+struct Choice<'a> {
+    #[serde(borrow, default)]
+    delta: Delta<'a>,
+    #[serde(borrow, default)]
+    finish_reason: Option<Cow<'a, str>>,
+}
+
+#[derive(Default, Deserialize)]
+struct Delta<'a> {
+    #[serde(borrow, default)]
+    content: Option<Cow<'a, str>>,
+}
+
+/// Reads a piece of an engine as tokens or as the end of the answer.
+///
+/// # Errors
+///
+/// Returns an error if the data is not the JSON of a chunk.
+pub fn read_piece(piece: &CompletionPiece) -> Result<PieceBody, serde_json::Error> {
+    let chunk: Chunk<'_> = serde_json::from_slice(&piece.data)?;
+    let choice = chunk.choices.into_iter().next();
+    let (content, reason) =
+        choice.map_or((None, None), |choice| (choice.delta.content, choice.finish_reason));
+    let content = content.unwrap_or_default();
+    Ok(match reason {
+        Some(reason) if content.is_empty() => {
+            PieceBody::End { tokens: piece.index, reason: finish_reason(&reason) }
+        }
+        _ => PieceBody::Tokens { first: piece.index, count: 1, text: content.into_owned() },
+    })
+}
+
+fn finish_reason(text: &str) -> FinishReason {
+    match text {
+        "stop" => FinishReason::Stop,
+        "length" => FinishReason::Length,
+        other => FinishReason::Other(other.to_owned()),
+    }
+}
+
+/// Returns a reason as engines name it.
+#[must_use]
+pub fn finish_text(reason: &FinishReason) -> &str {
+    match reason {
+        FinishReason::Stop => "stop",
+        FinishReason::Length => "length",
+        FinishReason::Other(text) => text,
+    }
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/relay/mod.rs
@@ -0,0 +1,16 @@
+//! Carries completions from replica groups to callers.
+//!
+//! A [`RelayJob`] tries groups until the answer is whole: it resumes a stream
+//! that broke off on another group, from the tokens already passed on, within
+//! the retry budget and the deadline.
+
+mod attempt;
+mod chunk;
+mod job;
+mod output;
+mod request;
+
+pub use chunk::finish_text;
+pub use job::RelayJob;
+pub use output::{RelayOutput, WholeAnswer};
+pub use request::RelayRequest;
--- /dev/null
+++ b/crates/geranium_daemon/src/relay/output.rs
@@ -0,0 +1,164 @@
+//! Where a relayed answer goes.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geranium_core::stream::FinishReason;
+use geranium_net::ApiError;
+use tokio::sync::{mpsc, oneshot};
+
+/// Pieces that may wait for the caller's connection.
+pub const PIPE_CAPACITY: usize = 64;
+
+/// Longest time that one piece may wait for a slow reader.
+const READER_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Bytes of a frame around its data.
+const FRAME_OVERHEAD: usize = 40;
+
+/// The caller left or reads too slowly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReaderGone;
+
+/// A whole answer that is not streamed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WholeAnswer {
+    /// Its text.
+    pub text: String,
+    /// Number of its tokens.
+    pub tokens: u64,
+    /// Why the model stopped.
+    pub reason: FinishReason,
+}
+
+/// Where a relayed answer goes.
+pub enum RelayOutput {
+    /// To a caller that reads a stream.
+    Stream {
+        /// Told once whether the stream begins.
+        head: Option<oneshot::Sender<Result<(), ApiError>>>,
+        /// Frames for the caller.
+        pipe: mpsc::Sender<Bytes>,
+    },
+    /// To a caller that waits for the whole answer.
+    Whole {
+        /// Told once.
+        done: Option<oneshot::Sender<Result<WholeAnswer, ApiError>>>,
+        /// Text so far.
+        text: String,
+    },
+}
+
+impl RelayOutput {
+    /// Passes on a piece of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller left or reads too slowly.
+    pub async fn piece(&mut self, index: u64, data: &[u8], text: &str) -> Result<(), ReaderGone> {
+        match self {
+            Self::Stream { head, pipe } => {
+                begin(head);
+                send(pipe, frame(index, data)).await
+            }
+            Self::Whole { text: whole, done } => {
+                if done.as_ref().is_none_or(oneshot::Sender::is_closed) {
+                    return Err(ReaderGone);
+                }
+                whole.push_str(text);
+                Ok(())
+            }
+        }
+    }
+
+    /// Passes on the definite end of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller left or reads too slowly.
+    pub async fn end(
+        &mut self,
+        last: Option<(u64, Bytes)>,
+        tokens: u64,
+        reason: FinishReason,
+    ) -> Result<(), ReaderGone> {
+        match self {
+            Self::Stream { head, pipe } => {
+                begin(head);
+                if let Some((index, data)) = last {
+                    send(pipe, frame(index, &data)).await?;
+                }
+                send(pipe, Bytes::from_static(b"data: [DONE]\n\n")).await
+            }
+            Self::Whole { done, text } => {
+                let text = std::mem::take(text);
+                let answer = WholeAnswer { text, tokens, reason };
+                let done = done.take().ok_or(ReaderGone)?;
+                done.send(Ok(answer)).map_err(|_| ReaderGone)
+            }
+        }
+    }
+
+    /// Ends the answer with a failure; a stream that has begun gets an error event
+    /// and no end marker, so that it never looks whole.
+    pub async fn fail(&mut self, e: ApiError) {
+        match self {
+            Self::Stream { head, pipe } => match head.take() {
+                Some(head) => {
+                    let _ = head.send(Err(e));
+                }
+                None => {
+                    let _ = send(pipe, error_frame(&e)).await;
+                }
+            },
+            Self::Whole { done, .. } => {
+                if let Some(done) = done.take() {
+                    let _ = done.send(Err(e));
+                }
+            }
+        }
+    }
+
+    /// Waits until the caller leaves.
+    pub async fn left(&mut self) {
+        match self {
+            Self::Stream { pipe, .. } => pipe.closed().await,
+            Self::Whole { done: Some(done), .. } => done.closed().await,
+            Self::Whole { done: None, .. } => {}
+        }
+    }
+}
+
+fn begin(head: &mut Option<oneshot::Sender<Result<(), ApiError>>>) {
+    if let Some(head) = head.take() {
+        // A caller that left is noticed at the pipe.
+        let _ = head.send(Ok(()));
+    }
+}
+
+async fn send(pipe: &mpsc::Sender<Bytes>, frame: Bytes) -> Result<(), ReaderGone> {
+    if let Err(full) = pipe.try_send(frame) {
+        let frame = full.into_inner();
+        return pipe.send_timeout(frame, READER_TIMEOUT).await.map_err(|_| ReaderGone);
+    }
+    Ok(())
+}
+
+fn frame(index: u64, data: &[u8]) -> Bytes {
+    let mut head = String::with_capacity(FRAME_OVERHEAD);
+    // Writing to a string cannot fail.
+    let _ = write!(head, "id: {index}\ndata: ");
+    let mut buf = Vec::with_capacity(head.len() + data.len() + 2);
+    buf.extend_from_slice(head.as_bytes());
+    buf.extend_from_slice(data);
+    buf.extend_from_slice(b"\n\n");
+    Bytes::from(buf)
+}
+
+fn error_frame(e: &ApiError) -> Bytes {
+    let mut buf = b"event: error\ndata: ".to_vec();
+    buf.extend_from_slice(&e.to_json());
+    buf.extend_from_slice(b"\n\n");
+    Bytes::from(buf)
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/traffic/accounts.rs
@@ -0,0 +1,49 @@
+//! Keys of client accounts.
+
+use geranium_core::id::AccountId;
+use geranium_core::record::{AccountSpec, hash_key};
+use subtle::{Choice, ConditionallySelectable, ConstantTimeEq};
+
+/// A client account that a key belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AccountKeys {
+    /// The account.
+    pub account: AccountId,
+    /// Priority of its requests.
+    pub priority: u8,
+}
+
+/// Finds the client account of a key.
+#[derive(Clone, Debug, Default)]
+pub struct AccountDirectory {
+    entries: Vec<(String, AccountKeys)>,
+}
+
+impl AccountDirectory {
+    /// Collects the keys of the accounts in force.
+    pub fn new<'a>(accounts: impl IntoIterator<Item = &'a AccountSpec>) -> Self {
+        let mut entries = Vec::new();
+        for spec in accounts {
+            let account = spec.account.clone();
+            let known = AccountKeys { account, priority: spec.priority };
+            entries.extend(spec.key_sha256.iter().map(|hash| (hash.clone(), known.clone())));
+        }
+        Self { entries }
+    }
+
+    /// Returns the account of a key.
+    ///
+    /// Every hash is compared in constant time, so that the time of a refusal
+    /// tells nothing about valid keys.
+    #[must_use]
+    pub fn find(&self, key: &str) -> Option<AccountKeys> {
+        let hash = hash_key(key);
+        let mut found = u64::MAX;
+        for (position, (known, _)) in self.entries.iter().enumerate() {
+            let equal: Choice = hash.as_bytes().ct_eq(known.as_bytes());
+            found.conditional_assign(&(position as u64), equal);
+        }
+        let position = usize::try_from(found).ok()?;
+        self.entries.get(position).map(|(_, account)| account.clone())
+    }
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/traffic/mod.rs
@@ -0,0 +1,209 @@
+//! Routing and limits of this entry host.
+//!
+//! The decisions are those of `geranium_core`; this module holds their state
+//! under one lock, which is taken a few times a request and never across a wait.
+
+mod accounts;
+mod admitted;
+mod state;
+
+use std::time::Duration;
+
+use geranium_core::id::{AccountId, GroupId, ModelId};
+use geranium_core::limit::{
+    AdmissionChange, AdmissionOutcome, AdmissionRefusal, AdmissionRequest, ColdOutcome,
+    CrashDigest, CrashVerdict, CreditGrant, CreditRefusal, CreditRequest, InFlight,
+    RequestFingerprint, Ticket,
+};
+use geranium_core::limit::CrashId;
+use geranium_core::route::{BlockHash, RouteChoice, RouteQuery, RouteRefusal};
+use geranium_core::time::Timestamp;
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+pub use accounts::AccountKeys;
+pub use admitted::Admitted;
+use state::TrafficState;
+
+use crate::control::ControlView;
+
+/// Outcome of a wait for admission.
+pub type AdmissionWait = oneshot::Receiver<Result<(), AdmissionRefusal>>;
+
+/// What became of a request that asked to start.
+pub enum Entry {
+    /// It may start now.
+    Admitted(Ticket),
+    /// It waits for its turn.
+    Queued(Ticket, AdmissionWait),
+    /// It was refused and was not run.
+    Refused(AdmissionRefusal),
+}
+
+/// Routing and limits of this entry host.
+pub struct Traffic {
+    state: Mutex<TrafficState>,
+}
+
+impl Traffic {
+    /// Makes the state of an entry host without groups.
+    #[must_use]
+    pub fn new(identity: &geranium_telemetry::ProcessIdentity) -> Self {
+        Self { state: Mutex::new(TrafficState::new(identity)) }
+    }
+
+    /// Takes over the latest state of control.
+    pub fn update(&self, now: Timestamp, view: &ControlView, entry_hosts: u32) {
+        self.state.lock().update(now, view, entry_hosts);
+    }
+
+    /// Lets time pass: sheds queued requests and returns the cold credits to ask for.
+    pub fn tick(&self, now: Timestamp) -> Vec<CreditRequest> {
+        self.state.lock().tick(now)
+    }
+
+    /// Returns the client account of a key.
+    #[must_use]
+    pub fn account_of(&self, key: &str) -> Option<AccountKeys> {
+        self.state.lock().accounts.find(key)
+    }
+
+    /// Asks to start a request.
+    pub fn enter(&self, now: Timestamp, model: &ModelId, req: &AdmissionRequest<'_>) -> Entry {
+        let mut state = self.state.lock();
+        match state.admission(model).submit(now, req) {
+            AdmissionOutcome::Admitted(ticket) => Entry::Admitted(ticket),
+            AdmissionOutcome::Refused(refusal) => Entry::Refused(refusal),
+            AdmissionOutcome::Queued(ticket) => {
+                let (tx, rx) = oneshot::channel();
+                state.waiting.insert((model.clone(), ticket), tx);
+                Entry::Queued(ticket, rx)
+            }
+        }
+    }
+
+    /// Notes that an admitted request ended, or that a queued one was given up.
+    pub fn leave(&self, now: Timestamp, model: &ModelId, ticket: Ticket) {
+        let mut state = self.state.lock();
+        state.waiting.remove(&(model.clone(), ticket));
+        let change = state.admission(model).cancelled(now, ticket);
+        state.apply(model, change);
+    }
+
+    /// Notes a request of a caller, which earns a share of a retry.
+    pub fn count_request(&self, now: Timestamp) {
+        self.state.lock().retries.request(now);
+    }
+
+    /// Spends a retry if the budget allows it.
+    #[must_use]
+    pub fn try_retry(&self, now: Timestamp) -> bool {
+        self.state.lock().retries.try_retry(now)
+    }
+
+    /// Chooses a group and notes that the request starts there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no group takes the request now; it was not run.
+    pub fn start(
+        &self,
+        now: Timestamp,
+        query: &RouteQuery<'_>,
+    ) -> Result<RouteChoice, RouteRefusal> {
+        self.state.lock().start(now, query)
+    }
+
+    /// Notes the first token of a request.
+    pub fn first_token(&self, now: Timestamp, choice: &RouteChoice, waited: Duration) {
+        let computed = choice.blocks.saturating_sub(choice.cached_blocks);
+        self.state.lock().router.first_token(now, &choice.group, waited, computed);
+    }
+
+    /// Notes the end of a request at its group.
+    pub fn end(&self, now: Timestamp, choice: &RouteChoice, outcome: ColdOutcome) {
+        self.state.lock().end(now, choice, outcome);
+    }
+
+    /// Returns what may be done with a request that may crash backend servers.
+    #[must_use]
+    pub fn verdict(&self, now: Timestamp, fingerprint: &RequestFingerprint) -> CrashVerdict {
+        self.state.lock().crashes.verdict(now, fingerprint)
+    }
+
+    /// Notes the requests in flight when a group crashed; returns what peers must hear.
+    pub fn group_crashed(
+        &self,
+        now: Timestamp,
+        crash: &CrashId,
+        in_flight: &[InFlight],
+    ) -> CrashDigest {
+        self.state.lock().crashes.group_crashed(now, crash, in_flight)
+    }
+
+    /// Clears a suspect that finished whole.
+    pub fn cleared(&self, now: Timestamp, fingerprint: &RequestFingerprint) -> CrashDigest {
+        self.state.lock().crashes.succeeded(now, fingerprint)
+    }
+
+    /// Merges what a peer knows of crashing requests.
+    pub fn import_crashes(&self, now: Timestamp, digest: &CrashDigest) {
+        self.state.lock().crashes.import(now, digest);
+    }
+
+    /// Gains or extends the right to hand out cold credits.
+    pub fn extend_cold_authority(&self, now: Timestamp, until: Timestamp) {
+        self.state.lock().holder.extend_authority(now, until);
+    }
+
+    /// Gives up the right to hand out cold credits.
+    pub fn resign_cold_authority(&self) {
+        self.state.lock().holder.resign();
+    }
+
+    /// Answers a request for cold credits.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no answer can be given.
+    pub fn grant_cold(
+        &self,
+        now: Timestamp,
+        req: &CreditRequest,
+    ) -> Result<CreditGrant, CreditRefusal> {
+        self.state.lock().holder.request(now, req)
+    }
+
+    /// Takes in cold credits.
+    pub fn cold_granted(&self, now: Timestamp, grant: &CreditGrant) {
+        self.state.lock().cold.granted(now, grant);
+    }
+
+    /// Returns the requests in progress on a group, as this entry host counts them.
+    #[must_use]
+    pub fn in_flight(&self, group: &GroupId) -> u32 {
+        self.state.lock().router.own_in_flight(group)
+    }
+}
+
+/// Returns the hashes of the prompt's blocks, as engines compute them.
+#[must_use]
+pub fn prefix_of(prompt: &str) -> Vec<BlockHash> {
+    geranium_engine::block_hashes(prompt.as_bytes()).map(BlockHash).collect()
+}
+
+/// Names the account of a request for admission.
+#[must_use]
+pub fn admission_request<'a>(
+    account: &'a AccountId,
+    priority: u8,
+    deadline: Timestamp,
+) -> AdmissionRequest<'a> {
+    AdmissionRequest { account, priority, deadline }
+}
+
+/// Returns whether a change concerns nobody.
+#[must_use]
+pub fn is_empty(change: &AdmissionChange) -> bool {
+    change.started.is_empty() && change.refused.is_empty()
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/traffic/state.rs
@@ -0,0 +1,206 @@
+//! The state behind the lock.
+
+use std::sync::Arc;
+
+use geranium_core::collections::HashMap;
+use geranium_core::group::{ServingGroup, Temperature};
+use geranium_core::id::ModelId;
+use geranium_core::limit::{
+    AccountLimit, Admission, AdmissionChange, AdmissionRefusal, AdmissionSettings,
+    ColdBudgetHolder, ColdCreditUser, ColdOutcome, ColdSettings, CrashRegistry, CrashSettings,
+    CreditRequest, RetryBudget, RetryBudgetSettings, Ticket,
+};
+use geranium_core::record::{ModelSpec, RecordSet};
+use geranium_core::route::{
+    ColdCredits, RouteChoice, RouteQuery, RouteRefusal, Router, RouterSettings,
+};
+use geranium_core::time::Timestamp;
+use geranium_telemetry::ProcessIdentity;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::oneshot;
+
+use super::accounts::AccountDirectory;
+use crate::control::ControlView;
+
+type Waiter = oneshot::Sender<Result<(), AdmissionRefusal>>;
+
+/// Routing and limits.
+pub struct TrafficState {
+    pub router: Router,
+    pub accounts: AccountDirectory,
+    pub retries: RetryBudget,
+    pub crashes: CrashRegistry,
+    pub cold: ColdCreditUser,
+    pub holder: ColdBudgetHolder,
+    pub waiting: HashMap<(ModelId, Ticket), Waiter>,
+    admissions: HashMap<ModelId, Admission>,
+    serving: Arc<Vec<ServingGroup>>,
+    records: Arc<RecordSet>,
+    entry_hosts: u32,
+    rng: SmallRng,
+    seed: u64,
+}
+
+impl TrafficState {
+    pub fn new(identity: &ProcessIdentity) -> Self {
+        let seed = identity.incarnation.0;
+        let (host, incarnation) = (identity.host.clone(), identity.incarnation);
+        Self {
+            router: Router::new(identity.failure_domain.clone(), RouterSettings::default()),
+            accounts: AccountDirectory::default(),
+            retries: RetryBudget::new(RetryBudgetSettings::retries()),
+            crashes: CrashRegistry::new(CrashSettings::default()),
+            cold: ColdCreditUser::new(host, incarnation, ColdSettings::default()),
+            holder: ColdBudgetHolder::new(ColdSettings::default()),
+            waiting: HashMap::default(),
+            admissions: HashMap::default(),
+            serving: Arc::default(),
+            records: Arc::default(),
+            entry_hosts: 1,
+            rng: SmallRng::seed_from_u64(seed),
+            seed,
+        }
+    }
+
+    pub fn admission(&mut self, model: &ModelId) -> &mut Admission {
+        let seed = self.seed;
+        let admissions = self.admissions.entry(model.clone());
+        admissions.or_insert_with(|| Admission::new(AdmissionSettings::default(), seed))
+    }
+
+    pub fn update(&mut self, now: Timestamp, view: &ControlView, entry_hosts: u32) {
+        let records_changed = !Arc::ptr_eq(&self.records, &view.records);
+        self.entry_hosts = entry_hosts.max(1);
+        self.serving = view.serving.clone();
+        if records_changed {
+            self.records = view.records.clone();
+            self.update_records(now);
+        }
+        self.router.update_groups(now, &view.serving);
+        self.holder.update_groups(now, &view.serving);
+        for group in view.serving.iter() {
+            let load = group.running + group.waiting;
+            self.holder.observe_load(&group.group, now, load);
+        }
+        let open = |id: &geranium_core::id::GroupId| view.serving.iter().any(|g| g.group == *id);
+        self.cold.retain_groups(open);
+        self.update_capacity(now);
+    }
+
+    pub fn tick(&mut self, now: Timestamp) -> Vec<CreditRequest> {
+        self.update_capacity(now);
+        let models: Vec<ModelId> = self.admissions.keys().cloned().collect();
+        for model in models {
+            let change = self.admission(&model).tick(now);
+            self.apply(&model, change);
+        }
+        self.cold.requests_due(now)
+    }
+
+    pub fn start(
+        &mut self,
+        now: Timestamp,
+        query: &RouteQuery<'_>,
+    ) -> Result<RouteChoice, RouteRefusal> {
+        let choice = self.router.choose(now, query, &self.cold, &mut self.rng)?;
+        let cold = choice.temperature == Temperature::Cold;
+        if cold && !self.cold.try_start(now, &choice.group, choice.generation) {
+            return Err(RouteRefusal::NoColdCredit(query.model.clone()));
+        }
+        self.router.started(now, &choice.group, query.prefix);
+        Ok(choice)
+    }
+
+    pub fn end(&mut self, now: Timestamp, choice: &RouteChoice, outcome: ColdOutcome) {
+        if outcome == ColdOutcome::Failed {
+            self.router.failed(now, &choice.group);
+        } else {
+            self.router.finished(now, &choice.group);
+        }
+        if choice.temperature == Temperature::Cold {
+            self.cold.ended(&choice.group, choice.generation, outcome);
+        }
+    }
+
+    /// Tells waiting requests that they may start or are refused.
+    pub fn apply(&mut self, model: &ModelId, change: AdmissionChange) {
+        for started in change.started {
+            let waiter = self.waiting.remove(&(model.clone(), started.ticket));
+            // A waiter that is gone gives its ticket back by itself.
+            if let Some(waiter) = waiter {
+                let _ = waiter.send(Ok(()));
+            }
+        }
+        for refused in change.refused {
+            if let Some(waiter) = self.waiting.remove(&(model.clone(), refused.ticket)) {
+                let _ = waiter.send(Err(refused.refusal));
+            }
+        }
+    }
+
+    fn update_records(&mut self, now: Timestamp) {
+        let records = self.records.clone();
+        let models: Vec<ModelSpec> = records.models().cloned().collect();
+        self.router.update_records(&models);
+        self.router.update_drains(records.drains().map(|drain| drain.target.clone()));
+        self.accounts = AccountDirectory::new(records.accounts());
+        for spec in &models {
+            let limits = account_limits(&records, &spec.served_model);
+            let model = spec.served_model.clone();
+            let change = self.admission(&model).set_accounts(now, &limits);
+            self.apply(&model, change);
+        }
+    }
+
+    /// Sets the requests that each model may have in progress over this entry host.
+    fn update_capacity(&mut self, now: Timestamp) {
+        let mut capacities: HashMap<ModelId, u32> = HashMap::default();
+        let serving = self.serving.clone();
+        for group in serving.iter() {
+            let share = self.share_of(now, group);
+            *capacities.entry(group.served_model.clone()).or_default() += share;
+        }
+        let models: Vec<ModelId> = self.admissions.keys().cloned().collect();
+        for model in models {
+            let capacity = capacities.get(&model).copied().unwrap_or_default();
+            let change = self.admission(&model).set_capacity(now, capacity);
+            self.apply(&model, change);
+        }
+    }
+
+    /// Returns the requests of a group that this entry host may have in progress.
+    fn share_of(&mut self, now: Timestamp, group: &ServingGroup) -> u32 {
+        let (id, generation) = (&group.group, group.generation);
+        let cold = group.temperature == Temperature::Cold || self.cold.marked_cold(id, generation);
+        if !cold {
+            return group.warm_concurrency.div_ceil(self.entry_hosts);
+        }
+        // One credit more than is used is always asked for, so that the next
+        // request finds one.
+        let in_use = self.cold.in_use(id);
+        let queued: usize = self.admissions.get(&group.served_model).map_or(0, Admission::queued);
+        let wanted = in_use + 1 + u32::try_from(queued).unwrap_or(u32::MAX / 2);
+        self.cold.want(id, generation, wanted.min(group.warm_concurrency));
+        in_use + self.cold.available(now, id, generation)
+    }
+}
+
+fn account_limits(records: &RecordSet, model: &ModelId) -> Vec<AccountLimit> {
+    let mut limits: Vec<AccountLimit> = Vec::new();
+    for spec in records.models_serving(model) {
+        for share in &spec.accounts {
+            let account = records.account(&share.account);
+            let Some(account) = account else { continue };
+            match limits.iter_mut().find(|limit| limit.account == share.account) {
+                Some(limit) => limit.weight = limit.weight.max(share.weight),
+                None => limits.push(AccountLimit {
+                    account: share.account.clone(),
+                    weight: share.weight,
+                    max_concurrent: account.max_concurrent,
+                }),
+            }
+        }
+    }
+    limits
+}
