Add the etcd client, the engine client and the three stand-ins

Cause: the thin path needs a client of the platform's key-value service, a client of engines and plain services, and stand-ins to run them against.

The etcd client speaks the JSON gateway of etcd 3 over the shared HTTP client. A write counts as not sent only where no connection was made; every other silence is ambiguous. Reads share one call's time among the endpoints. The client and the stand-in share the message types, so their field names stand once.

Ruled out: an etcd client crate (the registry refuses it); answering a watch's progress from the head's revision, since that may be ahead of changes that the watch has still to send.

--- /dev/null
+++ b/crates/geranium_engine/src/client.rs
@@ -0,0 +1,285 @@
+//! Calls to engines over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geranium_core::engine::{EngineReport, Order};
+use geranium_core::id::{FencingNumber, RequestId};
+use geranium_net::{ClientConfig, ClientError, HttpClient, HttpRequest, read_incoming};
+use hyper::StatusCode;
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::completion::{
+    DEADLINE_HEADER, FENCING_HEADER, GROUP_HEADER, PRIORITY_HEADER, REQUEST_HEADER,
+};
+use crate::refusal::{STALE_FENCING, WRONG_GROUP};
+use crate::{
+    CacheEvents, CompletionRequest, CompletionStream, EngineApi, EngineError, RefusalEnvelope,
+};
+
+/// Largest body of a refusal, in bytes.
+const MAX_REFUSAL: usize = 64 << 10;
+/// Content type of JSON.
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+/// Content type of exported KV cache.
+const OCTETS: HeaderValue = HeaderValue::from_static("application/octet-stream");
+
+/// Settings of an [`HttpEngineClient`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineClientConfig {
+    /// Longest time for a report, an order or a cancel.
+    pub call_timeout: Duration,
+    /// Longest time until an engine accepts a completion; its first token may
+    /// come later.
+    pub accept_timeout: Duration,
+    /// Longest time to export or import KV cache.
+    pub kv_timeout: Duration,
+    /// Largest event of a stream, in bytes.
+    pub max_event: usize,
+    /// Limits of connections and whole answers.
+    pub http: ClientConfig,
+}
+
+impl Default for EngineClientConfig {
+    fn default() -> Self {
+        Self {
+            call_timeout: Duration::from_secs(1),
+            accept_timeout: Duration::from_secs(5),
+            kv_timeout: Duration::from_secs(30),
+            max_event: 256 << 10,
+            http: ClientConfig {
+                max_idle_per_host: 256,
+                max_body: 64 << 20,
+                ..ClientConfig::default()
+            },
+        }
+    }
+}
+
+/// Client of engines that speak the protocol of `docs/engine-protocol.md`.
+///
+/// # Examples
+///
+/// ```no_run
+/// # async fn example() -> Result<(), geranium_engine::EngineError> {
+/// use geranium_engine::{EngineApi, EngineClientConfig, HttpEngineClient};
+///
+/// let engines = HttpEngineClient::new(EngineClientConfig::default());
+/// let report = engines.report(([127, 0, 0, 1], 7001).into()).await?;
+/// println!("{} is {:?}", report.host, report.phase);
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Clone, Debug)]
+pub struct HttpEngineClient {
+    http: HttpClient,
+    cfg: EngineClientConfig,
+}
+
+#[derive(Deserialize)]
+struct OrderAnswer {
+    report: EngineReport,
+}
+
+#[derive(Serialize)]
+struct CancelBody<'a> {
+    request: &'a RequestId,
+}
+
+#[derive(Serialize)]
+struct ExportBody<'a> {
+    block_hashes: &'a [u64],
+}
+
+#[derive(Deserialize)]
+struct ImportAnswer {
+    imported: u64,
+}
+
+impl HttpEngineClient {
+    /// Makes a client; clones share its connections.
+    #[must_use]
+    pub fn new(cfg: EngineClientConfig) -> Self {
+        Self {
+            http: HttpClient::new(&cfg.http),
+            cfg,
+        }
+    }
+
+    async fn call(&self, req: HttpRequest, limit: Duration) -> Result<Bytes, EngineError> {
+        let address = req.address();
+        let (status, body) = self
+            .http
+            .send_whole(req, limit)
+            .await
+            .map_err(EngineError::from_client)?;
+        if status.is_success() {
+            Ok(body)
+        } else {
+            Err(refusal(address, status, &body))
+        }
+    }
+
+    async fn call_json<T: DeserializeOwned>(
+        &self,
+        req: HttpRequest,
+        limit: Duration,
+    ) -> Result<T, EngineError> {
+        let address = req.address();
+        let body = self.call(req, limit).await?;
+        serde_json::from_slice(&body)
+            .map_err(|e| EngineError::NoAnswer(ClientError::Malformed(address, e.to_string())))
+    }
+}
+
+impl EngineApi for HttpEngineClient {
+    type Stream = CompletionStream;
+
+    async fn report(&self, address: SocketAddr) -> Result<EngineReport, EngineError> {
+        let req = HttpRequest::get(address, "/v1/report");
+        self.call_json(req, self.cfg.call_timeout).await
+    }
+
+    async fn send_order(
+        &self,
+        address: SocketAddr,
+        order: &Order,
+    ) -> Result<EngineReport, EngineError> {
+        let req = post_json(address, "/v1/orders", order)?;
+        let answer: OrderAnswer = self.call_json(req, self.cfg.call_timeout).await?;
+        Ok(answer.report)
+    }
+
+    async fn stream_completion(
+        &self,
+        address: SocketAddr,
+        req: &CompletionRequest,
+    ) -> Result<CompletionStream, EngineError> {
+        let limit = self.cfg.accept_timeout.min(req.remaining);
+        let res = self
+            .http
+            .send(completion(address, req)?, limit)
+            .await
+            .map_err(EngineError::from_client)?;
+        let status = res.status();
+        if status.is_success() {
+            let body = res.into_body();
+            return Ok(CompletionStream::new(address, body, self.cfg.max_event));
+        }
+        let body =
+            tokio::time::timeout(limit, read_incoming(address, res.into_body(), MAX_REFUSAL))
+                .await
+                .map_err(|_| EngineError::NoAnswer(ClientError::Timeout(address, limit)))?;
+        // The status alone tells that the engine refused, whatever became of the body.
+        Err(refusal(address, status, &body.unwrap_or_default()))
+    }
+
+    async fn whole_completion(
+        &self,
+        address: SocketAddr,
+        req: &CompletionRequest,
+    ) -> Result<Bytes, EngineError> {
+        self.call(completion(address, req)?, req.remaining).await
+    }
+
+    async fn cancel(&self, address: SocketAddr, request: &RequestId) -> Result<(), EngineError> {
+        let req = post_json(address, "/v1/cancel", &CancelBody { request })?;
+        self.call(req, self.cfg.call_timeout).await?;
+        Ok(())
+    }
+
+    async fn cache_events(
+        &self,
+        address: SocketAddr,
+        after: u64,
+    ) -> Result<CacheEvents, EngineError> {
+        let req = HttpRequest::get(address, format!("/v1/cache/events?after={after}"));
+        self.call_json(req, self.cfg.call_timeout).await
+    }
+
+    async fn export_kv(
+        &self,
+        address: SocketAddr,
+        block_hashes: &[u64],
+    ) -> Result<Bytes, EngineError> {
+        let req = post_json(address, "/v1/kv/export", &ExportBody { block_hashes })?;
+        self.call(req, self.cfg.kv_timeout).await
+    }
+
+    async fn import_kv(&self, address: SocketAddr, exported: Bytes) -> Result<u64, EngineError> {
+        let req = HttpRequest::post(address, "/v1/kv/import")
+            .header(CONTENT_TYPE, OCTETS)
+            .body(exported);
+        let answer: ImportAnswer = self.call_json(req, self.cfg.kv_timeout).await?;
+        Ok(answer.imported)
+    }
+}
+
+fn post_json(
+    address: SocketAddr,
+    path: &'static str,
+    value: &impl Serialize,
+) -> Result<HttpRequest, EngineError> {
+    HttpRequest::post(address, path)
+        .json(value)
+        .map_err(EngineError::from_client)
+}
+
+fn completion(address: SocketAddr, req: &CompletionRequest) -> Result<HttpRequest, EngineError> {
+    let remaining = u64::try_from(req.remaining.as_millis()).unwrap_or(u64::MAX);
+    let text = |value: &str| HeaderValue::from_str(value).map_err(|e| invalid(&e));
+    Ok(HttpRequest::post(address, "/v1/chat/completions")
+        .header(CONTENT_TYPE, JSON)
+        .header(name(REQUEST_HEADER), text(req.request.as_str())?)
+        .header(name(GROUP_HEADER), text(req.group.as_str())?)
+        .header(name(FENCING_HEADER), HeaderValue::from(req.fencing.0))
+        .header(
+            name(PRIORITY_HEADER),
+            HeaderValue::from(u64::from(req.priority)),
+        )
+        .header(name(DEADLINE_HEADER), HeaderValue::from(remaining))
+        .body(completion_body(req)?))
+}
+
+const fn name(name: &'static str) -> HeaderName {
+    HeaderName::from_static(name)
+}
+
+/// Returns the caller's body, with the place to go on from added if there is one.
+fn completion_body(req: &CompletionRequest) -> Result<Bytes, EngineError> {
+    let Some(resume) = &req.resume else {
+        return Ok(req.body.clone());
+    };
+    let mut body: serde_json::Map<String, serde_json::Value> =
+        serde_json::from_slice(&req.body).map_err(|e| invalid(&e))?;
+    let resume = serde_json::to_value(resume).map_err(|e| invalid(&e))?;
+    body.insert("resume".to_owned(), resume);
+    let body = serde_json::to_vec(&body).map_err(|e| invalid(&e))?;
+    Ok(Bytes::from(body))
+}
+
+fn invalid(e: &impl std::fmt::Display) -> EngineError {
+    EngineError::NotSent(ClientError::InvalidRequest(e.to_string()))
+}
+
+fn refusal(address: SocketAddr, status: StatusCode, body: &[u8]) -> EngineError {
+    let refusal = serde_json::from_slice::<RefusalEnvelope>(body)
+        .unwrap_or_default()
+        .error;
+    match (refusal.kind.as_str(), refusal.highest) {
+        (STALE_FENCING, Some(highest)) => {
+            EngineError::StaleFencing(address, FencingNumber(highest))
+        }
+        (WRONG_GROUP, _) => EngineError::WrongGroup(address, refusal.message),
+        _ => EngineError::Refused(
+            address,
+            status.as_u16(),
+            refusal.kind,
+            refusal.message,
+            refusal.retry_after_ms.map(Duration::from_millis),
+        ),
+    }
+}
--- /dev/null
+++ b/crates/geranium_engine/src/completion.rs
@@ -0,0 +1,38 @@
+//! A completion to be run.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use geranium_core::id::{FencingNumber, GroupId, RequestId};
+
+use crate::Resume;
+
+/// Header with the id of the request.
+pub const REQUEST_HEADER: &str = "x-request-id";
+/// Header with the group that the request is meant for.
+pub const GROUP_HEADER: &str = "x-group-id";
+/// Header with the fencing number under which the group serves.
+pub const FENCING_HEADER: &str = "x-fencing";
+/// Header with the priority, from 0 (lowest) to 9 (highest).
+pub const PRIORITY_HEADER: &str = "x-priority";
+/// Header with the time that remains, in milliseconds.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+
+/// A completion to be run by one group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CompletionRequest {
+    /// Id of the request.
+    pub request: RequestId,
+    /// Group that the request is meant for; any other refuses it.
+    pub group: GroupId,
+    /// Fencing number under which the group serves.
+    pub fencing: FencingNumber,
+    /// Priority from 0 (lowest) to 9 (highest).
+    pub priority: u8,
+    /// Time that remains until the caller's deadline.
+    pub remaining: Duration,
+    /// JSON body as the caller sent it.
+    pub body: Bytes,
+    /// Where to go on, if the completion was begun elsewhere.
+    pub resume: Option<Resume>,
+}
--- /dev/null
+++ b/crates/geranium_engine/src/prelude.rs
@@ -0,0 +1,7 @@
+//! The types that most users of this crate need.
+
+pub use crate::{
+    CacheEvent, CacheEventKind, CacheEvents, ChatRequest, CompletionEvent, CompletionPiece,
+    CompletionRequest, CompletionStream, EngineApi, EngineClientConfig, EngineError,
+    HttpEngineClient, Resume, ServiceAnswer, ServiceCall, ServiceClient, ServiceError,
+};
--- /dev/null
+++ b/crates/geranium_engine/src/service.rs
@@ -0,0 +1,134 @@
+//! Calls to plain services.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geranium_net::{ClientConfig, ClientError, HttpClient, HttpRequest, read_incoming};
+use hyper::header::{
+    ACCEPT, CACHE_CONTROL, CONTENT_LANGUAGE, CONTENT_TYPE, ETAG, HeaderMap, HeaderName,
+    HeaderValue, IF_MATCH, IF_NONE_MATCH, LAST_MODIFIED, LOCATION, RETRY_AFTER,
+};
+use hyper::{Method, StatusCode};
+
+use crate::ServiceError;
+
+/// Header that names one call over all its attempts.
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Headers of a call that reach the service.
+const REQUEST_HEADERS: [HeaderName; 6] = [
+    ACCEPT,
+    CONTENT_TYPE,
+    CONTENT_LANGUAGE,
+    IF_MATCH,
+    IF_NONE_MATCH,
+    IDEMPOTENCY_KEY,
+];
+/// Headers of an answer that reach the caller.
+const ANSWER_HEADERS: [HeaderName; 7] = [
+    CACHE_CONTROL,
+    CONTENT_LANGUAGE,
+    CONTENT_TYPE,
+    ETAG,
+    LAST_MODIFIED,
+    LOCATION,
+    RETRY_AFTER,
+];
+
+/// A call to a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall {
+    /// Address of the service.
+    pub address: SocketAddr,
+    /// Method.
+    pub method: Method,
+    /// Path with its query.
+    pub path: String,
+    /// Headers; only those that concern the content reach the service.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// The whole answer of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers that concern the content.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Client of plain services.
+#[derive(Clone, Debug)]
+pub struct ServiceClient {
+    http: HttpClient,
+    max_body: usize,
+}
+
+impl ServiceClient {
+    /// Makes a client; clones share its connections.
+    #[must_use]
+    pub fn new(cfg: &ClientConfig) -> Self {
+        Self {
+            http: HttpClient::new(cfg),
+            max_body: cfg.max_body,
+        }
+    }
+
+    /// Sends a call exactly once and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ServiceError::NotSent`] only if the service has seen no byte of
+    /// the call.
+    pub async fn call(
+        &self,
+        call: ServiceCall,
+        limit: Duration,
+    ) -> Result<ServiceAnswer, ServiceError> {
+        let address = call.address;
+        let outcome = tokio::time::timeout(limit, self.exchange(call, limit)).await;
+        let outcome = outcome.unwrap_or(Err(ClientError::Timeout(address, limit)));
+        outcome.map_err(|e| {
+            if e.is_not_sent() {
+                ServiceError::NotSent(e)
+            } else {
+                ServiceError::OutcomeUnknown(e)
+            }
+        })
+    }
+
+    async fn exchange(
+        &self,
+        call: ServiceCall,
+        limit: Duration,
+    ) -> Result<ServiceAnswer, ClientError> {
+        let address = call.address;
+        let mut req = HttpRequest::new(address, call.method, call.path).body(call.body);
+        for (name, value) in subset(&call.headers, &REQUEST_HEADERS) {
+            req = req.header(name.clone(), value.clone());
+        }
+        let res = self.http.send(req, limit).await?;
+        let (head, body) = res.into_parts();
+        Ok(ServiceAnswer {
+            status: head.status,
+            headers: subset(&head.headers, &ANSWER_HEADERS)
+                .map(|(name, value)| (name.clone(), value.clone()))
+                .collect(),
+            body: read_incoming(address, body, self.max_body).await?,
+        })
+    }
+}
+
+fn subset<'a>(
+    headers: &'a HeaderMap,
+    names: &'a [HeaderName],
+) -> impl Iterator<Item = (&'a HeaderName, &'a HeaderValue)> {
+    names
+        .iter()
+        .filter_map(|name| headers.get(name).map(|value| (name, value)))
+}
--- /dev/null
+++ b/crates/geranium_engine/src/sse.rs
@@ -0,0 +1,199 @@
+//! Server-sent events over chunks of bytes.
+
+use bytes::{Buf, Bytes, BytesMut};
+use geranium_net::{LineError, LineSplitter};
+use quick_error::quick_error;
+
+/// Longest field name with its colon and space.
+const FIELD_OVERHEAD: usize = 16;
+/// Byte order mark that may begin a stream.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
+quick_error! {
+    /// Failure to read server-sent events.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum SseError {
+        /// An event is larger than allowed.
+        TooLarge(limit: usize) {
+            display("event has more than {} bytes", limit)
+        }
+        /// An event has an id that is not a piece index.
+        InvalidId(id: String) {
+            display("event id {:?} is not a piece index", id)
+        }
+        /// An event that carries a piece has no id.
+        MissingId {
+            display("event has no id")
+        }
+    }
+}
+
+/// Kind of an event, by its `event` field.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SseEventKind {
+    /// An ordinary event.
+    #[default]
+    Message,
+    /// The sender gave up.
+    Error,
+    /// A kind that this project does not use.
+    Other,
+}
+
+/// One event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SseEvent {
+    /// Kind of the event.
+    pub kind: SseEventKind,
+    /// Id of the event, if it has one.
+    pub id: Option<u64>,
+    /// Data of the event; several lines are joined by LF.
+    pub data: Bytes,
+}
+
+/// Decodes server-sent events from chunks with borders anywhere.
+///
+/// The data of an event shares the storage of its chunk where it can.
+///
+/// # Examples
+///
+/// ```
+/// use bytes::Bytes;
+/// use geranium_engine::SseDecoder;
+///
+/// let mut decoder = SseDecoder::new(1024);
+/// decoder.push(Bytes::from_static(b"id: 7\ndata: hel"));
+/// assert_eq!(decoder.next_event(), Ok(None));
+/// decoder.push(Bytes::from_static(b"lo\n\n"));
+/// let event = decoder.next_event().unwrap().unwrap();
+/// assert_eq!((event.id, &event.data[..]), (Some(7), &b"hello"[..]));
+/// ```
+#[derive(Debug)]
+pub struct SseDecoder {
+    lines: LineSplitter,
+    max_event: usize,
+    at_start: bool,
+    kind: SseEventKind,
+    id: Option<u64>,
+    data: EventData,
+}
+
+#[derive(Debug, Default)]
+enum EventData {
+    #[default]
+    None,
+    One(Bytes),
+    Several(BytesMut),
+}
+
+impl SseDecoder {
+    /// Makes a decoder that allows events with at most `max_event` bytes of data.
+    #[must_use]
+    pub fn new(max_event: usize) -> Self {
+        Self {
+            lines: LineSplitter::new(max_event + FIELD_OVERHEAD),
+            max_event,
+            at_start: true,
+            kind: SseEventKind::default(),
+            id: None,
+            data: EventData::default(),
+        }
+    }
+
+    /// Adds the next chunk of the stream.
+    pub fn push(&mut self, chunk: Bytes) {
+        self.lines.push(chunk);
+    }
+
+    /// Returns the next whole event, or `None` if more bytes are needed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an event is too large or its id is not a number.
+    pub fn next_event(&mut self) -> Result<Option<SseEvent>, SseError> {
+        loop {
+            let line = self.lines.next_line();
+            let line = line.map_err(|LineError::TooLong(_)| SseError::TooLarge(self.max_event))?;
+            let Some(mut line) = line else {
+                return Ok(None);
+            };
+            if std::mem::take(&mut self.at_start) && line.starts_with(BYTE_ORDER_MARK) {
+                line.advance(BYTE_ORDER_MARK.len());
+            }
+            if !line.is_empty() {
+                self.take_field(&line)?;
+            } else if let Some(event) = self.finish_event() {
+                return Ok(Some(event));
+            }
+        }
+    }
+
+    fn take_field(&mut self, line: &Bytes) -> Result<(), SseError> {
+        let colon = line.iter().position(|&b| b == b':');
+        let name_len = colon.unwrap_or(line.len());
+        let mut value = line.slice(colon.map_or(line.len(), |i| i + 1)..);
+        if value.first() == Some(&b' ') {
+            value.advance(1);
+        }
+        match &line[..name_len] {
+            b"data" => self.add_data(value),
+            b"id" => self.set_id(&value),
+            b"event" => {
+                self.kind = event_kind(&value);
+                Ok(())
+            }
+            // Comments, `retry` and unknown fields have no use here.
+            _ => Ok(()),
+        }
+    }
+
+    fn set_id(&mut self, value: &[u8]) -> Result<(), SseError> {
+        let text = String::from_utf8_lossy(value);
+        let id = text.parse();
+        self.id = Some(id.map_err(|_| SseError::InvalidId(text.into_owned()))?);
+        Ok(())
+    }
+
+    fn add_data(&mut self, value: Bytes) -> Result<(), SseError> {
+        let held = match &self.data {
+            EventData::None => 0,
+            EventData::One(first) => first.len() + 1,
+            EventData::Several(buf) => buf.len() + 1,
+        };
+        if held + value.len() > self.max_event {
+            return Err(SseError::TooLarge(self.max_event));
+        }
+        self.data = match std::mem::take(&mut self.data) {
+            EventData::None => EventData::One(value),
+            EventData::One(first) => EventData::Several(join(BytesMut::from(&first[..]), &value)),
+            EventData::Several(buf) => EventData::Several(join(buf, &value)),
+        };
+        Ok(())
+    }
+
+    /// Ends the event; one without data is dropped, as the standard asks.
+    fn finish_event(&mut self) -> Option<SseEvent> {
+        let kind = std::mem::take(&mut self.kind);
+        let id = self.id.take();
+        let data = match std::mem::take(&mut self.data) {
+            EventData::None => return None,
+            EventData::One(data) => data,
+            EventData::Several(buf) => buf.freeze(),
+        };
+        Some(SseEvent { kind, id, data })
+    }
+}
+
+fn event_kind(value: &[u8]) -> SseEventKind {
+    match value {
+        b"" | b"message" => SseEventKind::Message,
+        b"error" => SseEventKind::Error,
+        _ => SseEventKind::Other,
+    }
+}
+
+fn join(mut buf: BytesMut, value: &[u8]) -> BytesMut {
+    buf.extend_from_slice(b"\n");
+    buf.extend_from_slice(value);
+    buf
+}
--- /dev/null
+++ b/crates/geranium_fakes/src/platform/state.rs
@@ -0,0 +1,364 @@
+//! Values, leases and history.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Bound;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geranium_core::time::Timestamp;
+use geranium_platform::etcd::wire::{
+    Base64, Compare, Int64, KeyValue, PutRequest, RangeRequest, RangeResponse, RequestOp,
+    ResponseHeader, ResponseOp, TxnRequest, TxnResponse,
+};
+
+use super::PlatformError;
+
+/// Key that stands for the end of all keys.
+const END_OF_KEYS: &[u8] = &[0];
+
+/// A value with its revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Entry {
+    value: Bytes,
+    mod_revision: u64,
+    lease: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct LeaseState {
+    ttl: Duration,
+    expires: Timestamp,
+    keys: BTreeSet<Bytes>,
+}
+
+/// A change that watches report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Revision of the change.
+    pub revision: u64,
+    /// Key.
+    pub key: Bytes,
+    /// New value, or `None` for a deletion.
+    pub value: Option<Bytes>,
+    /// Lease of the new value.
+    pub lease: u64,
+}
+
+/// The whole state of the stand-in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformState {
+    revision: u64,
+    compacted: u64,
+    next_lease: u64,
+    history_limit: usize,
+    entries: BTreeMap<Bytes, Entry>,
+    leases: BTreeMap<u64, LeaseState>,
+    history: VecDeque<Change>,
+}
+
+impl PlatformState {
+    /// Makes an empty store, which has revision 1 as in etcd.
+    #[must_use]
+    pub fn new(history_limit: usize) -> Self {
+        Self {
+            revision: 1,
+            compacted: 0,
+            next_lease: 1,
+            history_limit,
+            entries: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            history: VecDeque::new(),
+        }
+    }
+
+    /// Returns the revision of the store.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the number of leases.
+    #[must_use]
+    pub fn lease_count(&self) -> usize {
+        self.leases.len()
+    }
+
+    /// Returns the head of an answer.
+    #[must_use]
+    pub const fn header(&self) -> ResponseHeader {
+        ResponseHeader {
+            revision: Int64(self.revision),
+        }
+    }
+
+    /// Reads a key or a range of keys.
+    #[must_use]
+    pub fn range(&self, req: &RangeRequest) -> RangeResponse {
+        let kvs: Vec<KeyValue> = self
+            .entries
+            .range::<[u8], _>(bounds(&req.key.0, &req.range_end.0))
+            .map(|(key, entry)| key_value(key, entry))
+            .collect();
+        RangeResponse {
+            header: self.header(),
+            count: Int64(kvs.len() as u64),
+            kvs,
+        }
+    }
+
+    /// Runs a transaction.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the transaction is not valid; nothing is written then.
+    pub fn transact(&mut self, req: &TxnRequest) -> Result<TxnResponse, PlatformError> {
+        let mut succeeded = true;
+        for compare in &req.compare {
+            succeeded &= self.holds(compare)?;
+        }
+        let steps = if succeeded {
+            &req.success
+        } else {
+            &req.failure
+        };
+        self.check_writes(steps)?;
+        let revision = self.revision + 1;
+        let responses = steps
+            .iter()
+            .map(|step| self.apply(step, revision))
+            .collect();
+        self.trim_history();
+        Ok(TxnResponse {
+            header: self.header(),
+            succeeded,
+            responses,
+        })
+    }
+
+    /// Writes a value without a condition.
+    pub fn put(&mut self, key: &str, value: Bytes) {
+        let revision = self.revision + 1;
+        let put = PutRequest {
+            key: Base64::from_text(key),
+            value: Base64(value),
+            lease: Int64(0),
+        };
+        self.write(&put, revision);
+        self.trim_history();
+    }
+
+    /// Grants a lease; `id` zero asks for a new id.
+    pub fn grant(&mut self, id: u64, ttl: Duration, now: Timestamp) -> u64 {
+        let id = if id == 0 { self.next_lease } else { id };
+        self.next_lease = self.next_lease.max(id) + 1;
+        let lease = LeaseState {
+            ttl,
+            expires: now + ttl,
+            keys: BTreeSet::new(),
+        };
+        self.leases.insert(id, lease);
+        id
+    }
+
+    /// Prolongs a lease and returns its time to live; `None` if it does not exist.
+    pub fn keep_alive(&mut self, id: u64, now: Timestamp) -> Option<Duration> {
+        let lease = self.leases.get_mut(&id)?;
+        lease.expires = now + lease.ttl;
+        Some(lease.ttl)
+    }
+
+    /// Ends a lease and deletes its values.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the lease does not exist.
+    pub fn revoke(&mut self, id: u64) -> Result<(), PlatformError> {
+        let lease = self.leases.remove(&id);
+        let lease = lease.ok_or(PlatformError::LeaseNotFound)?;
+        let revision = self.revision + 1;
+        for key in lease.keys {
+            self.delete(&key, revision);
+        }
+        self.trim_history();
+        Ok(())
+    }
+
+    /// Ends the leases whose time is over; returns whether a value was deleted.
+    pub fn expire(&mut self, now: Timestamp) -> bool {
+        let before = self.revision;
+        let over = |lease: &LeaseState| lease.expires <= now;
+        self.end_leases(over);
+        self.revision != before
+    }
+
+    /// Ends every lease.
+    pub fn expire_all(&mut self) {
+        self.end_leases(|_| true);
+    }
+
+    /// Forgets the history up to the present revision.
+    pub fn compact(&mut self) {
+        self.compacted = self.revision;
+        self.history.clear();
+    }
+
+    /// Returns the oldest revision that a watch can begin with, if `start` is older.
+    #[must_use]
+    pub fn compacted_before(&self, start: u64) -> Option<u64> {
+        (start <= self.compacted).then_some(self.compacted)
+    }
+
+    /// Returns the changes of a range of keys from a revision on.
+    #[must_use]
+    pub fn changes(&self, start: u64, req: &RangeRequest) -> Vec<Change> {
+        let first = self.history.partition_point(|c| c.revision < start);
+        self.history
+            .range(first..)
+            .filter(|c| in_range(&c.key, &req.key.0, &req.range_end.0))
+            .cloned()
+            .collect()
+    }
+
+    fn end_leases(&mut self, over: impl Fn(&LeaseState) -> bool) {
+        let ids: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| over(lease))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            // Each id was just found.
+            let _ = self.revoke(id);
+        }
+    }
+
+    fn holds(&self, compare: &Compare) -> Result<bool, PlatformError> {
+        let equal = matches!(compare.result.as_str(), "" | "EQUAL");
+        if !equal || compare.target != "MOD" {
+            let detail = format!(
+                "comparison {:?} of {:?} is not supported; EQUAL of MOD is",
+                compare.result, compare.target
+            );
+            return Err(PlatformError::Invalid(detail));
+        }
+        let present = self.entries.get(&compare.key.0);
+        Ok(present.map_or(0, |entry| entry.mod_revision) == compare.mod_revision.0)
+    }
+
+    fn check_writes(&self, steps: &[RequestOp]) -> Result<(), PlatformError> {
+        let mut keys = BTreeSet::new();
+        for put in steps.iter().filter_map(|step| step.request_put.as_ref()) {
+            if !put.lease.is_zero() && !self.leases.contains_key(&put.lease.0) {
+                return Err(PlatformError::LeaseNotFound);
+            }
+            if !keys.insert(&put.key.0) {
+                return Err(PlatformError::DuplicateKey);
+            }
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, step: &RequestOp, revision: u64) -> ResponseOp {
+        if let Some(put) = &step.request_put {
+            self.write(put, revision);
+        }
+        if let Some(delete) = &step.request_delete_range {
+            let keys: Vec<Bytes> = self
+                .entries
+                .range::<[u8], _>(bounds(&delete.key.0, &delete.range_end.0))
+                .map(|(key, _)| key.clone())
+                .collect();
+            for key in keys {
+                self.delete(&key, revision);
+            }
+        }
+        ResponseOp {
+            response_range: step.request_range.as_ref().map(|range| self.range(range)),
+        }
+    }
+
+    fn write(&mut self, put: &PutRequest, revision: u64) {
+        let key = put.key.0.clone();
+        let entry = Entry {
+            value: put.value.0.clone(),
+            mod_revision: revision,
+            lease: put.lease.0,
+        };
+        if let Some(old) = self.entries.insert(key.clone(), entry) {
+            self.detach(&key, old.lease);
+        }
+        if let Some(lease) = self.leases.get_mut(&put.lease.0) {
+            lease.keys.insert(key.clone());
+        }
+        self.record(Change {
+            revision,
+            key,
+            value: Some(put.value.0.clone()),
+            lease: put.lease.0,
+        });
+    }
+
+    fn delete(&mut self, key: &Bytes, revision: u64) {
+        let Some(old) = self.entries.remove(key) else {
+            return;
+        };
+        self.detach(key, old.lease);
+        self.record(Change {
+            revision,
+            key: key.clone(),
+            value: None,
+            lease: 0,
+        });
+    }
+
+    fn detach(&mut self, key: &Bytes, lease: u64) {
+        if let Some(lease) = self.leases.get_mut(&lease) {
+            lease.keys.remove(key);
+        }
+    }
+
+    fn record(&mut self, change: Change) {
+        self.revision = change.revision;
+        self.history.push_back(change);
+    }
+
+    /// Forgets the oldest revisions, never a part of one.
+    fn trim_history(&mut self) {
+        while self.history.len() > self.history_limit {
+            let Some(oldest) = self.history.front().map(|change| change.revision) else {
+                return;
+            };
+            self.compacted = oldest;
+            let rest = self.history.partition_point(|c| c.revision <= oldest);
+            self.history.drain(..rest);
+        }
+    }
+}
+
+fn key_value(key: &Bytes, entry: &Entry) -> KeyValue {
+    KeyValue {
+        key: Base64(key.clone()),
+        mod_revision: Int64(entry.mod_revision),
+        value: Base64(entry.value.clone()),
+        lease: Int64(entry.lease),
+    }
+}
+
+fn bounds<'a>(key: &'a [u8], range_end: &'a [u8]) -> (Bound<&'a [u8]>, Bound<&'a [u8]>) {
+    let end = match range_end {
+        [] => Bound::Included(key),
+        END_OF_KEYS => Bound::Unbounded,
+        // An empty range in etcd; an end before its start would panic here.
+        end if end <= key => return (Bound::Included(key), Bound::Excluded(key)),
+        end => Bound::Excluded(end),
+    };
+    (Bound::Included(key), end)
+}
+
+fn in_range(key: &[u8], first: &[u8], range_end: &[u8]) -> bool {
+    match range_end {
+        [] => key == first,
+        END_OF_KEYS => key >= first,
+        end => key >= first && key < end,
+    }
+}
--- a/crates/geranium_net/src/lib.rs
+++ b/crates/geranium_net/src/lib.rs
@@ -9,6 +9,7 @@
 mod body;
 mod client;
 mod client_error;
+mod lines;
 mod server;
 mod server_error;
 
@@ -18,5 +19,6 @@
 pub use body::{read_body, read_incoming};
 pub use client::{ClientConfig, HttpClient, HttpRequest};
 pub use client_error::ClientError;
+pub use lines::{LineError, LineSplitter};
 pub use server::{HttpServer, ServerConfig};
 pub use server_error::ServerError;
--- a/crates/geranium_platform/src/error.rs
+++ b/crates/geranium_platform/src/error.rs
@@ -1,12 +1,15 @@
 //! Failures of the platform's service.
 
+use std::time::Duration;
+
 use quick_error::quick_error;
 
 quick_error! {
     /// Failure of a call to the platform's service.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum StoreError {
-        /// The call did not reach the service: it had no effect.
+        /// The call had no effect: a write did not reach the service, or a read
+        /// got no answer.
         Unreachable(endpoint: String, detail: String) {
             display("platform service at {} is unreachable: {}", endpoint, detail)
         }
@@ -22,6 +25,10 @@
         Malformed(key: String, detail: String) {
             display("answer of the platform service for {:?} is malformed: {}", key, detail)
         }
+        /// The client's own rate limit held the call back: it had no effect.
+        RateLimited(key: String, retry_after: Duration) {
+            display("rate limit of the platform service holds back the call for {:?} for {} ms", key, retry_after.as_millis())
+        }
         /// The lease has expired or was revoked.
         LeaseNotFound(lease: u64) {
             display("lease {} does not exist", lease)
--- /dev/null
+++ b/crates/geranium_platform/src/etcd/mod.rs
@@ -0,0 +1,18 @@
+//! Client of etcd's JSON gateway.
+//!
+//! | module | duty |
+//! | --- | --- |
+//! | [`wire`] | JSON messages of the gateway |
+//! | `config` | settings of the client |
+//! | `client` | the calls of [`KvStore`](crate::KvStore) |
+//! | `transport` | endpoints, timeouts, rate limits and counts |
+//! | `watch` | the stream of a watch |
+
+mod client;
+mod config;
+mod transport;
+mod watch;
+pub mod wire;
+
+pub use client::EtcdClient;
+pub use config::EtcdConfig;
--- a/crates/geranium_platform/src/prelude.rs
+++ b/crates/geranium_platform/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The types that most users of this crate need.
 
 pub use crate::{
-    CasOutcome, KvStore, LeaseId, RangeRead, StoreError, StoredValue, Swap, WatchBatch, WatchChange,
+    CasOutcome, EtcdClient, EtcdConfig, KvStore, LeaseId, RangeRead, StoreCallCounter, StoreError,
+    StoredValue, Swap, WatchBatch, WatchChange,
 };
