--- a/crates/geranium_ctl/src/cli.rs
+++ b/crates/geranium_ctl/src/cli.rs
@@ -13,14 +13,21 @@
     "IP:PORT,...",
     "Operator addresses of entry hosts; the first that answers is asked.",
 );
-const TOKEN: SettingSpec =
-    SettingSpec::new("--operator-token", "TEXT", "Operator token; prefer the variable.").secret();
+const TOKEN: SettingSpec = SettingSpec::new(
+    "--operator-token",
+    "TEXT",
+    "Operator token; prefer the variable.",
+)
+.secret();
 const OPERATOR: SettingSpec =
     SettingSpec::new("--operator", "NAME", "Name kept with each change.").or("operator");
 const TIMEOUT: SettingSpec =
     SettingSpec::new("--timeout-ms", "MILLISECONDS", "Longest wait of --wait.").or("15000");
-const GENERATION: SettingSpec =
-    SettingSpec::new("--generation", "NUMBER", "Generation that the change builds on.");
+const GENERATION: SettingSpec = SettingSpec::new(
+    "--generation",
+    "NUMBER",
+    "Generation that the change builds on.",
+);
 const REASON: SettingSpec = SettingSpec::new("--reason", "TEXT", "Why, for drain.").or("");
 const SVG: SettingSpec = SettingSpec::new("--svg", "FILE", "Writes the time line as a picture.");
 const REQUEST: SettingSpec = SettingSpec::new("--request", "ID", "Events of a request.");
@@ -29,8 +36,7 @@
 const RECORD: SettingSpec = SettingSpec::new("--record", "NAME", "Events of a record.");
 const ACCOUNT: SettingSpec = SettingSpec::new("--account", "NAME", "Events of an account.");
 const KIND: SettingSpec = SettingSpec::new("--kind", "KIND", "Events or records of a kind.");
-const SINCE: SettingSpec =
-    SettingSpec::new("--since-s", "SECONDS", "Events of the last seconds.");
+const SINCE: SettingSpec = SettingSpec::new("--since-s", "SECONDS", "Events of the last seconds.");
 
 const SPECS: &[SettingSpec] = &[
     HOSTS, TOKEN, OPERATOR, TIMEOUT, GENERATION, REASON, SVG, REQUEST, GROUP, HOST, RECORD,
@@ -250,7 +256,9 @@
 where
     E: Fn(&str) -> Option<String>,
 {
-    reader.word().ok_or_else(|| CtlError::Usage(format!("argument {name} is missing")))
+    reader
+        .word()
+        .ok_or_else(|| CtlError::Usage(format!("argument {name} is missing")))
 }
 
 fn drain_kind<E>(reader: &mut SettingsReader<E>) -> Result<String, CtlError>
@@ -261,7 +269,9 @@
     if kind == "domain" || kind == "host" {
         return Ok(kind);
     }
-    Err(CtlError::Usage(format!("{kind:?} cannot be drained; domain and host can")))
+    Err(CtlError::Usage(format!(
+        "{kind:?} cannot be drained; domain and host can"
+    )))
 }
 
 fn kind_of(filter: TimelineFilter) -> Option<String> {
--- a/crates/geranium_ctl/src/command/apply.rs
+++ b/crates/geranium_ctl/src/command/apply.rs
@@ -18,7 +18,9 @@
 pub async fn validate(session: &Session<'_>, path: &str) -> Result<Exit, CtlError> {
     let file = RecordFile::read(path)?;
     let client = &session.client;
-    let answer = session.ask(|host| client.validate(host, &file.document)).await?;
+    let answer = session
+        .ask(|host| client.validate(host, &file.document))
+        .await?;
     if session.invocation.json {
         print_json(&answer)?;
     } else {
@@ -28,14 +30,20 @@
             println!("{} {} is valid", file.kind, file.name);
         }
     }
-    Ok(if answer.faults.is_empty() { Exit::Done } else { Exit::InvalidRecord })
+    Ok(if answer.faults.is_empty() {
+        Exit::Done
+    } else {
+        Exit::InvalidRecord
+    })
 }
 
 /// Shows what a record would change.
 pub async fn diff(session: &Session<'_>, path: &str) -> Result<Exit, CtlError> {
     let file = RecordFile::read(path)?;
     let client = &session.client;
-    let answer = session.ask(|host| client.validate(host, &file.document)).await?;
+    let answer = session
+        .ask(|host| client.validate(host, &file.document))
+        .await?;
     if session.invocation.json {
         print_json(&answer)?;
     } else {
@@ -47,7 +55,11 @@
     if !answer.faults.is_empty() {
         return Ok(Exit::InvalidRecord);
     }
-    Ok(if answer.changes.is_empty() { Exit::Done } else { Exit::Different })
+    Ok(if answer.changes.is_empty() {
+        Exit::Done
+    } else {
+        Exit::Different
+    })
 }
 
 /// Writes a record.
@@ -74,8 +86,14 @@
         operator: session.invocation.operator.clone(),
     };
     let client = &session.client;
-    let answer = session.ask(|host| client.apply(host, kind, name, &req)).await?;
-    let exit = if answer.outcome == ApplyOutcome::LostRace { Exit::LostRace } else { Exit::Done };
+    let answer = session
+        .ask(|host| client.apply(host, kind, name, &req))
+        .await?;
+    let exit = if answer.outcome == ApplyOutcome::LostRace {
+        Exit::LostRace
+    } else {
+        Exit::Done
+    };
     if session.invocation.json && !session.invocation.wait {
         print_json(&answer)?;
     } else if !session.invocation.json {
@@ -100,7 +118,10 @@
     }
     if let Some(race) = &answer.lost_race {
         let winner = &race.winner;
-        println!("  {} wrote generation {} first", winner.operator, winner.generation);
+        println!(
+            "  {} wrote generation {} first",
+            winner.operator, winner.generation
+        );
         for difference in &race.differences {
             println!("  {difference}");
         }
@@ -116,7 +137,9 @@
     let end = Instant::now() + session.invocation.timeout;
     let client = &session.client;
     loop {
-        let views = session.ask(|host| client.in_force(host, kind, name, generation)).await?;
+        let views = session
+            .ask(|host| client.in_force(host, kind, name, generation))
+            .await?;
         let done = !views.is_empty() && views.iter().all(|view| view.in_force);
         if done || Instant::now() >= end {
             report(session, &views)?;
--- a/crates/geranium_ctl/src/command/drain.rs
+++ b/crates/geranium_ctl/src/command/drain.rs
@@ -12,7 +12,11 @@
 
 /// Takes a failure domain or a host out of service.
 pub async fn drain(session: &Session<'_>, what: &str, name: &str) -> Result<Exit, CtlError> {
-    let target = if what == "domain" { "failure_domain" } else { "host" };
+    let target = if what == "domain" {
+        "failure_domain"
+    } else {
+        "host"
+    };
     let record = record_name(what, name);
     let document = json!({
         "schema_version": 2,
@@ -26,7 +30,13 @@
 
 /// Brings a failure domain or a host back.
 pub async fn undrain(session: &Session<'_>, what: &str, name: &str) -> Result<Exit, CtlError> {
-    write(session, KIND, &record_name(what, name), serde_json::Value::Null).await
+    write(
+        session,
+        KIND,
+        &record_name(what, name),
+        serde_json::Value::Null,
+    )
+    .await
 }
 
 fn record_name(what: &str, name: &str) -> String {
--- a/crates/geranium_ctl/src/command/records.rs
+++ b/crates/geranium_ctl/src/command/records.rs
@@ -30,7 +30,9 @@
 /// Lists records.
 pub async fn list(session: &Session<'_>, kind: Option<&str>) -> Result<Exit, CtlError> {
     let client = &session.client;
-    let page = session.ask(|host| client.list(host, kind.unwrap_or_default())).await?;
+    let page = session
+        .ask(|host| client.list(host, kind.unwrap_or_default()))
+        .await?;
     if session.invocation.json {
         print_json(&page)?;
         return Ok(Exit::Done);
--- a/crates/geranium_ctl/src/command/session.rs
+++ b/crates/geranium_ctl/src/command/session.rs
@@ -19,7 +19,10 @@
 impl<'a> Session<'a> {
     /// Makes a session.
     pub fn new(invocation: &'a Invocation) -> Self {
-        Self { invocation, client: OperatorClient::new(invocation.token.clone()) }
+        Self {
+            invocation,
+            client: OperatorClient::new(invocation.token.clone()),
+        }
     }
 
     /// Asks the entry hosts in order until one can be reached.
--- a/crates/geranium_ctl/src/command/status.rs
+++ b/crates/geranium_ctl/src/command/status.rs
@@ -58,8 +58,9 @@
 /// Returns the operator addresses of every known entry host, without repeats.
 pub fn operator_addresses(session: &Session<'_>, view: &StatusView) -> Vec<SocketAddr> {
     let known = view.hosts.iter().filter_map(|host| host.operator_address);
-    let mut addresses: Vec<SocketAddr> =
-        known.chain(session.invocation.hosts.iter().copied()).collect();
+    let mut addresses: Vec<SocketAddr> = known
+        .chain(session.invocation.hosts.iter().copied())
+        .collect();
     addresses.sort_unstable();
     addresses.dedup();
     addresses
@@ -110,7 +111,15 @@
 }
 
 fn print_models(views: &[StatusView]) {
-    let mut rows = table(&["MODEL", "RECORD", "VERSION", "FAILURE DOMAIN", "WANTED", "SERVING", ""]);
+    let mut rows = table(&[
+        "MODEL",
+        "RECORD",
+        "VERSION",
+        "FAILURE DOMAIN",
+        "WANTED",
+        "SERVING",
+        "",
+    ]);
     for model in views.iter().flat_map(|view| &view.models) {
         rows.add_row([
             model.served_model.to_string(),
@@ -126,8 +135,11 @@
     let mut rows = table(&["FAILURE DOMAIN", "ACCELERATORS", "SERVING", "STRANDED"]);
     for view in views {
         let accelerators = &view.accelerators;
-        let stranded: Vec<String> =
-            accelerators.stranded.iter().map(|(why, n)| format!("{n} {why}")).collect();
+        let stranded: Vec<String> = accelerators
+            .stranded
+            .iter()
+            .map(|(why, n)| format!("{n} {why}"))
+            .collect();
         rows.add_row([
             view.process.failure_domain.to_string(),
             accelerators.total.to_string(),
@@ -143,7 +155,10 @@
         println!("not reached: no entry host of {domain} answered");
     }
     for view in views.iter().filter(|view| !view.store.reachable) {
-        println!("{}: the platform's service is unreachable", view.process.failure_domain);
+        println!(
+            "{}: the platform's service is unreachable",
+            view.process.failure_domain
+        );
     }
     let needs: Vec<&String> = views.iter().flat_map(|view| &view.needs_person).collect();
     if needs.is_empty() {
--- a/crates/geranium_ctl/src/command/timeline.rs
+++ b/crates/geranium_ctl/src/command/timeline.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use geranium_core::id::{HostId, Incarnation};
 use geranium_core::time::Timestamp;
-use geranium_telemetry::{Event, EventId, merge};
+use geranium_telemetry::{Event, merge};
 use serde::Serialize;
 
 use super::session::Session;
@@ -19,6 +20,9 @@
 /// Time between two rounds of `--follow`.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Newest sequence number printed of each process.
+type Newest = BTreeMap<(HostId, Incarnation), u64>;
+
 /// Events of all entry hosts in causal order.
 #[derive(Default, Serialize)]
 struct Timeline {
@@ -70,14 +74,16 @@
 }
 
 async fn follow(session: &Session<'_>, addresses: &[SocketAddr], query: &str, seen: &[Event]) {
-    let mut newest: BTreeMap<_, EventId> = BTreeMap::new();
+    let mut newest = Newest::new();
     remember(&mut newest, seen);
     loop {
         tokio::time::sleep(FOLLOW_INTERVAL).await;
         let timeline = collect(session, addresses, query).await;
         let is_new = |event: &&Event| {
             let key = (event.id.host.clone(), event.id.incarnation);
-            newest.get(&key).is_none_or(|id| event.id.sequence > id.sequence)
+            newest
+                .get(&key)
+                .is_none_or(|seen| event.id.sequence > *seen)
         };
         let fresh: Vec<Event> = timeline.events.iter().filter(is_new).cloned().collect();
         print_events(&fresh);
@@ -85,15 +91,13 @@
     }
 }
 
-fn remember<K: From<EventKey> + Ord>(newest: &mut BTreeMap<K, EventId>, events: &[Event]) {
+fn remember(newest: &mut Newest, events: &[Event]) {
     for event in events {
-        let key = K::from((event.id.host.clone(), event.id.incarnation));
-        newest.insert(key, event.id.clone());
+        let process = (event.id.host.clone(), event.id.incarnation);
+        newest.insert(process, event.id.sequence);
     }
 }
 
-type EventKey = (geranium_core::id::HostId, geranium_core::id::Incarnation);
-
 fn print_events(events: &[Event]) {
     for event in events {
         println!(
@@ -107,10 +111,15 @@
 }
 
 fn render_query(filter: &TimelineFilter) -> String {
-    let mut pairs: Vec<String> =
-        filter.pairs.iter().map(|(name, value)| format!("{name}={value}")).collect();
+    let mut pairs: Vec<String> = filter
+        .pairs
+        .iter()
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
     if let Some(since) = filter.since {
-        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let elapsed = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let start = (Timestamp::default() + elapsed) - since;
         pairs.push(format!("since={}", start.0));
     }
--- a/crates/geranium_ctl/src/document.rs
+++ b/crates/geranium_ctl/src/document.rs
@@ -28,7 +28,11 @@
             .map_err(|e| CtlError::Document(path.to_owned(), e.to_string()))?;
         let kind = field(path, &document, "kind")?;
         let name = field(path, &document, "name")?;
-        Ok(Self { kind, name, document })
+        Ok(Self {
+            kind,
+            name,
+            document,
+        })
     }
 }
 
@@ -44,6 +48,9 @@
 fn field(path: &str, document: &Value, name: &str) -> Result<String, CtlError> {
     let text = document.get(name).and_then(Value::as_str);
     text.map(str::to_owned).ok_or_else(|| {
-        CtlError::Document(path.to_owned(), format!("field {name:?} is missing or not a text"))
+        CtlError::Document(
+            path.to_owned(),
+            format!("field {name:?} is missing or not a text"),
+        )
     })
 }
--- a/crates/geranium_ctl/src/output.rs
+++ b/crates/geranium_ctl/src/output.rs
@@ -13,8 +13,7 @@
 ///
 /// Returns an error if the value cannot be serialised.
 pub fn print_json(value: &impl Serialize) -> Result<(), CtlError> {
-    let text =
-        serde_json::to_string_pretty(value).map_err(|e| CtlError::Output(e.to_string()))?;
+    let text = serde_json::to_string_pretty(value).map_err(|e| CtlError::Output(e.to_string()))?;
     println!("{text}");
     Ok(())
 }
@@ -22,7 +21,9 @@
 /// Makes a table with a header.
 pub fn table(header: &[&str]) -> Table {
     let mut table = Table::new();
-    table.load_preset(NOTHING).set_header(header.iter().copied());
+    table
+        .load_preset(NOTHING)
+        .set_header(header.iter().copied());
     table
 }
 
--- a/crates/geranium_ctl/src/timeline_svg.rs
+++ b/crates/geranium_ctl/src/timeline_svg.rs
@@ -17,11 +17,15 @@
     let mut hosts: Vec<&str> = events.iter().map(|event| event.id.host.as_str()).collect();
     hosts.sort_unstable();
     hosts.dedup();
-    let start = events.first().map_or(0, |event| event.time.wall.as_millis());
+    let start = events
+        .first()
+        .map_or(0, |event| event.time.wall.as_millis());
     let end = events.last().map_or(1, |event| event.time.wall.as_millis());
     let span = end.saturating_sub(start).max(1) as f64;
     let points = events.iter().filter_map(|event| {
-        let row = hosts.iter().position(|host| *host == event.id.host.as_str())?;
+        let row = hosts
+            .iter()
+            .position(|host| *host == event.id.host.as_str())?;
         let x = event.time.wall.as_millis().saturating_sub(start) as f64;
         Some((x, row as f64, event.kind as usize))
     });
--- a/crates/geranium_daemon/src/apply.rs
+++ b/crates/geranium_daemon/src/apply.rs
@@ -58,17 +58,31 @@
     let current = read(node, &change.key).await?;
     let view = node.published.view();
     let places = KnownPlaces::from_hosts(view.hosts.iter());
-    let plan =
-        match ApplyPlan::new(change, &current, &view.records, &places, node.clock.now()) {
-            Ok(plan) => plan,
-            Err(e) => return refused(change, e),
-        };
-    let base = newest(&current, view.records.get(&change.key).map(|e| e.stored.as_ref()));
+    let plan = match ApplyPlan::new(change, &current, &view.records, &places, node.clock.now()) {
+        Ok(plan) => plan,
+        Err(e) => return refused(change, e),
+    };
+    let base = newest(
+        &current,
+        view.records.get(&change.key).map(|e| e.stored.as_ref()),
+    );
     if plan.unchanged {
         let generation = base.map_or(0, |record| record.generation().0);
-        return Ok(Some(answer(ApplyOutcome::Unchanged, generation, &plan, base)));
+        return Ok(Some(answer(
+            ApplyOutcome::Unchanged,
+            generation,
+            &plan,
+            base,
+        )));
     }
-    let accepted = || answer(ApplyOutcome::Accepted, plan.record.generation().0, &plan, base);
+    let accepted = || {
+        answer(
+            ApplyOutcome::Accepted,
+            plan.record.generation().0,
+            &plan,
+            base,
+        )
+    };
     match write(node, &plan).await {
         Ok(CasOutcome::Applied(revision)) => {
             note_written(node, &plan.record, revision.0);
@@ -131,16 +145,25 @@
 }
 
 fn read_value(value: Option<StoredValue>) -> CurrentRecord {
-    let Some(value) = value else { return CurrentRecord::default() };
+    let Some(value) = value else {
+        return CurrentRecord::default();
+    };
     let stored = StoredRecord::from_store(&value.key, &value.value).ok();
-    CurrentRecord { stored, revision: value.revision }
+    CurrentRecord {
+        stored,
+        revision: value.revision,
+    }
 }
 
 fn newest<'a>(
     current: &'a CurrentRecord,
     held: Option<&'a StoredRecord>,
 ) -> Option<&'a StoredRecord> {
-    current.stored.iter().chain(held).max_by_key(|record| record.rank())
+    current
+        .stored
+        .iter()
+        .chain(held)
+        .max_by_key(|record| record.rank())
 }
 
 fn note_written(node: &Node, record: &StoredRecord, revision: u64) {
@@ -181,10 +204,17 @@
     plan: &ApplyPlan,
     now: &CurrentRecord,
 ) -> Result<Option<ApplyAnswer>, ApiError> {
-    let Some(stored) = &now.stored else { return Ok(None) };
+    let Some(stored) = &now.stored else {
+        return Ok(None);
+    };
     if stored.descends_from(plan.record.writer()) {
         // An earlier try of this very change took effect after all.
-        return Ok(Some(answer(ApplyOutcome::Accepted, stored.generation().0, plan, None)));
+        return Ok(Some(answer(
+            ApplyOutcome::Accepted,
+            stored.generation().0,
+            plan,
+            None,
+        )));
     }
     let changes = diff(plan.record.document.as_ref(), stored.document.as_ref());
     let differences = changes.iter().map(ToString::to_string).collect();
@@ -217,12 +247,15 @@
 ) -> ApplyAnswer {
     let old = base.and_then(|record| record.document.as_ref());
     let changes = diff(old, plan.record.document.as_ref());
-    let warnings = plan.warnings.iter().filter(|f| f.severity == Severity::Warning);
+    let warnings = plan
+        .warnings
+        .iter()
+        .filter(|f| f.severity == Severity::Warning);
     ApplyAnswer {
         outcome,
         generation,
         changes: changes.iter().map(ToString::to_string).collect(),
-        warnings: warnings.map(ToString::to_string).collect(),
+        warnings: warnings.map(|finding| finding.fault.to_string()).collect(),
         lost_race: None,
     }
 }
@@ -239,9 +272,13 @@
 }
 
 fn unavailable(e: &StoreError) -> ApiError {
-    ApiError::new(StatusCode::SERVICE_UNAVAILABLE, "store_unavailable", e.to_string())
-        .not_run()
-        .retry_after(STORE_RETRY_AFTER)
+    ApiError::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "store_unavailable",
+        e.to_string(),
+    )
+    .not_run()
+    .retry_after(STORE_RETRY_AFTER)
 }
 
 fn unknown_outcome(key: &RecordKey) -> ApiError {
--- a/crates/geranium_daemon/src/caller/auth.rs
+++ b/crates/geranium_daemon/src/caller/auth.rs
@@ -18,9 +18,13 @@
 ///
 /// Returns a refusal if the key is missing or not known.
 pub fn account(node: &Node, req: &Request) -> Result<AccountKeys, ApiError> {
-    let header = req.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let header = req
+        .headers()
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
     let key = header.and_then(|text| text.strip_prefix(SCHEME));
-    key.and_then(|key| node.traffic.account_of(key)).ok_or_else(refusal::unknown_account)
+    key.and_then(|key| node.traffic.account_of(key))
+        .ok_or_else(refusal::unknown_account)
 }
 
 /// Checks the token of another entry host.
@@ -29,7 +33,10 @@
 ///
 /// Returns a refusal if the token is missing or wrong.
 pub fn peer(node: &Node, req: &Request) -> Result<(), ApiError> {
-    let token = req.headers().get(PEER_TOKEN_HEADER).map(|value| value.as_bytes());
+    let token = req
+        .headers()
+        .get(PEER_TOKEN_HEADER)
+        .map(hyper::header::HeaderValue::as_bytes);
     let wanted = node.settings.peer_token.as_bytes();
     if token.unwrap_or_default().ct_eq(wanted).into() {
         return Ok(());
--- a/crates/geranium_daemon/src/caller/chat.rs
+++ b/crates/geranium_daemon/src/caller/chat.rs
@@ -48,13 +48,19 @@
     let mut names: Vec<&str> = view
         .records
         .models()
-        .filter(|spec| spec.accounts.iter().any(|share| share.account == account.account))
+        .filter(|spec| {
+            spec.accounts
+                .iter()
+                .any(|share| share.account == account.account)
+        })
         .map(|spec| spec.served_model.as_str())
         .collect();
     names.dedup();
-    let data: Vec<Value> =
-        names.iter().map(|name| json!({"id": name, "object": "model"})).collect();
-    reply::json(&json!({"object": "list", "data": data}))
+    let data: Vec<Value> = names
+        .iter()
+        .map(|name| json!({"id": name, "object": "model"}))
+        .collect();
+    Ok(reply::json(&json!({"object": "list", "data": data}))?)
 }
 
 async fn complete(node: &Arc<Node>, req: &mut Request) -> std::result::Result<Response, ApiError> {
@@ -62,7 +68,9 @@
     let now = node.clock.now();
     let deadline = headers::deadline(req.headers(), now, node.settings.default_deadline)?;
     let request = headers::request_id(req.headers())?;
-    let body = read_body(req, node.settings.max_body).await.map_err(ApiError::not_run)?;
+    let body = read_body(req, node.settings.max_body)
+        .await
+        .map_err(ApiError::not_run)?;
     let completion = check(node, account, request, deadline, &body)?;
     if node.is_stopping() {
         return Err(refusal::stopping());
@@ -87,7 +95,10 @@
         .map_err(|e| refusal::invalid("malformed_body", format!("body is not JSON: {e}")))?;
     let chat = ChatRequest::deserialize(&document)
         .map_err(|e| refusal::invalid("malformed_body", format!("body is not a chat: {e}")))?;
-    let model: ModelId = chat.model.parse().map_err(|_| refusal::unknown_model(&chat.model))?;
+    let model: ModelId = chat
+        .model
+        .parse()
+        .map_err(|_| refusal::unknown_model(&chat.model))?;
     check_model(node, &account.account, &model)?;
     let stream = chat.stream;
     let resume = chat.resume.clone();
@@ -127,7 +138,11 @@
         return Err(refusal::unknown_model(model.as_str()));
     }
     let allowed = specs.any(|spec| spec.accounts.iter().any(|share| share.account == *account));
-    if allowed { Ok(()) } else { Err(refusal::not_allowed(account.as_str(), model.as_str())) }
+    if allowed {
+        Ok(())
+    } else {
+        Err(refusal::not_allowed(account.as_str(), model.as_str()))
+    }
 }
 
 /// Admits a completion and answers it.
@@ -176,9 +191,13 @@
 ) -> std::result::Result<Response, ApiError> {
     let (head_tx, head) = oneshot::channel();
     let (pipe_tx, pipe) = mpsc::channel::<Bytes>(PIPE_CAPACITY);
-    let output = RelayOutput::Stream { head: Some(head_tx), pipe: pipe_tx };
+    let output = RelayOutput::Stream {
+        head: Some(head_tx),
+        pipe: pipe_tx,
+    };
     tokio::spawn(RelayJob::new(node.clone(), relay, output, admitted).run());
-    head.await.unwrap_or_else(|_| Err(refusal::interrupted("the relay ended")))?;
+    head.await
+        .unwrap_or_else(|_| Err(refusal::interrupted("the relay ended")))?;
     let frames = unfold(pipe, |mut pipe| async move {
         let frame = pipe.recv().await?;
         Some((frame, pipe))
@@ -198,12 +217,21 @@
 ) -> std::result::Result<Response, ApiError> {
     let (done_tx, done) = oneshot::channel();
     let (request, model) = (relay.request.clone(), relay.model.clone());
-    let output = RelayOutput::Whole { done: Some(done_tx), text: String::new() };
+    let output = RelayOutput::Whole {
+        done: Some(done_tx),
+        text: String::new(),
+    };
     let created = node.clock.now().as_millis() / 1_000;
     tokio::spawn(RelayJob::new(node.clone(), relay, output, admitted).run());
-    let answer = done.await.unwrap_or_else(|_| Err(refusal::interrupted("the relay ended")))?;
+    let answer = done
+        .await
+        .unwrap_or_else(|_| Err(refusal::interrupted("the relay ended")))?;
     let body = render_whole(&request, &model, created, &answer).to_string();
-    Ok(reply::typed(StatusCode::OK, "application/json", Bytes::from(body)))
+    Ok(reply::typed(
+        StatusCode::OK,
+        "application/json",
+        Bytes::from(body),
+    ))
 }
 
 fn render_whole(request: &RequestId, model: &ModelId, created: u64, answer: &WholeAnswer) -> Value {
--- a/crates/geranium_daemon/src/caller/forward.rs
+++ b/crates/geranium_daemon/src/caller/forward.rs
@@ -31,6 +31,12 @@
     let name = headers::text(req.headers(), ACCOUNT_HEADER)?.unwrap_or_default();
     let account: AccountId = name.parse().map_err(|_| refusal::unknown_account())?;
     let view = node.published.view();
-    let spec = view.records.account(&account).ok_or_else(refusal::unknown_account)?;
-    Ok(AccountKeys { account, priority: spec.priority })
+    let spec = view
+        .records
+        .account(&account)
+        .ok_or_else(refusal::unknown_account)?;
+    Ok(AccountKeys {
+        account,
+        priority: spec.priority,
+    })
 }
--- a/crates/geranium_daemon/src/caller/headers.rs
+++ b/crates/geranium_daemon/src/caller/headers.rs
@@ -25,9 +25,12 @@
 ///
 /// Returns a refusal if the header is not text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, ApiError> {
-    let Some(value) = headers.get(name) else { return Ok(None) };
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
     let text = value.to_str();
-    text.map(Some).map_err(|_| invalid("invalid_header", format!("header {name:?} is not text")))
+    text.map(Some)
+        .map_err(|_| invalid("invalid_header", format!("header {name:?} is not text")))
 }
 
 /// Reads the deadline of a request.
@@ -60,8 +63,14 @@
 pub fn request_id(headers: &HeaderMap) -> Result<RequestId, ApiError> {
     match text(headers, REQUEST_HEADER)? {
         Some(text) => text.parse().map_err(|e| {
-            invalid("invalid_request_id", format!("header {REQUEST_HEADER:?}: {e}"))
+            invalid(
+                "invalid_request_id",
+                format!("header {REQUEST_HEADER:?}: {e}"),
+            )
         }),
-        None => Ok(RequestId::new(format!("req-{:016x}", rand::rng().random::<u64>()))),
+        None => Ok(RequestId::new(format!(
+            "req-{:016x}",
+            rand::rng().random::<u64>()
+        ))),
     }
 }
--- a/crates/geranium_daemon/src/caller/mod.rs
+++ b/crates/geranium_daemon/src/caller/mod.rs
@@ -55,12 +55,24 @@
 
 async fn readyz(node: Arc<Node>, _req: Request) -> Result<Response> {
     if node.is_ready() {
-        return Ok(reply::typed(StatusCode::OK, "text/plain", Bytes::from_static(b"ready\n")));
+        return Ok(reply::typed(
+            StatusCode::OK,
+            "text/plain",
+            Bytes::from_static(b"ready\n"),
+        ));
     }
     let body = Bytes::from_static(b"not ready\n");
-    Ok(reply::typed(StatusCode::SERVICE_UNAVAILABLE, "text/plain", body))
+    Ok(reply::typed(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "text/plain",
+        body,
+    ))
 }
 
 async fn healthz(_req: Request) -> Result<Response> {
-    Ok(reply::typed(StatusCode::OK, "text/plain", Bytes::from_static(b"ok\n")))
+    Ok(reply::typed(
+        StatusCode::OK,
+        "text/plain",
+        Bytes::from_static(b"ok\n"),
+    ))
 }
--- a/crates/geranium_daemon/src/caller/refusal.rs
+++ b/crates/geranium_daemon/src/caller/refusal.rs
@@ -72,7 +72,11 @@
         RouteRefusal::NoColdCredit(_) => (StatusCode::SERVICE_UNAVAILABLE, "cold_start"),
     };
     let refusal = ApiError::new(status, kind, e.to_string()).retry_after(NO_GROUP_RETRY_AFTER);
-    if ran { interrupted(&refusal.message) } else { refusal.not_run() }
+    if ran {
+        interrupted(&refusal.message)
+    } else {
+        refusal.not_run()
+    }
 }
 
 /// Makes the failure of a deadline that passed.
@@ -88,21 +92,32 @@
 /// Makes the failure of a request whose retries are spent.
 pub fn retries_exhausted(ran: bool) -> ApiError {
     let message = "the group failed and the retry budget is empty";
-    let refusal = ApiError::new(StatusCode::SERVICE_UNAVAILABLE, "retries_exhausted", message)
-        .retry_after(NO_GROUP_RETRY_AFTER);
-    if ran { interrupted(message) } else { refusal.not_run() }
+    let refusal = ApiError::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "retries_exhausted",
+        message,
+    )
+    .retry_after(NO_GROUP_RETRY_AFTER);
+    if ran {
+        interrupted(message)
+    } else {
+        refusal.not_run()
+    }
 }
 
 /// Makes the failure of an answer that broke off.
 pub fn interrupted(message: &str) -> ApiError {
-    ApiError::new(StatusCode::BAD_GATEWAY, "interrupted", message)
-        .retry_after(NO_GROUP_RETRY_AFTER)
+    ApiError::new(StatusCode::BAD_GATEWAY, "interrupted", message).retry_after(NO_GROUP_RETRY_AFTER)
 }
 
 /// Makes the refusal of a request that crashes backend servers.
 pub fn crashes_servers() -> ApiError {
     let message = "the request crashed two replica groups and is not run again";
-    ApiError::new(StatusCode::UNPROCESSABLE_ENTITY, "request_crashes_servers", message)
+    ApiError::new(
+        StatusCode::UNPROCESSABLE_ENTITY,
+        "request_crashes_servers",
+        message,
+    )
 }
 
 /// Renders the failure of a stream.
--- a/crates/geranium_daemon/src/caller/service.rs
+++ b/crates/geranium_daemon/src/caller/service.rs
@@ -48,7 +48,9 @@
 /// Answers a call of a plain service.
 pub async fn call(node: Arc<Node>, mut req: Request) -> Result<Response> {
     let outcome = answer(&node, &mut req).await;
-    let label = outcome.as_ref().map_or_else(|e| e.kind.as_str(), |_| "complete");
+    let label = outcome
+        .as_ref()
+        .map_or_else(|e| e.kind.as_str(), |_| "complete");
     node.metrics.answered(CallKind::Service, label);
     Ok(outcome?)
 }
@@ -67,18 +69,28 @@
 
 async fn check(node: &Node, req: &mut Request) -> std::result::Result<CheckedCall, ApiError> {
     let account = auth::account(node, req)?.account;
-    let deadline =
-        headers::deadline(req.headers(), node.clock.now(), node.settings.default_deadline)?;
+    let deadline = headers::deadline(
+        req.headers(),
+        node.clock.now(),
+        node.settings.default_deadline,
+    )?;
     let request = headers::request_id(req.headers())?;
     let (service, path) = split_path(req)?;
     let view = node.published.view();
-    let spec = view.records.service(&service).ok_or_else(|| unknown_service(&service))?;
+    let spec = view
+        .records
+        .service(&service)
+        .ok_or_else(|| unknown_service(&service))?;
     if !spec.accounts.contains(&account) {
         return Err(refusal::not_allowed(account.as_str(), service.as_str()));
     }
     let route = find_route(spec, req.method(), &path)?;
-    let body = read_body(req, node.settings.max_body).await.map_err(ApiError::not_run)?;
-    let query = req.query_string().map_or_else(String::new, |query| format!("?{query}"));
+    let body = read_body(req, node.settings.max_body)
+        .await
+        .map_err(ApiError::not_run)?;
+    let query = req
+        .query_string()
+        .map_or_else(String::new, |query| format!("?{query}"));
     Ok(CheckedCall {
         request,
         account,
@@ -95,7 +107,11 @@
 
 /// Splits `/v1/services/NAME/REST` into the name and `/REST`.
 fn split_path(req: &Request) -> std::result::Result<(RecordName, String), ApiError> {
-    let rest = req.uri().path().strip_prefix("/v1/services/").unwrap_or_default();
+    let rest = req
+        .uri()
+        .path()
+        .strip_prefix("/v1/services/")
+        .unwrap_or_default();
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
     let service = name.parse().map_err(|_| {
         let message = format!("service {name:?} does not exist");
@@ -122,9 +138,16 @@
         path_matches && route.method.eq_ignore_ascii_case(method.as_str())
     };
     // The longest path wins, so that a route overrides a wildcard around it.
-    let found = spec.routes.iter().filter(matches).max_by_key(|route| route.path.len());
+    let found = spec
+        .routes
+        .iter()
+        .filter(matches)
+        .max_by_key(|route| route.path.len());
     found.ok_or_else(|| {
-        let message = format!("route {method} {path} of service {} does not exist", spec.name);
+        let message = format!(
+            "route {method} {path} of service {} does not exist",
+            spec.name
+        );
         ApiError::new(StatusCode::NOT_FOUND, "unknown_route", message).not_run()
     })
 }
@@ -133,7 +156,10 @@
 fn endpoints(node: &Node, spec: &ServiceSpec) -> Vec<SocketAddr> {
     let view = node.published.view();
     let drained = view.records.drained();
-    let usable = spec.endpoints.iter().filter(|e| !drained.covers(&e.failure_domain, &e.host));
+    let usable = spec
+        .endpoints
+        .iter()
+        .filter(|e| !drained.covers(&e.failure_domain, &e.host));
     let mut endpoints: Vec<_> = usable.collect();
     endpoints.sort_by_key(|e| e.failure_domain != node.settings.failure_domain);
     endpoints.into_iter().map(|e| e.address).collect()
@@ -191,8 +217,9 @@
         let message = format!("the route is not idempotent: header {KEY_HEADER:?} is needed");
         return Err(refusal::invalid("idempotency_key_required", message));
     };
-    let key: IdempotencyKey =
-        key.parse().map_err(|e| refusal::invalid("invalid_idempotency_key", format!("{e}")))?;
+    let key: IdempotencyKey = key
+        .parse()
+        .map_err(|e| refusal::invalid("invalid_idempotency_key", format!("{e}")))?;
     let path = format!("/{}{}", call.service, call.path);
     let claim = ClaimRequest {
         request: call.request.clone(),
@@ -205,12 +232,19 @@
     let upstream = ClaimedCall {
         services: node.services.clone(),
         clock: node.clock,
-        endpoints: call.endpoints.iter().map(|&address| outgoing(&call, address)).collect(),
+        endpoints: call
+            .endpoints
+            .iter()
+            .map(|&address| outgoing(&call, address))
+            .collect(),
         deadline: call.deadline,
     };
     let answer = node.claims.call(claim, upstream).await;
     let reason = answer.error_type().unwrap_or("done").to_owned();
-    node.metrics.claims.get_or_create(&ReasonLabel { reason }).inc();
+    node.metrics
+        .claims
+        .get_or_create(&ReasonLabel { reason })
+        .inc();
     render_claim(answer)
 }
 
@@ -229,7 +263,11 @@
             if now >= before || now >= self.deadline {
                 return UpstreamOutcome::NotSent;
             }
-            match self.services.call(call.clone(), self.deadline.since(now)).await {
+            match self
+                .services
+                .call(call.clone(), self.deadline.since(now))
+                .await
+            {
                 Ok(answer) => return UpstreamOutcome::Answered(upstream_answer(answer)),
                 Err(ServiceError::OutcomeUnknown(_)) => return UpstreamOutcome::Unknown,
                 // No byte left this process: the next endpoint may be tried.
@@ -262,13 +300,16 @@
                 KeptBody::Whole(body) => kept(status, &answer.headers, body),
                 KeptBody::Digest { sha256, len } => digest_only(status, &sha256, len),
             };
-            res.headers_mut().insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
+            res.headers_mut()
+                .insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
             return Ok(res);
         }
         ClaimAnswer::NotRun(refusal) => {
             let message = format!("this attempt was not run: {:?}", refusal.reason);
             let may = refusal.other_attempts == OtherAttempts::NotChecked;
-            ApiError::new(status, kind, message).not_run().earlier_attempt_may_have_run(may)
+            ApiError::new(status, kind, message)
+                .not_run()
+                .earlier_attempt_may_have_run(may)
         }
         ClaimAnswer::OutcomeUnknown(unknown) => {
             let message = format!(
@@ -279,7 +320,9 @@
         }
         ClaimAnswer::InProgress(progress) => {
             let message = format!("attempt {} with this key is in progress", progress.attempt);
-            ApiError::new(status, kind, message).not_run().earlier_attempt_may_have_run(true)
+            ApiError::new(status, kind, message)
+                .not_run()
+                .earlier_attempt_may_have_run(true)
         }
         ClaimAnswer::KeyReused => {
             let message = "the key was used before for another request";
--- a/crates/geranium_daemon/src/claim/driver.rs
+++ b/crates/geranium_daemon/src/claim/driver.rs
@@ -72,7 +72,12 @@
         for effect in effects {
             match effect {
                 ClaimEffect::Read { op, key } => self.read(op, key),
-                ClaimEffect::Write { op, key, claim, expected } => {
+                ClaimEffect::Write {
+                    op,
+                    key,
+                    claim,
+                    expected,
+                } => {
                     self.write(op, key, &claim, expected);
                 }
                 ClaimEffect::CheckHolder { holder } => self.check_holder(holder),
@@ -105,7 +110,12 @@
     fn write(&self, op: OpId, key: String, claim: &Claim, expected: StoreRevision) {
         let store = self.service.store.clone();
         let tx = self.tx.clone();
-        let swap = Swap { key, expected, value: Some(claim.encode()), lease: None };
+        let swap = Swap {
+            key,
+            expected,
+            value: Some(claim.encode()),
+            lease: None,
+        };
         tokio::spawn(async move {
             let outcome = write_outcome(store.transact(vec![swap]).await);
             let _ = tx.send(ClaimInput::Written { op, outcome });
@@ -113,13 +123,19 @@
     }
 
     fn check_holder(&self, holder: ClaimHolder) {
-        let status = self.service.directory.status(self.service.clock.now(), &holder);
+        let status = self
+            .service
+            .directory
+            .status(self.service.clock.now(), &holder);
         let _ = self.tx.send(ClaimInput::Holder { holder, status });
     }
 
     fn dispatch(&mut self, attempt: u32, before: Timestamp) {
         // An attempt whose dispatch never began gives the upstream back.
-        let upstream = self.upstream.take().or_else(|| self.upstream_back.1.try_recv().ok());
+        let upstream = self
+            .upstream
+            .take()
+            .or_else(|| self.upstream_back.1.try_recv().ok());
         let tx = self.tx.clone();
         let back = self.upstream_back.0.clone();
         let Some(mut upstream) = upstream else {
--- a/crates/geranium_daemon/src/clock.rs
+++ b/crates/geranium_daemon/src/clock.rs
@@ -15,8 +15,13 @@
     /// Starts the clock.
     #[must_use]
     pub fn start() -> Self {
-        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { started_at: Timestamp::default() + elapsed, started: Instant::now() }
+        let elapsed = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Self {
+            started_at: Timestamp::default() + elapsed,
+            started: Instant::now(),
+        }
     }
 
     /// Returns the present time, which never decreases.
--- a/crates/geranium_daemon/src/control/leader.rs
+++ b/crates/geranium_daemon/src/control/leader.rs
@@ -3,17 +3,18 @@
 //! The lease only says who should try: every effect of a leader is guarded by
 //! compare-and-swap and by fencing numbers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use geranium_core::id::{FailureDomainId, StoreRevision};
+use geranium_core::time::Timestamp;
 use geranium_platform::{CasOutcome, KvStore, LeaseId, StoreError, Swap};
-use geranium_telemetry::ProcessIdentity;
-use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use super::ControlInput;
 use super::mirror::retry_pause;
+use crate::node::Node;
 
 /// Prefix of the leaders' keys.
 const LEADER_PREFIX: &str = "/geranium/leaders/";
@@ -33,30 +34,30 @@
     format!("{LEADER_PREFIX}{failure_domain}")
 }
 
+/// Time by which the holder's authority ends before its lease can.
+const AUTHORITY_MARGIN: Duration = Duration::from_millis(500);
+
 /// Tries to lead a failure domain for as long as the process runs.
-pub struct LeaderCampaign<S> {
-    store: S,
-    identity: ProcessIdentity,
-    tx: mpsc::Sender<ControlInput>,
+pub struct LeaderCampaign {
+    node: Arc<Node>,
     shutdown: CancellationToken,
 }
 
-impl<S: KvStore> LeaderCampaign<S> {
+impl LeaderCampaign {
     /// Makes a campaign.
-    pub fn new(
-        store: S,
-        identity: ProcessIdentity,
-        tx: mpsc::Sender<ControlInput>,
-        shutdown: CancellationToken,
-    ) -> Self {
-        Self { store, identity, tx, shutdown }
+    #[must_use]
+    pub const fn new(node: Arc<Node>, shutdown: CancellationToken) -> Self {
+        Self { node, shutdown }
     }
 
     /// Campaigns until the shutdown, then gives the lease back.
     pub async fn run(self) {
         while !self.shutdown.is_cancelled() {
-            match self.campaign().await {
-                Ok(Some(lease)) => self.lead(lease).await,
+            let outcome = self.campaign().await;
+            self.tell(ControlInput::StoreReachable(outcome.is_ok()))
+                .await;
+            match outcome {
+                Ok(Some((lease, asked_at))) => self.lead(lease, asked_at).await,
                 Ok(None) => self.pause(CAMPAIGN_INTERVAL).await,
                 Err(e) => {
                     log::debug!("campaign failed: {e}");
@@ -67,53 +68,74 @@
     }
 
     /// Takes the leader's key if nobody holds it.
-    async fn campaign(&self) -> Result<Option<LeaseId>, StoreError> {
-        let key = leader_key(&self.identity.failure_domain);
-        if self.store.get(&key).await?.is_some() {
+    async fn campaign(&self) -> Result<Option<(LeaseId, Timestamp)>, StoreError> {
+        let store = &self.node.store;
+        let identity = self.node.recorder.identity();
+        let key = leader_key(&identity.failure_domain);
+        if store.get(&key).await?.is_some() {
             return Ok(None);
         }
-        let lease = self.store.grant_lease(LEASE_TTL).await?;
-        let value = serde_json::to_vec(&self.identity).unwrap_or_default();
+        let asked_at = self.node.clock.now();
+        let lease = store.grant_lease(LEASE_TTL).await?;
+        let value = serde_json::to_vec(identity).unwrap_or_default();
         let swap = Swap {
             key,
             expected: StoreRevision::default(),
             value: Some(Bytes::from(value)),
             lease: Some(lease),
         };
-        match self.store.transact(vec![swap]).await {
-            Ok(CasOutcome::Applied(_)) => Ok(Some(lease)),
+        match store.transact(vec![swap]).await {
+            Ok(CasOutcome::Applied(_)) => Ok(Some((lease, asked_at))),
             Ok(CasOutcome::Conflict(_)) => {
-                self.store.revoke_lease(lease).await?;
+                store.revoke_lease(lease).await?;
                 Ok(None)
             }
             // If the write took effect all the same, the key ends with its lease.
             Err(e) => {
-                let _ = self.store.revoke_lease(lease).await;
+                let _ = store.revoke_lease(lease).await;
                 Err(e)
             }
         }
     }
 
     /// Renews the lease until it is lost or the process shuts down.
-    async fn lead(&self, lease: LeaseId) {
-        self.tell(true).await;
+    async fn lead(&self, lease: LeaseId, granted_at: Timestamp) {
+        self.tell(ControlInput::Leadership(true)).await;
+        self.extend_authority(granted_at);
         loop {
             self.pause(RENEW_INTERVAL).await;
             if self.shutdown.is_cancelled() {
-                let _ = self.store.revoke_lease(lease).await;
+                // Authority ends before the lease does, so that the next leader
+                // finds no credits in the making.
+                self.node.traffic.resign_cold_authority();
+                let _ = self.node.store.revoke_lease(lease).await;
                 break;
             }
-            match self.store.keep_alive(lease).await {
+            let asked_at = self.node.clock.now();
+            let renewed = self.node.store.keep_alive(lease).await;
+            match renewed {
+                Ok(_) => {
+                    self.extend_authority(asked_at);
+                    self.tell(ControlInput::StoreReachable(true)).await;
+                }
                 Err(StoreError::LeaseNotFound(_)) => break,
                 // Nobody else can lead either while the store is out of reach.
-                Ok(_) | Err(_) => {}
+                Err(_) => self.tell(ControlInput::StoreReachable(false)).await,
             }
         }
-        self.tell(false).await;
+        self.node.traffic.resign_cold_authority();
+        self.tell(ControlInput::Leadership(false)).await;
+    }
+
+    fn extend_authority(&self, asked_at: Timestamp) {
+        let until = asked_at + (LEASE_TTL - AUTHORITY_MARGIN);
+        self.node
+            .traffic
+            .extend_cold_authority(self.node.clock.now(), until);
     }
 
-    async fn tell(&self, leading: bool) {
-        let _ = self.tx.send(ControlInput::Leadership(leading)).await;
+    async fn tell(&self, input: ControlInput) {
+        let _ = self.node.control.send(input).await;
     }
 
     async fn pause(&self, time: Duration) {
--- a/crates/geranium_daemon/src/control/mirror.rs
+++ b/crates/geranium_daemon/src/control/mirror.rs
@@ -50,7 +50,12 @@
 impl<S: KvStore> StoreMirror<S> {
     /// Makes a mirror.
     pub fn new(store: S, target: MirrorTarget, tx: mpsc::Sender<ControlInput>) -> Self {
-        Self { store, target, tx, values: BTreeMap::new() }
+        Self {
+            store,
+            target,
+            tx,
+            values: BTreeMap::new(),
+        }
     }
 
     /// Follows the values until the control task is gone.
@@ -66,9 +71,16 @@
     /// Reads everything once, then follows changes until the first failure.
     async fn follow(&mut self) -> Result<(), StoreError> {
         let read = self.store.range(self.target.prefix()).await?;
-        self.values = read.values.into_iter().map(|v| (v.key.clone(), v)).collect();
+        self.values = read
+            .values
+            .into_iter()
+            .map(|v| (v.key.clone(), v))
+            .collect();
         self.report_all().await;
-        let mut watch = self.store.watch(self.target.prefix(), read.revision).await?;
+        let mut watch = self
+            .store
+            .watch(self.target.prefix(), read.revision)
+            .await?;
         while let Some(batch) = watch.next().await {
             self.take_in(batch?).await;
         }
@@ -129,11 +141,15 @@
 
     async fn report_table(&self, key: &str) {
         let Some(value) = self.values.get(key) else {
-            self.send(ControlInput::Table(None, StoreRevision::default())).await;
+            self.send(ControlInput::Table(None, StoreRevision::default()))
+                .await;
             return;
         };
         match serde_json::from_slice::<GroupTable>(&value.value) {
-            Ok(table) => self.send(ControlInput::Table(Some(table), value.revision)).await,
+            Ok(table) => {
+                self.send(ControlInput::Table(Some(table), value.revision))
+                    .await;
+            }
             Err(e) => log::error!("value of {key:?} is not a group table: {e}"),
         }
     }
--- a/crates/geranium_daemon/src/control/mod.rs
+++ b/crates/geranium_daemon/src/control/mod.rs
@@ -16,6 +16,7 @@
 pub use leader::{LeaderCampaign, leader_key};
 pub use mirror::{MirrorTarget, StoreMirror};
 pub use published::{ControlView, Published};
+pub use table_store::table_key;
 pub use task::{ControlTask, ControlTaskConfig};
 
 /// Prefix of the platform's list of hosts.
--- a/crates/geranium_daemon/src/control/orders.rs
+++ b/crates/geranium_daemon/src/control/orders.rs
@@ -21,7 +21,11 @@
 impl<E: EngineApi> OrderSender<E> {
     /// Makes a sender that knows no host yet.
     pub fn new(engines: E, tx: mpsc::Sender<ControlInput>) -> Self {
-        Self { engines, addresses: BTreeMap::new(), tx }
+        Self {
+            engines,
+            addresses: BTreeMap::new(),
+            tx,
+        }
     }
 
     /// Takes over the addresses of the platform's list of hosts.
@@ -39,7 +43,9 @@
                 Some(address) => send_to(&engines, address, &order, &tx).await,
                 None => OrderOutcome::NoAnswer,
             };
-            let _ = tx.send(ControlInput::OrderAnswered(Box::new(order), outcome)).await;
+            let _ = tx
+                .send(ControlInput::OrderAnswered(Box::new(order), outcome))
+                .await;
         });
     }
 }
--- a/crates/geranium_daemon/src/control/reports.rs
+++ b/crates/geranium_daemon/src/control/reports.rs
@@ -30,7 +30,13 @@
         interval: Duration,
         tx: mpsc::Sender<ControlInput>,
     ) -> Self {
-        Self { engines, failure_domain, interval, tx, tasks: BTreeMap::new() }
+        Self {
+            engines,
+            failure_domain,
+            interval,
+            tx,
+            tasks: BTreeMap::new(),
+        }
     }
 
     /// Starts and stops tasks so that each host of the failure domain has one.
@@ -66,7 +72,10 @@
                 let input = match engines.report(address).await {
                     Ok(report) if report.host == host => ControlInput::Report(Box::new(report)),
                     Ok(report) => {
-                        log::warn!("{address} is listed as {host} but reports as {}", report.host);
+                        log::warn!(
+                            "{address} is listed as {host} but reports as {}",
+                            report.host
+                        );
                         ControlInput::ReportMissed(host.clone())
                     }
                     Err(_) => ControlInput::ReportMissed(host.clone()),
--- a/crates/geranium_daemon/src/control/table_store.rs
+++ b/crates/geranium_daemon/src/control/table_store.rs
@@ -24,12 +24,12 @@
 
 impl<S: KvStore> TableStore<S> {
     /// Makes the access to the table of a failure domain.
-    pub fn new(
-        store: S,
-        failure_domain: &FailureDomainId,
-        tx: mpsc::Sender<ControlInput>,
-    ) -> Self {
-        Self { store, key: table_key(failure_domain), tx }
+    pub fn new(store: S, failure_domain: &FailureDomainId, tx: mpsc::Sender<ControlInput>) -> Self {
+        Self {
+            store,
+            key: table_key(failure_domain),
+            tx,
+        }
     }
 
     /// Reads the table; a failed read sends nothing and is asked for again.
@@ -65,7 +65,12 @@
             }
         };
         let key = self.key.clone();
-        let swap = Swap { key, expected, value: Some(value.into()), lease: None };
+        let swap = Swap {
+            key,
+            expected,
+            value: Some(value.into()),
+            lease: None,
+        };
         tokio::spawn(async move {
             let outcome = write_outcome(store.transact(vec![swap]).await);
             let _ = tx.send(ControlInput::TableWritten(outcome)).await;
--- a/crates/geranium_daemon/src/control/task.rs
+++ b/crates/geranium_daemon/src/control/task.rs
@@ -39,11 +39,11 @@
 }
 
 /// Owns the aggregates of group control and carries out their effects.
-pub struct ControlTask<S, E> {
+pub struct ControlTask<S, E, F> {
     clock: ProcessClock,
     recorder: Arc<EventRecorder>,
     published: Arc<Published>,
-    on_change: Box<dyn Fn(Timestamp, &ControlView) + Send>,
+    on_change: F,
     controller: GroupController,
     gate: GroupGate,
     reports: Arc<ReportBook>,
@@ -57,14 +57,19 @@
     store_reachable: bool,
 }
 
-impl<S: KvStore, E: EngineApi> ControlTask<S, E> {
+impl<S, E, F> ControlTask<S, E, F>
+where
+    S: KvStore,
+    E: EngineApi,
+    F: Fn(Timestamp, &ControlView) + Send,
+{
     /// Makes the task; `on_change` is told of each new view.
     pub fn new(
         cfg: ControlTaskConfig,
         (clock, recorder, published): (ProcessClock, Arc<EventRecorder>, Arc<Published>),
         (store, engines): (S, E),
         (tx, rx): (mpsc::Sender<ControlInput>, mpsc::Receiver<ControlInput>),
-        on_change: impl Fn(Timestamp, &ControlView) + Send + 'static,
+        on_change: F,
     ) -> Self {
         let domain = cfg.identity.failure_domain;
         let incarnation = cfg.identity.incarnation;
@@ -76,7 +81,7 @@
             clock,
             recorder,
             published,
-            on_change: Box::new(on_change),
+            on_change,
             controller,
             gate: GroupGate::new(cfg.group, domain),
             reports: Arc::default(),
@@ -123,7 +128,10 @@
                 self.decide(GroupInput::ReportMissed { host: &host });
             }
             ControlInput::OrderAnswered(order, outcome) => {
-                self.decide(GroupInput::OrderAnswered { order: &order, outcome });
+                self.decide(GroupInput::OrderAnswered {
+                    order: &order,
+                    outcome,
+                });
             }
         }
     }
@@ -134,9 +142,17 @@
         }
         self.store_reachable = reachable;
         let (kind, reason, input) = if reachable {
-            (EventKind::StoreReachable, "a call was answered", GroupInput::StoreReachable)
+            (
+                EventKind::StoreReachable,
+                "a call was answered",
+                GroupInput::StoreReachable,
+            )
         } else {
-            (EventKind::StoreUnreachable, "calls go unanswered", GroupInput::StoreUnreachable)
+            (
+                EventKind::StoreUnreachable,
+                "calls go unanswered",
+                GroupInput::StoreUnreachable,
+            )
         };
         self.emit(EventDraft::new(kind, EventSubject::default(), reason));
         self.decide(input);
@@ -172,7 +188,10 @@
         let models: Vec<ModelSpec> = self.records.models().cloned().collect();
         let drained: Vec<DrainTarget> = self.records.drains().map(|d| d.target.clone()).collect();
         self.gate.set_records(&models, &drained);
-        self.decide(GroupInput::RecordsChanged { models: &models, drained: &drained });
+        self.decide(GroupInput::RecordsChanged {
+            models: &models,
+            drained: &drained,
+        });
         self.publish();
     }
 
--- a/crates/geranium_daemon/src/lib.rs
+++ b/crates/geranium_daemon/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder front page, replaced by the first commit of the crate.
+//! The entry host daemon.
+//!
+//! | module | duty |
+//! | --- | --- |
+//! | [`settings`] | checked settings |
+//! | [`startup`] | puts the parts together |
+//! | [`control`] | group control, leadership, mirrors of the platform's store |
+//! | [`traffic`] | routing and limits |
+//! | [`relay`] | completions from replica groups to callers |
+//! | [`claim`] | calls that must not repeat |
+//! | [`caller`], [`operator`] | the two HTTP interfaces |
+//! | [`node`] | what the parts share |
+
+pub mod apply;
+pub mod caller;
+pub mod claim;
+pub mod clock;
+pub mod control;
+pub mod metrics;
+pub mod node;
+pub mod operator;
+pub mod prelude;
+pub mod relay;
+pub mod settings;
+pub mod startup;
+pub mod startup_error;
+pub mod traffic;
--- a/crates/geranium_daemon/src/metrics.rs
+++ b/crates/geranium_daemon/src/metrics.rs
@@ -132,7 +132,10 @@
 
     /// Counts an answered request.
     pub fn answered(&self, call: CallKind, outcome: &str) {
-        let label = RequestLabel { call, outcome: outcome.to_owned() };
+        let label = RequestLabel {
+            call,
+            outcome: outcome.to_owned(),
+        };
         self.requests.get_or_create(&label).inc();
     }
 
@@ -145,10 +148,18 @@
             self.first_token.clone(),
         );
         registry.register("tokens", "Tokens passed on", self.tokens.clone());
-        registry.register("requests_in_progress", "Requests in progress", self.in_progress.clone());
+        registry.register(
+            "requests_in_progress",
+            "Requests in progress",
+            self.in_progress.clone(),
+        );
         registry.register("streams_resumed", "Streams resumed", self.resumed.clone());
         registry.register("retries", "Retries by outcome", self.retries.clone());
-        registry.register("cold_starts", "Requests on cold groups", self.cold_starts.clone());
+        registry.register(
+            "cold_starts",
+            "Requests on cold groups",
+            self.cold_starts.clone(),
+        );
         registry.register("claims", "Claimed calls by outcome", self.claims.clone());
     }
 
@@ -159,16 +170,44 @@
             "Time of replica groups asked for but not serving",
             self.group_downtime_ms.clone(),
         );
-        registry.register("accelerators", "Accelerators by use", self.accelerators.clone());
-        registry.register("groups_open", "Groups that take requests", self.groups_open.clone());
-        registry.register("groups_closed", "Groups that take none", self.groups_closed.clone());
+        registry.register(
+            "accelerators",
+            "Accelerators by use",
+            self.accelerators.clone(),
+        );
+        registry.register(
+            "groups_open",
+            "Groups that take requests",
+            self.groups_open.clone(),
+        );
+        registry.register(
+            "groups_closed",
+            "Groups that take none",
+            self.groups_closed.clone(),
+        );
         registry.register("records", "Records in force", self.records.clone());
         registry.register("store_calls", "Platform calls", self.store_calls.clone());
-        registry.register("store_failures", "Failed platform calls", self.store_failures.clone());
-        registry.register("events_dropped", "Dropped events", self.events_dropped.clone());
-        registry.register("store_reachable", "Platform answers", self.store_reachable.clone());
+        registry.register(
+            "store_failures",
+            "Failed platform calls",
+            self.store_failures.clone(),
+        );
+        registry.register(
+            "events_dropped",
+            "Dropped events",
+            self.events_dropped.clone(),
+        );
+        registry.register(
+            "store_reachable",
+            "Platform answers",
+            self.store_reachable.clone(),
+        );
         registry.register("leading", "Leads its failure domain", self.leading.clone());
-        registry.register("entry_hosts", "Known entry hosts by state", self.entry_hosts.clone());
+        registry.register(
+            "entry_hosts",
+            "Known entry hosts by state",
+            self.entry_hosts.clone(),
+        );
     }
 }
 
--- a/crates/geranium_daemon/src/node.rs
+++ b/crates/geranium_daemon/src/node.rs
@@ -1,9 +1,13 @@
 //! What the parts of the process share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use geranium_core::event::EventDraft;
+use geranium_core::group::GroupState;
+use geranium_core::id::{FencingNumber, GroupId, HostId};
+use geranium_core::limit::CrashDigest;
 use geranium_core::once::{ClaimHolder, HolderStatus};
 use geranium_core::record::{RecordKey, StoredRecord, WriterId};
 use geranium_core::time::Timestamp;
@@ -75,6 +79,47 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of entry hosts that share this failure domain's groups.
+    #[must_use]
+    pub fn entry_hosts(&self) -> u32 {
+        1
+    }
+
+    /// Returns the caller listener of another entry host.
+    #[must_use]
+    pub fn caller_address(&self, _host: &HostId) -> Option<SocketAddr> {
+        None
+    }
+
+    /// Tells peers which requests were in flight when a group crashed.
+    pub fn tell_peers_of_crash(&self, _digest: &CrashDigest) {}
+
+    /// Returns whether a group lost a member since a request was sent to it.
+    ///
+    /// A group that was drained or is dissolving goes on with what it has.
+    #[must_use]
+    pub fn is_broken(&self, group: &GroupId, fencing: FencingNumber) -> bool {
+        let view = self.published.view();
+        let known = view
+            .table
+            .as_ref()
+            .and_then(|table| table.groups().get(group));
+        let Some(known) = known.filter(|known| known.fencing == fencing) else {
+            return true;
+        };
+        let open = view.serving.iter().any(|serving| serving.group == *group);
+        let drained = view.records.drained();
+        let leaving = known.state == GroupState::Dissolving
+            || drained
+                .failure_domains
+                .contains(&self.settings.failure_domain)
+            || known
+                .members
+                .iter()
+                .any(|member| drained.hosts.contains(&member.host));
+        !open && !leaving
+    }
+
     /// Records an event.
     pub fn record(&self, draft: EventDraft) {
         self.recorder.record(self.clock.now(), draft);
@@ -115,7 +160,12 @@
             host: identity.host.clone(),
             failure_domain: identity.failure_domain.clone(),
             operator_address: Some(self.settings.operator_address),
-            state: if self.is_stopping() { "leaving" } else { "alive" }.to_owned(),
+            state: if self.is_stopping() {
+                "leaving"
+            } else {
+                "alive"
+            }
+            .to_owned(),
             heard_ms_ago: 0,
             same_records: true,
         }]
@@ -133,12 +183,18 @@
         let (calls, failures) = self.store_calls();
         self.metrics.store_calls.set(calls.cast_signed());
         self.metrics.store_failures.set(failures.cast_signed());
-        self.metrics.events_dropped.set(self.recorder.dropped().cast_signed());
+        self.metrics
+            .events_dropped
+            .set(self.recorder.dropped().cast_signed());
         self.metrics.records.set(view.records.len() as i64);
         self.metrics.groups_open.set(view.serving.len() as i64);
-        self.metrics.groups_closed.set(view.closed_because.len() as i64);
+        self.metrics
+            .groups_closed
+            .set(view.closed_because.len() as i64);
         self.metrics.leading.set(i64::from(view.leading));
-        self.metrics.store_reachable.set(i64::from(view.store_reachable));
+        self.metrics
+            .store_reachable
+            .set(i64::from(view.store_reachable));
         let accelerators = crate::operator::accelerators(self, &view);
         self.metrics.accelerators.clear();
         self.set_accelerators("serving", accelerators.serving);
@@ -148,8 +204,13 @@
     }
 
     fn set_accelerators(&self, reason: &str, count: u32) {
-        let label = ReasonLabel { reason: reason.to_owned() };
-        self.metrics.accelerators.get_or_create(&label).set(i64::from(count));
+        let label = ReasonLabel {
+            reason: reason.to_owned(),
+        };
+        self.metrics
+            .accelerators
+            .get_or_create(&label)
+            .set(i64::from(count));
     }
 }
 
--- a/crates/geranium_daemon/src/operator/auth.rs
+++ b/crates/geranium_daemon/src/operator/auth.rs
@@ -17,8 +17,13 @@
 ///
 /// Returns a refusal if the token is missing or wrong.
 pub fn check(node: &Node, req: &Request) -> Result<(), ApiError> {
-    let header = req.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
-    let token = header.and_then(|text| text.strip_prefix(SCHEME)).unwrap_or_default();
+    let header = req
+        .headers()
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok());
+    let token = header
+        .and_then(|text| text.strip_prefix(SCHEME))
+        .unwrap_or_default();
     let wanted = node.settings.operator_token.as_bytes();
     if token.as_bytes().ct_eq(wanted).into() {
         return Ok(());
--- a/crates/geranium_daemon/src/operator/events.rs
+++ b/crates/geranium_daemon/src/operator/events.rs
@@ -18,7 +18,7 @@
 /// Returns the events that the query admits.
 pub async fn events(node: Arc<Node>, req: Request) -> Result<Response> {
     let filter = filter(&Query::of(&req))?;
-    json(&node.recorder.page(&filter, MAX_EVENTS))
+    Ok(json(&node.recorder.page(&filter, MAX_EVENTS))?)
 }
 
 fn filter(query: &Query) -> std::result::Result<EventFilter, ApiError> {
@@ -28,7 +28,10 @@
         host: query.get("host")?,
         record: query.get("record")?,
         account: query.get("account")?,
-        kind: query.get::<String>("kind")?.map(|text| kind(&text)).transpose()?,
+        kind: query
+            .get::<String>("kind")?
+            .map(|text| kind(&text))
+            .transpose()?,
         since: query.get("since")?.map(Timestamp),
         after: query.get("after")?,
     })
@@ -37,6 +40,9 @@
 fn kind(text: &str) -> std::result::Result<EventKind, ApiError> {
     let found = EventKind::ALL.iter().find(|kind| kind.as_str() == text);
     found.copied().ok_or_else(|| {
-        bad_request("invalid_query", format!("event kind {text:?} does not exist"))
+        bad_request(
+            "invalid_query",
+            format!("event kind {text:?} does not exist"),
+        )
     })
 }
--- a/crates/geranium_daemon/src/operator/explain.rs
+++ b/crates/geranium_daemon/src/operator/explain.rs
@@ -33,19 +33,26 @@
     if explanation.lines.is_empty() {
         return Err(not_found(format!("{what} {id} is not known to this host")).into());
     }
-    json(&explanation)
+    Ok(json(&explanation)?)
 }
 
 fn parse<T: std::str::FromStr>(id: &str) -> std::result::Result<T, ApiError>
 where
     T::Err: std::fmt::Display,
 {
-    id.parse().map_err(|e: T::Err| bad_request("invalid_path", e.to_string()))
+    id.parse()
+        .map_err(|e: T::Err| bad_request("invalid_path", e.to_string()))
 }
 
 fn explain_request(node: &Node, id: &RequestId) -> Explanation {
-    let filter = EventFilter { request: Some(id.clone()), ..EventFilter::default() };
-    Explanation { lines: event_lines(node, &filter), would_change: Vec::new() }
+    let filter = EventFilter {
+        request: Some(id.clone()),
+        ..EventFilter::default()
+    };
+    Explanation {
+        lines: event_lines(node, &filter),
+        would_change: Vec::new(),
+    }
 }
 
 fn explain_group(node: &Node, view: &ControlView, id: &GroupId) -> Explanation {
@@ -62,13 +69,20 @@
         ));
         match view.closed_because.get(id) {
             Some(why) => {
-                explanation.lines.push(format!("it takes no requests: {why}"));
-                explanation.would_change.push(format!("the end of this: {why}"));
+                explanation
+                    .lines
+                    .push(format!("it takes no requests: {why}"));
+                explanation
+                    .would_change
+                    .push(format!("the end of this: {why}"));
             }
             None => explanation.lines.push("it takes requests".to_owned()),
         }
     }
-    let filter = EventFilter { group: Some(id.clone()), ..EventFilter::default() };
+    let filter = EventFilter {
+        group: Some(id.clone()),
+        ..EventFilter::default()
+    };
     explanation.lines.extend(event_lines(node, &filter));
     explanation
 }
@@ -82,7 +96,9 @@
         ));
         let group = view.table.as_ref().and_then(|table| table.group_of(id));
         match group {
-            Some((group, _)) => explanation.lines.push(format!("it is a member of group {group}")),
+            Some((group, _)) => explanation
+                .lines
+                .push(format!("it is a member of group {group}")),
             None => {
                 explanation.lines.push("it is in no group".to_owned());
                 let change = "a record that asks for more replicas, or a member to replace";
@@ -97,24 +113,38 @@
             report.phase, report.incarnation
         ));
     }
-    let filter = EventFilter { host: Some(id.clone()), ..EventFilter::default() };
+    let filter = EventFilter {
+        host: Some(id.clone()),
+        ..EventFilter::default()
+    };
     explanation.lines.extend(event_lines(node, &filter));
     explanation
 }
 
 fn explain_record(node: &Node, view: &ControlView, id: &RecordName) -> Explanation {
     let mut explanation = Explanation::default();
-    for entry in view.records.iter().filter(|entry| entry.stored.key.name == *id) {
+    for entry in view
+        .records
+        .iter()
+        .filter(|entry| entry.stored.key.name == *id)
+    {
         let stored = &entry.stored;
         explanation.lines.push(format!(
             "{} is at generation {}, {} by {}",
             stored.key,
             stored.generation(),
-            if stored.is_deleted() { "deleted" } else { "written" },
+            if stored.is_deleted() {
+                "deleted"
+            } else {
+                "written"
+            },
             stored.change.operator
         ));
     }
-    let filter = EventFilter { record: Some(id.clone()), ..EventFilter::default() };
+    let filter = EventFilter {
+        record: Some(id.clone()),
+        ..EventFilter::default()
+    };
     explanation.lines.extend(event_lines(node, &filter));
     explanation
 }
@@ -125,6 +155,12 @@
 }
 
 fn line(event: &Event) -> String {
-    let cause = event.cause.as_ref().map_or_else(String::new, |cause| format!(" (after {cause})"));
-    format!("{} {} on {}: {}{cause}", event.wall, event.kind, event.id.host, event.reason)
+    let cause = event
+        .cause
+        .as_ref()
+        .map_or_else(String::new, |cause| format!(" (after {cause})"));
+    format!(
+        "{} {} on {}: {}{cause}",
+        event.wall, event.kind, event.id.host, event.reason
+    )
 }
--- a/crates/geranium_daemon/src/operator/mod.rs
+++ b/crates/geranium_daemon/src/operator/mod.rs
@@ -5,13 +5,15 @@
 mod explain;
 mod query;
 mod records;
-mod reply;
+pub mod reply;
 mod status;
 
 use std::sync::Arc;
 
 use viz::{Request, Response, Result, Router};
 
+pub use status::accelerators;
+
 use crate::node::Node;
 
 /// Makes the router of the operator listener.
@@ -19,14 +21,44 @@
 pub fn router(node: &Arc<Node>) -> Router {
     let router = Router::new();
     let router = with(router, node, "/v1/records", Verb::Get, records::list);
-    let router = with(router, node, "/v1/records/:kind/:name", Verb::Get, records::get);
-    let router = with(router, node, "/v1/records/:kind/:name", Verb::Put, records::apply);
-    let router = with(router, node, "/v1/history/:kind/:name", Verb::Get, records::history);
-    let router = with(router, node, "/v1/in-force/:kind/:name", Verb::Get, records::in_force);
+    let router = with(
+        router,
+        node,
+        "/v1/records/:kind/:name",
+        Verb::Get,
+        records::get,
+    );
+    let router = with(
+        router,
+        node,
+        "/v1/records/:kind/:name",
+        Verb::Put,
+        records::apply,
+    );
+    let router = with(
+        router,
+        node,
+        "/v1/history/:kind/:name",
+        Verb::Get,
+        records::history,
+    );
+    let router = with(
+        router,
+        node,
+        "/v1/in-force/:kind/:name",
+        Verb::Get,
+        records::in_force,
+    );
     let router = with(router, node, "/v1/validate", Verb::Post, records::validate);
     let router = with(router, node, "/v1/status", Verb::Get, status::status);
     let router = with(router, node, "/v1/events", Verb::Get, events::events);
-    let router = with(router, node, "/v1/explain/:what/:id", Verb::Get, explain::explain);
+    let router = with(
+        router,
+        node,
+        "/v1/explain/:what/:id",
+        Verb::Get,
+        explain::explain,
+    );
     let router = open(router, node, "/metrics", status::metrics);
     let router = open(router, node, "/healthz", status::healthz);
     open(router, node, "/readyz", status::readyz)
--- a/crates/geranium_daemon/src/operator/query.rs
+++ b/crates/geranium_daemon/src/operator/query.rs
@@ -17,7 +17,10 @@
         let pairs = req.query_string().unwrap_or_default().split('&');
         let pairs = pairs.filter_map(|pair| pair.split_once('='));
         let kept = pairs.filter(|(_, value)| !value.is_empty());
-        Self(kept.map(|(name, value)| (name.to_owned(), value.to_owned())).collect())
+        Self(
+            kept.map(|(name, value)| (name.to_owned(), value.to_owned()))
+                .collect(),
+        )
     }
 
     /// Reads a parameter that may be absent.
@@ -30,9 +33,14 @@
         T: FromStr,
         T::Err: std::fmt::Display,
     {
-        let Some(text) = self.0.get(name) else { return Ok(None) };
+        let Some(text) = self.0.get(name) else {
+            return Ok(None);
+        };
         text.parse().map(Some).map_err(|e: T::Err| {
-            bad_request("invalid_query", format!("parameter {name:?} is {text:?}: {e}"))
+            bad_request(
+                "invalid_query",
+                format!("parameter {name:?} is {text:?}: {e}"),
+            )
         })
     }
 }
@@ -49,7 +57,8 @@
 /// Returns a refusal if kind or name are not valid.
 pub fn record_key(req: &Request) -> Result<RecordKey, ApiError> {
     let text = format!("{}/{}", param(req, "kind"), param(req, "name"));
-    text.parse().map_err(|e: RecordError| bad_request("invalid_key", e.to_string()))
+    text.parse()
+        .map_err(|e: RecordError| bad_request("invalid_key", e.to_string()))
 }
 
 /// Makes a refusal of a call that is not valid.
--- a/crates/geranium_daemon/src/operator/records.rs
+++ b/crates/geranium_daemon/src/operator/records.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use geranium_core::record::{
-    Document, Finding, KnownPlaces, RecordEntry, RecordError, RecordKey, RecordKind,
-    Severity, StoredRecord, check_change, diff,
+    Document, Finding, KnownPlaces, RecordEntry, RecordError, RecordKey, RecordKind, Severity,
+    StoredRecord, check_change, diff,
 };
 use geranium_net::{ApiError, read_body};
 use geranium_operator::{
@@ -27,17 +27,25 @@
     let kind: Option<RecordKind> = Query::of(&req).get("kind")?;
     let view = node.published.view();
     let wanted = |entry: &&RecordEntry| kind.is_none_or(|kind| entry.stored.key.kind == kind);
-    let records = view.records.iter().filter(wanted).map(|e| record_view(&e.stored)).collect();
-    json(&RecordPage { records })
+    let records = view
+        .records
+        .iter()
+        .filter(wanted)
+        .map(|e| record_view(&e.stored))
+        .collect();
+    Ok(json(&RecordPage { records })?)
 }
 
 /// Reads one record in force.
 pub async fn get(node: Arc<Node>, req: Request) -> Result<Response> {
     let key = record_key(&req)?;
     let view = node.published.view();
-    let entry = view.records.get(&key).filter(|entry| !entry.stored.is_deleted());
+    let entry = view
+        .records
+        .get(&key)
+        .filter(|entry| !entry.stored.is_deleted());
     let entry = entry.ok_or_else(|| not_found(format!("record {key} does not exist")))?;
-    json(&record_view(&entry.stored))
+    Ok(json(&record_view(&entry.stored))?)
 }
 
 /// Lists the changes of a record, newest first.
@@ -47,9 +55,11 @@
     let entry = view.records.get(&key);
     let entry = entry.ok_or_else(|| not_found(format!("record {key} does not exist")))?;
     let stored = &entry.stored;
-    let changes = [&stored.change].into_iter().chain(stored.history.iter().rev());
+    let changes = [&stored.change]
+        .into_iter()
+        .chain(stored.history.iter().rev());
     let entries: Vec<HistoryEntry> = changes.map(apply::history_entry).collect();
-    json(&entries)
+    Ok(json(&entries)?)
 }
 
 /// Tells on which entry hosts a generation is in force.
@@ -57,7 +67,7 @@
     let key = record_key(&req)?;
     let generation: Option<u64> = Query::of(&req).get("generation")?;
     let views: Vec<InForceView> = node.in_force(&key, generation.unwrap_or_default()).await;
-    json(&views)
+    Ok(json(&views)?)
 }
 
 /// Checks a document against the records in force.
@@ -68,19 +78,27 @@
         Ok(document) => document,
         Err(e) => {
             let faults = faults(&e);
-            return json(&ValidateAnswer { faults, ..ValidateAnswer::default() });
+            return Ok(json(&ValidateAnswer {
+                faults,
+                ..ValidateAnswer::default()
+            })?);
         }
     };
     let places = KnownPlaces::from_hosts(view.hosts.iter());
-    let findings = check_change(&view.records, document.key(), Some(document.spec()), &places);
+    let findings = check_change(
+        &view.records,
+        document.key(),
+        Some(document.spec()),
+        &places,
+    );
     let held = view.records.get(document.key());
     let old = held.and_then(|entry| entry.stored.document.as_ref());
     let changes = diff(old, Some(document.value()));
-    json(&ValidateAnswer {
+    Ok(json(&ValidateAnswer {
         faults: render(&findings, Severity::Error),
         warnings: render(&findings, Severity::Warning),
         changes: changes.iter().map(ToString::to_string).collect(),
-    })
+    })?)
 }
 
 /// Changes or deletes a record.
@@ -94,7 +112,7 @@
         value => Some(document_for(&key, value)?),
     };
     let answer = apply::apply(&node, key, document, &req).await?;
-    json(&answer)
+    Ok(json(&answer)?)
 }
 
 fn document_for(key: &RecordKey, value: &Value) -> std::result::Result<Document, ApiError> {
@@ -103,7 +121,10 @@
         return Ok(document);
     }
     let named = document.key();
-    Err(bad_request("key_mismatch", format!("document is {named}, but the path names {key}")))
+    Err(bad_request(
+        "key_mismatch",
+        format!("document is {named}, but the path names {key}"),
+    ))
 }
 
 fn parse(body: &[u8]) -> std::result::Result<Document, RecordError> {
@@ -111,8 +132,12 @@
 }
 
 fn invalid(e: &RecordError) -> ApiError {
-    ApiError::new(StatusCode::UNPROCESSABLE_ENTITY, "invalid_record", "the record is not valid")
-        .with_faults(faults(e))
+    ApiError::new(
+        StatusCode::UNPROCESSABLE_ENTITY,
+        "invalid_record",
+        "the record is not valid",
+    )
+    .with_faults(faults(e))
 }
 
 fn faults(e: &RecordError) -> Vec<String> {
@@ -123,8 +148,10 @@
 }
 
 fn render(findings: &[Finding], severity: Severity) -> Vec<String> {
-    let wanted = findings.iter().filter(|finding| finding.severity == severity);
-    wanted.map(ToString::to_string).collect()
+    let wanted = findings
+        .iter()
+        .filter(|finding| finding.severity == severity);
+    wanted.map(|finding| finding.fault.to_string()).collect()
 }
 
 fn record_view(stored: &StoredRecord) -> RecordView {
--- a/crates/geranium_daemon/src/operator/reply.rs
+++ b/crates/geranium_daemon/src/operator/reply.rs
@@ -6,16 +6,20 @@
 use hyper::StatusCode;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use serde::Serialize;
-use viz::{Body, Response, Result};
+use viz::{Body, Response};
 
 /// Renders a value as a JSON answer.
 ///
 /// # Errors
 ///
 /// Returns a refusal if the value cannot be serialised.
-pub fn json(value: &impl Serialize) -> Result<Response> {
+pub fn json(value: &impl Serialize) -> Result<Response, ApiError> {
     let body = serde_json::to_vec(value).map_err(|e| {
-        ApiError::new(StatusCode::INTERNAL_SERVER_ERROR, "unrenderable_answer", e.to_string())
+        ApiError::new(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "unrenderable_answer",
+            e.to_string(),
+        )
     })?;
     Ok(typed(StatusCode::OK, "application/json", Bytes::from(body)))
 }
@@ -24,6 +28,7 @@
 pub fn typed(status: StatusCode, content_type: &'static str, body: Bytes) -> Response {
     let mut res = Response::new(Body::Full(Full::new(body)));
     *res.status_mut() = status;
-    res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    res.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
     res
 }
--- a/crates/geranium_daemon/src/operator/status.rs
+++ b/crates/geranium_daemon/src/operator/status.rs
@@ -8,9 +8,7 @@
 use geranium_core::id::GroupId;
 use geranium_core::record::ModelSpec;
 use geranium_core::time::Timestamp;
-use geranium_operator::{
-    AcceleratorView, GroupView, MemberView, ModelView, StatusView, StoreView,
-};
+use geranium_operator::{AcceleratorView, GroupView, MemberView, ModelView, StatusView, StoreView};
 use hyper::StatusCode;
 use viz::{Request, Response, Result};
 
@@ -25,7 +23,7 @@
     let models = models(&node, &view);
     let needs_person = needs_person(&view, &models);
     let calls = node.store_calls();
-    json(&StatusView {
+    Ok(json(&StatusView {
         process: node.recorder.identity().clone(),
         leading: view.leading,
         ready: node.is_ready(),
@@ -40,25 +38,37 @@
         groups: groups(now, &view),
         accelerators: accelerators(&node, &view),
         needs_person,
-    })
+    })?)
 }
 
 /// Returns the metrics.
 pub async fn metrics(node: Arc<Node>, _req: Request) -> Result<Response> {
     node.refresh_metrics();
     let text = node.metrics.render();
-    Ok(typed(StatusCode::OK, "text/plain; version=0.0.4", Bytes::from(text)))
+    Ok(typed(
+        StatusCode::OK,
+        "text/plain; version=0.0.4",
+        Bytes::from(text),
+    ))
 }
 
 /// Answers while the process runs.
 pub async fn healthz(_node: Arc<Node>, _req: Request) -> Result<Response> {
-    Ok(typed(StatusCode::OK, "text/plain", Bytes::from_static(b"ok\n")))
+    Ok(typed(
+        StatusCode::OK,
+        "text/plain",
+        Bytes::from_static(b"ok\n"),
+    ))
 }
 
 /// Answers whether the process takes requests.
 pub async fn readyz(node: Arc<Node>, _req: Request) -> Result<Response> {
     if node.is_ready() {
-        return Ok(typed(StatusCode::OK, "text/plain", Bytes::from_static(b"ready\n")));
+        return Ok(typed(
+            StatusCode::OK,
+            "text/plain",
+            Bytes::from_static(b"ready\n"),
+        ));
     }
     let body = Bytes::from_static(b"not ready\n");
     Ok(typed(StatusCode::SERVICE_UNAVAILABLE, "text/plain", body))
@@ -68,7 +78,10 @@
     let domain = &node.settings.failure_domain;
     let mut models = Vec::new();
     for spec in view.records.models() {
-        let placements = spec.placements.iter().filter(|p| p.failure_domain == *domain);
+        let placements = spec
+            .placements
+            .iter()
+            .filter(|p| p.failure_domain == *domain);
         let wanted: u32 = placements.map(|p| p.replicas).sum();
         let serving = serving(view, spec);
         if wanted > 0 || serving > 0 {
@@ -87,7 +100,10 @@
 }
 
 fn serving(view: &ControlView, spec: &ModelSpec) -> u32 {
-    let groups = view.serving.iter().filter(|group| group.record == spec.name);
+    let groups = view
+        .serving
+        .iter()
+        .filter(|group| group.record == spec.name);
     u32::try_from(groups.count()).unwrap_or(u32::MAX)
 }
 
@@ -95,27 +111,32 @@
     let Some(table) = &view.table else {
         return "the group table is not known yet".to_owned();
     };
-    let groups = table.groups().iter().filter(|(_, group)| group.record == spec.name);
+    let groups = table
+        .groups()
+        .iter()
+        .filter(|(_, group)| group.record == spec.name);
     let reasons: Vec<String> = groups
         .filter_map(|(id, _)| Some(format!("{id}: {}", view.closed_because.get(id)?)))
         .collect();
     if reasons.is_empty() {
-        return "no group is formed yet: the leader waits for free hosts or for the store".to_owned();
+        return "no group is formed yet: the leader waits for free hosts or for the store"
+            .to_owned();
     }
     reasons.join("; ")
 }
 
 fn groups(now: Timestamp, view: &ControlView) -> Vec<GroupView> {
-    let Some(table) = &view.table else { return Vec::new() };
-    table.groups().iter().map(|(id, group)| group_view(now, view, id, group)).collect()
+    let Some(table) = &view.table else {
+        return Vec::new();
+    };
+    table
+        .groups()
+        .iter()
+        .map(|(id, group)| group_view(now, view, id, group))
+        .collect()
 }
 
-fn group_view(
-    now: Timestamp,
-    view: &ControlView,
-    id: &GroupId,
-    group: &ReplicaGroup,
-) -> GroupView {
+fn group_view(now: Timestamp, view: &ControlView, id: &GroupId, group: &ReplicaGroup) -> GroupView {
     let members = group.members.iter().map(|member| {
         let seen = view.reports.get(&member.host);
         MemberView {
@@ -148,7 +169,10 @@
     let hosts = view.hosts.iter();
     for host in hosts.filter(|h| h.failure_domain == node.settings.failure_domain) {
         total += host.accelerators;
-        let group = view.table.as_ref().and_then(|table| table.group_of(&host.host));
+        let group = view
+            .table
+            .as_ref()
+            .and_then(|table| table.group_of(&host.host));
         let reason = match group {
             Some((id, _)) if view.serving.iter().any(|s| s.group == *id) => {
                 serving += host.accelerators;
@@ -161,19 +185,32 @@
         };
         *stranded.entry(reason.to_owned()).or_default() += host.accelerators;
     }
-    AcceleratorView { total, serving, stranded }
+    AcceleratorView {
+        total,
+        serving,
+        stranded,
+    }
 }
 
 fn needs_person(view: &ControlView, models: &[ModelView]) -> Vec<String> {
     let mut needs = Vec::new();
     for entry in view.records.iter() {
         if let Some(e) = &entry.unreadable {
-            needs.push(format!("record {} is not understood: {e}", entry.stored.key));
+            needs.push(format!(
+                "record {} is not understood: {e}",
+                entry.stored.key
+            ));
         }
     }
-    for model in models.iter().filter(|model| model.serving == 0 && model.wanted > 0) {
+    for model in models
+        .iter()
+        .filter(|model| model.serving == 0 && model.wanted > 0)
+    {
         let why = model.missing.as_deref().unwrap_or_default();
-        needs.push(format!("{} serves nothing in {}: {why}", model.record, model.failure_domain));
+        needs.push(format!(
+            "{} serves nothing in {}: {why}",
+            model.record, model.failure_domain
+        ));
     }
     needs
 }
--- a/crates/geranium_daemon/src/relay/attempt.rs
+++ b/crates/geranium_daemon/src/relay/attempt.rs
@@ -5,9 +5,7 @@
 
 use geranium_core::route::{RouteChoice, RoutePath};
 use geranium_core::time::Timestamp;
-use geranium_engine::{
-    CompletionRequest, CompletionStream, EngineApi, EngineError, Resume,
-};
+use geranium_engine::{CompletionRequest, CompletionStream, EngineApi, EngineError, Resume};
 use geranium_net::{ApiError, ClientError, HttpRequest, read_incoming};
 
 use super::RelayRequest;
@@ -45,7 +43,11 @@
         resume,
     };
     match &choice.path {
-        RoutePath::Direct => node.engines.stream_completion(choice.address, &completion).await,
+        RoutePath::Direct => {
+            node.engines
+                .stream_completion(choice.address, &completion)
+                .await
+        }
         RoutePath::Through(host) => match node.caller_address(host) {
             Some(address) => forward(node, address, req, &completion).await,
             None => {
@@ -74,13 +76,25 @@
         .and_then(|r| r.header_text("x-deadline-ms", &remaining))
         .map_err(EngineError::from_client)?;
     let limit = ACCEPT_TIMEOUT.min(completion.remaining);
-    let res = node.http.send(http, limit).await.map_err(EngineError::from_client)?;
+    let res = node
+        .http
+        .send(http, limit)
+        .await
+        .map_err(EngineError::from_client)?;
     let status = res.status();
     if status.is_success() {
         return Ok(CompletionStream::new(address, res.into_body(), MAX_EVENT));
     }
-    let body = read_incoming(address, res.into_body(), MAX_REFUSAL).await.unwrap_or_default();
+    let body = read_incoming(address, res.into_body(), MAX_REFUSAL)
+        .await
+        .unwrap_or_default();
     let refusal = ApiError::parse(status, &body);
     let (kind, message) = refusal.map_or_else(Default::default, |e| (e.kind, e.message));
-    Err(EngineError::Refused(address, status.as_u16(), kind, message, None))
+    Err(EngineError::Refused(
+        address,
+        status.as_u16(),
+        kind,
+        message,
+        None,
+    ))
 }
--- a/crates/geranium_daemon/src/relay/chunk.rs
+++ b/crates/geranium_daemon/src/relay/chunk.rs
@@ -34,14 +34,20 @@
 pub fn read_piece(piece: &CompletionPiece) -> Result<PieceBody, serde_json::Error> {
     let chunk: Chunk<'_> = serde_json::from_slice(&piece.data)?;
     let choice = chunk.choices.into_iter().next();
-    let (content, reason) =
-        choice.map_or((None, None), |choice| (choice.delta.content, choice.finish_reason));
+    let (content, reason) = choice.map_or((None, None), |choice| {
+        (choice.delta.content, choice.finish_reason)
+    });
     let content = content.unwrap_or_default();
     Ok(match reason {
-        Some(reason) if content.is_empty() => {
-            PieceBody::End { tokens: piece.index, reason: finish_reason(&reason) }
-        }
-        _ => PieceBody::Tokens { first: piece.index, count: 1, text: content.into_owned() },
+        Some(reason) if content.is_empty() => PieceBody::End {
+            tokens: piece.index,
+            reason: finish_reason(&reason),
+        },
+        _ => PieceBody::Tokens {
+            first: piece.index,
+            count: 1,
+            text: content.into_owned(),
+        },
     })
 }
 
--- a/crates/geranium_daemon/src/relay/job.rs
+++ b/crates/geranium_daemon/src/relay/job.rs
@@ -11,8 +11,7 @@
 use geranium_core::limit::{ColdOutcome, CrashId, CrashVerdict, InFlight, RetryBackoff};
 use geranium_core::route::{RouteChoice, RouteQuery, RouteRefusal};
 use geranium_core::stream::{
-    Delivery, FinishReason, Piece, PieceBody, ResumePoint, StreamAssembler, StreamEnd,
-    StreamLimits,
+    Delivery, FinishReason, Piece, PieceBody, ResumePoint, StreamAssembler, StreamEnd, StreamLimits,
 };
 use geranium_core::time::Timestamp;
 use geranium_engine::{CompletionEvent, CompletionStream, EngineApi, Resume};
@@ -90,8 +89,10 @@
     ) -> Self {
         let accepted_at = node.clock.now();
         let assembler = StreamAssembler::new(req.request.clone(), StreamLimits::default());
-        let (offset, prior_text) =
-            req.resume.clone().map_or((0, String::new()), |r| (r.from_index, r.text));
+        let (offset, prior_text) = req
+            .resume
+            .clone()
+            .map_or((0, String::new()), |r| (r.from_index, r.text));
         Self {
             node,
             req,
@@ -177,7 +178,9 @@
         }
         let granted = self.node.traffic.try_retry(now);
         let reason = if granted { "granted" } else { "budget_empty" };
-        let label = crate::metrics::ReasonLabel { reason: reason.to_owned() };
+        let label = crate::metrics::ReasonLabel {
+            reason: reason.to_owned(),
+        };
         self.node.metrics.retries.get_or_create(&label).inc();
         if granted {
             return Ok(());
@@ -253,13 +256,17 @@
         if !self.any_sent {
             return Ok(self.req.resume.clone());
         }
-        let ResumePoint { resume_from, text, .. } =
-            self.assembler.resume().map_err(|e| refusal::stream(&e))?;
+        let ResumePoint {
+            resume_from, text, ..
+        } = self.assembler.resume().map_err(|e| refusal::stream(&e))?;
         if resume_from + self.offset == 0 {
             return Ok(None);
         }
         let text = format!("{}{text}", self.prior_text);
-        Ok(Some(Resume { from_index: resume_from + self.offset, text }))
+        Ok(Some(Resume {
+            from_index: resume_from + self.offset,
+            text,
+        }))
     }
 
     async fn read_stream(
@@ -312,12 +319,21 @@
             return Some(AttemptEnd::DeadlinePassed);
         }
         let silent = now.since(heard_at);
-        let limit = if tokens == 0 { FIRST_TOKEN_TIMEOUT } else { TOKEN_TIMEOUT };
+        let limit = if tokens == 0 {
+            FIRST_TOKEN_TIMEOUT
+        } else {
+            TOKEN_TIMEOUT
+        };
         if silent >= limit {
-            return Some(AttemptEnd::Broken(format!("no token for {} ms", silent.as_millis())));
+            return Some(AttemptEnd::Broken(format!(
+                "no token for {} ms",
+                silent.as_millis()
+            )));
         }
         if silent >= CLOSED_GRACE && self.node.is_broken(&choice.group, choice.fencing) {
-            return Some(AttemptEnd::Broken("a member of the group is missing".to_owned()));
+            return Some(AttemptEnd::Broken(
+                "a member of the group is missing".to_owned(),
+            ));
         }
         None
     }
@@ -347,12 +363,15 @@
     /// Counts tokens from the caller's part of the answer.
     fn rebased(&self, body: PieceBody) -> PieceBody {
         match body {
-            PieceBody::Tokens { first, count, text } => {
-                PieceBody::Tokens { first: first.saturating_sub(self.offset), count, text }
-            }
-            PieceBody::End { tokens, reason } => {
-                PieceBody::End { tokens: tokens.saturating_sub(self.offset), reason }
-            }
+            PieceBody::Tokens { first, count, text } => PieceBody::Tokens {
+                first: first.saturating_sub(self.offset),
+                count,
+                text,
+            },
+            PieceBody::End { tokens, reason } => PieceBody::End {
+                tokens: tokens.saturating_sub(self.offset),
+                reason,
+            },
             other => other,
         }
     }
@@ -402,9 +421,14 @@
     }
 
     fn note_first_token(&self, choice: &RouteChoice, opened_at: Timestamp, now: Timestamp) {
-        self.node.traffic.first_token(now, choice, now.since(opened_at));
+        self.node
+            .traffic
+            .first_token(now, choice, now.since(opened_at));
         if !self.req.forwarded {
-            self.node.metrics.first_token.observe(now.since(self.accepted_at).as_secs_f64());
+            self.node
+                .metrics
+                .first_token
+                .observe(now.since(self.accepted_at).as_secs_f64());
         }
     }
 
@@ -417,8 +441,14 @@
 
     fn note_crash(&mut self, now: Timestamp, choice: &RouteChoice) {
         self.crashed = true;
-        let crash = CrashId { group: choice.group.clone(), generation: choice.generation };
-        let in_flight = [InFlight { fingerprint: self.req.fingerprint, on_trial: false }];
+        let crash = CrashId {
+            group: choice.group.clone(),
+            generation: choice.generation,
+        };
+        let in_flight = [InFlight {
+            fingerprint: self.req.fingerprint,
+            on_trial: false,
+        }];
         let digest = self.node.traffic.group_crashed(now, &crash, &in_flight);
         self.node.tell_peers_of_crash(&digest);
     }
@@ -429,11 +459,18 @@
             return;
         }
         self.node.metrics.resumed.inc();
-        let reason = format!("{} broke off after {} tokens: {why}", choice.group, self.assembler.tokens());
+        let reason = format!(
+            "{} broke off after {} tokens: {why}",
+            choice.group,
+            self.assembler.tokens()
+        );
         let subject = EventSubject::request(&self.req.request)
             .with_group(&choice.group)
             .with_account(&self.req.account);
-        self.node.recorder.record(now, EventDraft::new(EventKind::StreamResumed, subject, reason));
+        self.node.recorder.record(
+            now,
+            EventDraft::new(EventKind::StreamResumed, subject, reason),
+        );
     }
 
     fn note_failure(&self, e: &ApiError) {
@@ -443,13 +480,18 @@
             EventKind::RequestRefused
         };
         let subject = EventSubject::request(&self.req.request).with_account(&self.req.account);
-        self.node.record(EventDraft::new(kind, subject, e.to_string()));
+        self.node
+            .record(EventDraft::new(kind, subject, e.to_string()));
     }
 
     /// Tells the engine that nobody reads on, so that its slot is free.
     async fn cancel(&self, choice: &RouteChoice) {
         if choice.path == geranium_core::route::RoutePath::Direct {
-            let cancelled = self.node.engines.cancel(choice.address, &self.req.request).await;
+            let cancelled = self
+                .node
+                .engines
+                .cancel(choice.address, &self.req.request)
+                .await;
             if let Err(e) = cancelled {
                 log::debug!("cannot cancel {}: {e}", self.req.request);
             }
--- a/crates/geranium_daemon/src/relay/output.rs
+++ b/crates/geranium_daemon/src/relay/output.rs
@@ -8,9 +8,6 @@
 use geranium_net::ApiError;
 use tokio::sync::{mpsc, oneshot};
 
-/// Pieces that may wait for the caller's connection.
-pub const PIPE_CAPACITY: usize = 64;
-
 /// Longest time that one piece may wait for a slow reader.
 const READER_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -93,7 +90,11 @@
             }
             Self::Whole { done, text } => {
                 let text = std::mem::take(text);
-                let answer = WholeAnswer { text, tokens, reason };
+                let answer = WholeAnswer {
+                    text,
+                    tokens,
+                    reason,
+                };
                 let done = done.take().ok_or(ReaderGone)?;
                 done.send(Ok(answer)).map_err(|_| ReaderGone)
             }
@@ -124,7 +125,9 @@
     pub async fn left(&mut self) {
         match self {
             Self::Stream { pipe, .. } => pipe.closed().await,
-            Self::Whole { done: Some(done), .. } => done.closed().await,
+            Self::Whole {
+                done: Some(done), ..
+            } => done.closed().await,
             Self::Whole { done: None, .. } => {}
         }
     }
@@ -140,7 +143,10 @@
 async fn send(pipe: &mpsc::Sender<Bytes>, frame: Bytes) -> Result<(), ReaderGone> {
     if let Err(full) = pipe.try_send(frame) {
         let frame = full.into_inner();
-        return pipe.send_timeout(frame, READER_TIMEOUT).await.map_err(|_| ReaderGone);
+        return pipe
+            .send_timeout(frame, READER_TIMEOUT)
+            .await
+            .map_err(|_| ReaderGone);
     }
     Ok(())
 }
--- a/crates/geranium_daemon/src/settings.rs
+++ b/crates/geranium_daemon/src/settings.rs
@@ -8,16 +8,28 @@
 use geranium_settings::{SettingSpec, SettingsError, SettingsReader, render_help};
 use log::LevelFilter;
 
-const HOST: SettingSpec =
-    SettingSpec::new("--host", "NAME", "Name of this entry host, unique in the system.");
-const FAILURE_DOMAIN: SettingSpec =
-    SettingSpec::new("--failure-domain", "NAME", "Failure domain of this entry host.");
+const HOST: SettingSpec = SettingSpec::new(
+    "--host",
+    "NAME",
+    "Name of this entry host, unique in the system.",
+);
+const FAILURE_DOMAIN: SettingSpec = SettingSpec::new(
+    "--failure-domain",
+    "NAME",
+    "Failure domain of this entry host.",
+);
 const CALLER_ADDRESS: SettingSpec =
     SettingSpec::new("--caller-address", "IP:PORT", "Listener for callers.");
-const OPERATOR_ADDRESS: SettingSpec =
-    SettingSpec::new("--operator-address", "IP:PORT", "Listener for operators and metrics.");
-const PEER_ADDRESS: SettingSpec =
-    SettingSpec::new("--peer-address", "IP:PORT", "Listener for other entry hosts.");
+const OPERATOR_ADDRESS: SettingSpec = SettingSpec::new(
+    "--operator-address",
+    "IP:PORT",
+    "Listener for operators and metrics.",
+);
+const PEER_ADDRESS: SettingSpec = SettingSpec::new(
+    "--peer-address",
+    "IP:PORT",
+    "Listener for other entry hosts.",
+);
 const PEERS: SettingSpec = SettingSpec::new(
     "--peers",
     "IP:PORT,...",
@@ -41,9 +53,12 @@
     "Token that entry hosts show each other; prefer the variable.",
 )
 .secret();
-const LOG_LEVEL: SettingSpec =
-    SettingSpec::new("--log-level", "off|error|warn|info|debug|trace", "Least level logged.")
-        .or("info");
+const LOG_LEVEL: SettingSpec = SettingSpec::new(
+    "--log-level",
+    "off|error|warn|info|debug|trace",
+    "Least level logged.",
+)
+.or("info");
 const EVENT_CAPACITY: SettingSpec =
     SettingSpec::new("--event-capacity", "1 to 1000000", "Events kept in memory.").or("8192");
 const REPORT_INTERVAL: SettingSpec = SettingSpec::new(
@@ -58,10 +73,18 @@
     "Deadline of a request that names none.",
 )
 .or("60000");
-const MAX_BODY: SettingSpec =
-    SettingSpec::new("--max-body-bytes", "1024 to 67108864", "Largest request body.").or("1048576");
-const MAX_CONNECTIONS: SettingSpec =
-    SettingSpec::new("--max-connections", "1 to 100000", "Caller connections at a time.").or("4096");
+const MAX_BODY: SettingSpec = SettingSpec::new(
+    "--max-body-bytes",
+    "1024 to 67108864",
+    "Largest request body.",
+)
+.or("1048576");
+const MAX_CONNECTIONS: SettingSpec = SettingSpec::new(
+    "--max-connections",
+    "1 to 100000",
+    "Caller connections at a time.",
+)
+.or("4096");
 const SHUTDOWN_TIMEOUT: SettingSpec = SettingSpec::new(
     "--shutdown-timeout-ms",
     "1 to 3600000",
--- /dev/null
+++ b/crates/geranium_daemon/src/startup.rs
@@ -0,0 +1,270 @@
+//! Puts the parts of the daemon together.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::time::Duration;
+
+use geranium_core::event::{EventDraft, EventKind, EventSubject};
+use geranium_core::group::GroupConfig;
+use geranium_core::id::Incarnation;
+use geranium_core::once::ClaimConfig;
+use geranium_core::record::RECORD_PREFIX;
+use geranium_engine::{EngineClientConfig, HttpEngineClient, ServiceClient};
+use geranium_net::{ClientConfig, HttpClient, HttpServer, ServerConfig};
+use geranium_platform::{EtcdClient, EtcdConfig};
+use geranium_telemetry::{EventRecorder, JsonLogger, ProcessIdentity};
+use rand::Rng;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::MissedTickBehavior;
+use tokio_util::sync::CancellationToken;
+
+use crate::claim::ClaimService;
+use crate::clock::ProcessClock;
+use crate::control::{
+    ControlInput, ControlTask, ControlTaskConfig, HOST_PREFIX, LeaderCampaign, MirrorTarget,
+    Published, StoreMirror, table_key,
+};
+use crate::metrics::Metrics;
+use crate::node::{Holders, Node};
+use crate::settings::DaemonSettings;
+use crate::startup_error::StartupError;
+use crate::traffic::Traffic;
+use crate::{caller, operator};
+
+/// Inputs that may wait for the control task.
+const CONTROL_QUEUE: usize = 1_024;
+
+/// Time between two looks at queues and cold credits.
+const TRAFFIC_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Random low bits of an incarnation, so that two starts in one microsecond differ.
+const INCARNATION_RANDOM_BITS: u32 = 10;
+
+/// Operator connections at a time.
+const OPERATOR_CONNECTIONS: usize = 256;
+
+/// Time that other processes get to notice that this one stops.
+const STOP_NOTICE: Duration = Duration::from_millis(200);
+
+/// The parts of the daemon.
+pub struct Daemon {
+    node: Arc<Node>,
+    control_rx: Option<mpsc::Receiver<ControlInput>>,
+    servers: JoinSet<()>,
+    duties: JoinSet<()>,
+    stop_duties: CancellationToken,
+    stop_servers: CancellationToken,
+}
+
+impl Daemon {
+    /// Makes what the parts share; nothing runs yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part cannot be made.
+    pub fn prepare(settings: DaemonSettings) -> Result<Self, StartupError> {
+        let clock = ProcessClock::start();
+        let identity = ProcessIdentity {
+            host: settings.host.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            incarnation: new_incarnation(&clock),
+        };
+        let recorder = Arc::new(EventRecorder::new(
+            identity.clone(),
+            settings.event_capacity,
+        ));
+        let store = EtcdClient::new(EtcdConfig::new(settings.platform.clone()));
+        let claims = ClaimService::new(
+            store.clone(),
+            Holders {
+                recorder: recorder.clone(),
+            },
+            recorder.clone(),
+            clock,
+            ClaimConfig::default(),
+        );
+        let (control, control_rx) = mpsc::channel(CONTROL_QUEUE);
+        let node = Node {
+            traffic: Traffic::new(&identity),
+            clock,
+            recorder,
+            metrics: Metrics::new(),
+            store,
+            engines: HttpEngineClient::new(EngineClientConfig::default()),
+            services: ServiceClient::new(&ClientConfig::default()),
+            http: HttpClient::new(&ClientConfig::default()),
+            published: Arc::new(Published::default()),
+            claims: Arc::new(claims),
+            control,
+            stopping: AtomicBool::new(false),
+            next_write: AtomicU64::new(1),
+            settings,
+        };
+        Ok(Self {
+            node: Arc::new(node),
+            control_rx: Some(control_rx),
+            servers: JoinSet::new(),
+            duties: JoinSet::new(),
+            stop_duties: CancellationToken::new(),
+            stop_servers: CancellationToken::new(),
+        })
+    }
+
+    /// Sends the log to standard error as JSON lines.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a logger is installed already.
+    pub fn install_logger(&self) -> Result<(), StartupError> {
+        let identity = self.node.recorder.identity().clone();
+        let level = self.node.settings.log_level;
+        JsonLogger::new(identity, level, std::io::stderr()).install()?;
+        Ok(())
+    }
+
+    /// Adds group control.
+    pub fn add_group_control(&mut self) {
+        let Some(rx) = self.control_rx.take() else {
+            return;
+        };
+        let node = &self.node;
+        let cfg = ControlTaskConfig {
+            identity: node.recorder.identity().clone(),
+            group: GroupConfig {
+                max_loading_groups: node.settings.max_loads,
+                ..GroupConfig::default()
+            },
+            report_interval: node.settings.report_interval,
+        };
+        let shared = (node.clock, node.recorder.clone(), node.published.clone());
+        let clients = (node.store.clone(), node.engines.clone());
+        let channel = (node.control.clone(), rx);
+        let traffic = node.clone();
+        let task = ControlTask::new(cfg, shared, clients, channel, move |now, view| {
+            traffic.traffic.update(now, view, traffic.entry_hosts());
+        });
+        self.duties.spawn(task.run());
+    }
+
+    /// Adds mirrors of the values that control follows.
+    pub fn add_store_mirrors(&mut self) {
+        let table = table_key(&self.node.settings.failure_domain);
+        let targets = [
+            MirrorTarget::Records(RECORD_PREFIX.to_owned()),
+            MirrorTarget::Hosts(HOST_PREFIX.to_owned()),
+            MirrorTarget::Table(table),
+        ];
+        for target in targets {
+            let mirror =
+                StoreMirror::new(self.node.store.clone(), target, self.node.control.clone());
+            self.duties.spawn(mirror.run());
+        }
+    }
+
+    /// Adds the campaign for the leadership of the failure domain.
+    pub fn add_leadership(&mut self) {
+        let campaign = LeaderCampaign::new(self.node.clone(), self.stop_duties.clone());
+        self.duties.spawn(campaign.run());
+    }
+
+    /// Adds the clock of queues and cold credits.
+    pub fn add_traffic_clock(&mut self) {
+        let node = self.node.clone();
+        self.duties.spawn(async move {
+            let mut ticks = tokio::time::interval(TRAFFIC_INTERVAL);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                ask_for_credits(&node);
+            }
+        });
+    }
+
+    /// Adds the interface towards callers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be listened on.
+    pub async fn add_caller_interface(&mut self) -> Result<(), StartupError> {
+        let settings = &self.node.settings;
+        let cfg = ServerConfig {
+            max_connections: settings.max_connections,
+            shutdown_timeout: settings.shutdown_timeout,
+            ..ServerConfig::default()
+        };
+        let server = HttpServer::bind(settings.caller_address, cfg).await?;
+        let router = caller::router(&self.node);
+        self.servers
+            .spawn(server.run(router, self.stop_servers.clone()));
+        Ok(())
+    }
+
+    /// Adds the interface towards operators.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be listened on.
+    pub async fn add_operator_interface(&mut self) -> Result<(), StartupError> {
+        let cfg = ServerConfig {
+            max_connections: OPERATOR_CONNECTIONS,
+            shutdown_timeout: Duration::from_secs(1),
+            ..ServerConfig::default()
+        };
+        let server = HttpServer::bind(self.node.settings.operator_address, cfg).await?;
+        let router = operator::router(&self.node);
+        self.servers
+            .spawn(server.run(router, self.stop_servers.clone()));
+        Ok(())
+    }
+
+    /// Runs until a signal asks for a stop, then ends gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if signals cannot be listened for.
+    pub async fn run_until_signal(mut self) -> Result<(), StartupError> {
+        let mut terminate = signal(SignalKind::terminate()).map_err(StartupError::Signal)?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(StartupError::Signal)?;
+        self.note(EventKind::ProcessStarted, "the process started");
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        self.stop().await;
+        Ok(())
+    }
+
+    /// Ends gracefully: no new requests, duties handed over, running requests done.
+    pub async fn stop(&mut self) {
+        self.note(EventKind::ShutdownStarted, "a stop was asked for");
+        self.node.begin_stop();
+        self.stop_duties.cancel();
+        tokio::time::sleep(STOP_NOTICE).await;
+        self.stop_servers.cancel();
+        while self.servers.join_next().await.is_some() {}
+        self.duties.shutdown().await;
+    }
+
+    fn note(&self, kind: EventKind, reason: &str) {
+        let subject = EventSubject::host(&self.node.settings.host);
+        self.node.record(EventDraft::new(kind, subject, reason));
+    }
+}
+
+fn new_incarnation(clock: &ProcessClock) -> Incarnation {
+    let low = rand::rng().random_range(0..1_u64 << INCARNATION_RANDOM_BITS);
+    Incarnation(clock.now().0 << INCARNATION_RANDOM_BITS | low)
+}
+
+/// Asks the holder of the cold-start budget for credits.
+fn ask_for_credits(node: &Arc<Node>) {
+    let now = node.clock.now();
+    for req in node.traffic.tick(now) {
+        match node.traffic.grant_cold(now, &req) {
+            Ok(grant) => node.traffic.cold_granted(node.clock.now(), &grant),
+            Err(e) => log::debug!("no cold credits for {}: {e}", req.group),
+        }
+    }
+}
--- a/crates/geranium_daemon/src/traffic/accounts.rs
+++ b/crates/geranium_daemon/src/traffic/accounts.rs
@@ -25,8 +25,15 @@
         let mut entries = Vec::new();
         for spec in accounts {
             let account = spec.account.clone();
-            let known = AccountKeys { account, priority: spec.priority };
-            entries.extend(spec.key_sha256.iter().map(|hash| (hash.clone(), known.clone())));
+            let known = AccountKeys {
+                account,
+                priority: spec.priority,
+            };
+            entries.extend(
+                spec.key_sha256
+                    .iter()
+                    .map(|hash| (hash.clone(), known.clone())),
+            );
         }
         Self { entries }
     }
@@ -44,6 +51,8 @@
             found.conditional_assign(&(position as u64), equal);
         }
         let position = usize::try_from(found).ok()?;
-        self.entries.get(position).map(|(_, account)| account.clone())
+        self.entries
+            .get(position)
+            .map(|(_, account)| account.clone())
     }
 }
--- a/crates/geranium_daemon/src/traffic/admitted.rs
+++ b/crates/geranium_daemon/src/traffic/admitted.rs
@@ -19,13 +19,19 @@
     #[must_use]
     pub fn new(node: Arc<Node>, model: ModelId, ticket: Ticket) -> Self {
         node.metrics.in_progress.inc();
-        Self { node, model, ticket }
+        Self {
+            node,
+            model,
+            ticket,
+        }
     }
 }
 
 impl Drop for Admitted {
     fn drop(&mut self) {
         self.node.metrics.in_progress.dec();
-        self.node.traffic.leave(self.node.clock.now(), &self.model, self.ticket);
+        self.node
+            .traffic
+            .leave(self.node.clock.now(), &self.model, self.ticket);
     }
 }
--- a/crates/geranium_daemon/src/traffic/mod.rs
+++ b/crates/geranium_daemon/src/traffic/mod.rs
@@ -10,12 +10,12 @@
 use std::time::Duration;
 
 use geranium_core::id::{AccountId, GroupId, ModelId};
+use geranium_core::limit::CrashId;
 use geranium_core::limit::{
     AdmissionChange, AdmissionOutcome, AdmissionRefusal, AdmissionRequest, ColdOutcome,
     CrashDigest, CrashVerdict, CreditGrant, CreditRefusal, CreditRequest, InFlight,
     RequestFingerprint, Ticket,
 };
-use geranium_core::limit::CrashId;
 use geranium_core::route::{BlockHash, RouteChoice, RouteQuery, RouteRefusal};
 use geranium_core::time::Timestamp;
 use parking_lot::Mutex;
@@ -49,7 +49,9 @@
     /// Makes the state of an entry host without groups.
     #[must_use]
     pub fn new(identity: &geranium_telemetry::ProcessIdentity) -> Self {
-        Self { state: Mutex::new(TrafficState::new(identity)) }
+        Self {
+            state: Mutex::new(TrafficState::new(identity)),
+        }
     }
 
     /// Takes over the latest state of control.
@@ -117,7 +119,10 @@
     /// Notes the first token of a request.
     pub fn first_token(&self, now: Timestamp, choice: &RouteChoice, waited: Duration) {
         let computed = choice.blocks.saturating_sub(choice.cached_blocks);
-        self.state.lock().router.first_token(now, &choice.group, waited, computed);
+        self.state
+            .lock()
+            .router
+            .first_token(now, &choice.group, waited, computed);
     }
 
     /// Notes the end of a request at its group.
@@ -138,7 +143,10 @@
         crash: &CrashId,
         in_flight: &[InFlight],
     ) -> CrashDigest {
-        self.state.lock().crashes.group_crashed(now, crash, in_flight)
+        self.state
+            .lock()
+            .crashes
+            .group_crashed(now, crash, in_flight)
     }
 
     /// Clears a suspect that finished whole.
@@ -189,7 +197,9 @@
 /// Returns the hashes of the prompt's blocks, as engines compute them.
 #[must_use]
 pub fn prefix_of(prompt: &str) -> Vec<BlockHash> {
-    geranium_engine::block_hashes(prompt.as_bytes()).map(BlockHash).collect()
+    geranium_engine::block_hashes(prompt.as_bytes())
+        .map(BlockHash)
+        .collect()
 }
 
 /// Names the account of a request for admission.
@@ -199,7 +209,11 @@
     priority: u8,
     deadline: Timestamp,
 ) -> AdmissionRequest<'a> {
-    AdmissionRequest { account, priority, deadline }
+    AdmissionRequest {
+        account,
+        priority,
+        deadline,
+    }
 }
 
 /// Returns whether a change concerns nobody.
--- a/crates/geranium_daemon/src/traffic/state.rs
+++ b/crates/geranium_daemon/src/traffic/state.rs
@@ -143,7 +143,8 @@
         let records = self.records.clone();
         let models: Vec<ModelSpec> = records.models().cloned().collect();
         self.router.update_records(&models);
-        self.router.update_drains(records.drains().map(|drain| drain.target.clone()));
+        self.router
+            .update_drains(records.drains().map(|drain| drain.target.clone()));
         self.accounts = AccountDirectory::new(records.accounts());
         for spec in &models {
             let limits = account_limits(&records, &spec.served_model);
@@ -179,9 +180,13 @@
         // One credit more than is used is always asked for, so that the next
         // request finds one.
         let in_use = self.cold.in_use(id);
-        let queued: usize = self.admissions.get(&group.served_model).map_or(0, Admission::queued);
+        let queued: usize = self
+            .admissions
+            .get(&group.served_model)
+            .map_or(0, Admission::queued);
         let wanted = in_use + 1 + u32::try_from(queued).unwrap_or(u32::MAX / 2);
-        self.cold.want(id, generation, wanted.min(group.warm_concurrency));
+        self.cold
+            .want(id, generation, wanted.min(group.warm_concurrency));
         in_use + self.cold.available(now, id, generation)
     }
 }
@@ -192,7 +197,10 @@
         for share in &spec.accounts {
             let account = records.account(&share.account);
             let Some(account) = account else { continue };
-            match limits.iter_mut().find(|limit| limit.account == share.account) {
+            match limits
+                .iter_mut()
+                .find(|limit| limit.account == share.account)
+            {
                 Some(limit) => limit.weight = limit.weight.max(share.weight),
                 None => limits.push(AccountLimit {
                     account: share.account.clone(),
--- a/crates/geranium_engine/src/client.rs
+++ b/crates/geranium_engine/src/client.rs
@@ -241,27 +241,14 @@
             HeaderValue::from(u64::from(req.priority)),
         )
         .header(name(DEADLINE_HEADER), HeaderValue::from(remaining))
-        .body(completion_body(req)?))
+        .body(req.body_with_resume()?))
 }
 
 const fn name(name: &'static str) -> HeaderName {
     HeaderName::from_static(name)
 }
 
-/// Returns the caller's body, with the place to go on from added if there is one.
-fn completion_body(req: &CompletionRequest) -> Result<Bytes, EngineError> {
-    let Some(resume) = &req.resume else {
-        return Ok(req.body.clone());
-    };
-    let mut body: serde_json::Map<String, serde_json::Value> =
-        serde_json::from_slice(&req.body).map_err(|e| invalid(&e))?;
-    let resume = serde_json::to_value(resume).map_err(|e| invalid(&e))?;
-    body.insert("resume".to_owned(), resume);
-    let body = serde_json::to_vec(&body).map_err(|e| invalid(&e))?;
-    Ok(Bytes::from(body))
-}
-
-fn invalid(e: &impl std::fmt::Display) -> EngineError {
+pub(crate) fn invalid(e: &impl std::fmt::Display) -> EngineError {
     EngineError::NotSent(ClientError::InvalidRequest(e.to_string()))
 }
 
--- a/crates/geranium_engine/src/completion.rs
+++ b/crates/geranium_engine/src/completion.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use geranium_core::id::{FencingNumber, GroupId, RequestId};
 
-use crate::Resume;
+use crate::client::invalid;
+use crate::{EngineError, Resume};
 
 /// Header with the id of the request.
 pub const REQUEST_HEADER: &str = "x-request-id";
@@ -36,3 +37,22 @@
     /// Where to go on, if the completion was begun elsewhere.
     pub resume: Option<Resume>,
 }
+
+impl CompletionRequest {
+    /// Returns the caller's body, with the place to go on added if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is not a JSON object.
+    pub fn body_with_resume(&self) -> Result<Bytes, EngineError> {
+        let Some(resume) = &self.resume else {
+            return Ok(self.body.clone());
+        };
+        let mut body: serde_json::Map<String, serde_json::Value> =
+            serde_json::from_slice(&self.body).map_err(|e| invalid(&e))?;
+        let resume = serde_json::to_value(resume).map_err(|e| invalid(&e))?;
+        body.insert("resume".to_owned(), resume);
+        let body = serde_json::to_vec(&body).map_err(|e| invalid(&e))?;
+        Ok(Bytes::from(body))
+    }
+}
--- a/crates/geranium_operator/src/client.rs
+++ b/crates/geranium_operator/src/client.rs
@@ -188,7 +188,7 @@
         let (status, body) = self.http.send_whole(req, CALL_TIMEOUT).await?;
         if status != StatusCode::OK {
             return Err(match ApiError::parse(status, &body) {
-                Some(e) => OperatorError::Refused(host, e),
+                Some(e) => OperatorError::Refused(host, Box::new(e)),
                 None => OperatorError::Status(host, status.as_u16()),
             });
         }
--- a/crates/geranium_operator/src/operator_error.rs
+++ b/crates/geranium_operator/src/operator_error.rs
@@ -16,9 +16,9 @@
             from()
         }
         /// The entry host refused the call.
-        Refused(address: SocketAddr, err: ApiError) {
+        Refused(address: SocketAddr, err: Box<ApiError>) {
             display("{} refused the call: {}", address, err)
-            source(err)
+            source(err.as_ref())
         }
         /// The entry host answered with a status that was not expected.
         Status(address: SocketAddr, status: u16) {
--- a/crates/geranium_platform/src/counter.rs
+++ b/crates/geranium_platform/src/counter.rs
@@ -130,4 +130,15 @@
             .map(|result| self.get(kind, result))
             .sum()
     }
+
+    /// Returns the calls sent and the calls without a usable answer.
+    #[must_use]
+    pub fn totals(&self) -> (u64, u64) {
+        let calls = StoreCallKind::ALL.map(|kind| self.sent(kind)).iter().sum();
+        let answered = StoreCallKind::ALL
+            .map(|kind| self.get(kind, StoreCallResult::Answered))
+            .iter()
+            .sum::<u64>();
+        (calls, calls - answered)
+    }
 }
