--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -107,4 +107,6 @@
     ClaimUnknown => "claim_unknown",
     /// A request was found to crash backend servers.
     CrashSuspected => "crash_suspected",
+    /// The process was paused and has not run for a while.
+    ProcessPaused => "process_paused",
 }
--- /dev/null
+++ b/crates/geranium_core/src/member/incoming.rs
@@ -0,0 +1,228 @@
+//! Heartbeats that arrive, and those that fail.
+
+use std::net::SocketAddr;
+
+use super::contact::Contact;
+use super::peer::Peer;
+use super::shared::{SharedItem, SharedKey};
+use super::{CrashNotice, Heartbeat, MemberEffect, MemberInfo, Membership, PeerState, duty};
+use crate::event::{EventDraft, EventKind, EventSubject};
+use crate::id::HostId;
+use crate::time::Timestamp;
+
+impl Membership {
+    /// Takes in a heartbeat, whether it is a call or an answer.
+    pub fn take_in(&mut self, heartbeat: &Heartbeat, now: Timestamp) -> Vec<MemberEffect> {
+        let mut effects = self.advance(now);
+        let sender = &heartbeat.sender;
+        self.answer_seed(sender);
+        if sender.host == self.config.own.host {
+            return effects;
+        }
+        if self.is_outdated(sender) {
+            return effects;
+        }
+        if sender.failure_domain == self.config.own.failure_domain {
+            self.hear_peer(heartbeat, now, &mut effects);
+        } else {
+            self.hear_outside(heartbeat, now);
+        }
+        self.take_in_delta(heartbeat, now, &mut effects);
+        effects
+    }
+
+    /// Takes note that a heartbeat to an address got no answer.
+    pub fn fail(&mut self, to: SocketAddr, now: Timestamp) -> Vec<MemberEffect> {
+        let effects = self.advance(now);
+        let retry_at = now + self.interval();
+        let failed = |p: &&mut Peer| p.info.peer_address == to;
+        if let Some(peer) = self.peers.values_mut().find(failed) {
+            peer.in_flight = None;
+            peer.due = retry_at;
+        }
+        let asked = |c: &&mut Contact| c.asked == Some(to);
+        if let Some(contact) = self.contacts.values_mut().find(asked) {
+            contact.asked = None;
+            contact.attempts += 1;
+            contact.due = retry_at;
+        }
+        effects
+    }
+
+    fn answer_seed(&mut self, sender: &MemberInfo) {
+        let interval = self.config.timing.seed_interval;
+        let is_own = sender.host == self.config.own.host;
+        let matching = self
+            .seeds
+            .iter_mut()
+            .filter(|seed| seed.address == sender.peer_address);
+        for seed in matching {
+            seed.answer(sender.failure_domain.clone(), interval);
+            seed.is_own = is_own;
+        }
+    }
+
+    /// Returns whether a later run of the sender is known.
+    fn is_outdated(&self, sender: &MemberInfo) -> bool {
+        let known = self.peers.get(&sender.host);
+        let known = known.or_else(|| self.outside.get(&sender.host));
+        known.is_some_and(|peer| peer.info.incarnation > sender.incarnation)
+    }
+
+    fn hear_peer(
+        &mut self,
+        heartbeat: &Heartbeat,
+        now: Timestamp,
+        effects: &mut Vec<MemberEffect>,
+    ) {
+        let sender = &heartbeat.sender;
+        let (own, awake, interval) = (
+            self.config.own.incarnation,
+            self.clock.awake(),
+            self.interval(),
+        );
+        // The host with the smaller name calls; the other one only if it does not.
+        let patience = if self.config.own.host < sender.host {
+            interval
+        } else {
+            interval + interval / 4
+        };
+        let peer = self
+            .peers
+            .entry(sender.host.clone())
+            .or_insert_with(|| Peer::new(sender.clone(), now, awake));
+        let before = (peer.is_active(), peer.state, peer.info.leaving);
+        let was_restarted = peer.info.incarnation < sender.incarnation;
+        peer.hear(heartbeat, own, now, awake);
+        peer.due = now + patience;
+        let after = (peer.is_active(), peer.state, peer.info.leaving);
+        if was_restarted {
+            self.board.forget_observer(&sender.host);
+        }
+        self.board.hear_observer(&sender.host, now);
+        if before.0 != after.0 || was_restarted {
+            effects.push(MemberEffect::MembersChanged);
+        }
+        if before.1 != PeerState::Alive || was_restarted {
+            effects.push(joined(sender, before.1));
+        }
+        if after.2 && !before.2 {
+            effects.push(left(&sender.host, "it said that it leaves"));
+        }
+        self.learn_roster(&heartbeat.roster, now);
+    }
+
+    /// Adds hosts that a peer knows, so that they are asked in turn.
+    fn learn_roster(&mut self, roster: &[MemberInfo], now: Timestamp) {
+        let awake = self.clock.awake();
+        let is_new = |info: &&MemberInfo| {
+            info.host != self.config.own.host
+                && info.failure_domain == self.config.own.failure_domain
+                && !self.peers.contains_key(&info.host)
+        };
+        let new: Vec<MemberInfo> = roster.iter().filter(is_new).cloned().collect();
+        for info in new {
+            let peer = Peer::new(info.clone(), now, awake);
+            self.peers.insert(info.host, peer);
+        }
+    }
+
+    fn hear_outside(&mut self, heartbeat: &Heartbeat, now: Timestamp) {
+        let sender = &heartbeat.sender;
+        let (own, awake) = (self.config.own.incarnation, self.clock.awake());
+        self.domains.remember(sender, now);
+        let peer = self
+            .outside
+            .entry(sender.host.clone())
+            .or_insert_with(|| Peer::new(sender.clone(), now, awake));
+        peer.hear(heartbeat, own, now, awake);
+        let domains = self.domains.len();
+        let interval = self.config.timing.domain_interval_for(domains);
+        let patience = if self.config.own.failure_domain < sender.failure_domain {
+            interval
+        } else {
+            interval + interval / 4
+        };
+        let contact = self.contacts.entry(sender.failure_domain.clone());
+        *contact.or_default() = Contact {
+            due: now + patience,
+            ..Contact::default()
+        };
+    }
+
+    fn take_in_delta(
+        &mut self,
+        heartbeat: &Heartbeat,
+        now: Timestamp,
+        effects: &mut Vec<MemberEffect>,
+    ) {
+        let (host, delta) = (&heartbeat.sender.host, &heartbeat.delta);
+        let is_peer = self.peers.contains_key(host);
+        let known = if is_peer {
+            self.peers.get_mut(host)
+        } else {
+            self.outside.get_mut(host)
+        };
+        let Some(peer) = known else { return };
+        if delta.after > peer.taken {
+            // A part is missing; the sender repeats it once it sees what was acked.
+            return;
+        }
+        if delta.through <= peer.taken {
+            // A late message: what it holds may have been replaced since.
+            return;
+        }
+        peer.taken = delta.through;
+        if is_peer {
+            for shared in &delta.reports {
+                self.board.take_in(host, shared.clone());
+            }
+        }
+        for summary in &delta.domains {
+            self.take_in_summary(summary, is_peer, now);
+        }
+        for notice in &delta.crashes {
+            self.take_in_crash(notice, effects);
+        }
+    }
+
+    fn take_in_summary(&mut self, summary: &super::DomainSummary, is_peer: bool, now: Timestamp) {
+        if summary.failure_domain == self.config.own.failure_domain {
+            return;
+        }
+        let is_news = self.domains.take_in(summary, now);
+        if is_news && !is_peer {
+            // Heard from outside: the own domain learns it from this host.
+            let key = SharedKey::Domain(summary.failure_domain.clone());
+            self.log.put(key, SharedItem::Domain(summary.clone()));
+        }
+    }
+
+    fn take_in_crash(&mut self, notice: &CrashNotice, effects: &mut Vec<MemberEffect>) {
+        let is_news = self.crashes.insert(notice.clone());
+        if !is_news {
+            return;
+        }
+        let members = self.active_members();
+        if duty::representatives(&members).contains(&&self.config.own.host) {
+            let key = SharedKey::Crash(notice.clone());
+            self.log.put(key, SharedItem::Crash(notice.clone()));
+        }
+        effects.push(MemberEffect::CrashLearned(notice.clone()));
+    }
+}
+
+fn joined(info: &MemberInfo, before: PeerState) -> MemberEffect {
+    let reason = match before {
+        PeerState::Unheard => "heard for the first time",
+        PeerState::Alive => "a new run of it answers",
+        PeerState::Suspected => "it answers again",
+    };
+    let subject = EventSubject::host(&info.host);
+    MemberEffect::Emit(EventDraft::new(EventKind::PeerJoined, subject, reason))
+}
+
+pub(super) fn left(host: &HostId, reason: &str) -> MemberEffect {
+    let subject = EventSubject::host(host);
+    MemberEffect::Emit(EventDraft::new(EventKind::PeerLeft, subject, reason))
+}
--- /dev/null
+++ b/crates/geranium_core/src/member/membership.rs
@@ -0,0 +1,183 @@
+//! Entry hosts that this host knows of.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use super::awake::AwakeClock;
+use super::contact::{Contact, Seed};
+use super::peer::{Peer, roster_share};
+use super::shared::{SharedItem, SharedKey, SharedLog};
+use super::{
+    ConfigStatus, CrashNotice, DomainBoard, GroupSummary, MemberConfig, MemberInfo, PeerState,
+    ReportBoard, duty,
+};
+use crate::engine::EngineReport;
+use crate::id::{FailureDomainId, HostId};
+use crate::time::Timestamp;
+
+/// Entry hosts that this host knows of, and what they share.
+///
+/// The driver calls [`tick`](Self::tick) about ten times a second, sends the
+/// heartbeats that it returns, and hands answers and failures back. It answers a
+/// heartbeat from a peer with [`answer`](Self::answer) after taking it in.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    pub(super) config: MemberConfig,
+    pub(super) clock: AwakeClock,
+    /// Hosts of the own failure domain.
+    pub(super) peers: BTreeMap<HostId, Peer>,
+    /// Hosts of other failure domains that were heard directly.
+    pub(super) outside: BTreeMap<HostId, Peer>,
+    /// Exchanges with other failure domains.
+    pub(super) contacts: BTreeMap<FailureDomainId, Contact>,
+    pub(super) seeds: Vec<Seed>,
+    pub(super) board: ReportBoard,
+    pub(super) domains: DomainBoard,
+    pub(super) crashes: BTreeSet<CrashNotice>,
+    pub(super) log: SharedLog,
+    pub(super) status: ConfigStatus,
+    pub(super) groups: Vec<GroupSummary>,
+}
+
+impl Membership {
+    /// Starts with the seeds alone.
+    #[must_use]
+    pub fn new(config: MemberConfig, now: Timestamp) -> Self {
+        let interval = config.timing.seed_interval;
+        let seeds = config.seeds.iter().map(|a| Seed::new(*a, now, interval));
+        Self {
+            clock: AwakeClock::new(now, config.timing.pause_threshold),
+            seeds: seeds.collect(),
+            config,
+            peers: BTreeMap::new(),
+            outside: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            board: ReportBoard::default(),
+            domains: DomainBoard::default(),
+            crashes: BTreeSet::new(),
+            log: SharedLog::default(),
+            status: ConfigStatus::default(),
+            groups: Vec::new(),
+        }
+    }
+
+    /// Returns what this host says about itself.
+    #[must_use]
+    pub const fn own(&self) -> &MemberInfo {
+        &self.config.own
+    }
+
+    /// Returns the configuration that this host reports to have in force.
+    #[must_use]
+    pub const fn config_status(&self) -> ConfigStatus {
+        self.status
+    }
+
+    /// Sets the configuration that this host reports to have in force.
+    pub fn set_config_status(&mut self, status: ConfigStatus) {
+        self.status = status;
+    }
+
+    /// Sets the serving groups that other failure domains are told of.
+    pub fn set_groups(&mut self, groups: Vec<GroupSummary>) {
+        self.groups = groups;
+    }
+
+    /// Returns the other hosts of the own failure domain, ordered by name.
+    pub fn peers(&self) -> impl Iterator<Item = (&MemberInfo, PeerState, ConfigStatus)> {
+        self.peers.values().map(|p| (&p.info, p.state, p.config))
+    }
+
+    /// Returns the hosts of the own failure domain that may have duties, ordered
+    /// by name; this one included unless it leaves.
+    #[must_use]
+    pub fn active_members(&self) -> Vec<HostId> {
+        let active = self.peers.values().filter(|p| p.is_active());
+        let mut members: Vec<HostId> = active.map(|p| p.info.host.clone()).collect();
+        if !self.config.own.leaving {
+            members.push(self.config.own.host.clone());
+        }
+        members.sort();
+        members
+    }
+
+    /// Returns the peers of the own failure domain that were heard lately.
+    pub fn live_peers(&self) -> impl Iterator<Item = &MemberInfo> {
+        let alive = self.peers.values().filter(|p| p.state == PeerState::Alive);
+        alive.map(|p| &p.info)
+    }
+
+    /// Returns whether this host is one of those that watch the store.
+    #[must_use]
+    pub fn is_watcher(&self) -> bool {
+        let members = self.active_members();
+        duty::watchers(&members).contains(&&self.config.own.host)
+    }
+
+    /// Returns whether this host polls a backend server host of its domain.
+    #[must_use]
+    pub fn observes(&self, server: &HostId) -> bool {
+        let members = self.active_members();
+        duty::observers(&members, server).contains(&&self.config.own.host)
+    }
+
+    /// Returns the reports of engines, polled here or passed on.
+    #[must_use]
+    pub const fn board(&self) -> &ReportBoard {
+        &self.board
+    }
+
+    /// Returns the summaries of other failure domains.
+    #[must_use]
+    pub const fn domains(&self) -> &DomainBoard {
+        &self.domains
+    }
+
+    /// Takes in a report that this host polled from an engine.
+    pub fn observe(&mut self, report: EngineReport, now: Timestamp) {
+        self.board.observe(report, now);
+    }
+
+    /// Stops to vouch for an engine that this host no longer polls.
+    pub fn retire(&mut self, server: &HostId) {
+        if let Some(shared) = self.board.retire(server) {
+            let key = SharedKey::Report(server.clone());
+            self.log.put(key, SharedItem::Report(shared));
+        }
+    }
+
+    /// Shares a crash that this host found; returns whether it is news.
+    pub fn share_crash(&mut self, notice: CrashNotice) -> bool {
+        let is_news = self.crashes.insert(notice.clone());
+        if is_news {
+            let key = SharedKey::Crash(notice.clone());
+            self.log.put(key, SharedItem::Crash(notice));
+        }
+        is_news
+    }
+
+    /// Begins to leave: this host takes no duties, and its peers are told at once.
+    pub fn begin_leaving(&mut self, now: Timestamp) {
+        self.config.own.leaving = true;
+        self.hurry(now);
+    }
+
+    /// Lets a heartbeat to every peer of the domain be due at once.
+    pub(super) fn hurry(&mut self, now: Timestamp) {
+        for peer in self.peers.values_mut() {
+            peer.due = peer.due.min(now);
+        }
+    }
+
+    /// Returns the time between heartbeats with each peer of the domain.
+    pub(super) fn interval(&self) -> Duration {
+        self.config.timing.heartbeat_interval_for(self.peers.len())
+    }
+
+    /// Returns the digest of the live hosts of the own failure domain.
+    pub(super) fn roster_digest(&self) -> u64 {
+        let alive = self.peers.values().filter(|p| p.state == PeerState::Alive);
+        let own = roster_share(&self.config.own);
+        alive.fold(own, |sum, peer| sum ^ peer.digest)
+    }
+}
--- a/crates/geranium_core/src/member/mod.rs
+++ b/crates/geranium_core/src/member/mod.rs
@@ -1,1 +1,39 @@
 //! Entry hosts that know of each other, and failure detection.
+//!
+//! Hosts of one failure domain exchange heartbeats in a full mesh. Failure
+//! domains know of each other through summaries that one or two representatives
+//! exchange and pass on inside their domain. [`Membership`] decides on both.
+
+mod awake;
+mod board;
+mod config;
+mod contact;
+mod delta;
+mod domains;
+mod duty;
+mod effect;
+mod heartbeat;
+mod in_force;
+mod incoming;
+mod membership;
+mod outgoing;
+mod peer;
+mod shared;
+mod timing;
+
+pub use board::{BoardEntry, ReportBoard};
+pub use config::MemberConfig;
+pub use domains::DomainBoard;
+pub use duty::{
+    OBSERVERS_PER_SERVER, REPRESENTATIVES, WATCHERS_PER_DOMAIN, budget_holder, observers, ranked,
+    representatives, watchers,
+};
+pub use effect::MemberEffect;
+pub use heartbeat::{
+    ConfigStatus, CrashNotice, DomainSummary, GroupSummary, Heartbeat, MemberInfo, MemberStatus,
+    SharedDelta, SharedReport,
+};
+pub use in_force::InForceReport;
+pub use membership::Membership;
+pub use peer::PeerState;
+pub use timing::MemberTiming;
--- /dev/null
+++ b/crates/geranium_core/src/member/outgoing.rs
@@ -0,0 +1,291 @@
+//! Passing of time and heartbeats that are due.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::contact::Seed;
+use super::incoming::left;
+use super::peer::Peer;
+use super::shared::{Audience, SharedItem, SharedKey, delta};
+use super::{
+    DomainSummary, Heartbeat, MemberEffect, MemberInfo, MemberStatus, Membership, PeerState,
+    SharedDelta, duty,
+};
+use crate::event::{EventDraft, EventKind, EventSubject};
+use crate::id::{FailureDomainId, HostId, Incarnation};
+use crate::time::{HybridTime, Timestamp};
+
+/// Time after which a heartbeat without any outcome counts as failed.
+const IN_FLIGHT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest time for which an unchanged summary of the own domain is not renewed.
+const SUMMARY_MAX_AGE: Duration = Duration::from_secs(10);
+
+/// Silence of a domain after which the second representative asks it too.
+const DOMAIN_SILENCE: Duration = Duration::from_secs(30);
+
+/// Time for which a crash is remembered.
+const CRASH_MEMORY: Duration = Duration::from_secs(600);
+
+/// Heartbeats are this much less frequent with a peer that does not answer.
+const SUSPECTED_SLOWDOWN: u32 = 4;
+
+impl Membership {
+    /// Lets time pass: finds silent peers and returns the heartbeats that are due.
+    ///
+    /// `time` is the hybrid time that the heartbeats carry.
+    pub fn tick(&mut self, now: Timestamp, time: HybridTime) -> Vec<MemberEffect> {
+        let mut effects = self.advance(now);
+        self.find_silent(now, &mut effects);
+        self.forget_old(now, &mut effects);
+        self.share_reports(now);
+        let mut targets = self.due_peers(now);
+        targets.extend(self.due_domains(now));
+        targets.extend(self.due_seeds(now));
+        for (to, receiver) in targets {
+            let heartbeat = Box::new(self.heartbeat(receiver.as_ref(), now, time));
+            effects.push(MemberEffect::SendHeartbeat { to, heartbeat });
+        }
+        effects
+    }
+
+    /// Returns the answer to a heartbeat that was taken in.
+    pub fn answer(&mut self, caller: &MemberInfo, now: Timestamp, time: HybridTime) -> Heartbeat {
+        self.share_reports(now);
+        let receiver = (caller.host.clone(), caller.failure_domain.clone());
+        self.heartbeat(Some(&receiver), now, time)
+    }
+
+    /// Takes note of the present time and of a pause before it.
+    pub(super) fn advance(&mut self, now: Timestamp) -> Vec<MemberEffect> {
+        let Some(pause) = self.clock.advance(now) else {
+            return Vec::new();
+        };
+        let subject = EventSubject::host(&self.config.own.host);
+        let reason = format!("nothing ran for {} ms", pause.as_millis());
+        let event = EventDraft::new(EventKind::ProcessPaused, subject, reason);
+        vec![MemberEffect::Paused(pause), MemberEffect::Emit(event)]
+    }
+
+    fn find_silent(&mut self, now: Timestamp, effects: &mut Vec<MemberEffect>) {
+        let limit = self.config.timing.suspect_after_for(self.peers.len());
+        let awake = self.clock.awake();
+        for peer in self.peers.values_mut() {
+            let silence = awake.saturating_sub(peer.heard_awake);
+            if peer.state != PeerState::Alive || silence <= limit {
+                continue;
+            }
+            if peer.is_active() {
+                effects.push(MemberEffect::MembersChanged);
+            }
+            peer.state = PeerState::Suspected;
+            let reason = format!("silent for {} ms", now.since(peer.heard_at).as_millis());
+            let subject = EventSubject::host(&peer.info.host);
+            let event = EventDraft::new(EventKind::PeerSuspected, subject, reason);
+            effects.push(MemberEffect::Emit(event));
+        }
+    }
+
+    fn forget_old(&mut self, now: Timestamp, effects: &mut Vec<MemberEffect>) {
+        let limit = self.config.timing.forget_after;
+        let awake = self.clock.awake();
+        let is_old = |p: &Peer| awake.saturating_sub(p.heard_awake) > limit;
+        let old: Vec<HostId> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| is_old(peer))
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in old {
+            let peer = self.peers.remove(&host);
+            self.board.forget_observer(&host);
+            if peer.is_some_and(|peer| peer.state == PeerState::Suspected) {
+                effects.push(left(&host, "it was silent for too long"));
+            }
+        }
+        self.outside.retain(|_, peer| !is_old(peer));
+        let oldest = now - CRASH_MEMORY;
+        self.crashes.retain(|notice| notice.at >= oldest);
+        self.log.retain(|key, _| match key {
+            SharedKey::Crash(notice) => notice.at >= oldest,
+            _ => true,
+        });
+    }
+
+    /// Logs the reports that peers are to be told; changes of state go out at once.
+    fn share_reports(&mut self, now: Timestamp) {
+        let (reports, is_urgent) = self.board.due(&self.config.timing, now);
+        for shared in reports {
+            let key = SharedKey::Report(shared.report.host.clone());
+            self.log.put(key, SharedItem::Report(shared));
+        }
+        if is_urgent {
+            self.hurry(now);
+        }
+    }
+
+    fn due_peers(&mut self, now: Timestamp) -> Vec<(SocketAddr, Option<Receiver>)> {
+        let interval = self.interval();
+        let mut due = Vec::new();
+        for peer in self.peers.values_mut() {
+            let waits = peer
+                .in_flight
+                .is_some_and(|since| now.since(since) < IN_FLIGHT_TIMEOUT);
+            if waits || peer.due > now {
+                continue;
+            }
+            peer.in_flight = Some(now);
+            peer.due = match peer.state {
+                PeerState::Alive => now + interval,
+                _ => now + interval * SUSPECTED_SLOWDOWN,
+            };
+            let receiver = (peer.info.host.clone(), peer.info.failure_domain.clone());
+            due.push((peer.info.peer_address, Some(receiver)));
+        }
+        due
+    }
+
+    /// Returns a host of each other domain that is to be asked now.
+    fn due_domains(&mut self, now: Timestamp) -> Vec<(SocketAddr, Option<Receiver>)> {
+        let members = self.active_members();
+        let position = duty::representatives(&members)
+            .iter()
+            .position(|host| **host == self.config.own.host);
+        let Some(position) = position else {
+            return Vec::new();
+        };
+        let interval = self.config.timing.domain_interval_for(self.domains.len());
+        let mut due = Vec::new();
+        for (summary, heard_at) in self.domains.iter() {
+            if position > 0 && now.since(heard_at) < DOMAIN_SILENCE {
+                continue;
+            }
+            let contact = self.contacts.entry(summary.failure_domain.clone());
+            let contact = contact.or_default();
+            if contact.due > now || summary.members.is_empty() {
+                continue;
+            }
+            let target = &summary.members[contact.attempts % summary.members.len()].info;
+            contact.due = now + interval;
+            contact.asked = Some(target.peer_address);
+            let receiver = (target.host.clone(), target.failure_domain.clone());
+            due.push((target.peer_address, Some(receiver)));
+        }
+        due
+    }
+
+    fn due_seeds(&mut self, now: Timestamp) -> Vec<(SocketAddr, Option<Receiver>)> {
+        let mut seeds = std::mem::take(&mut self.seeds);
+        let mut due = Vec::new();
+        for seed in &mut seeds {
+            if seed.due <= now && self.needs_seed(seed, now) {
+                seed.attempt(now);
+                due.push((seed.address, None));
+            }
+        }
+        self.seeds = seeds;
+        due
+    }
+
+    /// Returns whether a seed is to be asked: nothing is heard of its domain.
+    fn needs_seed(&self, seed: &Seed, now: Timestamp) -> bool {
+        let Some(domain) = &seed.domain else {
+            return true;
+        };
+        if seed.is_own {
+            return false;
+        }
+        if *domain == self.config.own.failure_domain {
+            return self.live_peers().next().is_none();
+        }
+        let heard = self.domains.get(domain);
+        heard.is_none_or(|(_, heard_at)| now.since(heard_at) >= DOMAIN_SILENCE)
+    }
+
+    /// Builds a heartbeat; `receiver` is absent if only its address is known.
+    fn heartbeat(
+        &mut self,
+        receiver: Option<&Receiver>,
+        now: Timestamp,
+        time: HybridTime,
+    ) -> Heartbeat {
+        let own_domain = self.config.own.failure_domain.clone();
+        let audience = match receiver {
+            Some((_, domain)) if *domain == own_domain => Audience::Domain,
+            _ => Audience::Outside,
+        };
+        if audience == Audience::Outside {
+            self.renew_summary(now);
+        }
+        let known = receiver.and_then(|(host, _)| self.known(host));
+        let roster_digest = self.roster_digest();
+        let lacks_roster = known.is_none_or(|peer| peer.roster_digest != roster_digest);
+        let acked = known.map_or(0, |peer| peer.acked);
+        Heartbeat {
+            sender: self.config.own.clone(),
+            time,
+            config: self.status,
+            roster_digest,
+            roster: if audience == Audience::Domain && lacks_roster {
+                self.roster()
+            } else {
+                Vec::new()
+            },
+            acked_incarnation: known.map_or(Incarnation::default(), |p| p.info.incarnation),
+            acked: known.map_or(0, |peer| peer.taken),
+            // Without the receiver's domain it is not known what it may be told.
+            delta: match receiver {
+                Some(_) => delta(&self.log, acked, audience, &own_domain),
+                None => SharedDelta::default(),
+            },
+        }
+    }
+
+    fn known(&self, host: &HostId) -> Option<&Peer> {
+        self.peers.get(host).or_else(|| self.outside.get(host))
+    }
+
+    fn roster(&self) -> Vec<MemberInfo> {
+        let own = [&self.config.own].into_iter();
+        own.chain(self.live_peers()).cloned().collect()
+    }
+
+    /// Logs a new summary of the own domain if the last one no longer holds.
+    fn renew_summary(&mut self, now: Timestamp) {
+        let summary = self.summary(now);
+        let key = SharedKey::Domain(summary.failure_domain.clone());
+        if let Some(SharedItem::Domain(last)) = self.log.get(&key) {
+            let is_same = last.members == summary.members && last.groups == summary.groups;
+            if is_same && now.since(last.made_at) < SUMMARY_MAX_AGE {
+                return;
+            }
+        }
+        self.log.put(key, SharedItem::Domain(summary));
+    }
+
+    fn summary(&self, now: Timestamp) -> DomainSummary {
+        let own = MemberStatus {
+            info: self.config.own.clone(),
+            digest: self.status.digest,
+        };
+        let alive = self.peers.values().filter(|p| p.state == PeerState::Alive);
+        let peers = alive.map(|p| MemberStatus {
+            info: p.info.clone(),
+            digest: p.config.digest,
+        });
+        let mut members: Vec<MemberStatus> = [own].into_iter().chain(peers).collect();
+        let active = self.active_members();
+        let first = duty::representatives(&active);
+        let position = |m: &MemberStatus| first.iter().position(|host| **host == m.info.host);
+        members.sort_by_key(|m| (position(m).unwrap_or(usize::MAX), m.info.host.clone()));
+        DomainSummary {
+            failure_domain: self.config.own.failure_domain.clone(),
+            made_at: now,
+            members,
+            groups: self.groups.clone(),
+        }
+    }
+}
+
+/// Name and failure domain of the host that a heartbeat is for.
+type Receiver = (HostId, FailureDomainId);
--- /dev/null
+++ b/crates/geranium_core/src/member/shared.rs
@@ -0,0 +1,75 @@
+//! What a host shares with its peers through heartbeats.
+
+use super::delta::DeltaLog;
+use super::{CrashNotice, DomainSummary, SharedDelta, SharedReport};
+use crate::id::{FailureDomainId, HostId};
+
+/// Most items of one heartbeat; the rest follows in the next one.
+const MAX_ITEMS: usize = 128;
+
+/// Names one shared item; a later change of it replaces the earlier one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum SharedKey {
+    Report(HostId),
+    Domain(FailureDomainId),
+    Crash(CrashNotice),
+}
+
+/// One shared item.
+#[derive(Clone, Debug)]
+pub(super) enum SharedItem {
+    Report(SharedReport),
+    Domain(DomainSummary),
+    Crash(CrashNotice),
+}
+
+/// Log of the items that a host shares.
+pub(super) type SharedLog = DeltaLog<SharedKey, SharedItem>;
+
+/// Who is to receive shared items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Audience {
+    /// A host of the own failure domain: reports, other domains, crashes.
+    Domain,
+    /// A host of another failure domain: the own domain's summary, crashes.
+    Outside,
+}
+
+impl SharedItem {
+    fn is_for(&self, audience: Audience, own: &FailureDomainId) -> bool {
+        match (self, audience) {
+            (Self::Crash(_), _) | (Self::Report(_), Audience::Domain) => true,
+            (Self::Report(_), Audience::Outside) => false,
+            (Self::Domain(d), Audience::Domain) => d.failure_domain != *own,
+            (Self::Domain(d), Audience::Outside) => d.failure_domain == *own,
+        }
+    }
+}
+
+/// Returns the part of a log that a receiver lacks.
+pub(super) fn delta(
+    log: &SharedLog,
+    acked: u64,
+    audience: Audience,
+    own: &FailureDomainId,
+) -> SharedDelta {
+    let mut delta = SharedDelta {
+        after: acked,
+        through: log.last(),
+        ..SharedDelta::default()
+    };
+    let wanted = log.after(acked).into_iter();
+    let wanted = wanted.filter(|(_, item)| item.is_for(audience, own));
+    for (i, (number, item)) in wanted.enumerate() {
+        if i == MAX_ITEMS {
+            delta.through = number - 1;
+            break;
+        }
+        match item {
+            SharedItem::Report(report) => delta.reports.push(report.clone()),
+            SharedItem::Domain(summary) => delta.domains.push(summary.clone()),
+            SharedItem::Crash(notice) => delta.crashes.push(notice.clone()),
+        }
+    }
+    delta
+}
--- a/crates/geranium_core/src/record/mod.rs
+++ b/crates/geranium_core/src/record/mod.rs
@@ -18,6 +18,7 @@
 mod read;
 mod set;
 mod spec;
+pub mod spread;
 mod stored;
 mod upgrade;
 mod version;
--- /dev/null
+++ b/crates/geranium_core/src/record/spread/store_view.rs
@@ -0,0 +1,118 @@
+//! What the store is known to hold, and which records it has lost.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::Rng;
+
+use super::follower::random_up_to;
+use super::replica::key_event;
+use super::{ConfigEffect, SpreadTiming, StoreRead};
+use crate::event::EventKind;
+use crate::id::StoreRevision;
+use crate::record::{RecordKey, RecordRank, RecordSet, StoredRecord};
+use crate::time::Timestamp;
+
+/// What the store is known to hold, and which records it has lost.
+///
+/// The store loses records when it is restored from an older copy. Hosts then
+/// hold newer versions, and those that watch the store write them back.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StoreView {
+    known: BTreeMap<RecordKey, (RecordRank, StoreRevision)>,
+    /// Records that are newer here, with the time of their write-back.
+    pending: BTreeMap<RecordKey, Timestamp>,
+    in_flight: BTreeSet<RecordKey>,
+}
+
+impl StoreView {
+    /// Replaces everything by a full read.
+    pub(super) fn replace(&mut self, read: &StoreRead) {
+        let known = read.records.iter();
+        let known =
+            known.map(|(record, revision)| (record.key.clone(), (record.rank(), *revision)));
+        self.known = known.collect();
+    }
+
+    /// Takes note of the value of one record.
+    pub(super) fn put(&mut self, record: &StoredRecord, revision: StoreRevision) {
+        let known = (record.rank(), revision);
+        self.known.insert(record.key.clone(), known);
+    }
+
+    /// Takes note that the store has no value for a record.
+    pub(super) fn remove(&mut self, key: &RecordKey) {
+        self.known.remove(key);
+    }
+
+    /// Compares one record with what is held; a lost one is written back later.
+    pub(super) fn compare(
+        &mut self,
+        key: &RecordKey,
+        held: &RecordSet,
+        timing: &SpreadTiming,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) {
+        let known = self.known.get(key).map(|(rank, _)| *rank);
+        let held = held.get(key).map(|entry| entry.stored.rank());
+        if held <= known {
+            self.pending.remove(key);
+            return;
+        }
+        if self.pending.contains_key(key) {
+            return;
+        }
+        let jitter = random_up_to(timing.write_back_jitter, rng);
+        self.pending
+            .insert(key.clone(), now + timing.write_back_delay + jitter);
+    }
+
+    /// Returns the write-backs that are due.
+    pub(super) fn due(
+        &mut self,
+        held: &RecordSet,
+        timing: &SpreadTiming,
+        now: Timestamp,
+    ) -> Vec<ConfigEffect> {
+        let room = timing.max_write_backs.saturating_sub(self.in_flight.len());
+        let due = self.pending.iter().filter(|(_, at)| **at <= now);
+        let due = due.filter(|(key, _)| !self.in_flight.contains(*key));
+        let keys: Vec<RecordKey> = due.map(|(key, _)| key.clone()).take(room).collect();
+        let mut effects = Vec::new();
+        for key in keys {
+            let Some(entry) = held.get(&key) else {
+                continue;
+            };
+            let generation = entry.stored.generation();
+            let reason = format!("the store holds less than generation {generation}");
+            effects.push(key_event(EventKind::RecordStale, &key, reason));
+            let expected = self.known.get(&key).map(|(_, revision)| *revision);
+            effects.push(ConfigEffect::WriteBack {
+                record: entry.stored.clone(),
+                expected: expected.unwrap_or_default(),
+            });
+            self.in_flight.insert(key);
+        }
+        effects
+    }
+
+    /// Takes note that a write-back has an outcome; a failed one is tried again.
+    pub(super) fn finish(
+        &mut self,
+        key: &RecordKey,
+        timing: &SpreadTiming,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) {
+        self.in_flight.remove(key);
+        if let Some(due) = self.pending.get_mut(key) {
+            *due = now + timing.write_back_delay + random_up_to(timing.write_back_jitter, rng);
+        }
+    }
+
+    /// Forgets what was lost: this host no longer knows what the store holds.
+    pub(super) fn suspend(&mut self) {
+        self.pending.clear();
+        self.in_flight.clear();
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/tests/entry_hosts/figures.rs
@@ -0,0 +1,109 @@
+//! Store calls, messages and times of a fleet, in virtual time.
+
+use std::fmt;
+use std::time::Duration;
+
+use geranium_core::record::StoredRecord;
+
+use crate::fleet::{Fleet, drain};
+
+/// Changes of the burst.
+const BURST: usize = 100;
+
+/// Time between two changes of the burst.
+const BURST_STEP: Duration = Duration::from_millis(10);
+
+/// Longest wait for a change.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Store calls, messages and times of a fleet.
+pub struct Figures {
+    pub domains: usize,
+    pub hosts: usize,
+    pub idle_calls_per_second: f64,
+    pub heartbeats_per_host_second: f64,
+    pub burst_calls: u64,
+    pub burst_pulls: u64,
+    pub burst_pushed: u64,
+    pub burst_settled: Duration,
+    /// Time to in force with one host cut from the store, sorted.
+    pub one_cut: Vec<Duration>,
+}
+
+impl Figures {
+    /// Measures a fleet: idle for a while, a burst, then one host after another
+    /// cut from the store.
+    pub fn measure(domains: usize, hosts: usize, idle: Duration, cuts: usize) -> Self {
+        let mut fleet = Fleet::start(domains, hosts);
+        fleet.run(Duration::from_secs(20));
+        let (calls, heartbeats) = (fleet.store.calls, fleet.counts.heartbeats);
+        fleet.run(idle);
+        let per_second = |count: u64| count as f64 / idle.as_secs_f64();
+        let idle_calls = per_second(fleet.store.calls - calls);
+        let heartbeats = per_second(fleet.counts.heartbeats - heartbeats);
+        let before = (fleet.store.calls, fleet.counts);
+        let settled = burst(&mut fleet);
+        let after = (fleet.store.calls, fleet.counts);
+        fleet.run(Duration::from_secs(10));
+        Self {
+            domains,
+            hosts,
+            idle_calls_per_second: idle_calls,
+            heartbeats_per_host_second: heartbeats / (domains * hosts) as f64,
+            burst_calls: after.0 - before.0,
+            burst_pulls: after.1.pulls - before.1.pulls,
+            burst_pushed: after.1.pushed_records - before.1.pushed_records,
+            burst_settled: settled,
+            one_cut: one_cut(&mut fleet, domains, hosts, cuts),
+        }
+    }
+}
+
+/// Makes a burst of changes; returns the time from the last one to in force.
+fn burst(fleet: &mut Fleet) -> Duration {
+    let domains = fleet.domains();
+    let change = |fleet: &mut Fleet, i: usize| {
+        let record = fleet.apply(i % domains, 0, drain(&format!("r{i}"), i));
+        fleet.run(BURST_STEP);
+        record
+    };
+    let records: Vec<StoredRecord> = (0..BURST).map(|i| change(fleet, i)).collect();
+    let took = fleet.run_while(LIMIT, |f| records.iter().all(|r| f.is_everywhere(r)));
+    took + BURST_STEP
+}
+
+fn one_cut(fleet: &mut Fleet, domains: usize, hosts: usize, cuts: usize) -> Vec<Duration> {
+    let mut times = Vec::new();
+    for i in 0..cuts {
+        let (domain, host) = (i % domains, i % hosts);
+        fleet.cut_host_from_store(domain, host, true);
+        fleet.run(Duration::from_secs(3));
+        let record = fleet.apply((i + 1) % domains, 0, drain("cut", i));
+        times.push(fleet.run_while(LIMIT, |f| f.is_everywhere(&record)));
+        fleet.cut_host_from_store(domain, host, false);
+        fleet.run(Duration::from_secs(20));
+    }
+    times.sort();
+    times
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let median = self.one_cut[self.one_cut.len() / 2];
+        let longest = self.one_cut[self.one_cut.len() - 1];
+        write!(
+            f,
+            "{} domains x {} hosts: idle {:.3} store calls/s, {:.1} heartbeats/s a host; \
+             burst of {BURST}: {} store calls, {} pulls, {} records pushed, \
+             in force {:?} after the last; one host cut: median {median:?}, longest {longest:?}",
+            self.domains,
+            self.hosts,
+            self.idle_calls_per_second,
+            self.heartbeats_per_host_second,
+            self.burst_calls,
+            self.burst_pulls,
+            self.burst_pushed,
+            self.burst_settled,
+        )
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/tests/entry_hosts/fleet.rs
@@ -0,0 +1,562 @@
+//! Entry hosts, a store and a network in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use geranium_core::event::{EventDraft, EventKind};
+use geranium_core::id::{FailureDomainId, HostId, Incarnation, RecordName, StoreRevision};
+use geranium_core::member::{
+    Heartbeat, MemberConfig, MemberEffect, MemberInfo, MemberTiming, Membership, watchers,
+};
+use geranium_core::record::spread::{
+    ConfigEffect, ConfigReplica, PullAnswer, SpreadTiming, StoreChange, StoreRead, WriteBackOutcome,
+};
+use geranium_core::record::{
+    ApplyPlan, ApplyRequest, Document, Expectation, KnownPlaces, RecordIndex, RecordKey,
+    RecordKind, StoredRecord, WriterId,
+};
+use geranium_core::time::{HybridClock, Timestamp};
+use serde_json::{Value, json};
+
+use crate::store::Store;
+
+const TICK: Duration = Duration::from_millis(100);
+const LATENCY: Duration = Duration::from_millis(1);
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+const STORE_LATENCY: Duration = Duration::from_millis(3);
+
+/// One entry host with both state machines.
+pub struct EntryHost {
+    pub info: MemberInfo,
+    pub membership: Membership,
+    pub replica: ConfigReplica,
+    clock: HybridClock,
+    is_paused: bool,
+    waiting: Vec<Message>,
+    watch: Option<u64>,
+}
+
+/// Counts of what was sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub heartbeats: u64,
+    pub pulls: u64,
+    pub pushed_records: u64,
+    pub write_backs: u64,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Tick,
+    Heartbeat(SocketAddr, Box<Heartbeat>),
+    Answer(Box<Heartbeat>),
+    HeartbeatFailed(SocketAddr),
+    Pull(MemberInfo, RecordIndex),
+    PullAnswer(MemberInfo, PullAnswer),
+    PullFailed(MemberInfo),
+    Push(MemberInfo, Vec<StoredRecord>),
+    Read(Option<StoreRead>),
+    Watch(u64, Vec<StoreChange>),
+    WatchFailed(u64),
+    WriteBack(StoredRecord, WriteBackOutcome),
+}
+
+/// Entry hosts, a store and a network in virtual time.
+pub struct Fleet {
+    pub now: Timestamp,
+    pub hosts: BTreeMap<SocketAddr, EntryHost>,
+    pub store: Store,
+    pub counts: Counts,
+    pub events: Vec<(Timestamp, HostId, EventDraft)>,
+    cut_from_store: BTreeSet<HostId>,
+    cut_domains: BTreeSet<FailureDomainId>,
+    queue: BTreeMap<(Timestamp, u64), (SocketAddr, Message)>,
+    sequence: u64,
+    incarnation: u64,
+}
+
+impl Fleet {
+    /// Starts hosts in each failure domain; each knows one host of every domain.
+    pub fn start(domains: usize, hosts_per_domain: usize) -> Self {
+        let mut fleet = Self {
+            now: Timestamp::from_millis(1_000_000),
+            hosts: BTreeMap::new(),
+            store: Store::default(),
+            counts: Counts::default(),
+            events: Vec::new(),
+            cut_from_store: BTreeSet::new(),
+            cut_domains: BTreeSet::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            incarnation: 0,
+        };
+        let seeds: Vec<SocketAddr> = (0..domains).map(|d| address(d, 0)).collect();
+        for domain in 0..domains {
+            for host in 0..hosts_per_domain {
+                fleet.start_host(domain, host, &seeds);
+            }
+        }
+        fleet
+    }
+
+    /// Starts one host, or replaces it by a new run that knows nothing.
+    pub fn start_host(&mut self, domain: usize, host: usize, seeds: &[SocketAddr]) {
+        self.incarnation += 1;
+        let info = MemberInfo {
+            host: host_id(domain, host),
+            failure_domain: domain_id(domain),
+            incarnation: Incarnation(self.incarnation),
+            peer_address: address(domain, host),
+            caller_address: address(domain, host + 1_000),
+            leaving: false,
+        };
+        let config = MemberConfig {
+            own: info.clone(),
+            seeds: seeds.to_vec(),
+            timing: MemberTiming::default(),
+        };
+        let domain_id = info.failure_domain.clone();
+        let timing = SpreadTiming::default();
+        let entry_host = EntryHost {
+            membership: Membership::new(config, self.now),
+            replica: ConfigReplica::new(domain_id, timing, self.incarnation, self.now),
+            clock: HybridClock::default(),
+            is_paused: false,
+            waiting: Vec::new(),
+            watch: None,
+            info,
+        };
+        let at = address(domain, host);
+        self.queue.retain(|_, (to, _)| *to != at);
+        self.hosts.insert(at, entry_host);
+        let phase = Duration::from_millis(self.incarnation * 7 % 100);
+        self.send(at, phase, Message::Tick);
+    }
+
+    /// Stops a host without a word.
+    pub fn kill(&mut self, domain: usize, host: usize) {
+        let at = address(domain, host);
+        self.hosts.remove(&at);
+        self.queue.retain(|_, (to, _)| *to != at);
+    }
+
+    pub fn host(&self, domain: usize, host: usize) -> &EntryHost {
+        &self.hosts[&address(domain, host)]
+    }
+
+    pub fn host_mut(&mut self, domain: usize, host: usize) -> &mut EntryHost {
+        self.hosts.get_mut(&address(domain, host)).expect("started")
+    }
+
+    /// Pauses the process of a host; messages to it wait.
+    pub fn pause(&mut self, domain: usize, host: usize) {
+        self.host_mut(domain, host).is_paused = true;
+    }
+
+    /// Resumes a paused process; its timer fires before it hears anything.
+    pub fn resume(&mut self, domain: usize, host: usize) {
+        let host = self.host_mut(domain, host);
+        host.is_paused = false;
+        let waiting = std::mem::take(&mut host.waiting);
+        let at = host.info.peer_address;
+        self.send(at, Duration::ZERO, Message::Tick);
+        let others = waiting.into_iter().filter(|m| !matches!(m, Message::Tick));
+        for message in others {
+            self.send(at, LATENCY, message);
+        }
+    }
+
+    /// Cuts one host from the store, or joins it again.
+    pub fn cut_host_from_store(&mut self, domain: usize, host: usize, is_cut: bool) {
+        let id = host_id(domain, host);
+        if is_cut {
+            self.cut_from_store.insert(id);
+            self.fail_watches();
+        } else {
+            self.cut_from_store.remove(&id);
+        }
+    }
+
+    /// Takes the store down, or up again.
+    pub fn set_store_down(&mut self, is_down: bool) {
+        self.store.is_down = is_down;
+        self.fail_watches();
+    }
+
+    /// Cuts a failure domain from the other ones, or joins it again.
+    pub fn cut_domain(&mut self, domain: usize, is_cut: bool) {
+        if is_cut {
+            self.cut_domains.insert(domain_id(domain));
+        } else {
+            self.cut_domains.remove(&domain_id(domain));
+        }
+    }
+
+    /// Carries out an operator's change over one host.
+    pub fn apply(&mut self, domain: usize, host: usize, value: Value) -> StoredRecord {
+        self.apply_with(domain, host, value, true)
+    }
+
+    /// Writes an operator's change; the host learns of it only if `is_answered`.
+    pub fn apply_with(
+        &mut self,
+        domain: usize,
+        host: usize,
+        value: Value,
+        is_answered: bool,
+    ) -> StoredRecord {
+        let document = Document::from_value(value).expect("valid document");
+        let current = self.store.current(document.key());
+        self.sequence += 1;
+        let by = WriterId {
+            incarnation: Incarnation(u64::MAX),
+            sequence: self.sequence,
+        };
+        let request = ApplyRequest::put(document, Expectation::Any, "ana", by);
+        let records = self.host(domain, host).replica.records().clone();
+        let places = KnownPlaces::default();
+        let plan = ApplyPlan::new(&request, &current, &records, &places, self.now).expect("plan");
+        self.store.calls += 2;
+        let written = self.write(&plan.record, plan.expected);
+        let revision = written.expect("no other writer");
+        if is_answered {
+            let now = self.now;
+            let record = plan.record.clone();
+            let host = self.host_mut(domain, host);
+            let effects = host.replica.accept(record, revision, now);
+            let at = host.info.peer_address;
+            self.carry_out_config(at, effects);
+        }
+        plan.record
+    }
+
+    /// Runs for a while.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        self.run_until(end, |_| false);
+    }
+
+    /// Runs until a condition holds; returns the time that it took.
+    pub fn run_while(&mut self, limit: Duration, is_done: impl Fn(&Self) -> bool) -> Duration {
+        let start = self.now;
+        let done = self.run_until(start + limit, is_done);
+        assert!(done, "condition does not hold after {limit:?}");
+        self.now.since(start)
+    }
+
+    fn run_until(&mut self, end: Timestamp, is_done: impl Fn(&Self) -> bool) -> bool {
+        while let Some(((at, _), _)) = self.queue.first_key_value() {
+            if *at > end {
+                break;
+            }
+            let ((at, _), (to, message)) = self.queue.pop_first().expect("just seen");
+            self.now = self.now.max(at);
+            self.deliver(to, message);
+            if is_done(self) {
+                return true;
+            }
+        }
+        self.now = end;
+        is_done(self)
+    }
+
+    /// Returns whether every host holds a version of a record, or a newer one.
+    pub fn is_everywhere(&self, record: &StoredRecord) -> bool {
+        let holds = |host: &EntryHost| {
+            let entry = host.replica.records().get(&record.key);
+            entry.is_some_and(|e| e.stored.rank() >= record.rank())
+        };
+        self.hosts.values().all(holds)
+    }
+
+    pub fn domains(&self) -> usize {
+        let domains = self.hosts.values().map(|h| &h.info.failure_domain);
+        domains.collect::<BTreeSet<_>>().len()
+    }
+
+    pub fn count_events(&self, kind: EventKind) -> usize {
+        self.events
+            .iter()
+            .filter(|(_, _, e)| e.kind == kind)
+            .count()
+    }
+
+    fn deliver(&mut self, to: SocketAddr, message: Message) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(&to) else {
+            return;
+        };
+        if host.is_paused {
+            host.waiting.push(message);
+            return;
+        }
+        match message {
+            Message::Tick => self.tick(to),
+            Message::Heartbeat(from, heartbeat) => self.take_in(to, &heartbeat, Some(from)),
+            Message::Answer(heartbeat) => self.take_in(to, &heartbeat, None),
+            Message::HeartbeatFailed(target) => {
+                let effects = host.membership.fail(target, now);
+                self.carry_out_members(to, effects);
+            }
+            Message::Pull(from, index) => {
+                let answer = host.replica.answer_pull(&index);
+                let own = host.info.clone();
+                self.send(from.peer_address, LATENCY, Message::PullAnswer(own, answer));
+            }
+            Message::PullAnswer(from, answer) => {
+                let effects = host.replica.take_in_pull(&from, answer, now);
+                self.carry_out_config(to, effects);
+            }
+            Message::PullFailed(from) => host.replica.fail_pull(&from, now),
+            Message::Push(from, records) => {
+                let effects = host.replica.take_in_push(&from, records, now);
+                self.carry_out_config(to, effects);
+            }
+            Message::Read(Some(read)) => {
+                let effects = host.replica.take_in_read(read, now);
+                self.carry_out_config(to, effects);
+            }
+            Message::Read(None) => {
+                let effects = host.replica.fail_read("unreachable", now);
+                self.carry_out_config(to, effects);
+            }
+            Message::Watch(watch, changes) if host.watch == Some(watch) => {
+                let effects = host.replica.take_in_watch(changes, now);
+                self.carry_out_config(to, effects);
+            }
+            Message::WatchFailed(watch) if host.watch == Some(watch) => {
+                host.watch = None;
+                let effects = host.replica.fail_watch("reset", now);
+                self.carry_out_config(to, effects);
+            }
+            Message::Watch(..) | Message::WatchFailed(_) => {}
+            Message::WriteBack(record, outcome) => {
+                let effects = host.replica.take_in_write_back(&record, outcome, now);
+                self.carry_out_config(to, effects);
+            }
+        }
+    }
+
+    fn tick(&mut self, to: SocketAddr) {
+        let now = self.now;
+        self.send(to, TICK, Message::Tick);
+        let host = self.hosts.get_mut(&to).expect("delivered to it");
+        host.membership.set_config_status(host.replica.status(now));
+        let time = host.clock.tick(now);
+        let effects = host.membership.tick(now, time);
+        self.carry_out_members(to, effects);
+        let host = self.hosts.get_mut(&to).expect("delivered to it");
+        let effects = host.replica.tick(now);
+        self.carry_out_config(to, effects);
+    }
+
+    fn take_in(&mut self, to: SocketAddr, heartbeat: &Heartbeat, caller: Option<SocketAddr>) {
+        let now = self.now;
+        let host = self.hosts.get_mut(&to).expect("delivered to it");
+        let time = host.clock.observe(now, heartbeat.time);
+        let effects = host.membership.take_in(heartbeat, now);
+        host.replica
+            .hear_peer(&heartbeat.sender, heartbeat.config, now);
+        host.membership.set_config_status(host.replica.status(now));
+        if let Some(caller) = caller {
+            let answer = host.membership.answer(&heartbeat.sender, now, time);
+            self.send(caller, LATENCY, Message::Answer(Box::new(answer)));
+        }
+        self.carry_out_members(to, effects);
+    }
+
+    fn carry_out_members(&mut self, at: SocketAddr, effects: Vec<MemberEffect>) {
+        for effect in effects {
+            match effect {
+                MemberEffect::SendHeartbeat { to, heartbeat } => {
+                    self.counts.heartbeats += 1;
+                    if self.is_reachable(at, to) {
+                        self.send(to, LATENCY, Message::Heartbeat(at, heartbeat));
+                    } else {
+                        self.send(at, CALL_TIMEOUT, Message::HeartbeatFailed(to));
+                    }
+                }
+                MemberEffect::MembersChanged => self.renew_duties(at),
+                MemberEffect::Emit(event) => self.record_event(at, event),
+                MemberEffect::Paused(_) | MemberEffect::CrashLearned(_) => {}
+            }
+        }
+        // A host without peers never sees a change of its members.
+        if self.hosts[&at].membership.peers().next().is_none() {
+            self.renew_duties(at);
+        }
+    }
+
+    fn renew_duties(&mut self, at: SocketAddr) {
+        let now = self.now;
+        let host = self.hosts.get_mut(&at).expect("acts");
+        let members = host.membership.active_members();
+        let position = watchers(&members)
+            .iter()
+            .position(|id| **id == host.info.host);
+        let peers = host.membership.live_peers().cloned().collect();
+        let effects = host.replica.set_members(peers, position, now);
+        self.carry_out_config(at, effects);
+    }
+
+    fn carry_out_config(&mut self, at: SocketAddr, effects: Vec<ConfigEffect>) {
+        for effect in effects {
+            match effect {
+                ConfigEffect::ReadStore => self.read_store(at),
+                ConfigEffect::StartWatch { after } => self.start_watch(at, after),
+                ConfigEffect::StopWatch => self.hosts.get_mut(&at).expect("acts").watch = None,
+                ConfigEffect::PullFromPeer { peer, index } => self.pull(at, peer, index),
+                ConfigEffect::PushToPeers { peers, records } => {
+                    let own = self.hosts[&at].info.clone();
+                    let records: Vec<_> = records.iter().map(|r| (**r).clone()).collect();
+                    for peer in peers {
+                        self.counts.pushed_records += records.len() as u64;
+                        if self.is_reachable(at, peer.peer_address) {
+                            let push = Message::Push(own.clone(), records.clone());
+                            self.send(peer.peer_address, LATENCY, push);
+                        }
+                    }
+                }
+                ConfigEffect::WriteBack { record, expected } => {
+                    self.write_back(at, &record, expected);
+                }
+                ConfigEffect::RecordsChanged => {}
+                ConfigEffect::Emit(event) => self.record_event(at, event),
+            }
+        }
+    }
+
+    fn pull(&mut self, at: SocketAddr, peer: MemberInfo, index: RecordIndex) {
+        self.counts.pulls += 1;
+        if self.is_reachable(at, peer.peer_address) {
+            let own = self.hosts[&at].info.clone();
+            self.send(peer.peer_address, LATENCY, Message::Pull(own, index));
+        } else {
+            self.send(at, CALL_TIMEOUT, Message::PullFailed(peer));
+        }
+    }
+
+    fn read_store(&mut self, at: SocketAddr) {
+        self.store.calls += 1;
+        if self.reaches_store(at) {
+            let read = self.store.read();
+            self.send(at, STORE_LATENCY, Message::Read(Some(read)));
+        } else {
+            self.send(at, CALL_TIMEOUT, Message::Read(None));
+        }
+    }
+
+    fn start_watch(&mut self, at: SocketAddr, after: StoreRevision) {
+        self.store.calls += 1;
+        self.sequence += 1;
+        let watch = self.sequence;
+        self.hosts.get_mut(&at).expect("acts").watch = Some(watch);
+        let changed = self.store.values.values().filter(|(_, r)| *r > after);
+        let changes = changed.map(|(record, r)| StoreChange::Put(record.clone(), *r));
+        let changes = changes.collect();
+        self.send(at, STORE_LATENCY, Message::Watch(watch, changes));
+    }
+
+    fn write_back(&mut self, at: SocketAddr, record: &StoredRecord, expected: StoreRevision) {
+        self.counts.write_backs += 1;
+        self.store.calls += 1;
+        let outcome = if !self.reaches_store(at) {
+            WriteBackOutcome::Failed
+        } else {
+            match self.write(record, expected) {
+                Some(revision) => WriteBackOutcome::Applied(revision),
+                None => WriteBackOutcome::Conflict(self.store.values.get(&record.key).cloned()),
+            }
+        };
+        self.send(
+            at,
+            STORE_LATENCY,
+            Message::WriteBack(record.clone(), outcome),
+        );
+    }
+
+    /// Writes to the store and tells the hosts that watch it.
+    fn write(&mut self, record: &StoredRecord, expected: StoreRevision) -> Option<StoreRevision> {
+        let revision = self.store.write(record, expected)?;
+        let change = StoreChange::Put(record.clone(), revision);
+        let watching: Vec<_> = self
+            .hosts
+            .iter()
+            .filter_map(|(at, host)| Some((*at, host.watch?)))
+            .collect();
+        for (at, watch) in watching {
+            if self.reaches_store(at) {
+                self.send(
+                    at,
+                    STORE_LATENCY,
+                    Message::Watch(watch, vec![change.clone()]),
+                );
+            }
+        }
+        Some(revision)
+    }
+
+    fn fail_watches(&mut self) {
+        let watching: Vec<_> = self
+            .hosts
+            .iter()
+            .filter_map(|(at, host)| Some((*at, host.watch?)))
+            .collect();
+        for (at, watch) in watching {
+            if !self.reaches_store(at) {
+                self.send(at, CALL_TIMEOUT, Message::WatchFailed(watch));
+            }
+        }
+    }
+
+    fn reaches_store(&self, at: SocketAddr) -> bool {
+        !self.store.is_down && !self.cut_from_store.contains(&self.hosts[&at].info.host)
+    }
+
+    fn is_reachable(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        let Some(target) = self.hosts.get(&to) else {
+            return false;
+        };
+        let (a, b) = (&self.hosts[&from].info, &target.info);
+        let is_cut = |info: &MemberInfo| self.cut_domains.contains(&info.failure_domain);
+        !target.is_paused && (a.failure_domain == b.failure_domain || !(is_cut(a) || is_cut(b)))
+    }
+
+    fn record_event(&mut self, at: SocketAddr, event: EventDraft) {
+        let host = self.hosts[&at].info.host.clone();
+        self.events.push((self.now, host, event));
+    }
+
+    fn send(&mut self, to: SocketAddr, after: Duration, message: Message) {
+        self.sequence += 1;
+        let at = (self.now + after, self.sequence);
+        self.queue.insert(at, (to, message));
+    }
+}
+
+pub fn address(domain: usize, host: usize) -> SocketAddr {
+    let port = u16::try_from(10_000 + domain * 100 + host % 1_000).expect("few hosts");
+    let net = u8::try_from(host / 1_000).expect("two nets");
+    SocketAddr::from(([127, 0, net, 1], port))
+}
+
+pub fn host_id(domain: usize, host: usize) -> HostId {
+    HostId::new(format!("d{domain}-e{host}"))
+}
+
+pub fn domain_id(domain: usize) -> FailureDomainId {
+    FailureDomainId::new(format!("d{domain}"))
+}
+
+/// Returns a drain document; its target differs with `version`.
+pub fn drain(name: &str, version: usize) -> Value {
+    json!({
+        "schema_version": 2, "kind": "drain", "name": name,
+        "target": {"host": format!("worker-{version}")}, "reason": "test"
+    })
+}
+
+pub fn drain_key(name: &str) -> RecordKey {
+    RecordKey::new(RecordKind::Drain, RecordName::new(name))
+}
--- /dev/null
+++ b/crates/geranium_core/tests/entry_hosts/main.rs
@@ -0,0 +1,9 @@
+//! Entry hosts of several failure domains: membership and spread of records.
+
+mod figures;
+mod fleet;
+mod membership;
+mod reports;
+mod sizes;
+mod spread;
+mod store;
--- /dev/null
+++ b/crates/geranium_core/tests/entry_hosts/membership.rs
@@ -0,0 +1,200 @@
+//! Who knows whom, and who is suspected.
+
+use std::time::Duration;
+
+use geranium_core::event::EventKind;
+use geranium_core::id::{GroupId, HostId};
+use geranium_core::member::{
+    CrashNotice, Membership, PeerState, budget_holder, observers, ranked, watchers,
+};
+
+use crate::fleet::{Fleet, address, domain_id, host_id};
+
+fn settled(domains: usize, hosts: usize) -> Fleet {
+    let mut fleet = Fleet::start(domains, hosts);
+    fleet.run(Duration::from_secs(5));
+    fleet
+}
+
+fn states(membership: &Membership) -> Vec<PeerState> {
+    membership.peers().map(|(_, state, _)| state).collect()
+}
+
+#[test]
+fn hosts_find_each_other_over_one_seed_a_domain() {
+    let fleet = settled(3, 4);
+
+    for host in fleet.hosts.values() {
+        assert_eq!(states(&host.membership), [PeerState::Alive; 3]);
+        assert_eq!(host.membership.domains().len(), 2);
+        for (summary, _) in host.membership.domains().iter() {
+            assert_eq!(summary.members.len(), 4);
+        }
+    }
+}
+
+#[test]
+fn a_dead_host_is_suspected_by_every_peer_and_loses_its_duties() {
+    let mut fleet = settled(1, 5);
+    fleet.kill(0, 2);
+
+    let is_suspected = |fleet: &Fleet| {
+        let mut hosts = fleet.hosts.values();
+        hosts.all(|h| h.membership.active_members().len() == 4)
+    };
+    let took = fleet.run_while(Duration::from_secs(5), is_suspected);
+
+    assert!(took <= Duration::from_millis(1_500), "took {took:?}");
+    assert_eq!(fleet.count_events(EventKind::PeerSuspected), 4);
+}
+
+#[test]
+fn a_process_that_was_paused_suspects_nobody_when_it_resumes() {
+    let mut fleet = settled(1, 5);
+    fleet.pause(0, 1);
+    fleet.run(Duration::from_secs(30));
+    fleet.events.clear();
+
+    fleet.resume(0, 1);
+    fleet.run(Duration::from_secs(3));
+
+    let by_paused = fleet.events.iter().filter(|(_, host, event)| {
+        *host == host_id(0, 1) && event.kind == EventKind::PeerSuspected
+    });
+    assert_eq!(by_paused.count(), 0);
+    assert_eq!(fleet.count_events(EventKind::ProcessPaused), 1);
+    for host in fleet.hosts.values() {
+        assert_eq!(states(&host.membership), [PeerState::Alive; 4]);
+    }
+}
+
+#[test]
+fn a_process_that_stutters_does_not_suspect_its_peers() {
+    let mut fleet = settled(1, 3);
+    fleet.events.clear();
+
+    for _ in 0..20 {
+        fleet.pause(0, 0);
+        fleet.run(Duration::from_millis(900));
+        fleet.resume(0, 0);
+        fleet.run(Duration::from_millis(300));
+    }
+
+    let by_stuttering = fleet.events.iter().filter(|(_, host, event)| {
+        *host == host_id(0, 0) && event.kind == EventKind::PeerSuspected
+    });
+    assert_eq!(by_stuttering.count(), 0);
+}
+
+#[test]
+fn a_new_run_of_a_host_replaces_the_old_one_and_late_words_of_it_are_ignored() {
+    let mut fleet = settled(1, 3);
+    let old = fleet.host(0, 2).membership.clone();
+    fleet.start_host(0, 2, &[address(0, 0)]);
+    fleet.run(Duration::from_secs(3));
+    let new = fleet.host(0, 2).info.incarnation;
+
+    let now = fleet.now;
+    let mut late = old;
+    let receiver = fleet.host(0, 0).info.clone();
+    let heartbeat = late.answer(&receiver, now, Default::default());
+    fleet.host_mut(0, 0).membership.take_in(&heartbeat, now);
+
+    let known = fleet.host(0, 0).membership.peers();
+    let known: Vec<_> = known
+        .filter(|(info, ..)| info.host == host_id(0, 2))
+        .collect();
+    assert_eq!(known[0].0.incarnation, new);
+}
+
+#[test]
+fn a_leaving_host_loses_its_duties_within_one_heartbeat() {
+    let mut fleet = settled(1, 5);
+    let now = fleet.now;
+    fleet.host_mut(0, 3).membership.begin_leaving(now);
+
+    let is_known = |fleet: &Fleet| {
+        let mut hosts = fleet.hosts.values();
+        hosts.all(|h| !h.membership.active_members().contains(&host_id(0, 3)))
+    };
+    let took = fleet.run_while(Duration::from_secs(2), is_known);
+
+    assert!(took <= Duration::from_millis(250), "took {took:?}");
+    assert_eq!(fleet.count_events(EventKind::PeerLeft), 4);
+    assert_eq!(fleet.count_events(EventKind::PeerSuspected), 0);
+}
+
+#[test]
+fn a_domain_that_was_cut_off_is_known_again_though_its_hosts_were_replaced() {
+    let mut fleet = settled(2, 2);
+    fleet.cut_domain(1, true);
+    fleet.run(Duration::from_secs(200));
+    fleet.start_host(1, 0, &[address(0, 0), address(1, 0)]);
+    fleet.start_host(1, 1, &[address(0, 0), address(1, 0)]);
+    let (new, old_made_at) = {
+        let (summary, _) = fleet
+            .host(0, 0)
+            .membership
+            .domains()
+            .get(&domain_id(1))
+            .expect("known");
+        (fleet.host(1, 0).info.incarnation, summary.made_at)
+    };
+
+    fleet.cut_domain(1, false);
+    let is_known = |fleet: &Fleet| {
+        fleet.hosts.values().all(|host| {
+            let summary = host.membership.domains().get(&domain_id(1));
+            host.info.failure_domain == domain_id(1)
+                || summary.is_some_and(|(s, _)| {
+                    s.made_at > old_made_at && s.members.iter().any(|m| m.info.incarnation == new)
+                })
+        })
+    };
+    let took = fleet.run_while(Duration::from_secs(60), is_known);
+
+    assert!(took <= Duration::from_secs(35), "took {took:?}");
+}
+
+#[test]
+fn a_crash_is_told_to_every_host_of_every_domain_once() {
+    let mut fleet = settled(3, 3);
+    let notice = CrashNotice {
+        fingerprint: "c0ffee".to_owned(),
+        group: GroupId::new("g1"),
+        generation: 3,
+        at: fleet.now,
+    };
+    let host = fleet.host_mut(2, 2);
+    assert!(host.membership.share_crash(notice.clone()));
+
+    fleet.run(Duration::from_secs(5));
+
+    for host in fleet.hosts.values_mut() {
+        assert!(
+            !host.membership.share_crash(notice.clone()),
+            "{}",
+            host.info.host
+        );
+    }
+}
+
+#[test]
+fn duties_move_only_with_the_members_that_have_them() {
+    let hosts: Vec<HostId> = (0..15).map(|i| host_id(0, i)).collect();
+    let servers: Vec<HostId> = (0..41).map(|i| HostId::new(format!("w{i}"))).collect();
+    let gone = &hosts[4];
+    let left: Vec<HostId> = hosts.iter().filter(|h| *h != gone).cloned().collect();
+
+    for server in &servers {
+        let before = observers(&hosts, server);
+        let after = observers(&left, server);
+        assert_eq!(before.len(), 2);
+        if !before.contains(&gone) {
+            assert_eq!(before, after);
+        }
+    }
+    assert_eq!(watchers(&hosts).len(), 2);
+    assert!(budget_holder(&hosts, &GroupId::new("g1")).is_some());
+    assert!(ranked(&[], "watch", 2).is_empty());
+}
--- /dev/null
+++ b/crates/geranium_core/tests/entry_hosts/reports.rs
@@ -0,0 +1,108 @@
+//! Reports of engines, shared within a failure domain.
+
+use std::time::Duration;
+
+use geranium_core::engine::{EnginePhase, EngineReport};
+use geranium_core::id::{FencingNumber, HostId, Incarnation};
+use geranium_core::time::Timestamp;
+
+use crate::fleet::Fleet;
+
+fn report(sequence: u64, phase: EnginePhase) -> EngineReport {
+    EngineReport {
+        host: HostId::new("w1"),
+        incarnation: Incarnation(1),
+        sequence,
+        fencing: FencingNumber(1),
+        assignment: None,
+        phase,
+        leaving: false,
+        running: 0,
+        waiting: 0,
+        kv_free_tokens: 0,
+    }
+}
+
+fn heard_at(fleet: &Fleet, host: usize) -> Option<Timestamp> {
+    let board = fleet.host(0, host).membership.board();
+    board.get(&HostId::new("w1")).map(|entry| entry.heard_at)
+}
+
+/// Lets one host poll the engine every 100 ms for a while.
+fn poll(fleet: &mut Fleet, observer: usize, times: u64, phase: EnginePhase) {
+    for sequence in 1..=times {
+        let now = fleet.now;
+        let host = fleet.host_mut(0, observer);
+        host.membership.observe(report(sequence, phase), now);
+        fleet.run(Duration::from_millis(100));
+    }
+}
+
+#[test]
+fn an_observer_vouches_for_an_unchanged_report_with_each_heartbeat() {
+    let mut fleet = Fleet::start(1, 3);
+    fleet.run(Duration::from_secs(3));
+
+    poll(&mut fleet, 0, 50, EnginePhase::Warm);
+
+    for host in 0..3 {
+        let age = fleet.now.since(heard_at(&fleet, host).expect("known"));
+        assert!(age <= Duration::from_millis(500), "host {host}: {age:?}");
+    }
+}
+
+#[test]
+fn an_engine_that_falls_silent_is_vouched_for_no_longer() {
+    let mut fleet = Fleet::start(1, 3);
+    fleet.run(Duration::from_secs(3));
+    poll(&mut fleet, 0, 20, EnginePhase::Warm);
+    let last_poll = fleet.now;
+
+    fleet.run(Duration::from_secs(3));
+
+    for host in 1..3 {
+        // The observer vouched until it noticed the silence, not longer.
+        let heard_at = heard_at(&fleet, host);
+        let limit = last_poll + Duration::from_millis(600);
+        assert!(heard_at.is_none_or(|at| at <= limit), "host {host}");
+    }
+}
+
+#[test]
+fn a_paused_observer_vouches_for_nothing_when_it_resumes() {
+    let mut fleet = Fleet::start(1, 3);
+    fleet.run(Duration::from_secs(3));
+    poll(&mut fleet, 0, 20, EnginePhase::Warm);
+    let paused_at = fleet.now;
+    fleet.pause(0, 0);
+    fleet.run(Duration::from_secs(10));
+
+    fleet.resume(0, 0);
+    fleet.run(Duration::from_secs(1));
+
+    for host in 1..3 {
+        let heard_at = heard_at(&fleet, host);
+        let limit = paused_at + Duration::from_millis(500);
+        assert!(heard_at.is_none_or(|at| at <= limit), "host {host}");
+    }
+}
+
+#[test]
+fn a_change_of_state_is_told_at_once() {
+    let mut fleet = Fleet::start(1, 3);
+    fleet.run(Duration::from_secs(3));
+    poll(&mut fleet, 0, 20, EnginePhase::Warm);
+
+    let now = fleet.now;
+    let host = fleet.host_mut(0, 0);
+    host.membership.observe(report(21, EnginePhase::Cold), now);
+    let is_known = |fleet: &Fleet| {
+        fleet.hosts.values().all(|host| {
+            let entry = host.membership.board().get(&HostId::new("w1"));
+            entry.is_some_and(|e| e.report.phase == EnginePhase::Cold)
+        })
+    };
+    let took = fleet.run_while(Duration::from_secs(1), is_known);
+
+    assert!(took <= Duration::from_millis(150), "took {took:?}");
+}
