--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -111,4 +111,6 @@
     ClaimWithdrawn => "claim_withdrawn",
     /// A group table read from the store breaks a rule and is not used.
     TableRejected => "table_rejected",
+    /// The process was paused and has not run for a while.
+    ProcessPaused => "process_paused",
 }
