--- a/crates/geranium_core/src/engine/report.rs
+++ b/crates/geranium_core/src/engine/report.rs
@@ -59,3 +59,15 @@
     /// Tokens that fit into the free part of the KV cache.
     pub kv_free_tokens: u64,
 }
+
+impl EngineReport {
+    /// Returns whether another report shows another state, its load aside.
+    #[must_use]
+    pub fn differs_in_state(&self, other: &Self) -> bool {
+        self.incarnation != other.incarnation
+            || self.fencing != other.fencing
+            || self.assignment != other.assignment
+            || self.phase != other.phase
+            || self.leaving != other.leaving
+    }
+}
--- a/crates/geranium_core/src/group/config.rs
+++ b/crates/geranium_core/src/group/config.rs
@@ -18,7 +18,7 @@
 pub const TABLE_CONFIRMATION_AGE: Duration = Duration::from_millis(1_000);
 
 /// Time after which a read or write without an outcome is settled by a new read.
-pub const STORE_TIMEOUT: Duration = Duration::from_millis(3_000);
+pub const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Time that a dissolving group must have been idle before its hosts are released.
 pub const DRAIN_SETTLE: Duration = Duration::from_millis(2_000);
@@ -32,6 +32,12 @@
 /// Time after which a member that still loads, while another is done, is a straggler.
 pub const STRAGGLER_LIMIT: Duration = Duration::from_secs(120);
 
+/// Time over which missed reports are counted.
+pub const STRAGGLER_WINDOW: Duration = Duration::from_secs(10);
+
+/// Missed reports within the window that make a member a straggler.
+pub const STRAGGLER_MISSES: usize = 12;
+
 /// Replica groups that load weights at the same time.
 pub const MAX_LOADING_GROUPS: usize = 4;
 
@@ -58,6 +64,10 @@
     pub unfenced_rest: Duration,
     /// Time after which a member that still loads, while another is done, is a straggler.
     pub straggler_limit: Duration,
+    /// Time over which missed reports are counted.
+    pub straggler_window: Duration,
+    /// Missed reports within the window that make a member a straggler.
+    pub straggler_misses: usize,
     /// Replica groups that load weights at the same time.
     pub max_loading_groups: usize,
 }
@@ -75,6 +85,8 @@
             drain_limit: DRAIN_LIMIT,
             unfenced_rest: UNFENCED_REST,
             straggler_limit: STRAGGLER_LIMIT,
+            straggler_window: STRAGGLER_WINDOW,
+            straggler_misses: STRAGGLER_MISSES,
             max_loading_groups: MAX_LOADING_GROUPS,
         }
     }
--- a/crates/geranium_core/src/group/controller.rs
+++ b/crates/geranium_core/src/group/controller.rs
@@ -1,14 +1,19 @@
 //! State machine of the leader of a failure domain.
 
+mod hosts;
+mod outage;
 mod store;
 
 use std::collections::BTreeSet;
 
 use crate::engine::{EngineReport, Order, OrderAction};
 use crate::event::{EventDraft, EventKind, EventSubject};
-use crate::group::dispatch::Dispatcher;
+use crate::group::dispatch::{Dispatcher, DueOrder};
 use crate::group::progress::Progress;
-use crate::group::{GroupConfig, GroupEffect, GroupInput, GroupTable, OrderOutcome, World};
+use crate::group::{
+    DelegatedSpares, GroupConfig, GroupEffect, GroupInput, GroupTable, OrderOutcome, OutagePolicy,
+    World,
+};
 use crate::id::{FailureDomainId, HostId, Incarnation, StoreRevision};
 use crate::time::Timestamp;
 
@@ -33,6 +38,15 @@
         /// When it was asked for.
         asked_at: Timestamp,
     },
+    /// The store does not answer; delegations may allow repairs.
+    Outage {
+        /// Whether this process holds the lease, as far as it knows.
+        leads: bool,
+        /// Write whose outcome the next read settles.
+        unsettled: Option<PendingWrite>,
+        /// When the store was last tried.
+        tried_at: Timestamp,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -47,9 +61,11 @@
 /// orders are derived from the table alone. A write with an unknown outcome is
 /// settled by a read before anything else happens. The lease says only who
 /// should try: a leader that lost it unawares is stopped by the conditional
-/// write, by fencing numbers and by the gate.
+/// write, by fencing numbers and by the gate. While the store does not answer,
+/// the process does only what delegations in the table allow it.
 #[derive(Clone, Debug)]
-pub struct GroupController {
+pub struct GroupController<P = DelegatedSpares> {
+    policy: P,
     incarnation: Incarnation,
     world: World,
     progress: Progress,
@@ -57,6 +73,8 @@
     phase: Phase,
     table: GroupTable,
     revision: StoreRevision,
+    /// Whether the store holds an older state than `table`.
+    store_is_behind: bool,
     confirmed_at: Option<Timestamp>,
     store_reachable: bool,
     last_sequence: u64,
@@ -68,7 +86,21 @@
     /// Makes a controller that does not lead.
     #[must_use]
     pub fn new(cfg: GroupConfig, failure_domain: FailureDomainId, process: Incarnation) -> Self {
+        Self::with_policy(DelegatedSpares, cfg, failure_domain, process)
+    }
+}
+
+impl<P: OutagePolicy> GroupController<P> {
+    /// Makes a controller that does not lead, with a policy for outages.
+    #[must_use]
+    pub fn with_policy(
+        policy: P,
+        cfg: GroupConfig,
+        failure_domain: FailureDomainId,
+        process: Incarnation,
+    ) -> Self {
         Self {
+            policy,
             incarnation: process,
             world: World::new(cfg, failure_domain.clone()),
             progress: Progress::default(),
@@ -76,6 +108,7 @@
             phase: Phase::Following,
             table: GroupTable::new(failure_domain),
             revision: StoreRevision::default(),
+            store_is_behind: false,
             confirmed_at: None,
             store_reachable: true,
             last_sequence: 0,
@@ -87,10 +120,13 @@
     /// Returns whether this process acts as the leader.
     #[must_use]
     pub fn is_leader(&self) -> bool {
-        !matches!(self.phase, Phase::Following)
+        !matches!(
+            self.phase,
+            Phase::Following | Phase::Outage { leads: false, .. }
+        )
     }
 
-    /// Returns the table as last read or written, with its revision.
+    /// Returns the latest table known, with the revision of the stored one.
     #[must_use]
     pub fn table(&self) -> (&GroupTable, StoreRevision) {
         (&self.table, self.revision)
@@ -119,9 +155,10 @@
             GroupInput::TableLoaded { table, revision } => {
                 self.table_loaded(now, table, revision, effects);
             }
+            GroupInput::TableHeard(table) => self.table_heard(now, table, effects),
             GroupInput::TableWritten(outcome) => self.table_written(now, outcome, effects),
             GroupInput::Report(report) => self.report(now, report, effects),
-            GroupInput::ReportMissed { .. } => {}
+            GroupInput::ReportMissed { host } => self.world.note_missed(now, host),
             GroupInput::OrderAnswered { order, outcome } => {
                 self.order_answered(now, order, outcome);
             }
@@ -133,7 +170,7 @@
                 self.world.set_hosts(hosts);
                 self.step(now, effects);
             }
-            GroupInput::StoreUnreachable => self.store_unreachable(effects),
+            GroupInput::StoreUnreachable => self.store_unreachable(now, effects),
             GroupInput::StoreReachable => self.store_came_back(now, effects),
             GroupInput::Tick => {
                 self.expire_store_call(now, effects);
@@ -148,36 +185,32 @@
         }
         self.progress = Progress::default();
         self.dispatcher = Dispatcher::default();
-        emit_domain(
+        self.emit_domain(
             effects,
-            &self.world,
             EventKind::LeadershipGained,
             "the lease was granted",
         );
-        self.read_table(now, None, effects);
+        match &mut self.phase {
+            Phase::Outage { leads, .. } => *leads = true,
+            _ => self.read_table(now, None, effects),
+        }
     }
 
     fn lose_leadership(&mut self, effects: &mut Vec<GroupEffect>) {
         if !self.is_leader() {
             return;
         }
-        self.phase = Phase::Following;
+        match &mut self.phase {
+            Phase::Outage { leads, .. } => *leads = false,
+            phase => *phase = Phase::Following,
+        }
         self.confirmed_at = None;
-        emit_domain(
-            effects,
-            &self.world,
-            EventKind::LeadershipLost,
-            "the lease was lost",
-        );
+        self.emit_domain(effects, EventKind::LeadershipLost, "the lease was lost");
     }
 
     fn report(&mut self, now: Timestamp, report: &EngineReport, effects: &mut Vec<GroupEffect>) {
-        let before = self
-            .world
-            .reports()
-            .get(&report.host)
-            .map(|o| status(&o.report));
-        let changed = before != Some(status(report));
+        let before = self.world.reports().get(&report.host);
+        let changed = before.is_none_or(|o| o.report.differs_in_state(report));
         if self.world.observe(now, report) && changed {
             self.step(now, effects);
         }
@@ -197,98 +230,51 @@
 
     /// Sends the orders that are due and then plans the next change.
     fn step(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
-        if !matches!(self.phase, Phase::Ready) {
-            return;
+        match self.phase {
+            Phase::Ready => {}
+            Phase::Outage { .. } => return self.step_in_outage(now, effects),
+            Phase::Following | Phase::Unread { .. } | Phase::Writing { .. } => return,
         }
         self.note_hosts(now, effects);
         self.progress.update(now, &self.world, &self.table);
-        self.send_orders(now, effects);
-        if matches!(self.phase, Phase::Ready) && self.store_reachable {
+        if !self.store_is_behind {
+            self.send_due_orders(now, effects);
+        }
+        if matches!(self.phase, Phase::Ready) {
             self.plan(now, effects);
         }
     }
 
-    fn send_orders(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
+    fn send_due_orders(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
         let due = self.dispatcher.due(now, &self.world, &self.table);
         if due.is_empty() {
             return;
         }
         let limit = self.world.config().table_confirmation_age;
         let confirmed = self.confirmed_at.is_some_and(|at| now.since(at) <= limit);
-        if !confirmed {
-            if self.store_reachable {
-                self.read_table(now, None, effects);
-            }
-            return;
+        if confirmed {
+            self.send(now, due, effects);
+        } else {
+            self.read_table(now, None, effects);
         }
-        for due_order in due {
-            let order = due_order.order;
+    }
+
+    fn send(&mut self, now: Timestamp, due: Vec<DueOrder>, effects: &mut Vec<GroupEffect>) {
+        for DueOrder { order, first } in due {
             self.dispatcher.note_sent(now, &order);
-            if due_order.first {
+            if first {
                 effects.push(GroupEffect::Emit(order_event(&order)));
             }
             effects.push(GroupEffect::SendOrder(order));
         }
     }
 
-    fn note_hosts(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
-        let hosts = self
-            .world
-            .hosts()
-            .into_iter()
-            .flat_map(|hosts| hosts.keys());
-        for host in hosts {
-            let subject = EventSubject::host(host);
-            if self.world.is_failed(now, host) {
-                if self.silent.insert(host.clone()) {
-                    emit(
-                        effects,
-                        EventKind::HostSilent,
-                        subject.clone(),
-                        "no report in time",
-                    );
-                }
-            } else if self.world.recent(now, host).is_some() && self.silent.remove(host) {
-                emit(
-                    effects,
-                    EventKind::HostHeard,
-                    subject.clone(),
-                    "reports again",
-                );
-            }
-            if !self.world.is_going(host) {
-                self.going.remove(host);
-            } else if self.going.insert(host.clone()) {
-                emit(
-                    effects,
-                    EventKind::HostLeaving,
-                    subject,
-                    "takes no new work",
-                );
-            }
-        }
+    fn emit_domain(&self, effects: &mut Vec<GroupEffect>, kind: EventKind, reason: &str) {
+        let subject = EventSubject::failure_domain(self.world.failure_domain());
+        effects.push(GroupEffect::Emit(EventDraft::new(kind, subject, reason)));
     }
 }
 
-type EngineStatus = (
-    Incarnation,
-    crate::id::FencingNumber,
-    Option<crate::engine::Assignment>,
-    crate::engine::EnginePhase,
-    bool,
-);
-
-/// The part of a report on which the table depends at once.
-fn status(report: &EngineReport) -> EngineStatus {
-    (
-        report.incarnation,
-        report.fencing,
-        report.assignment.clone(),
-        report.phase,
-        report.leaving,
-    )
-}
-
 fn order_event(order: &Order) -> EventDraft {
     let mut subject = EventSubject::host(&order.host);
     let what = match &order.action {
@@ -302,12 +288,3 @@
     let reason = format!("{what} under fencing number {}", order.fencing);
     EventDraft::new(EventKind::OrderSent, subject, reason)
 }
-
-fn emit(effects: &mut Vec<GroupEffect>, kind: EventKind, subject: EventSubject, reason: &str) {
-    effects.push(GroupEffect::Emit(EventDraft::new(kind, subject, reason)));
-}
-
-fn emit_domain(effects: &mut Vec<GroupEffect>, world: &World, kind: EventKind, reason: &str) {
-    let subject = EventSubject::failure_domain(world.failure_domain());
-    emit(effects, kind, subject, reason);
-}
--- /dev/null
+++ b/crates/geranium_core/src/group/controller/outage.rs
@@ -0,0 +1,103 @@
+//! What happens while the platform's store does not answer.
+
+use super::{GroupController, Phase};
+use crate::event::EventKind;
+use crate::group::planner::Planner;
+use crate::group::{GroupEffect, GroupTable, OutagePolicy};
+use crate::time::Timestamp;
+
+impl<P: OutagePolicy> GroupController<P> {
+    /// Goes on with the rights that the table grants, if any.
+    pub(super) fn store_unreachable(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
+        if !self.store_reachable {
+            return;
+        }
+        self.store_reachable = false;
+        self.emit_domain(effects, EventKind::StoreUnreachable, "no answer");
+        self.enter_outage(now);
+        self.step(now, effects);
+    }
+
+    /// Reads the table anew, which others may have changed meanwhile.
+    pub(super) fn store_came_back(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
+        if self.store_reachable {
+            return;
+        }
+        self.store_reachable = true;
+        self.emit_domain(effects, EventKind::StoreReachable, "it answers again");
+        match &self.phase {
+            Phase::Following | Phase::Outage { leads: false, .. } => self.phase = Phase::Following,
+            Phase::Outage { unsettled, .. } | Phase::Unread { unsettled, .. } => {
+                let unsettled = unsettled.clone();
+                self.read_table(now, unsettled, effects);
+            }
+            Phase::Ready | Phase::Writing { .. } => {}
+        }
+    }
+
+    /// Takes a table that a peer sent.
+    pub(super) fn table_heard(
+        &mut self,
+        now: Timestamp,
+        table: &GroupTable,
+        effects: &mut Vec<GroupEffect>,
+    ) {
+        if table.version() <= self.table.version() || self.check(table).is_err() {
+            return;
+        }
+        match &self.phase {
+            Phase::Following | Phase::Unread { .. } | Phase::Outage { .. } => {
+                self.table.clone_from(table);
+                self.last_sequence = self.last_sequence.max(table.version().sequence);
+                self.step(now, effects);
+            }
+            // A later leader wrote, or the store lost writes: the read tells.
+            Phase::Ready => self.read_table(now, None, effects),
+            Phase::Writing { .. } => {}
+        }
+    }
+
+    /// Enters the outage unless the table was never known.
+    pub(super) fn enter_outage(&mut self, now: Timestamp) {
+        let leads = self.is_leader();
+        let unsettled = match &self.phase {
+            Phase::Writing { write, .. } => Some(write.clone()),
+            Phase::Unread { unsettled, .. } | Phase::Outage { unsettled, .. } => unsettled.clone(),
+            Phase::Following | Phase::Ready => None,
+        };
+        self.phase = Phase::Outage {
+            leads,
+            unsettled,
+            tried_at: now,
+        };
+    }
+
+    /// Repairs and loads again what delegations to this process allow.
+    pub(super) fn step_in_outage(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
+        self.progress.update(now, &self.world, &self.table);
+        self.amend(now, effects);
+        let due = self
+            .dispatcher
+            .due_as_holder(now, &self.world, &self.table, self.incarnation);
+        self.send(now, due, effects);
+    }
+
+    fn amend(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
+        let planner = Planner::new(
+            now,
+            &self.world,
+            &self.progress,
+            self.incarnation,
+            &self.table,
+        );
+        match planner.amend() {
+            Ok(Some(plan)) => {
+                self.table = plan.table;
+                effects.push(GroupEffect::PublishTable(self.table.clone()));
+                effects.extend(plan.events.into_iter().map(GroupEffect::Emit));
+            }
+            Ok(None) => {}
+            Err(e) => self.emit_domain(effects, EventKind::TableRejected, &e.to_string()),
+        }
+    }
+}
--- a/crates/geranium_core/src/group/controller/store.rs
+++ b/crates/geranium_core/src/group/controller/store.rs
@@ -1,13 +1,13 @@
 //! Reads and writes of the table.
 
-use super::{GroupController, PendingWrite, Phase, emit_domain};
-use crate::event::EventKind;
-use crate::group::planner::Planner;
-use crate::group::{GroupEffect, GroupError, GroupTable, WriteOutcome};
+use super::{GroupController, PendingWrite, Phase};
+use crate::event::{EventDraft, EventKind, EventSubject};
+use crate::group::planner::{Plan, Planner};
+use crate::group::{GroupEffect, GroupError, GroupTable, OutagePolicy, WriteOutcome};
 use crate::id::StoreRevision;
 use crate::time::Timestamp;
 
-impl GroupController {
+impl<P: OutagePolicy> GroupController<P> {
     /// Asks for the table; nothing else happens until it is there.
     pub(super) fn read_table(
         &mut self,
@@ -33,27 +33,33 @@
         revision: StoreRevision,
         effects: &mut Vec<GroupEffect>,
     ) {
-        let Phase::Unread {
-            asked_at: Some(asked_at),
-            unsettled,
-        } = &self.phase
-        else {
-            return;
+        let (asked_at, unsettled) = match &self.phase {
+            Phase::Unread {
+                asked_at: Some(at),
+                unsettled,
+            } => (*at, unsettled.clone()),
+            Phase::Outage {
+                leads: true,
+                unsettled,
+                tried_at,
+            } => (*tried_at, unsettled.clone()),
+            _ => return,
         };
-        let (asked_at, unsettled) = (*asked_at, unsettled.clone());
         let table = table.unwrap_or_else(|| GroupTable::new(self.world.failure_domain().clone()));
         if let Err(e) = self.check(&table) {
-            let reason = e.to_string();
-            emit_domain(effects, &self.world, EventKind::TableRejected, &reason);
+            self.emit_domain(effects, EventKind::TableRejected, &e.to_string());
             return;
         }
         if let Some(write) = unsettled.filter(|write| write.table == table) {
             effects.extend(write.events.into_iter().map(GroupEffect::Emit));
         }
-        self.table = table;
-        self.revision = revision;
         // The answer shows the store as it was no earlier than the question.
         self.confirmed_at = Some(asked_at);
+        self.revision = revision;
+        self.store_is_behind = table.version() < self.table.version();
+        if !self.store_is_behind {
+            self.adopt(table, effects);
+        }
         self.phase = Phase::Ready;
         self.step(now, effects);
     }
@@ -71,30 +77,21 @@
         let (write, asked_at) = (write.clone(), *asked_at);
         match outcome {
             WriteOutcome::Applied { revision } => {
-                emit_domain(effects, &self.world, EventKind::StoreWritten, "group table");
+                self.emit_domain(effects, EventKind::StoreWritten, "group table");
                 effects.extend(write.events.into_iter().map(GroupEffect::Emit));
-                self.table = write.table;
+                self.adopt(write.table, effects);
                 self.revision = revision;
+                self.store_is_behind = false;
                 self.confirmed_at = Some(asked_at);
                 self.phase = Phase::Ready;
                 self.step(now, effects);
             }
             WriteOutcome::Conflict => {
-                emit_domain(
-                    effects,
-                    &self.world,
-                    EventKind::StoreConflict,
-                    "group table",
-                );
+                self.emit_domain(effects, EventKind::StoreConflict, "group table");
                 self.read_table(now, None, effects);
             }
             WriteOutcome::Ambiguous => {
-                emit_domain(
-                    effects,
-                    &self.world,
-                    EventKind::StoreAmbiguous,
-                    "group table",
-                );
+                self.emit_domain(effects, EventKind::StoreAmbiguous, "group table");
                 self.read_table(now, Some(write), effects);
             }
             WriteOutcome::Failed => self.phase = Phase::Ready,
@@ -103,99 +100,51 @@
 
     /// Works out the next change and asks for its write.
     pub(super) fn plan(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
-        let planner = Planner::new(now, &self.world, &self.progress, &self.table);
-        let mut plan = match planner.plan() {
+        let planner = Planner::new(
+            now,
+            &self.world,
+            &self.progress,
+            self.incarnation,
+            &self.table,
+        );
+        let plan = match planner.plan(&self.policy) {
             Ok(Some(plan)) => plan,
+            Ok(None) if self.store_is_behind => self.restore(),
             Ok(None) => return,
             Err(e) => {
-                let reason = e.to_string();
-                emit_domain(effects, &self.world, EventKind::TableRejected, &reason);
+                self.emit_domain(effects, EventKind::TableRejected, &e.to_string());
                 return;
             }
         };
-        plan.table.stamp(self.incarnation, self.last_sequence);
-        self.last_sequence = plan.table.sequence();
-        effects.push(GroupEffect::WriteTable {
-            table: plan.table.clone(),
-            expected: self.revision,
-        });
-        self.phase = Phase::Writing {
-            write: PendingWrite {
-                table: plan.table,
-                events: plan.events,
-            },
-            asked_at: now,
-        };
+        self.write(now, plan, effects);
     }
 
     /// Settles a read or write that has had no outcome for too long.
     pub(super) fn expire_store_call(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
         let limit = self.world.config().store_timeout;
-        match &self.phase {
+        match &mut self.phase {
             Phase::Unread {
-                asked_at,
-                unsettled,
-            } => {
-                if asked_at.is_none_or(|at| now.since(at) >= limit) {
-                    let unsettled = unsettled.clone();
-                    self.read_table(now, unsettled, effects);
-                }
+                asked_at: Some(at), ..
             }
-            Phase::Writing { write, asked_at } if now.since(*asked_at) >= limit => {
-                let write = write.clone();
-                self.read_table(now, Some(write), effects);
+            | Phase::Writing { asked_at: at, .. }
+                if now.since(*at) >= limit =>
+            {
+                self.enter_outage(now);
+                effects.push(GroupEffect::LoadTable);
             }
-            Phase::Following | Phase::Ready | Phase::Writing { .. } => {}
-        }
-    }
-
-    /// Stops asking the store until it answers again.
-    pub(super) fn store_unreachable(&mut self, effects: &mut Vec<GroupEffect>) {
-        if !self.store_reachable {
-            return;
-        }
-        self.store_reachable = false;
-        emit_domain(
-            effects,
-            &self.world,
-            EventKind::StoreUnreachable,
-            "no answer",
-        );
-        match &mut self.phase {
-            Phase::Writing { write, .. } => {
-                self.phase = Phase::Unread {
-                    asked_at: None,
-                    unsettled: Some(write.clone()),
-                };
-            }
-            Phase::Unread { asked_at, .. } => *asked_at = None,
-            Phase::Following | Phase::Ready => {}
-        }
-    }
-
-    /// Reads the table anew, which others may have changed meanwhile.
-    pub(super) fn store_came_back(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
-        if self.store_reachable {
-            return;
-        }
-        self.store_reachable = true;
-        emit_domain(
-            effects,
-            &self.world,
-            EventKind::StoreReachable,
-            "it answers again",
-        );
-        match &self.phase {
-            Phase::Following => {}
-            Phase::Unread { unsettled, .. } => {
-                let unsettled = unsettled.clone();
-                self.read_table(now, unsettled, effects);
+            Phase::Outage {
+                leads: true,
+                tried_at,
+                ..
+            } if now.since(*tried_at) >= limit => {
+                *tried_at = now;
+                effects.push(GroupEffect::LoadTable);
             }
-            Phase::Ready | Phase::Writing { .. } => self.read_table(now, None, effects),
+            _ => {}
         }
     }
 
-    fn check(&self, table: &GroupTable) -> Result<(), GroupError> {
+    pub(super) fn check(&self, table: &GroupTable) -> Result<(), GroupError> {
         let expected = self.world.failure_domain();
         if table.failure_domain() != expected {
             let found = table.failure_domain().clone();
@@ -203,4 +152,38 @@
         }
         table.check()
     }
+
+    fn adopt(&mut self, table: GroupTable, effects: &mut Vec<GroupEffect>) {
+        if table.version() > self.table.version() {
+            effects.push(GroupEffect::PublishTable(table.clone()));
+        }
+        self.last_sequence = self.last_sequence.max(table.version().sequence);
+        self.table = table;
+    }
+
+    /// Writes back the state that the store lacks.
+    fn restore(&self) -> Plan {
+        let subject = EventSubject::failure_domain(self.world.failure_domain());
+        let reason = "the store holds an older group table";
+        Plan {
+            table: self.table.clone(),
+            events: vec![EventDraft::new(EventKind::RecordRestored, subject, reason)],
+        }
+    }
+
+    fn write(&mut self, now: Timestamp, mut plan: Plan, effects: &mut Vec<GroupEffect>) {
+        plan.table.stamp(self.incarnation, self.last_sequence);
+        self.last_sequence = plan.table.version().sequence;
+        effects.push(GroupEffect::WriteTable {
+            table: plan.table.clone(),
+            expected: self.revision,
+        });
+        self.phase = Phase::Writing {
+            write: PendingWrite {
+                table: plan.table,
+                events: plan.events,
+            },
+            asked_at: now,
+        };
+    }
 }
--- a/crates/geranium_core/src/group/dispatch.rs
+++ b/crates/geranium_core/src/group/dispatch.rs
@@ -4,7 +4,7 @@
 
 use crate::engine::{Order, OrderAction};
 use crate::group::{GroupState, GroupTable, ReplicaGroup, World};
-use crate::id::{FencingNumber, GroupId, HostId};
+use crate::id::{FencingNumber, GroupId, HostId, Incarnation};
 use crate::time::Timestamp;
 
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +58,36 @@
         due
     }
 
+    /// Returns the orders that the holder of delegations may send during an outage.
+    ///
+    /// New members come first: a holder whose spares were taken back learns so
+    /// from their refusals before it disturbs the members that still serve. An
+    /// engine that follows another order is left alone unless it is a member.
+    pub(super) fn due_as_holder(
+        &self,
+        now: Timestamp,
+        world: &World,
+        table: &GroupTable,
+        holder: Incarnation,
+    ) -> Vec<DueOrder> {
+        let mut due = Vec::new();
+        for (id, group) in self.started_groups(now, world, table) {
+            if !table.is_holder(&group.fabric_domain, holder) {
+                continue;
+            }
+            let orders = (0..group.members.len()).map(|rank| group.load_order(id, rank));
+            let (present, new): (Vec<Order>, Vec<Order>) =
+                orders.partition(|order| follows_group(now, world, order, id));
+            let wanted = if new.is_empty() { present } else { new };
+            due.extend(
+                wanted
+                    .into_iter()
+                    .filter_map(|o| self.due_order(now, world, o)),
+            );
+        }
+        due
+    }
+
     fn due_order(&self, now: Timestamp, world: &World, order: Order) -> Option<DueOrder> {
         if effect_seen(now, world, &order) {
             return None;
@@ -131,6 +161,14 @@
     }
 }
 
+/// Returns whether an engine follows an order of a group, whatever its number.
+fn follows_group(now: Timestamp, world: &World, order: &Order, id: &GroupId) -> bool {
+    world
+        .recent(now, &order.host)
+        .and_then(|o| o.report.assignment.as_ref())
+        .is_some_and(|a| &a.group == id)
+}
+
 /// Returns whether a started group still draws on the weight store.
 fn is_loading(now: Timestamp, world: &World, id: &GroupId, group: &ReplicaGroup) -> bool {
     let broken = group
--- a/crates/geranium_core/src/group/effect.rs
+++ b/crates/geranium_core/src/group/effect.rs
@@ -50,6 +50,8 @@
         /// Revision of the value; zero if absent.
         revision: StoreRevision,
     },
+    /// A peer sent its table, which may be an amendment.
+    TableHeard(&'a GroupTable),
     /// A write of the table has an outcome.
     TableWritten(WriteOutcome),
     /// An engine reported.
@@ -95,6 +97,8 @@
         /// Revision that the present value must have; zero if it must be absent.
         expected: StoreRevision,
     },
+    /// Give the table to this host's gate and to the peers of the failure domain.
+    PublishTable(GroupTable),
     /// Send an order and answer with [`GroupInput::OrderAnswered`].
     SendOrder(Order),
     /// Record an event.
--- a/crates/geranium_core/src/group/error.rs
+++ b/crates/geranium_core/src/group/error.rs
@@ -68,9 +68,17 @@
         HostDelegatedTwice(host: HostId, first: FabricDomainId, second: FabricDomainId) {
             display("host {} is delegated in fabric domain {} and in {}", host, first, second)
         }
-        /// No delegation exists for a fabric domain.
+        /// A fabric domain is delegated already.
+        DelegatedAlready(fabric_domain: FabricDomainId) {
+            display("fabric domain {} is delegated already", fabric_domain)
+        }
+        /// Numbers are reserved that the table may hand out itself.
+        ReservedAboveNext(fabric_domain: FabricDomainId, next: FencingNumber) {
+            display("fabric domain {} has numbers reserved above the next one, {}", fabric_domain, next)
+        }
+        /// A process holds no delegation of a fabric domain.
         NotDelegated(fabric_domain: FabricDomainId) {
-            display("fabric domain {} has no delegation", fabric_domain)
+            display("fabric domain {} is not delegated to this process", fabric_domain)
         }
     }
 }
--- a/crates/geranium_core/src/group/gate.rs
+++ b/crates/geranium_core/src/group/gate.rs
@@ -8,7 +8,7 @@
 use crate::group::{
     GroupConfig, GroupError, GroupState, GroupTable, ReplicaGroup, ServingGroup, Temperature, World,
 };
-use crate::id::{FailureDomainId, GroupId, StoreRevision};
+use crate::id::{FailureDomainId, GroupId};
 use crate::record::{DrainTarget, ModelSpec};
 use crate::time::Timestamp;
 
@@ -22,7 +22,6 @@
 pub struct GroupGate {
     world: World,
     table: GroupTable,
-    revision: StoreRevision,
     open: BTreeMap<GroupId, ServingGroup>,
     closed_because: BTreeMap<GroupId, String>,
 }
@@ -34,7 +33,6 @@
         Self {
             world: World::new(cfg, failure_domain.clone()),
             table: GroupTable::new(failure_domain),
-            revision: StoreRevision::default(),
             open: BTreeMap::new(),
             closed_because: BTreeMap::new(),
         }
@@ -45,24 +43,19 @@
     /// # Errors
     ///
     /// Returns an error if the table breaks a rule; the one known stays.
-    pub fn set_table(
-        &mut self,
-        table: &GroupTable,
-        revision: StoreRevision,
-    ) -> Result<bool, GroupError> {
-        if revision <= self.revision {
+    pub fn set_table(&mut self, table: &GroupTable) -> Result<bool, GroupError> {
+        if table.version() <= self.table.version() {
             return Ok(false);
         }
         table.check()?;
         self.table.clone_from(table);
-        self.revision = revision;
         Ok(true)
     }
 
-    /// Returns the table in use with its revision.
+    /// Returns the table in use.
     #[must_use]
-    pub fn table(&self) -> (&GroupTable, StoreRevision) {
-        (&self.table, self.revision)
+    pub fn table(&self) -> &GroupTable {
+        &self.table
     }
 
     /// Takes note of the records in force.
--- a/crates/geranium_core/src/group/mod.rs
+++ b/crates/geranium_core/src/group/mod.rs
@@ -7,12 +7,15 @@
 
 mod config;
 mod controller;
+mod delegation;
 mod demand;
 mod dispatch;
 mod effect;
 mod error;
 mod gate;
 mod member_check;
+mod missed;
+mod outage;
 mod placement;
 mod planner;
 mod progress;
@@ -20,18 +23,19 @@
 mod reports;
 mod serving;
 mod table;
-mod table_check;
 mod world;
 
 pub use config::GroupConfig;
 pub use controller::GroupController;
+pub use delegation::Delegation;
 pub use demand::{Demand, Drains};
 pub use effect::{GroupEffect, GroupInput, OrderOutcome, WriteOutcome};
 pub use error::GroupError;
 pub use gate::GroupGate;
 pub use member_check::MemberFault;
+pub use outage::{DelegatedSpares, Frozen, OutagePolicy};
 pub use replica_group::{GroupState, ReplicaGroup};
 pub use reports::{Observation, ReportBook};
 pub use serving::{ServingGroup, Temperature};
-pub use table::GroupTable;
+pub use table::{GroupTable, TableVersion};
 pub use world::World;
--- a/crates/geranium_core/src/group/placement.rs
+++ b/crates/geranium_core/src/group/placement.rs
@@ -15,10 +15,16 @@
     entry: &HostEntry,
 ) -> bool {
     entry.state == HostState::Live
-        && !world.is_going(&entry.host)
         && table.is_free(&entry.host)
+        && is_ready(now, world, &entry.host)
+}
+
+/// Returns whether a host reports lately, stays and has nothing assigned.
+pub(super) fn is_ready(now: Timestamp, world: &World, host: &HostId) -> bool {
+    !world.is_going(host)
+        && !world.is_unsteady(now, host)
         && world
-            .recent(now, &entry.host)
+            .recent(now, host)
             .is_some_and(|o| o.report.assignment.is_none())
 }
 
--- a/crates/geranium_core/src/group/planner.rs
+++ b/crates/geranium_core/src/group/planner.rs
@@ -2,14 +2,15 @@
 
 mod change;
 mod formation;
+mod outage;
 mod release;
 mod repair;
 mod surplus;
 
 use crate::event::{EventDraft, EventKind, EventSubject};
 use crate::group::progress::Progress;
-use crate::group::{GroupError, GroupTable, World};
-use crate::id::GroupId;
+use crate::group::{GroupError, GroupTable, OutagePolicy, World};
+use crate::id::{GroupId, Incarnation};
 use crate::time::Timestamp;
 
 /// A changed table with the events that are due once it is written.
@@ -26,22 +27,25 @@
     now: Timestamp,
     world: &'a World,
     progress: &'a Progress,
+    process: Incarnation,
     table: GroupTable,
     events: Vec<EventDraft>,
 }
 
 impl<'a> Planner<'a> {
-    /// Makes a planner that starts from a table.
+    /// Makes a planner of a process that starts from a table.
     pub(super) fn new(
         now: Timestamp,
         world: &'a World,
         progress: &'a Progress,
+        process: Incarnation,
         table: &GroupTable,
     ) -> Self {
         Self {
             now,
             world,
             progress,
+            process,
             table: table.clone(),
             events: Vec::new(),
         }
@@ -52,11 +56,12 @@
     /// # Errors
     ///
     /// Returns an error if the fencing numbers are used up.
-    pub(super) fn plan(mut self) -> Result<Option<Plan>, GroupError> {
+    pub(super) fn plan(mut self, policy: &impl OutagePolicy) -> Result<Option<Plan>, GroupError> {
         let (Some(_), Some(_)) = (self.world.demand(), self.world.hosts()) else {
             return Ok(None);
         };
         let before = self.table.clone();
+        let kept = self.take_back_delegations()?;
         self.follow_fencing()?;
         self.acknowledge_releases()?;
         self.release_strays()?;
@@ -68,6 +73,7 @@
             self.form_groups()?;
             self.make_room_for_changes()?;
         }
+        self.delegate_spares(policy, &kept)?;
         let changed = self.table != before;
         Ok(changed.then_some(Plan {
             table: self.table,
--- /dev/null
+++ b/crates/geranium_core/src/group/planner/outage.rs
@@ -0,0 +1,83 @@
+//! Delegation of spares, and repair by their holder.
+
+use std::collections::BTreeMap;
+
+use super::{Plan, Planner};
+use crate::engine::Member;
+use crate::event::EventKind;
+use crate::group::{Delegation, GroupError, OutagePolicy, placement};
+use crate::id::{FabricDomainId, GroupId, HostId};
+
+impl Planner<'_> {
+    /// Takes back what is delegated: from this process at once, from others by
+    /// fencing the spares.
+    pub(super) fn take_back_delegations(
+        &mut self,
+    ) -> Result<BTreeMap<FabricDomainId, Delegation>, GroupError> {
+        let kept = self.table.return_delegations(self.process);
+        let others: Vec<FabricDomainId> = self.table.delegations().keys().cloned().collect();
+        for fabric_domain in &others {
+            self.table.revoke_delegation(fabric_domain)?;
+        }
+        Ok(kept)
+    }
+
+    /// Delegates the spares that are left to this process.
+    pub(super) fn delegate_spares(
+        &mut self,
+        policy: &impl OutagePolicy,
+        kept: &BTreeMap<FabricDomainId, Delegation>,
+    ) -> Result<(), GroupError> {
+        for (fabric_domain, spares) in policy.spares(self.world, &self.table) {
+            let earlier = kept.get(&fabric_domain);
+            self.table
+                .delegate(&fabric_domain, self.process, spares, earlier)?;
+        }
+        Ok(())
+    }
+
+    /// Returns the table amended by this process's rights, or `None` if they
+    /// allow nothing that is needed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the reserved fencing numbers are used up.
+    pub(in crate::group) fn amend(mut self) -> Result<Option<Plan>, GroupError> {
+        for id in self.groups_by_need() {
+            self.repair_as_holder(&id)?;
+        }
+        let changed = !self.events.is_empty();
+        Ok(changed.then_some(Plan {
+            table: self.table,
+            events: self.events,
+        }))
+    }
+
+    fn repair_as_holder(&mut self, id: &GroupId) -> Result<(), GroupError> {
+        let fabric_domain = &self.table.groups()[id].fabric_domain;
+        let Some(delegation) = self.table.delegations().get(fabric_domain) else {
+            return Ok(());
+        };
+        let lost = self.lost_members(id);
+        if delegation.holder != self.process || lost.is_empty() {
+            return Ok(());
+        }
+        let spares: Vec<&Member> = delegation
+            .spares
+            .iter()
+            .filter(|spare| placement::is_ready(self.now, self.world, &spare.host))
+            .collect();
+        if spares.len() < lost.len() {
+            return Ok(());
+        }
+        let pairs: Vec<(HostId, Member)> =
+            lost.into_iter().zip(spares.into_iter().cloned()).collect();
+        self.table
+            .replace_members_as_holder(self.process, id, &pairs)?;
+        for (old, new) in &pairs {
+            let reason = format!("host {old} is replaced by delegated spare {}", new.host);
+            self.note(EventKind::GroupRepaired, id, reason);
+        }
+        Ok(())
+    }
+}
--- a/crates/geranium_core/src/group/planner/release.rs
+++ b/crates/geranium_core/src/group/planner/release.rs
@@ -6,6 +6,9 @@
 use crate::group::{GroupError, GroupState, Observation};
 use crate::id::{FencingNumber, GroupId, HostId};
 
+/// Distance above the table's numbers beyond which a reported one is not believed.
+const MAX_FENCING_JUMP: u64 = 1 << 40;
+
 impl Planner<'_> {
     /// Follows numbers above those of the table, which a store restored from an
     /// older copy leaves behind, and renumbers what engines would refuse.
@@ -14,7 +17,9 @@
         for host in &hosts {
             if let Some(o) = self.world.recent(self.now, host) {
                 let seen = highest_seen(o);
-                self.table.raise_fencing_above(seen)?;
+                if seen.0 <= self.table.next_fencing().0.saturating_add(MAX_FENCING_JUMP) {
+                    self.table.raise_fencing_above(seen)?;
+                }
             }
         }
         let outrun: Vec<GroupId> = self
@@ -84,7 +89,8 @@
             && self
                 .world
                 .recent(self.now, host)
-                .is_some_and(|o| highest_seen(o) > fencing)
+                .map(highest_seen)
+                .is_some_and(|seen| seen > fencing && seen < self.table.next_fencing())
     }
 
     fn is_released(&self, host: &HostId, fencing: FencingNumber) -> bool {
--- a/crates/geranium_core/src/group/planner/repair.rs
+++ b/crates/geranium_core/src/group/planner/repair.rs
@@ -31,7 +31,7 @@
     }
 
     /// Returns the live groups, those of models that no group serves first.
-    fn groups_by_need(&self) -> Vec<GroupId> {
+    pub(super) fn groups_by_need(&self) -> Vec<GroupId> {
         let mut groups: Vec<(&GroupId, &ReplicaGroup)> = self
             .table
             .groups()
@@ -77,13 +77,15 @@
     }
 
     /// Members that have failed or straggle.
-    fn lost_members(&self, id: &GroupId) -> Vec<HostId> {
+    pub(super) fn lost_members(&self, id: &GroupId) -> Vec<HostId> {
         let group = &self.table.groups()[id];
         let straggling = self.progress.is_straggling(self.now, self.world, id);
         let is_lost = |rank: usize| {
-            let failed = self.world.is_failed(self.now, &group.members[rank].host);
+            let host = &group.members[rank].host;
+            let gone =
+                self.world.is_failed(self.now, host) || self.world.is_unsteady(self.now, host);
             let behind = || self.world.member_fault(self.now, id, group, rank).is_some();
-            failed || (straggling && behind())
+            gone || (straggling && behind())
         };
         (0..group.members.len())
             .filter(|&rank| is_lost(rank))
--- a/crates/geranium_core/src/group/table_check.rs
+++ b/crates/geranium_core/src/group/table/check.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use crate::group::table::TABLE_SCHEMA_VERSION;
-use crate::group::{GroupError, GroupTable};
-use crate::id::{FencingNumber, GroupId, HostId};
+use super::{GroupTable, TABLE_SCHEMA_VERSION};
+use crate::group::GroupError;
+use crate::id::{FabricDomainId, FencingNumber, GroupId, HostId};
 
 /// Checks every rule of a table.
 pub(super) fn check(table: &GroupTable) -> Result<(), GroupError> {
@@ -16,6 +16,7 @@
     for (host, &fencing) in &table.releasing {
         check_noted(table, host, fencing)?;
     }
+    check_delegations(table)?;
     check_below_next(table)
 }
 
@@ -80,3 +81,29 @@
     }
     Ok(())
 }
+
+fn check_delegations(table: &GroupTable) -> Result<(), GroupError> {
+    let mut owner: BTreeMap<&HostId, &FabricDomainId> = BTreeMap::new();
+    for (fabric_domain, delegation) in &table.delegations {
+        if delegation.end_fencing > table.next_fencing {
+            return Err(GroupError::ReservedAboveNext(
+                fabric_domain.clone(),
+                table.next_fencing,
+            ));
+        }
+        for spare in &delegation.spares {
+            if let Some(first) = owner.insert(&spare.host, fabric_domain) {
+                return Err(GroupError::HostDelegatedTwice(
+                    spare.host.clone(),
+                    first.clone(),
+                    fabric_domain.clone(),
+                ));
+            }
+            let in_use = table.group_of(&spare.host).is_some();
+            if in_use || table.releasing.contains_key(&spare.host) {
+                return Err(GroupError::HostNotFree(spare.host.clone()));
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/geranium_core/src/group/table/delegate.rs
@@ -0,0 +1,175 @@
+//! Delegations of spares.
+
+use std::collections::BTreeMap;
+
+use super::GroupTable;
+use crate::engine::Member;
+use crate::group::{Delegation, GroupError, GroupState};
+use crate::id::{FabricDomainId, FencingNumber, GroupId, HostId, Incarnation};
+
+/// Fencing numbers reserved for the holder of one delegation.
+const RESERVED_NUMBERS: u64 = 1_000;
+
+impl GroupTable {
+    /// Returns the delegations by fabric domain.
+    #[must_use]
+    pub fn delegations(&self) -> &BTreeMap<FabricDomainId, Delegation> {
+        &self.delegations
+    }
+
+    /// Returns whether a process holds the right to repair in a fabric domain.
+    #[must_use]
+    pub fn is_holder(&self, fabric_domain: &FabricDomainId, process: Incarnation) -> bool {
+        self.delegations
+            .get(fabric_domain)
+            .is_some_and(|delegation| delegation.holder == process)
+    }
+
+    /// Hands free spares of a fabric domain to one process.
+    ///
+    /// `kept` is an earlier delegation to the same process, whose reserved
+    /// numbers are used on as long as they are above those in use.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a spare is not free, if the fabric domain is
+    /// delegated already or if the fencing numbers are used up.
+    pub fn delegate(
+        &mut self,
+        fabric_domain: &FabricDomainId,
+        holder: Incarnation,
+        spares: Vec<Member>,
+        kept: Option<&Delegation>,
+    ) -> Result<(), GroupError> {
+        if self.delegations.contains_key(fabric_domain) {
+            return Err(GroupError::DelegatedAlready(fabric_domain.clone()));
+        }
+        if let Some(spare) = spares.iter().find(|spare| !self.is_free(&spare.host)) {
+            return Err(GroupError::HostNotFree(spare.host.clone()));
+        }
+        let in_use = self.highest_in_use(fabric_domain, &spares);
+        let kept = kept.filter(|d| d.next_fencing > in_use && d.next_fencing < d.end_fencing);
+        let (next_fencing, end_fencing) = match kept {
+            Some(d) => (d.next_fencing, d.end_fencing),
+            None => self.reserve_numbers()?,
+        };
+        let delegation = Delegation {
+            holder,
+            spares,
+            next_fencing,
+            end_fencing,
+        };
+        self.delegations.insert(fabric_domain.clone(), delegation);
+        Ok(())
+    }
+
+    /// Takes back every delegation that a process holds; only that process may call it.
+    pub fn return_delegations(
+        &mut self,
+        holder: Incarnation,
+    ) -> BTreeMap<FabricDomainId, Delegation> {
+        let all = std::mem::take(&mut self.delegations);
+        let (own, others) = all.into_iter().partition(|(_, d)| d.holder == holder);
+        self.delegations = others;
+        own
+    }
+
+    /// Takes a delegation from its holder, whose spares are fenced before they are free.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no delegation or if the fencing numbers are
+    /// used up.
+    pub fn revoke_delegation(&mut self, fabric_domain: &FabricDomainId) -> Result<(), GroupError> {
+        if !self.delegations.contains_key(fabric_domain) {
+            return Err(GroupError::NotDelegated(fabric_domain.clone()));
+        }
+        let release = self.take_fencing()?;
+        let delegation = self.delegations.remove(fabric_domain);
+        for spare in delegation.into_iter().flat_map(|d| d.spares) {
+            self.fences.insert(spare.host.clone(), release);
+            self.releasing.insert(spare.host, release);
+        }
+        Ok(())
+    }
+
+    /// Replaces members by delegated spares without a write to the store.
+    ///
+    /// The table becomes an amendment, which the holder's next write takes over.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, and leaves the table as it was, if the process holds no
+    /// delegation of the group's fabric domain, if a replacement is not one of
+    /// its spares, if the reserved numbers are used up, or for the reasons of
+    /// [`GroupTable::replace_members`].
+    pub fn replace_members_as_holder(
+        &mut self,
+        holder: Incarnation,
+        id: &GroupId,
+        replacements: &[(HostId, Member)],
+    ) -> Result<FencingNumber, GroupError> {
+        let group = self
+            .groups
+            .get(id)
+            .ok_or_else(|| GroupError::GroupUnknown(id.clone()))?;
+        let fabric_domain = group.fabric_domain.clone();
+        if !self.is_holder(&fabric_domain, holder) {
+            return Err(GroupError::NotDelegated(fabric_domain));
+        }
+        let mut amended = self.clone();
+        let fencing = amended.use_spares(&fabric_domain, replacements)?;
+        let release = amended.use_spares(&fabric_domain, &[])?;
+        amended.check_replacements(id, replacements)?;
+        amended.exchange_members(id, replacements, fencing, release)?;
+        amended.amendment += 1;
+        *self = amended;
+        Ok(fencing)
+    }
+
+    /// Takes spares out of a delegation and returns its next reserved number.
+    fn use_spares(
+        &mut self,
+        fabric_domain: &FabricDomainId,
+        replacements: &[(HostId, Member)],
+    ) -> Result<FencingNumber, GroupError> {
+        let Some(delegation) = self.delegations.get_mut(fabric_domain) else {
+            return Err(GroupError::NotDelegated(fabric_domain.clone()));
+        };
+        for (_, new) in replacements {
+            if !delegation.has_spare(&new.host) {
+                return Err(GroupError::HostNotFree(new.host.clone()));
+            }
+            delegation.spares.retain(|spare| spare.host != new.host);
+        }
+        let fencing = delegation.next_fencing;
+        if fencing >= delegation.end_fencing {
+            return Err(GroupError::FencingExhausted);
+        }
+        delegation.next_fencing = fencing.next();
+        Ok(fencing)
+    }
+
+    fn reserve_numbers(&mut self) -> Result<(FencingNumber, FencingNumber), GroupError> {
+        let first = self.next_fencing;
+        let last = first
+            .0
+            .checked_add(RESERVED_NUMBERS)
+            .ok_or(GroupError::FencingExhausted)?;
+        self.next_fencing = FencingNumber(last);
+        Ok((first, self.next_fencing))
+    }
+
+    fn highest_in_use(&self, fabric_domain: &FabricDomainId, spares: &[Member]) -> FencingNumber {
+        let groups = self
+            .groups
+            .values()
+            .filter(|group| &group.fabric_domain == fabric_domain)
+            .filter(|group| group.state != GroupState::Dissolving)
+            .map(|group| group.fencing);
+        let spares = spares
+            .iter()
+            .filter_map(|spare| self.highest_fencing(&spare.host));
+        groups.chain(spares).max().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/group/table/release.rs
@@ -0,0 +1,68 @@
+//! Release of hosts.
+
+use super::GroupTable;
+use crate::group::GroupError;
+use crate::id::{FencingNumber, HostId};
+
+impl GroupTable {
+    /// Starts the release of a free host that follows an order unknown to the table.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host is not free or if the fencing numbers are
+    /// used up.
+    pub fn release_stray(&mut self, host: &HostId) -> Result<FencingNumber, GroupError> {
+        if !self.is_free(host) {
+            return Err(GroupError::HostNotFree(host.clone()));
+        }
+        self.renew_release(host)
+    }
+
+    /// Repeats the release of a host under a fresh fencing number.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host is not being released or if the fencing
+    /// numbers are used up.
+    pub fn renumber_release(&mut self, host: &HostId) -> Result<FencingNumber, GroupError> {
+        if !self.releasing.contains_key(host) {
+            return Err(GroupError::NotReleasing(host.clone()));
+        }
+        self.renew_release(host)
+    }
+
+    /// Frees a host whose engine has acknowledged its release.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the host is not being released.
+    pub fn acknowledge_release(&mut self, host: &HostId) -> Result<(), GroupError> {
+        match self.releasing.remove(host) {
+            Some(_) => Ok(()),
+            None => Err(GroupError::NotReleasing(host.clone())),
+        }
+    }
+
+    /// Forgets hosts that are free and not kept.
+    ///
+    /// Returns whether any was forgotten.
+    pub fn forget_hosts(&mut self, mut keep: impl FnMut(&HostId) -> bool) -> bool {
+        let forgotten: Vec<HostId> = self
+            .fences
+            .keys()
+            .filter(|host| self.is_free(host) && !keep(host))
+            .cloned()
+            .collect();
+        for host in &forgotten {
+            self.fences.remove(host);
+        }
+        !forgotten.is_empty()
+    }
+
+    fn renew_release(&mut self, host: &HostId) -> Result<FencingNumber, GroupError> {
+        let release = self.take_fencing()?;
+        self.fences.insert(host.clone(), release);
+        self.releasing.insert(host.clone(), release);
+        Ok(release)
+    }
+}
--- a/crates/geranium_core/src/group/world.rs
+++ b/crates/geranium_core/src/group/world.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use crate::collections::HashMap;
 use crate::engine::{EngineReport, HostEntry, HostState};
+use crate::group::missed::MissedReports;
 use crate::group::{
     Demand, Drains, GroupConfig, GroupState, MemberFault, Observation, ReplicaGroup, ReportBook,
 };
@@ -19,6 +21,7 @@
     drains: Drains,
     hosts: Option<BTreeMap<HostId, HostEntry>>,
     reports: ReportBook,
+    missed: HashMap<HostId, MissedReports>,
     last_seen: Timestamp,
     observing_since: Timestamp,
 }
@@ -34,6 +37,7 @@
             drains: Drains::default(),
             hosts: None,
             reports: ReportBook::default(),
+            missed: HashMap::default(),
             last_seen: Timestamp::default(),
             observing_since: Timestamp::default(),
         }
@@ -92,6 +96,20 @@
         self.reports.observe(now, report)
     }
 
+    /// Takes note that an engine did not answer a request for its report.
+    pub fn note_missed(&mut self, now: Timestamp, host: &HostId) {
+        let missed = self.missed.entry(host.clone()).or_default();
+        missed.add(now, self.cfg.straggler_window);
+    }
+
+    /// Returns whether a host has answered too few requests for its report lately.
+    #[must_use]
+    pub fn is_unsteady(&self, now: Timestamp, host: &HostId) -> bool {
+        let window = self.cfg.straggler_window;
+        let missed = self.missed.get(host);
+        missed.is_some_and(|m| m.within(now, window) >= self.cfg.straggler_misses)
+    }
+
     /// Takes note of the records in force.
     pub fn set_records(&mut self, models: &[ModelSpec], drained: &[DrainTarget]) {
         self.demand = Some(Demand::new(&self.failure_domain, models));
--- a/crates/geranium_core/tests/group_controller.rs
+++ b/crates/geranium_core/tests/group_controller.rs
@@ -80,6 +80,7 @@
                     self.input(GroupInput::TableWritten(WriteOutcome::Applied { revision }));
                 }
                 GroupEffect::SendOrder(order) => self.take_order(order),
+                GroupEffect::PublishTable(_) => {}
                 GroupEffect::Emit(event) => self.events.push(event.kind),
             }
         }
@@ -282,3 +283,17 @@
     assert!(f.orders.iter().all(|order| order.fencing.0 > 900));
     assert_eq!(f.orders.len(), 2);
 }
+
+#[test]
+fn an_absurd_number_of_one_engine_does_not_stop_the_others() {
+    let mut f = Fixture::new(&["h1", "h2", "h3"], &[spec("v1", 1)]);
+    f.input(GroupInput::LeadershipGained);
+    let mut absurd = idle_report("h9", 1);
+    absurd.fencing = FencingNumber(u64::MAX);
+    absurd.host = host("h3");
+
+    f.input(GroupInput::Report(&absurd));
+    f.pass(Duration::from_secs(2));
+
+    assert_eq!(f.open_groups(), 1);
+}
--- a/crates/geranium_core/tests/group_gate.rs
+++ b/crates/geranium_core/tests/group_gate.rs
@@ -7,7 +7,7 @@
 use geranium_core::engine::{EnginePhase, EngineReport, HostState};
 use geranium_core::event::EventKind;
 use geranium_core::group::{GroupConfig, GroupGate, GroupTable, ServingGroup, Temperature};
-use geranium_core::id::{FencingNumber, GroupId, Incarnation, StoreRevision};
+use geranium_core::id::{FencingNumber, GroupId, Incarnation};
 use geranium_core::record::DrainTarget;
 use geranium_core::time::Timestamp;
 use group_fixture::{domain, entry, fabric, host, member, spec, warm_report};
@@ -26,9 +26,9 @@
     let id = table
         .form(&spec("v1", 1), &fabric(), vec![member("h1"), member("h2")])
         .expect("free hosts");
+    table.stamp(group_fixture::FIRST_RUN, 0);
     let mut gate = GroupGate::new(GroupConfig::default(), domain());
-    gate.set_table(&table, StoreRevision(1))
-        .expect("right table");
+    gate.set_table(&table).expect("right table");
     gate.set_hosts(&[entry("h1"), entry("h2")]);
     for rank in 0..2 {
         gate.observe(START, &warm_report(&id, &table.groups()[&id], rank, 1));
@@ -118,7 +118,7 @@
     let mut f = open_gate();
     let empty = GroupTable::new(domain());
 
-    let taken = f.gate.set_table(&empty, StoreRevision(1));
+    let taken = f.gate.set_table(&empty);
 
     assert_eq!(taken, Ok(false));
     assert_eq!(evaluate(&mut f.gate, START).0.len(), 1);
