--- /dev/null
+++ b/crates/geranium_matrix/src/control/scenario.rs
@@ -0,0 +1,267 @@
+//! One cell of the control half: faults at several moments of a step.
+
+use std::time::Duration;
+
+use geranium_core::group::{DelegatedSpares, OutagePolicy};
+use geranium_core::time::Timestamp;
+
+use super::fleet::REPLICAS;
+use super::oracle::GATE_LIMIT;
+use super::rig::QUANTUM;
+use super::{Fleet, Measures, Mutation, Rig, Step, Violation};
+use crate::{Column, Fault, Verdict};
+
+/// Time before a step in which the rig settles.
+const SETTLE_TIME: Duration = Duration::from_millis(14_000);
+
+/// Moments of the fault, counted from just before the step.
+const MOMENTS: [u64; 7] = [0, 300, 340, 420, 700, 1_700, 3_300];
+
+/// Time from just before the step to its beginning.
+const LEAD_IN: Duration = Duration::from_millis(300);
+
+/// Time between two faults of a pair.
+const PAIR_GAP: Duration = Duration::from_millis(700);
+
+/// Time after the last fault by which everything serves again.
+const RESTORE_LIMIT: Duration = Duration::from_millis(60_000);
+
+/// Time for which everything must go on serving before a run ends.
+const STABLE_TIME: Duration = Duration::from_millis(2_000);
+
+/// Time from a member's death to the order for its repair.
+const REPAIR_ORDER_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// A step with faults at one moment.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    /// The step.
+    pub step: Step,
+    /// The faults.
+    pub faults: Vec<Fault>,
+    /// Time of the first fault, counted from just before the step.
+    pub moment: Duration,
+    /// Whether engines check fencing numbers.
+    pub checks_fencing: bool,
+    /// Guard that is removed, if any.
+    pub mutation: Option<Mutation>,
+}
+
+/// What a scenario came to.
+#[derive(Clone, Debug)]
+pub struct ScenarioResult {
+    /// Rules that were broken.
+    pub violations: Vec<Violation>,
+    /// What it cost.
+    pub measures: Measures,
+}
+
+#[derive(Clone, Copy)]
+enum Action {
+    BeginStep,
+    EndStep,
+    BeginFault(Fault),
+    EndFault(Fault),
+}
+
+impl Scenario {
+    /// Runs the scenario.
+    #[must_use]
+    pub fn run(&self, policy: impl OutagePolicy + Clone) -> ScenarioResult {
+        let fleet = Fleet::standard(self.checks_fencing);
+        let mut rig = Rig::new(fleet, policy, self.mutation);
+        if self.step.starts_with_groups() {
+            rig.set_records(&[Fleet::record("v1", REPLICAS)], &[]);
+        }
+        rig.run_for(SETTLE_TIME);
+        if self.step.starts_with_groups() {
+            rig.wanted = REPLICAS as usize;
+        }
+        let start = rig.now;
+        for (at, action) in self.actions() {
+            let wait = (start + at).since(rig.now);
+            rig.run_for(wait);
+            self.act(&mut rig, action);
+        }
+        self.wait_until_restored(&mut rig);
+        self.check_costs(&mut rig);
+        ScenarioResult {
+            violations: rig.oracle.violations(),
+            measures: rig.measures,
+        }
+    }
+
+    fn actions(&self) -> Vec<(Duration, Action)> {
+        let mut actions = vec![
+            (LEAD_IN, Action::BeginStep),
+            (LEAD_IN + self.step.length(), Action::EndStep),
+        ];
+        let mut at = self.moment;
+        for &fault in &self.faults {
+            actions.push((at, Action::BeginFault(fault)));
+            actions.push((at + fault.length(), Action::EndFault(fault)));
+            at += PAIR_GAP;
+        }
+        actions.sort_by_key(|(at, _)| *at);
+        actions
+    }
+
+    fn act<P: OutagePolicy + Clone>(&self, rig: &mut Rig<P>, action: Action) {
+        match action {
+            Action::BeginStep => self.step.begin(rig),
+            Action::EndStep => self.step.end(rig),
+            Action::BeginFault(fault) => fault.happen(rig, self.step),
+            Action::EndFault(fault) => fault.end(rig, self.step),
+        }
+    }
+
+    /// Lets time pass until every replica that the hosts can carry serves on
+    /// every entry host, or until the limit.
+    fn wait_until_restored<P: OutagePolicy + Clone>(&self, rig: &mut Rig<P>) {
+        let limit = rig.now + RESTORE_LIMIT;
+        let mut whole_since: Option<Timestamp> = None;
+        while rig.now < limit {
+            rig.run_for(QUANTUM);
+            let expected = (REPLICAS as usize).min(rig.capacity());
+            rig.wanted = expected;
+            if self.fewest_open(rig) < expected {
+                whole_since = None;
+                continue;
+            }
+            let since = *whole_since.get_or_insert(rig.now);
+            if rig.now.since(since) >= STABLE_TIME {
+                return;
+            }
+        }
+        let open = self.fewest_open(rig);
+        rig.oracle.note(Violation::NotRestored(open, rig.wanted));
+    }
+
+    /// Counts the open groups of the final version on the entry host that has fewest.
+    fn fewest_open<P: OutagePolicy + Clone>(&self, rig: &Rig<P>) -> usize {
+        let count = |position: usize| {
+            let groups = rig.entries[position].gate().table().groups();
+            let open = rig.open_on(position);
+            let current = open
+                .iter()
+                .filter(|id| groups[*id].version == self.step.final_version());
+            current.count()
+        };
+        (0..rig.entries.len()).map(count).min().unwrap_or(0)
+    }
+
+    fn check_costs<P: OutagePolicy + Clone>(&self, rig: &mut Rig<P>) {
+        let cut: usize = rig.engines.iter().map(|engine| engine.cut_requests).sum();
+        let planned = self.step != Step::Repair;
+        let spared = self.faults.iter().all(|fault| !fault.hits_engines());
+        if planned && spared && cut > 0 {
+            rig.oracle.note(Violation::RequestsCut(cut));
+        }
+        if self.step != Step::Repair {
+            return;
+        }
+        let closed = rig.measures.gate_closed_after.unwrap_or(RESTORE_LIMIT);
+        if closed > GATE_LIMIT {
+            rig.oracle
+                .note(Violation::TooLate("closing the gate", closed));
+        }
+        let ordered = rig.measures.repair_ordered_after.unwrap_or(RESTORE_LIMIT);
+        if self.faults == [Fault::Nothing] && ordered > REPAIR_ORDER_LIMIT {
+            rig.oracle
+                .note(Violation::TooLate("ordering the repair", ordered));
+        }
+    }
+}
+
+/// A step of the control half as a column of the matrix.
+#[derive(Clone, Debug)]
+pub struct ControlColumn {
+    /// The step.
+    pub step: Step,
+    /// Whether engines check fencing numbers.
+    pub checks_fencing: bool,
+    /// Guard that is removed, if any.
+    pub mutation: Option<Mutation>,
+}
+
+impl ControlColumn {
+    /// Returns every column of the control half.
+    #[must_use]
+    pub fn all() -> Vec<Self> {
+        let kinds = [true, false].into_iter();
+        kinds
+            .flat_map(|checks_fencing| {
+                Step::ALL.iter().map(move |&step| Self {
+                    step,
+                    checks_fencing,
+                    mutation: None,
+                })
+            })
+            .collect()
+    }
+
+    /// Runs a cell at every moment and returns the results.
+    #[must_use]
+    pub fn results(
+        &self,
+        faults: &[Fault],
+        policy: impl OutagePolicy + Clone,
+    ) -> Vec<ScenarioResult> {
+        let scenario = |millis: &u64| Scenario {
+            step: self.step,
+            faults: faults.to_vec(),
+            moment: Duration::from_millis(*millis),
+            checks_fencing: self.checks_fencing,
+            mutation: self.mutation,
+        };
+        let scenarios = MOMENTS.iter().map(scenario);
+        scenarios.map(|s| s.run(policy.clone())).collect()
+    }
+}
+
+impl Column for ControlColumn {
+    fn step(&self) -> String {
+        let suffix = if self.checks_fencing { "" } else { "@unfenced" };
+        format!("{}{suffix}", self.step)
+    }
+
+    fn run(&self, faults: &[Fault]) -> Verdict {
+        let reason = faults.iter().find_map(|f| f.not_applicable(self.step));
+        if let Some(reason) = reason {
+            return Verdict::NotApplicable(reason.to_owned());
+        }
+        let results = self.results(faults, DelegatedSpares);
+        for (result, moment) in results.iter().zip(MOMENTS) {
+            if let Some(violation) = result.violations.first() {
+                return Verdict::Red(format!("at {moment} ms: {violation}"));
+            }
+        }
+        let downtimes = results
+            .iter()
+            .map(|r| r.measures.group_downtime.as_millis());
+        let worst = downtimes.max().unwrap_or(0);
+        let moments = MOMENTS.len();
+        Verdict::Held(format!(
+            "at {moments} moments, group downtime up to {worst} ms"
+        ))
+    }
+
+    fn pairs(&self) -> Vec<[Fault; 2]> {
+        match self.step {
+            Step::Repair | Step::ConfigurationChange => RISKY_PAIRS.to_vec(),
+            _ => Vec::new(),
+        }
+    }
+}
+
+/// Pairs that meet in the store, the lease or the orders.
+const RISKY_PAIRS: [[Fault; 2]; 8] = [
+    [Fault::AnswersLost, Fault::LeaderPaused],
+    [Fault::AnswersLost, Fault::LeaderDies],
+    [Fault::DomainCutFromStore, Fault::MemberDies],
+    [Fault::DomainCutFromStore, Fault::LeaderDies],
+    [Fault::LeaderCutFromStore, Fault::MemberDies],
+    [Fault::LeaderPaused, Fault::OrdersLate],
+    [Fault::TwoLeaders, Fault::AnswersLost],
+    [Fault::StoreRestored, Fault::LeaderDies],
+];
