--- a/crates/geranium_core/src/route/candidate.rs
+++ b/crates/geranium_core/src/route/candidate.rs
@@ -9,6 +9,8 @@
     pub load: u32,
     /// Requests of this entry host in the group.
     pub own: u32,
+    /// Blocks of work that the group is thought to have before it.
+    pub pending_blocks: f32,
     /// Requests that the group bears at a time.
     pub capacity: u32,
     /// Blocks of the prompt that the group is trusted to have cached.
--- a/crates/geranium_core/src/route/least_wait.rs
+++ b/crates/geranium_core/src/route/least_wait.rs
@@ -8,13 +8,16 @@
 ///
 /// The wait counts the blocks of the prompt that the group must still compute
 /// and the work that is queued before them, and grows with the first-token time
-/// that the group has shown against its peers.
+/// that the group has shown against its peers. Groups that hold more than their
+/// part of the requests cost more, so that a popular prefix spreads.
 #[derive(Clone, Copy, Debug)]
 pub struct LeastWait {
-    /// Blocks of work that one request in a group adds to the wait.
-    pub blocks_per_request: f32,
     /// Blocks of work that a hop to another failure domain costs.
     pub blocks_per_hop: f32,
+    /// Utilization relative to the mean above which a group costs more.
+    pub fair_ratio: f32,
+    /// Blocks of work that each request above that costs.
+    pub blocks_per_excess: f32,
     /// Largest random factor on a wait, so that entry hosts with the same
     /// reports do not all pick the same group.
     pub jitter: f32,
@@ -23,33 +26,38 @@
 impl Default for LeastWait {
     fn default() -> Self {
         Self {
-            blocks_per_request: 4.0,
             blocks_per_hop: 2.0,
+            fair_ratio: 1.25,
+            blocks_per_excess: 4.0,
             jitter: 0.1,
         }
     }
 }
 
 impl LeastWait {
-    fn wait(&self, candidate: &Candidate) -> f32 {
+    fn wait(&self, candidate: &Candidate, mean: f32) -> f32 {
         let compute = candidate.blocks as f32 - candidate.cached_blocks + 1.0;
-        let queue = candidate.load as f32 * self.blocks_per_request;
+        let fair_load = self.fair_ratio * mean * candidate.capacity as f32;
+        let excess = (candidate.load as f32 - fair_load).max(0.0);
         let hop = if candidate.remote {
             self.blocks_per_hop
         } else {
             0.0
         };
-        (compute + queue) * candidate.slowdown + hop
+        let work = compute + candidate.pending_blocks + excess * self.blocks_per_excess;
+        work * candidate.slowdown + hop
     }
 }
 
 impl RoutePolicy for LeastWait {
     fn pick(&mut self, candidates: &[Candidate], rng: &mut impl Rng) -> usize {
+        let sum: f32 = candidates.iter().map(Candidate::utilization).sum();
+        let mean = sum / candidates.len() as f32;
         let mut best = 0;
         let mut best_wait = f32::INFINITY;
         for (i, candidate) in candidates.iter().enumerate() {
             let factor = 1.0 + self.jitter * rng.random::<f32>();
-            let wait = self.wait(candidate) * factor;
+            let wait = self.wait(candidate, mean) * factor;
             if wait < best_wait {
                 best = i;
                 best_wait = wait;
--- a/crates/geranium_core/src/route/router.rs
+++ b/crates/geranium_core/src/route/router.rs
@@ -4,10 +4,10 @@
 
 use rand::Rng;
 
-use super::slot::GroupSlot;
+use super::slot::{BASE_BLOCKS, GroupSlot};
 use super::{
-    BlockHash, CacheChange, CacheEvent, Candidate, ColdCredits, EntryHost, LeastWait, PrefixIndex,
-    RouteChoice, RoutePath, RoutePolicy, RouteQuery, RouteRefusal, RouterSettings,
+    BlockHash, CacheChange, CacheEvent, Candidate, ColdCredits, Dispatch, EntryHost, LeastWait,
+    PrefixIndex, RouteChoice, RoutePath, RoutePolicy, RouteQuery, RouteRefusal, RouterSettings,
 };
 use crate::collections::HashMap;
 use crate::group::{ServingGroup, Temperature};
@@ -64,6 +64,8 @@
     index: PrefixIndex,
     found: Found,
     compared_at: Timestamp,
+    own_in_flight: u32,
+    pending_blocks: u32,
 }
 
 impl Router<LeastWait> {
@@ -91,6 +93,8 @@
             index: PrefixIndex::new(settings.index_capacity),
             found: Found::default(),
             compared_at: Timestamp::default(),
+            own_in_flight: 0,
+            pending_blocks: 0,
         }
     }
 
@@ -187,44 +191,54 @@
     }
 
     /// Notes that a request was sent to a group; its prompt will be cached there.
-    pub fn started(&mut self, now: Timestamp, group: &GroupId, prefix: &[BlockHash]) {
-        let Some(&position) = self.by_group.get(group) else {
-            return;
-        };
-        if let Some(slot) = self.slots[usize::from(position)].as_mut() {
-            slot.start(now);
+    pub fn started(
+        &mut self,
+        now: Timestamp,
+        choice: &RouteChoice,
+        prefix: &[BlockHash],
+    ) -> Dispatch {
+        let dispatch = Dispatch::new(choice);
+        if let Some(&position) = self.by_group.get(&choice.group) {
+            let blocks = BASE_BLOCKS + dispatch.computed_blocks;
+            if let Some(slot) = self.slots[usize::from(position)].as_mut() {
+                slot.start(now, blocks);
+                self.own_in_flight += 1;
+                self.pending_blocks += blocks;
+            }
+            self.store_blocks(position, prefix);
         }
-        self.store_blocks(position, prefix);
+        dispatch
     }
 
-    /// Notes the first token of a request, and how many blocks were computed for it.
-    pub fn first_token(
-        &mut self,
-        now: Timestamp,
-        group: &GroupId,
-        waited: Duration,
-        computed_blocks: u32,
-    ) {
-        if let Some(slot) = self.slot_mut(group) {
-            slot.sample_pace(now, waited, computed_blocks);
+    /// Notes the first token of a request, after the time since its start.
+    pub fn first_token(&mut self, now: Timestamp, dispatch: &mut Dispatch, waited: Duration) {
+        if dispatch.first_token {
+            return;
+        }
+        self.settle(dispatch);
+        let blocks = dispatch.computed_blocks;
+        if let Some(slot) = self.slot_mut(&dispatch.group) {
+            slot.sample_pace(now, waited, blocks);
             slot.succeed();
         }
     }
 
-    /// Notes that a request ended at a group, by its answer or by its caller leaving.
-    pub fn finished(&mut self, now: Timestamp, group: &GroupId) {
-        if let Some(slot) = self.slot_mut(group) {
+    /// Notes that a request ended, by its answer or by its caller leaving.
+    pub fn finished(&mut self, now: Timestamp, mut dispatch: Dispatch) {
+        self.settle(&mut dispatch);
+        self.own_in_flight = self.own_in_flight.saturating_sub(1);
+        if let Some(slot) = self.slot_mut(&dispatch.group) {
             slot.end(now);
         }
     }
 
     /// Notes that a group failed a request; several in a row set the group aside.
-    pub fn failed(&mut self, now: Timestamp, group: &GroupId) {
+    pub fn failed(&mut self, now: Timestamp, dispatch: Dispatch) {
         let settings = self.settings;
-        if let Some(slot) = self.slot_mut(group) {
-            slot.end(now);
+        if let Some(slot) = self.slot_mut(&dispatch.group) {
             slot.fail(now, &settings);
         }
+        self.finished(now, dispatch);
     }
 
     /// Returns the estimated requests in a group, those of other entry hosts included.
@@ -261,6 +275,18 @@
         self.slots[usize::from(position)].as_mut()
     }
 
+    /// Notes that a request no longer waits for its first token.
+    fn settle(&mut self, dispatch: &mut Dispatch) {
+        if std::mem::replace(&mut dispatch.first_token, true) {
+            return;
+        }
+        let blocks = BASE_BLOCKS + dispatch.computed_blocks;
+        self.pending_blocks = self.pending_blocks.saturating_sub(blocks);
+        if let Some(slot) = self.slot_mut(&dispatch.group) {
+            slot.settle(blocks);
+        }
+    }
+
     fn store_blocks(&mut self, position: u16, blocks: &[BlockHash]) {
         for &block in blocks {
             self.index.store(position, block);
@@ -434,10 +460,16 @@
         remote: bool,
         query: &RouteQuery<'_>,
     ) -> Candidate {
+        let load = slot.load();
+        let own = slot.own_in_flight();
+        // Requests of other hosts are taken to wait for as much as ours do.
+        let mean_pending = self.pending_blocks as f32 / self.own_in_flight.max(1) as f32;
+        let others_pending = load.saturating_sub(own) as f32 * mean_pending;
         Candidate {
             slot: position,
-            load: slot.load(),
-            own: slot.own_in_flight(),
+            load,
+            own,
+            pending_blocks: slot.pending_blocks() as f32 + others_pending,
             capacity: slot.serving.warm_concurrency,
             cached_blocks: self.index.cached_blocks(position) as f32 * slot.trust,
             blocks: query.prefix.len() as u32,
--- a/crates/geranium_core/src/route/slot.rs
+++ b/crates/geranium_core/src/route/slot.rs
@@ -12,7 +12,7 @@
 /// Weight of a new first-token sample.
 const SAMPLE_WEIGHT: f32 = 0.2;
 /// Blocks of work that every request costs beside its prompt.
-const BASE_BLOCKS: f32 = 4.0;
+pub(super) const BASE_BLOCKS: u32 = 2;
 /// Factor on the trust in a group's cache entries after a gap in its events.
 const GAP_TRUST_FACTOR: f32 = 0.5;
 /// Least trust in a group's cache entries.
@@ -38,6 +38,7 @@
     /// First-token time relative to its peers; 1 is usual.
     pub(super) slowdown: f32,
     own: OwnLoad,
+    pending_blocks: u32,
     reported: u32,
     reported_at: Timestamp,
     since_report: i32,
@@ -60,6 +61,7 @@
             trust: 1.0,
             slowdown: 1.0,
             own: OwnLoad::default(),
+            pending_blocks: 0,
             reported: serving.running + serving.waiting,
             reported_at: now,
             since_report: 0,
@@ -119,10 +121,21 @@
         estimate.max(self.own.in_flight())
     }
 
-    /// Notes that a request started.
-    pub(super) fn start(&mut self, now: Timestamp) {
+    /// Returns the blocks that requests of this entry host still wait for.
+    pub(super) fn pending_blocks(&self) -> u32 {
+        self.pending_blocks
+    }
+
+    /// Notes that a request started, which adds so many blocks of work.
+    pub(super) fn start(&mut self, now: Timestamp, blocks: u32) {
         self.own.start(now);
         self.since_report += 1;
+        self.pending_blocks += blocks;
+    }
+
+    /// Notes that so many blocks of work are done or given up.
+    pub(super) fn settle(&mut self, blocks: u32) {
+        self.pending_blocks = self.pending_blocks.saturating_sub(blocks);
     }
 
     /// Notes that a request ended.
@@ -154,7 +167,7 @@
 
     /// Notes a first-token time, given the blocks that had to be computed.
     pub(super) fn sample_pace(&mut self, now: Timestamp, waited: Duration, computed_blocks: u32) {
-        let sample = waited.as_secs_f32() / (BASE_BLOCKS + computed_blocks as f32);
+        let sample = waited.as_secs_f32() / (BASE_BLOCKS + computed_blocks) as f32;
         self.pace = if self.samples == 0 {
             sample
         } else {
