Check the claim protocol exhaustively

The transitions drive ClaimCall; the model adds lost and delayed store answers, outage, pauses, ends of processes, broken connections, a failure detector that errs both ways, and deletion of expired claims.

Found by it: a holder paused past the retention vouched that no other attempt ran, although its claim may have been deleted and the key run anew. It now says that other attempts were not checked; the test failed first (NoneRan in place of NotChecked).

The assumption that the check needs: a call that was sent reaches its service before the claim's retention is over.

--- a/crates/geranium_core/src/once/call/claiming.rs
+++ b/crates/geranium_core/src/once/call/claiming.rs
@@ -175,7 +175,7 @@
         effects: &mut Vec<ClaimEffect>,
     ) {
         if self.answered || now >= claim.dispatch_before {
-            let refusal = self.not_run(self.lateness(now), OtherAttempts::NoneRan);
+            let refusal = self.not_run(self.lateness(now), self.others_under(&claim, now));
             self.answer(ClaimAnswer::NotRun(refusal), effects);
             self.withdraw(now, claim, revision, effects);
             return;
--- a/crates/geranium_core/src/once/call/dispatched.rs
+++ b/crates/geranium_core/src/once/call/dispatched.rs
@@ -1,8 +1,8 @@
 //! From the dispatch to the service's answer.
 
 use super::{
-    ClaimAnswer, ClaimCall, ClaimEffect, ClaimInput, ClaimState, Dispatched, NotRunReason,
-    OtherAttempts, Phase, Timestamp,
+    ClaimAnswer, ClaimCall, ClaimEffect, ClaimInput, ClaimState, Dispatched, NotRunReason, Phase,
+    Timestamp,
 };
 use crate::once::{KeptAnswer, UnknownReason, UpstreamAnswer, UpstreamOutcome};
 
@@ -100,7 +100,10 @@
             self.claim_over(now, state.revision, state.claim.attempt, true, effects);
             return;
         }
-        let refusal = self.not_run(NotRunReason::ServiceUnreachable, OtherAttempts::NoneRan);
+        let refusal = self.not_run(
+            NotRunReason::ServiceUnreachable,
+            self.others_under(&state.claim, now),
+        );
         self.answer(ClaimAnswer::NotRun(refusal), effects);
         self.withdraw(now, state.claim, state.revision, effects);
     }
--- a/crates/geranium_core/src/once/call/mod.rs
+++ b/crates/geranium_core/src/once/call/mod.rs
@@ -183,6 +183,16 @@
         }
     }
 
+    /// Returns what a held claim says of other attempts: none ran, unless the
+    /// claim may have been deleted after a long pause.
+    fn others_under(&self, claim: &Claim, now: Timestamp) -> OtherAttempts {
+        if now + self.cfg.clock_margin < claim.expires_at {
+            OtherAttempts::NoneRan
+        } else {
+            OtherAttempts::NotChecked
+        }
+    }
+
     /// Answers the caller unless it has its answer already.
     fn answer(&mut self, answer: ClaimAnswer, effects: &mut Vec<ClaimEffect>) {
         if self.answered {
--- a/crates/geranium_core/tests/claims.rs
+++ b/crates/geranium_core/tests/claims.rs
@@ -135,6 +135,20 @@
     assert_eq!(not_run(&asked).0, NotRunReason::StoreUnavailable);
 }
 
+#[test]
+fn holder_paused_past_the_retention_does_not_vouch_for_other_attempts() {
+    let mut store = OneClaimStore::default();
+    let mut call = dispatched(&mut store, "entry-1");
+    let resumed = START + ClaimConfig::default().retention;
+
+    let asked = step(&mut call, resumed, upstream(1, UpstreamOutcome::NotSent));
+
+    assert_eq!(
+        not_run(&asked),
+        (NotRunReason::ServiceUnreachable, OtherAttempts::NotChecked)
+    );
+}
+
 #[test]
 fn unreachable_store_is_refused_at_once_with_a_time_to_come_back() {
     let (mut call, asked) = submit(request("{}"), holder("entry-1", 1), START);
--- /dev/null
+++ b/crates/geranium_spec/src/mutation.rs
@@ -0,0 +1,90 @@
+//! Guards that can be removed.
+
+use std::fmt;
+use std::str::FromStr;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Name that no mutation has.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum UnknownMutation {
+        /// No mutation has this name.
+        Name(name: String) {
+            display("mutation {:?} does not exist; --list-mutations prints all", name)
+        }
+    }
+}
+
+/// The protocol that a guard belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Protocol {
+    /// Claims for calls that must not repeat.
+    Claims,
+}
+
+macro_rules! mutations {
+    ($($(#[$doc:meta])* $name:ident => $text:literal, $protocol:ident;)*) => {
+        /// A guard that is removed, to show that the check finds its absence.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum Mutation {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Mutation {
+            /// Every mutation, in declaration order.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the name used on the command line.
+            #[must_use]
+            pub const fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+
+            /// Returns the protocol that the guard belongs to.
+            #[must_use]
+            pub const fn protocol(self) -> Protocol {
+                match self {
+                    $(Self::$name => Protocol::$protocol,)*
+                }
+            }
+        }
+    };
+}
+
+mutations! {
+    /// A call is dispatched while its claim is still being written.
+    DispatchBeforeClaim => "dispatch-before-claim", Claims;
+    /// A claim write with unknown outcome is repeated over whatever is there.
+    BlindRetry => "blind-retry", Claims;
+    /// The claim of a holder that is thought to be gone is set free.
+    Takeover => "takeover", Claims;
+    /// The store takes claims without comparing revisions.
+    ClaimWithoutCas => "claim-without-cas", Claims;
+    /// A holder dispatches however late it is.
+    LateDispatch => "late-dispatch", Claims;
+    /// Claims are deleted before their retention is over.
+    EarlySweep => "early-sweep", Claims;
+    /// A call whose connection broke is taken for one that was not sent.
+    BrokenTakenForUnsent => "broken-taken-for-unsent", Claims;
+}
+
+impl fmt::Display for Mutation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for Mutation {
+    type Err = UnknownMutation;
+
+    fn from_str(text: &str) -> Result<Self, UnknownMutation> {
+        Self::ALL
+            .iter()
+            .copied()
+            .find(|mutation| mutation.as_str() == text)
+            .ok_or_else(|| UnknownMutation::Name(text.to_owned()))
+    }
+}
