--- a/crates/geranium_fakes/src/platform/handler.rs
+++ b/crates/geranium_fakes/src/platform/handler.rs
@@ -9,7 +9,8 @@
 use geranium_net::read_body;
 use geranium_platform::TokenBucket;
 use geranium_platform::etcd::wire::{
-    Int64, Lease, RangeRequest, ResponseHeader, TxnRequest, WatchRequest,
+    Int64, Lease, PutRequest, PutResponse, RangeRequest, RequestOp, ResponseHeader, TxnRequest,
+    WatchRequest,
 };
 use hyper::StatusCode;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -35,6 +36,7 @@
 }
 
 const RANGE: CallKind = read_call("range");
+const PUT: CallKind = write_call("put");
 const TRANSACTION: CallKind = write_call("transaction");
 const LEASE_GRANT: CallKind = write_call("lease_grant");
 const LEASE_KEEP_ALIVE: CallKind = write_call("lease_keep_alive");
@@ -96,6 +98,22 @@
         .await
     }
 
+    pub async fn put_value(&self, mut req: Request) -> Response {
+        self.call(PUT, &mut req, |state, _, body: PutRequest| {
+            let put = RequestOp {
+                request_put: Some(body),
+                ..RequestOp::default()
+            };
+            let txn = TxnRequest {
+                success: vec![put],
+                ..TxnRequest::default()
+            };
+            let header = state.transact(&txn)?.header;
+            Ok(PutResponse { header })
+        })
+        .await
+    }
+
     pub async fn transact(&self, mut req: Request) -> Response {
         self.call(TRANSACTION, &mut req, |state, _, body: TxnRequest| {
             state.transact(&body)
--- a/crates/geranium_fakes/src/platform/mod.rs
+++ b/crates/geranium_fakes/src/platform/mod.rs
@@ -1,13 +1,13 @@
 //! Stand-in for the platform's key-value service: etcd 3 over its JSON gateway.
 //!
-//! It keeps its values in memory and serves `/v3/kv/range`, `/v3/kv/txn`,
+//! It keeps its values in memory and serves `/v3/kv/range`, `/v3/kv/put`, `/v3/kv/txn`,
 //! `/v3/lease/grant`, `/v3/lease/keepalive`, `/v3/lease/revoke` and `/v3/watch`
 //! with the messages of [`geranium_platform::etcd::wire`].
 //!
 //! What it leaves out: replication and elections (one process is the whole
 //! service), authentication, range options (limit, sort, keys only, older
 //! revisions), transactions with comparisons other than the revision of the
-//! last change, put and delete outside of a transaction, several watches on one
+//! last change, deletes outside of a transaction, several watches on one
 //! call, filters, and what the gateway reports about members and memory.
 //!
 //! | module | duty |
--- a/crates/geranium_fakes/src/platform/server.rs
+++ b/crates/geranium_fakes/src/platform/server.rs
@@ -96,6 +96,7 @@
 fn main_router(handler: &Arc<Handler>) -> Router {
     Router::new()
         .post("/v3/kv/range", route!(handler, range))
+        .post("/v3/kv/put", route!(handler, put_value))
         .post("/v3/kv/txn", route!(handler, transact))
         .post("/v3/lease/grant", route!(handler, grant))
         .post("/v3/lease/keepalive", route!(handler, keep_alive))
--- a/crates/geranium_platform/src/etcd/wire.rs
+++ b/crates/geranium_platform/src/etcd/wire.rs
@@ -157,7 +157,7 @@
     pub mod_revision: Int64,
 }
 
-/// A write within a transaction.
+/// Body of `/v3/kv/put`, or a write within a transaction.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct PutRequest {
@@ -171,6 +171,14 @@
     pub lease: Int64,
 }
 
+/// Answer of `/v3/kv/put`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PutResponse {
+    /// Head of the answer.
+    pub header: ResponseHeader,
+}
+
 /// A step of a transaction; exactly one field is set.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
