Test the engine client against engines that fail

Cause: fencing, resume, cancel, cut streams and lost members had no test.

The fixtures that form a group of engines are public in geranium_fakes, so that the daemon's tests can use them.

--- /dev/null
+++ b/crates/geranium_engine/tests/cache.rs
@@ -0,0 +1,142 @@
+//! Cache events, and export and import of KV cache.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+use geranium_engine::prelude::*;
+use geranium_engine::{BLOCK_BYTES, block_hashes};
+use geranium_fakes::fixture::{chat, completion, form_group, quick_engine};
+use geranium_fakes::{EngineConfig, FakeEngine};
+
+async fn serving(cfg: EngineConfig) -> FakeEngine {
+    let engine = FakeEngine::start(cfg)
+        .await
+        .expect("loopback can be listened on");
+    form_group(&client(), &[&engine], 1).await.expect("formed");
+    engine
+}
+
+fn client() -> HttpEngineClient {
+    HttpEngineClient::new(EngineClientConfig::default())
+}
+
+/// Runs a chat whose prompt has four whole blocks and returns their hashes.
+async fn run_chat(engine: &FakeEngine) -> Vec<u64> {
+    let chat = chat(&"p".repeat(4 * BLOCK_BYTES), 1);
+    let req = completion("r", 1, &chat);
+    let stream = client().stream_completion(engine.address(), &req).await;
+    stream.expect("accepted").collect::<Vec<_>>().await;
+    block_hashes(chat.prompt().as_bytes()).collect()
+}
+
+async fn events(engine: &FakeEngine, after: u64) -> CacheEvents {
+    client()
+        .cache_events(engine.address(), after)
+        .await
+        .expect("told")
+}
+
+#[tokio::test]
+async fn the_blocks_of_a_prompt_are_told_in_order() {
+    let engine = serving(quick_engine("a")).await;
+    let blocks = run_chat(&engine).await;
+
+    let first = events(&engine, 0).await;
+    let rest = events(&engine, first.next).await;
+
+    let stored: Vec<u64> = first.events.iter().map(|e| e.block_hash).collect();
+    assert_eq!(stored, blocks);
+    assert!(
+        first
+            .events
+            .iter()
+            .all(|e| e.kind == CacheEventKind::Stored)
+    );
+    assert_eq!(
+        rest,
+        CacheEvents {
+            events: Vec::new(),
+            next: first.next
+        }
+    );
+}
+
+#[tokio::test]
+async fn lost_events_show_as_gaps_in_the_sequence() {
+    let engine = serving(EngineConfig {
+        cache_gap_every: 3,
+        ..quick_engine("a")
+    })
+    .await;
+    run_chat(&engine).await;
+
+    let told = events(&engine, 0).await;
+
+    let sequences: Vec<u64> = told.events.iter().map(|e| e.sequence).collect();
+    assert_eq!(sequences, [1, 2, 4]);
+}
+
+#[tokio::test]
+async fn events_are_told_late() {
+    let engine = serving(EngineConfig {
+        cache_lag: Duration::from_secs(3_600),
+        ..quick_engine("a")
+    })
+    .await;
+    run_chat(&engine).await;
+
+    assert_eq!(events(&engine, 0).await, CacheEvents::default());
+}
+
+#[tokio::test]
+async fn a_full_cache_evicts_the_block_used_longest_ago() {
+    let engine = serving(EngineConfig {
+        cache_blocks: 3,
+        ..quick_engine("a")
+    })
+    .await;
+    let blocks = run_chat(&engine).await;
+
+    let told = events(&engine, 0).await;
+
+    let evicted: Vec<u64> = told
+        .events
+        .iter()
+        .filter(|e| e.kind == CacheEventKind::Evicted)
+        .map(|e| e.block_hash)
+        .collect();
+    assert_eq!(evicted, blocks[..1]);
+}
+
+#[tokio::test]
+async fn exported_blocks_are_in_the_cache_of_the_engine_that_imports_them() {
+    let (from, to) = (
+        serving(quick_engine("a")).await,
+        serving(quick_engine("b")).await,
+    );
+    let blocks = run_chat(&from).await;
+    let unknown = 1;
+
+    let asked = [blocks[0], unknown, blocks[1]];
+    let exported = client()
+        .export_kv(from.address(), &asked)
+        .await
+        .expect("exported");
+    let imported = client().import_kv(to.address(), exported).await;
+
+    assert_eq!(imported, Ok(2));
+    let told = events(&to, 0).await;
+    let stored: Vec<u64> = told.events.iter().map(|e| e.block_hash).collect();
+    assert_eq!(stored, blocks[..2]);
+}
+
+#[tokio::test]
+async fn an_export_that_is_cut_off_is_refused() {
+    let engine = serving(quick_engine("a")).await;
+
+    let outcome = client()
+        .import_kv(engine.address(), bytes::Bytes::from_static(b"123"))
+        .await;
+
+    assert!(matches!(outcome, Err(EngineError::Refused(_, 400, ..))));
+}
--- /dev/null
+++ b/crates/geranium_engine/tests/orders.rs
@@ -0,0 +1,265 @@
+//! Orders, reports and fencing numbers.
+
+use std::time::Duration;
+
+use geranium_core::engine::{EnginePhase, Order, OrderAction};
+use geranium_core::id::{FencingNumber, HostId};
+use geranium_engine::prelude::*;
+use geranium_fakes::engine::EngineFault;
+use geranium_fakes::fixture::{
+    GROUP, chat, completion, form_group, load_order, quick_engine, wait_until,
+};
+use geranium_fakes::http::GateState;
+use geranium_fakes::{EngineConfig, FakeEngine};
+
+async fn engine(cfg: EngineConfig) -> FakeEngine {
+    FakeEngine::start(cfg)
+        .await
+        .expect("loopback can be listened on")
+}
+
+fn client() -> HttpEngineClient {
+    HttpEngineClient::new(EngineClientConfig::default())
+}
+
+fn order(engine: &FakeEngine, fencing: u64, action: OrderAction) -> Order {
+    Order {
+        host: engine.host().clone(),
+        fencing: FencingNumber(fencing),
+        action,
+    }
+}
+
+#[tokio::test]
+async fn a_new_engine_is_idle_and_each_report_has_a_higher_sequence() {
+    let engine = engine(quick_engine("a")).await;
+
+    let first = client().report(engine.address()).await.expect("reported");
+    let second = client().report(engine.address()).await.expect("reported");
+
+    assert_eq!(first.host, HostId::new("a"));
+    assert_eq!(first.phase, EnginePhase::Idle);
+    assert_eq!(first.assignment, None);
+    assert!(second.sequence > first.sequence);
+    assert_eq!(second.incarnation, first.incarnation);
+}
+
+#[tokio::test]
+async fn an_engine_that_checks_refuses_an_old_fencing_number_and_names_the_highest() {
+    let engine = engine(quick_engine("a")).await;
+    let fence = order(&engine, 9, OrderAction::Fence);
+    client()
+        .send_order(engine.address(), &fence)
+        .await
+        .expect("followed");
+
+    let stale = load_order(&[&engine], 0, 8);
+    let outcome = client().send_order(engine.address(), &stale).await;
+
+    let refused = EngineError::StaleFencing(engine.address(), FencingNumber(9));
+    assert!(refused.is_not_run());
+    assert_eq!(outcome, Err(refused));
+    assert_eq!(engine.report().assignment, None);
+    assert_eq!(engine.stats().orders_stale, 1);
+}
+
+#[tokio::test]
+async fn an_engine_that_ignores_fencing_numbers_follows_an_old_order() {
+    let engine = engine(EngineConfig {
+        checks_fencing: false,
+        ..quick_engine("a")
+    })
+    .await;
+    let fence = order(&engine, 9, OrderAction::Fence);
+    client()
+        .send_order(engine.address(), &fence)
+        .await
+        .expect("followed");
+
+    let stale = load_order(&[&engine], 0, 8);
+    let report = client()
+        .send_order(engine.address(), &stale)
+        .await
+        .expect("followed");
+
+    let assignment = report.assignment.expect("followed");
+    assert_eq!(assignment.group.as_str(), GROUP);
+    assert_eq!(assignment.fencing, FencingNumber(8));
+}
+
+#[tokio::test]
+async fn the_same_order_with_a_higher_number_renews_it_without_loading_again() {
+    let engine = engine(EngineConfig {
+        load_time: Duration::from_secs(3_600),
+        ..quick_engine("a")
+    })
+    .await;
+    let first = load_order(&[&engine], 0, 1);
+    client()
+        .send_order(engine.address(), &first)
+        .await
+        .expect("followed");
+
+    let renewed = load_order(&[&engine], 0, 2);
+    let report = client()
+        .send_order(engine.address(), &renewed)
+        .await
+        .expect("followed");
+
+    assert_eq!(report.phase, EnginePhase::Loading);
+    assert_eq!(
+        report.assignment.expect("followed").fencing,
+        FencingNumber(2)
+    );
+    let refused = client()
+        .stream_completion(engine.address(), &completion("r", 2, &chat("hi", 1)))
+        .await;
+    let Err(e @ EngineError::Refused(_, 503, ..)) = refused else {
+        panic!("{refused:?}");
+    };
+    assert!(e.is_not_run());
+}
+
+#[tokio::test]
+async fn a_released_engine_is_idle_again() {
+    let engine = engine(quick_engine("a")).await;
+    form_group(&client(), &[&engine], 1).await.expect("formed");
+
+    let release = order(&engine, 2, OrderAction::Release);
+    let report = client()
+        .send_order(engine.address(), &release)
+        .await
+        .expect("followed");
+
+    assert_eq!(report.phase, EnginePhase::Idle);
+    assert_eq!(report.assignment, None);
+    assert_eq!(report.fencing, FencingNumber(2));
+}
+
+#[tokio::test]
+async fn an_order_for_another_host_is_refused() {
+    let engine = engine(quick_engine("a")).await;
+    let other = Order {
+        host: HostId::new("b"),
+        ..order(&engine, 1, OrderAction::Fence)
+    };
+
+    let outcome = client().send_order(engine.address(), &other).await;
+
+    assert!(matches!(outcome, Err(EngineError::Refused(_, 400, kind, ..)) if kind == "wrong_host"));
+    assert_eq!(engine.report().fencing, FencingNumber(0));
+}
+
+#[tokio::test]
+async fn an_order_whose_answer_was_lost_may_be_in_force() {
+    let engine = engine(quick_engine("a")).await;
+    engine.set_fault(&EngineFault {
+        lose_order_answers: Some(1),
+        ..EngineFault::default()
+    });
+
+    let outcome = client()
+        .send_order(engine.address(), &load_order(&[&engine], 0, 1))
+        .await;
+    let report = client().report(engine.address()).await.expect("reported");
+
+    let Err(e @ EngineError::NoAnswer(_)) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert!(!e.is_not_run());
+    assert!(report.assignment.is_some());
+}
+
+#[tokio::test]
+async fn a_call_to_a_host_that_is_gone_was_not_sent() {
+    let engine = engine(quick_engine("a")).await;
+    let address = engine.address();
+    engine.set_fault(&EngineFault {
+        connections: Some(GateState::Refuse),
+        ..EngineFault::default()
+    });
+    while tokio::net::TcpStream::connect(address).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+
+    let outcome = client().report(address).await;
+
+    assert!(matches!(outcome, Err(EngineError::NotSent(_))));
+}
+
+#[tokio::test]
+async fn a_paused_engine_gives_no_answer() {
+    let engine = engine(quick_engine("a")).await;
+    engine.set_fault(&EngineFault {
+        pause_ms: Some(3_600_000),
+        ..EngineFault::default()
+    });
+    let client = HttpEngineClient::new(EngineClientConfig {
+        call_timeout: Duration::from_millis(20),
+        ..EngineClientConfig::default()
+    });
+
+    let outcome = client.report(engine.address()).await;
+
+    assert!(matches!(outcome, Err(EngineError::NoAnswer(_))));
+}
+
+#[tokio::test]
+async fn an_engine_that_falls_over_comes_back_idle_with_a_new_incarnation() {
+    let engine = engine(quick_engine("a")).await;
+    form_group(&client(), &[&engine], 5).await.expect("formed");
+    let before = engine.report();
+
+    engine.set_fault(&EngineFault {
+        fail_over: true,
+        ..EngineFault::default()
+    });
+    let after = client().report(engine.address()).await.expect("reported");
+
+    assert_ne!(after.incarnation, before.incarnation);
+    assert_eq!(after.phase, EnginePhase::Idle);
+    assert_eq!(after.assignment, None);
+    assert_eq!(
+        after.fencing,
+        FencingNumber(0),
+        "it has forgotten the number too"
+    );
+}
+
+#[tokio::test]
+async fn leaving_shows_in_the_report() {
+    let engine = engine(quick_engine("a")).await;
+
+    engine.set_fault(&EngineFault {
+        leaving: Some(true),
+        ..EngineFault::default()
+    });
+
+    let report = client().report(engine.address()).await.expect("reported");
+    assert!(report.leaving);
+}
+
+#[tokio::test]
+async fn load_figures_lag() {
+    let lagging = engine(EngineConfig {
+        report_lag: Duration::from_secs(3_600),
+        ..quick_engine("a")
+    })
+    .await;
+    let prompt = engine(quick_engine("b")).await;
+    for engine in [&lagging, &prompt] {
+        form_group(&client(), &[engine], 1).await.expect("formed");
+    }
+    let endless = completion("r", 1, &chat("hi", u32::MAX));
+
+    let mut streams = Vec::new();
+    for engine in [&lagging, &prompt] {
+        let stream = client().stream_completion(engine.address(), &endless).await;
+        streams.push(stream.expect("accepted"));
+        wait_until(|| engine.stats().executions == 1).await;
+    }
+    wait_until(|| prompt.report().running == 1).await;
+
+    assert_eq!(lagging.report().running, 0);
+    assert!(prompt.report().kv_free_tokens < lagging.report().kv_free_tokens);
+}
--- a/crates/geranium_fakes/src/lib.rs
+++ b/crates/geranium_fakes/src/lib.rs
@@ -6,16 +6,18 @@
 //! `GET /fault/stats`. Tests start them in-process; the binary
 //! `geranium-fakes` starts them as processes.
 //!
-//! | module | stands for |
+//! | module | what it holds |
 //! | --- | --- |
-//! | [`platform`] | the key-value service with compare-and-swap, leases and watches |
-//! | [`engine`] | a model engine on one host |
-//! | [`service`] | a plain service |
+//! | [`platform`] | stand-in for the key-value service with compare-and-swap, leases and watches |
+//! | [`engine`] | stand-in for a model engine on one host |
+//! | [`service`] | stand-in for a plain service |
+//! | [`fixture`] | groups of engines and chats for tests |
 //! | [`http`] | the listeners that they share |
 //! | [`cli`] | the command line of the binary |
 
 pub mod cli;
 pub mod engine;
+pub mod fixture;
 pub mod http;
 pub mod platform;
 pub mod service;
