--- a/crates/geranium_daemon/src/control/task.rs
+++ b/crates/geranium_daemon/src/control/task.rs
@@ -205,14 +205,14 @@
 
     fn table_read(&mut self, table: Option<GroupTable>, revision: StoreRevision) {
         if let Some(table) = &table {
-            self.set_gate_table(table, revision);
+            self.set_gate_table(table);
         }
         self.decide(GroupInput::TableLoaded { table, revision });
     }
 
-    fn set_gate_table(&mut self, table: &GroupTable, revision: StoreRevision) {
-        if let Err(e) = self.gate.set_table(table, revision) {
-            log::error!("the group table at revision {revision} is not valid: {e}");
+    fn set_gate_table(&mut self, table: &GroupTable) {
+        if let Err(e) = self.gate.set_table(table) {
+            log::error!("the group table is not valid: {e}");
         }
     }
 
@@ -233,6 +233,7 @@
                 GroupEffect::WriteTable { table, expected } => {
                     self.table_store.write(&table, expected);
                 }
+                GroupEffect::PublishTable(table) => self.set_gate_table(&table),
                 GroupEffect::SendOrder(order) => self.orders.send(order),
                 GroupEffect::Emit(draft) => self.emit(draft),
             }
@@ -241,9 +242,6 @@
 
     fn publish(&mut self) {
         let now = self.clock.now();
-        let (table, revision) = self.controller.table();
-        let (table, revision) = (table.clone(), revision);
-        self.set_gate_table(&table, revision);
         let mut events = Vec::new();
         self.serving = Arc::new(self.gate.evaluate(now, &mut events));
         for draft in events {
@@ -255,7 +253,7 @@
     }
 
     fn view(&self) -> ControlView {
-        let (table, _) = self.gate.table();
+        let table = self.gate.table();
         let why = |id: &GroupId| Some((id.clone(), self.gate.why_closed(id)?.to_owned()));
         let closed_because: BTreeMap<GroupId, String> =
             table.groups().keys().filter_map(why).collect();
--- a/crates/geranium_daemon/src/relay/job.rs
+++ b/crates/geranium_daemon/src/relay/job.rs
@@ -9,7 +9,7 @@
 use geranium_core::event::{EventDraft, EventKind, EventSubject};
 use geranium_core::id::GroupId;
 use geranium_core::limit::{ColdOutcome, CrashId, CrashVerdict, InFlight, RetryBackoff};
-use geranium_core::route::{RouteChoice, RouteQuery, RouteRefusal};
+use geranium_core::route::{Dispatch, RouteChoice, RouteQuery, RouteRefusal};
 use geranium_core::stream::{
     Delivery, FinishReason, Piece, PieceBody, ResumePoint, StreamAssembler, StreamEnd, StreamLimits,
 };
@@ -134,15 +134,15 @@
                 tokio::time::sleep(delay).await;
             }
             self.check_crashes()?;
-            let choice = self.choose().await?;
-            let end = self.try_group(&choice).await;
+            let (choice, mut dispatch) = self.choose().await?;
+            let end = self.try_group(&choice, &mut dispatch).await;
             let outcome = match &end {
                 AttemptEnd::Whole => ColdOutcome::Succeeded,
                 AttemptEnd::Broken(_) => ColdOutcome::Failed,
                 _ => ColdOutcome::Cancelled,
             };
             let now = self.node.clock.now();
-            self.node.traffic.end(now, &choice, outcome);
+            self.node.traffic.end(now, &choice, dispatch, outcome);
             match end {
                 AttemptEnd::Whole => {
                     self.note_whole(now);
@@ -197,7 +197,7 @@
     }
 
     /// Chooses a group, waiting for a short time if none can take the request.
-    async fn choose(&mut self) -> Result<RouteChoice, Option<ApiError>> {
+    async fn choose(&mut self) -> Result<(RouteChoice, Dispatch), Option<ApiError>> {
         let start = self.node.clock.now();
         loop {
             let now = self.node.clock.now();
@@ -212,7 +212,7 @@
                 forwarded: self.req.forwarded,
             };
             let refused = match self.node.traffic.start(now, &query) {
-                Ok(choice) => return Ok(choice),
+                Ok(chosen) => return Ok(chosen),
                 Err(refused) => refused,
             };
             let hopeless = matches!(refused, RouteRefusal::NotAllowed(..));
@@ -230,7 +230,7 @@
         }
     }
 
-    async fn try_group(&mut self, choice: &RouteChoice) -> AttemptEnd {
+    async fn try_group(&mut self, choice: &RouteChoice, dispatch: &mut Dispatch) -> AttemptEnd {
         let now = self.node.clock.now();
         let resume = match self.resume_point() {
             Ok(resume) => resume,
@@ -247,7 +247,8 @@
             }
         };
         self.any_sent = true;
-        self.read_stream(choice, &mut stream, from, now).await
+        self.read_stream(choice, dispatch, &mut stream, from, now)
+            .await
     }
 
     /// Returns where the next attempt goes on.
@@ -272,6 +273,7 @@
     async fn read_stream(
         &mut self,
         choice: &RouteChoice,
+        dispatch: &mut Dispatch,
         stream: &mut CompletionStream,
         from: u64,
         opened_at: Timestamp,
@@ -297,7 +299,7 @@
                 Some(Ok(CompletionEvent::Piece(piece))) => {
                     tokens += 1;
                     if tokens == 1 {
-                        self.note_first_token(choice, opened_at, heard_at);
+                        self.note_first_token(dispatch, opened_at, heard_at);
                     }
                     if let Err(end) = self.take_in(piece, from).await {
                         return end;
@@ -420,10 +422,10 @@
         }
     }
 
-    fn note_first_token(&self, choice: &RouteChoice, opened_at: Timestamp, now: Timestamp) {
+    fn note_first_token(&self, dispatch: &mut Dispatch, opened_at: Timestamp, now: Timestamp) {
         self.node
             .traffic
-            .first_token(now, choice, now.since(opened_at));
+            .first_token(now, dispatch, now.since(opened_at));
         if !self.req.forwarded {
             self.node
                 .metrics
--- a/crates/geranium_daemon/src/traffic/mod.rs
+++ b/crates/geranium_daemon/src/traffic/mod.rs
@@ -16,7 +16,7 @@
     CrashDigest, CrashVerdict, CreditGrant, CreditRefusal, CreditRequest, InFlight,
     RequestFingerprint, Ticket,
 };
-use geranium_core::route::{BlockHash, RouteChoice, RouteQuery, RouteRefusal};
+use geranium_core::route::{BlockHash, Dispatch, RouteChoice, RouteQuery, RouteRefusal};
 use geranium_core::time::Timestamp;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -112,22 +112,24 @@
         &self,
         now: Timestamp,
         query: &RouteQuery<'_>,
-    ) -> Result<RouteChoice, RouteRefusal> {
+    ) -> Result<(RouteChoice, Dispatch), RouteRefusal> {
         self.state.lock().start(now, query)
     }
 
     /// Notes the first token of a request.
-    pub fn first_token(&self, now: Timestamp, choice: &RouteChoice, waited: Duration) {
-        let computed = choice.blocks.saturating_sub(choice.cached_blocks);
-        self.state
-            .lock()
-            .router
-            .first_token(now, &choice.group, waited, computed);
+    pub fn first_token(&self, now: Timestamp, dispatch: &mut Dispatch, waited: Duration) {
+        self.state.lock().router.first_token(now, dispatch, waited);
     }
 
     /// Notes the end of a request at its group.
-    pub fn end(&self, now: Timestamp, choice: &RouteChoice, outcome: ColdOutcome) {
-        self.state.lock().end(now, choice, outcome);
+    pub fn end(
+        &self,
+        now: Timestamp,
+        choice: &RouteChoice,
+        dispatch: Dispatch,
+        outcome: ColdOutcome,
+    ) {
+        self.state.lock().end(now, choice, dispatch, outcome);
     }
 
     /// Returns what may be done with a request that may crash backend servers.
--- a/crates/geranium_daemon/src/traffic/state.rs
+++ b/crates/geranium_daemon/src/traffic/state.rs
@@ -12,7 +12,7 @@
 };
 use geranium_core::record::{ModelSpec, RecordSet};
 use geranium_core::route::{
-    ColdCredits, RouteChoice, RouteQuery, RouteRefusal, Router, RouterSettings,
+    ColdCredits, Dispatch, RouteChoice, RouteQuery, RouteRefusal, Router, RouterSettings,
 };
 use geranium_core::time::Timestamp;
 use geranium_telemetry::ProcessIdentity;
@@ -102,21 +102,27 @@
         &mut self,
         now: Timestamp,
         query: &RouteQuery<'_>,
-    ) -> Result<RouteChoice, RouteRefusal> {
+    ) -> Result<(RouteChoice, Dispatch), RouteRefusal> {
         let choice = self.router.choose(now, query, &self.cold, &mut self.rng)?;
         let cold = choice.temperature == Temperature::Cold;
         if cold && !self.cold.try_start(now, &choice.group, choice.generation) {
             return Err(RouteRefusal::NoColdCredit(query.model.clone()));
         }
-        self.router.started(now, &choice.group, query.prefix);
-        Ok(choice)
+        let dispatch = self.router.started(now, &choice, query.prefix);
+        Ok((choice, dispatch))
     }
 
-    pub fn end(&mut self, now: Timestamp, choice: &RouteChoice, outcome: ColdOutcome) {
+    pub fn end(
+        &mut self,
+        now: Timestamp,
+        choice: &RouteChoice,
+        dispatch: Dispatch,
+        outcome: ColdOutcome,
+    ) {
         if outcome == ColdOutcome::Failed {
-            self.router.failed(now, &choice.group);
+            self.router.failed(now, dispatch);
         } else {
-            self.router.finished(now, &choice.group);
+            self.router.finished(now, dispatch);
         }
         if choice.temperature == Temperature::Cold {
             self.cold.ended(&choice.group, choice.generation, outcome);
--- /dev/null
+++ b/crates/geranium_daemon/tests/system/claims.rs
@@ -0,0 +1,135 @@
+//! Calls that must not repeat, through failures.
+
+use std::time::Duration;
+
+use geranium_fakes::platform::PlatformFault;
+use geranium_fakes::service::ServiceFault;
+use hyper::StatusCode;
+
+use crate::system::{DomainSize, System};
+use crate::wait::until;
+
+const TWO_DOMAINS: [DomainSize; 2] = [
+    DomainSize {
+        name: "lima-1",
+        entry_hosts: 1,
+        engines: 0,
+    },
+    DomainSize {
+        name: "lima-2",
+        entry_hosts: 1,
+        engines: 0,
+    },
+];
+
+async fn system() -> System {
+    let system = System::start(&TWO_DOMAINS, |_| {}).await;
+    system.apply_service().await;
+    system
+}
+
+fn executions(system: &System, key: &str) -> u64 {
+    system
+        .service
+        .stats()
+        .executions
+        .get(key)
+        .copied()
+        .unwrap_or_default()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn resend_to_another_host_gets_the_kept_answer() {
+    let system = system().await;
+
+    let first = system.ban(0, "k1").await.expect("an answer");
+    let second = system.ban(1, "k1").await.expect("an answer");
+
+    assert_eq!(first.0, StatusCode::OK);
+    assert_eq!(first, second);
+    assert_eq!(executions(&system, "k1"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn key_used_for_another_request_is_refused() {
+    let system = system().await;
+    system.ban(0, "k2").await.expect("an answer");
+
+    let other = system.ban_request(1, "k2", "{\"reader\":\"somebody else\"}");
+    let (status, _) = system
+        .http
+        .send_whole(other, Duration::from_secs(10))
+        .await
+        .expect("answer");
+
+    assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert_eq!(executions(&system, "k2"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_the_platform_the_call_is_not_run_and_said_so() {
+    let system = system().await;
+    let down = PlatformFault {
+        unavailable: Some(true),
+        ..PlatformFault::default()
+    };
+    system.platform.set_fault(&down);
+
+    let (status, body) = system.ban(0, "k3").await.expect("an answer");
+    let up = PlatformFault {
+        unavailable: Some(false),
+        ..PlatformFault::default()
+    };
+    system.platform.set_fault(&up);
+
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(body["error"]["type"], "not_run");
+    assert_eq!(body["error"]["ran"], false);
+    assert!(body["error"]["retry_after_ms"].as_u64().expect("a time") > 0);
+    assert_eq!(executions(&system, "k3"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_lost_behind_the_service_is_unknown_and_never_run_again() {
+    let system = system().await;
+    system.service.set_fault(ServiceFault {
+        drop_answers: Some(1),
+        ..ServiceFault::default()
+    });
+
+    let first = system.ban(0, "k4").await.expect("an answer");
+    let second = system.ban(1, "k4").await.expect("an answer");
+
+    assert_eq!(first.1["error"]["type"], "outcome_unknown");
+    assert_eq!(second.1["error"]["type"], "outcome_unknown");
+    assert_eq!(executions(&system, "k4"), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_holder_leaves_an_unknown_outcome_that_is_never_run_again() {
+    let mut system = system().await;
+    let slow = ServiceFault {
+        delay_after_ms: Some(3_000),
+        ..ServiceFault::default()
+    };
+    system.service.set_fault(slow);
+    let req = system.ban_request(0, "k5", "{\"reader\":\"r1\"}");
+    let http = system.http.clone();
+    let call = tokio::spawn(async move { http.send_whole(req, Duration::from_secs(20)).await });
+    until("the execution", || async {
+        (executions(&system, "k5") == 1).then_some(())
+    })
+    .await;
+
+    system.entries[0].kill();
+    let lost = call.await.expect("the call ends");
+    let resent = until("a definite answer", || async {
+        let (_, body) = system.ban(1, "k5").await.ok()?;
+        (body["error"]["type"] == "outcome_unknown").then_some(body)
+    })
+    .await;
+
+    assert!(lost.is_err());
+    assert_eq!(resent["error"]["type"], "outcome_unknown");
+    assert_eq!(executions(&system, "k5"), 1);
+}
--- /dev/null
+++ b/crates/geranium_daemon/tests/system/entry.rs
@@ -0,0 +1,129 @@
+//! Entry hosts as processes.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+
+/// First port that tests use; below the range that the system hands out itself.
+const FIRST_PORT: u16 = 20_000;
+
+/// Number of ports that tests use.
+const PORTS: u16 = 12_000;
+
+/// Operator token of every entry host.
+pub const OPERATOR_TOKEN: &str = "system-test-operator";
+
+/// Peer token of every entry host.
+pub const PEER_TOKEN: &str = "system-test-peer-token";
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// Returns a free loopback address.
+pub fn free_address() -> SocketAddr {
+    let offset = (std::process::id() % u32::from(PORTS)) as u16;
+    loop {
+        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (offset.wrapping_mul(7).wrapping_add(next)) % PORTS;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// Where an entry host listens.
+#[derive(Clone, Debug)]
+pub struct EntryAddresses {
+    pub host: String,
+    pub failure_domain: String,
+    pub caller: SocketAddr,
+    pub operator: SocketAddr,
+    pub peer: SocketAddr,
+}
+
+impl EntryAddresses {
+    /// Chooses addresses for an entry host.
+    pub fn choose(host: &str, failure_domain: &str) -> Self {
+        Self {
+            host: host.to_owned(),
+            failure_domain: failure_domain.to_owned(),
+            caller: free_address(),
+            operator: free_address(),
+            peer: free_address(),
+        }
+    }
+}
+
+/// A running entry host; dropping it kills the process.
+pub struct Entry {
+    pub at: EntryAddresses,
+    child: Child,
+}
+
+impl Entry {
+    /// Starts an entry host.
+    pub fn start(at: EntryAddresses, platform: SocketAddr, peers: &[SocketAddr]) -> Self {
+        let peers: Vec<String> = peers.iter().map(ToString::to_string).collect();
+        let child = Command::new(env!("CARGO_BIN_EXE_geraniumd"))
+            .env_clear()
+            .env("GERANIUM_HOST", &at.host)
+            .env("GERANIUM_FAILURE_DOMAIN", &at.failure_domain)
+            .env("GERANIUM_CALLER_ADDRESS", at.caller.to_string())
+            .env("GERANIUM_OPERATOR_ADDRESS", at.operator.to_string())
+            .env("GERANIUM_PEER_ADDRESS", at.peer.to_string())
+            .env("GERANIUM_PLATFORM", platform.to_string())
+            .env("GERANIUM_PEERS", peers.join(","))
+            .env("GERANIUM_OPERATOR_TOKEN", OPERATOR_TOKEN)
+            .env("GERANIUM_PEER_TOKEN", PEER_TOKEN)
+            .env("GERANIUM_LOG_LEVEL", "off")
+            .stdin(Stdio::null())
+            .spawn()
+            .expect("geraniumd starts");
+        Self { at, child }
+    }
+
+    /// Kills the process without warning.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process exists");
+        self.child.wait().expect("the process ends");
+    }
+
+    /// Stops the process in its tracks.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Asks the process to end gracefully.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Returns the exit code if the process has ended.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child
+            .try_wait()
+            .expect("the process is ours")
+            .and_then(|status| status.code())
+    }
+
+    fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args([signal, &pid])
+            .status()
+            .expect("kill runs");
+        assert!(status.success(), "kill {signal} {pid} failed");
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/geranium_daemon/tests/system/main.rs
@@ -0,0 +1,8 @@
+//! The daemon as processes of its own, with stand-ins in this process.
+
+mod claims;
+mod entry;
+mod operators;
+mod requests;
+mod system;
+mod wait;
--- /dev/null
+++ b/crates/geranium_daemon/tests/system/operators.rs
@@ -0,0 +1,79 @@
+//! Operators and records.
+
+use geranium_operator::ApplyOutcome;
+use serde_json::json;
+
+use crate::system::{DomainSize, System, account, model};
+use crate::wait::until;
+
+const TWO_HOSTS: [DomainSize; 2] = [
+    DomainSize {
+        name: "lima-1",
+        entry_hosts: 1,
+        engines: 2,
+    },
+    DomainSize {
+        name: "lima-2",
+        entry_hosts: 1,
+        engines: 2,
+    },
+];
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_two_operators_racing_a_hundred_times_one_wins_and_the_other_is_told() {
+    let system = System::start(&TWO_HOSTS, |_| {}).await;
+    system.apply(&account()).await;
+    system
+        .apply_at(0, &model(&[("lima-1", 0)], 2), "first", None)
+        .await
+        .expect("accepted");
+
+    for round in 1..=100_u32 {
+        let mut of_a = model(&[("lima-1", 0)], 2);
+        let mut of_b = of_a.clone();
+        of_a["warm_concurrency"] = json!(100 + round);
+        of_b["warm_concurrency"] = json!(1_000 + round);
+        let expected = Some(u64::from(round));
+        let (a, b) = tokio::join!(
+            system.apply_at(0, &of_a, "ana", expected),
+            system.apply_at(1, &of_b, "ben", expected),
+        );
+        let (a, b) = (a.expect("an answer"), b.expect("an answer"));
+        let (winner, loser) = match (a.outcome, b.outcome) {
+            (ApplyOutcome::Accepted, ApplyOutcome::LostRace) => ("ana", b),
+            (ApplyOutcome::LostRace, ApplyOutcome::Accepted) => ("ben", a),
+            other => panic!("round {round}: {other:?}"),
+        };
+        let race = loser.lost_race.expect("who won");
+        assert_eq!(race.winner.operator, winner);
+        assert!(!race.differences.is_empty());
+        assert_eq!(race.winner.generation, u64::from(round) + 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_record_is_in_force_on_every_host_and_an_ambiguous_write_is_settled() {
+    let system = System::start(&TWO_HOSTS, |_| {}).await;
+    let lose = geranium_fakes::platform::PlatformFault {
+        lose_answers: Some(1),
+        ..geranium_fakes::platform::PlatformFault::default()
+    };
+    system.platform.set_fault(&lose);
+
+    let answer = system.apply_at(0, &account(), "ana", None).await;
+
+    // The lost answer may have been another write's; either way the truth is told.
+    let answer = answer.expect("a settled answer");
+    assert_eq!(answer.outcome, ApplyOutcome::Accepted);
+    let at = system.entry(0).operator;
+    let views = until("in force on both hosts", || async {
+        let views = system
+            .operator
+            .in_force(at, "account", "desk", answer.generation)
+            .await;
+        let views = views.ok()?;
+        (views.len() == 2 && views.iter().all(|view| view.in_force)).then_some(views)
+    })
+    .await;
+    assert_eq!(views.len(), 2);
+}
--- /dev/null
+++ b/crates/geranium_daemon/tests/system/requests.rs
@@ -0,0 +1,337 @@
+//! Requests through failures.
+
+use futures::StreamExt;
+use geranium_engine::{ChatRequest, CompletionEvent, CompletionStream};
+use geranium_fakes::engine::EngineFault;
+use geranium_net::ApiError;
+use hyper::StatusCode;
+use std::time::Duration;
+
+use crate::system::{DESK_KEY, DomainSize, System, content, expected};
+use crate::wait::until;
+
+const ONE_DOMAIN: DomainSize = DomainSize {
+    name: "lima-1",
+    entry_hosts: 1,
+    engines: 4,
+};
+
+async fn serving_system(groups: u32, domain: DomainSize) -> System {
+    let system = System::start(&[domain], |cfg| cfg.token_time = Duration::from_millis(4)).await;
+    system.apply_model(&[(domain.name, groups)], 2).await;
+    system.wait_serving(domain.name, groups as usize).await;
+    system.chat_until_ok(0, "first", 2).await;
+    system
+}
+
+async fn open_stream(system: &System, entry: usize, prompt: &str, tokens: u32) -> CompletionStream {
+    let mut chat = ChatRequest::user("summary", prompt);
+    chat.max_tokens = tokens;
+    let at = system.entry(entry).caller;
+    until("an open stream", || async {
+        let req = system.chat_request(entry, &chat);
+        let res = system.http.send(req, Duration::from_secs(20)).await.ok()?;
+        let whole = res.status() == StatusCode::OK;
+        whole.then(|| CompletionStream::new(at, res.into_body(), 1 << 20))
+    })
+    .await
+}
+
+async fn read_text(stream: &mut CompletionStream, pieces: usize) -> String {
+    let mut text = String::new();
+    for _ in 0..pieces {
+        match stream.next().await {
+            Some(Ok(CompletionEvent::Piece(piece))) => {
+                text.push_str(&piece.text().expect("a chunk"));
+            }
+            other => panic!("no piece, but {other:?}"),
+        }
+    }
+    text
+}
+
+async fn read_to_end(stream: &mut CompletionStream) -> String {
+    let mut text = String::new();
+    loop {
+        match stream.next().await {
+            Some(Ok(CompletionEvent::Piece(piece))) => {
+                text.push_str(&piece.text().expect("a chunk"));
+            }
+            Some(Ok(CompletionEvent::Done)) => return text,
+            other => panic!("the stream broke off: {other:?}"),
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_and_streamed_answers_are_those_of_the_model() {
+    let system = serving_system(1, ONE_DOMAIN).await;
+
+    let (status, body) = system.chat(0, "say it", 12).await.expect("an answer");
+    let mut stream = open_stream(&system, 0, "say it", 12).await;
+    let streamed = read_to_end(&mut stream).await;
+
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(content(&body), expected("say it", 12));
+    assert_eq!(streamed, expected("say it", 12));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_gets_typed_refusals_before_any_engine_sees_it() {
+    let system = serving_system(1, ONE_DOMAIN).await;
+    let executions = |system: &System| -> u64 {
+        system
+            .engines
+            .iter()
+            .flatten()
+            .map(|e| e.stats().executions)
+            .sum()
+    };
+    let before = executions(&system);
+    let valid = r#"{"model":"summary","messages":[{"role":"user","content":"x"}]}"#;
+    let unknown = r#"{"model":"nothing","messages":[]}"#;
+    let oversize = format!(r#"{{"model":"{}"}}"#, "x".repeat(2 << 20));
+    let cases: Vec<(&str, &str, &str, StatusCode, &str)> = vec![
+        (
+            "wrong-key",
+            valid,
+            "1000",
+            StatusCode::UNAUTHORIZED,
+            "unknown_account",
+        ),
+        (
+            DESK_KEY,
+            unknown,
+            "1000",
+            StatusCode::NOT_FOUND,
+            "unknown_model",
+        ),
+        (
+            DESK_KEY,
+            "{",
+            "1000",
+            StatusCode::BAD_REQUEST,
+            "malformed_body",
+        ),
+        (
+            DESK_KEY,
+            &oversize,
+            "1000",
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "oversize_body",
+        ),
+        (
+            DESK_KEY,
+            valid,
+            "soon",
+            StatusCode::BAD_REQUEST,
+            "invalid_deadline",
+        ),
+        (
+            DESK_KEY,
+            valid,
+            "0",
+            StatusCode::BAD_REQUEST,
+            "invalid_deadline",
+        ),
+    ];
+
+    for (key, body, deadline, status, kind) in cases {
+        let at = system.entry(0).caller;
+        let req = geranium_net::HttpRequest::post(at, "/v1/chat/completions")
+            .header_text("authorization", &format!("Bearer {key}"))
+            .and_then(|req| req.header_text("x-deadline-ms", deadline))
+            .expect("a request")
+            .body(bytes::Bytes::from(body.to_owned()));
+        let answer = system
+            .http
+            .send_whole(req, Duration::from_secs(5))
+            .await
+            .expect("answer");
+        let refusal = ApiError::parse(answer.0, &answer.1).expect("a typed refusal");
+        assert_eq!((refusal.status, refusal.kind.as_str()), (status, kind));
+        assert_eq!(refusal.ran, Some(false));
+    }
+    assert_eq!(executions(&system), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_is_resumed_on_another_group_without_a_token_lost_or_doubled() {
+    let system = serving_system(2, ONE_DOMAIN).await;
+    system.warm_up(0).await;
+    let mut stream = open_stream(&system, 0, "a long story", 200).await;
+    let mut text = read_text(&mut stream, 20).await;
+    let status = system.status(0).await;
+    let busy = status
+        .groups
+        .iter()
+        .map(|g| system.head_of(g.group.as_str()));
+    let busy = busy
+        .max_by_key(|&head| system.engine(head).report().running)
+        .expect("a group");
+
+    system.engine(busy).set_fault(&EngineFault {
+        fail_over: true,
+        ..EngineFault::default()
+    });
+    text.push_str(&read_to_end(&mut stream).await);
+
+    assert_eq!(text, expected("a long story", 200));
+    let resumed: u64 = system
+        .engines
+        .iter()
+        .flatten()
+        .map(|e| e.stats().resumed)
+        .sum();
+    let mismatches: u64 = system
+        .engines
+        .iter()
+        .flatten()
+        .map(|e| e.stats().resume_mismatches)
+        .sum();
+    assert_eq!((resumed, mismatches), (1, 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_survives_a_member_that_is_not_rank_0() {
+    let system = serving_system(2, ONE_DOMAIN).await;
+    system.warm_up(0).await;
+    let mut stream = open_stream(&system, 0, "another story", 400).await;
+    let mut text = read_text(&mut stream, 10).await;
+    let status = system.status(0).await;
+    let heads = status
+        .groups
+        .iter()
+        .map(|g| (g, system.head_of(g.group.as_str())));
+    let (group, _) = heads
+        .max_by_key(|(_, head)| system.engine(*head).report().running)
+        .expect("a group");
+    let member = group.members[1].host.clone();
+    let position = system
+        .engines
+        .iter()
+        .flatten()
+        .position(|e| *e.host() == member)
+        .expect("the member");
+
+    system.engine(position).set_fault(&EngineFault {
+        fail_over: true,
+        ..EngineFault::default()
+    });
+    text.push_str(&read_to_end(&mut stream).await);
+
+    assert_eq!(text, expected("another story", 400));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_leaves_frees_the_slot() {
+    let system = serving_system(1, ONE_DOMAIN).await;
+    let mut stream = open_stream(&system, 0, "never read to its end", 100_000).await;
+    read_text(&mut stream, 3).await;
+
+    drop(stream);
+
+    until("an idle engine", || async {
+        let running: u32 = system
+            .engines
+            .iter()
+            .flatten()
+            .map(|e| e.report().running)
+            .sum();
+        (running == 0).then_some(())
+    })
+    .await;
+    let status = system.status(0).await;
+    assert_eq!(status.groups.iter().filter(|g| g.open).count(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_cuts_off_no_request() {
+    let mut system = serving_system(1, ONE_DOMAIN).await;
+    let mut stream = open_stream(&system, 0, "told to its end", 300).await;
+    let mut text = read_text(&mut stream, 5).await;
+
+    system.entries[0].terminate();
+    text.push_str(&read_to_end(&mut stream).await);
+    drop(stream);
+
+    assert_eq!(text, expected("told to its end", 300));
+    let entry = &mut system.entries[0];
+    let code = until("the end of the process", || {
+        let code = entry.exit_code();
+        async move { code }
+    })
+    .await;
+    assert_eq!(code, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_group_gets_no_more_than_it_bears() {
+    let domain = DomainSize {
+        engines: 2,
+        ..ONE_DOMAIN
+    };
+    let system = System::start(&[domain], |cfg| {
+        cfg.token_time = Duration::from_millis(2);
+        cfg.cold_capacity = 2;
+        cfg.warm_after = 12;
+    })
+    .await;
+    system.apply_model(&[("lima-1", 1)], 2).await;
+    system.wait_serving("lima-1", 1).await;
+
+    let calls = (0..24).map(|i| {
+        let system = &system;
+        async move { system.chat_until_ok(0, &format!("burst {i}"), 4).await }
+    });
+    let answers = futures::future::join_all(calls).await;
+
+    for (i, answer) in answers.iter().enumerate() {
+        assert_eq!(*answer, expected(&format!("burst {i}"), 4));
+    }
+    let over: u64 = system
+        .engines
+        .iter()
+        .flatten()
+        .map(|e| e.stats().over_capacity)
+        .sum();
+    assert_eq!(over, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_crashes_engines_is_refused_before_a_third_group_dies() {
+    let domain = DomainSize {
+        engines: 6,
+        ..ONE_DOMAIN
+    };
+    let system = System::start(&[domain], |cfg| {
+        cfg.crash_marker = Some("poison".to_owned());
+        cfg.warm_after = 1;
+    })
+    .await;
+    system.apply_model(&[("lima-1", 3)], 2).await;
+    system.wait_serving("lima-1", 3).await;
+    system.chat_until_ok(0, "first", 2).await;
+    let crashes = |system: &System| -> u64 {
+        system
+            .engines
+            .iter()
+            .flatten()
+            .map(|e| e.stats().crashes)
+            .sum()
+    };
+
+    let refusal = until("the typed refusal", || async {
+        let (status, body) = system.chat(0, "poison", 8).await.ok()?;
+        let refusal = ApiError::parse(status, &body)?;
+        (refusal.kind == "request_crashes_servers").then_some(refusal)
+    })
+    .await;
+    for _ in 0..5 {
+        let (status, _) = system.chat(0, "poison", 8).await.expect("a refusal");
+        assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY);
+    }
+
+    assert_eq!(refusal.status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert!(crashes(&system) <= 2, "{} groups crashed", crashes(&system));
+}
