Add the RPC between entry hosts

Cause: heartbeats, records, cold-start credits, claim states and drain notices have to reach other entry hosts; capnp-rpc objects cannot leave their thread.

Ruled out: a token with each call (one object handed out for the token guards the whole connection); one queue of boxed closures (calls are typed jobs, so that no call is dispatched dynamically by this crate); a time limit that includes the connection (it reported calls that were never sent as perhaps carried out).

--- a/crates/geranium_core/src/record/spread/replica.rs
+++ b/crates/geranium_core/src/record/spread/replica.rs
@@ -16,8 +16,8 @@
 use crate::record::{MergeOutcome, RecordIndex, RecordKey, RecordSet, StoredRecord};
 use crate::time::Timestamp;
 
-/// Largest sum of documents in one answer to a peer, in bytes.
-const MAX_PULL_SIZE: usize = 512 * 1_024;
+/// Largest sum of records in one message to a peer, in bytes.
+const MAX_MESSAGE_SIZE: usize = 512 * 1_024;
 
 /// Age added to what a peer vouches for; longer than a heartbeat can take, so that
 /// hosts cannot vouch for each other in a circle.
@@ -226,20 +226,14 @@
     /// Answers a peer that tells which versions it holds.
     #[must_use]
     pub fn answer_pull(&self, index: &RecordIndex) -> PullAnswer {
-        let mut answer = PullAnswer {
+        let newer = self.records.newer_than(index);
+        let total = newer.len();
+        let records = within_message(newer);
+        PullAnswer {
+            has_more: records.len() < total,
+            records,
             wanted: self.records.missing_from(index),
-            ..PullAnswer::default()
-        };
-        let mut size = 0;
-        for record in self.records.newer_than(index) {
-            size += record.to_store().len();
-            if size > MAX_PULL_SIZE && !answer.records.is_empty() {
-                answer.has_more = true;
-                break;
-            }
-            answer.records.push(record);
         }
-        answer
     }
 
     /// Takes in the answer to a pull.
@@ -255,12 +249,11 @@
         self.sync
             .finish(&peer.host, answer.has_more, &self.timing, now);
         let wanted = answer.wanted.iter().filter_map(|key| self.records.get(key));
-        let wanted: Vec<Arc<StoredRecord>> = wanted.map(|entry| entry.stored.clone()).collect();
-        if !wanted.is_empty() {
-            effects.push(ConfigEffect::PushToPeers {
-                peers: vec![peer.clone()],
-                records: wanted,
-            });
+        // What does not fit into one message the peer asks for itself.
+        let records = within_message(wanted.map(|entry| entry.stored.clone()));
+        if !records.is_empty() {
+            let peers = vec![peer.clone()];
+            effects.push(ConfigEffect::PushToPeers { peers, records });
         }
         effects
     }
@@ -354,7 +347,7 @@
             return None;
         }
         let records = keys.iter().filter_map(|key| self.records.get(key));
-        let records = records.map(|entry| entry.stored.clone()).collect();
+        let records = within_message(records.map(|entry| entry.stored.clone()));
         Some(ConfigEffect::PushToPeers { peers, records })
     }
 
@@ -379,6 +372,20 @@
     }
 }
 
+/// Returns the first records, at least one, that fit into one message.
+fn within_message(records: impl IntoIterator<Item = Arc<StoredRecord>>) -> Vec<Arc<StoredRecord>> {
+    let mut size = 0;
+    let mut fitting = Vec::new();
+    for record in records {
+        size += record.to_store().len();
+        if size > MAX_MESSAGE_SIZE && !fitting.is_empty() {
+            break;
+        }
+        fitting.push(record);
+    }
+    fitting
+}
+
 pub(super) fn key_event(kind: EventKind, key: &RecordKey, reason: String) -> ConfigEffect {
     let subject = EventSubject::record(&key.name);
     let event = EventDraft::new(kind, subject, reason).caused_by(key.to_string());
--- /dev/null
+++ b/crates/geranium_peer/schema/peer.capnp
@@ -0,0 +1,178 @@
+# RPC between entry hosts.
+#
+# `src/peer_capnp.rs` is generated from this file and committed; see
+# docs/design/0003-configuration.md for how to generate it again.
+
+@0xd1a7b3c95e2f4861;
+
+struct HybridTime {
+  wall @0 :UInt64;        # microseconds since the Unix epoch
+  counter @1 :UInt32;
+}
+
+struct MemberInfo {
+  host @0 :Text;
+  failureDomain @1 :Text;
+  incarnation @2 :UInt64;
+  peerAddress @3 :Text;
+  callerAddress @4 :Text;
+  leaving @5 :Bool;
+}
+
+struct ConfigStatus {
+  digest @0 :UInt64;
+  records @1 :UInt32;
+  storeAge :union {
+    unknown @2 :Void;
+    micros @3 :UInt64;
+  }
+}
+
+struct MemberStatus {
+  info @0 :MemberInfo;
+  digest @1 :UInt64;
+}
+
+enum Temperature {
+  cold @0;
+  warm @1;
+}
+
+struct GroupSummary {
+  group @0 :Text;
+  record @1 :Text;
+  servedModel @2 :Text;
+  temperature @3 :Temperature;
+  freeSlots @4 :UInt32;
+}
+
+struct DomainSummary {
+  failureDomain @0 :Text;
+  madeAt @1 :UInt64;      # microseconds since the Unix epoch
+  members @2 :List(MemberStatus);
+  groups @3 :List(GroupSummary);
+}
+
+enum EnginePhase {
+  idle @0;
+  loading @1;
+  cold @2;
+  warm @3;
+}
+
+struct Assignment {
+  group @0 :Text;
+  fencing @1 :UInt64;
+  model @2 :Text;
+  version @3 :Text;
+  adapters @4 :List(Text);
+  rank @5 :UInt32;
+}
+
+struct EngineReport {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  fencing @3 :UInt64;
+  assignment @4 :Assignment;  # null if nothing is assigned
+  phase @5 :EnginePhase;
+  leaving @6 :Bool;
+  running @7 :UInt32;
+  waiting @8 :UInt32;
+  kvFreeTokens @9 :UInt64;
+}
+
+struct SharedReport {
+  report @0 :EngineReport;
+  silent @1 :Bool;
+}
+
+struct CrashNotice {
+  fingerprint @0 :Text;
+  group @1 :Text;
+  generation @2 :UInt64;
+  at @3 :UInt64;          # microseconds since the Unix epoch
+}
+
+struct SharedDelta {
+  after @0 :UInt64;
+  through @1 :UInt64;
+  reports @2 :List(SharedReport);
+  domains @3 :List(DomainSummary);
+  crashes @4 :List(CrashNotice);
+}
+
+struct Heartbeat {
+  sender @0 :MemberInfo;
+  time @1 :HybridTime;
+  config @2 :ConfigStatus;
+  rosterDigest @3 :UInt64;
+  roster @4 :List(MemberInfo);
+  ackedIncarnation @5 :UInt64;
+  acked @6 :UInt64;
+  delta @7 :SharedDelta;
+}
+
+struct RecordVersion {
+  key @0 :Text;           # KIND/NAME
+  generation @1 :UInt64;
+  writtenAt @2 :UInt64;   # microseconds since the Unix epoch
+  incarnation @3 :UInt64;
+  sequence @4 :UInt64;
+}
+
+struct Record {
+  key @0 :Text;           # key in the platform's store
+  value @1 :Data;         # value as in the platform's store
+}
+
+struct PullAnswer {
+  records @0 :List(Record);
+  wanted @1 :List(Text);
+  hasMore @2 :Bool;
+}
+
+struct CreditRequest {
+  host @0 :Text;
+  group @1 :Text;
+  generation @2 :UInt64;
+  wanted @3 :UInt32;
+}
+
+struct CreditGrant {
+  granted @0 :UInt32;
+  validForMicros @1 :UInt64;
+}
+
+struct ClaimState {
+  union {
+    absent @0 :Void;
+    running @1 :Void;
+    done @2 :Data;
+    unknown @3 :Void;
+  }
+}
+
+struct DrainNotice {
+  target :union {
+    failureDomain @0 :Text;
+    host @1 :Text;
+  }
+  leaving @2 :Bool;
+  reason @3 :Text;
+}
+
+# The first object of a connection; everything else needs the token.
+interface Gate {
+  open @0 (token :Data) -> (host :EntryHost);
+}
+
+interface EntryHost {
+  heartbeat @0 (heartbeat :Heartbeat) -> (answer :Heartbeat);
+  pullRecords @1 (caller :MemberInfo, held :List(RecordVersion)) -> (answer :PullAnswer);
+  pushRecords @2 (caller :MemberInfo, records :List(Record));
+  inForce @3 (keys :List(Text)) -> (versions :List(RecordVersion));
+  coldCredits @4 (request :CreditRequest) -> (grant :CreditGrant);
+  claimState @5 (key :Text, waitMicros :UInt64) -> (state :ClaimState);
+  drainNotice @6 (notice :DrainNotice);
+}
