Let the stand-ins hang, cut off one address and send pieces out of order

A gate can hang: what was sent meanwhile arrives when it opens again, so a late write or order can be brought about. The platform can listen on several addresses with a gate each. An engine can swap and repeat pieces.

Mended on the way: a paused engine sent the tokens of the whole pause in one burst; rank 0 kept the members of an earlier order of the same group, and could end a replica that had just got a new order; a read whose answer is over the size limit was reported as an unreachable service.

Ruled out: dropping packets, which needs rights on the machine.

--- a/crates/geranium_engine/tests/completions.rs
+++ b/crates/geranium_engine/tests/completions.rs
@@ -343,3 +343,27 @@
     assert_eq!(end, Ok(()));
     assert_eq!(head + &tail, expected_answer(&chat));
 }
+
+#[tokio::test]
+async fn pieces_out_of_order_and_repeated_keep_their_index() {
+    let engine = serving(quick_engine("a")).await;
+    engine.set_fault(&EngineFault {
+        swap_every: Some(3),
+        repeat_every: Some(4),
+        ..EngineFault::default()
+    });
+    let chat = chat("hello", 7);
+    let mut stream = open(&engine, &completion("r", 1, &chat)).await;
+
+    let mut pieces = Vec::new();
+    while let Some(Ok(CompletionEvent::Piece(piece))) = stream.next().await {
+        pieces.push(piece);
+    }
+
+    let sent: Vec<u64> = pieces.iter().map(|piece| piece.index).collect();
+    assert_eq!(sent, [1, 0, 2, 4, 4, 3, 5, 6, 7]);
+    pieces.sort_by_key(|piece| piece.index);
+    pieces.dedup();
+    let texts = pieces.iter().map(|piece| piece.text().expect("a chunk"));
+    assert_eq!(texts.collect::<String>(), expected_answer(&chat));
+}
--- a/crates/geranium_fakes/src/cli/args.rs
+++ b/crates/geranium_fakes/src/cli/args.rs
@@ -1,5 +1,6 @@
 //! Flags of the stand-ins.
 
+use std::collections::VecDeque;
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -23,6 +24,8 @@
   --admin ADDRESS           address for POST /fault and GET /fault/stats [127.0.0.1:0]
 
 Flags of platform:
+  --listen ADDRESS          may be given several times; POST /fault can make the
+                            connections of one address fail, by its position
   --seed-file PATH          JSON object of initial keys; a value that is no string
                             is stored as JSON
   --max-reads-per-second N  reads allowed, watches included [unlimited]
@@ -51,8 +54,8 @@
   --help                    prints this text
   --version                 prints the version
 
-Each stand-in prints one line `listen ADDRESS admin ADDRESS` when it is ready and
-runs until SIGINT or SIGTERM.
+Each stand-in prints one line `listen ADDRESS admin ADDRESS` when it is ready, with
+several addresses separated by commas, and runs until SIGINT or SIGTERM.
 ";
 
 /// Settings of the platform with its initial keys.
@@ -109,7 +112,10 @@
 
 fn platform(args: &mut Arguments) -> Result<PlatformArgs, CliError> {
     let mut cfg = PlatformConfig::default();
-    listeners(args, &mut cfg.listen, &mut cfg.admin)?;
+    let mut listen: VecDeque<SocketAddr> = args.values_from_str("--listen")?.into();
+    cfg.listen = listen.pop_front().unwrap_or(cfg.listen);
+    cfg.more_listen = listen.into();
+    set(args, "--admin", &mut cfg.admin)?;
     cfg.max_reads_per_second = args.opt_value_from_str("--max-reads-per-second")?;
     cfg.max_writes_per_second = args.opt_value_from_str("--max-writes-per-second")?;
     set_millis(args, "--progress-millis", &mut cfg.progress_interval)?;
--- a/crates/geranium_fakes/src/cli/run.rs
+++ b/crates/geranium_fakes/src/cli/run.rs
@@ -20,15 +20,15 @@
         Command::Version => print(concat!("geranium-fakes ", env!("CARGO_PKG_VERSION"), "\n")),
         Command::Platform(args) => {
             let platform = start_platform(args).await?;
-            serve(platform.address(), platform.admin_address()).await?;
+            serve(&platform.addresses(), platform.admin_address()).await?;
         }
         Command::Engine(cfg) => {
             let engine = FakeEngine::start(*cfg).await?;
-            serve(engine.address(), engine.admin_address()).await?;
+            serve(&[engine.address()], engine.admin_address()).await?;
         }
         Command::Service(cfg) => {
             let service = FakeService::start(cfg).await?;
-            serve(service.address(), service.admin_address()).await?;
+            serve(&[service.address()], service.admin_address()).await?;
         }
     }
     Ok(())
@@ -61,9 +61,11 @@
     }
 }
 
-async fn serve(listen: SocketAddr, admin: SocketAddr) -> Result<(), CliError> {
+async fn serve(listen: &[SocketAddr], admin: SocketAddr) -> Result<(), CliError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(CliError::Signal)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(CliError::Signal)?;
+    let listen: Vec<String> = listen.iter().map(SocketAddr::to_string).collect();
+    let listen = listen.join(",");
     print(&format!("listen {listen} admin {admin}\n"));
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/geranium_fakes/src/engine/core.rs
+++ b/crates/geranium_fakes/src/engine/core.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use geranium_core::engine::{EnginePhase, EngineReport, Order};
+use geranium_core::engine::{EnginePhase, EngineReport, LoadOrder, Order};
 use geranium_core::id::Incarnation;
 use geranium_core::time::Timestamp;
 use parking_lot::Mutex;
@@ -20,6 +20,10 @@
 
 /// Time between looks at whether a stalled group moves again.
 const STALL_POLL: Duration = Duration::from_millis(5);
+/// Longest pause of an engine.
+const MAX_PAUSE: Duration = Duration::from_secs(24 * 3_600);
+/// Largest factor of a straggler.
+const MAX_STRAGGLE_FACTOR: f64 = 1e6;
 /// Bits of an incarnation, which every JSON reader keeps exactly.
 const INCARNATION_BITS: u32 = 53;
 /// Bits of an incarnation that are random, for runs within one millisecond.
@@ -36,6 +40,8 @@
     pub stalled: bool,
     pub leaving: bool,
     pub lose_order_answers: u32,
+    pub swap_every: u64,
+    pub repeat_every: u64,
 }
 
 /// One engine.
@@ -75,6 +81,8 @@
                 stalled: false,
                 leaving: false,
                 lose_order_answers: 0,
+                swap_every: 0,
+                repeat_every: 0,
             }),
             requests: Mutex::default(),
             load: Mutex::new(LaggedLoad::new(cfg.report_lag)),
@@ -159,9 +167,13 @@
         self.cut_streams();
     }
 
-    /// Ends the replica because a member is missing.
-    pub fn end_replica(&self) {
-        if self.state.lock().release() {
+    /// Ends the replica that follows an order because a member is missing.
+    pub fn end_replica(&self, order: &LoadOrder) {
+        let ended = {
+            let mut state = self.state.lock();
+            state.load_order() == Some(order) && state.release()
+        };
+        if ended {
             self.stats.lock().replica_deaths += 1;
             self.cache.lock().clear(self.now());
             self.cut_streams();
@@ -213,25 +225,30 @@
         self.cfg.token_time.mul_f64(factor * crowding.max(1.0))
     }
 
-    /// Waits while the engine is paused.
-    pub async fn wait_unpaused(&self) {
+    /// Waits while the engine is paused; returns whether it was.
+    pub async fn wait_unpaused(&self) -> bool {
+        let mut waited = false;
         loop {
             let paused_until = self.condition.lock().paused_until;
             match paused_until {
                 Some(until) if until > Instant::now() => {
+                    waited = true;
                     tokio::time::sleep_until(until.into()).await;
                 }
-                _ => return,
+                _ => return waited,
             }
         }
     }
 
-    /// Waits while the engine or a member that it needs is paused.
-    pub async fn wait_moving(&self) {
-        self.wait_unpaused().await;
+    /// Waits while the engine or a member that it needs is paused; returns
+    /// whether one was.
+    pub async fn wait_moving(&self) -> bool {
+        let mut waited = self.wait_unpaused().await;
         while self.condition.lock().stalled {
+            waited = true;
             tokio::time::sleep(STALL_POLL).await;
         }
+        waited
     }
 
     /// Returns the counts.
@@ -247,10 +264,11 @@
         {
             let mut condition = self.condition.lock();
             if let Some(millis) = fault.pause_ms {
-                condition.paused_until = Some(Instant::now() + Duration::from_millis(millis));
+                let pause = Duration::from_millis(millis).min(MAX_PAUSE);
+                condition.paused_until = Some(Instant::now() + pause);
             }
             if let Some(factor) = fault.straggle_factor {
-                condition.straggle_factor = factor.max(0.0);
+                condition.straggle_factor = factor.clamp(0.0, MAX_STRAGGLE_FACTOR);
             }
             if let Some(leaving) = fault.leaving {
                 condition.leaving = leaving;
@@ -258,6 +276,12 @@
             if let Some(n) = fault.lose_order_answers {
                 condition.lose_order_answers = n;
             }
+            if let Some(n) = fault.swap_every {
+                condition.swap_every = n;
+            }
+            if let Some(n) = fault.repeat_every {
+                condition.repeat_every = n;
+            }
         }
         if fault.forget {
             self.forget();
--- a/crates/geranium_fakes/src/engine/fault.rs
+++ b/crates/geranium_fakes/src/engine/fault.rs
@@ -23,6 +23,11 @@
     pub leaving: Option<bool>,
     /// Number of the next orders whose answer is lost after they were followed.
     pub lose_order_answers: Option<u32>,
+    /// Sends each piece whose index is a multiple of this after its successor;
+    /// zero sends all in order.
+    pub swap_every: Option<u64>,
+    /// Sends each piece whose index is a multiple of this twice; zero sends all once.
+    pub repeat_every: Option<u64>,
     /// Cuts every stream and goes on.
     pub cut_streams: bool,
 }
--- a/crates/geranium_fakes/src/engine/handler.rs
+++ b/crates/geranium_fakes/src/engine/handler.rs
@@ -25,8 +25,8 @@
 
 /// Largest body of a call, in bytes.
 const MAX_BODY: usize = 64 << 20;
-/// Time for a completion that names none.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(600);
+/// Longest time for a completion, also for one that names none.
+const MAX_DEADLINE: Duration = Duration::from_secs(24 * 3_600);
 /// Bytes of one block hash in an export.
 const HASH_BYTES: usize = size_of::<u64>();
 
@@ -219,7 +219,7 @@
     Some(SessionSpec {
         request: req.header(REQUEST_HEADER).unwrap_or_default(),
         priority: req.header(PRIORITY_HEADER).unwrap_or_default(),
-        deadline: Instant::now() + remaining.unwrap_or(DEFAULT_DEADLINE),
+        deadline: Instant::now() + remaining.unwrap_or(MAX_DEADLINE).min(MAX_DEADLINE),
         chat,
         weights: load.model.clone(),
         version: load.version.clone(),
--- a/crates/geranium_fakes/src/engine/members.rs
+++ b/crates/geranium_fakes/src/engine/members.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
-use geranium_core::engine::{EnginePhase, Member};
+use geranium_core::engine::{EnginePhase, LoadOrder, Member};
 use geranium_core::id::{GroupId, Incarnation};
 use geranium_net::{ClientConfig, ClientError, HttpClient, HttpRequest};
 use hyper::StatusCode;
@@ -48,7 +48,7 @@
 pub(super) struct MemberWatch {
     core: Arc<EngineCore>,
     http: HttpClient,
-    group: Option<(GroupId, Incarnation)>,
+    followed: Option<(LoadOrder, Incarnation)>,
     members: Vec<Known>,
 }
 
@@ -57,7 +57,7 @@
         Self {
             core,
             http: HttpClient::new(&ClientConfig::default()),
-            group: None,
+            followed: None,
             members: Vec::new(),
         }
     }
@@ -66,22 +66,22 @@
         loop {
             tokio::time::sleep(INTERVAL).await;
             self.core.wait_unpaused().await;
-            self.take_group();
+            self.take_order();
             self.look().await;
         }
     }
 
-    /// Begins anew when the engine follows another group.
-    fn take_group(&mut self) {
+    /// Begins anew when the engine follows another order.
+    fn take_order(&mut self) {
         let state = self.core.state.lock();
         let load = state.load_order().filter(|load| load.rank == 0);
-        let group = load.map(|load| (load.group.clone(), state.incarnation()));
-        if group == self.group {
+        let followed = load.map(|load| (load.clone(), state.incarnation()));
+        if followed == self.followed {
             return;
         }
         let others = load.map_or(&[][..], |load| load.members.get(1..).unwrap_or_default());
         self.members = others.iter().map(Known::new).collect();
-        self.group = group;
+        self.followed = followed;
         drop(state);
         let mut condition = self.core.condition.lock();
         condition.stalled = false;
@@ -89,18 +89,18 @@
     }
 
     async fn look(&mut self) {
-        let Some((group, _)) = self.group.clone() else {
+        let Some((order, _)) = self.followed.clone() else {
             return;
         };
         if self.members.is_empty() {
             return;
         }
-        let answers = self.ask_all(&group).await;
+        let answers = self.ask_all(&order.group).await;
         self.core.condition.lock().stalled = false;
         if self.core.state.lock().joined() {
-            self.judge(&group, answers);
+            self.judge(&order, answers);
         } else {
-            self.try_join(&group, answers);
+            self.try_join(&order, answers);
         }
     }
 
@@ -140,23 +140,24 @@
     }
 
     /// Lets the replica begin when every member has loaded.
-    fn try_join(&mut self, group: &GroupId, answers: Vec<Result<MemberAnswer, ClientError>>) {
+    fn try_join(&mut self, order: &LoadOrder, answers: Vec<Result<MemberAnswer, ClientError>>) {
         let answers: Option<Vec<MemberAnswer>> = answers
             .into_iter()
-            .map(|answer| answer.ok().filter(|a| a.loaded && a.follows(group)))
+            .map(|answer| answer.ok().filter(|a| a.loaded && a.follows(&order.group)))
             .collect();
         let Some(answers) = answers else {
             return;
         };
         self.remember(answers);
         let mut state = self.core.state.lock();
-        if state.load_order().is_some_and(|load| load.group == *group) {
+        if state.load_order() == Some(order) {
             state.join();
         }
     }
 
     /// Ends the replica when a member is missing, restarted or follows something else.
-    fn judge(&mut self, group: &GroupId, answers: Vec<Result<MemberAnswer, ClientError>>) {
+    fn judge(&mut self, order: &LoadOrder, answers: Vec<Result<MemberAnswer, ClientError>>) {
+        let group = &order.group;
         let mut present = Vec::new();
         for (member, answer) in self.members.iter().zip(answers) {
             match answer {
@@ -165,7 +166,7 @@
                 }
                 Ok(_) | Err(_) => {
                     log::info!("member at {} of group {group} is missing", member.address);
-                    self.core.end_replica();
+                    self.core.end_replica(order);
                     return;
                 }
             }
--- a/crates/geranium_fakes/src/engine/session.rs
+++ b/crates/geranium_fakes/src/engine/session.rs
@@ -67,6 +67,7 @@
     seed: TokenSeed,
     next: u64,
     end: u64,
+    held_piece: Option<u64>,
     due: Instant,
     slot: Option<SlotGuard>,
     kv_tokens: u64,
@@ -93,6 +94,7 @@
             seed,
             next: resume.map_or(0, |resume| resume.from_index.min(end)),
             end,
+            held_piece: None,
             due: Instant::now(),
             slot: None,
             kv_tokens: 0,
@@ -149,10 +151,11 @@
         match self.next_burst().await {
             Ok(Some(burst)) => {
                 for index in burst.first..burst.after_last {
-                    frame.push_token(&mut buf, index, &self.seed.token(index));
+                    self.push_piece(frame, &mut buf, index);
                 }
             }
             Ok(None) => {
+                self.push_held_piece(frame, &mut buf);
                 self.finish();
                 frame.push_finish(&mut buf, self.end);
                 buf.push_str(END_EVENT);
@@ -165,6 +168,31 @@
         Ok(Bytes::from(buf))
     }
 
+    /// Adds a piece, unless it is to be sent after its successor.
+    fn push_piece(&mut self, frame: &ChunkFrame, buf: &mut String, index: u64) {
+        let (swap_every, repeat_every) = {
+            let condition = self.core.condition.lock();
+            (condition.swap_every, condition.repeat_every)
+        };
+        let is_due = |every: u64| every > 0 && index.is_multiple_of(every);
+        if is_due(swap_every) && self.held_piece.is_none() {
+            self.held_piece = Some(index);
+            return;
+        }
+        let token = self.seed.token(index);
+        frame.push_token(buf, index, &token);
+        if is_due(repeat_every) {
+            frame.push_token(buf, index, &token);
+        }
+        self.push_held_piece(frame, buf);
+    }
+
+    fn push_held_piece(&mut self, frame: &ChunkFrame, buf: &mut String) {
+        if let Some(index) = self.held_piece.take() {
+            frame.push_token(buf, index, &self.seed.token(index));
+        }
+    }
+
     /// Waits for the next tokens; `None` after the last one.
     async fn next_burst(&mut self) -> Result<Option<Burst>, EarlyEnd> {
         let outcome = self.try_next_burst().await;
@@ -182,11 +210,14 @@
             return Ok(None);
         }
         let (core, due) = (self.core.clone(), self.due);
-        self.bounded(async move {
+        let next = async move {
             tokio::time::sleep_until(due).await;
-            core.wait_moving().await;
-        })
-        .await?;
+            core.wait_moving().await
+        };
+        if self.bounded(next).await? {
+            // Tokens that a pause kept back come one at a time after it.
+            self.due = Instant::now();
+        }
         Ok(Some(self.take_burst()))
     }
 
--- a/crates/geranium_fakes/src/http/gate.rs
+++ b/crates/geranium_fakes/src/http/gate.rs
@@ -14,6 +14,9 @@
     Refuse,
     /// Open connections are closed; new ones are accepted and closed at once.
     Close,
+    /// Connections stay open and nothing is read or written, as in a network
+    /// partition; what was sent meanwhile arrives when the gate opens again.
+    Hang,
 }
 
 /// State of the connections of one listener; clones share it.
@@ -31,12 +34,12 @@
 }
 
 impl Gate {
-    /// Changes the state; connections that are open are closed unless it is
-    /// [`GateState::Open`].
+    /// Changes the state.
     pub fn set(&self, state: GateState) {
+        let closes = matches!(state, GateState::Refuse | GateState::Close);
         self.state.send_modify(|(current, cuts)| {
             *current = state;
-            *cuts += u64::from(state != GateState::Open);
+            *cuts += u64::from(closes);
         });
     }
 
@@ -61,11 +64,10 @@
         }
     }
 
-    /// Waits until the state is, or is not, [`GateState::Refuse`].
-    pub(super) async fn wait_refusing(&self, refusing: bool) {
+    /// Waits until the state is, or is not, the given one.
+    pub(super) async fn wait_for(&self, wanted: GateState, holds: bool) {
         let mut rx = self.state.subscribe();
-        let _ = rx
-            .wait_for(|(state, _)| (*state == GateState::Refuse) == refusing)
-            .await;
+        // The sender lives as long as this gate.
+        let _ = rx.wait_for(|(state, _)| (*state == wanted) == holds).await;
     }
 }
--- a/crates/geranium_fakes/src/http/listener.rs
+++ b/crates/geranium_fakes/src/http/listener.rs
@@ -82,10 +82,10 @@
         loop {
             tokio::select! {
                 () = self.accept_all(&listener, stop) => {}
-                () = self.gate.wait_refusing(true) => {}
+                () = self.gate.wait_for(GateState::Refuse, true) => {}
             }
             drop(listener);
-            self.gate.wait_refusing(false).await;
+            self.gate.wait_for(GateState::Refuse, false).await;
             listener = self.rebind().await;
         }
     }
@@ -103,7 +103,7 @@
     async fn accept_all(&self, listener: &TcpListener, stop: &CancellationToken) {
         loop {
             match listener.accept().await {
-                Ok((stream, remote)) if self.gate.state() == GateState::Open => {
+                Ok((stream, remote)) if self.gate.state() != GateState::Close => {
                     self.serve(stream, remote, stop.clone());
                 }
                 Ok(_) => {}
@@ -121,10 +121,10 @@
         let responder = Arc::new(Responder::new(self.tree.clone(), Some(remote)));
         let service = service_fn(move |req| answer(responder.clone(), req));
         let conn = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-        let cut = self.gate.cut_signal();
+        let (gate, cut) = (self.gate.clone(), self.gate.cut_signal());
         tokio::spawn(async move {
             tokio::select! {
-                outcome = conn => {
+                outcome = run_unless_hanging(conn, &gate) => {
                     if let Err(e) = outcome {
                         log::debug!("connection of {remote} ended: {e}");
                     }
@@ -136,6 +136,19 @@
     }
 }
 
+/// Runs a connection while its gate does not hang.
+async fn run_unless_hanging<T>(conn: impl Future<Output = T>, gate: &Gate) -> T {
+    tokio::pin!(conn);
+    loop {
+        gate.wait_for(GateState::Hang, false).await;
+        tokio::select! {
+            biased;
+            () = gate.wait_for(GateState::Hang, true) => {}
+            outcome = &mut conn => return outcome,
+        }
+    }
+}
+
 async fn answer(
     responder: Arc<Responder<SocketAddr>>,
     req: Request<Incoming>,
--- a/crates/geranium_fakes/src/platform/config.rs
+++ b/crates/geranium_fakes/src/platform/config.rs
@@ -8,6 +8,9 @@
 pub struct PlatformConfig {
     /// Address of the key-value service.
     pub listen: SocketAddr,
+    /// More addresses of the same service, each with connections that can be made
+    /// to fail on their own; one for each failure domain makes partitions.
+    pub more_listen: Vec<SocketAddr>,
     /// Address for faults and counts.
     pub admin: SocketAddr,
     /// Reads allowed per second, watches included.
@@ -25,6 +28,7 @@
         let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         Self {
             listen: any_port,
+            more_listen: Vec::new(),
             admin: any_port,
             max_reads_per_second: None,
             max_writes_per_second: None,
--- a/crates/geranium_fakes/src/platform/fault.rs
+++ b/crates/geranium_fakes/src/platform/fault.rs
@@ -15,6 +15,8 @@
 pub struct PlatformFault {
     /// What becomes of connections.
     pub connections: Option<GateState>,
+    /// Position of the address whose connections are meant; all if left out.
+    pub endpoint: Option<usize>,
     /// Refuses each call with status 503 before it has an effect.
     pub unavailable: Option<bool>,
     /// Delay of each call before it has an effect, in milliseconds.
--- a/crates/geranium_fakes/src/platform/handler.rs
+++ b/crates/geranium_fakes/src/platform/handler.rs
@@ -60,7 +60,7 @@
 /// What the calls share.
 pub(super) struct Handler {
     cfg: PlatformConfig,
-    gate: Gate,
+    gates: Vec<Gate>,
     started: Instant,
     state: Arc<Mutex<PlatformState>>,
     snapshot: Mutex<Option<PlatformState>>,
@@ -73,11 +73,11 @@
 }
 
 impl Handler {
-    pub fn new(cfg: PlatformConfig, gate: Gate) -> Self {
+    pub fn new(cfg: PlatformConfig, gates: Vec<Gate>) -> Self {
         let bucket =
             |rate: Option<u32>| rate.map(|n| Mutex::new(TokenBucket::new(n, Timestamp(0))));
         Self {
-            gate,
+            gates,
             started: Instant::now(),
             state: Arc::new(Mutex::new(PlatformState::new(cfg.history_limit))),
             snapshot: Mutex::default(),
@@ -194,10 +194,14 @@
         self.notify();
         if fault.restore {
             // A service that was restored has been restarted.
-            self.gate.cut();
+            self.gates.iter().for_each(Gate::cut);
         }
         if let Some(connections) = fault.connections {
-            self.gate.set(connections);
+            for (position, gate) in self.gates.iter().enumerate() {
+                if fault.endpoint.is_none_or(|endpoint| endpoint == position) {
+                    gate.set(connections);
+                }
+            }
         }
     }
 
--- a/crates/geranium_fakes/src/platform/server.rs
+++ b/crates/geranium_fakes/src/platform/server.rs
@@ -21,6 +21,7 @@
 pub struct FakePlatform {
     handler: Arc<Handler>,
     main: FakeListener,
+    more: Vec<FakeListener>,
     admin: FakeListener,
     _expiry: AbortOnDropHandle<()>,
 }
@@ -32,15 +33,22 @@
     ///
     /// Returns an error if an address cannot be listened on.
     pub async fn start(cfg: PlatformConfig) -> Result<Self, ServerError> {
-        let (listen, admin) = (cfg.listen, cfg.admin);
+        let (listen, more_listen, admin) = (cfg.listen, cfg.more_listen.clone(), cfg.admin);
         let gate = Gate::default();
-        let handler = Arc::new(Handler::new(cfg, gate.clone()));
+        let more_gates: Vec<Gate> = more_listen.iter().map(|_| Gate::default()).collect();
+        let gates = std::iter::once(&gate).chain(&more_gates).cloned().collect();
+        let handler = Arc::new(Handler::new(cfg, gates));
         let main = FakeListener::start(listen, main_router(&handler), gate).await?;
+        let mut more = Vec::new();
+        for (listen, gate) in more_listen.into_iter().zip(more_gates) {
+            more.push(FakeListener::start(listen, main_router(&handler), gate).await?);
+        }
         let admin = FakeListener::start(admin, admin_router(&handler), Gate::default()).await?;
         let expiry = tokio::spawn(expire_leases(handler.clone()));
         Ok(Self {
             handler,
             main,
+            more,
             admin,
             _expiry: AbortOnDropHandle::new(expiry),
         })
@@ -52,6 +60,13 @@
         self.main.address()
     }
 
+    /// Returns every address of the key-value service.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let listeners = std::iter::once(&self.main).chain(&self.more);
+        listeners.map(FakeListener::address).collect()
+    }
+
     /// Returns the address for faults and counts.
     #[must_use]
     pub const fn admin_address(&self) -> SocketAddr {
--- a/crates/geranium_platform/src/etcd/transport.rs
+++ b/crates/geranium_platform/src/etcd/transport.rs
@@ -161,7 +161,7 @@
         let (status, answer) = self
             .exchange(call, address, body)
             .await
-            .map_err(|e| unreachable(address, e.to_string()))?;
+            .map_err(|e| read_failure(call, address, &e))?;
         if status.is_server_error() {
             let detail = format!("status {status}: {}", excerpt(&answer));
             return Err(unreachable(address, detail));
@@ -262,6 +262,14 @@
         .body(body)
 }
 
+fn read_failure(call: Call<'_>, address: SocketAddr, e: &ClientError) -> StoreError {
+    match e {
+        // Another endpoint would give the same answer.
+        ClientError::OversizeBody(..) => StoreError::Malformed(call.key.to_owned(), e.to_string()),
+        _ => unreachable(address, e.to_string()),
+    }
+}
+
 fn unreachable(address: SocketAddr, detail: String) -> StoreError {
     StoreError::Unreachable(address.to_string(), detail)
 }
--- a/crates/geranium_platform/src/store.rs
+++ b/crates/geranium_platform/src/store.rs
@@ -141,8 +141,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`StoreError::Compacted`] if those changes are gone. The stream
-    /// ends after its first error.
+    /// Returns an error if the watch could not be opened. If those changes are
+    /// gone, this call or the first item of the stream gives
+    /// [`StoreError::Compacted`]. The stream ends after its first error.
     fn watch(
         &self,
         prefix: &str,
--- a/crates/geranium_platform/tests/etcd.rs
+++ b/crates/geranium_platform/tests/etcd.rs
@@ -46,6 +46,14 @@
     }
 }
 
+async fn read_when_answered(store: &EtcdClient, key: &str) -> Option<StoredValue> {
+    loop {
+        if let Ok(value) = store.get(key).await {
+            return value;
+        }
+    }
+}
+
 fn absent() -> StoreRevision {
     StoreRevision(0)
 }
@@ -576,3 +584,35 @@
     assert_eq!(outcomes[0], outcomes[1]);
     assert!(outcomes[0].contains(&true) && outcomes[0].contains(&false));
 }
+
+#[tokio::test]
+async fn one_address_can_be_cut_off_while_another_serves_the_same_values() {
+    let platform = FakePlatform::start(PlatformConfig {
+        more_listen: vec!["127.0.0.1:0".parse().expect("an address")],
+        ..PlatformConfig::default()
+    })
+    .await
+    .expect("loopback can be listened on");
+    let [cut_off, connected] = platform.addresses()[..] else {
+        panic!("two addresses");
+    };
+    platform.set_fault(&PlatformFault {
+        endpoint: Some(0),
+        ..connections(GateState::Hang)
+    });
+    let cut_off = EtcdClient::new(EtcdConfig {
+        call_timeout: Duration::from_millis(100),
+        ..EtcdConfig::new(vec![cut_off])
+    });
+    let connected = EtcdClient::new(EtcdConfig::new(vec![connected]));
+
+    applied(connected.transact(vec![put("/k", absent(), "x")]).await);
+    let partitioned = cut_off.transact(vec![put("/late", absent(), "x")]).await;
+    let before = connected.get("/late").await;
+    platform.set_fault(&connections(GateState::Open));
+    let healed = read_when_answered(&cut_off, "/k").await;
+
+    assert!(matches!(partitioned, Err(StoreError::Ambiguous(..))));
+    assert_eq!(before, Ok(None));
+    assert_eq!(healed.expect("present").value, "x");
+}
