Share store transactions between claims

Cause: one write a claim meets the platform's write rate at about 100 calls a second over eight entry hosts; from there on calls are refused.

A transaction that fails for one lost race is sent again without it. Admission is a trait, so that the batcher refuses by its queue and the plain budget by its tokens.

--- /dev/null
+++ b/crates/geranium_core/src/once/batch/batcher.rs
@@ -0,0 +1,201 @@
+//! The batcher.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use super::{Batch, BatchConfig, BatchId, BatchOutcome, BatchWrite, WriteResult};
+use crate::collections::{HashMap, HashSet};
+use crate::once::budget::TokenBucket;
+use crate::once::{ClaimAdmission, StoredClaim, WriteOutcome};
+use crate::time::Timestamp;
+
+/// Gathers claim writes and sends several of them in one store transaction.
+///
+/// A transaction is sent when it is full, and also as soon as the sender would
+/// otherwise sit idle: no transaction is on its way and the rate allows one.
+/// Writes that come while the sender has to wait share the next transaction, so
+/// that nobody waits for others to join.
+///
+/// A transaction that fails because of some of its writes is sent again without
+/// them; each call is told only about its own write.
+///
+/// # Examples
+///
+/// ```
+/// # use geranium_core::once::*;
+/// # use geranium_core::prelude::*;
+/// # let now = Timestamp::from_millis(1_000);
+/// # let write = |call: u64| BatchWrite {
+/// #     call,
+/// #     op: 1,
+/// #     key: format!("/geranium/claims/account/{call}"),
+/// #     value: "{}".into(),
+/// #     expected: StoreRevision(0),
+/// # };
+/// let mut batcher = ClaimBatcher::new(BatchConfig::default());
+/// batcher.push(write(1));
+/// let first = batcher.next_batch(now).expect("the sender is idle");
+/// batcher.push(write(2));
+/// batcher.push(write(3));
+/// assert_eq!(batcher.next_batch(now), None);
+///
+/// batcher.finish(first.id, BatchOutcome::Applied(StoreRevision(5)));
+///
+/// let second = batcher.next_batch(now).expect("the sender is idle again");
+/// assert_eq!(second.writes.len(), 2);
+/// ```
+#[derive(Clone, Debug)]
+pub struct ClaimBatcher {
+    cfg: BatchConfig,
+    bucket: TokenBucket,
+    queue: VecDeque<BatchWrite>,
+    in_flight: BTreeMap<BatchId, Vec<BatchWrite>>,
+    last_id: BatchId,
+    next_allowed: Option<Timestamp>,
+}
+
+impl ClaimBatcher {
+    /// Makes a batcher with nothing to send.
+    #[must_use]
+    pub fn new(cfg: BatchConfig) -> Self {
+        Self {
+            cfg,
+            bucket: TokenBucket::new(cfg.transactions_per_second, cfg.burst.max(1.0)),
+            queue: VecDeque::new(),
+            in_flight: BTreeMap::new(),
+            last_id: 0,
+            next_allowed: None,
+        }
+    }
+
+    /// Takes in one write.
+    pub fn push(&mut self, write: BatchWrite) {
+        self.queue.push_back(write);
+    }
+
+    /// Returns the number of writes that wait for a transaction.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the next transaction, if one is to be sent now; the driver asks
+    /// until there is none.
+    pub fn next_batch(&mut self, now: Timestamp) -> Option<Batch> {
+        let sender_idle = self.in_flight.is_empty();
+        let full = self.queue.len() >= self.cfg.max_writes;
+        let room = self.in_flight.len() < self.cfg.max_in_flight;
+        if self.queue.is_empty() || !room || !(sender_idle || full) {
+            return None;
+        }
+        if let Err(wait) = self.bucket.take(now, 1.0) {
+            self.next_allowed = Some(now + wait);
+            return None;
+        }
+        self.next_allowed = None;
+        self.last_id += 1;
+        let writes = self.fill();
+        self.in_flight.insert(self.last_id, writes.clone());
+        Some(Batch {
+            id: self.last_id,
+            writes,
+        })
+    }
+
+    /// Returns when the rate allows the next transaction, if one waits for it.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Timestamp> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        self.next_allowed
+    }
+
+    /// Takes in the outcome of a transaction and returns those of its writes.
+    ///
+    /// Writes that only shared a failed transaction are sent again.
+    pub fn finish(&mut self, id: BatchId, outcome: BatchOutcome) -> Vec<WriteResult> {
+        let Some(writes) = self.in_flight.remove(&id) else {
+            return Vec::new();
+        };
+        match outcome {
+            BatchOutcome::Applied(revision) => each(writes, &WriteOutcome::Applied(revision)),
+            BatchOutcome::Ambiguous => each(writes, &WriteOutcome::Ambiguous),
+            BatchOutcome::NoEffect => each(writes, &WriteOutcome::NoEffect),
+            BatchOutcome::Conflict(present) => self.split(writes, present),
+        }
+    }
+
+    /// Gathers the oldest writes that fit; a second one for a key stays behind.
+    fn fill(&mut self) -> Vec<BatchWrite> {
+        let mut writes = Vec::new();
+        let mut keys = HashSet::default();
+        let mut bytes = 0;
+        let mut left = VecDeque::new();
+        while let Some(write) = self.queue.pop_front() {
+            let fits = writes.is_empty()
+                || (writes.len() < self.cfg.max_writes
+                    && bytes + write.value.len() <= self.cfg.max_bytes);
+            if !fits {
+                left.push_back(write);
+                break;
+            }
+            if keys.insert(write.key.clone()) {
+                bytes += write.value.len();
+                writes.push(write);
+            } else {
+                left.push_back(write);
+            }
+        }
+        left.append(&mut self.queue);
+        self.queue = left;
+        writes
+    }
+
+    fn split(
+        &mut self,
+        writes: Vec<BatchWrite>,
+        present: Vec<(String, StoredClaim)>,
+    ) -> Vec<WriteResult> {
+        let mut present: HashMap<String, StoredClaim> = present.into_iter().collect();
+        let mut results = Vec::new();
+        let mut blameless = Vec::new();
+        for write in writes {
+            let found = present.remove(&write.key);
+            let revision = found.as_ref().map(|stored| stored.revision);
+            if revision.unwrap_or_default() == write.expected {
+                blameless.push(write);
+            } else {
+                results.push(result(write, WriteOutcome::Conflict(found)));
+            }
+        }
+        for write in blameless.into_iter().rev() {
+            self.queue.push_front(write);
+        }
+        results
+    }
+}
+
+impl ClaimAdmission for ClaimBatcher {
+    fn admit(&mut self, _now: Timestamp) -> Result<(), Duration> {
+        if self.queue.len() < self.cfg.max_queued {
+            return Ok(());
+        }
+        let transactions = self.queue.len().div_ceil(self.cfg.max_writes.max(1));
+        let transactions = u32::try_from(transactions).unwrap_or(u32::MAX);
+        Err(self.bucket.time_for(f64::from(transactions)))
+    }
+}
+
+fn each(writes: Vec<BatchWrite>, outcome: &WriteOutcome) -> Vec<WriteResult> {
+    let told = |write| result(write, outcome.clone());
+    writes.into_iter().map(told).collect()
+}
+
+fn result(write: BatchWrite, outcome: WriteOutcome) -> WriteResult {
+    WriteResult {
+        call: write.call,
+        op: write.op,
+        outcome,
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/src/once/batch/mod.rs
@@ -0,0 +1,9 @@
+//! Several claim writes in one store transaction.
+
+mod batcher;
+mod config;
+mod write;
+
+pub use batcher::ClaimBatcher;
+pub use config::BatchConfig;
+pub use write::{Batch, BatchId, BatchOutcome, BatchWrite, WriteResult};
--- a/crates/geranium_core/src/once/budget.rs
+++ b/crates/geranium_core/src/once/budget.rs
@@ -1,4 +1,4 @@
-//! Budget of claim writes.
+//! Budgets of store writes.
 
 use std::time::Duration;
 
@@ -7,52 +7,84 @@
 /// Store writes that one claimed call needs: its claim and its final state.
 const WRITES_PER_CALL: f64 = 2.0;
 
-/// A token bucket that keeps claim writes below the platform's rate.
-///
-/// A call that finds the bucket empty is refused at once; the writes of a call
-/// that was admitted are paid for in advance, so that its final state never has
-/// to wait behind new calls.
+/// Decides whether one more call may be claimed now.
+pub trait ClaimAdmission {
+    /// Admits one call, or returns the time until it would be admitted.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time to come back if the call is not admitted.
+    fn admit(&mut self, now: Timestamp) -> Result<(), Duration>;
+}
+
+/// A token bucket of store writes.
 #[derive(Clone, Debug, PartialEq)]
-pub struct ClaimBudget {
-    writes_per_second: f64,
+pub(super) struct TokenBucket {
+    per_second: f64,
     burst: f64,
     tokens: f64,
     refilled_at: Option<Timestamp>,
 }
 
-impl ClaimBudget {
-    /// Makes a full bucket for a rate of store writes and a burst of writes.
-    #[must_use]
-    pub fn new(writes_per_second: f64, burst: f64) -> Self {
-        let burst = burst.max(WRITES_PER_CALL);
+impl TokenBucket {
+    /// Makes a full bucket.
+    pub(super) fn new(per_second: f64, burst: f64) -> Self {
         Self {
-            writes_per_second: writes_per_second.max(f64::MIN_POSITIVE),
+            per_second: per_second.max(f64::MIN_POSITIVE),
             burst,
             tokens: burst,
             refilled_at: None,
         }
     }
 
-    /// Takes the writes of one call, or returns the time until they are there.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time to come back if the bucket is empty.
-    pub fn admit(&mut self, now: Timestamp) -> Result<(), Duration> {
+    /// Takes tokens, or returns the time until they are there.
+    pub(super) fn take(&mut self, now: Timestamp, count: f64) -> Result<(), Duration> {
         self.refill(now);
-        if self.tokens >= WRITES_PER_CALL {
-            self.tokens -= WRITES_PER_CALL;
+        let missing = count - self.tokens;
+        if missing <= 0.0 {
+            self.tokens -= count;
             return Ok(());
         }
-        let missing = WRITES_PER_CALL - self.tokens;
-        let wait = missing / self.writes_per_second;
-        Err(Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX))
+        Err(self.time_for(missing))
+    }
+
+    /// Returns the time in which the bucket earns that many tokens.
+    pub(super) fn time_for(&self, count: f64) -> Duration {
+        // Rounded up, so that the tokens are there when the time has passed.
+        let micros = (count / self.per_second * 1e6).ceil();
+        Duration::try_from_secs_f64(micros / 1e6).unwrap_or(Duration::MAX)
     }
 
     fn refill(&mut self, now: Timestamp) {
         let since = self.refilled_at.unwrap_or(now);
-        let earned = now.since(since).as_secs_f64() * self.writes_per_second;
+        let earned = now.since(since).as_secs_f64() * self.per_second;
         self.tokens = (self.tokens + earned).min(self.burst);
         self.refilled_at = Some(now.max(since));
     }
 }
+
+/// A token bucket for claims of which each is a store transaction of its own.
+///
+/// A call that finds the bucket empty is refused at once; the writes of a call
+/// that was admitted are paid for in advance, so that its final state never has
+/// to wait behind new calls.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClaimBudget {
+    bucket: TokenBucket,
+}
+
+impl ClaimBudget {
+    /// Makes a full bucket for a rate of store writes and a burst of writes.
+    #[must_use]
+    pub fn new(writes_per_second: f64, burst: f64) -> Self {
+        Self {
+            bucket: TokenBucket::new(writes_per_second, burst.max(WRITES_PER_CALL)),
+        }
+    }
+}
+
+impl ClaimAdmission for ClaimBudget {
+    fn admit(&mut self, now: Timestamp) -> Result<(), Duration> {
+        self.bucket.take(now, WRITES_PER_CALL)
+    }
+}
--- a/crates/geranium_core/src/once/call/mod.rs
+++ b/crates/geranium_core/src/once/call/mod.rs
@@ -8,8 +8,9 @@
 
 use self::phase::{Claiming, Dispatched, Pending, Phase, Recording, Waiting};
 use super::{
-    CLAIM_SCHEMA_VERSION, Claim, ClaimAnswer, ClaimBudget, ClaimConfig, ClaimEffect, ClaimHolder,
-    ClaimInput, ClaimRequest, ClaimState, NotRun, NotRunReason, OpId, OtherAttempts, StoredClaim,
+    CLAIM_SCHEMA_VERSION, Claim, ClaimAdmission, ClaimAnswer, ClaimConfig, ClaimEffect,
+    ClaimHolder, ClaimInput, ClaimRequest, ClaimState, NotRun, NotRunReason, OpId, OtherAttempts,
+    StoredClaim,
 };
 use crate::event::{EventDraft, EventKind, EventSubject};
 use crate::id::StoreRevision;
@@ -82,7 +83,7 @@
         cfg: ClaimConfig,
         request: ClaimRequest,
         holder: ClaimHolder,
-        budget: &mut ClaimBudget,
+        admission: &mut impl ClaimAdmission,
         now: Timestamp,
     ) -> (Self, Vec<ClaimEffect>) {
         let mut call = Self {
@@ -96,7 +97,7 @@
             answered: false,
         };
         let mut effects = Vec::new();
-        if let Err(refusal) = call.check_admission(budget, now) {
+        if let Err(refusal) = call.check_admission(admission, now) {
             call.answer(ClaimAnswer::NotRun(refusal), &mut effects);
         } else {
             call.claim_over(now, StoreRevision(0), 0, false, &mut effects);
@@ -159,7 +160,11 @@
         Some(pause.map_or(limit, |pause| pause.min(limit)))
     }
 
-    fn check_admission(&self, budget: &mut ClaimBudget, now: Timestamp) -> Result<(), NotRun> {
+    fn check_admission(
+        &self,
+        admission: &mut impl ClaimAdmission,
+        now: Timestamp,
+    ) -> Result<(), NotRun> {
         if now >= self.request.deadline {
             return Err(self.not_run(NotRunReason::DeadlinePassed, OtherAttempts::NotChecked));
         }
@@ -168,7 +173,7 @@
         if issued.is_some_and(|issued| now.since(issued) > usable) {
             return Err(self.not_run(NotRunReason::KeyExpired, OtherAttempts::NotChecked));
         }
-        budget.admit(now).map_err(|retry_after| NotRun {
+        admission.admit(now).map_err(|retry_after| NotRun {
             reason: NotRunReason::RateLimited,
             other_attempts: OtherAttempts::NotChecked,
             retry_after,
--- a/crates/geranium_core/src/once/mod.rs
+++ b/crates/geranium_core/src/once/mod.rs
@@ -6,6 +6,7 @@
 //! out the [`ClaimEffect`]s and feeds the outcomes back as [`ClaimInput`]s.
 
 mod answer;
+mod batch;
 mod budget;
 mod call;
 mod claim;
@@ -18,7 +19,8 @@
 mod sweep;
 
 pub use answer::{KeptAnswer, KeptBody, UpstreamAnswer};
-pub use budget::ClaimBudget;
+pub use batch::{Batch, BatchConfig, BatchId, BatchOutcome, BatchWrite, ClaimBatcher, WriteResult};
+pub use budget::{ClaimAdmission, ClaimBudget};
 pub use call::ClaimCall;
 pub use claim::{CLAIM_SCHEMA_VERSION, Claim, ClaimHolder, ClaimState, StoredClaim};
 pub use config::ClaimConfig;
