--- a/crates/geranium_daemon/src/claim/service.rs
+++ b/crates/geranium_daemon/src/claim/service.rs
@@ -80,7 +80,7 @@
         let holder = self.new_holder();
         let now = self.clock.now();
         let (call, effects) =
-            ClaimCall::submit(self.cfg, req, holder, &mut self.budget.lock(), now);
+            ClaimCall::submit(self.cfg, req, holder, &mut *self.budget.lock(), now);
         let driver = ClaimDriver::new(self.clone(), call, upstream, tx);
         tokio::spawn(driver.run(effects));
         // The driver answers before it ends; only a panic of its task gets here.
