--- a/crates/geranium_core/src/limit/cold_user.rs
+++ b/crates/geranium_core/src/limit/cold_user.rs
@@ -251,6 +251,10 @@
         known.map_or(0, |known| known.free(now))
     }
 
+    fn has_marks(&self) -> bool {
+        self.groups.values().any(|known| known.marked)
+    }
+
     fn marked_cold(&self, group: &GroupId, generation: u64) -> bool {
         let known = self.groups.get(group);
         known.is_some_and(|known| known.marked && known.generation == generation)
--- a/crates/geranium_core/src/route/candidate.rs
+++ b/crates/geranium_core/src/route/candidate.rs
@@ -24,6 +24,13 @@
 }
 
 impl Candidate {
+    /// Returns whether more than a share of the capacity is in use.
+    #[must_use]
+    #[inline]
+    pub fn is_above(&self, share: f32) -> bool {
+        self.load as f32 > self.capacity as f32 * share
+    }
+
     /// Returns the share of the capacity that is in use.
     #[must_use]
     pub fn utilization(&self) -> f32 {
--- a/crates/geranium_core/src/route/cold_credits.rs
+++ b/crates/geranium_core/src/route/cold_credits.rs
@@ -8,6 +8,9 @@
     /// Returns the unspent credits for a group and generation.
     fn available(&self, now: Timestamp, group: &GroupId, generation: u64) -> u32;
 
+    /// Returns whether any group that reports itself warm must be treated as cold.
+    fn has_marks(&self) -> bool;
+
     /// Returns whether a group that reports itself warm must be treated as cold.
     fn marked_cold(&self, group: &GroupId, generation: u64) -> bool;
 }
@@ -21,6 +24,10 @@
         0
     }
 
+    fn has_marks(&self) -> bool {
+        false
+    }
+
     fn marked_cold(&self, _group: &GroupId, _generation: u64) -> bool {
         false
     }
--- a/crates/geranium_core/src/route/group_set.rs
+++ b/crates/geranium_core/src/route/group_set.rs
@@ -44,6 +44,15 @@
         out
     }
 
+    /// Returns the slots in this set that are not in the other.
+    pub(super) fn without(&self, other: &Self) -> Self {
+        let mut out = *self;
+        for (word, mask) in out.0.iter_mut().zip(other.0) {
+            *word &= !mask;
+        }
+        out
+    }
+
     /// Calls a function with each slot, in ascending order.
     pub(super) fn for_each(&self, mut f: impl FnMut(usize)) {
         for (i, mut word) in self.0.into_iter().enumerate() {
--- a/crates/geranium_core/src/route/least_wait.rs
+++ b/crates/geranium_core/src/route/least_wait.rs
@@ -12,6 +12,9 @@
 /// part of the requests cost more, so that a popular prefix spreads.
 #[derive(Clone, Copy, Debug)]
 pub struct LeastWait {
+    /// Weight of the blocks that the request adds, which delay others too,
+    /// against those that are queued before it.
+    pub compute_weight: f32,
     /// Blocks of work that a hop to another failure domain costs.
     pub blocks_per_hop: f32,
     /// Utilization relative to the mean above which a group costs more.
@@ -26,10 +29,11 @@
 impl Default for LeastWait {
     fn default() -> Self {
         Self {
+            compute_weight: 6.0,
             blocks_per_hop: 2.0,
-            fair_ratio: 1.25,
+            fair_ratio: 1.5,
             blocks_per_excess: 4.0,
-            jitter: 0.1,
+            jitter: 0.02,
         }
     }
 }
@@ -44,15 +48,18 @@
         } else {
             0.0
         };
-        let work = compute + candidate.pending_blocks + excess * self.blocks_per_excess;
+        let work = compute * self.compute_weight
+            + candidate.pending_blocks
+            + excess * self.blocks_per_excess;
         work * candidate.slowdown + hop
     }
 }
 
 impl RoutePolicy for LeastWait {
     fn pick(&mut self, candidates: &[Candidate], rng: &mut impl Rng) -> usize {
-        let sum: f32 = candidates.iter().map(Candidate::utilization).sum();
-        let mean = sum / candidates.len() as f32;
+        let load: u32 = candidates.iter().map(|c| c.load).sum();
+        let capacity: u32 = candidates.iter().map(|c| c.capacity).sum();
+        let mean = load as f32 / capacity.max(1) as f32;
         let mut best = 0;
         let mut best_wait = f32::INFINITY;
         for (i, candidate) in candidates.iter().enumerate() {
--- a/crates/geranium_core/src/route/own_load.rs
+++ b/crates/geranium_core/src/route/own_load.rs
@@ -1,4 +1,4 @@
-//! Requests of this entry host in a group.
+//! Recent changes of the requests of this entry host in a group.
 
 use std::time::Duration;
 
@@ -7,37 +7,17 @@
 const BUCKETS: usize = 32;
 const BUCKET_MICROS: u64 = 50_000;
 
-/// Requests of this entry host in a group, with their recent changes.
+/// Recent changes of the requests of this entry host in a group.
 ///
 /// A load report describes the group as it was some time ago. The changes since
 /// then are what must be added to it.
 #[derive(Clone, Debug, Default)]
 pub(super) struct OwnLoad {
-    in_flight: u32,
     changes: [i32; BUCKETS],
     newest: u64,
 }
 
 impl OwnLoad {
-    /// Returns the requests in flight.
-    pub(super) fn in_flight(&self) -> u32 {
-        self.in_flight
-    }
-
-    /// Notes that a request started.
-    pub(super) fn start(&mut self, now: Timestamp) {
-        self.in_flight += 1;
-        self.change(now, 1);
-    }
-
-    /// Notes that a request ended.
-    pub(super) fn end(&mut self, now: Timestamp) {
-        if self.in_flight > 0 {
-            self.in_flight -= 1;
-            self.change(now, -1);
-        }
-    }
-
     /// Returns starts less ends within the last `age`.
     pub(super) fn net_change(&self, now: Timestamp, age: Duration) -> i32 {
         let last = now.0 / BUCKET_MICROS;
@@ -48,7 +28,8 @@
             .sum()
     }
 
-    fn change(&mut self, now: Timestamp, by: i32) {
+    /// Notes a start as 1 and an end as -1.
+    pub(super) fn change(&mut self, now: Timestamp, by: i32) {
         let bucket = now.0 / BUCKET_MICROS;
         if bucket > self.newest {
             let stale = (bucket - self.newest).min(BUCKETS as u64);
--- a/crates/geranium_core/src/route/prefix_index.rs
+++ b/crates/geranium_core/src/route/prefix_index.rs
@@ -5,7 +5,7 @@
 use crate::collections::HashMap;
 
 /// Blocks of a prompt that one lookup examines.
-const MAX_PROBES: usize = 32;
+const MAX_PROBES: usize = 16;
 
 /// Maps block hashes to the groups that hold them, in bounded memory.
 ///
@@ -82,18 +82,21 @@
         self.cached.fill(0);
         let stride = prefix.len().div_ceil(MAX_PROBES).max(1);
         let mut alive = GroupSet::all();
-        let mut end = 0;
-        while end < prefix.len() {
-            end = (end + stride).min(prefix.len());
-            let Some(holders) = self.touch(prefix[end - 1]) else {
-                break;
-            };
+        let mut held = 0;
+        while held < prefix.len() && !alive.is_empty() {
+            let end = (held + stride).min(prefix.len());
+            let holders = self.touch(prefix[end - 1]).unwrap_or_default();
+            let lost = alive.without(&holders);
+            self.note_cached(lost, held);
             alive = alive.and(&holders);
-            if alive.is_empty() {
-                break;
-            }
-            let cached = &mut self.cached;
-            alive.for_each(|slot| cached[slot] = end as u32);
+            held = end;
+        }
+        self.note_cached(alive, held);
+    }
+
+    fn note_cached(&mut self, slots: GroupSet, blocks: usize) {
+        if blocks > 0 {
+            slots.for_each(|slot| self.cached[slot] = blocks as u32);
         }
     }
 
--- /dev/null
+++ b/crates/geranium_core/src/route/reach.rs
@@ -0,0 +1,72 @@
+//! Which groups serve which client accounts of a model.
+
+use super::RouteRefusal;
+use super::slot::GroupSlot;
+use crate::collections::HashMap;
+use crate::id::{AccountId, FailureDomainId, ModelId, RecordName};
+use crate::record::ModelSpec;
+
+/// Positions of the groups that serve one client account of a model.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Reach {
+    /// Groups of this failure domain.
+    pub(super) local: Vec<u16>,
+    /// Groups of other failure domains.
+    pub(super) remote: Vec<u16>,
+}
+
+/// Finds the groups that serve a client account of a model.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ReachTable {
+    accounts: HashMap<RecordName, Vec<AccountId>>,
+    reach: HashMap<ModelId, HashMap<AccountId, Reach>>,
+}
+
+impl ReachTable {
+    /// Takes over which client accounts each record serves.
+    pub(super) fn set_records(&mut self, records: &[ModelSpec]) {
+        let accounts = records.iter().map(|spec| {
+            let accounts = spec.accounts.iter().map(|share| share.account.clone());
+            (spec.name.clone(), accounts.collect())
+        });
+        self.accounts = accounts.collect();
+    }
+
+    /// Works the table out from the groups.
+    pub(super) fn rebuild(&mut self, local: &FailureDomainId, slots: &[Option<GroupSlot>]) {
+        self.reach.clear();
+        for (position, slot) in slots.iter().enumerate() {
+            let Some(slot) = slot.as_ref().filter(|slot| slot.active) else {
+                continue;
+            };
+            let serving = &slot.serving;
+            let model = self.reach.entry(serving.served_model.clone()).or_default();
+            for account in self.accounts.get(&serving.record).into_iter().flatten() {
+                let reach = model.entry(account.clone()).or_default();
+                let side = if serving.failure_domain == *local {
+                    &mut reach.local
+                } else {
+                    &mut reach.remote
+                };
+                side.push(position as u16);
+            }
+        }
+    }
+
+    /// Returns the models that any group serves.
+    pub(super) fn models(&self) -> impl Iterator<Item = &ModelId> {
+        self.reach.keys()
+    }
+
+    /// Finds the groups that serve a client account of a model.
+    pub(super) fn find(
+        &self,
+        model: &ModelId,
+        account: &AccountId,
+    ) -> Result<&Reach, RouteRefusal> {
+        let accounts = self.reach.get(model);
+        let accounts = accounts.ok_or_else(|| RouteRefusal::NoGroup(model.clone()))?;
+        let reach = accounts.get(account);
+        reach.ok_or_else(|| RouteRefusal::NotAllowed(model.clone(), account.clone()))
+    }
+}
--- a/crates/geranium_core/src/route/router.rs
+++ b/crates/geranium_core/src/route/router.rs
@@ -4,6 +4,8 @@
 
 use rand::Rng;
 
+use super::found::Found;
+use super::reach::ReachTable;
 use super::slot::{BASE_BLOCKS, GroupSlot};
 use super::{
     BlockHash, CacheChange, CacheEvent, Candidate, ColdCredits, Dispatch, EntryHost, LeastWait,
@@ -11,40 +13,13 @@
 };
 use crate::collections::HashMap;
 use crate::group::{ServingGroup, Temperature};
-use crate::id::{AccountId, FailureDomainId, GroupId, HostId, ModelId, RecordName};
+use crate::id::{FailureDomainId, GroupId, HostId};
 use crate::record::{DrainTarget, ModelSpec};
 use crate::time::Timestamp;
 
 /// Time between two comparisons of first-token times.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Slots that serve one model, for one client account.
-#[derive(Clone, Debug, Default)]
-struct Reach {
-    local: Vec<u16>,
-    remote: Vec<u16>,
-}
-
-/// What a pass over the groups of a model found.
-#[derive(Clone, Debug, Default)]
-struct Found {
-    warm: Vec<Candidate>,
-    cold: Vec<Candidate>,
-    ejected: Vec<Candidate>,
-    saturated: bool,
-    creditless: bool,
-}
-
-impl Found {
-    fn clear(&mut self) {
-        self.warm.clear();
-        self.cold.clear();
-        self.ejected.clear();
-        self.saturated = false;
-        self.creditless = false;
-    }
-}
-
 /// Chooses a replica group for each request of one entry host.
 ///
 /// The driver gives it the groups whose gate is open, the drains and the entry
@@ -57,12 +32,12 @@
     policy: P,
     slots: Vec<Option<GroupSlot>>,
     by_group: HashMap<GroupId, u16>,
-    accounts: HashMap<RecordName, Vec<AccountId>>,
-    reach: HashMap<ModelId, HashMap<AccountId, Reach>>,
+    reach: ReachTable,
     drains: Vec<DrainTarget>,
     entry_hosts: HashMap<FailureDomainId, Vec<HostId>>,
     index: PrefixIndex,
     found: Found,
+    excluded: Vec<u16>,
     compared_at: Timestamp,
     own_in_flight: u32,
     pending_blocks: u32,
@@ -86,12 +61,12 @@
             policy,
             slots: Vec::new(),
             by_group: HashMap::default(),
-            accounts: HashMap::default(),
-            reach: HashMap::default(),
+            reach: ReachTable::default(),
             drains: Vec::new(),
             entry_hosts: HashMap::default(),
             index: PrefixIndex::new(settings.index_capacity),
             found: Found::default(),
+            excluded: Vec::new(),
             compared_at: Timestamp::default(),
             own_in_flight: 0,
             pending_blocks: 0,
@@ -100,14 +75,8 @@
 
     /// Takes over which client accounts each record serves.
     pub fn update_records(&mut self, records: &[ModelSpec]) {
-        self.accounts = records
-            .iter()
-            .map(|spec| {
-                let accounts = spec.accounts.iter().map(|share| share.account.clone());
-                (spec.name.clone(), accounts.collect())
-            })
-            .collect();
-        self.rebuild_reach();
+        self.reach.set_records(records);
+        self.reach.rebuild(&self.local, &self.slots);
     }
 
     /// Takes over the groups whose gate is open; all others get no requests.
@@ -120,7 +89,8 @@
         }
         self.drop_unused_slots();
         self.mark_drained();
-        self.rebuild_reach();
+        self.mark_reachable();
+        self.reach.rebuild(&self.local, &self.slots);
     }
 
     /// Takes over what is drained; it gets no new requests from now on.
@@ -139,6 +109,7 @@
                 .or_default();
             hosts.push(entry.host.clone());
         }
+        self.mark_reachable();
     }
 
     /// Takes in an event of a group's prefix cache.
@@ -182,9 +153,11 @@
         self.index.look_up(query.prefix);
         let mut found = std::mem::take(&mut self.found);
         found.clear();
-        let chosen = self
-            .find(now, query, credits, &mut found)
-            .and_then(|()| self.pick(query, &mut found, rng));
+        self.resolve_excluded(query.exclude);
+        let chosen = self.find(now, query, credits, &mut found).and_then(|()| {
+            let warmup_share = self.settings.warmup_share;
+            found.pick(query.model, &mut self.policy, warmup_share, rng)
+        });
         self.found = found;
         let candidate = chosen?;
         Ok(self.describe(&candidate, credits, rng))
@@ -339,23 +312,10 @@
         }
     }
 
-    fn rebuild_reach(&mut self) {
-        self.reach.clear();
-        for (position, slot) in self.slots.iter().enumerate() {
-            let Some(slot) = slot.as_ref().filter(|slot| slot.active) else {
-                continue;
-            };
-            let serving = &slot.serving;
-            let model = self.reach.entry(serving.served_model.clone()).or_default();
-            for account in self.accounts.get(&serving.record).into_iter().flatten() {
-                let reach = model.entry(account.clone()).or_default();
-                let side = if serving.failure_domain == self.local {
-                    &mut reach.local
-                } else {
-                    &mut reach.remote
-                };
-                side.push(position as u16);
-            }
+    fn mark_reachable(&mut self) {
+        for slot in self.slots.iter_mut().flatten() {
+            let domain = &slot.serving.failure_domain;
+            slot.reachable = *domain == self.local || self.entry_hosts.contains_key(domain);
         }
     }
 
@@ -366,7 +326,7 @@
         }
         self.compared_at = now;
         let mut paces: Vec<f32> = Vec::with_capacity(self.slots.len());
-        for model in self.reach.keys() {
+        for model in self.reach.models() {
             paces.clear();
             let peers = || {
                 let slots = self.slots.iter().flatten();
@@ -386,6 +346,12 @@
         }
     }
 
+    fn resolve_excluded(&mut self, exclude: &[GroupId]) {
+        self.excluded.clear();
+        let positions = exclude.iter().filter_map(|group| self.by_group.get(group));
+        self.excluded.extend(positions);
+    }
+
     fn find(
         &self,
         now: Timestamp,
@@ -393,20 +359,22 @@
         credits: &impl ColdCredits,
         found: &mut Found,
     ) -> Result<(), RouteRefusal> {
-        let accounts = self
-            .reach
-            .get(query.model)
-            .ok_or_else(|| RouteRefusal::NoGroup(query.model.clone()))?;
-        let reach = accounts
-            .get(query.account)
-            .ok_or_else(|| RouteRefusal::NotAllowed(query.model.clone(), query.account.clone()))?;
+        let reach = self.reach.find(query.model, query.account)?;
+        // Requests of other hosts are taken to wait for as much as ours do.
+        let mean_pending = self.pending_blocks as f32 / self.own_in_flight.max(1) as f32;
+        let pass = Pass {
+            now,
+            blocks: query.prefix.len() as u32,
+            mean_pending,
+            has_marks: credits.has_marks(),
+        };
         for &position in &reach.local {
-            self.consider(now, position, false, query, credits, found);
+            self.consider(&pass, position, false, credits, found);
         }
-        let crowded = |c: &Candidate| c.utilization() > self.settings.spill_utilization;
+        let crowded = |c: &Candidate| c.is_above(self.settings.spill_utilization);
         if !query.forwarded && found.warm.iter().all(crowded) {
             for &position in &reach.remote {
-                self.consider(now, position, true, query, credits, found);
+                self.consider(&pass, position, true, credits, found);
             }
         }
         Ok(())
@@ -414,99 +382,37 @@
 
     fn consider(
         &self,
-        now: Timestamp,
+        pass: &Pass,
         position: u16,
         remote: bool,
-        query: &RouteQuery<'_>,
         credits: &impl ColdCredits,
         found: &mut Found,
     ) {
         let Some(slot) = &self.slots[usize::from(position)] else {
             return;
         };
-        let serving = &slot.serving;
-        if slot.drained || query.exclude.contains(&serving.group) {
-            return;
-        }
-        if remote && !self.entry_hosts.contains_key(&serving.failure_domain) {
+        if slot.drained || !slot.reachable || self.excluded.contains(&position) {
             return;
         }
-        let candidate = self.candidate(position, slot, remote, query);
-        if Self::is_cold(serving, credits) {
+        let cached_blocks = self.index.cached_blocks(position);
+        let candidate = pass.candidate(position, slot, cached_blocks, remote);
+        if slot.cold || (pass.has_marks && is_cold(&slot.serving, credits)) {
+            let (group, generation) = (&slot.serving.group, slot.serving.generation);
             // The entry host of a remote group spends its own credits.
-            if remote || credits.available(now, &serving.group, serving.generation) > 0 {
+            if remote || credits.available(pass.now, group, generation) > 0 {
                 found.cold.push(candidate);
             } else {
                 found.creditless = true;
             }
         } else if candidate.load >= candidate.capacity {
             found.saturated = true;
-        } else if now < slot.ejected_until {
+        } else if pass.now < slot.ejected_until {
             found.ejected.push(candidate);
         } else {
             found.warm.push(candidate);
         }
     }
 
-    fn is_cold(serving: &ServingGroup, credits: &impl ColdCredits) -> bool {
-        serving.temperature == Temperature::Cold
-            || credits.marked_cold(&serving.group, serving.generation)
-    }
-
-    fn candidate(
-        &self,
-        position: u16,
-        slot: &GroupSlot,
-        remote: bool,
-        query: &RouteQuery<'_>,
-    ) -> Candidate {
-        let load = slot.load();
-        let own = slot.own_in_flight();
-        // Requests of other hosts are taken to wait for as much as ours do.
-        let mean_pending = self.pending_blocks as f32 / self.own_in_flight.max(1) as f32;
-        let others_pending = load.saturating_sub(own) as f32 * mean_pending;
-        Candidate {
-            slot: position,
-            load,
-            own,
-            pending_blocks: slot.pending_blocks() as f32 + others_pending,
-            capacity: slot.serving.warm_concurrency,
-            cached_blocks: self.index.cached_blocks(position) as f32 * slot.trust,
-            blocks: query.prefix.len() as u32,
-            slowdown: slot.slowdown,
-            remote,
-        }
-    }
-
-    fn pick(
-        &mut self,
-        query: &RouteQuery<'_>,
-        found: &mut Found,
-        rng: &mut impl Rng,
-    ) -> Result<Candidate, RouteRefusal> {
-        let local_cold = found.cold.iter().filter(|c| !c.remote);
-        if let Some(cold) = local_cold.min_by_key(|c| c.load)
-            && (found.warm.is_empty() || rng.random::<f32>() < self.settings.warmup_share)
-        {
-            return Ok(*cold);
-        }
-        // A group set aside is better than none.
-        for usable in [&found.warm, &found.ejected, &found.cold] {
-            if !usable.is_empty() {
-                let position = self.policy.pick(usable, rng);
-                return Ok(usable[position.min(usable.len() - 1)]);
-            }
-        }
-        let model = query.model.clone();
-        Err(if found.saturated {
-            RouteRefusal::Saturated(model)
-        } else if found.creditless {
-            RouteRefusal::NoColdCredit(model)
-        } else {
-            RouteRefusal::Unavailable(model)
-        })
-    }
-
     fn describe(
         &self,
         candidate: &Candidate,
@@ -523,7 +429,7 @@
             Some(hosts) => RoutePath::Through(hosts[rng.random_range(0..hosts.len())].clone()),
             None => RoutePath::Direct,
         };
-        let temperature = if Self::is_cold(serving, credits) {
+        let temperature = if is_cold(serving, credits) {
             Temperature::Cold
         } else {
             Temperature::Warm
@@ -541,3 +447,43 @@
         }
     }
 }
+
+fn is_cold(serving: &ServingGroup, credits: &impl ColdCredits) -> bool {
+    serving.temperature == Temperature::Cold
+        || credits.marked_cold(&serving.group, serving.generation)
+}
+
+/// What is the same for all groups of one decision.
+#[derive(Clone, Copy, Debug)]
+struct Pass {
+    now: Timestamp,
+    blocks: u32,
+    mean_pending: f32,
+    has_marks: bool,
+}
+
+impl Pass {
+    #[inline]
+    fn candidate(
+        &self,
+        position: u16,
+        slot: &GroupSlot,
+        cached_blocks: u32,
+        remote: bool,
+    ) -> Candidate {
+        let load = slot.load();
+        let own = slot.own_in_flight();
+        let others_pending = load.saturating_sub(own) as f32 * self.mean_pending;
+        Candidate {
+            slot: position,
+            load,
+            own,
+            pending_blocks: slot.pending_blocks() as f32 + others_pending,
+            capacity: slot.capacity,
+            cached_blocks: cached_blocks as f32 * slot.trust,
+            blocks: self.blocks,
+            slowdown: slot.slowdown,
+            remote,
+        }
+    }
+}
--- a/crates/geranium_core/src/route/slot.rs
+++ b/crates/geranium_core/src/route/slot.rs
@@ -4,7 +4,7 @@
 
 use super::RouterSettings;
 use super::own_load::OwnLoad;
-use crate::group::ServingGroup;
+use crate::group::{ServingGroup, Temperature};
 use crate::time::Timestamp;
 
 /// First-token samples before a group is compared with its peers.
@@ -25,8 +25,14 @@
 /// What the router knows about one group.
 #[derive(Clone, Debug)]
 pub(super) struct GroupSlot {
-    /// The group as last given.
-    pub(super) serving: ServingGroup,
+    /// The group as last given; apart, so that a decision reads little memory.
+    pub(super) serving: Box<ServingGroup>,
+    /// Requests that the group bears at a time while warm.
+    pub(super) capacity: u32,
+    /// Whether the group reports itself cold.
+    pub(super) cold: bool,
+    /// Whether this host or an entry host of its failure domain reaches it.
+    pub(super) reachable: bool,
     /// Whether the group was in the last update.
     pub(super) active: bool,
     /// Whether a drain covers the group.
@@ -37,7 +43,8 @@
     pub(super) trust: f32,
     /// First-token time relative to its peers; 1 is usual.
     pub(super) slowdown: f32,
-    own: OwnLoad,
+    own: Box<OwnLoad>,
+    own_in_flight: u32,
     pending_blocks: u32,
     reported: u32,
     reported_at: Timestamp,
@@ -54,13 +61,17 @@
     /// Makes a slot for a group seen for the first time.
     pub(super) fn new(now: Timestamp, serving: &ServingGroup) -> Self {
         Self {
-            serving: serving.clone(),
+            serving: Box::new(serving.clone()),
+            capacity: serving.warm_concurrency,
+            cold: serving.temperature == Temperature::Cold,
+            reachable: true,
             active: true,
             drained: false,
             ejected_until: Timestamp::default(),
             trust: 1.0,
             slowdown: 1.0,
-            own: OwnLoad::default(),
+            own: Box::default(),
+            own_in_flight: 0,
             pending_blocks: 0,
             reported: serving.running + serving.waiting,
             reported_at: now,
@@ -94,7 +105,9 @@
         if new_generation {
             self.forget_generation();
         }
-        self.serving.clone_from(serving);
+        self.serving.as_mut().clone_from(serving);
+        self.capacity = serving.warm_concurrency;
+        self.cold = serving.temperature == Temperature::Cold;
         self.active = true;
         new_generation
     }
@@ -111,14 +124,14 @@
 
     /// Returns the requests of this entry host in flight.
     pub(super) fn own_in_flight(&self) -> u32 {
-        self.own.in_flight()
+        self.own_in_flight
     }
 
     /// Returns the estimated requests in the group.
     pub(super) fn load(&self) -> u32 {
         let estimate = i64::from(self.reported) + i64::from(self.since_report);
         let estimate = u32::try_from(estimate.max(0)).unwrap_or(u32::MAX);
-        estimate.max(self.own.in_flight())
+        estimate.max(self.own_in_flight)
     }
 
     /// Returns the blocks that requests of this entry host still wait for.
@@ -128,7 +141,8 @@
 
     /// Notes that a request started, which adds so many blocks of work.
     pub(super) fn start(&mut self, now: Timestamp, blocks: u32) {
-        self.own.start(now);
+        self.own_in_flight += 1;
+        self.own.change(now, 1);
         self.since_report += 1;
         self.pending_blocks += blocks;
     }
@@ -140,8 +154,9 @@
 
     /// Notes that a request ended.
     pub(super) fn end(&mut self, now: Timestamp) {
-        if self.own.in_flight() > 0 {
-            self.own.end(now);
+        if self.own_in_flight > 0 {
+            self.own_in_flight -= 1;
+            self.own.change(now, -1);
             self.since_report -= 1;
         }
     }
--- a/crates/geranium_core/tests/route.rs
+++ b/crates/geranium_core/tests/route.rs
@@ -7,8 +7,8 @@
 use geranium_core::prelude::*;
 use geranium_core::record::{AccountShare, DrainTarget, ModelSpec};
 use geranium_core::route::{
-    BlockHash, CacheChange, CacheEvent, ColdCredits, EntryHost, NoColdCredits, RouteChoice,
-    RoutePath, RouteQuery, RouteRefusal, Router, RouterSettings,
+    BlockHash, CacheChange, CacheEvent, ColdCredits, Dispatch, EntryHost, NoColdCredits,
+    RouteChoice, RoutePath, RouteQuery, RouteRefusal, Router, RouterSettings,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -90,6 +90,22 @@
     router.choose(now, &query, credits, &mut rng())
 }
 
+/// Sends a request to a group without asking the router.
+fn start(router: &mut Router, now: Timestamp, group: &ServingGroup) -> Dispatch {
+    let choice = RouteChoice {
+        group: group.group.clone(),
+        generation: group.generation,
+        fencing: group.fencing,
+        address: group.address,
+        failure_domain: group.failure_domain.clone(),
+        temperature: group.temperature,
+        path: RoutePath::Direct,
+        cached_blocks: 0,
+        blocks: 4,
+    };
+    router.started(now, &choice, &[])
+}
+
 fn blocks(range: std::ops::Range<u64>) -> Vec<BlockHash> {
     range.map(BlockHash).collect()
 }
@@ -110,6 +126,10 @@
         self.0
     }
 
+    fn has_marks(&self) -> bool {
+        false
+    }
+
     fn marked_cold(&self, _group: &GroupId, _generation: u64) -> bool {
         false
     }
@@ -216,11 +236,12 @@
 fn load_adds_own_requests_since_the_report_and_forgets_older_ones() {
     let mut router = router(&[group("g1", "d1")]);
     let name = GroupId::new("g1");
-    router.started(START, &name, &[]);
-    router.started(START, &name, &[]);
+    let group_1 = group("g1", "d1");
+    let _first = start(&mut router, START, &group_1);
+    let _second = start(&mut router, START, &group_1);
     let before_report = router.load(&name);
     let later = START + Duration::from_secs(1);
-    router.started(later, &name, &[]);
+    let _third = start(&mut router, later, &group_1);
     let reported = ServingGroup {
         running: 5,
         ..group("g1", "d1")
@@ -265,8 +286,8 @@
     let mut router = router(&[group("g1", "d1"), group("g2", "d1")]);
     let failing = GroupId::new("g1");
     for _ in 0..3 {
-        router.started(START, &failing, &[]);
-        router.failed(START, &failing);
+        let dispatch = start(&mut router, START, &group("g1", "d1"));
+        router.failed(START, dispatch);
     }
     router.cache_event(&stored("g1", 1, &blocks(0..30)));
 
@@ -283,8 +304,10 @@
     let mut router = router(&[group("g1", "d1"), group("g2", "d1"), group("g3", "d1")]);
     for (name, millis) in [("g1", 2_000), ("g2", 100), ("g3", 100)] {
         for _ in 0..6 {
+            let mut dispatch = start(&mut router, START, &group(name, "d1"));
             let waited = Duration::from_millis(millis);
-            router.first_token(START, &GroupId::new(name), waited, 4);
+            router.first_token(START, &mut dispatch, waited);
+            router.finished(START, dispatch);
         }
     }
     router.cache_event(&stored("g1", 1, &blocks(0..10)));
