--- a/crates/geranium_core/src/member/membership.rs
+++ b/crates/geranium_core/src/member/membership.rs
@@ -88,6 +88,12 @@
         self.peers.values().map(|p| (&p.info, p.state, p.config))
     }
 
+    /// Returns when a peer of the own failure domain was last heard.
+    #[must_use]
+    pub fn heard_at(&self, host: &HostId) -> Option<Timestamp> {
+        self.peers.get(host).map(|peer| peer.heard_at)
+    }
+
     /// Returns the hosts of the own failure domain that may have duties, ordered
     /// by name; this one included unless it leaves.
     #[must_use]
--- a/crates/geranium_daemon/src/apply.rs
+++ b/crates/geranium_daemon/src/apply.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use geranium_core::event::{EventDraft, EventKind, EventSubject};
+use geranium_core::id::StoreRevision;
 use geranium_core::record::{
     ApplyError, ApplyOutcome as Settled, ApplyPlan, ApplyRequest as ChangeRequest, CurrentRecord,
     Document, Expectation, Generation, KnownPlaces, RecordChange, RecordKey, Severity,
@@ -85,7 +86,7 @@
     };
     match write(node, &plan).await {
         Ok(CasOutcome::Applied(revision)) => {
-            note_written(node, &plan.record, revision.0);
+            note_written(node, &plan.record, revision).await;
             Ok(Some(accepted()))
         }
         Ok(CasOutcome::Conflict(values)) => {
@@ -94,13 +95,13 @@
         }
         Err(StoreError::Ambiguous(..) | StoreError::Malformed(..)) => {
             match settle(node, &plan).await? {
-                Settled::Applied => {
-                    note_written(node, &plan.record, 0);
+                (Settled::Applied, revision) => {
+                    note_written(node, &plan.record, revision).await;
                     Ok(Some(accepted()))
                 }
-                Settled::Lost(winner) => Ok(Some(lost(change, &winner, None))),
-                Settled::NotYet | Settled::PlanAgain => Ok(None),
-                Settled::Unknown(_) => Err(unknown_outcome(&change.key)),
+                (Settled::Lost(winner), _) => Ok(Some(lost(change, &winner, None))),
+                (Settled::NotYet | Settled::PlanAgain, _) => Ok(None),
+                (Settled::Unknown(_), _) => Err(unknown_outcome(&change.key)),
             }
         }
         Err(e) => Err(unavailable(&e)),
@@ -117,24 +118,20 @@
     node.store.transact(vec![swap]).await
 }
 
-/// Reads back until the store tells what became of a write.
-async fn settle(node: &Node, plan: &ApplyPlan) -> Result<Settled, ApiError> {
-    let mut settled = Settled::NotYet;
+/// Reads back until the store tells what became of a write, and at which revision.
+async fn settle(node: &Node, plan: &ApplyPlan) -> Result<(Settled, StoreRevision), ApiError> {
     for _ in 0..MAX_TRIES {
         tokio::time::sleep(SETTLE_PAUSE).await;
-        match read(node, &plan.record.key).await {
-            Ok(current) => settled = plan.settle(&current),
-            Err(_) => continue,
-        }
+        let Ok(current) = read(node, &plan.record.key).await else {
+            continue;
+        };
+        let settled = plan.settle(&current);
         if settled != Settled::NotYet {
-            return Ok(settled);
+            return Ok((settled, current.revision));
         }
     }
-    match settled {
-        // The write may still be on its way: planning anew could write twice.
-        Settled::NotYet => Err(unknown_outcome(&plan.record.key)),
-        settled => Ok(settled),
-    }
+    // The write may still be on its way: planning anew could write twice.
+    Err(unknown_outcome(&plan.record.key))
 }
 
 async fn read(node: &Node, key: &RecordKey) -> Result<CurrentRecord, ApiError> {
@@ -166,7 +163,7 @@
         .max_by_key(|record| record.rank())
 }
 
-fn note_written(node: &Node, record: &StoredRecord, revision: u64) {
+async fn note_written(node: &Node, record: &StoredRecord, revision: StoreRevision) {
     let reason = format!(
         "{} wrote {} as generation {} at revision {revision}",
         record.change.operator,
@@ -175,7 +172,7 @@
     );
     let subject = EventSubject::record(&record.key.name);
     node.record(EventDraft::new(EventKind::StoreWritten, subject, reason));
-    node.offer_record(record.clone());
+    node.offer_record(record.clone(), revision).await;
 }
 
 fn refused(change: &ChangeRequest, e: ApplyError) -> Result<Option<ApplyAnswer>, ApiError> {
--- a/crates/geranium_daemon/src/control/input.rs
+++ b/crates/geranium_daemon/src/control/input.rs
@@ -1,9 +1,11 @@
 //! What the control task is told.
 
+use std::sync::Arc;
+
 use geranium_core::engine::{EngineReport, HostEntry, Order};
 use geranium_core::group::{GroupTable, OrderOutcome, WriteOutcome};
 use geranium_core::id::{HostId, StoreRevision};
-use geranium_core::record::StoredRecord;
+use geranium_core::record::RecordSet;
 
 /// What the control task is told.
 #[derive(Debug)]
@@ -12,12 +14,14 @@
     Leadership(bool),
     /// The platform's store answers, or no longer does.
     StoreReachable(bool),
-    /// Records read from the platform's store or learnt from a peer.
-    Records(Vec<StoredRecord>),
+    /// The records in force.
+    Records(Arc<RecordSet>),
     /// The platform's list of hosts.
     Hosts(Vec<HostEntry>),
     /// The group table of this failure domain as the store has it.
     Table(Option<GroupTable>, StoreRevision),
+    /// The group table that the leader works with.
+    TableFromLeader(Box<GroupTable>),
     /// The outcome of a write of the group table.
     TableWritten(WriteOutcome),
     /// An engine reported.
--- a/crates/geranium_daemon/src/control/leader.rs
+++ b/crates/geranium_daemon/src/control/leader.rs
@@ -10,6 +10,7 @@
 use geranium_core::id::{FailureDomainId, StoreRevision};
 use geranium_core::time::Timestamp;
 use geranium_platform::{CasOutcome, KvStore, LeaseId, StoreError, Swap};
+use geranium_telemetry::ProcessIdentity;
 use tokio_util::sync::CancellationToken;
 
 use super::ControlInput;
@@ -72,7 +73,8 @@
         let store = &self.node.store;
         let identity = self.node.recorder.identity();
         let key = leader_key(&identity.failure_domain);
-        if store.get(&key).await?.is_some() {
+        if let Some(held) = store.get(&key).await? {
+            self.note_leader(&held.value);
             return Ok(None);
         }
         let asked_at = self.node.clock.now();
@@ -100,6 +102,7 @@
 
     /// Renews the lease until it is lost or the process shuts down.
     async fn lead(&self, lease: LeaseId, granted_at: Timestamp) {
+        self.node.set_leader(Some(self.node.settings.host.clone()));
         self.tell(ControlInput::Leadership(true)).await;
         self.extend_authority(granted_at);
         loop {
@@ -124,6 +127,7 @@
             }
         }
         self.node.traffic.resign_cold_authority();
+        self.node.set_leader(None);
         self.tell(ControlInput::Leadership(false)).await;
     }
 
@@ -134,6 +138,13 @@
             .extend_cold_authority(self.node.clock.now(), until);
     }
 
+    fn note_leader(&self, value: &[u8]) {
+        match serde_json::from_slice::<ProcessIdentity>(value) {
+            Ok(leader) => self.node.set_leader(Some(leader.host)),
+            Err(e) => log::warn!("the leader's key is malformed: {e}"),
+        }
+    }
+
     async fn tell(&self, input: ControlInput) {
         let _ = self.node.control.send(input).await;
     }
--- a/crates/geranium_daemon/src/control/mirror.rs
+++ b/crates/geranium_daemon/src/control/mirror.rs
@@ -7,7 +7,6 @@
 use geranium_core::engine::HostEntry;
 use geranium_core::group::GroupTable;
 use geranium_core::id::StoreRevision;
-use geranium_core::record::StoredRecord;
 use geranium_platform::{KvStore, StoreError, StoredValue, WatchBatch, WatchChange};
 use rand::Rng;
 use tokio::sync::mpsc;
@@ -23,8 +22,6 @@
 /// What a mirror follows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum MirrorTarget {
-    /// Operator records below this prefix.
-    Records(String),
     /// The platform's list of hosts below this prefix.
     Hosts(String),
     /// The group table under this key.
@@ -34,7 +31,7 @@
 impl MirrorTarget {
     fn prefix(&self) -> &str {
         match self {
-            Self::Records(prefix) | Self::Hosts(prefix) | Self::Table(prefix) => prefix,
+            Self::Hosts(prefix) | Self::Table(prefix) => prefix,
         }
     }
 }
@@ -88,11 +85,9 @@
     }
 
     async fn take_in(&mut self, batch: WatchBatch) {
-        let mut changed = Vec::new();
         for change in batch.changes {
             match change {
                 WatchChange::Put(value) => {
-                    changed.push(value.clone());
                     self.values.insert(value.key.clone(), value);
                 }
                 WatchChange::Deleted { key, .. } => {
@@ -100,37 +95,19 @@
                 }
             }
         }
-        match self.target {
-            // A record that vanished from the store stays in force: only a
-            // deletion with a higher generation takes it away.
-            MirrorTarget::Records(_) => self.report_records(&changed).await,
-            MirrorTarget::Hosts(_) | MirrorTarget::Table(_) => self.report_all().await,
-        }
+        self.report_all().await;
     }
 
     async fn report_all(&self) {
-        let values: Vec<StoredValue> = self.values.values().cloned().collect();
         match &self.target {
-            MirrorTarget::Records(_) => self.report_records(&values).await,
-            MirrorTarget::Hosts(_) => self.report_hosts(&values).await,
+            MirrorTarget::Hosts(_) => self.report_hosts().await,
             MirrorTarget::Table(key) => self.report_table(key).await,
         }
     }
 
-    async fn report_records(&self, values: &[StoredValue]) {
-        let mut records = Vec::with_capacity(values.len());
-        for value in values {
-            match StoredRecord::from_store(&value.key, &value.value) {
-                Ok(record) => records.push(record),
-                Err(e) => log::warn!("{e}"),
-            }
-        }
-        self.send(ControlInput::Records(records)).await;
-    }
-
-    async fn report_hosts(&self, values: &[StoredValue]) {
-        let mut hosts: Vec<HostEntry> = Vec::with_capacity(values.len());
-        for value in values {
+    async fn report_hosts(&self) {
+        let mut hosts: Vec<HostEntry> = Vec::with_capacity(self.values.len());
+        for value in self.values.values() {
             match serde_json::from_slice(&value.value) {
                 Ok(host) => hosts.push(host),
                 Err(e) => log::warn!("value of {:?} is not a host: {e}", value.key),
--- a/crates/geranium_daemon/src/control/mod.rs
+++ b/crates/geranium_daemon/src/control/mod.rs
@@ -17,7 +17,7 @@
 pub use mirror::{MirrorTarget, StoreMirror};
 pub use published::{ControlView, Published};
 pub use table_store::table_key;
-pub use task::{ControlTask, ControlTaskConfig};
+pub use task::ControlTask;
 
 /// Prefix of the platform's list of hosts.
 pub const HOST_PREFIX: &str = "/platform/hosts/";
--- a/crates/geranium_daemon/src/control/task.rs
+++ b/crates/geranium_daemon/src/control/task.rs
@@ -11,86 +11,62 @@
     ServingGroup,
 };
 use geranium_core::id::{GroupId, StoreRevision};
-use geranium_core::record::{DrainTarget, MergeOutcome, ModelSpec, RecordSet, StoredRecord};
-use geranium_core::time::Timestamp;
-use geranium_engine::EngineApi;
-use geranium_platform::KvStore;
-use geranium_telemetry::{EventRecorder, ProcessIdentity};
+use geranium_core::record::{DrainTarget, ModelSpec, RecordSet};
+use geranium_engine::HttpEngineClient;
+use geranium_peer::PeerCommand;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
 use super::orders::OrderSender;
 use super::reports::ReportPoller;
 use super::table_store::TableStore;
-use super::{ControlInput, ControlView, Published};
-use crate::clock::ProcessClock;
+use super::{ControlInput, ControlView};
+use crate::node::{Node, Store};
+use crate::peers::PeerInput;
 
 /// Time between two ticks of the decisions.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Settings of the control task.
-pub struct ControlTaskConfig {
-    /// The process.
-    pub identity: ProcessIdentity,
-    /// Time limits of group control.
-    pub group: GroupConfig,
-    /// Time between two reports of an engine.
-    pub report_interval: Duration,
-}
-
 /// Owns the aggregates of group control and carries out their effects.
-pub struct ControlTask<S, E, F> {
-    clock: ProcessClock,
-    recorder: Arc<EventRecorder>,
-    published: Arc<Published>,
-    on_change: F,
+pub struct ControlTask {
+    node: Arc<Node>,
     controller: GroupController,
     gate: GroupGate,
     reports: Arc<ReportBook>,
     records: Arc<RecordSet>,
     hosts: Arc<Vec<HostEntry>>,
     serving: Arc<Vec<ServingGroup>>,
-    table_store: TableStore<S>,
-    orders: OrderSender<E>,
-    poller: ReportPoller<E>,
+    table_store: TableStore<Store>,
+    orders: OrderSender<HttpEngineClient>,
+    poller: ReportPoller<HttpEngineClient>,
     rx: mpsc::Receiver<ControlInput>,
     store_reachable: bool,
 }
 
-impl<S, E, F> ControlTask<S, E, F>
-where
-    S: KvStore,
-    E: EngineApi,
-    F: Fn(Timestamp, &ControlView) + Send,
-{
-    /// Makes the task; `on_change` is told of each new view.
-    pub fn new(
-        cfg: ControlTaskConfig,
-        (clock, recorder, published): (ProcessClock, Arc<EventRecorder>, Arc<Published>),
-        (store, engines): (S, E),
-        (tx, rx): (mpsc::Sender<ControlInput>, mpsc::Receiver<ControlInput>),
-        on_change: F,
-    ) -> Self {
-        let domain = cfg.identity.failure_domain;
-        let incarnation = cfg.identity.incarnation;
-        let controller = GroupController::new(cfg.group.clone(), domain.clone(), incarnation);
-        let table_store = TableStore::new(store, &domain, tx.clone());
-        let orders = OrderSender::new(engines.clone(), tx.clone());
-        let poller = ReportPoller::new(engines, domain.clone(), cfg.report_interval, tx);
+impl ControlTask {
+    /// Makes the task of a process.
+    #[must_use]
+    pub fn new(node: Arc<Node>, rx: mpsc::Receiver<ControlInput>) -> Self {
+        let cfg = GroupConfig {
+            max_loading_groups: node.settings.max_loads,
+            ..GroupConfig::default()
+        };
+        let domain = node.settings.failure_domain.clone();
+        let incarnation = node.recorder.identity().incarnation;
+        let tx = node.control.clone();
+        let engines = node.engines.clone();
+        let interval = node.settings.report_interval;
         Self {
-            clock,
-            recorder,
-            published,
-            on_change,
-            controller,
-            gate: GroupGate::new(cfg.group, domain),
+            controller: GroupController::new(cfg.clone(), domain.clone(), incarnation),
+            gate: GroupGate::new(cfg, domain.clone()),
             reports: Arc::default(),
             records: Arc::default(),
             hosts: Arc::default(),
             serving: Arc::default(),
-            table_store,
-            orders,
-            poller,
+            table_store: TableStore::new(node.store.clone(), &domain, tx.clone()),
+            orders: OrderSender::new(engines.clone(), tx.clone()),
+            poller: ReportPoller::new(engines, domain, interval, tx),
+            node,
             rx,
             store_reachable: false,
         }
@@ -119,7 +95,8 @@
             ControlInput::Leadership(true) => self.decide(GroupInput::LeadershipGained),
             ControlInput::Leadership(false) => self.decide(GroupInput::LeadershipLost),
             ControlInput::StoreReachable(reachable) => self.store_reachable(reachable),
-            ControlInput::Records(records) => self.merge_records(records),
+            ControlInput::Records(records) => self.replace_records(records),
+            ControlInput::TableFromLeader(table) => self.set_gate_table(&table),
             ControlInput::Hosts(hosts) => self.replace_hosts(hosts),
             ControlInput::Table(table, revision) => self.table_read(table, revision),
             ControlInput::TableWritten(outcome) => self.decide(GroupInput::TableWritten(outcome)),
@@ -158,30 +135,9 @@
         self.decide(input);
     }
 
-    fn merge_records(&mut self, records: Vec<StoredRecord>) {
-        let mut changed = false;
-        for record in records {
-            let (key, generation) = (record.key.clone(), record.generation());
-            let cause = format!("{key} by {}", record.change.operator);
-            match Arc::make_mut(&mut self.records).merge(record) {
-                MergeOutcome::Adopted => {
-                    changed = true;
-                    let reason = format!("record {key} is in force as generation {generation}");
-                    let subject = EventSubject::record(&key.name);
-                    let draft = EventDraft::new(EventKind::RecordInForce, subject, reason);
-                    self.emit(draft.caused_by(cause));
-                }
-                MergeOutcome::Stale => {
-                    let reason = format!("generation {generation} of {key} is older than in force");
-                    let subject = EventSubject::record(&key.name);
-                    self.emit(EventDraft::new(EventKind::RecordStale, subject, reason));
-                }
-                MergeOutcome::Same => {}
-            }
-        }
-        if changed {
-            self.records_changed();
-        }
+    fn replace_records(&mut self, records: Arc<RecordSet>) {
+        self.records = records;
+        self.records_changed();
     }
 
     fn records_changed(&mut self) {
@@ -217,14 +173,14 @@
     }
 
     fn observe(&mut self, report: &EngineReport) {
-        let now = self.clock.now();
+        let now = self.node.clock.now();
         Arc::make_mut(&mut self.reports).observe(now, report);
         self.gate.observe(now, report);
         self.decide(GroupInput::Report(report));
     }
 
     fn decide(&mut self, input: GroupInput<'_>) {
-        let now = self.clock.now();
+        let now = self.node.clock.now();
         let mut effects = Vec::new();
         self.controller.handle(now, input, &mut effects);
         for effect in effects {
@@ -233,23 +189,34 @@
                 GroupEffect::WriteTable { table, expected } => {
                     self.table_store.write(&table, expected);
                 }
-                GroupEffect::PublishTable(table) => self.set_gate_table(&table),
+                GroupEffect::PublishTable(table) => self.publish_table(table),
                 GroupEffect::SendOrder(order) => self.orders.send(order),
                 GroupEffect::Emit(draft) => self.emit(draft),
             }
         }
     }
 
+    fn publish_table(&mut self, table: GroupTable) {
+        self.set_gate_table(&table);
+        self.node.tell_domain(&PeerCommand::Table(Box::new(table)));
+    }
+
     fn publish(&mut self) {
-        let now = self.clock.now();
+        let now = self.node.clock.now();
         let mut events = Vec::new();
         self.serving = Arc::new(self.gate.evaluate(now, &mut events));
         for draft in events {
             self.emit(draft);
         }
         let view = self.view();
-        (self.on_change)(now, &view);
-        self.published.set(view);
+        let peers = self.node.peers.view();
+        self.node.traffic.update(now, &view, &peers);
+        self.node.published.set(view);
+        // A full queue only means that a later tick brings the groups.
+        let _ = self
+            .node
+            .peer_tx
+            .try_send(PeerInput::Groups(self.serving.clone()));
     }
 
     fn view(&self) -> ControlView {
@@ -270,6 +237,6 @@
     }
 
     fn emit(&self, draft: EventDraft) {
-        self.recorder.record(self.clock.now(), draft);
+        self.node.record(draft);
     }
 }
--- a/crates/geranium_daemon/src/lib.rs
+++ b/crates/geranium_daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! | [`settings`] | checked settings |
 //! | [`startup`] | puts the parts together |
 //! | [`control`] | group control, leadership, mirrors of the platform's store |
+//! | [`peers`] | membership, spread of records, commands between entry hosts |
 //! | [`traffic`] | routing and limits |
 //! | [`relay`] | completions from replica groups to callers |
 //! | [`claim`] | calls that must not repeat |
@@ -19,6 +20,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operator;
+pub mod peers;
 pub mod prelude;
 pub mod relay;
 pub mod settings;
--- a/crates/geranium_daemon/src/main.rs
+++ b/crates/geranium_daemon/src/main.rs
@@ -32,6 +32,7 @@
     runtime.block_on(async {
         let mut daemon = Daemon::prepare(settings)?;
         daemon.install_logger()?;
+        daemon.add_peers()?;
         daemon.add_group_control();
         daemon.add_store_mirrors();
         daemon.add_leadership();
--- a/crates/geranium_daemon/src/node.rs
+++ b/crates/geranium_daemon/src/node.rs
@@ -4,24 +4,30 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
+use futures::future::join_all;
+use geranium_core::collections::HashMap;
 use geranium_core::event::EventDraft;
 use geranium_core::group::GroupState;
-use geranium_core::id::{FencingNumber, GroupId, HostId};
+use geranium_core::id::{FencingNumber, GroupId, HostId, Incarnation, StoreRevision};
 use geranium_core::limit::CrashDigest;
+use geranium_core::member::MemberInfo;
 use geranium_core::once::{ClaimHolder, HolderStatus};
 use geranium_core::record::{RecordKey, StoredRecord, WriterId};
 use geranium_core::time::Timestamp;
 use geranium_engine::{HttpEngineClient, ServiceClient};
 use geranium_net::HttpClient;
 use geranium_operator::{HostView, InForceView};
+use geranium_peer::{PeerClient, PeerCommand, PeerReply};
 use geranium_platform::EtcdClient;
 use geranium_telemetry::EventRecorder;
+use parking_lot::{Mutex, RwLock};
 use tokio::sync::mpsc;
 
 use crate::claim::{ClaimService, HolderDirectory};
 use crate::clock::ProcessClock;
 use crate::control::{ControlInput, Published};
 use crate::metrics::{Metrics, ReasonLabel};
+use crate::peers::{PeerInput, PublishedPeers};
 use crate::settings::DaemonSettings;
 use crate::traffic::Traffic;
 
@@ -57,6 +63,14 @@
     pub claims: Arc<Claims>,
     /// Input of the control task.
     pub control: mpsc::Sender<ControlInput>,
+    /// Other entry hosts and what they serve.
+    pub peers: Arc<PublishedPeers>,
+    /// Calls to other entry hosts.
+    pub peer_client: PeerClient,
+    /// Input of the peer task.
+    pub peer_tx: mpsc::Sender<PeerInput>,
+    pub(crate) leader: RwLock<Option<HostId>>,
+    pub(crate) operator_addresses: Mutex<HashMap<(HostId, Incarnation), SocketAddr>>,
     pub(crate) stopping: AtomicBool,
     pub(crate) next_write: AtomicU64,
 }
@@ -79,20 +93,24 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of entry hosts that share this failure domain's groups.
-    #[must_use]
-    pub fn entry_hosts(&self) -> u32 {
-        1
-    }
-
     /// Returns the caller listener of another entry host.
     #[must_use]
-    pub fn caller_address(&self, _host: &HostId) -> Option<SocketAddr> {
-        None
+    pub fn caller_address(&self, host: &HostId) -> Option<SocketAddr> {
+        let peers = self.peers.view();
+        peers.hosts.get(host).map(|known| known.info.caller_address)
     }
 
-    /// Tells peers which requests were in flight when a group crashed.
-    pub fn tell_peers_of_crash(&self, _digest: &CrashDigest) {}
+    /// Tells every reachable peer what is known of crashing requests, and waits a
+    /// short time until they have heard it.
+    pub async fn tell_peers_of_crash(&self, digest: &CrashDigest) {
+        let peers = self.peers.view();
+        let alive = peers.hosts.values().filter(|known| known.state == "alive");
+        let told = alive.map(|known| {
+            let command = PeerCommand::Crashes(digest.clone());
+            self.peer_client.command(known.info.peer_address, command)
+        });
+        join_all(told).await;
+    }
 
     /// Returns whether a group lost a member since a request was sent to it.
     ///
@@ -134,29 +152,49 @@
         }
     }
 
-    /// Offers an accepted record to the control task, ahead of the store's watch.
-    pub fn offer_record(&self, record: StoredRecord) {
-        // A full queue only means that the watch brings the record instead.
-        let _ = self.control.try_send(ControlInput::Records(vec![record]));
+    /// Hands an accepted record to the peer task, ahead of the store's watch.
+    pub async fn offer_record(&self, record: StoredRecord, revision: StoreRevision) {
+        let _ = self
+            .peer_tx
+            .send(PeerInput::Accepted(Box::new(record), revision))
+            .await;
     }
 
     /// Tells on which entry hosts a generation of a record is in force.
     pub async fn in_force(&self, key: &RecordKey, generation: u64) -> Vec<InForceView> {
+        let now = self.clock.now();
         let identity = self.recorder.identity();
-        let view = self.published.view();
-        vec![InForceView {
+        let own = self.published.view().records.generation(key).0;
+        let mut views = vec![InForceView {
             host: identity.host.clone(),
             failure_domain: identity.failure_domain.clone(),
-            in_force: view.records.generation(key).0 >= generation,
+            in_force: own >= generation,
             heard_ms_ago: 0,
-        }]
+        }];
+        let peers = self.peers.view();
+        let asked = peers.hosts.values().map(|known| async move {
+            let keys = vec![key.clone()];
+            let answer = self
+                .peer_client
+                .in_force(known.info.peer_address, keys)
+                .await;
+            let rank = answer.ok().and_then(|index| index.0.get(key).copied());
+            InForceView {
+                host: known.info.host.clone(),
+                failure_domain: known.info.failure_domain.clone(),
+                in_force: rank.is_some_and(|rank| rank.generation.0 >= generation),
+                heard_ms_ago: millis_between(known.heard_at, now),
+            }
+        });
+        views.extend(join_all(asked).await);
+        views
     }
 
     /// Lists the known entry hosts.
-    #[must_use]
-    pub fn host_views(&self, _now: Timestamp) -> Vec<HostView> {
+    pub async fn host_views(&self) -> Vec<HostView> {
+        let now = self.clock.now();
         let identity = self.recorder.identity();
-        vec![HostView {
+        let mut views = vec![HostView {
             host: identity.host.clone(),
             failure_domain: identity.failure_domain.clone(),
             operator_address: Some(self.settings.operator_address),
@@ -168,7 +206,73 @@
             .to_owned(),
             heard_ms_ago: 0,
             same_records: true,
-        }]
+        }];
+        let peers = self.peers.view();
+        let asked = peers.hosts.values().map(|known| async {
+            HostView {
+                host: known.info.host.clone(),
+                failure_domain: known.info.failure_domain.clone(),
+                operator_address: self.operator_address(&known.info).await,
+                state: known.state.to_owned(),
+                heard_ms_ago: millis_between(known.heard_at, now),
+                same_records: known.digest == peers.digest,
+            }
+        });
+        views.extend(join_all(asked).await);
+        views
+    }
+
+    /// Returns the operator interface of another entry host, asking it once.
+    async fn operator_address(&self, info: &MemberInfo) -> Option<SocketAddr> {
+        let key = (info.host.clone(), info.incarnation);
+        if let Some(known) = self.operator_addresses.lock().get(&key) {
+            return Some(*known);
+        }
+        let asked = self
+            .peer_client
+            .command(info.peer_address, PeerCommand::OperatorAddress);
+        match asked.await {
+            Ok(PeerReply::OperatorAddress(address)) => {
+                self.operator_addresses.lock().insert(key, address);
+                Some(address)
+            }
+            _ => None,
+        }
+    }
+
+    /// Notes which host leads the failure domain.
+    pub fn set_leader(&self, leader: Option<HostId>) {
+        *self.leader.write() = leader;
+    }
+
+    /// Returns the peer address of the leader, unless this process leads.
+    #[must_use]
+    pub fn leader_address(&self) -> Option<SocketAddr> {
+        let leader = self.leader.read().clone()?;
+        let peers = self.peers.view();
+        peers
+            .hosts
+            .get(&leader)
+            .map(|known| known.info.peer_address)
+    }
+
+    /// Sends a command to every live peer of the failure domain, without waiting.
+    pub fn tell_domain(&self, command: &PeerCommand) {
+        let peers = self.peers.view();
+        let own = &self.settings.failure_domain;
+        for known in peers
+            .hosts
+            .values()
+            .filter(|known| known.info.failure_domain == *own)
+        {
+            let (client, command) = (self.peer_client.clone(), command.clone());
+            let to = known.info.peer_address;
+            tokio::spawn(async move {
+                if let Err(e) = client.command(to, command).await {
+                    log::debug!("{e}");
+                }
+            });
+        }
     }
 
     /// Returns the calls to the platform's service and the failed ones.
@@ -214,16 +318,29 @@
     }
 }
 
+/// Returns the milliseconds between two times.
+#[must_use]
+pub fn millis_between(earlier: Timestamp, now: Timestamp) -> u64 {
+    u64::try_from(now.since(earlier).as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Looks up holders of claims in the membership.
 pub struct Holders {
     /// Recorder, for the identity of this process.
     pub recorder: Arc<EventRecorder>,
+    /// Other entry hosts.
+    pub peers: Arc<PublishedPeers>,
 }
 
 impl HolderDirectory for Holders {
     fn status(&self, _now: Timestamp, holder: &ClaimHolder) -> HolderStatus {
         let identity = self.recorder.identity();
-        if holder.host == identity.host && holder.incarnation == identity.incarnation {
+        let is_own = holder.host == identity.host && holder.incarnation == identity.incarnation;
+        let peers = self.peers.view();
+        let is_peer = peers.hosts.get(&holder.host).is_some_and(|known| {
+            known.info.incarnation == holder.incarnation && known.state != "suspected"
+        });
+        if is_own || is_peer {
             HolderStatus::Live
         } else {
             HolderStatus::Gone
--- a/crates/geranium_daemon/src/operator/status.rs
+++ b/crates/geranium_daemon/src/operator/status.rs
@@ -14,7 +14,7 @@
 
 use super::reply::{json, typed};
 use crate::control::ControlView;
-use crate::node::Node;
+use crate::node::{Node, millis_between};
 
 /// Returns the state as this process sees it.
 pub async fn status(node: Arc<Node>, _req: Request) -> Result<Response> {
@@ -33,7 +33,7 @@
             calls: calls.0,
             failures: calls.1,
         },
-        hosts: node.host_views(now),
+        hosts: node.host_views().await,
         models,
         groups: groups(now, &view),
         accelerators: accelerators(&node, &view),
@@ -142,7 +142,7 @@
         MemberView {
             host: member.host.clone(),
             phase: seen.map(|seen| seen.report.phase),
-            heard_ms_ago: seen.map(|seen| millis(now, seen.heard_at)),
+            heard_ms_ago: seen.map(|seen| millis_between(seen.heard_at, now)),
         }
     });
     GroupView {
@@ -156,11 +156,6 @@
     }
 }
 
-/// Returns the milliseconds between two times.
-pub fn millis(now: Timestamp, earlier: Timestamp) -> u64 {
-    u64::try_from(now.since(earlier).as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Counts the accelerators of the failure domain by what they do.
 pub fn accelerators(node: &Node, view: &ControlView) -> AcceleratorView {
     let mut total = 0;
--- /dev/null
+++ b/crates/geranium_daemon/src/peers/handler.rs
@@ -0,0 +1,96 @@
+//! Calls of other entry hosts.
+
+use std::sync::Arc;
+
+use geranium_core::limit::TrialRequest;
+use geranium_core::member::{Heartbeat, MemberInfo};
+use geranium_core::record::spread::PullAnswer;
+use geranium_core::record::{RecordIndex, RecordKey, StoredRecord};
+use geranium_peer::{PeerCommand, PeerHandler, PeerReply};
+use tokio::sync::{mpsc, oneshot};
+
+use super::PeerInput;
+use crate::control::ControlInput;
+use crate::node::Node;
+
+/// Hands calls of other entry hosts to the tasks of this process.
+pub struct NodePeerHandler {
+    node: Arc<Node>,
+    tx: mpsc::Sender<PeerInput>,
+    own: Heartbeat,
+}
+
+impl NodePeerHandler {
+    /// Makes a handler; `own` answers while the peer task is gone.
+    pub const fn new(node: Arc<Node>, tx: mpsc::Sender<PeerInput>, own: Heartbeat) -> Self {
+        Self { node, tx, own }
+    }
+
+    async fn ask<T>(&self, question: impl FnOnce(oneshot::Sender<T>) -> PeerInput) -> Option<T> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(question(tx)).await.ok()?;
+        rx.await.ok()
+    }
+
+    fn trial(&self, req: &TrialRequest) -> PeerReply {
+        match self.node.traffic.grant_trial(self.node.clock.now(), req) {
+            Ok(grant) => PeerReply::Trial(grant),
+            Err(e) => PeerReply::Refused(e.to_string()),
+        }
+    }
+}
+
+impl PeerHandler for NodePeerHandler {
+    async fn heartbeat(&self, heartbeat: Heartbeat) -> Heartbeat {
+        let answer = self
+            .ask(|tx| PeerInput::Heartbeat(Box::new(heartbeat), tx))
+            .await;
+        answer.unwrap_or_else(|| self.own.clone())
+    }
+
+    async fn pull_records(&self, _caller: MemberInfo, held: RecordIndex) -> PullAnswer {
+        self.ask(|tx| PeerInput::Pull(held, tx))
+            .await
+            .unwrap_or_default()
+    }
+
+    async fn push_records(&self, caller: MemberInfo, records: Vec<StoredRecord>) {
+        let _ = self.tx.send(PeerInput::Push(caller, records)).await;
+    }
+
+    async fn in_force(&self, keys: Vec<RecordKey>) -> RecordIndex {
+        self.ask(|tx| PeerInput::InForce(keys, tx))
+            .await
+            .unwrap_or_default()
+    }
+
+    async fn command(&self, command: PeerCommand) -> PeerReply {
+        let now = self.node.clock.now();
+        match command {
+            PeerCommand::Credits(req) => match self.node.traffic.grant_cold(now, &req) {
+                Ok(grant) => PeerReply::Credits(grant),
+                Err(e) => PeerReply::Refused(e.to_string()),
+            },
+            PeerCommand::Trial(req) => self.trial(&req),
+            PeerCommand::TrialEnded(req) => {
+                self.node.traffic.end_trial(&req);
+                PeerReply::Done
+            }
+            PeerCommand::Crashes(digest) => {
+                self.node.traffic.import_crashes(now, &digest);
+                PeerReply::Done
+            }
+            PeerCommand::Table(table) => {
+                let _ = self
+                    .node
+                    .control
+                    .send(ControlInput::TableFromLeader(table))
+                    .await;
+                PeerReply::Done
+            }
+            PeerCommand::OperatorAddress => {
+                PeerReply::OperatorAddress(self.node.settings.operator_address)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/peers/record_store.rs
@@ -0,0 +1,142 @@
+//! Reads, watches and writes back records in the platform's store.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+use geranium_core::id::StoreRevision;
+use geranium_core::record::spread::{StoreChange, StoreRead, WriteBackOutcome};
+use geranium_core::record::{RECORD_PREFIX, RecordKey, StoredRecord};
+use geranium_platform::{
+    CasOutcome, KvStore, StoreError, StoredValue, Swap, WatchBatch, WatchChange,
+};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use super::{PeerInput, WatchEvent};
+
+/// Reads, watches and writes back records; outcomes go to the peer task.
+pub struct RecordStore<S> {
+    store: S,
+    tx: mpsc::Sender<PeerInput>,
+    watch: Option<JoinHandle<()>>,
+    watches: u64,
+}
+
+impl<S: KvStore> RecordStore<S> {
+    /// Makes the access to the records.
+    pub const fn new(store: S, tx: mpsc::Sender<PeerInput>) -> Self {
+        Self {
+            store,
+            tx,
+            watch: None,
+            watches: 0,
+        }
+    }
+
+    /// Reads every record.
+    pub fn read(&self) {
+        let (store, tx) = (self.store.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let read = store.range(RECORD_PREFIX).await.map(|range| StoreRead {
+                records: range.values.iter().filter_map(parse).collect(),
+                revision: range.revision,
+            });
+            let _ = tx.send(PeerInput::StoreRead(read)).await;
+        });
+    }
+
+    /// Starts a watch in place of the present one.
+    pub fn start_watch(&mut self, after: StoreRevision) {
+        self.stop_watch();
+        self.watches += 1;
+        let number = self.watches;
+        let (store, tx) = (self.store.clone(), self.tx.clone());
+        self.watch = Some(tokio::spawn(async move {
+            let event = match watch(&store, after, number, &tx).await {
+                Ok(()) | Err(StoreError::Compacted(_)) => WatchEvent::Ended,
+                Err(e) => WatchEvent::Failed(e),
+            };
+            let _ = tx.send(PeerInput::Watch(number, event)).await;
+        }));
+    }
+
+    /// Ends the watch.
+    pub fn stop_watch(&mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.abort();
+        }
+    }
+
+    /// Returns whether a report comes from the present watch.
+    #[must_use]
+    pub const fn is_current(&self, number: u64) -> bool {
+        self.watch.is_some() && self.watches == number
+    }
+
+    /// Writes a version that the store has lost.
+    pub fn write_back(&self, record: Arc<StoredRecord>, expected: StoreRevision) {
+        let (store, tx) = (self.store.clone(), self.tx.clone());
+        let swap = Swap {
+            key: record.key.store_key(),
+            expected,
+            value: Some(record.to_store().into()),
+            lease: None,
+        };
+        tokio::spawn(async move {
+            let outcome = match store.transact(vec![swap]).await {
+                Ok(CasOutcome::Applied(revision)) => WriteBackOutcome::Applied(revision),
+                Ok(CasOutcome::Conflict(values)) => {
+                    WriteBackOutcome::Conflict(values.first().and_then(parse))
+                }
+                Err(_) => WriteBackOutcome::Failed,
+            };
+            let _ = tx.send(PeerInput::WrittenBack(record, outcome)).await;
+        });
+    }
+}
+
+impl<S> Drop for RecordStore<S> {
+    fn drop(&mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.abort();
+        }
+    }
+}
+
+async fn watch<S: KvStore>(
+    store: &S,
+    after: StoreRevision,
+    number: u64,
+    tx: &mpsc::Sender<PeerInput>,
+) -> Result<(), StoreError> {
+    let mut batches = store.watch(RECORD_PREFIX, after).await?;
+    while let Some(batch) = batches.next().await {
+        let event = WatchEvent::Changes(changes(batch?));
+        if tx.send(PeerInput::Watch(number, event)).await.is_err() {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+fn changes(batch: WatchBatch) -> Vec<StoreChange> {
+    let changes = batch.changes.into_iter().filter_map(|change| match change {
+        WatchChange::Put(value) => {
+            parse(&value).map(|(record, revision)| StoreChange::Put(record, revision))
+        }
+        WatchChange::Deleted { key, .. } => RecordKey::from_store_key(&key)
+            .ok()
+            .map(StoreChange::Deleted),
+    });
+    changes.collect()
+}
+
+fn parse(value: &StoredValue) -> Option<(StoredRecord, StoreRevision)> {
+    match StoredRecord::from_store(&value.key, &value.value) {
+        Ok(record) => Some((record, value.revision)),
+        Err(e) => {
+            log::warn!("{e}");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/peers/sender.rs
@@ -0,0 +1,59 @@
+//! Sends what the membership and the records ask for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use geranium_core::member::{Heartbeat, MemberInfo};
+use geranium_core::record::{RecordIndex, StoredRecord};
+use geranium_peer::PeerClient;
+use tokio::sync::mpsc;
+
+use super::PeerInput;
+
+/// Sends messages to peers; outcomes go to the peer task.
+pub struct PeerSender {
+    client: PeerClient,
+    tx: mpsc::Sender<PeerInput>,
+}
+
+impl PeerSender {
+    /// Makes a sender.
+    pub const fn new(client: PeerClient, tx: mpsc::Sender<PeerInput>) -> Self {
+        Self { client, tx }
+    }
+
+    /// Sends a heartbeat.
+    pub fn heartbeat(&self, to: SocketAddr, heartbeat: Heartbeat) {
+        let (client, tx) = (self.client.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let answer = client.heartbeat(to, heartbeat).await;
+            let answer = answer
+                .inspect_err(|e| log::debug!("{e}"))
+                .ok()
+                .map(Box::new);
+            let _ = tx.send(PeerInput::HeartbeatBack(to, answer)).await;
+        });
+    }
+
+    /// Asks a peer for newer versions.
+    pub fn pull(&self, own: &MemberInfo, peer: MemberInfo, held: RecordIndex) {
+        let (client, tx, own) = (self.client.clone(), self.tx.clone(), own.clone());
+        tokio::spawn(async move {
+            let answer = client.pull_records(peer.peer_address, own, held).await;
+            let answer = answer.inspect_err(|e| log::debug!("{e}")).ok();
+            let _ = tx.send(PeerInput::PullBack(peer, answer)).await;
+        });
+    }
+
+    /// Sends versions to peers; a lost push is made good by a pull.
+    pub fn push(&self, own: &MemberInfo, peers: Vec<MemberInfo>, records: &[Arc<StoredRecord>]) {
+        for peer in peers {
+            let (client, own, records) = (self.client.clone(), own.clone(), records.to_vec());
+            tokio::spawn(async move {
+                if let Err(e) = client.push_records(peer.peer_address, own, records).await {
+                    log::debug!("{e}");
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/peers/task.rs
@@ -0,0 +1,264 @@
+//! The task that owns the membership and the records.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use geranium_core::group::{ServingGroup, Temperature};
+use geranium_core::member::{
+    GroupSummary, Heartbeat, MemberConfig, MemberEffect, MemberInfo, MemberTiming, Membership,
+    watchers,
+};
+use geranium_core::record::spread::{ConfigEffect, ConfigReplica, SpreadTiming};
+use geranium_core::record::{RecordIndex, RecordKey};
+use geranium_core::time::Timestamp;
+use geranium_peer::PeerClient;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+
+use super::record_store::RecordStore;
+use super::sender::PeerSender;
+use super::{PeerInput, PeerView, WatchEvent};
+use crate::control::ControlInput;
+use crate::node::{Node, Store};
+
+/// Time between two ticks of the decisions.
+const TICK_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Owns the membership and the records, and carries out their effects.
+pub struct PeerTask {
+    node: Arc<Node>,
+    membership: Membership,
+    records: ConfigReplica,
+    store: RecordStore<Store>,
+    sender: PeerSender,
+    rx: mpsc::Receiver<PeerInput>,
+}
+
+impl PeerTask {
+    /// Makes the task of a process.
+    #[must_use]
+    pub fn new(
+        node: Arc<Node>,
+        client: PeerClient,
+        tx: mpsc::Sender<PeerInput>,
+        rx: mpsc::Receiver<PeerInput>,
+    ) -> Self {
+        let now = node.clock.now();
+        let own = own_info(&node);
+        let seeds = &node.settings.peers;
+        let config = MemberConfig {
+            seeds: seeds
+                .iter()
+                .copied()
+                .filter(|seed| *seed != own.peer_address)
+                .collect(),
+            own,
+            timing: MemberTiming::default(),
+        };
+        let domain = node.settings.failure_domain.clone();
+        let seed = node.recorder.identity().incarnation.0;
+        Self {
+            membership: Membership::new(config, now),
+            records: ConfigReplica::new(domain, SpreadTiming::default(), seed, now),
+            store: RecordStore::new(node.store.clone(), tx.clone()),
+            sender: PeerSender::new(client, tx),
+            node,
+            rx,
+        }
+    }
+
+    /// Returns the heartbeat of a process that knows nobody.
+    pub fn lone_heartbeat(&mut self) -> Heartbeat {
+        let now = self.node.clock.now();
+        let time = self.node.recorder.stamp(now);
+        let own = self.membership.own().clone();
+        self.membership.answer(&own, now, time)
+    }
+
+    /// Decides until every sender is gone.
+    pub async fn run(mut self) {
+        let mut ticks = tokio::time::interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        self.members_changed(self.node.clock.now()).await;
+        loop {
+            tokio::select! {
+                input = self.rx.recv() => match input {
+                    Some(input) => self.take_in(input).await,
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick().await,
+            }
+        }
+    }
+
+    async fn tick(&mut self) {
+        let now = self.node.clock.now();
+        let effects = self.records.tick(now);
+        self.carry_out(effects, now).await;
+        self.membership.set_config_status(self.records.status(now));
+        let time = self.node.recorder.stamp(now);
+        let effects = self.membership.tick(now, time);
+        self.carry_out_member(effects, now).await;
+        self.publish(now);
+    }
+
+    async fn take_in(&mut self, input: PeerInput) {
+        let now = self.node.clock.now();
+        match input {
+            PeerInput::Heartbeat(heartbeat, answer) => {
+                self.hear(&heartbeat, now).await;
+                let time = self.node.recorder.stamp(now);
+                let _ = answer.send(self.membership.answer(&heartbeat.sender, now, time));
+            }
+            PeerInput::HeartbeatBack(_, Some(heartbeat)) => self.hear(&heartbeat, now).await,
+            PeerInput::HeartbeatBack(to, None) => {
+                let effects = self.membership.fail(to, now);
+                self.carry_out_member(effects, now).await;
+            }
+            PeerInput::Groups(groups) => {
+                self.membership
+                    .set_groups(groups.iter().map(summary).collect());
+            }
+            PeerInput::Leaving => self.membership.begin_leaving(now),
+            PeerInput::InForce(keys, answer) => {
+                let _ = answer.send(self.in_force(&keys));
+            }
+            PeerInput::Pull(held, answer) => {
+                let _ = answer.send(self.records.answer_pull(&held));
+            }
+            PeerInput::PullBack(peer, None) => self.records.fail_pull(&peer, now),
+            input => {
+                let effects = self.take_in_records(input, now);
+                self.carry_out(effects, now).await;
+            }
+        }
+    }
+
+    fn take_in_records(&mut self, input: PeerInput, now: Timestamp) -> Vec<ConfigEffect> {
+        match input {
+            PeerInput::PullBack(peer, Some(answer)) => {
+                self.records.take_in_pull(&peer, answer, now)
+            }
+            PeerInput::Push(peer, records) => self.records.take_in_push(&peer, records, now),
+            PeerInput::StoreRead(Ok(read)) => self.records.take_in_read(read, now),
+            PeerInput::StoreRead(Err(e)) => self.records.fail_read(&e.to_string(), now),
+            PeerInput::Watch(number, event) if self.store.is_current(number) => match event {
+                WatchEvent::Changes(changes) => self.records.take_in_watch(changes, now),
+                WatchEvent::Failed(e) => self.records.fail_watch(&e.to_string(), now),
+                WatchEvent::Ended => {
+                    self.records.end_watch(now);
+                    Vec::new()
+                }
+            },
+            PeerInput::WrittenBack(record, outcome) => {
+                self.records.take_in_write_back(&record, outcome, now)
+            }
+            PeerInput::Accepted(record, revision) => self.records.accept(*record, revision, now),
+            _ => Vec::new(),
+        }
+    }
+
+    async fn hear(&mut self, heartbeat: &Heartbeat, now: Timestamp) {
+        self.node.recorder.observe(now, heartbeat.time);
+        let effects = self.membership.take_in(heartbeat, now);
+        self.records
+            .hear_peer(&heartbeat.sender, heartbeat.config, now);
+        self.carry_out_member(effects, now).await;
+    }
+
+    fn in_force(&self, keys: &[RecordKey]) -> RecordIndex {
+        let set = self.records.records();
+        let rank = |key: &RecordKey| Some((key.clone(), set.get(key)?.stored.rank()));
+        RecordIndex(keys.iter().filter_map(rank).collect())
+    }
+
+    async fn carry_out_member(&mut self, effects: Vec<MemberEffect>, now: Timestamp) {
+        let mut changed = false;
+        for effect in effects {
+            match effect {
+                MemberEffect::SendHeartbeat { to, heartbeat } => {
+                    self.sender.heartbeat(to, *heartbeat);
+                }
+                MemberEffect::MembersChanged => changed = true,
+                MemberEffect::Emit(draft) => self.node.record(draft),
+                MemberEffect::Paused(pause) => {
+                    log::warn!("this process was paused for {} ms", pause.as_millis());
+                }
+                MemberEffect::CrashLearned(_) => {}
+            }
+        }
+        if changed {
+            self.members_changed(now).await;
+        }
+    }
+
+    async fn members_changed(&mut self, now: Timestamp) {
+        let peers: Vec<MemberInfo> = self.membership.live_peers().cloned().collect();
+        let members = self.membership.active_members();
+        let own = &self.membership.own().host;
+        let position = watchers(&members).iter().position(|host| *host == own);
+        let effects = self.records.set_members(peers, position, now);
+        self.carry_out(effects, now).await;
+        self.publish(now);
+    }
+
+    async fn carry_out(&mut self, effects: Vec<ConfigEffect>, now: Timestamp) {
+        let own = self.membership.own().clone();
+        for effect in effects {
+            match effect {
+                ConfigEffect::ReadStore => self.store.read(),
+                ConfigEffect::StartWatch { after } => self.store.start_watch(after),
+                ConfigEffect::StopWatch => self.store.stop_watch(),
+                ConfigEffect::PullFromPeer { peer, index } => self.sender.pull(&own, peer, index),
+                ConfigEffect::PushToPeers { peers, records } => {
+                    self.sender.push(&own, peers, &records);
+                }
+                ConfigEffect::WriteBack { record, expected } => {
+                    self.store.write_back(record, expected);
+                }
+                ConfigEffect::RecordsChanged => self.records_changed(now).await,
+                ConfigEffect::Emit(draft) => self.node.record(draft),
+            }
+        }
+    }
+
+    async fn records_changed(&mut self, now: Timestamp) {
+        self.membership.set_config_status(self.records.status(now));
+        let records = self.records.records().clone();
+        let _ = self.node.control.send(ControlInput::Records(records)).await;
+        self.publish(now);
+    }
+
+    fn publish(&self, now: Timestamp) {
+        let view = PeerView::collect(&self.membership, self.records.records(), now);
+        self.node.peers.set(view);
+    }
+}
+
+/// Returns what this process says about itself.
+#[must_use]
+pub fn own_info(node: &Node) -> MemberInfo {
+    let identity = node.recorder.identity();
+    MemberInfo {
+        host: identity.host.clone(),
+        failure_domain: identity.failure_domain.clone(),
+        incarnation: identity.incarnation,
+        peer_address: node.settings.peer_address,
+        caller_address: node.settings.caller_address,
+        leaving: false,
+    }
+}
+
+fn summary(group: &ServingGroup) -> GroupSummary {
+    let limit = match group.temperature {
+        Temperature::Warm => group.warm_concurrency,
+        Temperature::Cold => group.cold_concurrency,
+    };
+    GroupSummary {
+        group: group.group.clone(),
+        record: group.record.clone(),
+        served_model: group.served_model.clone(),
+        temperature: group.temperature,
+        free_slots: limit.saturating_sub(group.running + group.waiting),
+    }
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/peers/view.rs
@@ -0,0 +1,172 @@
+//! What the peer task publishes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use geranium_core::group::{ServingGroup, Temperature};
+use geranium_core::id::{FabricDomainId, FailureDomainId, FencingNumber, HostId};
+use geranium_core::member::{GroupSummary, MemberInfo, Membership, PeerState};
+use geranium_core::record::{ConfigDigest, RecordSet};
+use geranium_core::route::EntryHost;
+use geranium_core::time::Timestamp;
+use parking_lot::RwLock;
+
+/// Fabric domain that stands for the unknown one of a remote group.
+const REMOTE_FABRIC: &str = "remote";
+
+/// Age of a summary above which its failure domain is taken for out of reach.
+const MAX_SUMMARY_AGE_MS: u64 = 10_000;
+
+/// An entry host that was heard of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownHost {
+    /// Identity and addresses.
+    pub info: MemberInfo,
+    /// `alive`, `suspected`, `unheard` or `leaving`.
+    pub state: &'static str,
+    /// When it was last heard of, on this host's clock.
+    pub heard_at: Timestamp,
+    /// Digest of the records that it has in force.
+    pub digest: ConfigDigest,
+}
+
+/// Other entry hosts and what they serve, at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct PeerView {
+    /// Other entry hosts, of this and other failure domains.
+    pub hosts: BTreeMap<HostId, KnownHost>,
+    /// Hosts of this failure domain that share its groups, this one included.
+    pub active: u32,
+    /// Groups of other failure domains that take requests.
+    pub remote_groups: Vec<ServingGroup>,
+    /// Entry hosts through which other failure domains are reached.
+    pub remote_entries: Vec<EntryHost>,
+    /// Digest of the records in force here.
+    pub digest: ConfigDigest,
+}
+
+impl PeerView {
+    /// Collects a view.
+    #[must_use]
+    pub fn collect(membership: &Membership, records: &RecordSet, now: Timestamp) -> Self {
+        let mut view = Self {
+            active: u32::try_from(membership.active_members().len()).unwrap_or(u32::MAX),
+            digest: records.digest(),
+            ..Self::default()
+        };
+        for (info, state, config) in membership.peers() {
+            let known = KnownHost {
+                info: info.clone(),
+                state: state_text(state, info.leaving),
+                heard_at: membership.heard_at(&info.host).unwrap_or_default(),
+                digest: config.digest,
+            };
+            view.hosts.insert(info.host.clone(), known);
+        }
+        for (summary, heard_at) in membership.domains().iter() {
+            let reachable = now.since(heard_at).as_millis() < u128::from(MAX_SUMMARY_AGE_MS);
+            for member in &summary.members {
+                view.add_remote(&member.info, member.digest, heard_at, reachable);
+            }
+            if reachable {
+                let domain = &summary.failure_domain;
+                let groups = summary
+                    .groups
+                    .iter()
+                    .map(|g| remote_group(domain, g, records));
+                view.remote_groups.extend(groups);
+            }
+        }
+        view
+    }
+
+    fn add_remote(
+        &mut self,
+        info: &MemberInfo,
+        digest: ConfigDigest,
+        heard_at: Timestamp,
+        reachable: bool,
+    ) {
+        if reachable && !info.leaving {
+            self.remote_entries.push(EntryHost {
+                host: info.host.clone(),
+                failure_domain: info.failure_domain.clone(),
+            });
+        }
+        let state = match (info.leaving, reachable) {
+            (true, _) => "leaving",
+            (false, true) => "alive",
+            (false, false) => "suspected",
+        };
+        let known = KnownHost {
+            info: info.clone(),
+            state,
+            heard_at,
+            digest,
+        };
+        self.hosts.insert(info.host.clone(), known);
+    }
+}
+
+fn state_text(state: PeerState, leaving: bool) -> &'static str {
+    match state {
+        _ if leaving => "leaving",
+        PeerState::Alive => "alive",
+        PeerState::Suspected => "suspected",
+        PeerState::Unheard => "unheard",
+    }
+}
+
+/// Makes a group that the router reaches only through an entry host.
+fn remote_group(
+    failure_domain: &FailureDomainId,
+    summary: &GroupSummary,
+    records: &RecordSet,
+) -> ServingGroup {
+    let specs = records.models_serving(&summary.served_model);
+    let spec = specs.into_iter().find(|spec| spec.name == summary.record);
+    let cold = spec.map_or(0, |spec| spec.cold_concurrency);
+    let warm = spec.map_or(0, |spec| spec.warm_concurrency);
+    let limit = if summary.temperature == Temperature::Warm {
+        warm
+    } else {
+        cold
+    };
+    ServingGroup {
+        group: summary.group.clone(),
+        record: summary.record.clone(),
+        served_model: summary.served_model.clone(),
+        failure_domain: failure_domain.clone(),
+        fabric_domain: FabricDomainId::new(REMOTE_FABRIC),
+        head: HostId::new(REMOTE_FABRIC),
+        address: SocketAddr::from(([0, 0, 0, 0], 0)),
+        fencing: FencingNumber::default(),
+        generation: 0,
+        temperature: summary.temperature,
+        running: limit.saturating_sub(summary.free_slots),
+        waiting: 0,
+        kv_free_tokens: 0,
+        cold_concurrency: cold,
+        warm_concurrency: warm,
+    }
+}
+
+/// Holds the latest [`PeerView`].
+#[derive(Debug, Default)]
+pub struct PublishedPeers {
+    view: RwLock<Arc<PeerView>>,
+}
+
+impl PublishedPeers {
+    /// Returns the latest view.
+    #[must_use]
+    pub fn view(&self) -> Arc<PeerView> {
+        self.view.read().clone()
+    }
+
+    /// Replaces the view.
+    pub fn set(&self, view: PeerView) {
+        *self.view.write() = Arc::new(view);
+    }
+}
--- a/crates/geranium_daemon/src/relay/job.rs
+++ b/crates/geranium_daemon/src/relay/job.rs
@@ -9,7 +9,7 @@
 use geranium_core::event::{EventDraft, EventKind, EventSubject};
 use geranium_core::id::GroupId;
 use geranium_core::limit::{ColdOutcome, CrashId, CrashVerdict, InFlight, RetryBackoff};
-use geranium_core::route::{Dispatch, RouteChoice, RouteQuery, RouteRefusal};
+use geranium_core::route::{Dispatch, RouteChoice, RoutePath, RouteQuery, RouteRefusal};
 use geranium_core::stream::{
     Delivery, FinishReason, Piece, PieceBody, ResumePoint, StreamAssembler, StreamEnd, StreamLimits,
 };
@@ -21,6 +21,7 @@
 use super::attempt;
 use super::chunk::read_piece;
 use super::output::ReaderGone;
+use super::trial::Trial;
 use super::{RelayOutput, RelayRequest};
 use crate::caller::refusal;
 use crate::node::Node;
@@ -74,6 +75,7 @@
     prior_text: String,
     accepted_at: Timestamp,
     crashed: bool,
+    trial: Option<Trial>,
     any_sent: bool,
     _admitted: Admitted,
 }
@@ -104,6 +106,7 @@
             prior_text,
             accepted_at,
             crashed: false,
+            trial: None,
             any_sent: false,
             _admitted: admitted,
         }
@@ -133,8 +136,7 @@
                 let delay = backoff.delay(attempt - 1, &mut rand::rng());
                 tokio::time::sleep(delay).await;
             }
-            self.check_crashes()?;
-            let (choice, mut dispatch) = self.choose().await?;
+            let (choice, mut dispatch) = self.choose_for_trial().await?;
             let end = self.try_group(&choice, &mut dispatch).await;
             let outcome = match &end {
                 AttemptEnd::Whole => ColdOutcome::Succeeded,
@@ -145,7 +147,7 @@
             self.node.traffic.end(now, &choice, dispatch, outcome);
             match end {
                 AttemptEnd::Whole => {
-                    self.note_whole(now);
+                    self.note_whole(now).await;
                     return Ok(());
                 }
                 AttemptEnd::ReaderGone => {
@@ -162,7 +164,7 @@
                 }
                 AttemptEnd::NotRun(why) => self.move_on(now, &choice, &why),
                 AttemptEnd::Broken(why) => {
-                    self.note_crash(now, &choice);
+                    self.note_crash(now, &choice).await;
                     self.cancel(&choice).await;
                     self.move_on(now, &choice, &why);
                 }
@@ -188,11 +190,31 @@
         Err(Some(refusal::retries_exhausted(self.any_sent)))
     }
 
-    fn check_crashes(&self) -> Result<(), Option<ApiError>> {
-        let now = self.node.clock.now();
-        match self.node.traffic.verdict(now, &self.req.fingerprint) {
-            CrashVerdict::Clear | CrashVerdict::Suspect => Ok(()),
-            CrashVerdict::Refused => Err(Some(refusal::crashes_servers())),
+    /// Chooses a group; a suspect also needs leave to run there on trial.
+    async fn choose_for_trial(&mut self) -> Result<(RouteChoice, Dispatch), Option<ApiError>> {
+        loop {
+            let now = self.node.clock.now();
+            let verdict = self.node.traffic.verdict(now, &self.req.fingerprint);
+            if verdict == CrashVerdict::Refused {
+                return Err(Some(refusal::crashes_servers()));
+            }
+            let (choice, dispatch) = self.choose().await?;
+            // The entry host of another failure domain asks for leave there.
+            if verdict == CrashVerdict::Clear || choice.path != RoutePath::Direct {
+                return Ok((choice, dispatch));
+            }
+            self.trial = Trial::ask(&self.node, self.req.fingerprint, &choice).await;
+            if self.trial.is_some() {
+                return Ok((choice, dispatch));
+            }
+            let now = self.node.clock.now();
+            self.node
+                .traffic
+                .end(now, &choice, dispatch, ColdOutcome::Cancelled);
+            tokio::select! {
+                () = tokio::time::sleep(ROUTE_PAUSE) => {}
+                () = self.output.left() => return Err(None),
+            }
         }
     }
 
@@ -299,6 +321,8 @@
                 Some(Ok(CompletionEvent::Piece(piece))) => {
                     tokens += 1;
                     if tokens == 1 {
+                        // The request is past the point at which a group crashed.
+                        self.trial = None;
                         self.note_first_token(dispatch, opened_at, heard_at);
                     }
                     if let Err(end) = self.take_in(piece, from).await {
@@ -434,25 +458,31 @@
         }
     }
 
-    fn note_whole(&self, now: Timestamp) {
+    async fn note_whole(&mut self, now: Timestamp) {
+        self.trial = None;
         if self.crashed {
             let digest = self.node.traffic.cleared(now, &self.req.fingerprint);
-            self.node.tell_peers_of_crash(&digest);
+            self.node.tell_peers_of_crash(&digest).await;
         }
     }
 
-    fn note_crash(&mut self, now: Timestamp, choice: &RouteChoice) {
+    /// Charges the crash of a group to the request, before it runs anywhere again.
+    async fn note_crash(&mut self, now: Timestamp, choice: &RouteChoice) {
         self.crashed = true;
+        let on_trial = self.trial.take().is_some();
+        if choice.path != RoutePath::Direct {
+            return;
+        }
         let crash = CrashId {
             group: choice.group.clone(),
             generation: choice.generation,
         };
         let in_flight = [InFlight {
             fingerprint: self.req.fingerprint,
-            on_trial: false,
+            on_trial,
         }];
         let digest = self.node.traffic.group_crashed(now, &crash, &in_flight);
-        self.node.tell_peers_of_crash(&digest);
+        self.node.tell_peers_of_crash(&digest).await;
     }
 
     fn move_on(&mut self, now: Timestamp, choice: &RouteChoice, why: &str) {
@@ -488,7 +518,7 @@
 
     /// Tells the engine that nobody reads on, so that its slot is free.
     async fn cancel(&self, choice: &RouteChoice) {
-        if choice.path == geranium_core::route::RoutePath::Direct {
+        if choice.path == RoutePath::Direct {
             let cancelled = self
                 .node
                 .engines
--- a/crates/geranium_daemon/src/relay/mod.rs
+++ b/crates/geranium_daemon/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod job;
 mod output;
 mod request;
+mod trial;
 
 pub use chunk::finish_text;
 pub use job::RelayJob;
--- /dev/null
+++ b/crates/geranium_daemon/src/relay/trial.rs
@@ -0,0 +1,61 @@
+//! Leave to run a suspect on a group.
+
+use std::sync::Arc;
+
+use geranium_core::limit::{RequestFingerprint, TrialRequest};
+use geranium_core::route::RouteChoice;
+use geranium_peer::{PeerCommand, PeerReply};
+
+use crate::node::Node;
+
+/// Leave to run a suspect on a group; given back when dropped.
+pub struct Trial {
+    node: Arc<Node>,
+    req: TrialRequest,
+}
+
+impl Trial {
+    /// Asks the budget holder for leave; `None` if it was refused.
+    pub async fn ask(
+        node: &Arc<Node>,
+        fingerprint: RequestFingerprint,
+        choice: &RouteChoice,
+    ) -> Option<Self> {
+        let now = node.clock.now();
+        let identity = node.recorder.identity();
+        let req = TrialRequest {
+            user: identity.host.clone(),
+            incarnation: identity.incarnation,
+            group: choice.group.clone(),
+            fingerprint,
+            asked_at: now,
+        };
+        let granted = match node.leader_address() {
+            None => node.traffic.grant_trial(now, &req).is_ok(),
+            Some(leader) => {
+                let asked = node
+                    .peer_client
+                    .command(leader, PeerCommand::Trial(req.clone()));
+                matches!(asked.await, Ok(PeerReply::Trial(_)))
+            }
+        };
+        granted.then(|| Self {
+            node: node.clone(),
+            req,
+        })
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        let Some(leader) = self.node.leader_address() else {
+            self.node.traffic.end_trial(&self.req);
+            return;
+        };
+        let (client, req) = (self.node.peer_client.clone(), self.req.clone());
+        tokio::spawn(async move {
+            // A lost message only lets the trial run out.
+            let _ = client.command(leader, PeerCommand::TrialEnded(req)).await;
+        });
+    }
+}
--- a/crates/geranium_daemon/src/startup.rs
+++ b/crates/geranium_daemon/src/startup.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use geranium_core::event::{EventDraft, EventKind, EventSubject};
-use geranium_core::group::GroupConfig;
 use geranium_core::id::Incarnation;
 use geranium_core::once::ClaimConfig;
-use geranium_core::record::RECORD_PREFIX;
 use geranium_engine::{EngineClientConfig, HttpEngineClient, ServiceClient};
 use geranium_net::{ClientConfig, HttpClient, HttpServer, ServerConfig};
+use geranium_peer::{
+    PeerClient, PeerClientConfig, PeerCommand, PeerReply, PeerServer, PeerServerConfig, PeerToken,
+};
 use geranium_platform::{EtcdClient, EtcdConfig};
 use geranium_telemetry::{EventRecorder, JsonLogger, ProcessIdentity};
+use parking_lot::{Mutex, RwLock};
 use rand::Rng;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
@@ -23,11 +25,12 @@
 use crate::claim::ClaimService;
 use crate::clock::ProcessClock;
 use crate::control::{
-    ControlInput, ControlTask, ControlTaskConfig, HOST_PREFIX, LeaderCampaign, MirrorTarget,
-    Published, StoreMirror, table_key,
+    ControlInput, ControlTask, HOST_PREFIX, LeaderCampaign, MirrorTarget, Published, StoreMirror,
+    table_key,
 };
 use crate::metrics::Metrics;
 use crate::node::{Holders, Node};
+use crate::peers::{NodePeerHandler, PeerInput, PeerTask, PublishedPeers};
 use crate::settings::DaemonSettings;
 use crate::startup_error::StartupError;
 use crate::traffic::Traffic;
@@ -52,6 +55,8 @@
 pub struct Daemon {
     node: Arc<Node>,
     control_rx: Option<mpsc::Receiver<ControlInput>>,
+    peer_rx: Option<mpsc::Receiver<PeerInput>>,
+    peer_server: Option<PeerServer>,
     servers: JoinSet<()>,
     duties: JoinSet<()>,
     stop_duties: CancellationToken,
@@ -76,16 +81,21 @@
             settings.event_capacity,
         ));
         let store = EtcdClient::new(EtcdConfig::new(settings.platform.clone()));
+        let peers = Arc::new(PublishedPeers::default());
         let claims = ClaimService::new(
             store.clone(),
             Holders {
                 recorder: recorder.clone(),
+                peers: peers.clone(),
             },
             recorder.clone(),
             clock,
             ClaimConfig::default(),
         );
         let (control, control_rx) = mpsc::channel(CONTROL_QUEUE);
+        let (peer_tx, peer_rx) = mpsc::channel(CONTROL_QUEUE);
+        let token = PeerToken::new(&settings.peer_token);
+        let peer_client = PeerClient::start(PeerClientConfig::new(token))?;
         let node = Node {
             traffic: Traffic::new(&identity),
             clock,
@@ -98,6 +108,11 @@
             published: Arc::new(Published::default()),
             claims: Arc::new(claims),
             control,
+            peers,
+            peer_client,
+            peer_tx,
+            leader: RwLock::default(),
+            operator_addresses: Mutex::default(),
             stopping: AtomicBool::new(false),
             next_write: AtomicU64::new(1),
             settings,
@@ -105,6 +120,8 @@
         Ok(Self {
             node: Arc::new(node),
             control_rx: Some(control_rx),
+            peer_rx: Some(peer_rx),
+            peer_server: None,
             servers: JoinSet::new(),
             duties: JoinSet::new(),
             stop_duties: CancellationToken::new(),
@@ -129,30 +146,35 @@
         let Some(rx) = self.control_rx.take() else {
             return;
         };
-        let node = &self.node;
-        let cfg = ControlTaskConfig {
-            identity: node.recorder.identity().clone(),
-            group: GroupConfig {
-                max_loading_groups: node.settings.max_loads,
-                ..GroupConfig::default()
-            },
-            report_interval: node.settings.report_interval,
+        let task = ControlTask::new(self.node.clone(), rx);
+        self.duties.spawn(task.run());
+    }
+
+    /// Adds the membership, the spread of records and the listener for peers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be listened on.
+    pub fn add_peers(&mut self) -> Result<(), StartupError> {
+        let Some(rx) = self.peer_rx.take() else {
+            return Ok(());
         };
-        let shared = (node.clock, node.recorder.clone(), node.published.clone());
-        let clients = (node.store.clone(), node.engines.clone());
-        let channel = (node.control.clone(), rx);
-        let traffic = node.clone();
-        let task = ControlTask::new(cfg, shared, clients, channel, move |now, view| {
-            traffic.traffic.update(now, view, traffic.entry_hosts());
-        });
+        let node = &self.node;
+        let client = node.peer_client.clone();
+        let mut task = PeerTask::new(node.clone(), client, node.peer_tx.clone(), rx);
+        let handler =
+            NodePeerHandler::new(node.clone(), node.peer_tx.clone(), task.lone_heartbeat());
+        let token = PeerToken::new(&node.settings.peer_token);
+        let cfg = PeerServerConfig::new(node.settings.peer_address, token);
+        self.peer_server = Some(PeerServer::start(cfg, handler)?);
         self.duties.spawn(task.run());
+        Ok(())
     }
 
     /// Adds mirrors of the values that control follows.
     pub fn add_store_mirrors(&mut self) {
         let table = table_key(&self.node.settings.failure_domain);
         let targets = [
-            MirrorTarget::Records(RECORD_PREFIX.to_owned()),
             MirrorTarget::Hosts(HOST_PREFIX.to_owned()),
             MirrorTarget::Table(table),
         ];
@@ -240,11 +262,15 @@
     pub async fn stop(&mut self) {
         self.note(EventKind::ShutdownStarted, "a stop was asked for");
         self.node.begin_stop();
+        let _ = self.node.peer_tx.send(PeerInput::Leaving).await;
         self.stop_duties.cancel();
         tokio::time::sleep(STOP_NOTICE).await;
         self.stop_servers.cancel();
         while self.servers.join_next().await.is_some() {}
         self.duties.shutdown().await;
+        if let Some(server) = self.peer_server.take() {
+            let _ = tokio::task::spawn_blocking(move || server.stop()).await;
+        }
     }
 
     fn note(&self, kind: EventKind, reason: &str) {
@@ -258,13 +284,28 @@
     Incarnation(clock.now().0 << INCARNATION_RANDOM_BITS | low)
 }
 
-/// Asks the holder of the cold-start budget for credits.
+/// Asks the holder of the cold-start budget for credits: the leader.
 fn ask_for_credits(node: &Arc<Node>) {
     let now = node.clock.now();
+    let leader = node.leader_address();
     for req in node.traffic.tick(now) {
-        match node.traffic.grant_cold(now, &req) {
-            Ok(grant) => node.traffic.cold_granted(node.clock.now(), &grant),
-            Err(e) => log::debug!("no cold credits for {}: {e}", req.group),
-        }
+        let Some(leader) = leader else {
+            match node.traffic.grant_cold(now, &req) {
+                Ok(grant) => node.traffic.cold_granted(node.clock.now(), &grant),
+                Err(e) => log::debug!("no cold credits for {}: {e}", req.group),
+            }
+            continue;
+        };
+        let node = node.clone();
+        tokio::spawn(async move {
+            let asked = node.peer_client.command(leader, PeerCommand::Credits(req));
+            match asked.await {
+                Ok(PeerReply::Credits(grant)) => {
+                    node.traffic.cold_granted(node.clock.now(), &grant);
+                }
+                Ok(reply) => log::debug!("no cold credits: {reply:?}"),
+                Err(e) => log::debug!("no cold credits: {e}"),
+            }
+        });
     }
 }
--- a/crates/geranium_daemon/src/startup_error.rs
+++ b/crates/geranium_daemon/src/startup_error.rs
@@ -1,6 +1,7 @@
 //! Failures to start.
 
 use geranium_net::ServerError;
+use geranium_peer::PeerError;
 use geranium_telemetry::JsonLoggerError;
 use quick_error::quick_error;
 
@@ -24,6 +25,12 @@
             source(err)
             from()
         }
+        /// Peers cannot be served or called.
+        Peer(err: PeerError) {
+            display("{}", err)
+            source(err)
+            from()
+        }
         /// The logger cannot be installed.
         Logger(err: JsonLoggerError) {
             display("{}", err)
--- a/crates/geranium_daemon/src/traffic/mod.rs
+++ b/crates/geranium_daemon/src/traffic/mod.rs
@@ -12,9 +12,9 @@
 use geranium_core::id::{AccountId, GroupId, ModelId};
 use geranium_core::limit::CrashId;
 use geranium_core::limit::{
-    AdmissionChange, AdmissionOutcome, AdmissionRefusal, AdmissionRequest, ColdOutcome,
-    CrashDigest, CrashVerdict, CreditGrant, CreditRefusal, CreditRequest, InFlight,
-    RequestFingerprint, Ticket,
+    AdmissionOutcome, AdmissionRefusal, AdmissionRequest, ColdOutcome, CrashDigest, CrashVerdict,
+    CreditGrant, CreditRefusal, CreditRequest, InFlight, RequestFingerprint, Ticket, TrialGrant,
+    TrialRefusal, TrialRequest,
 };
 use geranium_core::route::{BlockHash, Dispatch, RouteChoice, RouteQuery, RouteRefusal};
 use geranium_core::time::Timestamp;
@@ -26,6 +26,7 @@
 use state::TrafficState;
 
 use crate::control::ControlView;
+use crate::peers::PeerView;
 
 /// Outcome of a wait for admission.
 pub type AdmissionWait = oneshot::Receiver<Result<(), AdmissionRefusal>>;
@@ -55,8 +56,8 @@
     }
 
     /// Takes over the latest state of control.
-    pub fn update(&self, now: Timestamp, view: &ControlView, entry_hosts: u32) {
-        self.state.lock().update(now, view, entry_hosts);
+    pub fn update(&self, now: Timestamp, view: &ControlView, peers: &PeerView) {
+        self.state.lock().update(now, view, peers);
     }
 
     /// Lets time pass: sheds queued requests and returns the cold credits to ask for.
@@ -163,12 +164,16 @@
 
     /// Gains or extends the right to hand out cold credits.
     pub fn extend_cold_authority(&self, now: Timestamp, until: Timestamp) {
-        self.state.lock().holder.extend_authority(now, until);
+        let mut state = self.state.lock();
+        state.holder.extend_authority(now, until);
+        state.trials.extend_authority(now, until);
     }
 
     /// Gives up the right to hand out cold credits.
     pub fn resign_cold_authority(&self) {
-        self.state.lock().holder.resign();
+        let mut state = self.state.lock();
+        state.holder.resign();
+        state.trials.resign();
     }
 
     /// Answers a request for cold credits.
@@ -184,6 +189,24 @@
         self.state.lock().holder.request(now, req)
     }
 
+    /// Answers a request for a trial.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the suspect may not run on the group now.
+    pub fn grant_trial(
+        &self,
+        now: Timestamp,
+        req: &TrialRequest,
+    ) -> Result<TrialGrant, TrialRefusal> {
+        self.state.lock().trials.request(now, req)
+    }
+
+    /// Ends a trial.
+    pub fn end_trial(&self, req: &TrialRequest) {
+        self.state.lock().trials.release(req);
+    }
+
     /// Takes in cold credits.
     pub fn cold_granted(&self, now: Timestamp, grant: &CreditGrant) {
         self.state.lock().cold.granted(now, grant);
@@ -217,9 +240,3 @@
         deadline,
     }
 }
-
-/// Returns whether a change concerns nobody.
-#[must_use]
-pub fn is_empty(change: &AdmissionChange) -> bool {
-    change.started.is_empty() && change.refused.is_empty()
-}
--- a/crates/geranium_daemon/src/traffic/state.rs
+++ b/crates/geranium_daemon/src/traffic/state.rs
@@ -1,14 +1,15 @@
 //! The state behind the lock.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use geranium_core::collections::HashMap;
 use geranium_core::group::{ServingGroup, Temperature};
-use geranium_core::id::ModelId;
+use geranium_core::id::{GroupId, ModelId};
 use geranium_core::limit::{
     AccountLimit, Admission, AdmissionChange, AdmissionRefusal, AdmissionSettings,
     ColdBudgetHolder, ColdCreditUser, ColdOutcome, ColdSettings, CrashRegistry, CrashSettings,
-    CreditRequest, RetryBudget, RetryBudgetSettings, Ticket,
+    CreditRequest, RetryBudget, RetryBudgetSettings, Ticket, TrialHolder,
 };
 use geranium_core::record::{ModelSpec, RecordSet};
 use geranium_core::route::{
@@ -22,6 +23,13 @@
 
 use super::accounts::AccountDirectory;
 use crate::control::ControlView;
+use crate::peers::PeerView;
+
+/// Longest time for a suspect to get past the point at which its group crashed.
+const TRIAL_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Time added to a trial's lifetime for clocks of different speed.
+const TRIAL_MARGIN: Duration = Duration::from_millis(100);
 
 type Waiter = oneshot::Sender<Result<(), AdmissionRefusal>>;
 
@@ -33,9 +41,11 @@
     pub crashes: CrashRegistry,
     pub cold: ColdCreditUser,
     pub holder: ColdBudgetHolder,
+    pub trials: TrialHolder,
     pub waiting: HashMap<(ModelId, Ticket), Waiter>,
     admissions: HashMap<ModelId, Admission>,
     serving: Arc<Vec<ServingGroup>>,
+    remote_groups: Vec<ServingGroup>,
     records: Arc<RecordSet>,
     entry_hosts: u32,
     rng: SmallRng,
@@ -53,9 +63,11 @@
             crashes: CrashRegistry::new(CrashSettings::default()),
             cold: ColdCreditUser::new(host, incarnation, ColdSettings::default()),
             holder: ColdBudgetHolder::new(ColdSettings::default()),
+            trials: TrialHolder::new(TRIAL_LIFETIME, TRIAL_MARGIN),
             waiting: HashMap::default(),
             admissions: HashMap::default(),
             serving: Arc::default(),
+            remote_groups: Vec::new(),
             records: Arc::default(),
             entry_hosts: 1,
             rng: SmallRng::seed_from_u64(seed),
@@ -69,25 +81,37 @@
         admissions.or_insert_with(|| Admission::new(AdmissionSettings::default(), seed))
     }
 
-    pub fn update(&mut self, now: Timestamp, view: &ControlView, entry_hosts: u32) {
+    pub fn update(&mut self, now: Timestamp, view: &ControlView, peers: &PeerView) {
         let records_changed = !Arc::ptr_eq(&self.records, &view.records);
-        self.entry_hosts = entry_hosts.max(1);
+        self.entry_hosts = peers.active.max(1);
         self.serving = view.serving.clone();
         if records_changed {
             self.records = view.records.clone();
             self.update_records(now);
         }
-        self.router.update_groups(now, &view.serving);
+        self.update_router(now, peers);
         self.holder.update_groups(now, &view.serving);
         for group in view.serving.iter() {
             let load = group.running + group.waiting;
             self.holder.observe_load(&group.group, now, load);
         }
-        let open = |id: &geranium_core::id::GroupId| view.serving.iter().any(|g| g.group == *id);
+        let open = |id: &GroupId| view.serving.iter().any(|group| group.group == *id);
         self.cold.retain_groups(open);
         self.update_capacity(now);
     }
 
+    fn update_router(&mut self, now: Timestamp, peers: &PeerView) {
+        if peers.remote_groups.is_empty() {
+            self.router.update_groups(now, &self.serving);
+        } else {
+            let mut groups = self.serving.as_ref().clone();
+            groups.extend(peers.remote_groups.iter().cloned());
+            self.router.update_groups(now, &groups);
+        }
+        self.router.update_entry_hosts(&peers.remote_entries);
+        self.remote_groups.clone_from(&peers.remote_groups);
+    }
+
     pub fn tick(&mut self, now: Timestamp) -> Vec<CreditRequest> {
         self.update_capacity(now);
         let models: Vec<ModelId> = self.admissions.keys().cloned().collect();
@@ -168,6 +192,11 @@
             let share = self.share_of(now, group);
             *capacities.entry(group.served_model.clone()).or_default() += share;
         }
+        for group in &self.remote_groups {
+            // Other failure domains admit what is passed on to them themselves.
+            let free = limit_of(group).saturating_sub(group.running);
+            *capacities.entry(group.served_model.clone()).or_default() += free;
+        }
         let models: Vec<ModelId> = self.admissions.keys().cloned().collect();
         for model in models {
             let capacity = capacities.get(&model).copied().unwrap_or_default();
@@ -197,6 +226,13 @@
     }
 }
 
+fn limit_of(group: &ServingGroup) -> u32 {
+    match group.temperature {
+        Temperature::Cold => group.cold_concurrency,
+        Temperature::Warm => group.warm_concurrency,
+    }
+}
+
 fn account_limits(records: &RecordSet, model: &ModelId) -> Vec<AccountLimit> {
     let mut limits: Vec<AccountLimit> = Vec::new();
     for spec in records.models_serving(model) {
