Heal after random faults, ask peers before the store, report silent domains

Cause: tests that failed first showed that a restarted host believed a restored store before its peers (generation 1 in force where the peers held 2), that hosts of a domain cut off for a minute were still reported as in force, and that nothing told of a domain falling silent.

Ruled out: a time of the last summary alone to judge silence; a process that was paused would report every domain silent, so the awake clock judges.

--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -109,4 +109,8 @@
     CrashSuspected => "crash_suspected",
     /// The process was paused and has not run for a while.
     ProcessPaused => "process_paused",
+    /// Nothing was heard of another failure domain for a while.
+    DomainSilent => "domain_silent",
+    /// Another failure domain was heard of again.
+    DomainHeard => "domain_heard",
 }
--- a/crates/geranium_core/src/member/domains.rs
+++ b/crates/geranium_core/src/member/domains.rs
@@ -1,6 +1,7 @@
 //! Summaries of other failure domains.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::{DomainSummary, MemberInfo, MemberStatus};
 use crate::id::FailureDomainId;
@@ -20,11 +21,19 @@
 struct DomainEntry {
     summary: DomainSummary,
     heard_at: Timestamp,
+    /// Awake time of this process when the domain was last heard of.
+    heard_awake: Duration,
+    is_silent: bool,
 }
 
 impl DomainBoard {
     /// Takes in a summary; returns whether it is news.
-    pub(super) fn take_in(&mut self, summary: &DomainSummary, now: Timestamp) -> bool {
+    pub(super) fn take_in(
+        &mut self,
+        summary: &DomainSummary,
+        now: Timestamp,
+        awake: Duration,
+    ) -> bool {
         let held = self.domains.get(&summary.failure_domain);
         if held.is_some_and(|held| held.summary.made_at >= summary.made_at) {
             return false;
@@ -32,13 +41,15 @@
         let entry = DomainEntry {
             summary: summary.clone(),
             heard_at: now,
+            heard_awake: awake,
+            is_silent: held.is_some_and(|held| held.is_silent),
         };
         self.domains.insert(summary.failure_domain.clone(), entry);
         true
     }
 
     /// Adds a host that was heard of directly, so that its domain can be asked.
-    pub(super) fn remember(&mut self, info: &MemberInfo, now: Timestamp) {
+    pub(super) fn remember(&mut self, info: &MemberInfo, now: Timestamp, awake: Duration) {
         let entry = self.domains.entry(info.failure_domain.clone());
         let entry = entry.or_insert_with(|| DomainEntry {
             summary: DomainSummary {
@@ -48,8 +59,11 @@
                 groups: Vec::new(),
             },
             heard_at: now,
+            heard_awake: awake,
+            is_silent: false,
         });
         entry.heard_at = entry.heard_at.max(now);
+        entry.heard_awake = entry.heard_awake.max(awake);
         let members = &mut entry.summary.members;
         if members.iter().any(|m| m.info.host == info.host) {
             return;
@@ -62,6 +76,32 @@
         members.truncate(MAX_MEMBERS);
     }
 
+    /// Compares the silence of each domain with a limit; returns the domains that
+    /// fell silent, or were heard of again, since the last time.
+    pub(super) fn compare_silence(
+        &mut self,
+        awake: Duration,
+        limit: Duration,
+    ) -> Vec<(FailureDomainId, bool)> {
+        let mut changed = Vec::new();
+        for (id, entry) in &mut self.domains {
+            let is_silent = awake.saturating_sub(entry.heard_awake) > limit;
+            if is_silent != entry.is_silent {
+                entry.is_silent = is_silent;
+                changed.push((id.clone(), is_silent));
+            }
+        }
+        changed
+    }
+
+    /// Returns whether nothing was heard of a failure domain for a while.
+    #[must_use]
+    pub fn is_silent(&self, domain: &FailureDomainId) -> bool {
+        self.domains
+            .get(domain)
+            .is_some_and(|entry| entry.is_silent)
+    }
+
     /// Returns the latest summary of a failure domain and when it was heard.
     #[must_use]
     pub fn get(&self, domain: &FailureDomainId) -> Option<(&DomainSummary, Timestamp)> {
--- a/crates/geranium_core/src/member/in_force.rs
+++ b/crates/geranium_core/src/member/in_force.rs
@@ -40,8 +40,13 @@
             }
         }
         for (summary, _) in self.domains().iter() {
+            let is_silent = self.domains().is_silent(&summary.failure_domain);
             for member in &summary.members {
-                report.add(&member.info.host, member.digest == digest);
+                if is_silent {
+                    report.silent.push(member.info.host.clone());
+                } else {
+                    report.add(&member.info.host, member.digest == digest);
+                }
             }
         }
         report
--- a/crates/geranium_core/src/member/incoming.rs
+++ b/crates/geranium_core/src/member/incoming.rs
@@ -130,7 +130,7 @@
     fn hear_outside(&mut self, heartbeat: &Heartbeat, now: Timestamp) {
         let sender = &heartbeat.sender;
         let (own, awake) = (self.config.own.incarnation, self.clock.awake());
-        self.domains.remember(sender, now);
+        self.domains.remember(sender, now, awake);
         let peer = self
             .outside
             .entry(sender.host.clone())
@@ -190,7 +190,7 @@
         if summary.failure_domain == self.config.own.failure_domain {
             return;
         }
-        let is_news = self.domains.take_in(summary, now);
+        let is_news = self.domains.take_in(summary, now, self.clock.awake());
         if is_news && !is_peer {
             // Heard from outside: the own domain learns it from this host.
             let key = SharedKey::Domain(summary.failure_domain.clone());
--- a/crates/geranium_core/src/member/outgoing.rs
+++ b/crates/geranium_core/src/member/outgoing.rs
@@ -21,7 +21,8 @@
 /// Longest time for which an unchanged summary of the own domain is not renewed.
 const SUMMARY_MAX_AGE: Duration = Duration::from_secs(10);
 
-/// Silence of a domain after which the second representative asks it too.
+/// Silence of a domain after which it counts as silent; the second representative
+/// then asks it too, and every host tries its seed.
 const DOMAIN_SILENCE: Duration = Duration::from_secs(30);
 
 /// Time for which a crash is remembered.
@@ -37,6 +38,7 @@
     pub fn tick(&mut self, now: Timestamp, time: HybridTime) -> Vec<MemberEffect> {
         let mut effects = self.advance(now);
         self.find_silent(now, &mut effects);
+        self.find_silent_domains(&mut effects);
         self.forget_old(now, &mut effects);
         self.share_reports(now);
         let mut targets = self.due_peers(now);
@@ -86,6 +88,20 @@
         }
     }
 
+    fn find_silent_domains(&mut self, effects: &mut Vec<MemberEffect>) {
+        let awake = self.clock.awake();
+        let changed = self.domains.compare_silence(awake, DOMAIN_SILENCE);
+        for (domain, is_silent) in changed {
+            let (kind, reason) = if is_silent {
+                (EventKind::DomainSilent, "no host of it was heard of lately")
+            } else {
+                (EventKind::DomainHeard, "a host of it was heard of again")
+            };
+            let subject = EventSubject::failure_domain(&domain);
+            effects.push(MemberEffect::Emit(EventDraft::new(kind, subject, reason)));
+        }
+    }
+
     fn forget_old(&mut self, now: Timestamp, effects: &mut Vec<MemberEffect>) {
         let limit = self.config.timing.forget_after;
         let awake = self.clock.awake();
--- a/crates/geranium_core/src/record/spread/follower.rs
+++ b/crates/geranium_core/src/record/spread/follower.rs
@@ -37,7 +37,8 @@
         Self {
             phase: Phase::Idle,
             position: None,
-            not_before: now,
+            // The peers are asked first: a restored store may know less than they do.
+            not_before: now + timing.first_read_after,
             backoff: timing.backoff_min,
             jitter: random_up_to(timing.first_read_after, rng),
             fresh_at: None,
--- a/crates/geranium_core/tests/entry_hosts/fleet.rs
+++ b/crates/geranium_core/tests/entry_hosts/fleet.rs
@@ -13,10 +13,12 @@
     ConfigEffect, ConfigReplica, PullAnswer, SpreadTiming, StoreChange, StoreRead, WriteBackOutcome,
 };
 use geranium_core::record::{
-    ApplyPlan, ApplyRequest, Document, Expectation, KnownPlaces, RecordIndex, RecordKey,
-    RecordKind, StoredRecord, WriterId,
+    ApplyError, ApplyPlan, ApplyRequest, Document, Expectation, KnownPlaces, RecordIndex,
+    RecordKey, RecordKind, StoredRecord, WriterId,
 };
 use geranium_core::time::{HybridClock, Timestamp};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 
 use crate::store::Store;
@@ -69,6 +71,11 @@
     pub store: Store,
     pub counts: Counts,
     pub events: Vec<(Timestamp, HostId, EventDraft)>,
+    /// Messages between hosts that are lost, of a thousand.
+    pub lost_per_mille: u32,
+    /// Hosts whose watch reports nothing and does not fail.
+    pub silent_watches: BTreeSet<HostId>,
+    rng: SmallRng,
     cut_from_store: BTreeSet<HostId>,
     cut_domains: BTreeSet<FailureDomainId>,
     queue: BTreeMap<(Timestamp, u64), (SocketAddr, Message)>,
@@ -85,6 +92,9 @@
             store: Store::default(),
             counts: Counts::default(),
             events: Vec::new(),
+            lost_per_mille: 0,
+            silent_watches: BTreeSet::new(),
+            rng: SmallRng::seed_from_u64(1),
             cut_from_store: BTreeSet::new(),
             cut_domains: BTreeSet::new(),
             queue: BTreeMap::new(),
@@ -198,14 +208,20 @@
         self.apply_with(domain, host, value, true)
     }
 
-    /// Writes an operator's change; the host learns of it only if `is_answered`.
-    pub fn apply_with(
+    /// Returns whether an operator can make a change over a host.
+    pub fn can_apply(&self, domain: usize, host: usize) -> bool {
+        let at = address(domain, host);
+        !self.hosts[&at].is_paused && self.reaches_store(at)
+    }
+
+    /// Plans an operator's change of what a host reads from the store now.
+    pub fn plan(
         &mut self,
         domain: usize,
         host: usize,
         value: Value,
-        is_answered: bool,
-    ) -> StoredRecord {
+        expected: Expectation,
+    ) -> Result<ApplyPlan, ApplyError> {
         let document = Document::from_value(value).expect("valid document");
         let current = self.store.current(document.key());
         self.sequence += 1;
@@ -213,20 +229,49 @@
             incarnation: Incarnation(u64::MAX),
             sequence: self.sequence,
         };
-        let request = ApplyRequest::put(document, Expectation::Any, "ana", by);
+        let request = ApplyRequest::put(document, expected, "ana", by);
         let records = self.host(domain, host).replica.records().clone();
-        let places = KnownPlaces::default();
-        let plan = ApplyPlan::new(&request, &current, &records, &places, self.now).expect("plan");
-        self.store.calls += 2;
-        let written = self.write(&plan.record, plan.expected);
-        let revision = written.expect("no other writer");
+        self.store.calls += 1;
+        ApplyPlan::new(
+            &request,
+            &current,
+            &records,
+            &KnownPlaces::default(),
+            self.now,
+        )
+    }
+
+    /// Carries out a plan over one host; tells whether the store took it.
+    pub fn carry_out(&mut self, domain: usize, host: usize, plan: &ApplyPlan) -> bool {
+        self.store.calls += 1;
+        let Some(revision) = self.write(&plan.record, plan.expected) else {
+            return false;
+        };
+        let now = self.now;
+        let host = self.host_mut(domain, host);
+        let effects = host.replica.accept(plan.record.clone(), revision, now);
+        let at = host.info.peer_address;
+        self.carry_out_config(at, effects);
+        true
+    }
+
+    /// Writes an operator's change; the host learns of it only if `is_answered`.
+    pub fn apply_with(
+        &mut self,
+        domain: usize,
+        host: usize,
+        value: Value,
+        is_answered: bool,
+    ) -> StoredRecord {
+        let plan = self
+            .plan(domain, host, value, Expectation::Any)
+            .expect("planned");
         if is_answered {
-            let now = self.now;
-            let record = plan.record.clone();
-            let host = self.host_mut(domain, host);
-            let effects = host.replica.accept(record, revision, now);
-            let at = host.info.peer_address;
-            self.carry_out_config(at, effects);
+            assert!(self.carry_out(domain, host, &plan), "no other writer");
+        } else {
+            self.store.calls += 1;
+            self.write(&plan.record, plan.expected)
+                .expect("no other writer");
         }
         plan.record
     }
@@ -371,7 +416,7 @@
             match effect {
                 MemberEffect::SendHeartbeat { to, heartbeat } => {
                     self.counts.heartbeats += 1;
-                    if self.is_reachable(at, to) {
+                    if self.arrives(at, to) {
                         self.send(to, LATENCY, Message::Heartbeat(at, heartbeat));
                     } else {
                         self.send(at, CALL_TIMEOUT, Message::HeartbeatFailed(to));
@@ -412,7 +457,7 @@
                     let records: Vec<_> = records.iter().map(|r| (**r).clone()).collect();
                     for peer in peers {
                         self.counts.pushed_records += records.len() as u64;
-                        if self.is_reachable(at, peer.peer_address) {
+                        if self.arrives(at, peer.peer_address) {
                             let push = Message::Push(own.clone(), records.clone());
                             self.send(peer.peer_address, LATENCY, push);
                         }
@@ -429,7 +474,7 @@
 
     fn pull(&mut self, at: SocketAddr, peer: MemberInfo, index: RecordIndex) {
         self.counts.pulls += 1;
-        if self.is_reachable(at, peer.peer_address) {
+        if self.arrives(at, peer.peer_address) {
             let own = self.hosts[&at].info.clone();
             self.send(peer.peer_address, LATENCY, Message::Pull(own, index));
         } else {
@@ -486,7 +531,8 @@
             .filter_map(|(at, host)| Some((*at, host.watch?)))
             .collect();
         for (at, watch) in watching {
-            if self.reaches_store(at) {
+            let is_silent = self.silent_watches.contains(&self.hosts[&at].info.host);
+            if self.reaches_store(at) && !is_silent {
                 self.send(
                     at,
                     STORE_LATENCY,
@@ -514,6 +560,12 @@
         !self.store.is_down && !self.cut_from_store.contains(&self.hosts[&at].info.host)
     }
 
+    /// Returns whether a message arrives.
+    fn arrives(&mut self, from: SocketAddr, to: SocketAddr) -> bool {
+        let is_lost = self.rng.random_range(0..1_000) < self.lost_per_mille;
+        !is_lost && self.is_reachable(from, to)
+    }
+
     fn is_reachable(&self, from: SocketAddr, to: SocketAddr) -> bool {
         let Some(target) = self.hosts.get(&to) else {
             return false;
--- a/crates/geranium_core/tests/entry_hosts/main.rs
+++ b/crates/geranium_core/tests/entry_hosts/main.rs
@@ -2,6 +2,7 @@
 
 mod figures;
 mod fleet;
+mod heal;
 mod membership;
 mod reports;
 mod sizes;
--- a/crates/geranium_core/tests/entry_hosts/membership.rs
+++ b/crates/geranium_core/tests/entry_hosts/membership.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 
+use geranium_core::engine::EnginePhase;
 use geranium_core::event::EventKind;
 use geranium_core::id::{GroupId, HostId};
 use geranium_core::member::{
     CrashNotice, Membership, PeerState, budget_holder, observers, ranked, watchers,
 };
 
+use geranium_core::time::HybridTime;
+
 use crate::fleet::{Fleet, address, domain_id, host_id};
+use crate::reports::report;
 
 fn settled(domains: usize, hosts: usize) -> Fleet {
     let mut fleet = Fleet::start(domains, hosts);
@@ -97,7 +101,7 @@
     let now = fleet.now;
     let mut late = old;
     let receiver = fleet.host(0, 0).info.clone();
-    let heartbeat = late.answer(&receiver, now, Default::default());
+    let heartbeat = late.answer(&receiver, now, HybridTime::default());
     fleet.host_mut(0, 0).membership.take_in(&heartbeat, now);
 
     let known = fleet.host(0, 0).membership.peers();
@@ -124,6 +128,68 @@
     assert_eq!(fleet.count_events(EventKind::PeerSuspected), 0);
 }
 
+#[test]
+fn a_late_message_does_not_bring_back_an_older_report() {
+    let mut fleet = settled(1, 2);
+    let receiver = fleet.host(0, 1).info.clone();
+    let now = fleet.now;
+    let sender = &mut fleet.host_mut(0, 0).membership;
+    sender.observe(report(1, EnginePhase::Cold), now);
+    let late = sender.answer(&receiver, now, HybridTime::default());
+    sender.observe(report(2, EnginePhase::Warm), now);
+    let newer = sender.answer(&receiver, now, HybridTime::default());
+
+    let receiver = &mut fleet.host_mut(0, 1).membership;
+    receiver.take_in(&newer, now);
+    receiver.take_in(&late, now);
+
+    let entry = receiver.board().get(&HostId::new("w1")).expect("known");
+    assert_eq!(entry.report.phase, EnginePhase::Warm);
+}
+
+#[test]
+fn a_host_that_was_reached_by_its_address_alone_misses_no_report() {
+    let mut fleet = settled(1, 2);
+    fleet.start_host(0, 1, &[address(0, 0)]);
+
+    // The first heartbeat goes to the seed, whose failure domain is not known yet.
+    for _ in 0..20 {
+        let now = fleet.now;
+        let sender = &mut fleet.host_mut(0, 1).membership;
+        sender.observe(report(1, EnginePhase::Warm), now);
+        fleet.run(Duration::from_millis(100));
+    }
+
+    let board = fleet.host(0, 0).membership.board();
+    assert!(board.get(&HostId::new("w1")).is_some());
+}
+
+#[test]
+fn a_domain_that_falls_silent_and_is_back_is_an_event_of_each_host_that_asks_it() {
+    let mut fleet = settled(2, 2);
+    fleet.cut_domain(1, true);
+    fleet.run(Duration::from_secs(60));
+    let silent = fleet.count_events(EventKind::DomainSilent);
+    fleet.cut_domain(1, false);
+    fleet.run(Duration::from_secs(60));
+
+    assert_eq!(silent, 4);
+    assert_eq!(fleet.count_events(EventKind::DomainHeard), 4);
+}
+
+#[test]
+fn a_paused_process_does_not_report_domains_silent() {
+    let mut fleet = settled(2, 2);
+    fleet.pause(0, 0);
+    fleet.run(Duration::from_secs(120));
+    fleet.events.clear();
+
+    fleet.resume(0, 0);
+    fleet.run(Duration::from_secs(5));
+
+    assert_eq!(fleet.count_events(EventKind::DomainSilent), 0);
+}
+
 #[test]
 fn a_domain_that_was_cut_off_is_known_again_though_its_hosts_were_replaced() {
     let mut fleet = settled(2, 2);
--- a/crates/geranium_core/tests/entry_hosts/reports.rs
+++ b/crates/geranium_core/tests/entry_hosts/reports.rs
@@ -8,7 +8,7 @@
 
 use crate::fleet::Fleet;
 
-fn report(sequence: u64, phase: EnginePhase) -> EngineReport {
+pub fn report(sequence: u64, phase: EnginePhase) -> EngineReport {
     EngineReport {
         host: HostId::new("w1"),
         incarnation: Incarnation(1),
--- a/crates/geranium_core/tests/entry_hosts/spread.rs
+++ b/crates/geranium_core/tests/entry_hosts/spread.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use geranium_core::event::EventKind;
-use geranium_core::record::StoredRecord;
+use geranium_core::record::{ApplyOutcome, Expectation, StoredRecord};
 
-use crate::fleet::{Fleet, address, domain_id, drain, drain_key};
+use crate::fleet::{Fleet, address, drain, drain_key, host_id};
 
 fn settled(domains: usize, hosts: usize) -> Fleet {
     let mut fleet = Fleet::start(domains, hosts);
@@ -174,6 +174,78 @@
     assert_eq!(generation(&fleet, 0, 2), 2);
 }
 
+#[test]
+fn a_restarted_host_is_not_informed_by_a_restored_store_before_its_peers() {
+    for host in 0..3 {
+        let mut fleet = settled(1, 3);
+        fleet.apply(0, 0, drain("out", 1));
+        let copy = fleet.store.clone();
+        fleet.apply(0, 0, drain("out", 2));
+        fleet.run(Duration::from_secs(1));
+        fleet.store = copy;
+
+        let seeds = [address(0, 0), address(0, 1), address(0, 2)];
+        fleet.start_host(0, host, &seeds);
+        let is_informed = |f: &Fleet| f.host(0, host).replica.is_informed(f.now);
+        fleet.run_while(Duration::from_secs(10), is_informed);
+
+        assert_eq!(generation(&fleet, 0, host), 2, "host {host}");
+    }
+}
+
+#[test]
+fn a_domain_whose_watches_are_silently_dead_learns_from_other_domains() {
+    let mut fleet = settled(3, 3);
+    for host in 0..3 {
+        fleet.silent_watches.insert(host_id(2, host));
+    }
+
+    let record = fleet.apply(0, 0, drain("out", 1));
+    let took = fleet.run_while(Duration::from_secs(90), |f| f.is_everywhere(&record));
+
+    assert!(took <= Duration::from_secs(3), "took {took:?}");
+}
+
+#[test]
+fn a_lone_domain_whose_watches_are_silently_dead_reads_the_store_again() {
+    let mut fleet = settled(1, 3);
+    for host in 0..3 {
+        fleet.silent_watches.insert(host_id(0, host));
+    }
+
+    let record = fleet.apply_with(0, 0, drain("out", 1), false);
+    fleet.run_while(Duration::from_secs(90), |f| f.is_everywhere(&record));
+}
+
+#[test]
+fn of_two_operators_who_race_a_hundred_times_each_time_one_wins() {
+    let mut fleet = settled(3, 3);
+    let mut last = fleet.apply(0, 0, drain("out", 0));
+    for round in 1..=100 {
+        fleet.run(Duration::from_millis(20));
+        let expected = Expectation::Generation(last.generation());
+        let ana = fleet.plan(0, round % 3, drain("out", 2 * round), expected);
+        let eva = fleet.plan(1, round % 3, drain("out", 2 * round + 1), expected);
+        let (ana, eva) = (ana.expect("planned"), eva.expect("planned"));
+
+        let (first, second) = if round % 2 == 0 { (0, 1) } else { (1, 0) };
+        let plans = [&ana, &eva];
+        let won = fleet.carry_out(first, round % 3, plans[first]);
+        let lost = fleet.carry_out(second, round % 3, plans[second]);
+        let current = fleet.store.current(&ana.record.key);
+
+        assert!(won && !lost, "round {round}");
+        assert_eq!(plans[first].settle(&current), ApplyOutcome::Applied);
+        let winner = plans[first].record.change.clone();
+        assert_eq!(plans[second].settle(&current), ApplyOutcome::Lost(winner));
+        last = plans[first].record.clone();
+    }
+    fleet.run(Duration::from_secs(2));
+
+    assert!(fleet.is_everywhere(&last));
+    assert_eq!(last.generation().0, 101);
+}
+
 #[test]
 fn an_outdated_peer_that_speaks_up_reverts_nothing_and_is_told() {
     let mut fleet = settled(1, 3);
@@ -232,11 +304,25 @@
     fleet.run(Duration::from_secs(5));
 
     let host = fleet.host(0, 0);
-    let report = host.membership.in_force(host.replica.records().digest());
+    let digest = host.replica.records().digest();
+    let report = host.membership.in_force(digest);
 
     assert_eq!(report.total(), 6);
     assert_eq!(report.in_force.len(), 5);
     assert_eq!(report.silent, [fleet.host(0, 1).info.host.clone()]);
-    assert_eq!(fleet.host(1, 0).info.failure_domain, domain_id(1));
     assert!(!fleet.is_everywhere(&record));
 }
+
+#[test]
+fn hosts_of_a_domain_that_was_not_heard_of_lately_are_reported_silent() {
+    let mut fleet = settled(2, 2);
+    fleet.cut_domain(1, true);
+    fleet.run(Duration::from_secs(60));
+
+    let host = fleet.host(0, 0);
+    let digest = host.replica.records().digest();
+    let report = host.membership.in_force(digest);
+
+    assert_eq!(report.in_force, [host_id(0, 0), host_id(0, 1)]);
+    assert_eq!(report.silent.len(), 2);
+}
--- a/crates/geranium_core/tests/record/main.rs
+++ b/crates/geranium_core/tests/record/main.rs
@@ -3,5 +3,6 @@
 mod apply;
 mod check;
 mod documents;
+mod examples;
 mod fixture;
 mod set;
