--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -113,4 +113,8 @@
     TableRejected => "table_rejected",
     /// The process was paused and has not run for a while.
     ProcessPaused => "process_paused",
+    /// Nothing was heard of another failure domain for a while.
+    DomainSilent => "domain_silent",
+    /// Another failure domain was heard of again.
+    DomainHeard => "domain_heard",
 }
