Split the long files of the stand-ins and share their fixtures

Fixtures that start engines, read streams and write values are public in geranium_fakes::fixture, for the tests of other crates too.

Conclusion: no change of behaviour but the layout.

--- a/crates/geranium_engine/tests/cache.rs
+++ b/crates/geranium_engine/tests/cache.rs
@@ -2,35 +2,24 @@
 
 use std::time::Duration;
 
-use futures::StreamExt;
 use geranium_engine::prelude::*;
 use geranium_engine::{BLOCK_BYTES, block_hashes};
-use geranium_fakes::fixture::{chat, completion, form_group, quick_engine};
+use geranium_fakes::fixture::{
+    chat, completion, engine_client, open_stream, quick_engine, read_to_end, serving_engine,
+};
 use geranium_fakes::{EngineConfig, FakeEngine};
 
-async fn serving(cfg: EngineConfig) -> FakeEngine {
-    let engine = FakeEngine::start(cfg)
-        .await
-        .expect("loopback can be listened on");
-    form_group(&client(), &[&engine], 1).await.expect("formed");
-    engine
-}
-
-fn client() -> HttpEngineClient {
-    HttpEngineClient::new(EngineClientConfig::default())
-}
-
 /// Runs a chat whose prompt has four whole blocks and returns their hashes.
 async fn run_chat(engine: &FakeEngine) -> Vec<u64> {
     let chat = chat(&"p".repeat(4 * BLOCK_BYTES), 1);
-    let req = completion("r", 1, &chat);
-    let stream = client().stream_completion(engine.address(), &req).await;
-    stream.expect("accepted").collect::<Vec<_>>().await;
+    let mut stream = open_stream(engine, &completion("r", 1, &chat)).await;
+    let (_, end) = read_to_end(&mut stream).await;
+    assert_eq!(end, Ok(()));
     block_hashes(chat.prompt().as_bytes()).collect()
 }
 
 async fn events(engine: &FakeEngine, after: u64) -> CacheEvents {
-    client()
+    engine_client()
         .cache_events(engine.address(), after)
         .await
         .expect("told")
@@ -38,7 +27,7 @@
 
 #[tokio::test]
 async fn the_blocks_of_a_prompt_are_told_in_order() {
-    let engine = serving(quick_engine("a")).await;
+    let engine = serving_engine(quick_engine("a")).await;
     let blocks = run_chat(&engine).await;
 
     let first = events(&engine, 0).await;
@@ -63,7 +52,7 @@
 
 #[tokio::test]
 async fn lost_events_show_as_gaps_in_the_sequence() {
-    let engine = serving(EngineConfig {
+    let engine = serving_engine(EngineConfig {
         cache_gap_every: 3,
         ..quick_engine("a")
     })
@@ -78,7 +67,7 @@
 
 #[tokio::test]
 async fn events_are_told_late() {
-    let engine = serving(EngineConfig {
+    let engine = serving_engine(EngineConfig {
         cache_lag: Duration::from_secs(3_600),
         ..quick_engine("a")
     })
@@ -90,7 +79,7 @@
 
 #[tokio::test]
 async fn a_full_cache_evicts_the_block_used_longest_ago() {
-    let engine = serving(EngineConfig {
+    let engine = serving_engine(EngineConfig {
         cache_blocks: 3,
         ..quick_engine("a")
     })
@@ -111,18 +100,18 @@
 #[tokio::test]
 async fn exported_blocks_are_in_the_cache_of_the_engine_that_imports_them() {
     let (from, to) = (
-        serving(quick_engine("a")).await,
-        serving(quick_engine("b")).await,
+        serving_engine(quick_engine("a")).await,
+        serving_engine(quick_engine("b")).await,
     );
     let blocks = run_chat(&from).await;
     let unknown = 1;
 
     let asked = [blocks[0], unknown, blocks[1]];
-    let exported = client()
+    let exported = engine_client()
         .export_kv(from.address(), &asked)
         .await
         .expect("exported");
-    let imported = client().import_kv(to.address(), exported).await;
+    let imported = engine_client().import_kv(to.address(), exported).await;
 
     assert_eq!(imported, Ok(2));
     let told = events(&to, 0).await;
@@ -132,9 +121,9 @@
 
 #[tokio::test]
 async fn an_export_that_is_cut_off_is_refused() {
-    let engine = serving(quick_engine("a")).await;
+    let engine = serving_engine(quick_engine("a")).await;
 
-    let outcome = client()
+    let outcome = engine_client()
         .import_kv(engine.address(), bytes::Bytes::from_static(b"123"))
         .await;
 
--- a/crates/geranium_engine/tests/orders.rs
+++ b/crates/geranium_engine/tests/orders.rs
@@ -7,21 +7,12 @@
 use geranium_engine::prelude::*;
 use geranium_fakes::engine::EngineFault;
 use geranium_fakes::fixture::{
-    GROUP, chat, completion, form_group, load_order, quick_engine, wait_until,
+    GROUP, chat, completion, engine_client, form_group, load_order, quick_engine, start_engine,
+    wait_for_connect, wait_until,
 };
 use geranium_fakes::http::GateState;
 use geranium_fakes::{EngineConfig, FakeEngine};
 
-async fn engine(cfg: EngineConfig) -> FakeEngine {
-    FakeEngine::start(cfg)
-        .await
-        .expect("loopback can be listened on")
-}
-
-fn client() -> HttpEngineClient {
-    HttpEngineClient::new(EngineClientConfig::default())
-}
-
 fn order(engine: &FakeEngine, fencing: u64, action: OrderAction) -> Order {
     Order {
         host: engine.host().clone(),
@@ -32,10 +23,16 @@
 
 #[tokio::test]
 async fn a_new_engine_is_idle_and_each_report_has_a_higher_sequence() {
-    let engine = engine(quick_engine("a")).await;
+    let engine = start_engine(quick_engine("a")).await;
 
-    let first = client().report(engine.address()).await.expect("reported");
-    let second = client().report(engine.address()).await.expect("reported");
+    let first = engine_client()
+        .report(engine.address())
+        .await
+        .expect("reported");
+    let second = engine_client()
+        .report(engine.address())
+        .await
+        .expect("reported");
 
     assert_eq!(first.host, HostId::new("a"));
     assert_eq!(first.phase, EnginePhase::Idle);
@@ -46,15 +43,15 @@
 
 #[tokio::test]
 async fn an_engine_that_checks_refuses_an_old_fencing_number_and_names_the_highest() {
-    let engine = engine(quick_engine("a")).await;
+    let engine = start_engine(quick_engine("a")).await;
     let fence = order(&engine, 9, OrderAction::Fence);
-    client()
+    engine_client()
         .send_order(engine.address(), &fence)
         .await
         .expect("followed");
 
     let stale = load_order(&[&engine], 0, 8);
-    let outcome = client().send_order(engine.address(), &stale).await;
+    let outcome = engine_client().send_order(engine.address(), &stale).await;
 
     let refused = EngineError::StaleFencing(engine.address(), FencingNumber(9));
     assert!(refused.is_not_run());
@@ -65,19 +62,19 @@
 
 #[tokio::test]
 async fn an_engine_that_ignores_fencing_numbers_follows_an_old_order() {
-    let engine = engine(EngineConfig {
+    let engine = start_engine(EngineConfig {
         checks_fencing: false,
         ..quick_engine("a")
     })
     .await;
     let fence = order(&engine, 9, OrderAction::Fence);
-    client()
+    engine_client()
         .send_order(engine.address(), &fence)
         .await
         .expect("followed");
 
     let stale = load_order(&[&engine], 0, 8);
-    let report = client()
+    let report = engine_client()
         .send_order(engine.address(), &stale)
         .await
         .expect("followed");
@@ -89,19 +86,19 @@
 
 #[tokio::test]
 async fn the_same_order_with_a_higher_number_renews_it_without_loading_again() {
-    let engine = engine(EngineConfig {
+    let engine = start_engine(EngineConfig {
         load_time: Duration::from_secs(3_600),
         ..quick_engine("a")
     })
     .await;
     let first = load_order(&[&engine], 0, 1);
-    client()
+    engine_client()
         .send_order(engine.address(), &first)
         .await
         .expect("followed");
 
     let renewed = load_order(&[&engine], 0, 2);
-    let report = client()
+    let report = engine_client()
         .send_order(engine.address(), &renewed)
         .await
         .expect("followed");
@@ -111,7 +108,7 @@
         report.assignment.expect("followed").fencing,
         FencingNumber(2)
     );
-    let refused = client()
+    let refused = engine_client()
         .stream_completion(engine.address(), &completion("r", 2, &chat("hi", 1)))
         .await;
     let Err(e @ EngineError::Refused(_, 503, ..)) = refused else {
@@ -122,11 +119,13 @@
 
 #[tokio::test]
 async fn a_released_engine_is_idle_again() {
-    let engine = engine(quick_engine("a")).await;
-    form_group(&client(), &[&engine], 1).await.expect("formed");
+    let engine = start_engine(quick_engine("a")).await;
+    form_group(&engine_client(), &[&engine], 1)
+        .await
+        .expect("formed");
 
     let release = order(&engine, 2, OrderAction::Release);
-    let report = client()
+    let report = engine_client()
         .send_order(engine.address(), &release)
         .await
         .expect("followed");
@@ -138,13 +137,13 @@
 
 #[tokio::test]
 async fn an_order_for_another_host_is_refused() {
-    let engine = engine(quick_engine("a")).await;
+    let engine = start_engine(quick_engine("a")).await;
     let other = Order {
         host: HostId::new("b"),
         ..order(&engine, 1, OrderAction::Fence)
     };
 
-    let outcome = client().send_order(engine.address(), &other).await;
+    let outcome = engine_client().send_order(engine.address(), &other).await;
 
     assert!(matches!(outcome, Err(EngineError::Refused(_, 400, kind, ..)) if kind == "wrong_host"));
     assert_eq!(engine.report().fencing, FencingNumber(0));
@@ -152,16 +151,19 @@
 
 #[tokio::test]
 async fn an_order_whose_answer_was_lost_may_be_in_force() {
-    let engine = engine(quick_engine("a")).await;
+    let engine = start_engine(quick_engine("a")).await;
     engine.set_fault(&EngineFault {
         lose_order_answers: Some(1),
         ..EngineFault::default()
     });
 
-    let outcome = client()
+    let outcome = engine_client()
         .send_order(engine.address(), &load_order(&[&engine], 0, 1))
         .await;
-    let report = client().report(engine.address()).await.expect("reported");
+    let report = engine_client()
+        .report(engine.address())
+        .await
+        .expect("reported");
 
     let Err(e @ EngineError::NoAnswer(_)) = outcome else {
         panic!("{outcome:?}");
@@ -172,24 +174,22 @@
 
 #[tokio::test]
 async fn a_call_to_a_host_that_is_gone_was_not_sent() {
-    let engine = engine(quick_engine("a")).await;
+    let engine = start_engine(quick_engine("a")).await;
     let address = engine.address();
     engine.set_fault(&EngineFault {
         connections: Some(GateState::Refuse),
         ..EngineFault::default()
     });
-    while tokio::net::TcpStream::connect(address).await.is_ok() {
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
+    wait_for_connect(address, false).await;
 
-    let outcome = client().report(address).await;
+    let outcome = engine_client().report(address).await;
 
     assert!(matches!(outcome, Err(EngineError::NotSent(_))));
 }
 
 #[tokio::test]
 async fn a_paused_engine_gives_no_answer() {
-    let engine = engine(quick_engine("a")).await;
+    let engine = start_engine(quick_engine("a")).await;
     engine.set_fault(&EngineFault {
         pause_ms: Some(3_600_000),
         ..EngineFault::default()
@@ -206,15 +206,20 @@
 
 #[tokio::test]
 async fn an_engine_that_falls_over_comes_back_idle_with_a_new_incarnation() {
-    let engine = engine(quick_engine("a")).await;
-    form_group(&client(), &[&engine], 5).await.expect("formed");
+    let engine = start_engine(quick_engine("a")).await;
+    form_group(&engine_client(), &[&engine], 5)
+        .await
+        .expect("formed");
     let before = engine.report();
 
     engine.set_fault(&EngineFault {
         fail_over: true,
         ..EngineFault::default()
     });
-    let after = client().report(engine.address()).await.expect("reported");
+    let after = engine_client()
+        .report(engine.address())
+        .await
+        .expect("reported");
 
     assert_ne!(after.incarnation, before.incarnation);
     assert_eq!(after.phase, EnginePhase::Idle);
@@ -228,33 +233,40 @@
 
 #[tokio::test]
 async fn leaving_shows_in_the_report() {
-    let engine = engine(quick_engine("a")).await;
+    let engine = start_engine(quick_engine("a")).await;
 
     engine.set_fault(&EngineFault {
         leaving: Some(true),
         ..EngineFault::default()
     });
 
-    let report = client().report(engine.address()).await.expect("reported");
+    let report = engine_client()
+        .report(engine.address())
+        .await
+        .expect("reported");
     assert!(report.leaving);
 }
 
 #[tokio::test]
 async fn load_figures_lag() {
-    let lagging = engine(EngineConfig {
+    let lagging = start_engine(EngineConfig {
         report_lag: Duration::from_secs(3_600),
         ..quick_engine("a")
     })
     .await;
-    let prompt = engine(quick_engine("b")).await;
+    let prompt = start_engine(quick_engine("b")).await;
     for engine in [&lagging, &prompt] {
-        form_group(&client(), &[engine], 1).await.expect("formed");
+        form_group(&engine_client(), &[engine], 1)
+            .await
+            .expect("formed");
     }
     let endless = completion("r", 1, &chat("hi", u32::MAX));
 
     let mut streams = Vec::new();
     for engine in [&lagging, &prompt] {
-        let stream = client().stream_completion(engine.address(), &endless).await;
+        let stream = engine_client()
+            .stream_completion(engine.address(), &endless)
+            .await;
         streams.push(stream.expect("accepted"));
         wait_until(|| engine.stats().executions == 1).await;
     }
--- a/crates/geranium_engine/tests/replica.rs
+++ b/crates/geranium_engine/tests/replica.rs
@@ -2,60 +2,29 @@
 
 use std::time::Duration;
 
-use futures::StreamExt;
 use geranium_core::engine::EnginePhase;
 use geranium_engine::prelude::*;
 use geranium_fakes::engine::EngineFault;
 use geranium_fakes::fixture::{
-    chat, completion, expected_answer, form_group, load_order, quick_engine, wait_until,
+    chat, completion, engine_client, expected_answer, form_group, load_order, open_stream,
+    quick_engine, read_to_end, start_engine, wait_until,
 };
 use geranium_fakes::http::GateState;
 use geranium_fakes::{EngineConfig, FakeEngine};
 
-async fn engine(cfg: EngineConfig) -> FakeEngine {
-    FakeEngine::start(cfg)
-        .await
-        .expect("loopback can be listened on")
-}
-
 async fn pair() -> (FakeEngine, FakeEngine) {
     let pair = (
-        engine(quick_engine("a")).await,
-        engine(quick_engine("b")).await,
+        start_engine(quick_engine("a")).await,
+        start_engine(quick_engine("b")).await,
     );
-    form_group(&client(), &[&pair.0, &pair.1], 1)
+    form_group(&engine_client(), &[&pair.0, &pair.1], 1)
         .await
         .expect("formed");
     pair
 }
 
-fn client() -> HttpEngineClient {
-    HttpEngineClient::new(EngineClientConfig::default())
-}
-
 async fn open_endless(engine: &FakeEngine) -> CompletionStream {
-    let req = completion("r", 1, &chat("hi", u32::MAX));
-    let stream = client().stream_completion(engine.address(), &req).await;
-    stream.expect("accepted")
-}
-
-/// Reads a stream to its end and returns its text and its last event.
-async fn read_all(
-    mut stream: CompletionStream,
-) -> (String, Option<Result<CompletionEvent, EngineError>>) {
-    let mut text = String::new();
-    loop {
-        match stream.next().await {
-            Some(Ok(CompletionEvent::Piece(piece))) => {
-                text.push_str(&piece.text().expect("a chunk"));
-            }
-            end => return (text, end),
-        }
-    }
-}
-
-fn is_cut(end: Option<Result<CompletionEvent, EngineError>>) -> bool {
-    matches!(end, Some(Err(EngineError::Cut(..))))
+    open_stream(engine, &completion("r", 1, &chat("hi", u32::MAX))).await
 }
 
 #[tokio::test]
@@ -63,30 +32,30 @@
     let (head, _other) = pair().await;
     let chat = chat("hello", 100);
     let req = completion("r", 1, &chat);
-    let stream = client().stream_completion(head.address(), &req).await;
+    let mut stream = open_stream(&head, &req).await;
 
-    let (text, end) = read_all(stream.expect("accepted")).await;
+    let (text, end) = read_to_end(&mut stream).await;
 
-    assert_eq!(end, Some(Ok(CompletionEvent::Done)));
+    assert_eq!(end, Ok(()));
     assert_eq!(text, expected_answer(&chat));
 }
 
 #[tokio::test]
 async fn rank_0_loads_until_every_member_has_loaded() {
     let (head, other) = (
-        engine(quick_engine("a")).await,
-        engine(quick_engine("b")).await,
+        start_engine(quick_engine("a")).await,
+        start_engine(quick_engine("b")).await,
     );
     let members = [&head, &other];
     let order = load_order(&members, 0, 1);
-    client()
+    engine_client()
         .send_order(head.address(), &order)
         .await
         .expect("followed");
     let alone = head.report().phase;
 
     let order = load_order(&members, 1, 1);
-    client()
+    engine_client()
         .send_order(other.address(), &order)
         .await
         .expect("followed");
@@ -100,7 +69,9 @@
     let (_head, other) = pair().await;
 
     let req = completion("r", 1, &chat("hi", 5));
-    let outcome = client().stream_completion(other.address(), &req).await;
+    let outcome = engine_client()
+        .stream_completion(other.address(), &req)
+        .await;
 
     assert!(matches!(outcome, Err(EngineError::WrongGroup(..))));
 }
@@ -108,15 +79,15 @@
 #[tokio::test]
 async fn a_replica_ends_when_a_member_is_gone() {
     let (head, other) = pair().await;
-    let stream = open_endless(&head).await;
+    let mut stream = open_endless(&head).await;
 
     other.set_fault(&EngineFault {
         connections: Some(GateState::Refuse),
         ..EngineFault::default()
     });
-    let (_, end) = read_all(stream).await;
+    let (_, end) = read_to_end(&mut stream).await;
 
-    assert!(is_cut(end));
+    assert!(matches!(end, Err(EngineError::Cut(..))));
     assert_eq!(head.report().assignment, None);
     assert_eq!(head.report().phase, EnginePhase::Idle);
     assert_eq!(head.stats().replica_deaths, 1);
@@ -125,44 +96,44 @@
 
 #[tokio::test]
 async fn a_replica_ends_when_a_member_is_silent_for_too_long() {
-    let head = engine(EngineConfig {
+    let head = start_engine(EngineConfig {
         member_timeout: Duration::from_millis(500),
         ..quick_engine("a")
     })
     .await;
-    let other = engine(quick_engine("b")).await;
-    form_group(&client(), &[&head, &other], 1)
+    let other = start_engine(quick_engine("b")).await;
+    form_group(&engine_client(), &[&head, &other], 1)
         .await
         .expect("formed");
-    let stream = open_endless(&head).await;
+    let mut stream = open_endless(&head).await;
 
     other.set_fault(&EngineFault {
         pause_ms: Some(3_600_000),
         ..EngineFault::default()
     });
-    let (_, end) = read_all(stream).await;
+    let (_, end) = read_to_end(&mut stream).await;
 
-    assert!(is_cut(end));
+    assert!(matches!(end, Err(EngineError::Cut(..))));
     assert_eq!(head.stats().replica_deaths, 1);
 }
 
 #[tokio::test]
 async fn a_replica_ends_when_a_member_restarted_even_if_it_was_ordered_back() {
     let (head, other) = pair().await;
-    let stream = open_endless(&head).await;
+    let mut stream = open_endless(&head).await;
 
     other.set_fault(&EngineFault {
         fail_over: true,
         ..EngineFault::default()
     });
     let order = load_order(&[&head, &other], 1, 1);
-    client()
+    engine_client()
         .send_order(other.address(), &order)
         .await
         .expect("followed");
-    let (_, end) = read_all(stream).await;
+    let (_, end) = read_to_end(&mut stream).await;
 
-    assert!(is_cut(end));
+    assert!(matches!(end, Err(EngineError::Cut(..))));
     assert_eq!(head.stats().replica_deaths, 1);
 }
 
@@ -172,7 +143,10 @@
 
     drop(head);
 
-    let report = client().report(other.address()).await.expect("reported");
+    let report = engine_client()
+        .report(other.address())
+        .await
+        .expect("reported");
     assert!(report.assignment.is_some());
 }
 
@@ -182,7 +156,7 @@
     let members = [&head, &other];
     for (rank, engine) in members.iter().enumerate() {
         let order = load_order(&members, rank, 2);
-        client()
+        engine_client()
             .send_order(engine.address(), &order)
             .await
             .expect("followed");
@@ -190,10 +164,10 @@
 
     let chat = chat("hello", 100);
     let req = completion("r", 2, &chat);
-    let stream = client().stream_completion(head.address(), &req).await;
-    let (text, end) = read_all(stream.expect("accepted")).await;
+    let mut stream = open_stream(&head, &req).await;
+    let (text, end) = read_to_end(&mut stream).await;
 
-    assert_eq!(end, Some(Ok(CompletionEvent::Done)));
+    assert_eq!(end, Ok(()));
     assert_eq!(text, expected_answer(&chat));
     assert_eq!(head.stats().replica_deaths, 0);
 }
@@ -201,14 +175,14 @@
 #[tokio::test]
 async fn finished_requests_warm_up_every_member_and_one_that_forgets_cools_all() {
     let (head, other) = (
-        engine(EngineConfig {
+        start_engine(EngineConfig {
             warm_after: 2,
             ..quick_engine("a")
         })
         .await,
-        engine(quick_engine("b")).await,
+        start_engine(quick_engine("b")).await,
     );
-    form_group(&client(), &[&head, &other], 1)
+    form_group(&engine_client(), &[&head, &other], 1)
         .await
         .expect("formed");
     let phases = |phase| {
@@ -218,8 +192,9 @@
 
     for request in ["r1", "r2"] {
         let req = completion(request, 1, &chat("hi", 2));
-        let stream = client().stream_completion(head.address(), &req).await;
-        read_all(stream.expect("accepted")).await;
+        let mut stream = open_stream(&head, &req).await;
+        let (_, end) = read_to_end(&mut stream).await;
+        assert_eq!(end, Ok(()));
     }
     wait_until(phases(EnginePhase::Warm)).await;
     other.set_fault(&EngineFault {
--- a/crates/geranium_engine/tests/service.rs
+++ b/crates/geranium_engine/tests/service.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use geranium_engine::prelude::*;
+use geranium_fakes::fixture::wait_for_connect;
 use geranium_fakes::http::GateState;
 use geranium_fakes::service::ServiceFault;
 use geranium_fakes::{FakeService, ServiceConfig};
@@ -149,12 +150,7 @@
         connections: Some(GateState::Refuse),
         ..ServiceFault::default()
     });
-    while tokio::net::TcpStream::connect(service.address())
-        .await
-        .is_ok()
-    {
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
+    wait_for_connect(service.address(), false).await;
 
     let outcome = client().call(call(&service, "k1"), LIMIT).await;
 
--- a/crates/geranium_fakes/src/engine/core.rs
+++ b/crates/geranium_fakes/src/engine/core.rs
@@ -11,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 use tokio_util::sync::CancellationToken;
 
+use super::condition::Condition;
 use super::load::{LaggedLoad, LoadSample};
 use super::registry::SessionRegistry;
 use super::{
@@ -20,30 +21,11 @@
 
 /// Time between looks at whether a stalled group moves again.
 const STALL_POLL: Duration = Duration::from_millis(5);
-/// Longest pause of an engine.
-const MAX_PAUSE: Duration = Duration::from_secs(24 * 3_600);
-/// Largest factor of a straggler.
-const MAX_STRAGGLE_FACTOR: f64 = 1e6;
 /// Bits of an incarnation, which every JSON reader keeps exactly.
 const INCARNATION_BITS: u32 = 53;
 /// Bits of an incarnation that are random, for runs within one millisecond.
 const RANDOM_BITS: u32 = 12;
 
-/// State that faults change directly.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Condition {
-    pub paused_until: Option<Instant>,
-    pub straggle_factor: f64,
-    /// Slowest factor of the other members, as rank 0 sees it.
-    pub group_factor: f64,
-    /// Whether rank 0 waits for a member that does not answer.
-    pub stalled: bool,
-    pub leaving: bool,
-    pub lose_order_answers: u32,
-    pub swap_every: u64,
-    pub repeat_every: u64,
-}
-
 /// One engine.
 pub(super) struct EngineCore {
     pub cfg: EngineConfig,
@@ -74,16 +56,7 @@
                 cfg.cache_gap_every,
             )),
             stats: Mutex::default(),
-            condition: Mutex::new(Condition {
-                paused_until: None,
-                straggle_factor: 1.0,
-                group_factor: 1.0,
-                stalled: false,
-                leaving: false,
-                lose_order_answers: 0,
-                swap_every: 0,
-                repeat_every: 0,
-            }),
+            condition: Mutex::default(),
             requests: Mutex::default(),
             load: Mutex::new(LaggedLoad::new(cfg.report_lag)),
             kv_used: Mutex::default(),
@@ -261,28 +234,7 @@
 
     /// Puts a fault into force.
     pub fn set_fault(&self, fault: &EngineFault) {
-        {
-            let mut condition = self.condition.lock();
-            if let Some(millis) = fault.pause_ms {
-                let pause = Duration::from_millis(millis).min(MAX_PAUSE);
-                condition.paused_until = Some(Instant::now() + pause);
-            }
-            if let Some(factor) = fault.straggle_factor {
-                condition.straggle_factor = factor.clamp(0.0, MAX_STRAGGLE_FACTOR);
-            }
-            if let Some(leaving) = fault.leaving {
-                condition.leaving = leaving;
-            }
-            if let Some(n) = fault.lose_order_answers {
-                condition.lose_order_answers = n;
-            }
-            if let Some(n) = fault.swap_every {
-                condition.swap_every = n;
-            }
-            if let Some(n) = fault.repeat_every {
-                condition.repeat_every = n;
-            }
-        }
+        self.condition.lock().set(fault);
         if fault.forget {
             self.forget();
         }
--- a/crates/geranium_fakes/src/engine/handler.rs
+++ b/crates/geranium_fakes/src/engine/handler.rs
@@ -18,6 +18,7 @@
 
 use super::core::EngineCore;
 use super::members::{MemberAnswer, MemberQuestion};
+use super::output::{into_events, into_text};
 use super::refusal::CallRefusal;
 use super::render::whole_answer;
 use super::session::{Session, SessionSpec};
@@ -160,13 +161,13 @@
 
 async fn run(session: Session) -> Response {
     if session.is_streamed() {
-        let mut res = Response::new(Body::from_stream(session.into_events()));
+        let mut res = Response::new(Body::from_stream(into_events(session)));
         let events = HeaderValue::from_static("text/event-stream");
         res.headers_mut().insert(CONTENT_TYPE, events);
         return res;
     }
     let facts = session.facts();
-    match session.into_text().await {
+    match into_text(session).await {
         Ok(text) => {
             let answer = whole_answer(
                 &facts.request,
--- a/crates/geranium_fakes/src/engine/mod.rs
+++ b/crates/geranium_fakes/src/engine/mod.rs
@@ -26,21 +26,25 @@
 //! | `refusal` | what is refused, and how |
 //! | `registry` | the completions that wait or run |
 //! | `session` | one completion |
+//! | `output` | its answer, streamed or whole |
 //! | `render` | the JSON of chunks and answers |
 //! | `text` | the tokens |
 //! | `core` | what the calls share |
 //! | `handler` | the calls |
+//! | `condition` | state that faults change directly |
 //! | `fault` | what can be made to fail, and the counts |
 //! | `server` | the running stand-in |
 
 mod assignment;
 mod cache;
+mod condition;
 mod config;
 mod core;
 mod fault;
 mod handler;
 mod load;
 mod members;
+mod output;
 mod refusal;
 mod registry;
 mod render;
--- a/crates/geranium_fakes/src/engine/session.rs
+++ b/crates/geranium_fakes/src/engine/session.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures::{Stream, stream};
 use geranium_engine::{ChatRequest, block_hashes};
 use quick_error::quick_error;
 use tokio::time::Instant;
@@ -13,7 +11,6 @@
 use super::SlotGuard;
 use super::core::EngineCore;
 use super::registry::SessionId;
-use super::render::{ChunkFrame, END_EVENT, error_event};
 use super::text::TokenSeed;
 
 /// Most tokens in one write.
@@ -67,7 +64,6 @@
     seed: TokenSeed,
     next: u64,
     end: u64,
-    held_piece: Option<u64>,
     due: Instant,
     slot: Option<SlotGuard>,
     kv_tokens: u64,
@@ -94,7 +90,6 @@
             seed,
             next: resume.map_or(0, |resume| resume.from_index.min(end)),
             end,
-            held_piece: None,
             due: Instant::now(),
             slot: None,
             kv_tokens: 0,
@@ -122,79 +117,23 @@
         }
     }
 
-    /// Returns the completion as server-sent events.
-    pub fn into_events(self) -> impl Stream<Item = Result<Bytes, EarlyEnd>> + Send + 'static {
-        let frame = ChunkFrame::new(&self.spec.request, &self.spec.chat.model);
-        stream::unfold((self, frame), |(mut session, frame)| async move {
-            if session.ended {
-                return None;
-            }
-            let event = session.next_events(&frame).await;
-            Some((event, (session, frame)))
-        })
-    }
-
-    /// Runs the completion and returns its whole text.
-    pub async fn into_text(mut self) -> Result<String, EarlyEnd> {
-        let mut text = String::new();
-        while let Some(burst) = self.next_burst().await? {
-            for index in burst.first..burst.after_last {
-                text.push_str(&self.seed.token(index));
-            }
-        }
-        self.finish();
-        Ok(text)
-    }
-
-    async fn next_events(&mut self, frame: &ChunkFrame) -> Result<Bytes, EarlyEnd> {
-        let mut buf = String::new();
-        match self.next_burst().await {
-            Ok(Some(burst)) => {
-                for index in burst.first..burst.after_last {
-                    self.push_piece(frame, &mut buf, index);
-                }
-            }
-            Ok(None) => {
-                self.push_held_piece(frame, &mut buf);
-                self.finish();
-                frame.push_finish(&mut buf, self.end);
-                buf.push_str(END_EVENT);
-            }
-            Err(EarlyEnd::Expired) => {
-                buf = error_event("deadline_exceeded", &EarlyEnd::Expired.to_string());
-            }
-            Err(e) => return Err(e),
-        }
-        Ok(Bytes::from(buf))
+    /// Returns the engine that runs the completion.
+    pub fn core(&self) -> &EngineCore {
+        &self.core
     }
 
-    /// Adds a piece, unless it is to be sent after its successor.
-    fn push_piece(&mut self, frame: &ChunkFrame, buf: &mut String, index: u64) {
-        let (swap_every, repeat_every) = {
-            let condition = self.core.condition.lock();
-            (condition.swap_every, condition.repeat_every)
-        };
-        let is_due = |every: u64| every > 0 && index.is_multiple_of(every);
-        if is_due(swap_every) && self.held_piece.is_none() {
-            self.held_piece = Some(index);
-            return;
-        }
-        let token = self.seed.token(index);
-        frame.push_token(buf, index, &token);
-        if is_due(repeat_every) {
-            frame.push_token(buf, index, &token);
-        }
-        self.push_held_piece(frame, buf);
+    /// Returns the seed of the tokens.
+    pub const fn seed(&self) -> TokenSeed {
+        self.seed
     }
 
-    fn push_held_piece(&mut self, frame: &ChunkFrame, buf: &mut String) {
-        if let Some(index) = self.held_piece.take() {
-            frame.push_token(buf, index, &self.seed.token(index));
-        }
+    /// Returns whether the completion has ended.
+    pub const fn has_ended(&self) -> bool {
+        self.ended
     }
 
     /// Waits for the next tokens; `None` after the last one.
-    async fn next_burst(&mut self) -> Result<Option<Burst>, EarlyEnd> {
+    pub async fn next_burst(&mut self) -> Result<Option<Burst>, EarlyEnd> {
         let outcome = self.try_next_burst().await;
         if let Err(e) = &outcome {
             self.end_early(*e);
@@ -298,7 +237,8 @@
         }
     }
 
-    fn finish(&mut self) {
+    /// Ends the completion as whole.
+    pub fn finish(&mut self) {
         self.core.stats.lock().completed += 1;
         let mut state = self.core.state.lock();
         state.finish_request(self.core.cfg.warm_after);
--- a/crates/geranium_fakes/src/platform/handler.rs
+++ b/crates/geranium_fakes/src/platform/handler.rs
@@ -1,13 +1,11 @@
 //! The calls of the gateway.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use geranium_core::time::Timestamp;
 use geranium_net::read_body;
-use geranium_platform::TokenBucket;
 use geranium_platform::etcd::wire::{
     Int64, Lease, PutRequest, PutResponse, RangeRequest, RequestOp, ResponseHeader, TxnRequest,
     WatchRequest,
@@ -20,6 +18,10 @@
 use tokio::sync::watch;
 use viz::{Body, IntoResponse, Request, Response};
 
+use super::call::{
+    CallKind, LEASE_GRANT, LEASE_KEEP_ALIVE, LEASE_REVOKE, PUT, RANGE, RateLimits, TRANSACTION,
+    WATCH, count,
+};
 use super::fault::FaultState;
 use super::watcher::{OpenWatch, Watcher, line};
 use super::{PlatformConfig, PlatformError, PlatformFault, PlatformState, PlatformStats};
@@ -28,35 +30,6 @@
 /// Largest body of a call, in bytes.
 const MAX_BODY: usize = 64 << 20;
 
-/// Kind of a call, for the rate limits and the counts.
-#[derive(Clone, Copy, Debug)]
-struct CallKind {
-    name: &'static str,
-    is_write: bool,
-}
-
-const RANGE: CallKind = read_call("range");
-const PUT: CallKind = write_call("put");
-const TRANSACTION: CallKind = write_call("transaction");
-const LEASE_GRANT: CallKind = write_call("lease_grant");
-const LEASE_KEEP_ALIVE: CallKind = write_call("lease_keep_alive");
-const LEASE_REVOKE: CallKind = write_call("lease_revoke");
-const WATCH: CallKind = read_call("watch");
-
-const fn read_call(name: &'static str) -> CallKind {
-    CallKind {
-        name,
-        is_write: false,
-    }
-}
-
-const fn write_call(name: &'static str) -> CallKind {
-    CallKind {
-        name,
-        is_write: true,
-    }
-}
-
 /// What the calls share.
 pub(super) struct Handler {
     cfg: PlatformConfig,
@@ -67,15 +40,12 @@
     fault: Mutex<FaultState>,
     stats: Mutex<PlatformStats>,
     open_watches: Arc<Mutex<u64>>,
-    reads: Option<Mutex<TokenBucket>>,
-    writes: Option<Mutex<TokenBucket>>,
+    limits: RateLimits,
     changed: watch::Sender<u64>,
 }
 
 impl Handler {
     pub fn new(cfg: PlatformConfig, gates: Vec<Gate>) -> Self {
-        let bucket =
-            |rate: Option<u32>| rate.map(|n| Mutex::new(TokenBucket::new(n, Timestamp(0))));
         Self {
             gates,
             started: Instant::now(),
@@ -84,8 +54,7 @@
             fault: Mutex::default(),
             stats: Mutex::default(),
             open_watches: Arc::default(),
-            reads: bucket(cfg.max_reads_per_second),
-            writes: bucket(cfg.max_writes_per_second),
+            limits: RateLimits::new(cfg.max_reads_per_second, cfg.max_writes_per_second),
             changed: watch::Sender::new(0),
             cfg,
         }
@@ -267,7 +236,7 @@
         if unavailable {
             return Err(PlatformError::Unavailable.into_response());
         }
-        if !self.take(kind) {
+        if !self.limits.take(kind, self.now()) {
             count(&mut self.stats.lock().rate_limited, kind);
             return Err(PlatformError::TooManyRequests.into_response());
         }
@@ -292,17 +261,6 @@
         res
     }
 
-    fn take(&self, kind: CallKind) -> bool {
-        let bucket = if kind.is_write {
-            &self.writes
-        } else {
-            &self.reads
-        };
-        bucket
-            .as_ref()
-            .is_none_or(|bucket| bucket.lock().try_take(self.now()).is_ok())
-    }
-
     fn notify(&self) {
         self.changed.send_replace(self.state.lock().revision());
     }
@@ -330,7 +288,3 @@
     let json = HeaderValue::from_static("application/json");
     res.headers_mut().insert(CONTENT_TYPE, json);
 }
-
-fn count(counts: &mut BTreeMap<String, u64>, kind: CallKind) {
-    *counts.entry(kind.name.to_owned()).or_default() += 1;
-}
--- a/crates/geranium_fakes/src/platform/mod.rs
+++ b/crates/geranium_fakes/src/platform/mod.rs
@@ -13,21 +13,27 @@
 //! | module | duty |
 //! | --- | --- |
 //! | `state` | values, leases and history, with the present time as an argument |
+//! | `call` | kinds of calls, their rate limits and counts |
 //! | `watcher` | the messages of one watch |
 //! | `handler` | the calls of the gateway |
 //! | `fault` | what can be made to fail, and the counts |
 //! | `server` | the running stand-in |
 
+mod call;
+mod change;
 mod config;
 mod error;
 mod fault;
 mod handler;
+mod key_range;
+mod leases;
 mod server;
 mod state;
 mod watcher;
 
+pub use change::Change;
 pub use config::PlatformConfig;
 pub use error::PlatformError;
 pub use fault::{PlatformFault, PlatformStats};
 pub use server::FakePlatform;
-pub use state::{Change, PlatformState};
+pub use state::PlatformState;
--- a/crates/geranium_fakes/src/platform/state.rs
+++ b/crates/geranium_fakes/src/platform/state.rs
@@ -1,7 +1,6 @@
 //! Values, leases and history.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::ops::Bound;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,10 +10,9 @@
     ResponseHeader, ResponseOp, TxnRequest, TxnResponse,
 };
 
-use super::PlatformError;
-
-/// Key that stands for the end of all keys.
-const END_OF_KEYS: &[u8] = &[0];
+use super::key_range::{bounds, in_range};
+use super::leases::Leases;
+use super::{Change, PlatformError};
 
 /// A value with its revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,35 +22,14 @@
     lease: u64,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct LeaseState {
-    ttl: Duration,
-    expires: Timestamp,
-    keys: BTreeSet<Bytes>,
-}
-
-/// A change that watches report.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Change {
-    /// Revision of the change.
-    pub revision: u64,
-    /// Key.
-    pub key: Bytes,
-    /// New value, or `None` for a deletion.
-    pub value: Option<Bytes>,
-    /// Lease of the new value.
-    pub lease: u64,
-}
-
 /// The whole state of the stand-in.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlatformState {
     revision: u64,
     compacted: u64,
-    next_lease: u64,
     history_limit: usize,
     entries: BTreeMap<Bytes, Entry>,
-    leases: BTreeMap<u64, LeaseState>,
+    leases: Leases,
     history: VecDeque<Change>,
 }
 
@@ -63,10 +40,9 @@
         Self {
             revision: 1,
             compacted: 0,
-            next_lease: 1,
             history_limit,
             entries: BTreeMap::new(),
-            leases: BTreeMap::new(),
+            leases: Leases::default(),
             history: VecDeque::new(),
         }
     }
@@ -149,22 +125,12 @@
 
     /// Grants a lease; `id` zero asks for a new id.
     pub fn grant(&mut self, id: u64, ttl: Duration, now: Timestamp) -> u64 {
-        let id = if id == 0 { self.next_lease } else { id };
-        self.next_lease = self.next_lease.max(id) + 1;
-        let lease = LeaseState {
-            ttl,
-            expires: now + ttl,
-            keys: BTreeSet::new(),
-        };
-        self.leases.insert(id, lease);
-        id
+        self.leases.grant(id, ttl, now)
     }
 
     /// Prolongs a lease and returns its time to live; `None` if it does not exist.
     pub fn keep_alive(&mut self, id: u64, now: Timestamp) -> Option<Duration> {
-        let lease = self.leases.get_mut(&id)?;
-        lease.expires = now + lease.ttl;
-        Some(lease.ttl)
+        self.leases.keep_alive(id, now)
     }
 
     /// Ends a lease and deletes its values.
@@ -173,10 +139,10 @@
     ///
     /// Returns an error if the lease does not exist.
     pub fn revoke(&mut self, id: u64) -> Result<(), PlatformError> {
-        let lease = self.leases.remove(&id);
-        let lease = lease.ok_or(PlatformError::LeaseNotFound)?;
+        let keys = self.leases.remove(id);
+        let keys = keys.ok_or(PlatformError::LeaseNotFound)?;
         let revision = self.revision + 1;
-        for key in lease.keys {
+        for key in keys {
             self.delete(&key, revision);
         }
         self.trim_history();
@@ -186,14 +152,13 @@
     /// Ends the leases whose time is over; returns whether a value was deleted.
     pub fn expire(&mut self, now: Timestamp) -> bool {
         let before = self.revision;
-        let over = |lease: &LeaseState| lease.expires <= now;
-        self.end_leases(over);
+        self.end_leases(self.leases.ended_by(now));
         self.revision != before
     }
 
     /// Ends every lease.
     pub fn expire_all(&mut self) {
-        self.end_leases(|_| true);
+        self.end_leases(self.leases.ids());
     }
 
     /// Forgets the history up to the present revision.
@@ -219,13 +184,7 @@
             .collect()
     }
 
-    fn end_leases(&mut self, over: impl Fn(&LeaseState) -> bool) {
-        let ids: Vec<u64> = self
-            .leases
-            .iter()
-            .filter(|(_, lease)| over(lease))
-            .map(|(id, _)| *id)
-            .collect();
+    fn end_leases(&mut self, ids: Vec<u64>) {
         for id in ids {
             // Each id was just found.
             let _ = self.revoke(id);
@@ -248,7 +207,7 @@
     fn check_writes(&self, steps: &[RequestOp]) -> Result<(), PlatformError> {
         let mut keys = BTreeSet::new();
         for put in steps.iter().filter_map(|step| step.request_put.as_ref()) {
-            if !put.lease.is_zero() && !self.leases.contains_key(&put.lease.0) {
+            if !put.lease.is_zero() && !self.leases.contains(put.lease.0) {
                 return Err(PlatformError::LeaseNotFound);
             }
             if !keys.insert(&put.key.0) {
@@ -285,11 +244,9 @@
             lease: put.lease.0,
         };
         if let Some(old) = self.entries.insert(key.clone(), entry) {
-            self.detach(&key, old.lease);
-        }
-        if let Some(lease) = self.leases.get_mut(&put.lease.0) {
-            lease.keys.insert(key.clone());
+            self.leases.detach(old.lease, &key);
         }
+        self.leases.attach(put.lease.0, &key);
         self.record(Change {
             revision,
             key,
@@ -302,7 +259,7 @@
         let Some(old) = self.entries.remove(key) else {
             return;
         };
-        self.detach(key, old.lease);
+        self.leases.detach(old.lease, key);
         self.record(Change {
             revision,
             key: key.clone(),
@@ -311,12 +268,6 @@
         });
     }
 
-    fn detach(&mut self, key: &Bytes, lease: u64) {
-        if let Some(lease) = self.leases.get_mut(&lease) {
-            lease.keys.remove(key);
-        }
-    }
-
     fn record(&mut self, change: Change) {
         self.revision = change.revision;
         self.history.push_back(change);
@@ -343,22 +294,3 @@
         lease: Int64(entry.lease),
     }
 }
-
-fn bounds<'a>(key: &'a [u8], range_end: &'a [u8]) -> (Bound<&'a [u8]>, Bound<&'a [u8]>) {
-    let end = match range_end {
-        [] => Bound::Included(key),
-        END_OF_KEYS => Bound::Unbounded,
-        // An empty range in etcd; an end before its start would panic here.
-        end if end <= key => return (Bound::Included(key), Bound::Excluded(key)),
-        end => Bound::Excluded(end),
-    };
-    (Bound::Included(key), end)
-}
-
-fn in_range(key: &[u8], first: &[u8], range_end: &[u8]) -> bool {
-    match range_end {
-        [] => key == first,
-        END_OF_KEYS => key >= first,
-        end => key >= first && key < end,
-    }
-}
--- a/crates/geranium_platform/src/etcd/transport.rs
+++ b/crates/geranium_platform/src/etcd/transport.rs
@@ -15,13 +15,13 @@
 use tokio::time::Instant;
 
 use super::EtcdConfig;
-use super::wire::{CODE_NOT_FOUND, Status};
+use super::failure::{
+    excerpt, is_certain_refusal, no_endpoint, read_failure, refusal, unreachable,
+};
 use crate::{StoreCallCounter, StoreCallKind, StoreCallResult, StoreError, TokenBucket};
 
 /// Longest time to make a connection.
 const MAX_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Longest part of a foreign answer that goes into an error.
-const MAX_DETAIL: usize = 200;
 
 /// What a call is about, for errors and counts.
 #[derive(Clone, Copy, Debug)]
@@ -261,44 +261,3 @@
         .header(hyper::header::CONTENT_TYPE, json)
         .body(body)
 }
-
-fn read_failure(call: Call<'_>, address: SocketAddr, e: &ClientError) -> StoreError {
-    match e {
-        // Another endpoint would give the same answer.
-        ClientError::OversizeBody(..) => StoreError::Malformed(call.key.to_owned(), e.to_string()),
-        _ => unreachable(address, e.to_string()),
-    }
-}
-
-fn unreachable(address: SocketAddr, detail: String) -> StoreError {
-    StoreError::Unreachable(address.to_string(), detail)
-}
-
-fn no_endpoint() -> StoreError {
-    StoreError::Unreachable("no endpoint".to_owned(), "none is set".to_owned())
-}
-
-/// Returns whether the status tells that a write had no effect. A timeout (408)
-/// or a cancelled call (499) may have taken effect.
-fn is_certain_refusal(status: StatusCode) -> bool {
-    status.is_client_error() && !matches!(status.as_u16(), 408 | 499)
-}
-
-fn refusal(call: Call<'_>, status: StatusCode, answer: &[u8]) -> StoreError {
-    let parsed: Status = serde_json::from_slice(answer).unwrap_or_default();
-    let detail = if parsed.message.is_empty() {
-        excerpt(answer)
-    } else {
-        parsed.message
-    };
-    if parsed.code == CODE_NOT_FOUND {
-        // The only thing that a call of this client names and that can be missing.
-        return StoreError::LeaseNotFound(0);
-    }
-    StoreError::Refused(call.key.to_owned(), status.as_u16(), detail)
-}
-
-fn excerpt(answer: &[u8]) -> String {
-    let end = answer.len().min(MAX_DETAIL);
-    String::from_utf8_lossy(&answer[..end]).into_owned()
-}
