Let a leader that hears fewer engines than its peers step back

Cause: a leader cut off from the engines held every host for failed.

Now the leader asks peers about silent members before it takes them for failed (effect AskPeers, input HeardByPeer), plans nothing while it hears no engine, and leaves the lease to others (YieldLeadership) while peers hear more.

Ruled out: sending what each host hears with every heartbeat, which costs bandwidth while nothing is wrong; a question on suspicion costs none.

--- a/crates/geranium_core/src/group/controller.rs
+++ b/crates/geranium_core/src/group/controller.rs
@@ -4,7 +4,7 @@
 mod outage;
 mod store;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::engine::{EngineReport, Order, OrderAction};
 use crate::event::{EventDraft, EventKind, EventSubject};
@@ -80,6 +80,8 @@
     last_sequence: u64,
     silent: BTreeSet<HostId>,
     going: BTreeSet<HostId>,
+    asked_peers: BTreeMap<HostId, Timestamp>,
+    yielded_at: Option<Timestamp>,
 }
 
 impl GroupController {
@@ -114,6 +116,8 @@
             last_sequence: 0,
             silent: BTreeSet::new(),
             going: BTreeSet::new(),
+            asked_peers: BTreeMap::new(),
+            yielded_at: None,
         }
     }
 
@@ -159,6 +163,9 @@
             GroupInput::TableWritten(outcome) => self.table_written(now, outcome, effects),
             GroupInput::Report(report) => self.report(now, report, effects),
             GroupInput::ReportMissed { host } => self.world.note_missed(now, host),
+            GroupInput::HeardByPeer { host, age } => {
+                self.world.note_heard_by_peer(now, host, age);
+            }
             GroupInput::OrderAnswered { order, outcome } => {
                 self.order_answered(now, order, outcome);
             }
@@ -240,7 +247,10 @@
         if !self.store_is_behind {
             self.send_due_orders(now, effects);
         }
-        if matches!(self.phase, Phase::Ready) {
+        self.ask_peers(now, effects);
+        if self.world.is_outseen(now) {
+            self.yield_leadership(now, effects);
+        } else if matches!(self.phase, Phase::Ready) && !self.world.is_blind(now) {
             self.plan(now, effects);
         }
     }
--- a/crates/geranium_core/src/group/controller/outage.rs
+++ b/crates/geranium_core/src/group/controller/outage.rs
@@ -75,6 +75,7 @@
     /// Repairs and loads again what delegations to this process allow.
     pub(super) fn step_in_outage(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
         self.progress.update(now, &self.world, &self.table);
+        self.ask_peers(now, effects);
         self.amend(now, effects);
         let due = self
             .dispatcher
--- a/crates/geranium_core/src/group/effect.rs
+++ b/crates/geranium_core/src/group/effect.rs
@@ -1,5 +1,7 @@
 //! Inputs and effects of the group controller.
 
+use std::time::Duration;
+
 use crate::engine::{EngineReport, HostEntry, Order};
 use crate::event::EventDraft;
 use crate::group::GroupTable;
@@ -61,6 +63,13 @@
         /// Host of the engine.
         host: &'a HostId,
     },
+    /// A peer answered [`GroupEffect::AskPeers`]: it heard the host some time ago.
+    HeardByPeer {
+        /// Host of the engine.
+        host: &'a HostId,
+        /// Time since the peer received the host's last report.
+        age: Duration,
+    },
     /// An order has an outcome.
     OrderAnswered {
         /// The order.
@@ -99,6 +108,11 @@
     },
     /// Give the table to this host's gate and to the peers of the failure domain.
     PublishTable(GroupTable),
+    /// Ask the peers of the failure domain when they last heard these hosts, and
+    /// answer with [`GroupInput::HeardByPeer`] for each that was heard.
+    AskPeers(Vec<HostId>),
+    /// Give up the lease and leave it to others for a while: they hear more engines.
+    YieldLeadership,
     /// Send an order and answer with [`GroupInput::OrderAnswered`].
     SendOrder(Order),
     /// Record an event.
--- a/crates/geranium_core/src/group/table.rs
+++ b/crates/geranium_core/src/group/table.rs
@@ -126,6 +126,12 @@
             && !self.delegations.values().any(|d| d.has_spare(host))
     }
 
+    /// Returns the process that wrote the table.
+    #[must_use]
+    pub fn writer(&self) -> Incarnation {
+        self.writer
+    }
+
     /// Returns whether a write left this table behind.
     #[must_use]
     pub fn was_written_by(&self, writer: Incarnation, sequence: u64) -> bool {
--- a/crates/geranium_core/src/group/world.rs
+++ b/crates/geranium_core/src/group/world.rs
@@ -1,6 +1,7 @@
 //! What one process knows about the hosts and records of its failure domain.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::collections::HashMap;
 use crate::engine::{EngineReport, HostEntry, HostState};
@@ -21,6 +22,7 @@
     drains: Drains,
     hosts: Option<BTreeMap<HostId, HostEntry>>,
     reports: ReportBook,
+    heard_by_peers: HashMap<HostId, Timestamp>,
     missed: HashMap<HostId, MissedReports>,
     last_seen: Timestamp,
     observing_since: Timestamp,
@@ -37,6 +39,7 @@
             drains: Drains::default(),
             hosts: None,
             reports: ReportBook::default(),
+            heard_by_peers: HashMap::default(),
             missed: HashMap::default(),
             last_seen: Timestamp::default(),
             observing_since: Timestamp::default(),
@@ -96,6 +99,12 @@
         self.reports.observe(now, report)
     }
 
+    /// Takes note that a peer heard a host some time ago.
+    pub fn note_heard_by_peer(&mut self, now: Timestamp, host: &HostId, age: Duration) {
+        let heard_at = self.heard_by_peers.entry(host.clone()).or_default();
+        *heard_at = (*heard_at).max(now - age);
+    }
+
     /// Takes note that an engine did not answer a request for its report.
     pub fn note_missed(&mut self, now: Timestamp, host: &HostId) {
         let missed = self.missed.entry(host.clone()).or_default();
@@ -146,16 +155,46 @@
             .filter(|o| now.since(o.heard_at) <= self.cfg.report_max_age)
     }
 
-    /// Returns whether a host has been silent for so long that it is taken for failed.
+    /// Returns whether a host has been silent, to this process and to the peers
+    /// that were asked, for so long that it is taken for failed.
     #[must_use]
     pub fn is_failed(&self, now: Timestamp, host: &HostId) -> bool {
-        let heard_at = self
-            .reports
-            .get(host)
-            .map_or(Timestamp::default(), |o| o.heard_at);
+        let by_peers = self.heard_by_peers.get(host).copied().unwrap_or_default();
+        let heard_at = self.last_heard(host).max(by_peers);
         now.since(heard_at.max(self.observing_since)) > self.cfg.silence_limit
     }
 
+    /// Returns whether this process does not hear a host that its peers hear.
+    #[must_use]
+    pub fn is_hidden(&self, now: Timestamp, host: &HostId) -> bool {
+        let heard_at = self.last_heard(host).max(self.observing_since);
+        let silent = now.since(heard_at) > self.cfg.silence_limit;
+        silent && !self.is_failed(now, host)
+    }
+
+    /// Returns whether a host is silent enough to ask peers about it.
+    #[must_use]
+    pub fn is_suspect(&self, now: Timestamp, host: &HostId) -> bool {
+        self.recent(now, host).is_none()
+    }
+
+    /// Returns whether this process hears none of the failure domain's hosts.
+    #[must_use]
+    pub fn is_blind(&self, now: Timestamp) -> bool {
+        let settled = now.since(self.observing_since) > self.cfg.silence_limit;
+        let mut hosts = self.hosts.iter().flat_map(BTreeMap::keys);
+        settled && !hosts.any(|host| self.recent(now, host).is_some())
+    }
+
+    /// Returns whether peers hear more of the failure domain's hosts than this process.
+    #[must_use]
+    pub fn is_outseen(&self, now: Timestamp) -> bool {
+        let hosts: Vec<&HostId> = self.hosts.iter().flat_map(BTreeMap::keys).collect();
+        let hidden = hosts.iter().filter(|host| self.is_hidden(now, host));
+        let heard = hosts.iter().filter(|host| self.recent(now, host).is_some());
+        hidden.count() > heard.count()
+    }
+
     /// Returns whether a host is leaving or taken out of service.
     #[must_use]
     pub fn is_going(&self, host: &HostId) -> bool {
@@ -212,4 +251,9 @@
             && group.state != GroupState::Dissolving
             && self.group_fault(now, id, group).is_none()
     }
+
+    fn last_heard(&self, host: &HostId) -> Timestamp {
+        let observation = self.reports.get(host);
+        observation.map_or(Timestamp::default(), |o| o.heard_at)
+    }
 }
--- a/crates/geranium_core/tests/group_controller.rs
+++ b/crates/geranium_core/tests/group_controller.rs
@@ -80,7 +80,9 @@
                     self.input(GroupInput::TableWritten(WriteOutcome::Applied { revision }));
                 }
                 GroupEffect::SendOrder(order) => self.take_order(order),
-                GroupEffect::PublishTable(_) => {}
+                GroupEffect::PublishTable(_)
+                | GroupEffect::AskPeers(_)
+                | GroupEffect::YieldLeadership => {}
                 GroupEffect::Emit(event) => self.events.push(event.kind),
             }
         }
--- a/crates/geranium_matrix/src/control/entry.rs
+++ b/crates/geranium_matrix/src/control/entry.rs
@@ -20,6 +20,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 const PEER_INTERVAL: Duration = Duration::from_millis(1_000);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
+const YIELD_TIME: Duration = Duration::from_millis(5_000);
 const CALLS_LOST_IN_OUTAGE: u32 = 2;
 const CALLS_PER_INCARNATION: u64 = 1_000_000;
 
@@ -195,8 +196,13 @@
     }
 
     /// Takes a message.
-    pub(super) fn receive(&mut self, now: Timestamp, message: Message) {
+    pub(super) fn receive(&mut self, now: Timestamp, from: Node, message: Message) {
         match message {
+            Message::Ask(hosts) => self.answer_peer(now, from, &hosts),
+            Message::Heard(host, age) => {
+                let host = &host;
+                self.input(now, GroupInput::HeardByPeer { host, age });
+            }
             Message::Report(poll, report) => self.receive_report(now, poll, report),
             Message::OrderAnswer(order, outcome) => {
                 let order = &order;
@@ -222,7 +228,8 @@
             | Message::Order(_)
             | Message::Read(_)
             | Message::Write(..)
-            | Message::Lease(..) => {}
+            | Message::Lease(..)
+            | Message::Release(_) => {}
         }
     }
 
@@ -289,6 +296,8 @@
                 let _ = self.gate.set_table(&table);
                 self.publish(table);
             }
+            GroupEffect::AskPeers(hosts) => self.send_to_peers(&Message::Ask(hosts)),
+            GroupEffect::YieldLeadership => self.yield_lease(now),
             GroupEffect::SendOrder(order) => self.send_order(order),
             GroupEffect::Emit(_) => {}
         }
@@ -309,12 +318,32 @@
     }
 
     fn publish(&mut self, table: GroupTable) {
+        self.send_to_peers(&Message::Table(table));
+    }
+
+    fn send_to_peers(&mut self, message: &Message) {
         for peer in (0..self.peers).filter(|&peer| peer != self.position) {
-            self.outbox
-                .push((Node::Entry(peer), Message::Table(table.clone())));
+            self.outbox.push((Node::Entry(peer), message.clone()));
+        }
+    }
+
+    fn answer_peer(&mut self, now: Timestamp, from: Node, hosts: &[HostId]) {
+        for host in hosts {
+            if let Some(o) = self.controller.world().reports().get(host) {
+                let age = now.since(o.heard_at);
+                self.outbox.push((from, Message::Heard(host.clone(), age)));
+            }
         }
     }
 
+    fn yield_lease(&mut self, now: Timestamp) {
+        self.lease_until = None;
+        self.next_lease = now + YIELD_TIME;
+        self.outbox
+            .push((Node::Store, Message::Release(self.incarnation)));
+        self.input(now, GroupInput::LeadershipLost);
+    }
+
     fn poll_engines(&mut self, now: Timestamp) {
         for host in std::mem::take(&mut self.polls).into_values() {
             self.input(now, GroupInput::ReportMissed { host: &host });
--- a/crates/geranium_matrix/src/control/inject.rs
+++ b/crates/geranium_matrix/src/control/inject.rs
@@ -57,6 +57,34 @@
         )
     }
 
+    /// Returns whether a leader that can reach everything it needs goes on leading.
+    pub(super) fn spares_leader(self) -> bool {
+        matches!(
+            self,
+            Self::Nothing
+                | Self::MemberDies
+                | Self::MemberPauses
+                | Self::MemberStraggles
+                | Self::MemberReturns
+                | Self::WarmTurnsCold
+                | Self::LeaderCutFromPeers
+                | Self::FollowerCutOff
+                | Self::MemberCutFromFollowers
+                | Self::OrdersLate
+                | Self::RequestCrashes
+        )
+    }
+
+    /// Returns whether groups serve on through the fault on some entry host.
+    pub(super) fn spares_service(self, step: Step) -> bool {
+        match self {
+            Self::EntryHostsReplaced | Self::OperatorsRace => false,
+            // The leading entry host, which alone hears the member, is replaced.
+            Self::MemberCutFromFollowers => step != Step::LeaderChange,
+            _ => !self.hits_engines(),
+        }
+    }
+
     /// Returns how long the fault lasts.
     pub(super) fn length(self) -> Duration {
         match self {
@@ -96,6 +124,7 @@
             Self::LeaderPaused => rig.entries[leader].paused_until = Some(until),
             Self::LeaderDies => rig.entries[leader].alive = false,
             Self::OrdersLate => rig.network.copy_orders = true,
+            Self::OrdersLost => rig.network.lose_orders = true,
             Self::TwoLeaders => rig.store.grant_to_all = true,
             Self::OperatorsRace => rig.set_other_record(step),
             Self::RequestCrashes => rig.crash_head(0),
@@ -131,6 +160,7 @@
                 }
             }
             Self::OrdersLate => rig.network.copy_orders = false,
+            Self::OrdersLost => rig.network.lose_orders = false,
             Self::TwoLeaders => rig.store.grant_to_all = false,
             Self::OperatorsRace => rig.set_record_of(step),
             Self::RequestCrashes => rig.crash_head(1),
--- a/crates/geranium_matrix/src/control/message.rs
+++ b/crates/geranium_matrix/src/control/message.rs
@@ -2,7 +2,8 @@
 
 use geranium_core::engine::{EngineReport, Order};
 use geranium_core::group::{GroupTable, OrderOutcome};
-use geranium_core::id::{Incarnation, StoreRevision};
+use geranium_core::id::{HostId, Incarnation, StoreRevision};
+use std::time::Duration;
 
 /// A part of the rig that sends and receives messages.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -32,5 +33,8 @@
     WriteAnswer(CallId, Option<StoreRevision>),
     Lease(CallId, Incarnation),
     LeaseAnswer(CallId, bool),
+    Release(Incarnation),
     Table(GroupTable),
+    Ask(Vec<HostId>),
+    Heard(HostId, Duration),
 }
--- a/crates/geranium_matrix/src/control/network.rs
+++ b/crates/geranium_matrix/src/control/network.rs
@@ -28,6 +28,8 @@
     pub(super) store_delay: Duration,
     /// Whether each order arrives once more, late.
     pub(super) copy_orders: bool,
+    /// Whether orders are lost.
+    pub(super) lose_orders: bool,
 }
 
 impl Network {
@@ -53,6 +55,9 @@
             return;
         }
         let is_order = matches!(packet.message, Message::Order(_));
+        if is_order && self.lose_orders {
+            return;
+        }
         if is_order && self.copy_orders {
             self.enqueue(now + ORDER_COPY_DELAY, packet.clone());
         }
--- a/crates/geranium_matrix/src/control/oracle.rs
+++ b/crates/geranium_matrix/src/control/oracle.rs
@@ -36,6 +36,8 @@
     RequestsCut(usize),
     /// The replicas wanted were not all back in time on an entry host.
     NotRestored(usize, usize),
+    /// Replicas were missing during a change that needs no gap.
+    Gap(Duration),
     /// A bound on a time was missed.
     TooLate(&'static str, Duration),
 }
@@ -74,6 +76,7 @@
             Self::NotRestored(open, wanted) => {
                 write!(f, "{open} of {wanted} replicas were open at the end")
             }
+            Self::Gap(time) => write!(f, "replicas were missing for {} ms", time.as_millis()),
             Self::TooLate(what, time) => write!(f, "{what} took {} ms", time.as_millis()),
         }
     }
--- a/crates/geranium_matrix/src/control/rig.rs
+++ b/crates/geranium_matrix/src/control/rig.rs
@@ -140,6 +140,17 @@
             .position(|entry| entry.alive && entry.is_leader())
     }
 
+    /// Returns the position of the entry host that wrote the table in the store.
+    #[must_use]
+    pub fn last_writer(&self) -> usize {
+        let writer = self.stored_table().map(GroupTable::writer);
+        let found = self
+            .entries
+            .iter()
+            .position(|e| Some(e.incarnation()) == writer);
+        found.unwrap_or(0)
+    }
+
     /// Returns the table in the store.
     #[must_use]
     pub fn stored_table(&self) -> Option<&GroupTable> {
@@ -260,7 +271,7 @@
             _ if !host.alive => {}
             Some(until) => self.network.enqueue(until, packet),
             None => {
-                host.receive(self.now, packet.message);
+                host.receive(self.now, packet.from, packet.message);
                 self.flush(position);
             }
         }
--- a/crates/geranium_matrix/src/control/scenario.rs
+++ b/crates/geranium_matrix/src/control/scenario.rs
@@ -56,6 +56,9 @@
     pub measures: Measures,
 }
 
+/// Time from a domain's return until its groups take work again.
+const RETURN_LIMIT: Duration = Duration::from_millis(2_000);
+
 #[derive(Clone, Copy)]
 enum Action {
     BeginStep,
@@ -152,25 +155,59 @@
 
     fn check_costs<P: OutagePolicy + Clone>(&self, rig: &mut Rig<P>) {
         let cut: usize = rig.engines.iter().map(|engine| engine.cut_requests).sum();
-        let planned = self.step != Step::Repair;
         let spared = self.faults.iter().all(|fault| !fault.hits_engines());
-        if planned && spared && cut > 0 {
+        if self.step != Step::Repair && spared && cut > 0 {
             rig.oracle.note(Violation::RequestsCut(cut));
         }
-        if self.step != Step::Repair {
-            return;
+        match self.step {
+            Step::Repair => self.check_repair(rig),
+            Step::ConfigurationChange | Step::LeaderChange => self.check_gap(rig),
+            Step::DomainOutAndBack => self.check_return(rig),
+            Step::Formation | Step::Leaving => {}
         }
+    }
+
+    fn check_repair<P: OutagePolicy + Clone>(&self, rig: &mut Rig<P>) {
         let closed = rig.measures.gate_closed_after.unwrap_or(RESTORE_LIMIT);
         if closed > GATE_LIMIT {
             rig.oracle
                 .note(Violation::TooLate("closing the gate", closed));
         }
         let ordered = rig.measures.repair_ordered_after.unwrap_or(RESTORE_LIMIT);
-        if self.faults == [Fault::Nothing] && ordered > REPAIR_ORDER_LIMIT {
+        let leader_works = self.faults.iter().all(|fault| fault.spares_leader());
+        if leader_works && ordered > REPAIR_ORDER_LIMIT {
             rig.oracle
                 .note(Violation::TooLate("ordering the repair", ordered));
         }
     }
+
+    /// Old groups serve until new ones do, and need no leader to serve.
+    fn check_gap<P: OutagePolicy + Clone>(&self, rig: &mut Rig<P>) {
+        let gap = rig.measures.group_downtime;
+        if self
+            .faults
+            .iter()
+            .all(|fault| fault.spares_service(self.step))
+            && !gap.is_zero()
+        {
+            rig.oracle.note(Violation::Gap(gap));
+        }
+    }
+
+    /// Groups that stayed loaded serve as soon as the domain is back.
+    fn check_return<P: OutagePolicy + Clone>(&self, rig: &mut Rig<P>) {
+        let gap = rig.measures.group_downtime;
+        let limit = RETURN_LIMIT * REPLICAS;
+        if self
+            .faults
+            .iter()
+            .all(|fault| fault.spares_service(self.step))
+            && gap > limit
+        {
+            rig.oracle
+                .note(Violation::TooLate("taking work again", gap));
+        }
+    }
 }
 
 /// A step of the control half as a column of the matrix.
--- a/crates/geranium_matrix/src/control/store.rs
+++ b/crates/geranium_matrix/src/control/store.rs
@@ -59,6 +59,12 @@
             Message::Lease(call, holder) => {
                 Some(Message::LeaseAnswer(call, self.grant(now, holder)))
             }
+            Message::Release(holder) => {
+                if self.lease.is_some_and(|(present, _)| present == holder) {
+                    self.lease = None;
+                }
+                None
+            }
             _ => None,
         }
     }
--- a/crates/geranium_matrix/src/fault.rs
+++ b/crates/geranium_matrix/src/fault.rs
@@ -68,6 +68,8 @@
     EntryHostsReplaced => "entry-hosts-replaced",
     /// Orders arrive late and twice.
     OrdersLate => "orders-late",
+    /// Orders are lost for a while.
+    OrdersLost => "orders-lost",
     /// Two processes hold themselves for the leader at once.
     TwoLeaders => "two-leaders",
     /// Two operators change the same record at once.
