--- a/crates/geranium_core/src/limit/account_queue.rs
+++ b/crates/geranium_core/src/limit/account_queue.rs
@@ -114,14 +114,14 @@
         self.queued += 1;
     }
 
-    /// Returns the effective priority of the request that is next.
-    pub(super) fn next_priority(&self, now: Timestamp, step: Duration) -> Option<u64> {
-        self.next_level(now, step).map(|(effective, _)| effective)
+    /// Returns the priority of the request that is next, as it was submitted.
+    pub(super) fn next_priority(&self, now: Timestamp, step: Duration) -> Option<u8> {
+        self.next_level(now, step)
     }
 
     /// Takes out the request that is next.
     pub(super) fn pop(&mut self, now: Timestamp, step: Duration) -> Option<Waiting> {
-        let (_, priority) = self.next_level(now, step)?;
+        let priority = self.next_level(now, step)?;
         let level = self.levels.get_mut(&priority)?;
         let waiting = level.pop_front();
         if level.is_empty() {
@@ -171,15 +171,16 @@
 
     /// Finds the priority whose first request is next: waiting raises a request,
     /// and among equals the one that waited longest goes first.
-    fn next_level(&self, now: Timestamp, step: Duration) -> Option<(u64, u8)> {
+    fn next_level(&self, now: Timestamp, step: Duration) -> Option<u8> {
         let step = step.as_micros().max(1) as u64;
         let heads = self.levels.iter().filter_map(|(&priority, level)| {
             let head = level.front()?;
             let aged = now.0.saturating_sub(head.queued_at.0) / step;
             Some((u64::from(priority) + aged, head.queued_at, priority))
         });
-        let best = heads
-            .max_by_key(|&(effective, queued_at, _)| (effective, std::cmp::Reverse(queued_at)));
-        best.map(|(effective, _, priority)| (effective, priority))
+        let rank = |&(effective, queued_at, _): &(u64, Timestamp, u8)| {
+            (effective, std::cmp::Reverse(queued_at))
+        };
+        heads.max_by_key(rank).map(|(_, _, priority)| priority)
     }
 }
--- a/crates/geranium_core/src/limit/admission.rs
+++ b/crates/geranium_core/src/limit/admission.rs
@@ -59,8 +59,9 @@
 /// Shares the capacity for one model among client accounts.
 ///
 /// An account below its guaranteed share goes first, the one that has used the
-/// least slot time for its weight before the others. What is left goes by
-/// priority. No slot stays idle while a request that may use it waits.
+/// least slot time for its weight before the others. What is left goes by the
+/// priority of each account's next request; waiting raises a request only within
+/// its account, so that a long queue earns no larger share. No slot stays idle while a request that may use it waits.
 #[derive(Clone, Debug)]
 pub struct Admission {
     settings: AdmissionSettings,
@@ -351,15 +352,17 @@
     /// Estimates the wait of a request of an account with `ahead` others before it.
     fn expected_wait(&self, now: Timestamp, account: &AccountId, ahead: usize) -> Duration {
         let queue = &self.accounts[account];
-        let is_rival = |(name, q): &(&AccountId, &AccountQueue)| q.queued() > 0 || *name == account;
-        let rivals: u32 = self
-            .accounts
-            .iter()
-            .filter(is_rival)
-            .map(|(_, q)| q.weight)
-            .sum();
+        let mut rivals = 0;
+        let mut shared = self.capacity;
+        for (name, other) in &self.accounts {
+            if name == account || other.queued() > 0 {
+                rivals += other.weight;
+            } else {
+                shared = shared.saturating_sub(other.in_progress);
+            }
+        }
         let share = f64::from(queue.weight) / f64::from(rivals.max(1));
-        let slots = (f64::from(self.capacity) * share).min(f64::from(queue.max_concurrent));
+        let slots = (f64::from(shared) * share).min(f64::from(queue.max_concurrent));
         let gap = self.drain.gap_secs(now, self.capacity) * f64::from(self.capacity) / slots;
         let wait = gap * (ahead + 1) as f64;
         Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
--- a/crates/geranium_core/src/limit/crash.rs
+++ b/crates/geranium_core/src/limit/crash.rs
@@ -1,6 +1,6 @@
 //! Requests that crash the backend servers that run them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::{
@@ -27,7 +27,7 @@
 impl Default for CrashSettings {
     fn default() -> Self {
         Self {
-            max_entries: 4_096,
+            max_entries: 1_024,
             max_explained: 256,
             memory: Duration::from_hours(1),
         }
@@ -46,15 +46,6 @@
     Refused,
 }
 
-/// A request in flight when its group crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct InFlight {
-    /// The request.
-    pub fingerprint: RequestFingerprint,
-    /// Whether it was on trial and had not been cleared yet.
-    pub on_trial: bool,
-}
-
 #[derive(Clone, Debug, Default)]
 struct Suspicion {
     crashes: BTreeMap<CrashId, ChargeState>,
@@ -68,13 +59,26 @@
     }
 
     fn set(&mut self, now: Timestamp, crash: &CrashId, state: ChargeState) {
-        let known = self.crashes.get(crash).copied();
-        let full = self.crashes.len() >= MAX_CRASHES_PER_REQUEST;
-        if known >= Some(state) || (known.is_none() && full) {
+        if self.crashes.get(crash) >= Some(&state) {
             return;
         }
         self.crashes.insert(crash.clone(), state);
         self.changed_at = self.changed_at.max(now);
+        self.forget_cleared();
+    }
+
+    /// Makes room for later crashes; charges beyond those that refuse the request
+    /// change nothing.
+    fn forget_cleared(&mut self) {
+        while self.crashes.len() > MAX_CRASHES_PER_REQUEST {
+            let mut crashes = self.crashes.iter();
+            let cleared = crashes.find(|(_, s)| **s == ChargeState::Cleared);
+            let Some(crash) = cleared.map(|(crash, _)| crash.clone()) else {
+                self.crashes.pop_last();
+                return;
+            };
+            self.crashes.remove(&crash);
+        }
     }
 }
 
@@ -117,28 +121,33 @@
     /// Takes in the crash of a group with the requests of this entry host in
     /// flight there; returns what peers must be told before any of them is
     /// answered or run again.
+    ///
+    /// `on_trial` is the suspect that the holder of trials names for the crash
+    /// ([`TrialHolder::suspect`](super::TrialHolder::suspect)), on whichever entry
+    /// host it ran; the crash is charged to it alone.
     pub fn group_crashed(
         &mut self,
         now: Timestamp,
         crash: &CrashId,
-        in_flight: &[InFlight],
+        in_flight: &[RequestFingerprint],
+        on_trial: Option<RequestFingerprint>,
     ) -> CrashDigest {
-        let on_trial = in_flight.iter().find(|req| req.on_trial);
-        if let Some(suspect) = on_trial {
+        if let Some(cause) = on_trial {
             let explained = ExplainedCrash {
                 crash: crash.clone(),
-                cause: suspect.fingerprint,
+                cause,
                 at: now,
             };
             self.explain(now, &explained);
         }
-        for req in in_flight {
-            self.charge(now, &req.fingerprint, crash);
+        for fingerprint in in_flight {
+            self.charge(now, fingerprint, crash);
         }
         self.trim(now);
-        let touched = in_flight.iter().map(|req| req.fingerprint);
+        let touched = in_flight.iter().copied().chain(on_trial);
+        let touched: BTreeSet<RequestFingerprint> = touched.collect();
         CrashDigest {
-            entries: touched.filter_map(|f| self.entry(f)).collect(),
+            entries: touched.into_iter().filter_map(|f| self.entry(f)).collect(),
             explained: self.explained.get(crash).cloned().into_iter().collect(),
         }
     }
--- a/crates/geranium_core/src/limit/mod.rs
+++ b/crates/geranium_core/src/limit/mod.rs
@@ -39,7 +39,7 @@
 pub use cold_message::{CreditGrant, CreditRequest};
 pub use cold_settings::ColdSettings;
 pub use cold_user::{ColdCreditUser, ColdOutcome, ExpiredCredit};
-pub use crash::{CrashRegistry, CrashSettings, CrashVerdict, InFlight};
+pub use crash::{CrashRegistry, CrashSettings, CrashVerdict};
 pub use crash_digest::{ChargeState, CrashDigest, CrashId, ExplainedCrash, SuspicionEntry};
 pub use credit_error::CreditRefusal;
 pub use fingerprint::RequestFingerprint;
--- a/crates/geranium_core/src/limit/trial.rs
+++ b/crates/geranium_core/src/limit/trial.rs
@@ -4,7 +4,7 @@
 
 use quick_error::quick_error;
 
-use super::{HolderAuthority, RequestFingerprint};
+use super::{CrashId, HolderAuthority, RequestFingerprint};
 use crate::collections::HashMap;
 use crate::id::{GroupId, HostId, Incarnation};
 use crate::time::Timestamp;
@@ -37,6 +37,8 @@
     pub incarnation: Incarnation,
     /// Group to run the suspect on.
     pub group: GroupId,
+    /// Generation of the group that the user knows.
+    pub generation: u64,
     /// The suspect.
     pub fingerprint: RequestFingerprint,
     /// Time of the request on the user's clock; the lifetime counts from here.
@@ -53,6 +55,7 @@
 
 #[derive(Clone, Debug)]
 struct Trial {
+    generation: u64,
     user: HostId,
     incarnation: Incarnation,
     fingerprint: RequestFingerprint,
@@ -66,6 +69,8 @@
     margin: Duration,
     authority: HolderAuthority,
     trials: HashMap<GroupId, Trial>,
+    /// The last trial of an earlier generation of each group.
+    earlier: HashMap<GroupId, Trial>,
 }
 
 impl TrialHolder {
@@ -77,6 +82,7 @@
             margin,
             authority: HolderAuthority::new(lifetime + margin),
             trials: HashMap::default(),
+            earlier: HashMap::default(),
         }
     }
 
@@ -84,6 +90,7 @@
     pub fn extend_authority(&mut self, now: Timestamp, until: Timestamp) {
         if self.authority.extend(now, until) {
             self.trials.clear();
+            self.earlier.clear();
         }
     }
 
@@ -110,22 +117,46 @@
         }
         if let Some(trial) = self.trials.get(&req.group)
             && now < trial.expires
+            && trial.generation >= req.generation
         {
             return Err(TrialRefusal::Busy(req.group.clone(), trial.expires));
         }
         let trial = Trial {
+            generation: req.generation,
             user: req.user.clone(),
             incarnation: req.incarnation,
             fingerprint: req.fingerprint,
             expires: now + self.lifetime + self.margin,
         };
-        self.trials.insert(req.group.clone(), trial);
+        if let Some(old) = self.trials.insert(req.group.clone(), trial)
+            && old.generation < req.generation
+        {
+            self.earlier.insert(req.group.clone(), old);
+        }
         Ok(TrialGrant {
             expires: req.asked_at + self.lifetime,
         })
     }
 
-    /// Ends a trial: the suspect is past its point, finished or crashed the group.
+    /// Returns the suspect that was on trial when a group crashed.
+    #[must_use]
+    pub fn suspect(&self, crash: &CrashId) -> Option<RequestFingerprint> {
+        let known = [&self.trials, &self.earlier].map(|trials| trials.get(&crash.group));
+        let mut known = known.into_iter().flatten();
+        let trial = known.find(|trial| trial.generation == crash.generation);
+        trial.map(|trial| trial.fingerprint)
+    }
+
+    /// Forgets the trials of groups that were dissolved.
+    pub fn retain_groups(&mut self, keep: impl Fn(&GroupId) -> bool) {
+        self.trials.retain(|group, _| keep(group));
+        self.earlier.retain(|group, _| keep(group));
+    }
+
+    /// Ends a trial: the suspect is past its point or left the group.
+    ///
+    /// A trial that ended with a crash is kept, so that other entry hosts learn
+    /// its suspect; the next generation of the group starts without it.
     pub fn release(&mut self, req: &TrialRequest) {
         let is_same = |trial: &Trial| {
             trial.user == req.user
