Tell a cold group by its first tokens; split the router

Cause: a warm group can turn cold without a report. Its first tokens now tell: against its peers, or against its own past under its usual load, so that a burst on an only group does not throttle it. A group that sent first tokens but never a whole answer was never set aside; a group set aside got the overflow of full ones.

Ruled out: own past without regard to load, as overload would then cut the only group to its cold budget.

Conclusion: first_token returns a PaceVerdict; update_groups works the table of accounts out anew only when the groups change.

--- a/crates/geranium_core/src/route/found.rs
+++ b/crates/geranium_core/src/route/found.rs
@@ -45,13 +45,16 @@
         {
             return Ok(*cold);
         }
-        // A group set aside is better than none.
-        for usable in [&self.warm, &self.ejected, &self.cold] {
+        for usable in [&self.warm, &self.cold] {
             if !usable.is_empty() {
-                let position = policy.pick(usable, rng);
-                return Ok(usable[position.min(usable.len() - 1)]);
+                return Ok(pick_from(usable, policy, rng));
             }
         }
+        // A group set aside is better than none, but no place for the overflow
+        // of healthy ones.
+        if !self.ejected.is_empty() && !self.saturated {
+            return Ok(pick_from(&self.ejected, policy, rng));
+        }
         Err(self.refusal(model))
     }
 
@@ -66,3 +69,8 @@
         }
     }
 }
+
+fn pick_from(usable: &[Candidate], policy: &mut impl RoutePolicy, rng: &mut impl Rng) -> Candidate {
+    let position = policy.pick(usable, rng);
+    usable[position.min(usable.len() - 1)]
+}
--- /dev/null
+++ b/crates/geranium_core/src/route/pass.rs
@@ -0,0 +1,84 @@
+//! One pass over the groups of a model.
+
+use super::found::Found;
+use super::slot::GroupSlot;
+use super::{Candidate, ColdCredits};
+use crate::time::Timestamp;
+
+/// What is the same for all groups of one decision.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Pass<'a, C> {
+    /// Present time.
+    pub(super) now: Timestamp,
+    /// Blocks of the prompt.
+    pub(super) blocks: u32,
+    /// Blocks that a request of this host waits for on average.
+    pub(super) mean_pending: f32,
+    /// Positions of the groups that already failed the request.
+    pub(super) excluded: &'a [u16],
+    /// Cold credits of this host.
+    pub(super) credits: &'a C,
+    /// Whether the credits treat any group that reports itself warm as cold.
+    pub(super) has_marks: bool,
+}
+
+impl<C: ColdCredits> Pass<'_, C> {
+    /// Adds a group to what is found, if it may take the request.
+    pub(super) fn consider(
+        &self,
+        position: u16,
+        slot: &GroupSlot,
+        cached_blocks: u32,
+        remote: bool,
+        found: &mut Found,
+    ) {
+        if slot.drained || !slot.reachable || self.excluded.contains(&position) {
+            return;
+        }
+        let candidate = self.candidate(position, slot, cached_blocks, remote);
+        if slot.cold || (self.has_marks && slot.is_cold(self.credits)) {
+            let serving = &slot.serving;
+            let available = || {
+                self.credits
+                    .available(self.now, &serving.group, serving.generation)
+            };
+            // The entry host of a remote group spends its own credits.
+            if remote || available() > 0 {
+                found.cold.push(candidate);
+            } else {
+                found.creditless = true;
+            }
+        } else if candidate.load >= candidate.capacity {
+            found.saturated = true;
+        } else if self.now < slot.ejected_until {
+            found.ejected.push(candidate);
+        } else {
+            found.warm.push(candidate);
+        }
+    }
+
+    #[inline]
+    fn candidate(
+        &self,
+        position: u16,
+        slot: &GroupSlot,
+        cached_blocks: u32,
+        remote: bool,
+    ) -> Candidate {
+        let load = slot.load();
+        let own = slot.own_in_flight();
+        // Requests of other hosts are taken to wait for as much as ours do.
+        let others_pending = load.saturating_sub(own) as f32 * self.mean_pending;
+        Candidate {
+            slot: position,
+            load,
+            own,
+            pending_blocks: slot.pending_blocks() as f32 + others_pending,
+            capacity: slot.capacity,
+            cached_blocks: cached_blocks as f32 * slot.trust,
+            blocks: self.blocks,
+            slowdown: slot.slowdown,
+            remote,
+        }
+    }
+}
--- a/crates/geranium_core/src/route/prefix_index.rs
+++ b/crates/geranium_core/src/route/prefix_index.rs
@@ -44,21 +44,20 @@
         self.len() == 0
     }
 
-    /// Notes that a group holds a block.
-    pub(super) fn store(&mut self, slot: u16, block: BlockHash) {
-        let mut holders = self.touch(block).unwrap_or_default();
-        holders.insert(slot);
-        self.put(block, holders);
+    /// Notes that a group holds blocks.
+    pub(super) fn store_all(&mut self, slot: u16, blocks: &[BlockHash]) {
+        for &block in blocks {
+            let mut holders = self.touch(block).unwrap_or_default();
+            holders.insert(slot);
+            self.put(block, holders);
+        }
     }
 
-    /// Notes that a group no longer holds a block.
-    pub(super) fn evict(&mut self, slot: u16, block: BlockHash) {
-        for half in [&mut self.young, &mut self.old] {
-            if let Some(holders) = half.get_mut(&block) {
-                holders.remove(slot);
-                if holders.is_empty() {
-                    half.remove(&block);
-                }
+    /// Notes that a group no longer holds blocks.
+    pub(super) fn evict_all(&mut self, slot: u16, blocks: &[BlockHash]) {
+        for block in blocks {
+            for half in [&mut self.young, &mut self.old] {
+                Self::evict(half, slot, block);
             }
         }
     }
@@ -105,6 +104,15 @@
         self.cached.get(usize::from(slot)).copied().unwrap_or(0)
     }
 
+    fn evict(half: &mut HashMap<BlockHash, GroupSet>, slot: u16, block: &BlockHash) {
+        if let Some(holders) = half.get_mut(block) {
+            holders.remove(slot);
+            if holders.is_empty() {
+                half.remove(block);
+            }
+        }
+    }
+
     fn touch(&mut self, block: BlockHash) -> Option<GroupSet> {
         if let Some(holders) = self.young.get(&block) {
             return Some(*holders);
--- a/crates/geranium_core/src/route/settings.rs
+++ b/crates/geranium_core/src/route/settings.rs
@@ -16,6 +16,11 @@
     pub warmup_share: f32,
     /// First-token time relative to peers above which a group is a straggler.
     pub straggler_ratio: f32,
+    /// First-token time relative to peers, or to the group's past under a usual
+    /// load, from which a warm group counts as cold.
+    pub cold_ratio: f32,
+    /// First tokens in a row that must be so slow.
+    pub cold_signs: u32,
     /// Failures in a row after which a group is set aside.
     pub failures_to_eject: u32,
     /// Time for which a group is set aside at first; doubles up to `eject_max`.
@@ -34,6 +39,8 @@
             spill_utilization: 0.8,
             warmup_share: 0.125,
             straggler_ratio: 2.0,
+            cold_ratio: 4.0,
+            cold_signs: 3,
             failures_to_eject: 3,
             eject_base: Duration::from_secs(1),
             eject_max: Duration::from_secs(30),
--- a/crates/geranium_core/src/route/slot.rs
+++ b/crates/geranium_core/src/route/slot.rs
@@ -2,17 +2,12 @@
 
 use std::time::Duration;
 
-use super::RouterSettings;
 use super::own_load::OwnLoad;
+use super::pace::Pace;
+use super::{ColdCredits, PaceVerdict, RouterSettings};
 use crate::group::{ServingGroup, Temperature};
 use crate::time::Timestamp;
 
-/// First-token samples before a group is compared with its peers.
-const MIN_SAMPLES: u32 = 5;
-/// Weight of a new first-token sample.
-const SAMPLE_WEIGHT: f32 = 0.2;
-/// Blocks of work that every request costs beside its prompt.
-pub(super) const BASE_BLOCKS: u32 = 2;
 /// Factor on the trust in a group's cache entries after a gap in its events.
 const GAP_TRUST_FACTOR: f32 = 0.5;
 /// Least trust in a group's cache entries.
@@ -35,6 +30,8 @@
     pub(super) reachable: bool,
     /// Whether the group was in the last update.
     pub(super) active: bool,
+    /// Whether the update that is under way has not named the group yet.
+    pub(super) stale: bool,
     /// Whether a drain covers the group.
     pub(super) drained: bool,
     /// Time until which the group is set aside.
@@ -49,9 +46,7 @@
     reported: u32,
     reported_at: Timestamp,
     since_report: i32,
-    pace: f32,
-    paced_at: Timestamp,
-    samples: u32,
+    pace: Pace,
     failures: u32,
     ejections: u32,
     next_sequence: Option<u64>,
@@ -66,6 +61,7 @@
             cold: serving.temperature == Temperature::Cold,
             reachable: true,
             active: true,
+            stale: false,
             drained: false,
             ejected_until: Timestamp::default(),
             trust: 1.0,
@@ -76,15 +72,22 @@
             reported: serving.running + serving.waiting,
             reported_at: now,
             since_report: 0,
-            pace: 0.0,
-            paced_at: now,
-            samples: 0,
+            pace: Pace::default(),
             failures: 0,
             ejections: 0,
             next_sequence: None,
         }
     }
 
+    /// Returns whether a new description has the same record, model and place.
+    pub(super) fn is_same(&self, serving: &ServingGroup) -> bool {
+        let known = &self.serving;
+        known.record == serving.record
+            && known.served_model == serving.served_model
+            && known.failure_domain == serving.failure_domain
+            && known.head == serving.head
+    }
+
     /// Takes over a new description; returns whether the generation changed.
     pub(super) fn update(
         &mut self,
@@ -109,19 +112,25 @@
         self.capacity = serving.warm_concurrency;
         self.cold = serving.temperature == Temperature::Cold;
         self.active = true;
+        self.stale = false;
         new_generation
     }
 
     fn forget_generation(&mut self) {
         self.trust = 1.0;
         self.slowdown = 1.0;
-        self.samples = 0;
+        self.pace = Pace::default();
         self.failures = 0;
         self.ejections = 0;
         self.ejected_until = Timestamp::default();
         self.next_sequence = None;
     }
 
+    /// Returns whether the group is to be treated as cold.
+    pub(super) fn is_cold(&self, credits: &impl ColdCredits) -> bool {
+        self.cold || credits.marked_cold(&self.serving.group, self.serving.generation)
+    }
+
     /// Returns the requests of this entry host in flight.
     pub(super) fn own_in_flight(&self) -> u32 {
         self.own_in_flight
@@ -161,7 +170,7 @@
         }
     }
 
-    /// Notes an answer: the group is healthy.
+    /// Notes a whole answer: the group is healthy.
     pub(super) fn succeed(&mut self) {
         self.failures = 0;
         self.ejections = 0;
@@ -180,38 +189,31 @@
         self.ejections += 1;
     }
 
-    /// Notes a first-token time, given the blocks that had to be computed.
-    pub(super) fn sample_pace(&mut self, now: Timestamp, waited: Duration, computed_blocks: u32) {
-        let sample = waited.as_secs_f32() / (BASE_BLOCKS + computed_blocks) as f32;
-        self.pace = if self.samples == 0 {
-            sample
-        } else {
-            self.pace + SAMPLE_WEIGHT * (sample - self.pace)
-        };
-        self.samples = self.samples.saturating_add(1);
-        self.paced_at = now;
+    /// Notes a first-token time, given the blocks that had to be computed, and
+    /// judges the group by it.
+    pub(super) fn sample_pace(
+        &mut self,
+        now: Timestamp,
+        waited: Duration,
+        blocks: u32,
+        settings: &RouterSettings,
+    ) -> PaceVerdict {
+        let load = self.load();
+        self.pace.sample(now, waited, blocks, load);
+        self.pace.judge(self.slowdown, load, settings)
     }
 
     /// Returns the smoothed first-token time a block, once there are enough samples.
     pub(super) fn pace(&self) -> Option<f32> {
-        (self.samples >= MIN_SAMPLES).then_some(self.pace)
+        self.pace.present()
     }
 
-    /// Compares the group with the median of its peers; old samples count less.
+    /// Compares the group with the median of its peers.
     pub(super) fn compare_pace(&mut self, now: Timestamp, median: f32, settings: &RouterSettings) {
-        let Some(pace) = self.pace() else {
-            self.slowdown = 1.0;
-            return;
-        };
-        let ratio = (pace / median.max(f32::MIN_POSITIVE)).max(1.0);
-        let age = now.since(self.paced_at).as_secs_f32();
-        let half_lives = age / settings.slowdown_half_life.as_secs_f32();
-        let ratio = 1.0 + (ratio - 1.0) * (-half_lives).exp2();
-        self.slowdown = if ratio >= settings.straggler_ratio {
-            ratio
-        } else {
-            1.0
-        };
+        let half_life = settings.slowdown_half_life;
+        let ratio = self.pace.ratio_to(median, now, half_life);
+        let straggles = ratio >= settings.straggler_ratio;
+        self.slowdown = if straggles { ratio } else { 1.0 };
     }
 
     /// Takes the sequence number of a cache event; returns whether it is to be used.
--- a/crates/geranium_core/tests/route.rs
+++ b/crates/geranium_core/tests/route.rs
@@ -8,7 +8,7 @@
 use geranium_core::record::{AccountShare, DrainTarget, ModelSpec};
 use geranium_core::route::{
     BlockHash, CacheChange, CacheEvent, ColdCredits, Dispatch, EntryHost, NoColdCredits,
-    RouteChoice, RoutePath, RouteQuery, RouteRefusal, Router, RouterSettings,
+    PaceVerdict, RouteChoice, RoutePath, RouteQuery, RouteRefusal, Router, RouterSettings,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -334,3 +334,138 @@
     let expected = RouteRefusal::NotAllowed(ModelId::new("m"), AccountId::new("stranger"));
     assert_eq!(refusal, Err(expected));
 }
+
+/// Lets a group answer requests, each with a first token after `millis`.
+fn answer(
+    router: &mut Router,
+    now: Timestamp,
+    group: &ServingGroup,
+    millis: u64,
+    count: usize,
+) -> PaceVerdict {
+    let mut verdict = PaceVerdict::Usual;
+    for _ in 0..count {
+        let mut dispatch = start(router, now, group);
+        verdict = router.first_token(now, &mut dispatch, Duration::from_millis(millis));
+        router.finished(now, dispatch);
+    }
+    verdict
+}
+
+#[test]
+fn only_group_that_becomes_slow_under_its_usual_load_counts_as_cold() {
+    let only = group("g1", "d1");
+    let mut router = router(std::slice::from_ref(&only));
+
+    let before = answer(&mut router, START, &only, 50, 100);
+    let first_slow = answer(&mut router, START, &only, 5_000, 1);
+    let after = answer(&mut router, START, &only, 5_000, 5);
+
+    assert_eq!(before, PaceVerdict::Usual);
+    assert!(first_slow < PaceVerdict::Cold);
+    assert_eq!(after, PaceVerdict::Cold);
+}
+
+#[test]
+fn only_group_that_is_slow_because_of_more_load_does_not_count_as_cold() {
+    let only = group("g1", "d1");
+    let mut router = router(std::slice::from_ref(&only));
+    answer(&mut router, START, &only, 50, 100);
+    let crowd: Vec<Dispatch> = (0..8).map(|_| start(&mut router, START, &only)).collect();
+
+    let verdict = answer(&mut router, START, &only, 5_000, 5);
+
+    assert_eq!(crowd.len(), 8);
+    assert_eq!(verdict, PaceVerdict::Usual);
+}
+
+#[test]
+fn group_that_never_ends_an_answer_is_set_aside() {
+    let mut router = router(&[group("g1", "d1"), group("g2", "d1")]);
+    for _ in 0..3 {
+        let mut dispatch = start(&mut router, START, &group("g1", "d1"));
+        let _ = router.first_token(START, &mut dispatch, Duration::from_millis(50));
+        router.failed(START, dispatch);
+    }
+    router.cache_event(&stored("g1", 1, &blocks(0..30)));
+
+    let choice = route(&mut router, &blocks(0..30), &[]).expect("a group");
+
+    assert_eq!(choice.group, GroupId::new("g2"));
+}
+
+#[test]
+fn group_set_aside_takes_no_overflow_but_is_used_when_it_is_the_only_one() {
+    let failing = group("g1", "d1");
+    let full = ServingGroup {
+        running: 10,
+        ..group("g2", "d1")
+    };
+    let mut with_full = router(&[failing.clone(), full]);
+    let mut alone = router(std::slice::from_ref(&failing));
+    for router in [&mut with_full, &mut alone] {
+        for _ in 0..3 {
+            let dispatch = start(router, START, &failing);
+            router.failed(START, dispatch);
+        }
+    }
+
+    let overflow = route(&mut with_full, &[], &[]);
+    let only = route(&mut alone, &[], &[]).expect("a group");
+
+    assert_eq!(overflow, Err(RouteRefusal::Saturated(ModelId::new("m"))));
+    assert_eq!(only.group, failing.group);
+}
+
+#[test]
+fn group_that_left_and_came_back_is_used_again() {
+    let mut router = router(&[group("g1", "d1")]);
+    let dispatch = start(&mut router, START, &group("g1", "d1"));
+    router.update_groups(START, &[group("g2", "d1")]);
+    let without = route(&mut router, &[], &[]).expect("a group");
+
+    router.update_groups(START, &[group("g1", "d1")]);
+    let with = route(&mut router, &[], &[]).expect("a group");
+
+    assert_eq!(without.group, GroupId::new("g2"));
+    assert_eq!(with.group, GroupId::new("g1"));
+    assert_eq!(router.own_in_flight(&GroupId::new("g1")), 1);
+    router.finished(START, dispatch);
+    assert_eq!(router.own_in_flight(&GroupId::new("g1")), 0);
+}
+
+#[test]
+fn other_failure_domain_joins_when_every_local_group_is_crowded() {
+    let crowded = ServingGroup {
+        running: 9,
+        ..group("g1", "d1")
+    };
+    let mut router = router(&[crowded, group("g9", "d2")]);
+    router.update_entry_hosts(&[EntryHost {
+        host: HostId::new("e2"),
+        failure_domain: FailureDomainId::new("d2"),
+    }]);
+
+    let choice = route(&mut router, &[], &[]).expect("a group");
+
+    assert_eq!(choice.group, GroupId::new("g9"));
+}
+
+#[test]
+fn prefix_index_stays_within_its_capacity() {
+    let settings = RouterSettings {
+        index_capacity: 1_000,
+        ..RouterSettings::default()
+    };
+    let mut router = Router::new(FailureDomainId::new("d1"), settings);
+    router.update_records(&[record()]);
+    router.update_groups(START, &[group("g1", "d1")]);
+
+    for i in 0..100 {
+        router.cache_event(&stored("g1", i, &blocks(i * 100..(i + 1) * 100)));
+    }
+
+    assert!(router.known_blocks() <= 1_000);
+    let recent = route(&mut router, &blocks(9_900..10_000), &[]).expect("a group");
+    assert!(recent.cached_blocks > 90);
+}
