Compare generations of groups for equality only

Cause: the gate's generation is a hash of fencing number and incarnations, so it may fall; the credit user and the trial holder took a smaller one for old, and a restarted group could stay without credits for good. Ruled out: an ordered generation, which entry hosts could not agree on without the engines' incarnations having an order. The daemon also asks peers what they heard and yields the lease when told to.

--- a/crates/geranium_core/src/limit/cold_user.rs
+++ b/crates/geranium_core/src/limit/cold_user.rs
@@ -237,7 +237,7 @@
 
     fn group_mut(&mut self, group: &GroupId, generation: u64) -> &mut UserGroup {
         let known = self.groups.entry(group.clone()).or_default();
-        if generation > known.generation {
+        if generation != known.generation {
             known.restart(generation);
         }
         known
--- a/crates/geranium_core/src/limit/trial.rs
+++ b/crates/geranium_core/src/limit/trial.rs
@@ -118,7 +118,7 @@
         }
         if let Some(trial) = self.trials.get(&req.group)
             && now < trial.expires
-            && trial.generation >= req.generation
+            && trial.generation == req.generation
         {
             return Err(TrialRefusal::Busy(req.group.clone(), trial.expires));
         }
@@ -130,7 +130,7 @@
             expires: now + self.lifetime + self.margin,
         };
         if let Some(old) = self.trials.insert(req.group.clone(), trial)
-            && old.generation < req.generation
+            && old.generation != req.generation
         {
             self.earlier.insert(req.group.clone(), old);
         }
--- a/crates/geranium_daemon/src/control/input.rs
+++ b/crates/geranium_daemon/src/control/input.rs
@@ -1,6 +1,7 @@
 //! What the control task is told.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use geranium_core::engine::{EngineReport, HostEntry, Order};
 use geranium_core::group::{GroupTable, OrderOutcome, WriteOutcome};
@@ -28,6 +29,8 @@
     Report(Box<EngineReport>),
     /// An engine gave no usable report.
     ReportMissed(HostId),
+    /// A peer heard an engine this long ago.
+    HeardByPeer(HostId, Duration),
     /// The outcome of an order.
     OrderAnswered(Box<Order>, OrderOutcome),
 }
--- a/crates/geranium_daemon/src/control/leader.rs
+++ b/crates/geranium_daemon/src/control/leader.rs
@@ -35,6 +35,9 @@
     format!("{LEADER_PREFIX}{failure_domain}")
 }
 
+/// Time that a process leaves the lease to others after it led.
+const YIELD_PAUSE: Duration = Duration::from_secs(3);
+
 /// Time by which the holder's authority ends before its lease can.
 const AUTHORITY_MARGIN: Duration = Duration::from_millis(500);
 
@@ -106,8 +109,11 @@
         self.tell(ControlInput::Leadership(true)).await;
         self.extend_authority(granted_at);
         loop {
-            self.pause(RENEW_INTERVAL).await;
-            if self.shutdown.is_cancelled() {
+            let yields = tokio::select! {
+                () = self.pause(RENEW_INTERVAL) => false,
+                () = self.node.yield_leadership.notified() => true,
+            };
+            if yields || self.shutdown.is_cancelled() {
                 // Authority ends before the lease does, so that the next leader
                 // finds no credits in the making.
                 self.node.traffic.resign_cold_authority();
@@ -129,6 +135,8 @@
         self.node.traffic.resign_cold_authority();
         self.node.set_leader(None);
         self.tell(ControlInput::Leadership(false)).await;
+        // Others get their turn before this process campaigns again.
+        self.pause(YIELD_PAUSE).await;
     }
 
     fn extend_authority(&self, asked_at: Timestamp) {
--- a/crates/geranium_daemon/src/control/task.rs
+++ b/crates/geranium_daemon/src/control/task.rs
@@ -10,10 +10,10 @@
     GroupConfig, GroupController, GroupEffect, GroupGate, GroupInput, GroupTable, ReportBook,
     ServingGroup,
 };
-use geranium_core::id::{GroupId, StoreRevision};
+use geranium_core::id::{GroupId, HostId, StoreRevision};
 use geranium_core::record::{DrainTarget, ModelSpec, RecordSet};
 use geranium_engine::HttpEngineClient;
-use geranium_peer::PeerCommand;
+use geranium_peer::{PeerCommand, PeerReply};
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
@@ -104,6 +104,9 @@
             ControlInput::ReportMissed(host) => {
                 self.decide(GroupInput::ReportMissed { host: &host });
             }
+            ControlInput::HeardByPeer(host, age) => {
+                self.decide(GroupInput::HeardByPeer { host: &host, age });
+            }
             ControlInput::OrderAnswered(order, outcome) => {
                 self.decide(GroupInput::OrderAnswered {
                     order: &order,
@@ -190,12 +193,30 @@
                     self.table_store.write(&table, expected);
                 }
                 GroupEffect::PublishTable(table) => self.publish_table(table),
+                GroupEffect::AskPeers(hosts) => self.ask_peers(&hosts),
+                GroupEffect::YieldLeadership => self.node.yield_leadership.notify_one(),
                 GroupEffect::SendOrder(order) => self.orders.send(order),
                 GroupEffect::Emit(draft) => self.emit(draft),
             }
         }
     }
 
+    /// Asks each peer of the failure domain when it last heard some engines.
+    fn ask_peers(&self, hosts: &[HostId]) {
+        for to in self.node.domain_peers() {
+            let (client, tx) = (self.node.peer_client.clone(), self.node.control.clone());
+            let command = PeerCommand::LastHeard(hosts.to_vec());
+            tokio::spawn(async move {
+                let Ok(PeerReply::Heard(heard)) = client.command(to, command).await else {
+                    return;
+                };
+                for (host, age) in heard {
+                    let _ = tx.send(ControlInput::HeardByPeer(host, age)).await;
+                }
+            });
+        }
+    }
+
     fn publish_table(&mut self, table: GroupTable) {
         self.set_gate_table(&table);
         self.node.tell_domain(&PeerCommand::Table(Box::new(table)));
--- a/crates/geranium_daemon/src/node.rs
+++ b/crates/geranium_daemon/src/node.rs
@@ -21,7 +21,7 @@
 use geranium_platform::EtcdClient;
 use geranium_telemetry::EventRecorder;
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::claim::{ClaimService, HolderDirectory};
 use crate::clock::ProcessClock;
@@ -69,6 +69,8 @@
     pub peer_client: PeerClient,
     /// Input of the peer task.
     pub peer_tx: mpsc::Sender<PeerInput>,
+    /// Told when the leader's lease is to be left to others.
+    pub yield_leadership: Notify,
     pub(crate) leader: RwLock<Option<HostId>>,
     pub(crate) operator_addresses: Mutex<HashMap<(HostId, Incarnation), SocketAddr>>,
     pub(crate) stopping: AtomicBool,
@@ -256,17 +258,22 @@
             .map(|known| known.info.peer_address)
     }
 
-    /// Sends a command to every live peer of the failure domain, without waiting.
-    pub fn tell_domain(&self, command: &PeerCommand) {
+    /// Returns the peer addresses of the other entry hosts of the failure domain.
+    #[must_use]
+    pub fn domain_peers(&self) -> Vec<SocketAddr> {
         let peers = self.peers.view();
         let own = &self.settings.failure_domain;
-        for known in peers
+        let known = peers
             .hosts
             .values()
-            .filter(|known| known.info.failure_domain == *own)
-        {
+            .filter(|known| known.info.failure_domain == *own);
+        known.map(|known| known.info.peer_address).collect()
+    }
+
+    /// Sends a command to every peer of the failure domain, without waiting.
+    pub fn tell_domain(&self, command: &PeerCommand) {
+        for to in self.domain_peers() {
             let (client, command) = (self.peer_client.clone(), command.clone());
-            let to = known.info.peer_address;
             tokio::spawn(async move {
                 if let Err(e) = client.command(to, command).await {
                     log::debug!("{e}");
--- a/crates/geranium_daemon/src/peers/handler.rs
+++ b/crates/geranium_daemon/src/peers/handler.rs
@@ -1,7 +1,9 @@
 //! Calls of other entry hosts.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use geranium_core::id::HostId;
 use geranium_core::limit::TrialRequest;
 use geranium_core::member::{Heartbeat, MemberInfo};
 use geranium_core::record::spread::PullAnswer;
@@ -32,6 +34,16 @@
         rx.await.ok()
     }
 
+    fn last_heard(&self, hosts: Vec<HostId>) -> Vec<(HostId, Duration)> {
+        let now = self.node.clock.now();
+        let view = self.node.published.view();
+        let age = |host: HostId| {
+            let seen = view.reports.get(&host)?;
+            Some((host, now.since(seen.heard_at)))
+        };
+        hosts.into_iter().filter_map(age).collect()
+    }
+
     fn trial(&self, req: &TrialRequest) -> PeerReply {
         match self.node.traffic.grant_trial(self.node.clock.now(), req) {
             Ok(grant) => PeerReply::Trial(grant),
@@ -76,6 +88,10 @@
                 self.node.traffic.end_trial(&req);
                 PeerReply::Done
             }
+            PeerCommand::SuspectOf(crash) => {
+                PeerReply::Suspect(self.node.traffic.suspect_of(&crash))
+            }
+            PeerCommand::LastHeard(hosts) => PeerReply::Heard(self.last_heard(hosts)),
             PeerCommand::Crashes(digest) => {
                 self.node.traffic.import_crashes(now, &digest);
                 PeerReply::Done
--- a/crates/geranium_daemon/src/relay/job.rs
+++ b/crates/geranium_daemon/src/relay/job.rs
@@ -8,7 +8,7 @@
 use futures::StreamExt;
 use geranium_core::event::{EventDraft, EventKind, EventSubject};
 use geranium_core::id::GroupId;
-use geranium_core::limit::{ColdOutcome, CrashId, CrashVerdict, InFlight, RetryBackoff};
+use geranium_core::limit::{ColdOutcome, CrashId, CrashVerdict, RetryBackoff};
 use geranium_core::route::{Dispatch, RouteChoice, RoutePath, RouteQuery, RouteRefusal};
 use geranium_core::stream::{
     Delivery, FinishReason, Piece, PieceBody, ResumePoint, StreamAssembler, StreamEnd, StreamLimits,
@@ -21,7 +21,7 @@
 use super::attempt;
 use super::chunk::read_piece;
 use super::output::ReaderGone;
-use super::trial::Trial;
+use super::trial::{Trial, suspect_of};
 use super::{RelayOutput, RelayRequest};
 use crate::caller::refusal;
 use crate::node::Node;
@@ -469,7 +469,7 @@
     /// Charges the crash of a group to the request, before it runs anywhere again.
     async fn note_crash(&mut self, now: Timestamp, choice: &RouteChoice) {
         self.crashed = true;
-        let on_trial = self.trial.take().is_some();
+        let was_on_trial = self.trial.is_some();
         if choice.path != RoutePath::Direct {
             return;
         }
@@ -477,11 +477,17 @@
             group: choice.group.clone(),
             generation: choice.generation,
         };
-        let in_flight = [InFlight {
-            fingerprint: self.req.fingerprint,
-            on_trial,
-        }];
-        let digest = self.node.traffic.group_crashed(now, &crash, &in_flight);
+        let fingerprint = self.req.fingerprint;
+        let on_trial = if was_on_trial {
+            Some(fingerprint)
+        } else {
+            suspect_of(&self.node, &crash).await
+        };
+        self.trial = None;
+        let digest = self
+            .node
+            .traffic
+            .group_crashed(now, &crash, fingerprint, on_trial);
         self.node.tell_peers_of_crash(&digest).await;
     }
 
--- a/crates/geranium_daemon/src/relay/trial.rs
+++ b/crates/geranium_daemon/src/relay/trial.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use geranium_core::limit::{RequestFingerprint, TrialRequest};
+use geranium_core::limit::{CrashId, RequestFingerprint, TrialRequest};
 use geranium_core::route::RouteChoice;
 use geranium_peer::{PeerCommand, PeerReply};
 
@@ -27,6 +27,7 @@
             user: identity.host.clone(),
             incarnation: identity.incarnation,
             group: choice.group.clone(),
+            generation: choice.generation,
             fingerprint,
             asked_at: now,
         };
@@ -46,6 +47,21 @@
     }
 }
 
+/// Returns the suspect that was on trial when a group crashed, if the budget
+/// holder knows one.
+pub async fn suspect_of(node: &Node, crash: &CrashId) -> Option<RequestFingerprint> {
+    let Some(leader) = node.leader_address() else {
+        return node.traffic.suspect_of(crash);
+    };
+    let asked = node
+        .peer_client
+        .command(leader, PeerCommand::SuspectOf(crash.clone()));
+    match asked.await {
+        Ok(PeerReply::Suspect(suspect)) => suspect,
+        _ => None,
+    }
+}
+
 impl Drop for Trial {
     fn drop(&mut self) {
         let Some(leader) = self.node.leader_address() else {
--- a/crates/geranium_daemon/src/startup.rs
+++ b/crates/geranium_daemon/src/startup.rs
@@ -17,7 +17,7 @@
 use parking_lot::{Mutex, RwLock};
 use rand::Rng;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
@@ -111,6 +111,7 @@
             peers,
             peer_client,
             peer_tx,
+            yield_leadership: Notify::new(),
             leader: RwLock::default(),
             operator_addresses: Mutex::default(),
             stopping: AtomicBool::new(false),
--- a/crates/geranium_daemon/src/traffic/mod.rs
+++ b/crates/geranium_daemon/src/traffic/mod.rs
@@ -13,7 +13,7 @@
 use geranium_core::limit::CrashId;
 use geranium_core::limit::{
     AdmissionOutcome, AdmissionRefusal, AdmissionRequest, ColdOutcome, CrashDigest, CrashVerdict,
-    CreditGrant, CreditRefusal, CreditRequest, InFlight, RequestFingerprint, Ticket, TrialGrant,
+    CreditGrant, CreditRefusal, CreditRequest, RequestFingerprint, Ticket, TrialGrant,
     TrialRefusal, TrialRequest,
 };
 use geranium_core::route::{BlockHash, Dispatch, RouteChoice, RouteQuery, RouteRefusal};
@@ -139,17 +139,25 @@
         self.state.lock().crashes.verdict(now, fingerprint)
     }
 
-    /// Notes the requests in flight when a group crashed; returns what peers must hear.
+    /// Charges a request with the crash of the group that ran it, unless another
+    /// one was on trial there; returns what peers must hear.
     pub fn group_crashed(
         &self,
         now: Timestamp,
         crash: &CrashId,
-        in_flight: &[InFlight],
+        fingerprint: RequestFingerprint,
+        on_trial: Option<RequestFingerprint>,
     ) -> CrashDigest {
-        self.state
-            .lock()
+        let mut state = self.state.lock();
+        state
             .crashes
-            .group_crashed(now, crash, in_flight)
+            .group_crashed(now, crash, &[fingerprint], on_trial)
+    }
+
+    /// Returns the suspect that was on trial when a group crashed.
+    #[must_use]
+    pub fn suspect_of(&self, crash: &CrashId) -> Option<RequestFingerprint> {
+        self.state.lock().trials.suspect(crash)
     }
 
     /// Clears a suspect that finished whole.
--- a/crates/geranium_peer/src/message.rs
+++ b/crates/geranium_peer/src/message.rs
@@ -1,9 +1,13 @@
 //! Commands that entry hosts send each other besides heartbeats and records.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use geranium_core::group::GroupTable;
-use geranium_core::limit::{CrashDigest, CreditGrant, CreditRequest, TrialGrant, TrialRequest};
+use geranium_core::id::HostId;
+use geranium_core::limit::{
+    CrashDigest, CrashId, CreditGrant, CreditRequest, RequestFingerprint, TrialGrant, TrialRequest,
+};
 use serde::{Deserialize, Serialize};
 
 /// A command of one entry host to another.
@@ -16,6 +20,10 @@
     Trial(TrialRequest),
     /// Ends a trial.
     TrialEnded(TrialRequest),
+    /// Asks the budget holder which suspect was on trial when a group crashed.
+    SuspectOf(CrashId),
+    /// Asks when engines were last heard.
+    LastHeard(Vec<HostId>),
     /// Tells what is known of crashing requests.
     Crashes(CrashDigest),
     /// Tells the group table that the leader works with.
@@ -34,6 +42,10 @@
     Credits(CreditGrant),
     /// Leave to try a suspect.
     Trial(TrialGrant),
+    /// The suspect that was on trial, if there was one.
+    Suspect(Option<RequestFingerprint>),
+    /// Engines that were heard, with the time since then.
+    Heard(Vec<(HostId, Duration)>),
     /// Address of the operator interface.
     OperatorAddress(SocketAddr),
     /// The command was refused, with the reason for people.
