Hold requests through a moment without capacity; test control with processes

Admission refused at once although queued requests were held for the same grace. An operator's next change was also checked before the last one was in force on the same host (422, account does not exist). Ruled out: dissolving the old group later, which strands its accelerators for a fixed time and still leaves the moment.

--- a/crates/geranium_core/src/limit/admission.rs
+++ b/crates/geranium_core/src/limit/admission.rs
@@ -240,12 +240,17 @@
         req: &AdmissionRequest<'_>,
     ) -> Result<(), AdmissionRefusal> {
         let account = req.account.clone();
-        if self.capacity == 0 {
+        if self.is_without_capacity(now) {
             let retry_after = self.retry_after(self.settings.initial_service);
             return Err(AdmissionRefusal::NoCapacity(account, retry_after));
         }
         let ahead = self.accounts[req.account].ahead_of(req.priority);
-        let wait = self.expected_wait(now, req.account, ahead);
+        let wait = match self.capacity {
+            // The capacity is about to come back, such as when one group takes
+            // over from another.
+            0 => Duration::ZERO,
+            _ => self.expected_wait(now, req.account, ahead),
+        };
         let start_by = req.deadline - self.settings.reserve;
         let left = start_by.since(now);
         if wait > left {
@@ -368,10 +373,16 @@
         Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
     }
 
+    /// Returns whether there has been no capacity for longer than the grace.
+    fn is_without_capacity(&self, now: Timestamp) -> bool {
+        let grace = self.settings.zero_capacity_grace;
+        let zero_for = self.zero_since.map(|since| now.since(since));
+        self.capacity == 0 && zero_for.is_none_or(|zero_for| zero_for >= grace)
+    }
+
     fn shed(&mut self, now: Timestamp, account: &AccountId, change: &mut AdmissionChange) {
         let first = self.expected_wait(now, account, 0).as_secs_f64();
-        let grace = self.settings.zero_capacity_grace;
-        let no_capacity = self.zero_since.is_some_and(|t| now.since(t) >= grace);
+        let no_capacity = self.is_without_capacity(now);
         let suspended = self.capacity == 0 && !no_capacity;
         let Some(queue) = self.accounts.get_mut(account) else {
             return;
--- a/crates/geranium_core/tests/admission.rs
+++ b/crates/geranium_core/tests/admission.rs
@@ -327,3 +327,40 @@
 
     assert_eq!(order, [b_second, b_third, low]);
 }
+
+#[test]
+fn request_waits_for_a_capacity_that_is_gone_for_a_moment_only() {
+    let settings = AdmissionSettings::default();
+    let account = AccountId::new("desk");
+    let mut admission = Admission::new(settings, 1);
+    let limit = AccountLimit {
+        account: account.clone(),
+        weight: 1,
+        max_concurrent: 8,
+    };
+    let start = Timestamp::from_millis(1_000);
+    admission.set_accounts(start, &[limit]);
+    admission.set_capacity(start, 4);
+    let gone = start + Duration::from_secs(1);
+    admission.set_capacity(gone, 0);
+    let req = AdmissionRequest {
+        account: &account,
+        priority: 5,
+        deadline: gone + Duration::from_secs(10),
+    };
+
+    let soon = admission.submit(gone + Duration::from_millis(20), &req);
+    let back = admission.set_capacity(gone + Duration::from_millis(40), 4);
+    admission.set_capacity(gone + Duration::from_millis(60), 0);
+    let late = admission.submit(
+        gone + Duration::from_millis(60) + settings.zero_capacity_grace,
+        &req,
+    );
+
+    assert!(matches!(soon, AdmissionOutcome::Queued(_)));
+    assert_eq!(back.started.len(), 1);
+    assert!(matches!(
+        late,
+        AdmissionOutcome::Refused(AdmissionRefusal::NoCapacity(..))
+    ));
+}
--- a/crates/geranium_daemon/src/apply.rs
+++ b/crates/geranium_daemon/src/apply.rs
@@ -22,6 +22,12 @@
 /// Pause before a write with an unknown outcome is read back again.
 const SETTLE_PAUSE: Duration = Duration::from_millis(100);
 
+/// Pause between two looks whether a change is in force here.
+const IN_FORCE_PAUSE: Duration = Duration::from_millis(2);
+
+/// Looks whether a change is in force here.
+const IN_FORCE_LOOKS: usize = 500;
+
 /// Time to come back while the platform's service does not answer.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -173,6 +179,19 @@
     let subject = EventSubject::record(&record.key.name);
     node.record(EventDraft::new(EventKind::StoreWritten, subject, reason));
     node.offer_record(record.clone(), revision).await;
+    wait_in_force(node, record).await;
+}
+
+/// Waits until a change is in force here, so that the operator's next change is
+/// checked against it.
+async fn wait_in_force(node: &Node, record: &StoredRecord) {
+    for _ in 0..IN_FORCE_LOOKS {
+        let view = node.published.view();
+        if view.records.generation(&record.key) >= record.generation() {
+            return;
+        }
+        tokio::time::sleep(IN_FORCE_PAUSE).await;
+    }
 }
 
 fn refused(change: &ChangeRequest, e: ApplyError) -> Result<Option<ApplyAnswer>, ApiError> {
--- a/crates/geranium_daemon/tests/system/main.rs
+++ b/crates/geranium_daemon/tests/system/main.rs
@@ -1,6 +1,7 @@
 //! The daemon as processes of its own, with stand-ins in this process.
 
 mod claims;
+mod control;
 mod entry;
 mod operators;
 mod requests;
--- a/crates/geranium_daemon/tests/system/operators.rs
+++ b/crates/geranium_daemon/tests/system/operators.rs
@@ -23,6 +23,11 @@
 async fn of_two_operators_racing_a_hundred_times_one_wins_and_the_other_is_told() {
     let system = System::start(&TWO_HOSTS, |_| {}).await;
     system.apply(&account()).await;
+    let other = system.entry(1).operator;
+    until("the account on both hosts", || async {
+        system.operator.record(other, "account", "desk").await.ok()
+    })
+    .await;
     system
         .apply_at(0, &model(&[("lima-1", 0)], 2), "first", None)
         .await
