Read the rest of a refused body before the refusal is sent

Ruled out: a fault of the client; the answer was on its way and was dropped by the reset. At most 32 MiB and 2 s are read.

--- a/crates/geranium_daemon/src/caller/chat.rs
+++ b/crates/geranium_daemon/src/caller/chat.rs
@@ -9,7 +9,7 @@
 use geranium_core::limit::{CrashVerdict, RequestFingerprint};
 use geranium_core::time::Timestamp;
 use geranium_engine::ChatRequest;
-use geranium_net::{ApiError, read_body};
+use geranium_net::{ApiError, drop_body, read_body};
 use hyper::StatusCode;
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use serde::Deserialize;
@@ -38,6 +38,9 @@
 /// Answers a chat completion.
 pub async fn completions(node: Arc<Node>, mut req: Request) -> Result<Response> {
     let outcome = complete(&node, &mut req).await;
+    if outcome.is_err() {
+        drop_body(&mut req).await;
+    }
     Ok(outcome.inspect_err(|e| node.metrics.answered(CallKind::Chat, &e.kind))?)
 }
 
--- a/crates/geranium_daemon/src/caller/service.rs
+++ b/crates/geranium_daemon/src/caller/service.rs
@@ -12,7 +12,7 @@
 use geranium_core::record::{ServiceRoute, ServiceSpec};
 use geranium_core::time::Timestamp;
 use geranium_engine::{ServiceAnswer, ServiceCall, ServiceClient, ServiceError};
-use geranium_net::{ApiError, read_body};
+use geranium_net::{ApiError, drop_body, read_body};
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, StatusCode};
@@ -48,6 +48,9 @@
 /// Answers a call of a plain service.
 pub async fn call(node: Arc<Node>, mut req: Request) -> Result<Response> {
     let outcome = answer(&node, &mut req).await;
+    if outcome.is_err() {
+        drop_body(&mut req).await;
+    }
     let label = outcome
         .as_ref()
         .map_or_else(|e| e.kind.as_str(), |_| "complete");
--- a/crates/geranium_net/src/body.rs
+++ b/crates/geranium_net/src/body.rs
@@ -1,5 +1,7 @@
 //! Bodies with a size limit.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
@@ -8,6 +10,13 @@
 
 use crate::{ApiError, ClientError};
 
+/// Bytes over the limit that are read and dropped, so that the caller has sent its
+/// request before the refusal comes: a connection closed earlier loses the refusal.
+const MAX_DROPPED: usize = 32 << 20;
+
+/// Longest time for reading what is dropped.
+const DROP_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Reads the whole body of a request.
 ///
 /// # Errors
@@ -16,6 +25,21 @@
 pub async fn read_body(req: &mut Request, limit: usize) -> Result<Bytes, ApiError> {
     let mut body: Body = std::mem::take(req.body_mut());
     let mut buf = BytesMut::new();
+    while let Some(data) = next_data(&mut body).await? {
+        if buf.len() + data.len() > limit {
+            drop_rest(&mut body).await;
+            return Err(ApiError::new(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "oversize_body",
+                format!("request body has more than {limit} bytes"),
+            ));
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
+
+async fn next_data(body: &mut Body) -> Result<Option<Bytes>, ApiError> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| {
             ApiError::new(
@@ -24,19 +48,32 @@
                 format!("request body broke off: {e}"),
             )
         })?;
-        let Some(data) = frame.data_ref() else {
-            continue;
-        };
-        if buf.len() + data.len() > limit {
-            return Err(ApiError::new(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "oversize_body",
-                format!("request body has more than {limit} bytes"),
-            ));
+        if let Ok(data) = frame.into_data() {
+            return Ok(Some(data));
         }
-        buf.extend_from_slice(data);
     }
-    Ok(buf.freeze())
+    Ok(None)
+}
+
+/// Reads and drops the body of a request that is refused without it.
+pub async fn drop_body(req: &mut Request) {
+    let mut body: Body = std::mem::take(req.body_mut());
+    drop_rest(&mut body).await;
+}
+
+/// Reads and drops what is left, within a time and a size.
+async fn drop_rest(body: &mut Body) {
+    let read = async {
+        let mut dropped = 0;
+        while let Ok(Some(data)) = next_data(body).await {
+            dropped += data.len();
+            if dropped > MAX_DROPPED {
+                return;
+            }
+        }
+    };
+    // Whether the rest comes in time changes nothing about the refusal.
+    let _ = tokio::time::timeout(DROP_TIMEOUT, read).await;
 }
 
 /// Reads the whole body of an answer.
--- /dev/null
+++ b/crates/geranium_net/tests/server.rs
@@ -0,0 +1,75 @@
+//! The server's limits as a caller sees them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geranium_net::{
+    ApiError, ClientConfig, HttpClient, HttpRequest, HttpServer, ServerConfig, read_body,
+};
+use hyper::StatusCode;
+use tokio_util::sync::CancellationToken;
+use viz::{IntoResponse, Request, Response, Result, Router};
+
+const LIMIT: usize = 64 << 10;
+
+async fn echo_length(mut req: Request) -> Result<Response> {
+    let body = read_body(&mut req, LIMIT).await?;
+    Ok(body.len().to_string().into_response())
+}
+
+async fn serve() -> (SocketAddr, CancellationToken) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = HttpServer::bind(any, ServerConfig::default())
+        .await
+        .expect("bound");
+    let address = server.local_addr().expect("an address");
+    let stop = CancellationToken::new();
+    let router = Router::new().post("/", echo_length);
+    tokio::spawn(server.run(router, stop.clone()));
+    (address, stop)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn oversize_body_always_gets_its_refusal() {
+    let (address, _stop) = serve().await;
+    let client = HttpClient::new(&ClientConfig::default());
+    let body = Bytes::from(vec![b'x'; 8 << 20]);
+
+    for _ in 0..20 {
+        let req = HttpRequest::post(address, "/").body(body.clone());
+        let answer = client.send_whole(req, Duration::from_secs(20)).await;
+        let (status, body) = answer.expect("an answer");
+        let refusal = ApiError::parse(status, &body).expect("a typed refusal");
+        assert_eq!(status, StatusCode::PAYLOAD_TOO_LARGE);
+        assert_eq!(refusal.kind, "oversize_body");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_at_the_limit_is_read_whole() {
+    let (address, _stop) = serve().await;
+    let client = HttpClient::new(&ClientConfig::default());
+    let req = HttpRequest::post(address, "/").body(Bytes::from(vec![b'x'; LIMIT]));
+
+    let (status, body) = client
+        .send_whole(req, Duration::from_secs(20))
+        .await
+        .expect("an answer");
+
+    assert_eq!(status, StatusCode::OK);
+    assert_eq!(body, LIMIT.to_string());
+}
+
+#[tokio::test]
+async fn address_in_use_is_a_typed_failure() {
+    let (address, _stop) = serve().await;
+
+    let second = HttpServer::bind(address, ServerConfig::default()).await;
+
+    let e = second.err().expect("refused");
+    assert!(
+        e.to_string()
+            .starts_with(&format!("cannot listen on {address}"))
+    );
+}
