Date what peers vouch for by an echo of this host's own clock

Cause: heartbeats that waited in the network, or in a socket while the process was paused, counted as fresh when they were read.

Ruled out: wall times of the sender (clocks of hosts are not compared); distrust for a fixed time after a pause (says nothing about delay in the network); counting answers only (half the exchanges would vouch for one side alone). The penalty on second-hand knowledge goes: an echo is never later than the message it dates, so that hosts cannot vouch in a circle.

--- a/crates/geranium_core/src/member/board.rs
+++ b/crates/geranium_core/src/member/board.rs
@@ -23,7 +23,7 @@
     own: BTreeMap<HostId, OwnReport>,
     /// Reports passed on, by engine host and observer.
     passed_on: BTreeMap<HostId, BTreeMap<HostId, SharedReport>>,
-    /// Time at which each observer was last heard.
+    /// Latest time at which each observer is known to have vouched.
     observers: BTreeMap<HostId, Timestamp>,
 }
 
@@ -87,9 +87,10 @@
         by_observer.insert(observer.clone(), shared);
     }
 
-    /// Takes note that an observer was heard; it vouches for its reports again.
-    pub(super) fn hear_observer(&mut self, observer: &HostId, now: Timestamp) {
-        self.observers.insert(observer.clone(), now);
+    /// Takes note that an observer vouched for its reports after a time.
+    pub(super) fn hear_observer(&mut self, observer: &HostId, vouched_at: Timestamp) {
+        let at = self.observers.entry(observer.clone()).or_insert(vouched_at);
+        *at = vouched_at.max(*at);
     }
 
     /// Forgets what an observer passed on.
--- a/crates/geranium_core/src/member/heartbeat.rs
+++ b/crates/geranium_core/src/member/heartbeat.rs
@@ -121,13 +121,17 @@
     pub sender: MemberInfo,
     /// Time at the sender.
     pub time: HybridTime,
+    /// Time on the sender's own clock, which the receiver echoes.
+    pub sent_at: Timestamp,
+    /// `sent_at` of the receiver's last message that the sender has taken in.
+    pub echo: Timestamp,
     /// Configuration that the sender has in force.
     pub config: ConfigStatus,
     /// Digest of the live hosts of the sender's failure domain.
     pub roster_digest: u64,
     /// Live hosts of the sender's failure domain, if the receiver's list differs.
     pub roster: Vec<MemberInfo>,
-    /// Run of the receiver whose log `acked` counts in.
+    /// Run of the receiver that `echo` and `acked` refer to.
     pub acked_incarnation: Incarnation,
     /// Number up to which the sender has taken in the receiver's log.
     pub acked: u64,
--- a/crates/geranium_core/src/member/incoming.rs
+++ b/crates/geranium_core/src/member/incoming.rs
@@ -31,6 +31,17 @@
         effects
     }
 
+    /// Returns a time on this host's clock before which a heartbeat was not made.
+    ///
+    /// A heartbeat may have waited in the network or while this process was
+    /// paused. Its sender had seen a message of this host, so that what it says
+    /// was true after that message was sent. Clocks of hosts are not compared.
+    #[must_use]
+    pub fn vouched_at(&self, heartbeat: &Heartbeat) -> Option<Timestamp> {
+        let is_own_run = heartbeat.acked_incarnation == self.config.own.incarnation;
+        (is_own_run && heartbeat.echo > Timestamp::default()).then_some(heartbeat.echo)
+    }
+
     /// Takes note that a heartbeat to an address got no answer.
     pub fn fail(&mut self, to: SocketAddr, now: Timestamp) -> Vec<MemberEffect> {
         let effects = self.advance(now);
@@ -99,7 +110,9 @@
         if was_restarted {
             self.board.forget_observer(&sender.host);
         }
-        self.board.hear_observer(&sender.host, now);
+        if let Some(vouched_at) = self.vouched_at(heartbeat) {
+            self.board.hear_observer(&sender.host, vouched_at);
+        }
         if before.0 != after.0 || was_restarted {
             effects.push(MemberEffect::MembersChanged);
         }
--- a/crates/geranium_core/src/member/outgoing.rs
+++ b/crates/geranium_core/src/member/outgoing.rs
@@ -240,6 +240,8 @@
         Heartbeat {
             sender: self.config.own.clone(),
             time,
+            sent_at: now,
+            echo: known.map_or(Timestamp::default(), |peer| peer.sent_at),
             config: self.status,
             roster_digest,
             roster: if audience == Audience::Domain && lacks_roster {
--- a/crates/geranium_core/src/member/peer.rs
+++ b/crates/geranium_core/src/member/peer.rs
@@ -35,6 +35,8 @@
     pub(super) config: ConfigStatus,
     /// Digest of the peer's list of live hosts.
     pub(super) roster_digest: u64,
+    /// `sent_at` of the peer's last message.
+    pub(super) sent_at: Timestamp,
     /// Number up to which the peer has taken in this host's log.
     pub(super) acked: u64,
     /// Number up to which this host has taken in the peer's log.
@@ -53,6 +55,7 @@
             in_flight: None,
             config: ConfigStatus::default(),
             roster_digest: 0,
+            sent_at: Timestamp::default(),
             acked: 0,
             taken: 0,
         }
@@ -70,6 +73,7 @@
             // A new run starts an empty log and has taken in nothing of ours.
             self.acked = 0;
             self.taken = 0;
+            self.sent_at = Timestamp::default();
         }
         if self.info != heartbeat.sender {
             self.info = heartbeat.sender.clone();
@@ -81,6 +85,7 @@
         self.in_flight = None;
         self.config = heartbeat.config;
         self.roster_digest = heartbeat.roster_digest;
+        self.sent_at = self.sent_at.max(heartbeat.sent_at);
         if heartbeat.acked_incarnation == own {
             self.acked = heartbeat.acked;
         }
--- a/crates/geranium_core/src/record/spread/replica.rs
+++ b/crates/geranium_core/src/record/spread/replica.rs
@@ -1,7 +1,6 @@
 //! The records in force on one host.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -19,10 +18,6 @@
 /// Largest sum of records in one message to a peer, in bytes.
 const MAX_MESSAGE_SIZE: usize = 512 * 1_024;
 
-/// Age added to what a peer vouches for; longer than a heartbeat can take, so that
-/// hosts cannot vouch for each other in a circle.
-const HOP_PENALTY: Duration = Duration::from_secs(1);
-
 /// Most records that are pushed at once; peers ask for larger changes.
 const MAX_PUSHED: usize = 64;
 
@@ -200,11 +195,20 @@
     }
 
     /// Takes in what a heartbeat of any entry host reports.
-    pub fn hear_peer(&mut self, peer: &MemberInfo, status: ConfigStatus, now: Timestamp) {
-        if let Some(age) = status.store_age
+    ///
+    /// `vouched_at` is a time before which the heartbeat was not made, if one is
+    /// known; see [`Membership::vouched_at`](crate::member::Membership::vouched_at).
+    pub fn hear_peer(
+        &mut self,
+        peer: &MemberInfo,
+        status: ConfigStatus,
+        vouched_at: Option<Timestamp>,
+        now: Timestamp,
+    ) {
+        if let (Some(age), Some(at)) = (status.store_age, vouched_at)
             && status.digest == self.records.digest()
         {
-            self.follower.vouch(now - age - HOP_PENALTY);
+            self.follower.vouch(at - age);
         }
         self.sync
             .hear(peer, status.digest, &self.timing, now, &mut self.rng);
--- a/crates/geranium_core/tests/entry_hosts/fleet.rs
+++ b/crates/geranium_core/tests/entry_hosts/fleet.rs
@@ -24,7 +24,6 @@
 use crate::store::Store;
 
 const TICK: Duration = Duration::from_millis(100);
-const LATENCY: Duration = Duration::from_millis(1);
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 const STORE_LATENCY: Duration = Duration::from_millis(3);
 
@@ -71,6 +70,8 @@
     pub store: Store,
     pub counts: Counts,
     pub events: Vec<(Timestamp, HostId, EventDraft)>,
+    /// Time that a message takes from host to host.
+    pub latency: Duration,
     /// Messages between hosts that are lost, of a thousand.
     pub lost_per_mille: u32,
     /// Hosts whose watch reports nothing and does not fail.
@@ -92,6 +93,7 @@
             store: Store::default(),
             counts: Counts::default(),
             events: Vec::new(),
+            latency: Duration::from_millis(1),
             lost_per_mille: 0,
             silent_watches: BTreeSet::new(),
             rng: SmallRng::seed_from_u64(1),
@@ -173,7 +175,7 @@
         self.send(at, Duration::ZERO, Message::Tick);
         let others = waiting.into_iter().filter(|m| !matches!(m, Message::Tick));
         for message in others {
-            self.send(at, LATENCY, message);
+            self.send(at, self.latency, message);
         }
     }
 
@@ -347,7 +349,11 @@
             Message::Pull(from, index) => {
                 let answer = host.replica.answer_pull(&index);
                 let own = host.info.clone();
-                self.send(from.peer_address, LATENCY, Message::PullAnswer(own, answer));
+                self.send(
+                    from.peer_address,
+                    self.latency,
+                    Message::PullAnswer(own, answer),
+                );
             }
             Message::PullAnswer(from, answer) => {
                 let effects = host.replica.take_in_pull(&from, answer, now);
@@ -401,12 +407,13 @@
         let host = self.hosts.get_mut(&to).expect("delivered to it");
         let time = host.clock.observe(now, heartbeat.time);
         let effects = host.membership.take_in(heartbeat, now);
-        host.replica
-            .hear_peer(&heartbeat.sender, heartbeat.config, now);
+        let vouched_at = host.membership.vouched_at(heartbeat);
+        let (sender, config) = (&heartbeat.sender, heartbeat.config);
+        host.replica.hear_peer(sender, config, vouched_at, now);
         host.membership.set_config_status(host.replica.status(now));
         if let Some(caller) = caller {
             let answer = host.membership.answer(&heartbeat.sender, now, time);
-            self.send(caller, LATENCY, Message::Answer(Box::new(answer)));
+            self.send(caller, self.latency, Message::Answer(Box::new(answer)));
         }
         self.carry_out_members(to, effects);
     }
@@ -416,9 +423,11 @@
             match effect {
                 MemberEffect::SendHeartbeat { to, heartbeat } => {
                     self.counts.heartbeats += 1;
-                    if self.arrives(at, to) {
-                        self.send(to, LATENCY, Message::Heartbeat(at, heartbeat));
-                    } else {
+                    let arrives = self.arrives(at, to);
+                    if arrives {
+                        self.send(to, self.latency, Message::Heartbeat(at, heartbeat));
+                    }
+                    if !arrives || self.hosts[&to].is_paused {
                         self.send(at, CALL_TIMEOUT, Message::HeartbeatFailed(to));
                     }
                 }
@@ -459,7 +468,7 @@
                         self.counts.pushed_records += records.len() as u64;
                         if self.arrives(at, peer.peer_address) {
                             let push = Message::Push(own.clone(), records.clone());
-                            self.send(peer.peer_address, LATENCY, push);
+                            self.send(peer.peer_address, self.latency, push);
                         }
                     }
                 }
@@ -474,10 +483,12 @@
 
     fn pull(&mut self, at: SocketAddr, peer: MemberInfo, index: RecordIndex) {
         self.counts.pulls += 1;
-        if self.arrives(at, peer.peer_address) {
+        let arrives = self.arrives(at, peer.peer_address);
+        if arrives {
             let own = self.hosts[&at].info.clone();
-            self.send(peer.peer_address, LATENCY, Message::Pull(own, index));
-        } else {
+            self.send(peer.peer_address, self.latency, Message::Pull(own, index));
+        }
+        if !arrives || self.hosts[&peer.peer_address].is_paused {
             self.send(at, CALL_TIMEOUT, Message::PullFailed(peer));
         }
     }
@@ -572,7 +583,7 @@
         };
         let (a, b) = (&self.hosts[&from].info, &target.info);
         let is_cut = |info: &MemberInfo| self.cut_domains.contains(&info.failure_domain);
-        !target.is_paused && (a.failure_domain == b.failure_domain || !(is_cut(a) || is_cut(b)))
+        a.failure_domain == b.failure_domain || !(is_cut(a) || is_cut(b))
     }
 
     fn record_event(&mut self, at: SocketAddr, event: EventDraft) {
--- a/crates/geranium_core/tests/entry_hosts/reports.rs
+++ b/crates/geranium_core/tests/entry_hosts/reports.rs
@@ -106,3 +106,39 @@
 
     assert!(took <= Duration::from_millis(150), "took {took:?}");
 }
+
+#[test]
+fn heartbeats_that_waited_while_the_receiver_was_paused_vouch_for_nothing() {
+    let mut fleet = Fleet::start(1, 3);
+    fleet.run(Duration::from_secs(3));
+    poll(&mut fleet, 0, 20, EnginePhase::Warm);
+    fleet.pause(0, 1);
+    let paused_at = fleet.now;
+    poll(&mut fleet, 0, 20, EnginePhase::Warm);
+    fleet.kill(0, 0);
+    fleet.run(Duration::from_secs(20));
+
+    fleet.resume(0, 1);
+    fleet.run(Duration::from_millis(50));
+
+    let heard_at = heard_at(&fleet, 1).expect("known");
+    assert!(heard_at <= paused_at, "{heard_at} after {paused_at}");
+}
+
+#[test]
+fn a_host_that_restarts_gets_the_reports_that_its_peers_shared_before() {
+    let mut fleet = Fleet::start(1, 3);
+    fleet.run(Duration::from_secs(3));
+    poll(&mut fleet, 0, 20, EnginePhase::Warm);
+
+    // It has no seed: the observer speaks first, as to the run before.
+    fleet.start_host(0, 1, &[]);
+    for _ in 0..20 {
+        let now = fleet.now;
+        let host = fleet.host_mut(0, 0);
+        host.membership.observe(report(20, EnginePhase::Warm), now);
+        fleet.run(Duration::from_millis(100));
+    }
+
+    assert!(heard_at(&fleet, 1).is_some());
+}
--- a/crates/geranium_core/tests/entry_hosts/spread.rs
+++ b/crates/geranium_core/tests/entry_hosts/spread.rs
@@ -67,6 +67,25 @@
     assert!(took <= Duration::from_secs(3), "took {took:?}");
 }
 
+#[test]
+fn hosts_cut_from_the_store_do_not_vouch_for_each_other_in_a_circle() {
+    let mut fleet = settled(2, 3);
+    fleet.latency = Duration::from_millis(400);
+    fleet.set_store_down(true);
+
+    fleet.run(Duration::from_secs(120));
+
+    for host in fleet.hosts.values() {
+        let age = host.replica.status(fleet.now).store_age;
+        let age = age.expect("informed");
+        assert!(
+            age >= Duration::from_secs(110),
+            "{}: {age:?}",
+            host.info.host
+        );
+    }
+}
+
 #[test]
 fn a_domain_cut_from_everything_catches_up_when_it_is_back() {
     let mut fleet = settled(3, 3);
--- a/crates/geranium_peer/schema/peer.capnp
+++ b/crates/geranium_peer/schema/peer.capnp
@@ -111,6 +111,8 @@
   ackedIncarnation @5 :UInt64;
   acked @6 :UInt64;
   delta @7 :SharedDelta;
+  sentAt @8 :UInt64;      # microseconds on the sender's clock
+  echo @9 :UInt64;        # microseconds on the receiver's clock
 }
 
 struct RecordVersion {
--- a/crates/geranium_peer/src/peer_capnp.rs
+++ b/crates/geranium_peer/src/peer_capnp.rs
@@ -4040,11 +4040,19 @@
         pub fn has_delta(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_sent_at(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_echo(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4198,6 +4206,22 @@
         pub fn has_delta(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_sent_at(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_sent_at(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_echo(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_echo(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4221,80 +4245,94 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 144] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(206, 213, 127, 255, 234, 80, 7, 139),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(97, 72, 47, 94, 201, 179, 167, 209),
             ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(175, 156, 26, 151, 54, 87, 92, 219),
@@ -4366,6 +4404,22 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 110, 116, 65, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 99, 104, 111, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4377,6 +4431,8 @@
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <crate::peer_capnp::shared_delta::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4390,9 +4446,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,2,7,4,3,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,2,7,9,4,3,0,8,1];
         pub(crate) const TYPE_ID: u64 = 0x8b07_50ea_ff7f_d5ce;
     }
 }
--- a/crates/geranium_peer/src/wire/heartbeat.rs
+++ b/crates/geranium_peer/src/wire/heartbeat.rs
@@ -22,6 +22,8 @@
     }
     to.set_acked_incarnation(heartbeat.acked_incarnation.0);
     to.set_acked(heartbeat.acked);
+    to.set_sent_at(heartbeat.sent_at.0);
+    to.set_echo(heartbeat.echo.0);
     write_delta(to.init_delta(), &heartbeat.delta);
 }
 
@@ -34,6 +36,8 @@
             wall: Timestamp(time.get_wall()),
             counter: time.get_counter(),
         },
+        sent_at: Timestamp(from.get_sent_at()),
+        echo: Timestamp(from.get_echo()),
         config: read_status(from.get_config()?)?,
         roster_digest: from.get_roster_digest(),
         roster: roster.collect::<capnp::Result<_>>()?,
--- a/crates/geranium_peer/tests/rpc.rs
+++ b/crates/geranium_peer/tests/rpc.rs
@@ -92,6 +92,8 @@
             wall: Timestamp(1_000_001),
             counter: 3,
         },
+        sent_at: Timestamp(1_000_002),
+        echo: Timestamp(999_999),
         config: ConfigStatus {
             digest: ConfigDigest(0xdead_beef),
             records: 12,
