--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -107,6 +107,10 @@
     ClaimUnknown => "claim_unknown",
     /// A request was found to crash backend servers.
     CrashSuspected => "crash_suspected",
+    /// A claim was given up because its call was not run.
+    ClaimWithdrawn => "claim_withdrawn",
+    /// A group table read from the store breaks a rule and is not used.
+    TableRejected => "table_rejected",
     /// The process was paused and has not run for a while.
     ProcessPaused => "process_paused",
     /// Nothing was heard of another failure domain for a while.
--- /dev/null
+++ b/crates/geranium_daemon/src/control/leader.rs
@@ -0,0 +1,147 @@
+//! Leadership of a failure domain, by a lease.
+//!
+//! The lease only says who should try: every effect of a leader is guarded by
+//! compare-and-swap and by fencing numbers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geranium_core::id::{FailureDomainId, StoreRevision};
+use geranium_core::time::Timestamp;
+use geranium_platform::{CasOutcome, KvStore, LeaseId, StoreError, Swap};
+use tokio_util::sync::CancellationToken;
+
+use super::ControlInput;
+use super::mirror::retry_pause;
+use crate::node::Node;
+
+/// Prefix of the leaders' keys.
+const LEADER_PREFIX: &str = "/geranium/leaders/";
+
+/// Time after which the lease of a silent leader ends.
+const LEASE_TTL: Duration = Duration::from_secs(3);
+
+/// Time between two renewals of the lease.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks at a lease that another process holds.
+const CAMPAIGN_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Returns the key that the leader of a failure domain holds.
+#[must_use]
+pub fn leader_key(failure_domain: &FailureDomainId) -> String {
+    format!("{LEADER_PREFIX}{failure_domain}")
+}
+
+/// Time by which the holder's authority ends before its lease can.
+const AUTHORITY_MARGIN: Duration = Duration::from_millis(500);
+
+/// Tries to lead a failure domain for as long as the process runs.
+pub struct LeaderCampaign {
+    node: Arc<Node>,
+    shutdown: CancellationToken,
+}
+
+impl LeaderCampaign {
+    /// Makes a campaign.
+    #[must_use]
+    pub const fn new(node: Arc<Node>, shutdown: CancellationToken) -> Self {
+        Self { node, shutdown }
+    }
+
+    /// Campaigns until the shutdown, then gives the lease back.
+    pub async fn run(self) {
+        while !self.shutdown.is_cancelled() {
+            let outcome = self.campaign().await;
+            self.tell(ControlInput::StoreReachable(outcome.is_ok()))
+                .await;
+            match outcome {
+                Ok(Some((lease, asked_at))) => self.lead(lease, asked_at).await,
+                Ok(None) => self.pause(CAMPAIGN_INTERVAL).await,
+                Err(e) => {
+                    log::debug!("campaign failed: {e}");
+                    self.pause(retry_pause()).await;
+                }
+            }
+        }
+    }
+
+    /// Takes the leader's key if nobody holds it.
+    async fn campaign(&self) -> Result<Option<(LeaseId, Timestamp)>, StoreError> {
+        let store = &self.node.store;
+        let identity = self.node.recorder.identity();
+        let key = leader_key(&identity.failure_domain);
+        if store.get(&key).await?.is_some() {
+            return Ok(None);
+        }
+        let asked_at = self.node.clock.now();
+        let lease = store.grant_lease(LEASE_TTL).await?;
+        let value = serde_json::to_vec(identity).unwrap_or_default();
+        let swap = Swap {
+            key,
+            expected: StoreRevision::default(),
+            value: Some(Bytes::from(value)),
+            lease: Some(lease),
+        };
+        match store.transact(vec![swap]).await {
+            Ok(CasOutcome::Applied(_)) => Ok(Some((lease, asked_at))),
+            Ok(CasOutcome::Conflict(_)) => {
+                store.revoke_lease(lease).await?;
+                Ok(None)
+            }
+            // If the write took effect all the same, the key ends with its lease.
+            Err(e) => {
+                let _ = store.revoke_lease(lease).await;
+                Err(e)
+            }
+        }
+    }
+
+    /// Renews the lease until it is lost or the process shuts down.
+    async fn lead(&self, lease: LeaseId, granted_at: Timestamp) {
+        self.tell(ControlInput::Leadership(true)).await;
+        self.extend_authority(granted_at);
+        loop {
+            self.pause(RENEW_INTERVAL).await;
+            if self.shutdown.is_cancelled() {
+                // Authority ends before the lease does, so that the next leader
+                // finds no credits in the making.
+                self.node.traffic.resign_cold_authority();
+                let _ = self.node.store.revoke_lease(lease).await;
+                break;
+            }
+            let asked_at = self.node.clock.now();
+            let renewed = self.node.store.keep_alive(lease).await;
+            match renewed {
+                Ok(_) => {
+                    self.extend_authority(asked_at);
+                    self.tell(ControlInput::StoreReachable(true)).await;
+                }
+                Err(StoreError::LeaseNotFound(_)) => break,
+                // Nobody else can lead either while the store is out of reach.
+                Err(_) => self.tell(ControlInput::StoreReachable(false)).await,
+            }
+        }
+        self.node.traffic.resign_cold_authority();
+        self.tell(ControlInput::Leadership(false)).await;
+    }
+
+    fn extend_authority(&self, asked_at: Timestamp) {
+        let until = asked_at + (LEASE_TTL - AUTHORITY_MARGIN);
+        self.node
+            .traffic
+            .extend_cold_authority(self.node.clock.now(), until);
+    }
+
+    async fn tell(&self, input: ControlInput) {
+        let _ = self.node.control.send(input).await;
+    }
+
+    async fn pause(&self, time: Duration) {
+        tokio::select! {
+            () = tokio::time::sleep(time) => {}
+            () = self.shutdown.cancelled() => {}
+        }
+    }
+}
