--- a/crates/geranium_core/src/member/board.rs
+++ b/crates/geranium_core/src/member/board.rs
@@ -1,6 +1,7 @@
 //! Reports of engines, polled by this host or passed on by peers.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::SharedReport;
 use super::timing::MemberTiming;
@@ -8,6 +9,10 @@
 use crate::id::HostId;
 use crate::time::Timestamp;
 
+/// Time within which hosts that tell of different runs of an engine contradict
+/// each other.
+const DISPUTE_WINDOW: Duration = Duration::from_secs(2);
+
 /// Newest report of an engine and when it is known to have answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BoardEntry<'a> {
@@ -105,25 +110,42 @@
 
     /// Returns the newest report of an engine.
     ///
-    /// Only observers that vouch for the newest run of the engine count towards
-    /// the time at which it was heard.
+    /// Runs of an engine have no order that is known here. While hosts that heard
+    /// the engine lately tell of different runs, none is believed; each asks again
+    /// within moments, and those that still reach the engine then agree.
     #[must_use]
     pub fn get(&self, server: &HostId) -> Option<BoardEntry<'_>> {
-        let own = self.own.get(server).map(|o| (&o.report, o.heard_at));
+        let vouched = self.vouched(server);
+        let newest = vouched.iter().max_by_key(|entry| entry.heard_at)?;
+        let run = newest.report.incarnation;
+        let is_late = |entry: &BoardEntry<'_>| entry.heard_at + DISPUTE_WINDOW >= newest.heard_at;
+        let is_other = |entry: &BoardEntry<'_>| entry.report.incarnation != run;
+        if vouched.iter().any(|e| is_late(e) && is_other(e)) {
+            return None;
+        }
+        let same_run = vouched.iter().filter(|e| !is_other(e));
+        let latest = same_run.max_by_key(|entry| entry.report.sequence)?;
+        Some(BoardEntry {
+            report: latest.report,
+            heard_at: newest.heard_at,
+        })
+    }
+
+    /// Returns the report of each host that vouches for an engine.
+    fn vouched(&self, server: &HostId) -> Vec<BoardEntry<'_>> {
+        let own = self.own.get(server).map(|own| BoardEntry {
+            report: &own.report,
+            heard_at: own.heard_at,
+        });
         let passed_on = self.passed_on.get(server).into_iter().flatten();
-        let vouched = passed_on.filter(|(_, shared)| !shared.silent);
-        let vouched = vouched.filter_map(|(observer, shared)| {
-            let heard_at = self.observers.get(observer)?;
-            Some((&shared.report, *heard_at))
+        let passed_on = passed_on.filter(|(_, shared)| !shared.silent);
+        let passed_on = passed_on.filter_map(|(observer, shared)| {
+            Some(BoardEntry {
+                report: &shared.report,
+                heard_at: *self.observers.get(observer)?,
+            })
         });
-        let known: Vec<_> = own.into_iter().chain(vouched).collect();
-        let newest = known.iter().map(|(report, _)| *report);
-        let report = newest.max_by_key(|r| (r.incarnation, r.sequence))?;
-        let same_run = known
-            .iter()
-            .filter(|(r, _)| r.incarnation == report.incarnation);
-        let heard_at = same_run.map(|(_, heard_at)| *heard_at).max()?;
-        Some(BoardEntry { report, heard_at })
+        own.into_iter().chain(passed_on).collect()
     }
 
     /// Returns the newest report of every engine, ordered by host.
--- a/crates/geranium_core/src/member/effect.rs
+++ b/crates/geranium_core/src/member/effect.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{CrashNotice, Heartbeat};
+use super::Heartbeat;
 use crate::event::EventDraft;
+use crate::limit::CrashDigest;
 
 /// What the membership asks its driver to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,8 +21,8 @@
     MembersChanged,
     /// This process was paused: whatever it believes to be fresh may be old.
     Paused(Duration),
-    /// A crash became known that was not known before.
-    CrashLearned(CrashNotice),
+    /// A peer told of requests that crash backend servers; only what is news.
+    CrashesLearned(CrashDigest),
     /// Records an event.
     Emit(EventDraft),
 }
--- a/crates/geranium_core/src/member/heartbeat.rs
+++ b/crates/geranium_core/src/member/heartbeat.rs
@@ -6,6 +6,7 @@
 use crate::engine::EngineReport;
 use crate::group::Temperature;
 use crate::id::{FailureDomainId, GroupId, HostId, Incarnation, ModelId, RecordName};
+use crate::limit::CrashDigest;
 use crate::record::ConfigDigest;
 use crate::time::{HybridTime, Timestamp};
 
@@ -86,19 +87,6 @@
     pub silent: bool,
 }
 
-/// A group that crashed while it ran a request.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CrashNotice {
-    /// Fingerprint of the request.
-    pub fingerprint: String,
-    /// Group that crashed.
-    pub group: GroupId,
-    /// Generation of the group that crashed; one crash is counted once.
-    pub generation: u64,
-    /// Time of the crash at its observer.
-    pub at: Timestamp,
-}
-
 /// Changes of what a host shares, between two numbers of its log.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SharedDelta {
@@ -110,8 +98,8 @@
     pub reports: Vec<SharedReport>,
     /// Summaries of failure domains.
     pub domains: Vec<DomainSummary>,
-    /// Crashes that requests caused.
-    pub crashes: Vec<CrashNotice>,
+    /// Requests that crash backend servers.
+    pub crashes: CrashDigest,
 }
 
 /// Message that two entry hosts exchange: both the call and its answer.
--- a/crates/geranium_core/src/member/incoming.rs
+++ b/crates/geranium_core/src/member/incoming.rs
@@ -4,10 +4,11 @@
 
 use super::contact::Contact;
 use super::peer::Peer;
-use super::shared::{SharedItem, SharedKey};
-use super::{CrashNotice, Heartbeat, MemberEffect, MemberInfo, Membership, PeerState, duty};
+use super::shared::{SharedItem, SharedKey, put_crashes};
+use super::{Heartbeat, MemberEffect, MemberInfo, Membership, PeerState, duty};
 use crate::event::{EventDraft, EventKind, EventSubject};
 use crate::id::HostId;
+use crate::limit::CrashDigest;
 use crate::time::Timestamp;
 
 impl Membership {
@@ -73,11 +74,18 @@
         }
     }
 
-    /// Returns whether a later run of the sender is known.
+    /// Returns whether a later run of the sender was heard of lately.
+    ///
+    /// Once that run is silent an earlier number is believed: the clock of a
+    /// replaced host may be behind.
     fn is_outdated(&self, sender: &MemberInfo) -> bool {
         let known = self.peers.get(&sender.host);
         let known = known.or_else(|| self.outside.get(&sender.host));
-        known.is_some_and(|peer| peer.info.incarnation > sender.incarnation)
+        let limit = self.config.timing.suspect_after_for(self.peers.len());
+        known.is_some_and(|peer| {
+            let silence = self.clock.awake().saturating_sub(peer.heard_awake);
+            peer.info.incarnation > sender.incarnation && silence <= limit
+        })
     }
 
     fn hear_peer(
@@ -103,7 +111,7 @@
             .entry(sender.host.clone())
             .or_insert_with(|| Peer::new(sender.clone(), now, awake));
         let before = (peer.is_active(), peer.state, peer.info.leaving);
-        let was_restarted = peer.info.incarnation < sender.incarnation;
+        let was_restarted = peer.info.incarnation != sender.incarnation;
         peer.hear(heartbeat, own, now, awake);
         peer.due = now + patience;
         let after = (peer.is_active(), peer.state, peer.info.leaving);
@@ -194,9 +202,7 @@
         for summary in &delta.domains {
             self.take_in_summary(summary, is_peer, now);
         }
-        for notice in &delta.crashes {
-            self.take_in_crash(notice, effects);
-        }
+        effects.extend(self.take_in_crashes(&delta.crashes));
     }
 
     fn take_in_summary(&mut self, summary: &super::DomainSummary, is_peer: bool, now: Timestamp) {
@@ -211,17 +217,18 @@
         }
     }
 
-    fn take_in_crash(&mut self, notice: &CrashNotice, effects: &mut Vec<MemberEffect>) {
-        let is_news = self.crashes.insert(notice.clone());
-        if !is_news {
-            return;
+    /// Takes in what a peer knows about crashes, from a heartbeat or a call of its
+    /// own; representatives pass it on to other failure domains.
+    pub fn take_in_crashes(&mut self, digest: &CrashDigest) -> Option<MemberEffect> {
+        let news = self.crashes.merge(digest);
+        if news == CrashDigest::default() {
+            return None;
         }
         let members = self.active_members();
         if duty::representatives(&members).contains(&&self.config.own.host) {
-            let key = SharedKey::Crash(notice.clone());
-            self.log.put(key, SharedItem::Crash(notice.clone()));
+            put_crashes(&mut self.log, &news);
         }
-        effects.push(MemberEffect::CrashLearned(notice.clone()));
+        Some(MemberEffect::CrashesLearned(news))
     }
 }
 
--- a/crates/geranium_core/src/member/membership.rs
+++ b/crates/geranium_core/src/member/membership.rs
@@ -1,18 +1,19 @@
 //! Entry hosts that this host knows of.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::awake::AwakeClock;
 use super::contact::{Contact, Seed};
+use super::crashes::CrashBoard;
 use super::peer::{Peer, roster_share};
-use super::shared::{SharedItem, SharedKey, SharedLog};
+use super::shared::{SharedItem, SharedKey, SharedLog, put_crashes};
 use super::{
-    ConfigStatus, CrashNotice, DomainBoard, GroupSummary, MemberConfig, MemberInfo, PeerState,
-    ReportBoard, duty,
+    ConfigStatus, DomainBoard, GroupSummary, MemberConfig, MemberInfo, PeerState, ReportBoard, duty,
 };
 use crate::engine::EngineReport;
-use crate::id::{FailureDomainId, HostId};
+use crate::id::{FailureDomainId, HostId, Incarnation};
+use crate::limit::CrashDigest;
 use crate::time::Timestamp;
 
 /// Entry hosts that this host knows of, and what they share.
@@ -33,7 +34,7 @@
     pub(super) seeds: Vec<Seed>,
     pub(super) board: ReportBoard,
     pub(super) domains: DomainBoard,
-    pub(super) crashes: BTreeSet<CrashNotice>,
+    pub(super) crashes: CrashBoard,
     pub(super) log: SharedLog,
     pub(super) status: ConfigStatus,
     pub(super) groups: Vec<GroupSummary>,
@@ -54,7 +55,7 @@
             contacts: BTreeMap::new(),
             board: ReportBoard::default(),
             domains: DomainBoard::default(),
-            crashes: BTreeSet::new(),
+            crashes: CrashBoard::default(),
             log: SharedLog::default(),
             status: ConfigStatus::default(),
             groups: Vec::new(),
@@ -146,14 +147,30 @@
         }
     }
 
-    /// Shares a crash that this host found; returns whether it is news.
-    pub fn share_crash(&mut self, notice: CrashNotice) -> bool {
-        let is_news = self.crashes.insert(notice.clone());
-        if is_news {
-            let key = SharedKey::Crash(notice.clone());
-            self.log.put(key, SharedItem::Crash(notice));
+    /// Shares what this host found out about requests that crash backend servers.
+    pub fn share_crashes(&mut self, digest: &CrashDigest, now: Timestamp) {
+        let news = self.crashes.merge(digest);
+        put_crashes(&mut self.log, &news);
+        self.hurry(now);
+    }
+
+    /// Returns whether a run of an entry host was heard of lately, in any failure
+    /// domain; it may have ended since.
+    #[must_use]
+    pub fn is_live(&self, host: &HostId, incarnation: Incarnation) -> bool {
+        let own = &self.config.own;
+        if *host == own.host {
+            return incarnation == own.incarnation;
+        }
+        if let Some(peer) = self.peers.get(host) {
+            return peer.state == PeerState::Alive && peer.info.incarnation == incarnation;
         }
-        is_news
+        let is_run = |info: &MemberInfo| info.host == *host && info.incarnation == incarnation;
+        let mut domains = self.domains.iter();
+        domains.any(|(summary, _)| {
+            !self.domains.is_silent(&summary.failure_domain)
+                && summary.members.iter().any(|m| is_run(&m.info))
+        })
     }
 
     /// Begins to leave: this host takes no duties, and its peers are told at once.
--- a/crates/geranium_core/src/member/mod.rs
+++ b/crates/geranium_core/src/member/mod.rs
@@ -8,6 +8,7 @@
 mod board;
 mod config;
 mod contact;
+mod crashes;
 mod delta;
 mod domains;
 mod duty;
@@ -30,8 +31,8 @@
 };
 pub use effect::MemberEffect;
 pub use heartbeat::{
-    ConfigStatus, CrashNotice, DomainSummary, GroupSummary, Heartbeat, MemberInfo, MemberStatus,
-    SharedDelta, SharedReport,
+    ConfigStatus, DomainSummary, GroupSummary, Heartbeat, MemberInfo, MemberStatus, SharedDelta,
+    SharedReport,
 };
 pub use in_force::InForceReport;
 pub use membership::Membership;
--- a/crates/geranium_core/src/member/outgoing.rs
+++ b/crates/geranium_core/src/member/outgoing.rs
@@ -26,7 +26,7 @@
 const DOMAIN_SILENCE: Duration = Duration::from_secs(30);
 
 /// Time for which a crash is remembered.
-const CRASH_MEMORY: Duration = Duration::from_secs(600);
+const CRASH_MEMORY: Duration = Duration::from_hours(1);
 
 /// Heartbeats are this much less frequent with a peer that does not answer.
 const SUSPECTED_SLOWDOWN: u32 = 4;
@@ -121,9 +121,10 @@
         }
         self.outside.retain(|_, peer| !is_old(peer));
         let oldest = now - CRASH_MEMORY;
-        self.crashes.retain(|notice| notice.at >= oldest);
-        self.log.retain(|key, _| match key {
-            SharedKey::Crash(notice) => notice.at >= oldest,
+        self.crashes.forget_before(oldest);
+        self.log.retain(|_, item| match item {
+            SharedItem::Suspicion(entry) => entry.changed_at >= oldest,
+            SharedItem::Explained(explained) => explained.at >= oldest,
             _ => true,
         });
     }
--- a/crates/geranium_core/src/member/peer.rs
+++ b/crates/geranium_core/src/member/peer.rs
@@ -69,7 +69,7 @@
         now: Timestamp,
         awake: Duration,
     ) {
-        if heartbeat.sender.incarnation > self.info.incarnation {
+        if heartbeat.sender.incarnation != self.info.incarnation {
             // A new run starts an empty log and has taken in nothing of ours.
             self.acked = 0;
             self.taken = 0;
--- a/crates/geranium_core/src/member/shared.rs
+++ b/crates/geranium_core/src/member/shared.rs
@@ -1,8 +1,9 @@
 //! What a host shares with its peers through heartbeats.
 
 use super::delta::DeltaLog;
-use super::{CrashNotice, DomainSummary, SharedDelta, SharedReport};
+use super::{DomainSummary, SharedDelta, SharedReport};
 use crate::id::{FailureDomainId, HostId};
+use crate::limit::{CrashDigest, CrashId, ExplainedCrash, RequestFingerprint, SuspicionEntry};
 
 /// Most items of one heartbeat; the rest follows in the next one.
 const MAX_ITEMS: usize = 128;
@@ -12,7 +13,8 @@
 pub(super) enum SharedKey {
     Report(HostId),
     Domain(FailureDomainId),
-    Crash(CrashNotice),
+    Suspicion(RequestFingerprint),
+    Explained(CrashId),
 }
 
 /// One shared item.
@@ -20,7 +22,8 @@
 pub(super) enum SharedItem {
     Report(SharedReport),
     Domain(DomainSummary),
-    Crash(CrashNotice),
+    Suspicion(SuspicionEntry),
+    Explained(ExplainedCrash),
 }
 
 /// Log of the items that a host shares.
@@ -38,7 +41,8 @@
 impl SharedItem {
     fn is_for(&self, audience: Audience, own: &FailureDomainId) -> bool {
         match (self, audience) {
-            (Self::Crash(_), _) | (Self::Report(_), Audience::Domain) => true,
+            (Self::Suspicion(_) | Self::Explained(_), _) => true,
+            (Self::Report(_), Audience::Domain) => true,
             (Self::Report(_), Audience::Outside) => false,
             (Self::Domain(d), Audience::Domain) => d.failure_domain != *own,
             (Self::Domain(d), Audience::Outside) => d.failure_domain == *own,
@@ -68,8 +72,21 @@
         match item {
             SharedItem::Report(report) => delta.reports.push(report.clone()),
             SharedItem::Domain(summary) => delta.domains.push(summary.clone()),
-            SharedItem::Crash(notice) => delta.crashes.push(notice.clone()),
+            SharedItem::Suspicion(entry) => delta.crashes.entries.push(entry.clone()),
+            SharedItem::Explained(crash) => delta.crashes.explained.push(crash.clone()),
         }
     }
     delta
 }
+
+/// Logs what is known about crashes.
+pub(super) fn put_crashes(log: &mut SharedLog, digest: &CrashDigest) {
+    for entry in &digest.entries {
+        let key = SharedKey::Suspicion(entry.fingerprint);
+        log.put(key, SharedItem::Suspicion(entry.clone()));
+    }
+    for explained in &digest.explained {
+        let key = SharedKey::Explained(explained.crash.clone());
+        log.put(key, SharedItem::Explained(explained.clone()));
+    }
+}
--- a/crates/geranium_core/tests/entry_hosts/fleet.rs
+++ b/crates/geranium_core/tests/entry_hosts/fleet.rs
@@ -6,6 +6,7 @@
 
 use geranium_core::event::{EventDraft, EventKind};
 use geranium_core::id::{FailureDomainId, HostId, Incarnation, RecordName, StoreRevision};
+use geranium_core::limit::CrashDigest;
 use geranium_core::member::{
     Heartbeat, MemberConfig, MemberEffect, MemberInfo, MemberTiming, Membership, watchers,
 };
@@ -70,6 +71,7 @@
     pub store: Store,
     pub counts: Counts,
     pub events: Vec<(Timestamp, HostId, EventDraft)>,
+    pub crashes: Vec<(HostId, CrashDigest)>,
     /// Time that a message takes from host to host.
     pub latency: Duration,
     /// Messages between hosts that are lost, of a thousand.
@@ -93,6 +95,7 @@
             store: Store::default(),
             counts: Counts::default(),
             events: Vec::new(),
+            crashes: Vec::new(),
             latency: Duration::from_millis(1),
             lost_per_mille: 0,
             silent_watches: BTreeSet::new(),
@@ -433,7 +436,11 @@
                 }
                 MemberEffect::MembersChanged => self.renew_duties(at),
                 MemberEffect::Emit(event) => self.record_event(at, event),
-                MemberEffect::Paused(_) | MemberEffect::CrashLearned(_) => {}
+                MemberEffect::CrashesLearned(digest) => {
+                    let host = self.hosts[&at].info.host.clone();
+                    self.crashes.push((host, digest));
+                }
+                MemberEffect::Paused(_) => {}
             }
         }
         // A host without peers never sees a change of its members.
--- a/crates/geranium_core/tests/entry_hosts/membership.rs
+++ b/crates/geranium_core/tests/entry_hosts/membership.rs
@@ -4,9 +4,10 @@
 
 use geranium_core::engine::EnginePhase;
 use geranium_core::event::EventKind;
-use geranium_core::id::{GroupId, HostId};
+use geranium_core::id::{GroupId, HostId, Incarnation};
+use geranium_core::limit::{ChargeState, CrashDigest, CrashId, RequestFingerprint, SuspicionEntry};
 use geranium_core::member::{
-    CrashNotice, Membership, PeerState, budget_holder, observers, ranked, watchers,
+    MemberConfig, MemberTiming, Membership, PeerState, budget_holder, observers, ranked, watchers,
 };
 
 use geranium_core::time::HybridTime;
@@ -223,26 +224,70 @@
 }
 
 #[test]
-fn a_crash_is_told_to_every_host_of_every_domain_once() {
+fn a_crash_is_told_to_every_host_of_every_domain() {
     let mut fleet = settled(3, 3);
-    let notice = CrashNotice {
-        fingerprint: "c0ffee".to_owned(),
+    let crash = CrashId {
         group: GroupId::new("g1"),
         generation: 3,
-        at: fleet.now,
     };
+    let entry = SuspicionEntry {
+        fingerprint: RequestFingerprint([7; 16]),
+        crashes: vec![(crash, ChargeState::Charged)],
+        changed_at: fleet.now,
+    };
+    let digest = CrashDigest {
+        entries: vec![entry],
+        explained: Vec::new(),
+    };
+    let now = fleet.now;
     let host = fleet.host_mut(2, 2);
-    assert!(host.membership.share_crash(notice.clone()));
+    host.membership.share_crashes(&digest, now);
 
-    fleet.run(Duration::from_secs(5));
+    let took = fleet.run_while(Duration::from_secs(5), |f| f.crashes.len() == 8);
+    fleet.run(Duration::from_secs(30));
 
-    for host in fleet.hosts.values_mut() {
-        assert!(
-            !host.membership.share_crash(notice.clone()),
-            "{}",
-            host.info.host
-        );
-    }
+    assert!(took <= Duration::from_secs(2), "took {took:?}");
+    assert_eq!(fleet.crashes.len(), 8, "told once to each host");
+    assert!(fleet.crashes.iter().all(|(_, learned)| *learned == digest));
+}
+
+#[test]
+fn a_replaced_host_whose_clock_is_behind_is_believed_once_the_old_run_is_silent() {
+    let mut fleet = settled(1, 3);
+    let mut info = fleet.host(0, 2).info.clone();
+    fleet.kill(0, 2);
+    fleet.run(Duration::from_secs(3));
+
+    info.incarnation = Incarnation(0);
+    let config = MemberConfig {
+        own: info.clone(),
+        seeds: Vec::new(),
+        timing: MemberTiming::default(),
+    };
+    let now = fleet.now;
+    let mut replaced = Membership::new(config, now);
+    let receiver = fleet.host(0, 0).info.clone();
+    let heartbeat = replaced.answer(&receiver, now, HybridTime::default());
+    let peer = &mut fleet.host_mut(0, 0).membership;
+    peer.take_in(&heartbeat, now);
+
+    assert!(peer.is_live(&info.host, Incarnation(0)));
+}
+
+#[test]
+fn a_run_of_a_host_is_live_while_it_is_heard_of_in_any_domain() {
+    let mut fleet = settled(2, 2);
+    let outside = fleet.host(1, 1).info.clone();
+    let is_live = |fleet: &Fleet, incarnation| {
+        let membership = &fleet.host(0, 0).membership;
+        membership.is_live(&outside.host, incarnation)
+    };
+
+    assert!(is_live(&fleet, outside.incarnation));
+    assert!(!is_live(&fleet, Incarnation(outside.incarnation.0 + 1)));
+    fleet.cut_domain(1, true);
+    fleet.run(Duration::from_secs(60));
+    assert!(!is_live(&fleet, outside.incarnation));
 }
 
 #[test]
--- a/crates/geranium_core/tests/entry_hosts/reports.rs
+++ b/crates/geranium_core/tests/entry_hosts/reports.rs
@@ -142,3 +142,41 @@
 
     assert!(heard_at(&fleet, 1).is_some());
 }
+
+#[test]
+fn a_run_of_an_engine_that_hosts_contradict_each_other_about_is_not_believed() {
+    let mut fleet = Fleet::start(1, 3);
+    fleet.run(Duration::from_secs(3));
+    let restarted = EngineReport {
+        incarnation: Incarnation(9),
+        ..report(1, EnginePhase::Cold)
+    };
+    let server = HostId::new("w1");
+    let known = |fleet: &Fleet| {
+        let board = fleet.host(0, 2).membership.board();
+        board.get(&server).map(|entry| entry.report.incarnation)
+    };
+
+    let mut seen = Vec::new();
+    for round in 0..60 {
+        let now = fleet.now;
+        // Host 0 hears the old run for a while after host 1 hears the new one.
+        let is_old = round < 30;
+        let of_first = if is_old {
+            report(round + 1, EnginePhase::Warm)
+        } else {
+            restarted.clone()
+        };
+        fleet.host_mut(0, 0).membership.observe(of_first, now);
+        if round >= 20 {
+            let membership = &mut fleet.host_mut(0, 1).membership;
+            membership.observe(restarted.clone(), now);
+        }
+        fleet.run(Duration::from_millis(100));
+        seen.push(known(&fleet));
+    }
+
+    seen.dedup();
+    let (old, new) = (Some(Incarnation(1)), Some(Incarnation(9)));
+    assert_eq!(seen[seen.len() - 3..], [old, None, new]);
+}
--- a/crates/geranium_peer/schema/peer.capnp
+++ b/crates/geranium_peer/schema/peer.capnp
@@ -87,11 +87,31 @@
   silent @1 :Bool;
 }
 
-struct CrashNotice {
-  fingerprint @0 :Text;
-  group @1 :Text;
-  generation @2 :UInt64;
-  at @3 :UInt64;          # microseconds since the Unix epoch
+struct CrashId {
+  group @0 :Text;
+  generation @1 :UInt64;
+}
+
+struct CrashCharge {
+  crash @0 :CrashId;
+  cleared @1 :Bool;
+}
+
+struct SuspicionEntry {
+  fingerprint @0 :Data;   # 16 bytes
+  crashes @1 :List(CrashCharge);
+  changedAt @2 :UInt64;   # microseconds since the Unix epoch
+}
+
+struct ExplainedCrash {
+  crash @0 :CrashId;
+  cause @1 :Data;         # 16 bytes
+  at @2 :UInt64;          # microseconds since the Unix epoch
+}
+
+struct CrashDigest {
+  entries @0 :List(SuspicionEntry);
+  explained @1 :List(ExplainedCrash);
 }
 
 struct SharedDelta {
@@ -99,7 +119,7 @@
   through @1 :UInt64;
   reports @2 :List(SharedReport);
   domains @3 :List(DomainSummary);
-  crashes @4 :List(CrashNotice);
+  crashes @4 :CrashDigest;
 }
 
 struct Heartbeat {
@@ -135,15 +155,72 @@
 }
 
 struct CreditRequest {
-  host @0 :Text;
-  group @1 :Text;
-  generation @2 :UInt64;
-  wanted @3 :UInt32;
+  user @0 :Text;
+  incarnation @1 :UInt64;
+  group @2 :Text;
+  generation @3 :UInt64;
+  sequence @4 :UInt64;
+  inUse @5 :UInt32;
+  keep @6 :UInt32;
+  wanted @7 :UInt32;
+  successes @8 :UInt32;
+  failures @9 :UInt32;
+  marked @10 :Bool;
+  marks @11 :UInt32;
+  askedAt @12 :UInt64;    # microseconds on the user's clock
 }
 
 struct CreditGrant {
-  granted @0 :UInt32;
-  validForMicros @1 :UInt64;
+  group @0 :Text;
+  generation @1 :UInt64;
+  sequence @2 :UInt64;
+  credits @3 :UInt32;
+  askedAt @4 :UInt64;     # microseconds on the user's clock
+  warm @5 :Bool;
+}
+
+struct OtherGeneration {
+  group @0 :Text;
+  asked @1 :UInt64;
+  known @2 :UInt64;
+}
+
+struct StaleRequest {
+  user @0 :Text;
+  sequence @1 :UInt64;
+}
+
+struct CreditAnswer {
+  union {
+    granted @0 :CreditGrant;
+    notHolder @1 :Void;
+    waiting @2 :UInt64;   # microseconds on the holder's clock
+    unknownGroup @3 :Text;
+    otherGeneration @4 :OtherGeneration;
+    staleRequest @5 :StaleRequest;
+  }
+}
+
+struct TrialRequest {
+  user @0 :Text;
+  incarnation @1 :UInt64;
+  group @2 :Text;
+  fingerprint @3 :Data;   # 16 bytes
+  askedAt @4 :UInt64;     # microseconds on the user's clock
+}
+
+struct BusyGroup {
+  group @0 :Text;
+  until @1 :UInt64;       # microseconds on the holder's clock
+}
+
+struct TrialAnswer {
+  union {
+    expires @0 :UInt64;   # microseconds on the user's clock
+    notHolder @1 :Void;
+    waiting @2 :UInt64;   # microseconds on the holder's clock
+    busy @3 :BusyGroup;
+  }
 }
 
 struct ClaimState {
@@ -174,7 +251,10 @@
   pullRecords @1 (caller :MemberInfo, held :List(RecordVersion)) -> (answer :PullAnswer);
   pushRecords @2 (caller :MemberInfo, records :List(Record));
   inForce @3 (keys :List(Text)) -> (versions :List(RecordVersion));
-  coldCredits @4 (request :CreditRequest) -> (grant :CreditGrant);
+  coldCredits @4 (request :CreditRequest) -> (answer :CreditAnswer);
   claimState @5 (key :Text, waitMicros :UInt64) -> (state :ClaimState);
   drainNotice @6 (notice :DrainNotice);
+  startTrial @7 (request :TrialRequest) -> (answer :TrialAnswer);
+  endTrial @8 (request :TrialRequest);
+  shareCrashes @9 (digest :CrashDigest);
 }
--- a/crates/geranium_peer/src/client/call.rs
+++ b/crates/geranium_peer/src/client/call.rs
@@ -5,13 +5,16 @@
 use std::time::Duration;
 
 use capnp::Result;
+use geranium_core::limit::{
+    CrashDigest, CreditGrant, CreditRefusal, CreditRequest, TrialGrant, TrialRefusal, TrialRequest,
+};
 use geranium_core::member::{Heartbeat, MemberInfo};
 use geranium_core::record::spread::PullAnswer;
 use geranium_core::record::{RecordIndex, RecordKey, StoredRecord};
 
 use crate::peer_capnp::entry_host::Client;
 use crate::wire;
-use crate::{ClaimState, CreditGrant, CreditRequest, DrainNotice};
+use crate::{ClaimState, DrainNotice};
 
 /// A call that can be made to a peer.
 pub(super) trait PeerCall: Send + 'static {
@@ -90,13 +93,13 @@
 pub(super) struct ColdCreditsCall(pub(super) CreditRequest);
 
 impl PeerCall for ColdCreditsCall {
-    type Answer = CreditGrant;
+    type Answer = std::result::Result<CreditGrant, CreditRefusal>;
 
-    async fn make(self, host: Client) -> Result<CreditGrant> {
+    async fn make(self, host: Client) -> Result<Self::Answer> {
         let mut request = host.cold_credits_request();
         wire::write_credit_request(request.get().init_request(), &self.0);
         let response = request.send().promise.await?;
-        Ok(wire::read_credit_grant(response.get()?.get_grant()?))
+        wire::read_credit_answer(response.get()?.get_answer()?)
     }
 }
 
@@ -129,3 +132,42 @@
         Ok(())
     }
 }
+
+pub(super) struct StartTrialCall(pub(super) TrialRequest);
+
+impl PeerCall for StartTrialCall {
+    type Answer = std::result::Result<TrialGrant, TrialRefusal>;
+
+    async fn make(self, host: Client) -> Result<Self::Answer> {
+        let mut request = host.start_trial_request();
+        wire::write_trial_request(request.get().init_request(), &self.0);
+        let response = request.send().promise.await?;
+        wire::read_trial_answer(response.get()?.get_answer()?)
+    }
+}
+
+pub(super) struct EndTrialCall(pub(super) TrialRequest);
+
+impl PeerCall for EndTrialCall {
+    type Answer = ();
+
+    async fn make(self, host: Client) -> Result<()> {
+        let mut request = host.end_trial_request();
+        wire::write_trial_request(request.get().init_request(), &self.0);
+        request.send().promise.await?;
+        Ok(())
+    }
+}
+
+pub(super) struct ShareCrashesCall(pub(super) CrashDigest);
+
+impl PeerCall for ShareCrashesCall {
+    type Answer = ();
+
+    async fn make(self, host: Client) -> Result<()> {
+        let mut request = host.share_crashes_request();
+        wire::write_crashes(request.get().init_digest(), &self.0);
+        request.send().promise.await?;
+        Ok(())
+    }
+}
--- a/crates/geranium_peer/src/client/job.rs
+++ b/crates/geranium_peer/src/client/job.rs
@@ -6,8 +6,8 @@
 use tokio::sync::oneshot;
 
 use super::call::{
-    ClaimStateCall, ColdCreditsCall, DrainNoticeCall, HeartbeatCall, InForceCall, PeerCall,
-    PullRecordsCall, PushRecordsCall,
+    ClaimStateCall, ColdCreditsCall, DrainNoticeCall, EndTrialCall, HeartbeatCall, InForceCall,
+    PeerCall, PullRecordsCall, PushRecordsCall, ShareCrashesCall, StartTrialCall,
 };
 use crate::PeerError;
 
@@ -28,4 +28,7 @@
     ColdCredits(Request<ColdCreditsCall>),
     ClaimState(Request<ClaimStateCall>),
     DrainNotice(Request<DrainNoticeCall>),
+    StartTrial(Request<StartTrialCall>),
+    EndTrial(Request<EndTrialCall>),
+    ShareCrashes(Request<ShareCrashesCall>),
 }
--- a/crates/geranium_peer/src/client/mod.rs
+++ b/crates/geranium_peer/src/client/mod.rs
@@ -10,6 +10,9 @@
 use std::thread;
 use std::time::Duration;
 
+use geranium_core::limit::{
+    CrashDigest, CreditGrant, CreditRefusal, CreditRequest, TrialGrant, TrialRefusal, TrialRequest,
+};
 use geranium_core::member::{Heartbeat, MemberInfo};
 use geranium_core::record::spread::PullAnswer;
 use geranium_core::record::{RecordIndex, RecordKey, StoredRecord};
@@ -17,10 +20,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::LocalSet;
 
-use crate::{ClaimState, CreditGrant, CreditRequest, DrainNotice, PeerClientConfig, PeerError};
+use crate::{ClaimState, DrainNotice, PeerClientConfig, PeerError};
 use call::{
-    ClaimStateCall, ColdCreditsCall, DrainNoticeCall, HeartbeatCall, InForceCall, PeerCall,
-    PullRecordsCall, PushRecordsCall,
+    ClaimStateCall, ColdCreditsCall, DrainNoticeCall, EndTrialCall, HeartbeatCall, InForceCall,
+    PeerCall, PullRecordsCall, PushRecordsCall, ShareCrashesCall, StartTrialCall,
 };
 use job::{Job, Request};
 
@@ -119,7 +122,7 @@
         self.call(to, InForceCall(keys), limit, Job::InForce).await
     }
 
-    /// Asks for cold-start credits.
+    /// Asks for cold-start credits; the inner result is the holder's answer.
     ///
     /// # Errors
     ///
@@ -129,7 +132,7 @@
         &self,
         to: SocketAddr,
         request: CreditRequest,
-    ) -> Result<CreditGrant, PeerError> {
+    ) -> Result<Result<CreditGrant, CreditRefusal>, PeerError> {
         let limit = self.config.call_timeout;
         self.call(to, ColdCreditsCall(request), limit, Job::ColdCredits)
             .await
@@ -162,6 +165,47 @@
             .await
     }
 
+    /// Asks to run a suspect on a group; the inner result is the holder's answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PeerError`] if no answer came; the trial may then have begun.
+    pub async fn start_trial(
+        &self,
+        to: SocketAddr,
+        request: TrialRequest,
+    ) -> Result<Result<TrialGrant, TrialRefusal>, PeerError> {
+        let limit = self.config.call_timeout;
+        self.call(to, StartTrialCall(request), limit, Job::StartTrial)
+            .await
+    }
+
+    /// Ends the trial that a request began.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PeerError`] if the peer did not confirm it.
+    pub async fn end_trial(&self, to: SocketAddr, request: TrialRequest) -> Result<(), PeerError> {
+        let limit = self.config.call_timeout;
+        self.call(to, EndTrialCall(request), limit, Job::EndTrial)
+            .await
+    }
+
+    /// Tells what is known about requests that crash backend servers.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`PeerError`] if the peer did not confirm it.
+    pub async fn share_crashes(
+        &self,
+        to: SocketAddr,
+        digest: CrashDigest,
+    ) -> Result<(), PeerError> {
+        let limit = self.config.call_timeout;
+        self.call(to, ShareCrashesCall(digest), limit, Job::ShareCrashes)
+            .await
+    }
+
     async fn call<C: PeerCall>(
         &self,
         to: SocketAddr,
--- a/crates/geranium_peer/src/client/worker.rs
+++ b/crates/geranium_peer/src/client/worker.rs
@@ -56,6 +56,9 @@
             Job::ColdCredits(request) => self.make(request),
             Job::ClaimState(request) => self.make(request),
             Job::DrainNotice(request) => self.make(request),
+            Job::StartTrial(request) => self.make(request),
+            Job::EndTrial(request) => self.make(request),
+            Job::ShareCrashes(request) => self.make(request),
         }
     }
 
--- a/crates/geranium_peer/src/lib.rs
+++ b/crates/geranium_peer/src/lib.rs
@@ -42,6 +42,6 @@
 pub use client::PeerClient;
 pub use config::{PeerClientConfig, PeerServerConfig};
 pub use error::PeerError;
-pub use message::{ClaimState, CreditGrant, CreditRequest, DrainNotice};
+pub use message::{ClaimState, DrainNotice};
 pub use server::{PeerHandler, PeerServer};
 pub use token::PeerToken;
--- a/crates/geranium_peer/src/message.rs
+++ b/crates/geranium_peer/src/message.rs
@@ -1,32 +1,7 @@
 //! Messages that have no type in `geranium_core`.
 
-use std::time::Duration;
-
-use geranium_core::id::{GroupId, HostId};
 use geranium_core::record::DrainTarget;
 
-/// Asks for cold-start credits of a group.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CreditRequest {
-    /// Host that asks.
-    pub host: HostId,
-    /// The group.
-    pub group: GroupId,
-    /// Generation of the group; credits of another one are void.
-    pub generation: u64,
-    /// Credits wanted.
-    pub wanted: u32,
-}
-
-/// Cold-start credits that were granted.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct CreditGrant {
-    /// Credits granted; zero if none is free or the holder is another host.
-    pub granted: u32,
-    /// Time for which unused credits may be used.
-    pub valid_for: Duration,
-}
-
 /// State of a claim at the host that holds it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClaimState {
--- a/crates/geranium_peer/src/peer_capnp.rs
+++ b/crates/geranium_peer/src/peer_capnp.rs
@@ -3267,7 +3267,7 @@
     }
 }
 
-pub mod crash_notice {
+pub mod crash_id {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3329,34 +3329,22 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_fingerprint(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
-        }
-        #[inline]
         pub fn get_group(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_group(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+            !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
         pub fn get_generation(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
-        #[inline]
-        pub fn get_at(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3407,36 +3395,20 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_fingerprint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
-        }
-        #[inline]
-        pub fn init_fingerprint(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
-        }
-        #[inline]
-        pub fn has_fingerprint(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
-        }
-        #[inline]
         pub fn get_group(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_group(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
         pub fn init_group(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
         pub fn has_group(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
         pub fn get_generation(self) -> u64 {
@@ -3446,14 +3418,6 @@
         pub fn set_generation(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
-        #[inline]
-        pub fn get_at(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_at(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
-        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3465,61 +3429,38 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(16, 182, 151, 113, 241, 149, 180, 164),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(221, 182, 30, 32, 209, 89, 48, 204),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(97, 72, 47, 94, 201, 179, 167, 209),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 114, 97, 115, 104),
-            ::capnp::word(78, 111, 116, 105, 99, 101, 0, 0),
+            ::capnp::word(73, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 26, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
-            ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(103, 114, 111, 117, 112, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3537,21 +3478,11 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3565,14 +3496,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,1];
-        pub(crate) const TYPE_ID: u64 = 0xa4b4_95f1_7197_b610;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xcc30_59d1_201e_b6dd;
     }
 }
 
-pub mod shared_delta {
+pub mod crash_charge {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3634,42 +3565,22 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_after(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_through(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn get_reports(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::shared_report::Owned>> {
+        pub fn get_crash(self) -> ::capnp::Result<crate::peer_capnp::crash_id::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_reports(&self) -> bool {
+        pub fn has_crash(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_domains(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::domain_summary::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_domains(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
-        #[inline]
-        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::crash_notice::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_crashes(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+        pub fn get_cleared(self) -> bool {
+            self.reader.get_bool_field(0)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3720,68 +3631,28 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_after(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_after(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
-        pub fn get_through(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_through(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-        #[inline]
-        pub fn get_reports(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::shared_report::Owned>> {
+        pub fn get_crash(self) -> ::capnp::Result<crate::peer_capnp::crash_id::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_reports(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::shared_report::Owned>) -> ::capnp::Result<()> {
+        pub fn set_crash(&mut self, value: crate::peer_capnp::crash_id::Reader<'_>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_reports(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::shared_report::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        pub fn init_crash(self, ) -> crate::peer_capnp::crash_id::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
-        pub fn has_reports(&self) -> bool {
+        pub fn has_crash(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_domains(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::domain_summary::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_domains(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::domain_summary::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-        }
-        #[inline]
-        pub fn init_domains(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::domain_summary::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
-        }
-        #[inline]
-        pub fn has_domains(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
-        #[inline]
-        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::crash_notice::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::crash_notice::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-        }
-        #[inline]
-        pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::crash_notice::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+        pub fn get_cleared(self) -> bool {
+            self.builder.get_bool_field(0)
         }
         #[inline]
-        pub fn has_crashes(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+        pub fn set_cleared(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
         }
     }
 
@@ -3792,121 +3663,64 @@
         }
     }
     impl Pipeline  {
+        pub fn get_crash(&self) -> crate::peer_capnp::crash_id::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 104] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(133, 87, 223, 242, 150, 104, 150, 183),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(243, 106, 27, 141, 211, 83, 188, 191),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(97, 72, 47, 94, 201, 179, 167, 209),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 83, 104, 97, 114, 101),
-            ::capnp::word(100, 68, 101, 108, 116, 97, 0, 0),
+            ::capnp::word(110, 112, 58, 67, 114, 97, 115, 104),
+            ::capnp::word(67, 104, 97, 114, 103, 101, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 104, 114, 111, 117, 103, 104, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 112, 111, 114, 116, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 182, 30, 32, 209, 89, 48, 204),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 8, 170, 10, 206, 144, 200, 253),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 101, 97, 114, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 111, 109, 97, 105, 110, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(155, 17, 68, 32, 30, 216, 86, 219),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 182, 151, 113, 241, 149, 180, 164),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::struct_list::Owned<crate::peer_capnp::shared_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::struct_list::Owned<crate::peer_capnp::domain_summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::struct_list::Owned<crate::peer_capnp::crash_notice::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                0 => <crate::peer_capnp::crash_id::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3920,14 +3734,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,2,1];
-        pub(crate) const TYPE_ID: u64 = 0xb796_6896_f2df_5785;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xbfbc_53d3_8d1b_6af3;
     }
 }
 
-pub mod heartbeat {
+pub mod suspicion_entry {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3989,70 +3803,30 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_sender(self) -> ::capnp::Result<crate::peer_capnp::member_info::Reader<'a>> {
+        pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_sender(&self) -> bool {
+        pub fn has_fingerprint(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_time(self) -> ::capnp::Result<crate::peer_capnp::hybrid_time::Reader<'a>> {
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::crash_charge::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_time(&self) -> bool {
+        pub fn has_crashes(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_config(self) -> ::capnp::Result<crate::peer_capnp::config_status::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_config(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
-        }
-        #[inline]
-        pub fn get_roster_digest(self) -> u64 {
+        pub fn get_changed_at(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
-        #[inline]
-        pub fn get_roster(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::member_info::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_roster(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
-        }
-        #[inline]
-        pub fn get_acked_incarnation(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn get_acked(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn get_delta(self) -> ::capnp::Result<crate::peer_capnp::shared_delta::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn has_delta(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
-        }
-        #[inline]
-        pub fn get_sent_at(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
-        }
-        #[inline]
-        pub fn get_echo(self) -> u64 {
-            self.reader.get_data_field::<u64>(4)
-        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 5 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4103,125 +3877,45 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_sender(self) -> ::capnp::Result<crate::peer_capnp::member_info::Builder<'a>> {
+        pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_sender(&mut self, value: crate::peer_capnp::member_info::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        pub fn set_fingerprint(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
         }
         #[inline]
-        pub fn init_sender(self, ) -> crate::peer_capnp::member_info::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        pub fn init_fingerprint(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(0).init_data(size)
         }
         #[inline]
-        pub fn has_sender(&self) -> bool {
+        pub fn has_fingerprint(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_time(self) -> ::capnp::Result<crate::peer_capnp::hybrid_time::Builder<'a>> {
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::crash_charge::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_time(&mut self, value: crate::peer_capnp::hybrid_time::Reader<'_>) -> ::capnp::Result<()> {
+        pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::crash_charge::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn init_time(self, ) -> crate::peer_capnp::hybrid_time::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::crash_charge::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
         }
         #[inline]
-        pub fn has_time(&self) -> bool {
+        pub fn has_crashes(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_config(self) -> ::capnp::Result<crate::peer_capnp::config_status::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_config(&mut self, value: crate::peer_capnp::config_status::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
-        }
-        #[inline]
-        pub fn init_config(self, ) -> crate::peer_capnp::config_status::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
-        }
-        #[inline]
-        pub fn has_config(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
-        }
-        #[inline]
-        pub fn get_roster_digest(self) -> u64 {
+        pub fn get_changed_at(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_roster_digest(&mut self, value: u64)  {
+        pub fn set_changed_at(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
-        #[inline]
-        pub fn get_roster(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::member_info::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_roster(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::member_info::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
-        }
-        #[inline]
-        pub fn init_roster(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::member_info::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
-        }
-        #[inline]
-        pub fn has_roster(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
-        }
-        #[inline]
-        pub fn get_acked_incarnation(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_acked_incarnation(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-        #[inline]
-        pub fn get_acked(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn set_acked(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
-        }
-        #[inline]
-        pub fn get_delta(self) -> ::capnp::Result<crate::peer_capnp::shared_delta::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
-        }
-        #[inline]
-        pub fn set_delta(&mut self, value: crate::peer_capnp::shared_delta::Reader<'_>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
-        }
-        #[inline]
-        pub fn init_delta(self, ) -> crate::peer_capnp::shared_delta::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), 0)
-        }
-        #[inline]
-        pub fn has_delta(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
-        }
-        #[inline]
-        pub fn get_sent_at(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
-        }
-        #[inline]
-        pub fn set_sent_at(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(3, value);
-        }
-        #[inline]
-        pub fn get_echo(self) -> u64 {
-            self.builder.get_data_field::<u64>(4)
-        }
-        #[inline]
-        pub fn set_echo(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(4, value);
-        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4231,189 +3925,72 @@
         }
     }
     impl Pipeline  {
-        pub fn get_sender(&self) -> crate::peer_capnp::member_info::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-        }
-        pub fn get_time(&self) -> crate::peer_capnp::hybrid_time::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
-        }
-        pub fn get_config(&self) -> crate::peer_capnp::config_status::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
-        }
-        pub fn get_delta(&self) -> crate::peer_capnp::shared_delta::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(4))
-        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 69] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(206, 213, 127, 255, 234, 80, 7, 139),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(118, 178, 143, 27, 95, 5, 212, 244),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(97, 72, 47, 94, 201, 179, 167, 209),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
-            ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 83, 117, 115, 112, 105),
+            ::capnp::word(99, 105, 111, 110, 69, 110, 116, 114),
+            ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
+            ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(243, 106, 27, 141, 211, 83, 188, 191),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 42, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(175, 156, 26, 151, 54, 87, 92, 219),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 105, 109, 101, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 99, 45, 60, 2, 6, 199, 229),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 110, 102, 105, 103, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 64, 18, 192, 145, 72, 141, 220),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 111, 115, 116, 101, 114, 68, 105),
-            ::capnp::word(103, 101, 115, 116, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 111, 115, 116, 101, 114, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(175, 156, 26, 151, 54, 87, 92, 219),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 99, 107, 101, 100, 73, 110, 99),
-            ::capnp::word(97, 114, 110, 97, 116, 105, 111, 110),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 99, 107, 101, 100, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 101, 108, 116, 97, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 87, 223, 242, 150, 104, 150, 183),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 110, 116, 65, 116, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 99, 104, 111, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 100, 65),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4423,16 +4000,9 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <crate::peer_capnp::member_info::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <crate::peer_capnp::hybrid_time::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <crate::peer_capnp::config_status::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::struct_list::Owned<crate::peer_capnp::member_info::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                7 => <crate::peer_capnp::shared_delta::Owned as ::capnp::introspect::Introspect>::introspect(),
-                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::peer_capnp::crash_charge::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4446,14 +4016,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,2,7,9,4,3,0,8,1];
-        pub(crate) const TYPE_ID: u64 = 0x8b07_50ea_ff7f_d5ce;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0xf4d4_055f_1b8f_b276;
     }
 }
 
-pub mod record_version {
+pub mod explained_crash {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4515,34 +4085,30 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_crash(self) -> ::capnp::Result<crate::peer_capnp::crash_id::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_key(&self) -> bool {
+        pub fn has_crash(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_generation(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_written_at(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
+        pub fn get_cause(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_incarnation(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+        pub fn has_cause(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_sequence(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
+        pub fn get_at(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4593,52 +4159,44 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_crash(self) -> ::capnp::Result<crate::peer_capnp::crash_id::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_key(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn set_crash(&mut self, value: crate::peer_capnp::crash_id::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_key(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn init_crash(self, ) -> crate::peer_capnp::crash_id::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
-        pub fn has_key(&self) -> bool {
+        pub fn has_crash(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_generation(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_generation(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
-        pub fn get_written_at(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
+        pub fn get_cause(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_written_at(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(1, value);
+        pub fn set_cause(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
         }
         #[inline]
-        pub fn get_incarnation(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+        pub fn init_cause(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
         }
         #[inline]
-        pub fn set_incarnation(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(2, value);
+        pub fn has_cause(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_sequence(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
+        pub fn get_at(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_sequence(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(3, value);
+        pub fn set_at(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
     }
 
@@ -4649,99 +4207,68 @@
         }
     }
     impl Pipeline  {
+        pub fn get_crash(&self) -> crate::peer_capnp::crash_id::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(60, 118, 70, 220, 253, 125, 189, 232),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(0, 67, 208, 72, 130, 223, 212, 145),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(97, 72, 47, 94, 201, 179, 167, 209),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 82, 101, 99, 111, 114),
-            ::capnp::word(100, 86, 101, 114, 115, 105, 111, 110),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 69, 120, 112, 108, 97),
+            ::capnp::word(105, 110, 101, 100, 67, 114, 97, 115),
+            ::capnp::word(104, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 82, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 98, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
-            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 114, 105, 116, 116, 101, 110, 65),
-            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 182, 30, 32, 209, 89, 48, 204),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
-            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 117, 115, 101, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4752,11 +4279,9 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <crate::peer_capnp::crash_id::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4770,14 +4295,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,4,2];
-        pub(crate) const TYPE_ID: u64 = 0xe8bd_7dfd_dc46_763c;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0x91d4_df82_48d0_4300;
     }
 }
 
-pub mod record {
+pub mod crash_digest {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -4839,19 +4364,19 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::suspicion_entry::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_key(&self) -> bool {
+        pub fn has_entries(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+        pub fn get_explained(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::explained_crash::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_value(&self) -> bool {
+        pub fn has_explained(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
     }
@@ -4909,35 +4434,35 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::suspicion_entry::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_key(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn set_entries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::suspicion_entry::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_key(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn init_entries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::suspicion_entry::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
         }
         #[inline]
-        pub fn has_key(&self) -> bool {
+        pub fn has_entries(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+        pub fn get_explained(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::explained_crash::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_value(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.reborrow().get_pointer_field(1).set_data(value);
+        pub fn set_explained(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::explained_crash::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn init_value(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(1).init_data(size)
+        pub fn init_explained(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::explained_crash::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
         }
         #[inline]
-        pub fn has_value(&self) -> bool {
+        pub fn has_explained(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
     }
@@ -4951,59 +4476,68 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 56] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(124, 33, 242, 239, 55, 207, 222, 173),
+            ::capnp::word(48, 254, 14, 93, 15, 4, 111, 248),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(97, 72, 47, 94, 201, 179, 167, 209),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 82, 101, 99, 111, 114),
-            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 67, 114, 97, 115, 104),
+            ::capnp::word(68, 105, 103, 101, 115, 116, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(61, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 178, 143, 27, 95, 5, 212, 244),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(118, 97, 108, 117, 101, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 112, 108, 97, 105, 110, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 67, 208, 72, 130, 223, 212, 145),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::struct_list::Owned<crate::peer_capnp::suspicion_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::peer_capnp::explained_crash::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5020,11 +4554,11 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-        pub(crate) const TYPE_ID: u64 = 0xadde_cf37_eff2_217c;
+        pub(crate) const TYPE_ID: u64 = 0xf86f_040f_5d0e_fe30;
     }
 }
 
-pub mod pull_answer {
+pub mod shared_delta {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5086,30 +4620,42 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::record::Owned>> {
+        pub fn get_after(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_through(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_reports(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::shared_report::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_records(&self) -> bool {
+        pub fn has_reports(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_wanted(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+        pub fn get_domains(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::domain_summary::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_wanted(&self) -> bool {
+        pub fn has_domains(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_has_more(self) -> bool {
-            self.reader.get_bool_field(0)
+        pub fn get_crashes(self) -> ::capnp::Result<crate::peer_capnp::crash_digest::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5160,44 +4706,68 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::record::Owned>> {
+        pub fn get_after(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_after(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_through(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_through(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_reports(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::shared_report::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_records(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::record::Owned>) -> ::capnp::Result<()> {
+        pub fn set_reports(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::shared_report::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_records(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::record::Owned> {
+        pub fn init_reports(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::shared_report::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
         }
         #[inline]
-        pub fn has_records(&self) -> bool {
+        pub fn has_reports(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_wanted(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+        pub fn get_domains(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::domain_summary::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_wanted(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+        pub fn set_domains(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::domain_summary::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn init_wanted(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+        pub fn init_domains(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::domain_summary::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
         }
         #[inline]
-        pub fn has_wanted(&self) -> bool {
+        pub fn has_domains(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_has_more(self) -> bool {
-            self.builder.get_bool_field(0)
+        pub fn get_crashes(self) -> ::capnp::Result<crate::peer_capnp::crash_digest::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_has_more(&mut self, value: bool)  {
-            self.builder.set_bool_field(0, value);
+        pub fn set_crashes(&mut self, value: crate::peer_capnp::crash_digest::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_crashes(self, ) -> crate::peer_capnp::crash_digest::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
         }
     }
 
@@ -5208,85 +4778,120 @@
         }
     }
     impl Pipeline  {
+        pub fn get_crashes(&self) -> crate::peer_capnp::crash_digest::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 70] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 100] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(11, 93, 210, 38, 77, 243, 84, 176),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(133, 87, 223, 242, 150, 104, 150, 183),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(97, 72, 47, 94, 201, 179, 167, 209),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 80, 117, 108, 108, 65),
-            ::capnp::word(110, 115, 119, 101, 114, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 83, 104, 97, 114, 101),
+            ::capnp::word(100, 68, 101, 108, 116, 97, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(114, 101, 99, 111, 114, 100, 115, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(97, 102, 116, 101, 114, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 104, 114, 111, 117, 103, 104, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 115, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 33, 242, 239, 55, 207, 222, 173),
+            ::capnp::word(213, 8, 170, 10, 206, 144, 200, 253),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
+            ::capnp::word(100, 111, 109, 97, 105, 110, 115, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(155, 17, 68, 32, 30, 216, 86, 219),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 97, 115, 77, 111, 114, 101, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 254, 14, 93, 15, 4, 111, 248),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::struct_list::Owned<crate::peer_capnp::record::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::peer_capnp::shared_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::peer_capnp::domain_summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <crate::peer_capnp::crash_digest::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5300,14 +4905,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
-        pub(crate) const TYPE_ID: u64 = 0xb054_f34d_26d2_5d0b;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,4,3,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xb796_6896_f2df_5785;
     }
 }
 
-pub mod credit_request {
+pub mod heartbeat {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5369,53 +4974,89 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_sender(self) -> ::capnp::Result<crate::peer_capnp::member_info::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_host(&self) -> bool {
+        pub fn has_sender(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_group(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_time(self) -> ::capnp::Result<crate::peer_capnp::hybrid_time::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_group(&self) -> bool {
+        pub fn has_time(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_generation(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_config(self) -> ::capnp::Result<crate::peer_capnp::config_status::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_wanted(self) -> u32 {
-            self.reader.get_data_field::<u32>(2)
+        pub fn has_config(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
         }
-    }
-
-    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
-    }
-    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-            Self { builder,  }
+        #[inline]
+        pub fn get_roster_digest(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
-    }
-
-    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-        fn from(builder: Builder<'a,>) -> Self {
-            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        #[inline]
+        pub fn get_roster(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::member_info::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
-    }
-
-    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        #[inline]
+        pub fn has_roster(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_acked_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_acked(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_delta(self) -> ::capnp::Result<crate::peer_capnp::shared_delta::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_delta(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_sent_at(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_echo(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 5 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
         }
     }
 
@@ -5447,52 +5088,124 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_sender(self) -> ::capnp::Result<crate::peer_capnp::member_info::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        pub fn set_sender(&mut self, value: crate::peer_capnp::member_info::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
         }
         #[inline]
-        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn init_sender(self, ) -> crate::peer_capnp::member_info::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
-        pub fn has_host(&self) -> bool {
+        pub fn has_sender(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_group(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_time(self) -> ::capnp::Result<crate::peer_capnp::hybrid_time::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_group(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        pub fn set_time(&mut self, value: crate::peer_capnp::hybrid_time::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn init_group(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
+        pub fn init_time(self, ) -> crate::peer_capnp::hybrid_time::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
-        pub fn has_group(&self) -> bool {
+        pub fn has_time(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_generation(self) -> u64 {
+        pub fn get_config(self) -> ::capnp::Result<crate::peer_capnp::config_status::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_config(&mut self, value: crate::peer_capnp::config_status::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+        }
+        #[inline]
+        pub fn init_config(self, ) -> crate::peer_capnp::config_status::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+        }
+        #[inline]
+        pub fn has_config(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_roster_digest(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_generation(&mut self, value: u64)  {
+        pub fn set_roster_digest(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_wanted(self) -> u32 {
-            self.builder.get_data_field::<u32>(2)
+        pub fn get_roster(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::member_info::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_wanted(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(2, value);
+        pub fn set_roster(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::member_info::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_roster(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::member_info::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_roster(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_acked_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_acked_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_acked(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_acked(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_delta(self) -> ::capnp::Result<crate::peer_capnp::shared_delta::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_delta(&mut self, value: crate::peer_capnp::shared_delta::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+        }
+        #[inline]
+        pub fn init_delta(self, ) -> crate::peer_capnp::shared_delta::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), 0)
+        }
+        #[inline]
+        pub fn has_delta(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_sent_at(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_sent_at(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_echo(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_echo(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
         }
     }
 
@@ -5503,95 +5216,208 @@
         }
     }
     impl Pipeline  {
+        pub fn get_sender(&self) -> crate::peer_capnp::member_info::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+        pub fn get_time(&self) -> crate::peer_capnp::hybrid_time::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
+        pub fn get_config(&self) -> crate::peer_capnp::config_status::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+        }
+        pub fn get_delta(&self) -> crate::peer_capnp::shared_delta::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(4))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(232, 134, 189, 141, 205, 166, 151, 253),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(206, 213, 127, 255, 234, 80, 7, 139),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(97, 72, 47, 94, 201, 179, 167, 209),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 67, 114, 101, 100, 105),
-            ::capnp::word(116, 82, 101, 113, 117, 101, 115, 116),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
+            ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(103, 114, 111, 117, 112, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
-            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(175, 156, 26, 151, 54, 87, 92, 219),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 105, 109, 101, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 99, 45, 60, 2, 6, 199, 229),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 103, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 64, 18, 192, 145, 72, 141, 220),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 115, 116, 101, 114, 68, 105),
+            ::capnp::word(103, 101, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 115, 116, 101, 114, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(175, 156, 26, 151, 54, 87, 92, 219),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 99, 107, 101, 100, 73, 110, 99),
+            ::capnp::word(97, 114, 110, 97, 116, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 99, 107, 101, 100, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 101, 108, 116, 97, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 87, 223, 242, 150, 104, 150, 183),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 110, 116, 65, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 99, 104, 111, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <crate::peer_capnp::member_info::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::peer_capnp::hybrid_time::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::peer_capnp::config_status::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::peer_capnp::member_info::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <crate::peer_capnp::shared_delta::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5605,14 +5431,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3];
-        pub(crate) const TYPE_ID: u64 = 0xfd97_a6cd_8dbd_86e8;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,5,2,7,9,4,3,0,8,1];
+        pub(crate) const TYPE_ID: u64 = 0x8b07_50ea_ff7f_d5ce;
     }
 }
 
-pub mod credit_grant {
+pub mod record_version {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5665,7 +5491,7 @@
         }
     }
 
-    impl <> Reader<'_,>  {
+    impl <'a,> Reader<'a,>  {
         pub fn reborrow(&self) -> Reader<'_,> {
             Self { .. *self }
         }
@@ -5674,18 +5500,34 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_granted(self) -> u32 {
-            self.reader.get_data_field::<u32>(0)
+        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_key(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_generation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_valid_for_micros(self) -> u64 {
+        pub fn get_written_at(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5736,21 +5578,53 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_granted(self) -> u32 {
-            self.builder.get_data_field::<u32>(0)
+        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_key(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_key(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_key(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_generation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_granted(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(0, value);
+        pub fn set_generation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_valid_for_micros(self) -> u64 {
+        pub fn get_written_at(self) -> u64 {
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_valid_for_micros(&mut self, value: u64)  {
+        pub fn set_written_at(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(1, value);
         }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5762,48 +5636,70 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 97] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(112, 25, 249, 137, 153, 34, 30, 238),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(60, 118, 70, 220, 253, 125, 189, 232),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(97, 72, 47, 94, 201, 179, 167, 209),
-            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 67, 114, 101, 100, 105),
-            ::capnp::word(116, 71, 114, 97, 110, 116, 0, 0),
+            ::capnp::word(110, 112, 58, 82, 101, 99, 111, 114),
+            ::capnp::word(100, 86, 101, 114, 115, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(118, 97, 108, 105, 100, 70, 111, 114),
-            ::capnp::word(77, 105, 99, 114, 111, 115, 0, 0),
+            ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
+            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5811,34 +5707,62 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ];
-        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-            match index {
-                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                _ => ::capnp::introspect::panic_invalid_field_index(index),
-            }
-        }
-        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-        }
-        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-            &ARENA,
-            NONUNION_MEMBERS,
-            MEMBERS_BY_DISCRIMINANT,
-            MEMBERS_BY_NAME
-        );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-        pub(crate) const TYPE_ID: u64 = 0xee1e_2299_89f9_1970;
-    }
-}
-
-pub mod claim_state {
-    pub use self::Which::{Absent,Running,Done,Unknown};
+            ::capnp::word(119, 114, 105, 116, 116, 101, 110, 65),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,4,2];
+        pub(crate) const TYPE_ID: u64 = 0xe8bd_7dfd_dc46_763c;
+    }
+}
 
+pub mod record {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5900,41 +5824,26 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn has_done(&self) -> bool {
-            if self.reader.get_data_field::<u16>(0) != 2 { return false; }
+        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_key(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
-            match self.reader.get_data_field::<u16>(0) {
-                0 => {
-                    ::core::result::Result::Ok(Absent(
-                        ()
-                    ))
-                }
-                1 => {
-                    ::core::result::Result::Ok(Running(
-                        ()
-                    ))
-                }
-                2 => {
-                    ::core::result::Result::Ok(Done(
-                        ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-                    ))
-                }
-                3 => {
-                    ::core::result::Result::Ok(Unknown(
-                        ()
-                    ))
-                }
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
-            }
+        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_value(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5985,57 +5894,36 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn set_absent(&mut self, _value: ())  {
-            self.builder.set_data_field::<u16>(0, 0);
+        pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_running(&mut self, _value: ())  {
-            self.builder.set_data_field::<u16>(0, 1);
+        pub fn set_key(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn set_done(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.set_data_field::<u16>(0, 2);
-            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        pub fn init_key(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn init_done(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.set_data_field::<u16>(0, 2);
-            self.builder.get_pointer_field(0).init_data(size)
+        pub fn has_key(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn has_done(&self) -> bool {
-            if self.builder.get_data_field::<u16>(0) != 2 { return false; }
-            !self.builder.is_pointer_field_null(0)
+        pub fn get_value(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_unknown(&mut self, _value: ())  {
-            self.builder.set_data_field::<u16>(0, 3);
+        pub fn set_value(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
         }
         #[inline]
-        pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
-            match self.builder.get_data_field::<u16>(0) {
-                0 => {
-                    ::core::result::Result::Ok(Absent(
-                        ()
-                    ))
-                }
-                1 => {
-                    ::core::result::Result::Ok(Running(
-                        ()
-                    ))
-                }
-                2 => {
-                    ::core::result::Result::Ok(Done(
-                        ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-                    ))
-                }
-                3 => {
-                    ::core::result::Result::Ok(Unknown(
-                        ()
-                    ))
-                }
-                x => ::core::result::Result::Err(::capnp::NotInSchema(x))
-            }
+        pub fn init_value(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
+        }
+        #[inline]
+        pub fn has_value(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
         }
     }
 
@@ -6048,69 +5936,47 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 77] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(31, 85, 32, 197, 138, 175, 177, 213),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(124, 33, 242, 239, 55, 207, 222, 173),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(97, 72, 47, 94, 201, 179, 167, 209),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 4, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-            ::capnp::word(110, 112, 58, 67, 108, 97, 105, 109),
-            ::capnp::word(83, 116, 97, 116, 101, 0, 0, 0),
+            ::capnp::word(110, 112, 58, 82, 101, 99, 111, 114),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
-            ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 254, 255, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 253, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 252, 255, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(97, 98, 115, 101, 110, 116, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(118, 97, 108, 117, 101, 0, 0, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -6118,21 +5984,11 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <() as ::capnp::introspect::Introspect>::introspect(),
-                1 => <() as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -6146,22 +6002,14 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1,2,3];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1,3];
-        pub(crate) const TYPE_ID: u64 = 0xd5b1_af8a_c520_551f;
-    }
-    pub enum Which<A0> {
-        Absent(()),
-        Running(()),
-        Done(A0),
-        Unknown(()),
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xadde_cf37_eff2_217c;
     }
-    pub type WhichReader<'a,> = Which<::capnp::Result<::capnp::data::Reader<'a>>>;
-    pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::data::Builder<'a>>>;
 }
 
-pub mod drain_notice {
+pub mod pull_answer {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6223,21 +6071,25 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_target(self) -> crate::peer_capnp::drain_notice::target::Reader<'a> {
-            self.reader.into()
+        pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::record::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn get_leaving(self) -> bool {
-            self.reader.get_bool_field(16)
+        pub fn has_records(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_reason(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_wanted(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_reason(&self) -> bool {
+        pub fn has_wanted(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_has_more(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
