@@ -9509,11 +13991,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xf423_ef59_c38e_a3b7;
+            pub(crate) const TYPE_ID: u64 = 0x8f09_8b37_adb1_c767;
         }
     }
 
-    pub mod claim_state_params {
+    pub mod end_trial_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -9575,22 +14057,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            pub fn get_request(self) -> ::capnp::Result<crate::peer_capnp::trial_request::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_key(&self) -> bool {
+            pub fn has_request(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_wait_micros(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9641,29 +14119,21 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            pub fn get_request(self) -> ::capnp::Result<crate::peer_capnp::trial_request::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_key(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            pub fn set_request(&mut self, value: crate::peer_capnp::trial_request::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_key(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
+            pub fn init_request(self, ) -> crate::peer_capnp::trial_request::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_key(&self) -> bool {
+            pub fn has_request(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-            #[inline]
-            pub fn get_wait_micros(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_wait_micros(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(0, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9673,63 +14143,49 @@
             }
         }
         impl Pipeline  {
+            pub fn get_request(&self) -> crate::peer_capnp::trial_request::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(75, 107, 102, 130, 185, 236, 10, 153),
-                ::capnp::word(21, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(49, 205, 23, 162, 52, 185, 58, 167),
+                ::capnp::word(21, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
-                ::capnp::word(72, 111, 115, 116, 46, 99, 108, 97),
-                ::capnp::word(105, 109, 83, 116, 97, 116, 101, 36),
-                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(72, 111, 115, 116, 46, 101, 110, 100),
+                ::capnp::word(84, 114, 105, 97, 108, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 90, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 97, 105, 116, 77, 105, 99, 114),
-                ::capnp::word(111, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(87, 214, 207, 5, 220, 70, 229, 175),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::peer_capnp::trial_request::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9743,14 +14199,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-            pub(crate) const TYPE_ID: u64 = 0x990a_ecb9_8266_6b4b;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xa73a_b934_a217_cd31;
         }
     }
 
-    pub mod claim_state_results {
+    pub mod end_trial_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -9803,7 +14259,7 @@
             }
         }
 
-        impl <'a,> Reader<'a,>  {
+        impl <> Reader<'_,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -9811,19 +14267,11 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_state(self) -> ::capnp::Result<crate::peer_capnp::claim_state::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_state(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9873,22 +14321,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_state(self) -> ::capnp::Result<crate::peer_capnp::claim_state::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_state(&mut self, value: crate::peer_capnp::claim_state::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-            }
-            #[inline]
-            pub fn init_state(self, ) -> crate::peer_capnp::claim_state::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
-            }
-            #[inline]
-            pub fn has_state(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9898,51 +14330,29 @@
             }
         }
         impl Pipeline  {
-            pub fn get_state(&self) -> crate::peer_capnp::claim_state::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(95, 61, 227, 29, 79, 229, 4, 223),
+                ::capnp::word(191, 36, 213, 4, 72, 4, 14, 164),
                 ::capnp::word(21, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
-                ::capnp::word(72, 111, 115, 116, 46, 99, 108, 97),
-                ::capnp::word(105, 109, 83, 116, 97, 116, 101, 36),
-                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(31, 85, 32, 197, 138, 175, 177, 213),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 111, 115, 116, 46, 101, 110, 100),
+                ::capnp::word(84, 114, 105, 97, 108, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <crate::peer_capnp::claim_state::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -9954,14 +14364,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xdf04_e54f_1de3_3d5f;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xa40e_0448_04d5_24bf;
         }
     }
 
-    pub mod drain_notice_params {
+    pub mod share_crashes_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -10023,11 +14433,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_notice(self) -> ::capnp::Result<crate::peer_capnp::drain_notice::Reader<'a>> {
+            pub fn get_digest(self) -> ::capnp::Result<crate::peer_capnp::crash_digest::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_notice(&self) -> bool {
+            pub fn has_digest(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -10085,19 +14495,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_notice(self) -> ::capnp::Result<crate::peer_capnp::drain_notice::Builder<'a>> {
+            pub fn get_digest(self) -> ::capnp::Result<crate::peer_capnp::crash_digest::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_notice(&mut self, value: crate::peer_capnp::drain_notice::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_digest(&mut self, value: crate::peer_capnp::crash_digest::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_notice(self, ) -> crate::peer_capnp::drain_notice::Builder<'a> {
+            pub fn init_digest(self, ) -> crate::peer_capnp::crash_digest::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_notice(&self) -> bool {
+            pub fn has_digest(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -10109,29 +14519,30 @@
             }
         }
         impl Pipeline  {
-            pub fn get_notice(&self) -> crate::peer_capnp::drain_notice::Pipeline {
+            pub fn get_digest(&self) -> crate::peer_capnp::crash_digest::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(111, 152, 81, 218, 60, 193, 40, 207),
+                ::capnp::word(158, 141, 141, 193, 78, 142, 241, 224),
                 ::capnp::word(21, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
-                ::capnp::word(72, 111, 115, 116, 46, 100, 114, 97),
-                ::capnp::word(105, 110, 78, 111, 116, 105, 99, 101),
-                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(72, 111, 115, 116, 46, 115, 104, 97),
+                ::capnp::word(114, 101, 67, 114, 97, 115, 104, 101),
+                ::capnp::word(115, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -10140,9 +14551,9 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(110, 111, 116, 105, 99, 101, 0, 0),
+                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 192, 175, 210, 138, 199, 119, 156),
+                ::capnp::word(48, 254, 14, 93, 15, 4, 111, 248),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -10151,7 +14562,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::peer_capnp::drain_notice::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::peer_capnp::crash_digest::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -10168,11 +14579,11 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xcf28_c13c_da51_986f;
+            pub(crate) const TYPE_ID: u64 = 0xe0f1_8e4e_c18d_8d9e;
         }
     }
 
-    pub mod drain_notice_results {
+    pub mod share_crashes_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -10300,12 +14711,12 @@
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(120, 29, 47, 134, 88, 182, 220, 168),
+                ::capnp::word(72, 129, 204, 119, 120, 241, 178, 133),
                 ::capnp::word(21, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -10313,10 +14724,10 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 69, 110, 116, 114, 121),
-                ::capnp::word(72, 111, 115, 116, 46, 100, 114, 97),
-                ::capnp::word(105, 110, 78, 111, 116, 105, 99, 101),
-                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 111, 115, 116, 46, 115, 104, 97),
+                ::capnp::word(114, 101, 67, 114, 97, 115, 104, 101),
+                ::capnp::word(115, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_field_index(index)
@@ -10334,7 +14745,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xa8dc_b658_862f_1d78;
+            pub(crate) const TYPE_ID: u64 = 0x85b2_f178_77cc_8148;
         }
     }
 }
--- a/crates/geranium_peer/src/prelude.rs
+++ b/crates/geranium_peer/src/prelude.rs
@@ -1,6 +1,6 @@
 //! The types that most users of this crate need.
 
 pub use crate::{
-    ClaimState, CreditGrant, CreditRequest, DrainNotice, PeerClient, PeerClientConfig, PeerError,
-    PeerHandler, PeerServer, PeerServerConfig, PeerToken,
+    ClaimState, DrainNotice, PeerClient, PeerClientConfig, PeerError, PeerHandler, PeerServer,
+    PeerServerConfig, PeerToken,
 };
--- a/crates/geranium_peer/src/server/calls.rs
+++ b/crates/geranium_peer/src/server/calls.rs
@@ -97,8 +97,8 @@
     ) -> Result<(), Error> {
         let _permit = self.begin()?;
         let request = wire::read_credit_request(params.get()?.get_request()?)?;
-        let grant = self.handler().cold_credits(request).await;
-        wire::write_credit_grant(results.get().init_grant(), grant);
+        let answer = self.handler().cold_credits(request).await;
+        wire::write_credit_answer(results.get().init_answer(), &answer);
         Ok(())
     }
 
@@ -125,4 +125,38 @@
         self.handler().drain_notice(notice).await;
         Ok(())
     }
+
+    async fn start_trial(
+        self: Rc<Self>,
+        params: entry_host::StartTrialParams,
+        mut results: entry_host::StartTrialResults,
+    ) -> Result<(), Error> {
+        let _permit = self.begin()?;
+        let request = wire::read_trial_request(params.get()?.get_request()?)?;
+        let answer = self.handler().start_trial(request).await;
+        wire::write_trial_answer(results.get().init_answer(), &answer);
+        Ok(())
+    }
+
+    async fn end_trial(
+        self: Rc<Self>,
+        params: entry_host::EndTrialParams,
+        _results: entry_host::EndTrialResults,
+    ) -> Result<(), Error> {
+        let _permit = self.begin()?;
+        let request = wire::read_trial_request(params.get()?.get_request()?)?;
+        self.handler().end_trial(request).await;
+        Ok(())
+    }
+
+    async fn share_crashes(
+        self: Rc<Self>,
+        params: entry_host::ShareCrashesParams,
+        _results: entry_host::ShareCrashesResults,
+    ) -> Result<(), Error> {
+        let _permit = self.begin()?;
+        let digest = wire::read_crashes(params.get()?.get_digest()?)?;
+        self.handler().share_crashes(digest).await;
+        Ok(())
+    }
 }
--- a/crates/geranium_peer/src/wire/heartbeat.rs
+++ b/crates/geranium_peer/src/wire/heartbeat.rs
@@ -1,12 +1,12 @@
 //! Heartbeats.
 
 use geranium_core::id::Incarnation;
-use geranium_core::member::{CrashNotice, Heartbeat, SharedDelta};
+use geranium_core::member::{Heartbeat, SharedDelta};
 use geranium_core::time::{HybridTime, Timestamp};
 
 use super::engine::{read_report, write_report};
 use super::member::{read_status, read_summary, write_status, write_summary};
-use super::{count, parse, read_member, text, write_member};
+use super::{count, read_crashes, read_member, write_crashes, write_member};
 use crate::peer_capnp;
 
 pub(crate) fn write_heartbeat(mut to: peer_capnp::heartbeat::Builder<'_>, heartbeat: &Heartbeat) {
@@ -58,37 +58,17 @@
     for (i, summary) in (0..).zip(&delta.domains) {
         write_summary(domains.reborrow().get(i), summary);
     }
-    let mut crashes = to.init_crashes(count(delta.crashes.len()));
-    for (i, notice) in (0..).zip(&delta.crashes) {
-        write_crash(crashes.reborrow().get(i), notice);
-    }
+    write_crashes(to.init_crashes(), &delta.crashes);
 }
 
 fn read_delta(from: peer_capnp::shared_delta::Reader<'_>) -> capnp::Result<SharedDelta> {
     let reports = from.get_reports()?.iter().map(read_report);
     let domains = from.get_domains()?.iter().map(read_summary);
-    let crashes = from.get_crashes()?.iter().map(read_crash);
     Ok(SharedDelta {
         after: from.get_after(),
         through: from.get_through(),
         reports: reports.collect::<capnp::Result<_>>()?,
         domains: domains.collect::<capnp::Result<_>>()?,
-        crashes: crashes.collect::<capnp::Result<_>>()?,
-    })
-}
-
-fn write_crash(mut to: peer_capnp::crash_notice::Builder<'_>, notice: &CrashNotice) {
-    to.set_fingerprint(notice.fingerprint.as_str());
-    to.set_group(notice.group.as_str());
-    to.set_generation(notice.generation);
-    to.set_at(notice.at.0);
-}
-
-fn read_crash(from: peer_capnp::crash_notice::Reader<'_>) -> capnp::Result<CrashNotice> {
-    Ok(CrashNotice {
-        fingerprint: text(from.get_fingerprint())?,
-        group: parse(from.get_group())?,
-        generation: from.get_generation(),
-        at: Timestamp(from.get_at()),
+        crashes: read_crashes(from.get_crashes()?)?,
     })
 }
--- a/crates/geranium_peer/src/wire/message.rs
+++ b/crates/geranium_peer/src/wire/message.rs
@@ -1,48 +1,10 @@
-//! Credits, claims and drain notices.
-
-use std::time::Duration;
+//! Claims and drain notices.
 
 use geranium_core::record::DrainTarget;
 
-use super::{micros, parse, text};
+use super::{parse, text};
 use crate::peer_capnp;
-use crate::{ClaimState, CreditGrant, CreditRequest, DrainNotice};
-
-pub(crate) fn write_credit_request(
-    mut to: peer_capnp::credit_request::Builder<'_>,
-    request: &CreditRequest,
-) {
-    to.set_host(request.host.as_str());
-    to.set_group(request.group.as_str());
-    to.set_generation(request.generation);
-    to.set_wanted(request.wanted);
-}
-
-pub(crate) fn read_credit_request(
-    from: peer_capnp::credit_request::Reader<'_>,
-) -> capnp::Result<CreditRequest> {
-    Ok(CreditRequest {
-        host: parse(from.get_host())?,
-        group: parse(from.get_group())?,
-        generation: from.get_generation(),
-        wanted: from.get_wanted(),
-    })
-}
-
-pub(crate) fn write_credit_grant(
-    mut to: peer_capnp::credit_grant::Builder<'_>,
-    grant: CreditGrant,
-) {
-    to.set_granted(grant.granted);
-    to.set_valid_for_micros(micros(grant.valid_for));
-}
-
-pub(crate) fn read_credit_grant(from: peer_capnp::credit_grant::Reader<'_>) -> CreditGrant {
-    CreditGrant {
-        granted: from.get_granted(),
-        valid_for: Duration::from_micros(from.get_valid_for_micros()),
-    }
-}
+use crate::{ClaimState, DrainNotice};
 
 pub(crate) fn write_claim_state(mut to: peer_capnp::claim_state::Builder<'_>, state: &ClaimState) {
     match state {
--- a/crates/geranium_peer/src/wire/mod.rs
+++ b/crates/geranium_peer/src/wire/mod.rs
@@ -1,20 +1,29 @@
 //! Translation between messages and their encoding.
 
+mod crash;
+mod credit;
 mod engine;
 mod heartbeat;
 mod member;
 mod message;
 mod record;
+mod trial;
 
+pub(crate) use crash::{read_crashes, write_crashes};
+pub(crate) use credit::{
+    read_credit_answer, read_credit_request, write_credit_answer, write_credit_request,
+};
 pub(crate) use heartbeat::{read_heartbeat, write_heartbeat};
 pub(crate) use member::{read_member, write_member};
 pub(crate) use message::{
-    read_claim_state, read_credit_grant, read_credit_request, read_drain_notice, write_claim_state,
-    write_credit_grant, write_credit_request, write_drain_notice,
+    read_claim_state, read_drain_notice, write_claim_state, write_drain_notice,
 };
 pub(crate) use record::{
     read_pull_answer, read_records, read_versions, write_pull_answer, write_records, write_versions,
 };
+pub(crate) use trial::{
+    read_trial_answer, read_trial_request, write_trial_answer, write_trial_request,
+};
 
 use std::str::FromStr;
 use std::time::Duration;
--- a/crates/geranium_peer/tests/rpc.rs
+++ b/crates/geranium_peer/tests/rpc.rs
@@ -10,9 +10,13 @@
 use geranium_core::id::{
     FailureDomainId, FencingNumber, GroupId, HostId, Incarnation, ModelId, RecordName,
 };
+use geranium_core::limit::{
+    ChargeState, CrashDigest, CrashId, CreditGrant, CreditRefusal, CreditRequest, ExplainedCrash,
+    RequestFingerprint, SuspicionEntry, TrialGrant, TrialRefusal, TrialRequest,
+};
 use geranium_core::member::{
-    ConfigStatus, CrashNotice, DomainSummary, GroupSummary, Heartbeat, MemberInfo, MemberStatus,
-    SharedDelta, SharedReport,
+    ConfigStatus, DomainSummary, GroupSummary, Heartbeat, MemberInfo, MemberStatus, SharedDelta,
+    SharedReport,
 };
 use geranium_core::record::spread::PullAnswer;
 use geranium_core::record::{
@@ -84,6 +88,67 @@
     }
 }
 
+fn crashes() -> CrashDigest {
+    let crash = |generation| CrashId {
+        group: GroupId::new("g1"),
+        generation,
+    };
+    CrashDigest {
+        entries: vec![SuspicionEntry {
+            fingerprint: RequestFingerprint([7; 16]),
+            crashes: vec![
+                (crash(4), ChargeState::Charged),
+                (crash(5), ChargeState::Cleared),
+            ],
+            changed_at: Timestamp(77),
+        }],
+        explained: vec![ExplainedCrash {
+            crash: crash(5),
+            cause: RequestFingerprint([8; 16]),
+            at: Timestamp(78),
+        }],
+    }
+}
+
+fn credit_request() -> CreditRequest {
+    CreditRequest {
+        user: HostId::new("e1"),
+        incarnation: Incarnation(7),
+        group: GroupId::new("g1"),
+        generation: 4,
+        sequence: 5,
+        in_use: 1,
+        keep: 2,
+        wanted: 3,
+        successes: 6,
+        failures: 8,
+        marked: true,
+        marks: 9,
+        asked_at: Timestamp(10),
+    }
+}
+
+fn credit_grant() -> CreditGrant {
+    CreditGrant {
+        group: GroupId::new("g1"),
+        generation: 4,
+        sequence: 5,
+        credits: 2,
+        asked_at: Timestamp(10),
+        warm: true,
+    }
+}
+
+fn trial_request() -> TrialRequest {
+    TrialRequest {
+        user: HostId::new("e1"),
+        incarnation: Incarnation(7),
+        group: GroupId::new("g1"),
+        fingerprint: RequestFingerprint([9; 16]),
+        asked_at: Timestamp(11),
+    }
+}
+
 /// Returns a heartbeat in which no field has its default.
 fn heartbeat(name: &str) -> Heartbeat {
     Heartbeat {
@@ -108,12 +173,7 @@
             through: 25,
             reports: vec![report(None), report(Some(assignment()))],
             domains: vec![summary()],
-            crashes: vec![CrashNotice {
-                fingerprint: "c0ffee".to_owned(),
-                group: GroupId::new("g1"),
-                generation: 4,
-                at: Timestamp(77),
-            }],
+            crashes: crashes(),
         },
     }
 }
@@ -180,11 +240,16 @@
         index(&[record("newer")])
     }
 
-    async fn cold_credits(&self, request: CreditRequest) -> CreditGrant {
+    async fn cold_credits(&self, request: CreditRequest) -> Result<CreditGrant, CreditRefusal> {
         self.note(&request);
-        CreditGrant {
-            granted: request.wanted - 1,
-            valid_for: Duration::from_millis(250),
+        let group = request.group.clone();
+        match request.wanted {
+            0 => Err(CreditRefusal::NotHolder),
+            1 => Err(CreditRefusal::Waiting(Timestamp(40))),
+            2 => Err(CreditRefusal::UnknownGroup(group)),
+            3 => Ok(credit_grant()),
+            4 => Err(CreditRefusal::OtherGeneration(group, 4, 5)),
+            _ => Err(CreditRefusal::StaleRequest(request.user, 5)),
         }
     }
 
@@ -199,6 +264,25 @@
     async fn drain_notice(&self, notice: DrainNotice) {
         self.note(&notice);
     }
+
+    async fn start_trial(&self, request: TrialRequest) -> Result<TrialGrant, TrialRefusal> {
+        self.note(&request);
+        let expires = Timestamp(50);
+        match request.incarnation.0 {
+            0 => Err(TrialRefusal::NotHolder),
+            1 => Err(TrialRefusal::Waiting(expires)),
+            2 => Err(TrialRefusal::Busy(request.group, expires)),
+            _ => Ok(TrialGrant { expires }),
+        }
+    }
+
+    async fn end_trial(&self, request: TrialRequest) {
+        self.note(&request);
+    }
+
+    async fn share_crashes(&self, digest: CrashDigest) {
+        self.note(&digest);
+    }
 }
 
 fn any_port() -> SocketAddr {
@@ -273,44 +357,92 @@
 }
 
 #[tokio::test]
-async fn credits_claims_and_drain_notices_are_carried() {
+async fn every_answer_to_a_request_for_credits_is_carried() {
+    let handler = Handler::default();
+    let server = serve(&handler);
+    let (client, to) = (client(TOKEN), server.address());
+    let group = GroupId::new("g1");
+    let expected = [
+        Err(CreditRefusal::NotHolder),
+        Err(CreditRefusal::Waiting(Timestamp(40))),
+        Err(CreditRefusal::UnknownGroup(group.clone())),
+        Ok(credit_grant()),
+        Err(CreditRefusal::OtherGeneration(group, 4, 5)),
+        Err(CreditRefusal::StaleRequest(HostId::new("e1"), 5)),
+    ];
+
+    for (wanted, expected) in (0..).zip(expected) {
+        let request = CreditRequest {
+            wanted,
+            ..credit_request()
+        };
+        let answer = client.cold_credits(to, request).await;
+
+        assert_eq!(answer, Ok(expected));
+    }
+    assert_eq!(handler.calls()[3], format!("{:?}", credit_request()));
+}
+
+#[tokio::test]
+async fn every_answer_to_a_request_for_a_trial_is_carried() {
+    let handler = Handler::default();
+    let server = serve(&handler);
+    let (client, to) = (client(TOKEN), server.address());
+    let expires = Timestamp(50);
+    let expected = [
+        Err(TrialRefusal::NotHolder),
+        Err(TrialRefusal::Waiting(expires)),
+        Err(TrialRefusal::Busy(GroupId::new("g1"), expires)),
+        Ok(TrialGrant { expires }),
+    ];
+
+    for (run, expected) in (0..).zip(expected) {
+        let request = TrialRequest {
+            incarnation: Incarnation(run),
+            ..trial_request()
+        };
+        let answer = client.start_trial(to, request).await;
+
+        assert_eq!(answer, Ok(expected));
+    }
+    client
+        .end_trial(to, trial_request())
+        .await
+        .expect("confirmed");
+    assert_eq!(handler.calls()[4], format!("{:?}", trial_request()));
+}
+
+#[tokio::test]
+async fn crashes_claims_and_drain_notices_are_carried() {
     let handler = Handler::default();
     let server = serve(&handler);
     let (client, to) = (client(TOKEN), server.address());
-    let request = CreditRequest {
-        host: HostId::new("e1"),
-        group: GroupId::new("g1"),
-        generation: 4,
-        wanted: 3,
-    };
     let notice = DrainNotice {
         target: DrainTarget::FailureDomain(FailureDomainId::new("lima-2")),
         leaving: true,
         reason: "power work".to_owned(),
     };
+    let wait = Duration::from_secs(1);
 
-    let grant = client.cold_credits(to, request.clone()).await;
-    let state = client
-        .claim_state(to, "claim-1".to_owned(), Duration::from_secs(1))
-        .await;
+    let state = client.claim_state(to, "claim-1".to_owned(), wait).await;
     client
         .drain_notice(to, notice.clone())
         .await
         .expect("confirmed");
+    client
+        .share_crashes(to, crashes())
+        .await
+        .expect("confirmed");
 
-    let expected = CreditGrant {
-        granted: 2,
-        valid_for: Duration::from_millis(250),
-    };
-    assert_eq!(grant, Ok(expected));
     assert_eq!(state, Ok(ClaimState::Done(b"kept".to_vec())));
-    let calls = handler.calls();
-    assert_eq!(calls[0], format!("{request:?}"));
     assert_eq!(
-        calls[1],
-        format!("{:?}", ("claim-1", Duration::from_secs(1)))
+        handler.calls(),
+        [
+            format!("{:?}", ("claim-1", wait)),
+            format!("{notice:?}"),
+            format!("{:?}", crashes()),
+        ]
     );
-    assert_eq!(calls[2], format!("{notice:?}"));
 }
 
 #[tokio::test]
