--- a/crates/geranium_daemon/src/node.rs
+++ b/crates/geranium_daemon/src/node.rs
@@ -105,6 +105,10 @@
     /// Tells every reachable peer what is known of crashing requests, and waits a
     /// short time until they have heard it.
     pub async fn tell_peers_of_crash(&self, digest: &CrashDigest) {
+        let _ = self
+            .peer_tx
+            .send(PeerInput::Crashes(Box::new(digest.clone())))
+            .await;
         let peers = self.peers.view();
         let alive = peers.hosts.values().filter(|known| known.state == "alive");
         let told = alive.map(|known| {
--- a/crates/geranium_daemon/src/peers/handler.rs
+++ b/crates/geranium_daemon/src/peers/handler.rs
@@ -94,6 +94,7 @@
             PeerCommand::LastHeard(hosts) => PeerReply::Heard(self.last_heard(hosts)),
             PeerCommand::Crashes(digest) => {
                 self.node.traffic.import_crashes(now, &digest);
+                let _ = self.tx.send(PeerInput::Crashes(Box::new(digest))).await;
                 PeerReply::Done
             }
             PeerCommand::Table(table) => {
--- a/crates/geranium_daemon/src/peers/task.rs
+++ b/crates/geranium_daemon/src/peers/task.rs
@@ -120,6 +120,11 @@
                     .set_groups(groups.iter().map(summary).collect());
             }
             PeerInput::Leaving => self.membership.begin_leaving(now),
+            PeerInput::Crashes(digest) => {
+                let learned = self.membership.take_in_crashes(&digest);
+                self.carry_out_member(learned.into_iter().collect(), now)
+                    .await;
+            }
             PeerInput::InForce(keys, answer) => {
                 let _ = answer.send(self.in_force(&keys));
             }
@@ -161,8 +166,9 @@
     async fn hear(&mut self, heartbeat: &Heartbeat, now: Timestamp) {
         self.node.recorder.observe(now, heartbeat.time);
         let effects = self.membership.take_in(heartbeat, now);
+        let vouched_at = self.membership.vouched_at(heartbeat);
         self.records
-            .hear_peer(&heartbeat.sender, heartbeat.config, now);
+            .hear_peer(&heartbeat.sender, heartbeat.config, vouched_at, now);
         self.carry_out_member(effects, now).await;
     }
 
@@ -184,7 +190,9 @@
                 MemberEffect::Paused(pause) => {
                     log::warn!("this process was paused for {} ms", pause.as_millis());
                 }
-                MemberEffect::CrashLearned(_) => {}
+                MemberEffect::CrashesLearned(digest) => {
+                    self.node.traffic.import_crashes(now, &digest);
+                }
             }
         }
         if changed {
--- a/crates/geranium_peer/schema/peer.capnp
+++ b/crates/geranium_peer/schema/peer.capnp
@@ -87,11 +87,31 @@
   silent @1 :Bool;
 }
 
-struct CrashNotice {
-  fingerprint @0 :Text;
-  group @1 :Text;
-  generation @2 :UInt64;
-  at @3 :UInt64;          # microseconds since the Unix epoch
+struct CrashId {
+  group @0 :Text;
+  generation @1 :UInt64;
+}
+
+struct CrashCharge {
+  crash @0 :CrashId;
+  cleared @1 :Bool;
+}
+
+struct SuspicionEntry {
+  fingerprint @0 :Data;   # 16 bytes
+  crashes @1 :List(CrashCharge);
+  changedAt @2 :UInt64;   # microseconds since the Unix epoch
+}
+
+struct ExplainedCrash {
+  crash @0 :CrashId;
+  cause @1 :Data;         # 16 bytes
+  at @2 :UInt64;          # microseconds since the Unix epoch
+}
+
+struct CrashDigest {
+  entries @0 :List(SuspicionEntry);
+  explained @1 :List(ExplainedCrash);
 }
 
 struct SharedDelta {
@@ -99,7 +119,7 @@
   through @1 :UInt64;
   reports @2 :List(SharedReport);
   domains @3 :List(DomainSummary);
-  crashes @4 :List(CrashNotice);
+  crashes @4 :CrashDigest;
 }
 
 struct Heartbeat {
@@ -111,6 +131,8 @@
   ackedIncarnation @5 :UInt64;
   acked @6 :UInt64;
   delta @7 :SharedDelta;
+  sentAt @8 :UInt64;      # microseconds on the sender's clock
+  echo @9 :UInt64;        # microseconds on the receiver's clock
 }
 
 struct RecordVersion {
--- a/crates/geranium_peer/src/wire/mod.rs
+++ b/crates/geranium_peer/src/wire/mod.rs
@@ -1,10 +1,12 @@
 //! Translation between messages and their encoding.
 
+mod crash;
 mod engine;
 mod heartbeat;
 mod member;
 mod record;
 
+pub(crate) use crash::{read_crashes, write_crashes};
 pub(crate) use heartbeat::{read_heartbeat, write_heartbeat};
 pub(crate) use member::{read_member, write_member};
 pub(crate) use record::{
--- a/crates/geranium_peer/tests/rpc.rs
+++ b/crates/geranium_peer/tests/rpc.rs
@@ -11,12 +11,12 @@
     FailureDomainId, FencingNumber, GroupId, HostId, Incarnation, ModelId, RecordName,
 };
 use geranium_core::limit::{
-    ChargeState, CrashDigest, CrashId, CreditGrant, CreditRequest, RequestFingerprint,
-    SuspicionEntry,
+    ChargeState, CrashDigest, CrashId, CreditGrant, CreditRequest, ExplainedCrash,
+    RequestFingerprint, SuspicionEntry,
 };
 use geranium_core::member::{
-    ConfigStatus, CrashNotice, DomainSummary, GroupSummary, Heartbeat, MemberInfo, MemberStatus,
-    SharedDelta, SharedReport,
+    ConfigStatus, DomainSummary, GroupSummary, Heartbeat, MemberInfo, MemberStatus, SharedDelta,
+    SharedReport,
 };
 use geranium_core::record::spread::PullAnswer;
 use geranium_core::record::{
@@ -88,6 +88,28 @@
     }
 }
 
+fn crashes() -> CrashDigest {
+    let crash = |generation| CrashId {
+        group: GroupId::new("g1"),
+        generation,
+    };
+    CrashDigest {
+        entries: vec![SuspicionEntry {
+            fingerprint: RequestFingerprint([7; 16]),
+            crashes: vec![
+                (crash(4), ChargeState::Charged),
+                (crash(5), ChargeState::Cleared),
+            ],
+            changed_at: Timestamp(77),
+        }],
+        explained: vec![ExplainedCrash {
+            crash: crash(5),
+            cause: RequestFingerprint([8; 16]),
+            at: Timestamp(78),
+        }],
+    }
+}
+
 /// Returns a heartbeat in which no field has its default.
 fn heartbeat(name: &str) -> Heartbeat {
     Heartbeat {
@@ -96,6 +118,8 @@
             wall: Timestamp(1_000_001),
             counter: 3,
         },
+        sent_at: Timestamp(1_000_002),
+        echo: Timestamp(999_999),
         config: ConfigStatus {
             digest: ConfigDigest(0xdead_beef),
             records: 12,
@@ -110,12 +134,7 @@
             through: 25,
             reports: vec![report(None), report(Some(assignment()))],
             domains: vec![summary()],
-            crashes: vec![CrashNotice {
-                fingerprint: "c0ffee".to_owned(),
-                group: GroupId::new("g1"),
-                generation: 4,
-                at: Timestamp(77),
-            }],
+            crashes: crashes(),
         },
     }
 }
@@ -300,24 +319,10 @@
         marks: 1,
         asked_at: Timestamp(12),
     };
-    let crashes = CrashDigest {
-        entries: vec![SuspicionEntry {
-            fingerprint: RequestFingerprint([7; 16]),
-            crashes: vec![(
-                CrashId {
-                    group: GroupId::new("g1"),
-                    generation: 4,
-                },
-                ChargeState::Charged,
-            )],
-            changed_at: Timestamp(13),
-        }],
-        explained: Vec::new(),
-    };
     let table = GroupTable::new(FailureDomainId::new("lima-1"));
     let commands = [
         PeerCommand::Credits(request),
-        PeerCommand::Crashes(crashes),
+        PeerCommand::Crashes(crashes()),
         PeerCommand::Table(Box::new(table)),
     ];
 
