Number reads and writes of the table, and pace loads by hosts

Cause: an answer to an earlier read or write was taken for the answer to the present one: a late "applied" would have released orders whose intent was never stored. A read slower than the confirmation age (1 s) was repeated for ever without an order. A repair waited behind planned loads, and a group with a draining member held a load slot for ever.

Now LoadTable/TableLoaded carry a read number, TableWritten the sequence of its table; the confirmation age (2 s) is above the store timeout (1.5 s); loading hosts are counted, not groups, and repairs and unserved models may start while any room is left.

--- a/crates/geranium_core/src/group/config.rs
+++ b/crates/geranium_core/src/group/config.rs
@@ -15,7 +15,9 @@
 pub const ORDER_RESEND_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Age of the last confirmation of the table beyond which no order is sent.
-pub const TABLE_CONFIRMATION_AGE: Duration = Duration::from_millis(1_000);
+///
+/// It is above [`STORE_TIMEOUT`], so that a slow read still confirms the table.
+pub const TABLE_CONFIRMATION_AGE: Duration = Duration::from_millis(2_000);
 
 /// Time after which a read or write without an outcome is settled by a new read.
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -38,8 +40,8 @@
 /// Missed reports within the window that make a member a straggler.
 pub const STRAGGLER_MISSES: usize = 12;
 
-/// Replica groups that load weights at the same time.
-pub const MAX_LOADING_GROUPS: usize = 4;
+/// Hosts that load weights at the same time, which keeps to the weight store's rate.
+pub const MAX_LOADING_HOSTS: usize = 16;
 
 /// Time limits of group control.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -68,8 +70,8 @@
     pub straggler_window: Duration,
     /// Missed reports within the window that make a member a straggler.
     pub straggler_misses: usize,
-    /// Replica groups that load weights at the same time.
-    pub max_loading_groups: usize,
+    /// Hosts that load weights at the same time, which keeps to the weight store's rate.
+    pub max_loading_hosts: usize,
 }
 
 impl Default for GroupConfig {
@@ -87,7 +89,7 @@
             straggler_limit: STRAGGLER_LIMIT,
             straggler_window: STRAGGLER_WINDOW,
             straggler_misses: STRAGGLER_MISSES,
-            max_loading_groups: MAX_LOADING_GROUPS,
+            max_loading_hosts: MAX_LOADING_HOSTS,
         }
     }
 }
--- a/crates/geranium_core/src/group/controller.rs
+++ b/crates/geranium_core/src/group/controller.rs
@@ -24,8 +24,8 @@
     Following,
     /// The table has to be read; a read may be on its way.
     Unread {
-        /// When the read was asked for.
-        asked_at: Option<Timestamp>,
+        /// The read on its way.
+        read: Option<PendingRead>,
         /// Write whose outcome the read settles.
         unsettled: Option<PendingWrite>,
     },
@@ -44,11 +44,17 @@
         leads: bool,
         /// Write whose outcome the next read settles.
         unsettled: Option<PendingWrite>,
-        /// When the store was last tried.
-        tried_at: Timestamp,
+        /// The last attempt to read, which may still be answered.
+        read: PendingRead,
     },
 }
 
+#[derive(Clone, Copy, Debug)]
+struct PendingRead {
+    number: u64,
+    asked_at: Timestamp,
+}
+
 #[derive(Clone, Debug)]
 struct PendingWrite {
     table: GroupTable,
@@ -78,6 +84,7 @@
     confirmed_at: Option<Timestamp>,
     store_reachable: bool,
     last_sequence: u64,
+    reads: u64,
     silent: BTreeSet<HostId>,
     going: BTreeSet<HostId>,
     asked_peers: BTreeMap<HostId, Timestamp>,
@@ -114,6 +121,7 @@
             confirmed_at: None,
             store_reachable: true,
             last_sequence: 0,
+            reads: 0,
             silent: BTreeSet::new(),
             going: BTreeSet::new(),
             asked_peers: BTreeMap::new(),
@@ -156,11 +164,15 @@
         match input {
             GroupInput::LeadershipGained => self.gain_leadership(now, effects),
             GroupInput::LeadershipLost => self.lose_leadership(effects),
-            GroupInput::TableLoaded { table, revision } => {
-                self.table_loaded(now, table, revision, effects);
-            }
+            GroupInput::TableLoaded {
+                read,
+                table,
+                revision,
+            } => self.table_loaded(now, read, table, revision, effects),
             GroupInput::TableHeard(table) => self.table_heard(now, table, effects),
-            GroupInput::TableWritten(outcome) => self.table_written(now, outcome, effects),
+            GroupInput::TableWritten { sequence, outcome } => {
+                self.table_written(now, sequence, outcome, effects);
+            }
             GroupInput::Report(report) => self.report(now, report, effects),
             GroupInput::ReportMissed { host } => self.world.note_missed(now, host),
             GroupInput::HeardByPeer { host, age } => {
--- a/crates/geranium_core/src/group/controller/outage.rs
+++ b/crates/geranium_core/src/group/controller/outage.rs
@@ -14,7 +14,7 @@
         }
         self.store_reachable = false;
         self.emit_domain(effects, EventKind::StoreUnreachable, "no answer");
-        self.enter_outage(now);
+        self.enter_outage(now, effects);
         self.step(now, effects);
     }
 
@@ -57,19 +57,23 @@
         }
     }
 
-    /// Enters the outage unless the table was never known.
-    pub(super) fn enter_outage(&mut self, now: Timestamp) {
+    /// Enters the outage; a leader goes on trying to read.
+    pub(super) fn enter_outage(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
         let leads = self.is_leader();
         let unsettled = match &self.phase {
             Phase::Writing { write, .. } => Some(write.clone()),
             Phase::Unread { unsettled, .. } | Phase::Outage { unsettled, .. } => unsettled.clone(),
             Phase::Following | Phase::Ready => None,
         };
+        let read = self.number_read(now);
         self.phase = Phase::Outage {
             leads,
             unsettled,
-            tried_at: now,
+            read,
         };
+        if leads {
+            effects.push(GroupEffect::LoadTable { read: read.number });
+        }
     }
 
     /// Repairs and loads again what delegations to this process allow.
--- a/crates/geranium_core/src/group/controller/store.rs
+++ b/crates/geranium_core/src/group/controller/store.rs
@@ -1,6 +1,6 @@
 //! Reads and writes of the table.
 
-use super::{GroupController, PendingWrite, Phase};
+use super::{GroupController, PendingRead, PendingWrite, Phase};
 use crate::event::{EventDraft, EventKind, EventSubject};
 use crate::group::planner::{Plan, Planner};
 use crate::group::{GroupEffect, GroupError, GroupTable, OutagePolicy, WriteOutcome};
@@ -15,36 +15,44 @@
         unsettled: Option<PendingWrite>,
         effects: &mut Vec<GroupEffect>,
     ) {
-        let asked_at = self.store_reachable.then_some(now);
-        if asked_at.is_some() {
-            effects.push(GroupEffect::LoadTable);
+        let read = self.store_reachable.then(|| self.number_read(now));
+        effects.extend(read.map(|read| GroupEffect::LoadTable { read: read.number }));
+        self.phase = Phase::Unread { read, unsettled };
+    }
+
+    /// Numbers a read, so that an answer to an earlier one is not taken for its own.
+    pub(super) fn number_read(&mut self, now: Timestamp) -> PendingRead {
+        self.reads += 1;
+        PendingRead {
+            number: self.reads,
+            asked_at: now,
         }
-        self.phase = Phase::Unread {
-            asked_at,
-            unsettled,
-        };
     }
 
     /// Takes the table that was read.
     pub(super) fn table_loaded(
         &mut self,
         now: Timestamp,
+        number: u64,
         table: Option<GroupTable>,
         revision: StoreRevision,
         effects: &mut Vec<GroupEffect>,
     ) {
-        let (asked_at, unsettled) = match &self.phase {
+        let (read, unsettled) = match &self.phase {
             Phase::Unread {
-                asked_at: Some(at),
+                read: Some(read),
                 unsettled,
-            } => (*at, unsettled.clone()),
+            } => (*read, unsettled.clone()),
             Phase::Outage {
                 leads: true,
                 unsettled,
-                tried_at,
-            } => (*tried_at, unsettled.clone()),
+                read,
+            } => (*read, unsettled.clone()),
             _ => return,
         };
+        if read.number != number {
+            return;
+        }
         let table = table.unwrap_or_else(|| GroupTable::new(self.world.failure_domain().clone()));
         if let Err(e) = self.check(&table) {
             self.emit_domain(effects, EventKind::TableRejected, &e.to_string());
@@ -54,7 +62,7 @@
             effects.extend(write.events.into_iter().map(GroupEffect::Emit));
         }
         // The answer shows the store as it was no earlier than the question.
-        self.confirmed_at = Some(asked_at);
+        self.confirmed_at = Some(read.asked_at);
         self.revision = revision;
         self.store_is_behind = table.version() < self.table.version();
         if !self.store_is_behind {
@@ -68,12 +76,16 @@
     pub(super) fn table_written(
         &mut self,
         now: Timestamp,
+        sequence: u64,
         outcome: WriteOutcome,
         effects: &mut Vec<GroupEffect>,
     ) {
         let Phase::Writing { write, asked_at } = &self.phase else {
             return;
         };
+        if write.table.version().sequence != sequence {
+            return;
+        }
         let (write, asked_at) = (write.clone(), *asked_at);
         match outcome {
             WriteOutcome::Applied { revision } => {
@@ -122,25 +134,18 @@
     /// Settles a read or write that has had no outcome for too long.
     pub(super) fn expire_store_call(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
         let limit = self.world.config().store_timeout;
-        match &mut self.phase {
+        let asked_at = match &self.phase {
             Phase::Unread {
-                asked_at: Some(at), ..
-            }
-            | Phase::Writing { asked_at: at, .. }
-                if now.since(*at) >= limit =>
-            {
-                self.enter_outage(now);
-                effects.push(GroupEffect::LoadTable);
+                read: Some(read), ..
             }
-            Phase::Outage {
-                leads: true,
-                tried_at,
-                ..
-            } if now.since(*tried_at) >= limit => {
-                *tried_at = now;
-                effects.push(GroupEffect::LoadTable);
-            }
-            _ => {}
+            | Phase::Outage {
+                leads: true, read, ..
+            } => read.asked_at,
+            Phase::Writing { asked_at, .. } => *asked_at,
+            _ => return,
+        };
+        if now.since(asked_at) >= limit {
+            self.enter_outage(now, effects);
         }
     }
 
--- a/crates/geranium_core/src/group/dispatch.rs
+++ b/crates/geranium_core/src/group/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::engine::{Order, OrderAction};
+use crate::engine::{Assignment, EnginePhase, Order, OrderAction};
 use crate::group::{GroupState, GroupTable, ReplicaGroup, World};
 use crate::id::{FencingNumber, GroupId, HostId, Incarnation};
 use crate::time::Timestamp;
@@ -118,13 +118,21 @@
             .filter(|(_, group)| group.state != GroupState::Dissolving);
         let (mut started, mut waiting): (Vec<_>, Vec<_>) =
             live.partition(|(_, group)| self.is_started(now, world, group));
-        let loading = started
+        let limit = world.config().max_loading_hosts;
+        let mut loading: usize = started
             .iter()
-            .filter(|(id, group)| is_loading(now, world, id, group))
-            .count();
-        let room = world.config().max_loading_groups.saturating_sub(loading);
-        waiting.sort_by_key(|(_, group)| (is_served(now, world, table, group), group.fencing));
-        started.extend(waiting.into_iter().take(room));
+            .map(|(id, group)| loading_hosts(now, world, id, group))
+            .sum();
+        waiting.sort_by_key(|(id, group)| (need(now, world, table, id, group), group.fencing));
+        for (id, group) in waiting {
+            let hosts = loading_hosts(now, world, id, group);
+            let needed = need(now, world, table, id, group) != Need::Planned;
+            let fits = loading == 0 || loading + hosts <= limit || (needed && loading < limit);
+            if fits {
+                loading += hosts;
+                started.push((id, group));
+            }
+        }
         started
     }
 
@@ -169,18 +177,65 @@
         .is_some_and(|a| &a.group == id)
 }
 
-/// Returns whether a started group still draws on the weight store.
-fn is_loading(now: Timestamp, world: &World, id: &GroupId, group: &ReplicaGroup) -> bool {
-    let broken = group
-        .members
-        .iter()
-        .any(|member| world.is_failed(now, &member.host));
-    !broken && world.group_fault(now, id, group).is_some()
+/// Returns how many members of a group still have to load weights.
+fn loading_hosts(now: Timestamp, world: &World, id: &GroupId, group: &ReplicaGroup) -> usize {
+    let ranks = 0..group.members.len();
+    let loads = ranks.filter(|&rank| !has_weights(now, world, id, group, rank));
+    loads.count()
 }
 
-/// Returns whether another group serves the same model already.
-fn is_served(now: Timestamp, world: &World, table: &GroupTable, group: &ReplicaGroup) -> bool {
-    table.groups().iter().any(|(id, other)| {
-        other.served_model == group.served_model && world.is_open(now, id, other)
+/// Returns whether a member needs no weights, or cannot load any as it has failed.
+fn has_weights(
+    now: Timestamp,
+    world: &World,
+    id: &GroupId,
+    group: &ReplicaGroup,
+    rank: usize,
+) -> bool {
+    let host = &group.members[rank].host;
+    if world.is_failed(now, host) {
+        return true;
+    }
+    let expected = group.assignment(id, rank);
+    world.recent(now, host).is_some_and(|o| {
+        let loaded = matches!(o.report.phase, EnginePhase::Cold | EnginePhase::Warm);
+        let same = o.report.assignment.as_ref().is_some_and(|a| {
+            let renumbered = Assignment {
+                fencing: expected.fencing,
+                ..a.clone()
+            };
+            renumbered == expected
+        });
+        loaded && same
     })
 }
+
+/// How much a group that has to load is needed, most needed first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Need {
+    /// No group serves the model.
+    Unserved,
+    /// Part of the group is loaded already.
+    Repair,
+    /// Another group serves the model.
+    Planned,
+}
+
+fn need(
+    now: Timestamp,
+    world: &World,
+    table: &GroupTable,
+    id: &GroupId,
+    group: &ReplicaGroup,
+) -> Need {
+    let served = table.groups().iter().any(|(other_id, other)| {
+        other.served_model == group.served_model && world.is_open(now, other_id, other)
+    });
+    if !served {
+        Need::Unserved
+    } else if loading_hosts(now, world, id, group) < group.members.len() {
+        Need::Repair
+    } else {
+        Need::Planned
+    }
+}
--- a/crates/geranium_core/src/group/effect.rs
+++ b/crates/geranium_core/src/group/effect.rs
@@ -47,6 +47,8 @@
     LeadershipLost,
     /// The table was read; `None` if the store has none.
     TableLoaded {
+        /// Number of the read that is answered.
+        read: u64,
         /// The table.
         table: Option<GroupTable>,
         /// Revision of the value; zero if absent.
@@ -55,7 +57,12 @@
     /// A peer sent its table, which may be an amendment.
     TableHeard(&'a GroupTable),
     /// A write of the table has an outcome.
-    TableWritten(WriteOutcome),
+    TableWritten {
+        /// Sequence number of the table that was to be written.
+        sequence: u64,
+        /// Its outcome.
+        outcome: WriteOutcome,
+    },
     /// An engine reported.
     Report(&'a EngineReport),
     /// An engine did not answer a request for its report.
@@ -98,7 +105,10 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum GroupEffect {
     /// Read the table and answer with [`GroupInput::TableLoaded`].
-    LoadTable,
+    LoadTable {
+        /// Number of the read; its answer carries it.
+        read: u64,
+    },
     /// Write the table and answer with [`GroupInput::TableWritten`].
     WriteTable {
         /// The new table.
--- a/crates/geranium_core/tests/group_controller.rs
+++ b/crates/geranium_core/tests/group_controller.rs
@@ -67,17 +67,16 @@
     fn run(&mut self, effects: Vec<GroupEffect>) {
         for effect in effects {
             match effect {
-                GroupEffect::LoadTable => {
-                    let (table, revision) = (self.stored.clone(), self.revision);
-                    self.input(GroupInput::TableLoaded { table, revision });
-                }
+                GroupEffect::LoadTable { read } => self.answer_read(read),
                 GroupEffect::WriteTable { table, expected } => {
                     assert_eq!(expected, self.revision);
                     assert_eq!(table.check(), Ok(()));
+                    let sequence = table.version().sequence;
                     self.stored = Some(table);
                     self.revision = self.revision.next();
                     let revision = self.revision;
-                    self.input(GroupInput::TableWritten(WriteOutcome::Applied { revision }));
+                    let outcome = WriteOutcome::Applied { revision };
+                    self.input(GroupInput::TableWritten { sequence, outcome });
                 }
                 GroupEffect::SendOrder(order) => self.take_order(order),
                 GroupEffect::PublishTable(_)
@@ -88,6 +87,28 @@
         }
     }
 
+    fn answer_read(&mut self, read: u64) {
+        let (table, revision) = (self.stored.clone(), self.revision);
+        self.input(GroupInput::TableLoaded {
+            read,
+            table,
+            revision,
+        });
+    }
+
+    /// Starts a write and returns its table.
+    fn start_write(&mut self) -> GroupTable {
+        self.input(GroupInput::LeadershipGained);
+        self.now = self.now + REPORT_INTERVAL;
+        self.input(GroupInput::Report(&idle_report("h1", 1)));
+        let mut effects = self.raw_input(GroupInput::Report(&idle_report("h2", 1)));
+        assert_eq!(effects.len(), 1, "nothing but the write");
+        match effects.pop() {
+            Some(GroupEffect::WriteTable { table, .. }) => table,
+            other => panic!("no write but {other:?}"),
+        }
+    }
+
     fn take_order(&mut self, order: Order) {
         self.orders.push(order.clone());
         let engine = self
@@ -152,43 +173,90 @@
     assert!(f.events.contains(&EventKind::GroupFormed));
 }
 
+fn orders_in(effects: &[GroupEffect]) -> usize {
+    let orders = effects
+        .iter()
+        .filter(|effect| matches!(effect, GroupEffect::SendOrder(_)));
+    orders.count()
+}
+
+fn read_in(effects: &[GroupEffect]) -> Option<u64> {
+    effects.iter().find_map(|effect| match effect {
+        GroupEffect::LoadTable { read } => Some(*read),
+        _ => None,
+    })
+}
+
 #[test]
 fn no_order_is_sent_before_its_intent_is_stored() {
     let mut f = Fixture::new(&["h1", "h2"], &[spec("v1", 1)]);
-    f.input(GroupInput::LeadershipGained);
-    f.now = f.now + REPORT_INTERVAL;
-    f.input(GroupInput::Report(&idle_report("h1", 1)));
+    let sequence = f.start_write().version().sequence;
 
-    let effects = f.raw_input(GroupInput::Report(&idle_report("h2", 1)));
+    let outcome = WriteOutcome::Failed;
+    let failed = f.raw_input(GroupInput::TableWritten { sequence, outcome });
 
-    assert!(matches!(effects[..], [GroupEffect::WriteTable { .. }]));
-    let failed = f.raw_input(GroupInput::TableWritten(WriteOutcome::Failed));
     assert!(failed.is_empty());
 }
 
 #[test]
 fn an_ambiguous_write_is_read_back_before_anything_else() {
     let mut f = Fixture::new(&["h1", "h2"], &[spec("v1", 1)]);
-    f.input(GroupInput::LeadershipGained);
-    f.now = f.now + REPORT_INTERVAL;
-    f.input(GroupInput::Report(&idle_report("h1", 1)));
-    let mut effects = f.raw_input(GroupInput::Report(&idle_report("h2", 1)));
-    let Some(GroupEffect::WriteTable { table, .. }) = effects.pop() else {
-        panic!("no write");
-    };
+    let table = f.start_write();
+    let sequence = table.version().sequence;
 
-    let after = f.raw_input(GroupInput::TableWritten(WriteOutcome::Ambiguous));
+    let outcome = WriteOutcome::Ambiguous;
+    let after = f.raw_input(GroupInput::TableWritten { sequence, outcome });
     let tick = f.raw_input(GroupInput::Tick);
-    let revision = StoreRevision(1);
-    let table = Some(table);
-    let read = f.raw_input(GroupInput::TableLoaded { table, revision });
+    let read = f.raw_input(GroupInput::TableLoaded {
+        read: read_in(&after).expect("a read"),
+        table: Some(table),
+        revision: StoreRevision(1),
+    });
 
-    assert!(after.contains(&GroupEffect::LoadTable));
     assert!(tick.is_empty());
-    let orders = read
-        .iter()
-        .filter(|e| matches!(e, GroupEffect::SendOrder(_)));
-    assert_eq!(orders.count(), 2);
+    assert_eq!(orders_in(&read), 2);
+}
+
+#[test]
+fn a_late_answer_to_an_earlier_call_is_ignored() {
+    let mut f = Fixture::new(&["h1", "h2"], &[spec("v1", 1)]);
+    let table = f.start_write();
+    let sequence = table.version().sequence;
+
+    let revision = StoreRevision(1);
+    let outcome = WriteOutcome::Applied { revision };
+    let earlier = sequence - 1;
+    let late = f.raw_input(GroupInput::TableWritten {
+        sequence: earlier,
+        outcome,
+    });
+    let timely = f.raw_input(GroupInput::TableWritten { sequence, outcome });
+
+    assert!(late.is_empty());
+    assert_eq!(orders_in(&timely), 2);
+}
+
+#[test]
+fn a_read_that_takes_longer_than_a_second_still_confirms_the_table() {
+    let mut f = Fixture::new(&["h1", "h2"], &[spec("v1", 1)]);
+    let table = f.start_write();
+    let sequence = table.version().sequence;
+    let outcome = WriteOutcome::Ambiguous;
+    let after = f.raw_input(GroupInput::TableWritten { sequence, outcome });
+    for n in 2..6 {
+        f.now = f.now + REPORT_INTERVAL;
+        f.input(GroupInput::Report(&idle_report("h1", n)));
+        f.input(GroupInput::Report(&idle_report("h2", n)));
+    }
+
+    f.now = f.now + REPORT_INTERVAL;
+    let read = f.raw_input(GroupInput::TableLoaded {
+        read: read_in(&after).expect("a read"),
+        table: Some(table),
+        revision: StoreRevision(1),
+    });
+
+    assert_eq!(orders_in(&read), 2);
 }
 
 #[test]
--- a/crates/geranium_matrix/src/control/entry.rs
+++ b/crates/geranium_matrix/src/control/entry.rs
@@ -29,8 +29,13 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Call {
-    Read,
-    Write { expected: StoreRevision },
+    Read {
+        read: u64,
+    },
+    Write {
+        sequence: u64,
+        expected: StoreRevision,
+    },
     Lease,
 }
 
@@ -209,17 +214,24 @@
                 self.input(now, GroupInput::OrderAnswered { order, outcome });
             }
             Message::ReadAnswer(call, table, revision) => {
-                if self.answered(now, call).is_some() {
-                    self.input(now, GroupInput::TableLoaded { table, revision });
+                if let Some(Call::Read { read }) = self.answered(now, call) {
+                    self.input(
+                        now,
+                        GroupInput::TableLoaded {
+                            read,
+                            table,
+                            revision,
+                        },
+                    );
                 }
             }
             Message::WriteAnswer(call, revision) => {
-                if self.answered(now, call).is_some() {
+                if let Some(Call::Write { sequence, .. }) = self.answered(now, call) {
                     let outcome = match revision {
                         Some(revision) => WriteOutcome::Applied { revision },
                         None => WriteOutcome::Conflict,
                     };
-                    self.input(now, GroupInput::TableWritten(outcome));
+                    self.input(now, GroupInput::TableWritten { sequence, outcome });
                 }
             }
             Message::LeaseAnswer(call, granted) => self.receive_lease(now, call, granted),
@@ -246,12 +258,13 @@
     }
 
     fn receive_lease(&mut self, now: Timestamp, call: CallId, granted: bool) {
-        let Some(pending) = self.answered(now, call) else {
+        let sent_at = self.calls.get(&call).map(|pending| pending.sent_at);
+        let (Some(sent_at), Some(_)) = (sent_at, self.answered(now, call)) else {
             return;
         };
         if granted {
             let leads = self.lease_until.is_some();
-            self.lease_until = Some(pending.sent_at + LEASE_TTL);
+            self.lease_until = Some(sent_at + LEASE_TTL);
             if !leads {
                 self.input(now, GroupInput::LeadershipGained);
             }
@@ -276,15 +289,16 @@
 
     fn act(&mut self, now: Timestamp, effect: GroupEffect) {
         match effect {
-            GroupEffect::LoadTable => {
-                let call = self.call(now, Call::Read);
+            GroupEffect::LoadTable { read } => {
+                let call = self.call(now, Call::Read { read });
                 self.outbox.push((Node::Store, Message::Read(call)));
             }
             GroupEffect::WriteTable { table, expected } => {
                 if self.mutation == Some(Mutation::OrderBeforeIntent) {
                     table.orders().into_iter().for_each(|o| self.send_order(o));
                 }
-                let call = self.call(now, Call::Write { expected });
+                let sequence = table.version().sequence;
+                let call = self.call(now, Call::Write { sequence, expected });
                 self.outbox
                     .push((Node::Store, Message::Write(call, table, expected)));
             }
@@ -363,14 +377,14 @@
         self.next_call
     }
 
-    fn answered(&mut self, now: Timestamp, call: CallId) -> Option<PendingCall> {
+    fn answered(&mut self, now: Timestamp, call: CallId) -> Option<Call> {
         let pending = self.calls.remove(&call)?;
         self.lost_calls = 0;
         if !self.store_reachable {
             self.store_reachable = true;
             self.input(now, GroupInput::StoreReachable);
         }
-        Some(pending)
+        Some(pending.call)
     }
 
     fn expire_calls(&mut self, now: Timestamp) {
@@ -383,9 +397,9 @@
         for (id, call) in expired {
             self.calls.remove(&id);
             self.lost_calls += 1;
-            if let Call::Write { expected } = call {
+            if let Call::Write { sequence, expected } = call {
                 let outcome = self.outcome_of_lost_write(expected);
-                self.input(now, GroupInput::TableWritten(outcome));
+                self.input(now, GroupInput::TableWritten { sequence, outcome });
             }
         }
         if self.lost_calls >= CALLS_LOST_IN_OUTAGE && self.store_reachable {
