--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -107,6 +107,8 @@
     ClaimUnknown => "claim_unknown",
     /// A request was found to crash backend servers.
     CrashSuspected => "crash_suspected",
+    /// A claim was given up because its call was not run.
+    ClaimWithdrawn => "claim_withdrawn",
     /// A group table read from the store breaks a rule and is not used.
     TableRejected => "table_rejected",
 }
