Adapt the daemon's control task to numbered reads and heard tables

Cause: the watch's tables were passed as answers to reads.

Left to the daemon's owner: PublishTable goes to the own gate only, AskPeers and YieldLeadership are logged, as there is no link between peers yet.

--- a/crates/geranium_daemon/src/control/input.rs
+++ b/crates/geranium_daemon/src/control/input.rs
@@ -16,10 +16,24 @@
     Records(Vec<StoredRecord>),
     /// The platform's list of hosts.
     Hosts(Vec<HostEntry>),
-    /// The group table of this failure domain as the store has it.
-    Table(Option<GroupTable>, StoreRevision),
+    /// The group table of this failure domain as a watch or a peer shows it.
+    Table(Box<GroupTable>),
+    /// The answer to a read of the group table.
+    TableRead {
+        /// Number of the read.
+        read: u64,
+        /// The table; `None` if the store has none.
+        table: Option<Box<GroupTable>>,
+        /// Revision of the value; zero if absent.
+        revision: StoreRevision,
+    },
     /// The outcome of a write of the group table.
-    TableWritten(WriteOutcome),
+    TableWritten {
+        /// Sequence number of the table that was to be written.
+        sequence: u64,
+        /// Its outcome.
+        outcome: WriteOutcome,
+    },
     /// An engine reported.
     Report(Box<EngineReport>),
     /// An engine gave no usable report.
--- a/crates/geranium_daemon/src/control/mirror.rs
+++ b/crates/geranium_daemon/src/control/mirror.rs
@@ -6,7 +6,6 @@
 use futures::StreamExt;
 use geranium_core::engine::HostEntry;
 use geranium_core::group::GroupTable;
-use geranium_core::id::StoreRevision;
 use geranium_core::record::StoredRecord;
 use geranium_platform::{KvStore, StoreError, StoredValue, WatchBatch, WatchChange};
 use rand::Rng;
@@ -141,15 +140,10 @@
 
     async fn report_table(&self, key: &str) {
         let Some(value) = self.values.get(key) else {
-            self.send(ControlInput::Table(None, StoreRevision::default()))
-                .await;
             return;
         };
         match serde_json::from_slice::<GroupTable>(&value.value) {
-            Ok(table) => {
-                self.send(ControlInput::Table(Some(table), value.revision))
-                    .await;
-            }
+            Ok(table) => self.send(ControlInput::Table(Box::new(table))).await,
             Err(e) => log::error!("value of {key:?} is not a group table: {e}"),
         }
     }
--- a/crates/geranium_daemon/src/control/table_store.rs
+++ b/crates/geranium_daemon/src/control/table_store.rs
@@ -33,13 +33,13 @@
     }
 
     /// Reads the table; a failed read sends nothing and is asked for again.
-    pub fn load(&self) {
+    pub fn load(&self, read: u64) {
         let (store, key, tx) = (self.store.clone(), self.key.clone(), self.tx.clone());
         tokio::spawn(async move {
-            let input = match store.get(&key).await {
-                Ok(None) => ControlInput::Table(None, StoreRevision::default()),
+            let (table, revision) = match store.get(&key).await {
+                Ok(None) => (None, StoreRevision::default()),
                 Ok(Some(value)) => match serde_json::from_slice::<GroupTable>(&value.value) {
-                    Ok(table) => ControlInput::Table(Some(table), value.revision),
+                    Ok(table) => (Some(Box::new(table)), value.revision),
                     Err(e) => {
                         log::error!("value of {key:?} is not a group table: {e}");
                         return;
@@ -50,6 +50,11 @@
                     return;
                 }
             };
+            let input = ControlInput::TableRead {
+                read,
+                table,
+                revision,
+            };
             let _ = tx.send(input).await;
         });
     }
@@ -64,6 +69,7 @@
                 return;
             }
         };
+        let sequence = table.version().sequence;
         let key = self.key.clone();
         let swap = Swap {
             key,
@@ -73,7 +79,8 @@
         };
         tokio::spawn(async move {
             let outcome = write_outcome(store.transact(vec![swap]).await);
-            let _ = tx.send(ControlInput::TableWritten(outcome)).await;
+            let input = ControlInput::TableWritten { sequence, outcome };
+            let _ = tx.send(input).await;
         });
     }
 }
--- a/crates/geranium_daemon/src/control/task.rs
+++ b/crates/geranium_daemon/src/control/task.rs
@@ -10,7 +10,7 @@
     GroupConfig, GroupController, GroupEffect, GroupGate, GroupInput, GroupTable, ReportBook,
     ServingGroup,
 };
-use geranium_core::id::{GroupId, StoreRevision};
+use geranium_core::id::GroupId;
 use geranium_core::record::{DrainTarget, MergeOutcome, ModelSpec, RecordSet, StoredRecord};
 use geranium_core::time::Timestamp;
 use geranium_engine::EngineApi;
@@ -121,8 +121,22 @@
             ControlInput::StoreReachable(reachable) => self.store_reachable(reachable),
             ControlInput::Records(records) => self.merge_records(records),
             ControlInput::Hosts(hosts) => self.replace_hosts(hosts),
-            ControlInput::Table(table, revision) => self.table_read(table, revision),
-            ControlInput::TableWritten(outcome) => self.decide(GroupInput::TableWritten(outcome)),
+            ControlInput::Table(table) => {
+                self.set_gate_table(&table);
+                self.decide(GroupInput::TableHeard(&table));
+            }
+            ControlInput::TableRead {
+                read,
+                table,
+                revision,
+            } => self.decide(GroupInput::TableLoaded {
+                read,
+                table: table.map(|table| *table),
+                revision,
+            }),
+            ControlInput::TableWritten { sequence, outcome } => {
+                self.decide(GroupInput::TableWritten { sequence, outcome });
+            }
             ControlInput::Report(report) => self.observe(&report),
             ControlInput::ReportMissed(host) => {
                 self.decide(GroupInput::ReportMissed { host: &host });
@@ -203,16 +217,9 @@
         self.hosts = Arc::new(hosts);
     }
 
-    fn table_read(&mut self, table: Option<GroupTable>, revision: StoreRevision) {
-        if let Some(table) = &table {
-            self.set_gate_table(table, revision);
-        }
-        self.decide(GroupInput::TableLoaded { table, revision });
-    }
-
-    fn set_gate_table(&mut self, table: &GroupTable, revision: StoreRevision) {
-        if let Err(e) = self.gate.set_table(table, revision) {
-            log::error!("the group table at revision {revision} is not valid: {e}");
+    fn set_gate_table(&mut self, table: &GroupTable) {
+        if let Err(e) = self.gate.set_table(table) {
+            log::error!("group table {} is not valid: {e}", table.version());
         }
     }
 
@@ -229,10 +236,13 @@
         self.controller.handle(now, input, &mut effects);
         for effect in effects {
             match effect {
-                GroupEffect::LoadTable => self.table_store.load(),
+                GroupEffect::LoadTable { read } => self.table_store.load(read),
                 GroupEffect::WriteTable { table, expected } => {
                     self.table_store.write(&table, expected);
                 }
+                GroupEffect::PublishTable(table) => self.set_gate_table(&table),
+                GroupEffect::AskPeers(hosts) => log::debug!("no peer is known to hear {hosts:?}"),
+                GroupEffect::YieldLeadership => log::debug!("peers hear more engines"),
                 GroupEffect::SendOrder(order) => self.orders.send(order),
                 GroupEffect::Emit(draft) => self.emit(draft),
             }
@@ -241,9 +251,9 @@
 
     fn publish(&mut self) {
         let now = self.clock.now();
-        let (table, revision) = self.controller.table();
-        let (table, revision) = (table.clone(), revision);
-        self.set_gate_table(&table, revision);
+        let (table, _) = self.controller.table();
+        let table = table.clone();
+        self.set_gate_table(&table);
         let mut events = Vec::new();
         self.serving = Arc::new(self.gate.evaluate(now, &mut events));
         for draft in events {
@@ -255,7 +265,7 @@
     }
 
     fn view(&self) -> ControlView {
-        let (table, _) = self.gate.table();
+        let table = self.gate.table();
         let why = |id: &GroupId| Some((id.clone(), self.gate.why_closed(id)?.to_owned()));
         let closed_because: BTreeMap<GroupId, String> =
             table.groups().keys().filter_map(why).collect();
--- a/crates/geranium_daemon/src/settings.rs
+++ b/crates/geranium_daemon/src/settings.rs
@@ -94,9 +94,9 @@
 const MAX_LOADS: SettingSpec = SettingSpec::new(
     "--max-loads",
     "1 to 1000",
-    "Weight loads of this failure domain at a time, the weight store's rate.",
+    "Hosts of this failure domain that load weights at a time, the weight store's rate.",
 )
-.or("4");
+.or("16");
 
 /// Every setting, in the order of the help text.
 pub const SPECS: &[SettingSpec] = &[
@@ -157,7 +157,7 @@
     pub max_connections: usize,
     /// Longest time for running requests after a stop was asked for.
     pub shutdown_timeout: Duration,
-    /// Weight loads at a time in this failure domain.
+    /// Hosts of this failure domain that load weights at a time.
     pub max_loads: usize,
 }
 
--- a/crates/geranium_daemon/src/startup.rs
+++ b/crates/geranium_daemon/src/startup.rs
@@ -133,7 +133,7 @@
         let cfg = ControlTaskConfig {
             identity: node.recorder.identity().clone(),
             group: GroupConfig {
-                max_loading_groups: node.settings.max_loads,
+                max_loading_hosts: node.settings.max_loads,
                 ..GroupConfig::default()
             },
             report_interval: node.settings.report_interval,
