--- a/crates/geranium_daemon/src/control/task.rs
+++ b/crates/geranium_daemon/src/control/task.rs
@@ -10,7 +10,7 @@
     GroupConfig, GroupController, GroupEffect, GroupGate, GroupInput, GroupTable, ReportBook,
     ServingGroup,
 };
-use geranium_core::id::{GroupId, HostId, StoreRevision};
+use geranium_core::id::{GroupId, HostId};
 use geranium_core::record::{DrainTarget, ModelSpec, RecordSet};
 use geranium_engine::HttpEngineClient;
 use geranium_peer::{PeerCommand, PeerReply};
@@ -48,7 +48,7 @@
     #[must_use]
     pub fn new(node: Arc<Node>, rx: mpsc::Receiver<ControlInput>) -> Self {
         let cfg = GroupConfig {
-            max_loading_groups: node.settings.max_loads,
+            max_loading_hosts: node.settings.max_loads,
             ..GroupConfig::default()
         };
         let domain = node.settings.failure_domain.clone();
@@ -96,10 +96,26 @@
             ControlInput::Leadership(false) => self.decide(GroupInput::LeadershipLost),
             ControlInput::StoreReachable(reachable) => self.store_reachable(reachable),
             ControlInput::Records(records) => self.replace_records(records),
-            ControlInput::TableFromLeader(table) => self.set_gate_table(&table),
             ControlInput::Hosts(hosts) => self.replace_hosts(hosts),
-            ControlInput::Table(table, revision) => self.table_read(table, revision),
-            ControlInput::TableWritten(outcome) => self.decide(GroupInput::TableWritten(outcome)),
+            ControlInput::Table(table) => {
+                self.set_gate_table(&table);
+                self.decide(GroupInput::TableHeard(&table));
+            }
+            ControlInput::TableRead {
+                read,
+                table,
+                revision,
+            } => {
+                let table = table.map(|table| *table);
+                self.decide(GroupInput::TableLoaded {
+                    read,
+                    table,
+                    revision,
+                });
+            }
+            ControlInput::TableWritten { sequence, outcome } => {
+                self.decide(GroupInput::TableWritten { sequence, outcome });
+            }
             ControlInput::Report(report) => self.observe(&report),
             ControlInput::ReportMissed(host) => {
                 self.decide(GroupInput::ReportMissed { host: &host });
@@ -162,13 +178,6 @@
         self.hosts = Arc::new(hosts);
     }
 
-    fn table_read(&mut self, table: Option<GroupTable>, revision: StoreRevision) {
-        if let Some(table) = &table {
-            self.set_gate_table(table);
-        }
-        self.decide(GroupInput::TableLoaded { table, revision });
-    }
-
     fn set_gate_table(&mut self, table: &GroupTable) {
         if let Err(e) = self.gate.set_table(table) {
             log::error!("the group table is not valid: {e}");
@@ -188,7 +197,7 @@
         self.controller.handle(now, input, &mut effects);
         for effect in effects {
             match effect {
-                GroupEffect::LoadTable => self.table_store.load(),
+                GroupEffect::LoadTable { read } => self.table_store.load(read),
                 GroupEffect::WriteTable { table, expected } => {
                     self.table_store.write(&table, expected);
                 }
--- a/crates/geranium_daemon/src/peers/handler.rs
+++ b/crates/geranium_daemon/src/peers/handler.rs
@@ -98,11 +98,7 @@
                 PeerReply::Done
             }
             PeerCommand::Table(table) => {
-                let _ = self
-                    .node
-                    .control
-                    .send(ControlInput::TableFromLeader(table))
-                    .await;
+                let _ = self.node.control.send(ControlInput::Table(table)).await;
                 PeerReply::Done
             }
             PeerCommand::OperatorAddress => {
