--- a/crates/geranium_core/src/limit/admission.rs
+++ b/crates/geranium_core/src/limit/admission.rs
@@ -15,9 +15,12 @@
 use crate::id::AccountId;
 use crate::time::Timestamp;
 
-/// Waits that are this many times the time left make a queued request refused:
-/// an estimate that is off by less must not drop what would have started.
-const DROP_MARGIN: f64 = 2.0;
+/// Part of the time left that the expected wait of a new request may take: an
+/// estimate that is off by less must not hold a request until its deadline.
+const ACCEPT_PART: f64 = 0.7;
+/// Part of the time left that the expected wait of a queued request may take: an
+/// estimate that is off by less must not drop what would have started.
+const KEEP_PART: f64 = 1.25;
 
 /// A request that asks to start.
 #[derive(Clone, Copy, Debug)]
@@ -248,8 +251,8 @@
         let wait = self.expected_wait(now, req.account, ahead);
         let start_by = req.deadline - self.settings.reserve;
         let left = start_by.since(now);
-        if wait > left {
-            let retry_after = self.retry_after(wait - left);
+        if wait > left.mul_f64(ACCEPT_PART) {
+            let retry_after = self.retry_after(wait.saturating_sub(left.mul_f64(ACCEPT_PART)));
             return Err(AdmissionRefusal::Overloaded(account, wait, retry_after));
         }
         if self.queued >= self.settings.max_queued {
@@ -383,7 +386,7 @@
             } else {
                 first * (ahead + 1) as f64
             };
-            left > 0.0 && !no_capacity && wait <= left * DROP_MARGIN
+            left > 0.0 && !no_capacity && wait <= left * KEEP_PART
         });
         for waiting in dropped {
             self.waiting.remove(&waiting.ticket);
--- a/crates/geranium_core/src/limit/retry_budget.rs
+++ b/crates/geranium_core/src/limit/retry_budget.rs
@@ -25,6 +25,17 @@
         }
     }
 
+    /// Returns the settings for streams that go on elsewhere after their group
+    /// died. They are more than other retries, as a group that dies breaks all of
+    /// its streams at once, and less than the streams of a whole failure domain.
+    #[must_use]
+    pub const fn resumes() -> Self {
+        Self {
+            fraction: 0.5,
+            floor: 32,
+        }
+    }
+
     /// Returns the settings for hedges, which are sent without a failure.
     #[must_use]
     pub const fn hedges() -> Self {
