Leave events for what routing and limits decide; offer a dynamic capacity

Cause: a group set aside, a budget that changed and a request found to crash servers left no trace. A fixed part of the capacity a host wastes what other hosts do not use.

Ruled out: sharing out by a message between hosts; the estimated load already tells what is free.

Conclusion: take_events on Router, ColdBudgetHolder and CrashRegistry; Router::capacity gives own requests plus a part of what is free.

--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -111,4 +111,8 @@
     ClaimWithdrawn => "claim_withdrawn",
     /// A group table read from the store breaks a rule and is not used.
     TableRejected => "table_rejected",
+    /// A group is set aside for a while after failures.
+    GroupSetAside => "group_set_aside",
+    /// The budget of a cold group changed.
+    ColdBudgetChanged => "cold_budget_changed",
 }
--- a/crates/geranium_core/src/event/mod.rs
+++ b/crates/geranium_core/src/event/mod.rs
@@ -5,8 +5,10 @@
 
 mod draft;
 mod kind;
+mod outbox;
 mod subject;
 
 pub use draft::EventDraft;
 pub use kind::EventKind;
+pub use outbox::EventOutbox;
 pub use subject::EventSubject;
--- a/crates/geranium_core/src/limit/admission.rs
+++ b/crates/geranium_core/src/limit/admission.rs
@@ -1,12 +1,12 @@
 //! Admission of requests to one model on one entry host.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use super::account_queue::{AccountQueue, Waiting};
+use super::account_shares::AccountShares;
 use super::drain::DrainRate;
 use super::{
     AccountLimit, AdmissionRefusal, AdmissionSettings, RefusedTicket, StartedTicket, Ticket,
@@ -72,7 +72,7 @@
     zero_since: Option<Timestamp>,
     in_progress: u32,
     queued: usize,
-    accounts: BTreeMap<AccountId, AccountQueue>,
+    accounts: AccountShares,
     running: HashMap<Ticket, Running>,
     waiting: HashMap<Ticket, AccountId>,
     drain: DrainRate,
@@ -90,7 +90,7 @@
             zero_since: None,
             in_progress: 0,
             queued: 0,
-            accounts: BTreeMap::new(),
+            accounts: AccountShares::default(),
             running: HashMap::default(),
             waiting: HashMap::default(),
             drain: DrainRate::new(settings.initial_service),
@@ -102,24 +102,8 @@
     /// Takes over the accounts and their shares; requests of others are refused.
     pub fn set_accounts(&mut self, now: Timestamp, limits: &[AccountLimit]) -> AdmissionChange {
         let mut change = AdmissionChange::default();
-        let listed = |account: &AccountId| limits.iter().any(|l| l.account == *account);
-        let gone: Vec<AccountId> = self
-            .accounts
-            .keys()
-            .filter(|a| !listed(a))
-            .cloned()
-            .collect();
-        for account in gone {
-            self.remove_account(&account, &mut change);
-        }
-        for limit in limits {
-            match self.accounts.get_mut(&limit.account) {
-                Some(queue) => queue.set_limit(now, limit),
-                None => {
-                    let queue = AccountQueue::new(now, limit);
-                    self.accounts.insert(limit.account.clone(), queue);
-                }
-            }
+        for (account, queue) in self.accounts.set_limits(now, limits) {
+            self.refuse_all(&account, queue, &mut change);
         }
         self.start_waiting(now, &mut change);
         change
@@ -175,13 +159,7 @@
     /// Refuses queued requests that can no longer start in time.
     pub fn tick(&mut self, now: Timestamp) -> AdmissionChange {
         let mut change = AdmissionChange::default();
-        let accounts: Vec<AccountId> = self
-            .accounts
-            .iter()
-            .filter(|(_, queue)| queue.queued() > 0)
-            .map(|(account, _)| account.clone())
-            .collect();
-        for account in accounts {
+        for account in self.accounts.with_queue() {
             self.shed(now, &account, &mut change);
         }
         self.start_waiting(now, &mut change);
@@ -207,7 +185,7 @@
     }
 
     fn check(&self, now: Timestamp, req: &AdmissionRequest<'_>) -> Result<(), AdmissionRefusal> {
-        if !self.accounts.contains_key(req.account) {
+        if self.accounts.get(req.account).is_none() {
             return Err(AdmissionRefusal::UnknownAccount(req.account.clone()));
         }
         if now >= req.deadline {
@@ -217,7 +195,7 @@
     }
 
     fn accept(&mut self, now: Timestamp, req: &AdmissionRequest<'_>) -> AdmissionOutcome {
-        self.catch_up(now, req.account);
+        self.accounts.catch_up(now, req.account);
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
         if self.may_start_at_once(req.account) {
@@ -232,8 +210,8 @@
 
     fn may_start_at_once(&self, account: &AccountId) -> bool {
         let free = self.in_progress < self.capacity;
-        let queue = &self.accounts[account];
-        free && queue.queued() == 0 && queue.in_progress < queue.max_concurrent
+        let queue = self.accounts.get(account);
+        free && queue.is_some_and(|q| q.queued() == 0 && q.in_progress < q.max_concurrent)
     }
 
     fn enqueue(
@@ -247,7 +225,8 @@
             let retry_after = self.retry_after(self.settings.initial_service);
             return Err(AdmissionRefusal::NoCapacity(account, retry_after));
         }
-        let ahead = self.accounts[req.account].ahead_of(req.priority);
+        let queue = self.accounts.get(req.account);
+        let ahead = queue.map_or(0, |q| q.ahead_of(req.priority));
         let wait = self.expected_wait(now, req.account, ahead);
         let start_by = req.deadline - self.settings.reserve;
         let left = start_by.since(now);
@@ -290,10 +269,10 @@
 
     fn start_waiting(&mut self, now: Timestamp, change: &mut AdmissionChange) {
         while self.in_progress < self.capacity {
-            let Some(account) = self.next_account(now) else {
+            let step = self.settings.aging_step;
+            let Some(account) = self.accounts.next(now, self.capacity, step) else {
                 return;
             };
-            let step = self.settings.aging_step;
             let queue = self.accounts.get_mut(&account);
             let Some(waiting) = queue.and_then(|q| q.pop(now, step)) else {
                 return;
@@ -317,55 +296,9 @@
         }
     }
 
-    /// Picks the account whose request starts next.
-    fn next_account(&mut self, now: Timestamp) -> Option<AccountId> {
-        let weights: u64 = self.accounts.values().map(|q| u64::from(q.weight)).sum();
-        let capacity = u64::from(self.capacity);
-        let step = self.settings.aging_step;
-        let candidates = self.accounts.iter_mut().filter(|(_, q)| q.may_start());
-        let candidates = candidates.map(|(account, queue)| {
-            let usage = queue.charge(now);
-            (account, queue, usage)
-        });
-        let best = candidates.min_by_key(|(_, queue, usage)| {
-            let guaranteed = (capacity * u64::from(queue.weight) / weights).max(1);
-            let entitled = u64::from(queue.in_progress) < guaranteed;
-            let priority = if entitled {
-                0
-            } else {
-                queue.next_priority(now, step).unwrap_or(0)
-            };
-            (!entitled, std::cmp::Reverse(priority), *usage)
-        });
-        best.map(|(account, _, _)| account.clone())
-    }
-
-    fn catch_up(&mut self, now: Timestamp, account: &AccountId) {
-        if self.accounts[account].is_active() {
-            return;
-        }
-        let active = self.accounts.values_mut().filter(|q| q.is_active());
-        let floor = active.map(|q| q.charge(now)).min();
-        if let Some(queue) = self.accounts.get_mut(account) {
-            queue.charge(now);
-            queue.catch_up(floor.unwrap_or(0));
-        }
-    }
-
     /// Estimates the wait of a request of an account with `ahead` others before it.
     fn expected_wait(&self, now: Timestamp, account: &AccountId, ahead: usize) -> Duration {
-        let queue = &self.accounts[account];
-        let mut rivals = 0;
-        let mut shared = self.capacity;
-        for (name, other) in &self.accounts {
-            if name == account || other.queued() > 0 {
-                rivals += other.weight;
-            } else {
-                shared = shared.saturating_sub(other.in_progress);
-            }
-        }
-        let share = f64::from(queue.weight) / f64::from(rivals.max(1));
-        let slots = (f64::from(shared) * share).min(f64::from(queue.max_concurrent));
+        let slots = self.accounts.expected_slots(account, self.capacity);
         let gap = self.drain.gap_secs(now, self.capacity) * f64::from(self.capacity) / slots;
         let wait = gap * (ahead + 1) as f64;
         Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
@@ -408,10 +341,12 @@
         }
     }
 
-    fn remove_account(&mut self, account: &AccountId, change: &mut AdmissionChange) {
-        let Some(mut queue) = self.accounts.remove(account) else {
-            return;
-        };
+    fn refuse_all(
+        &mut self,
+        account: &AccountId,
+        mut queue: AccountQueue,
+        change: &mut AdmissionChange,
+    ) {
         for waiting in queue.retain(|_, _| false) {
             self.waiting.remove(&waiting.ticket);
             self.queued -= 1;
--- a/crates/geranium_core/src/limit/cold_holder.rs
+++ b/crates/geranium_core/src/limit/cold_holder.rs
@@ -3,6 +3,7 @@
 use super::cold_group::ColdGroup;
 use super::{ColdSettings, CreditGrant, CreditRefusal, CreditRequest, HolderAuthority};
 use crate::collections::HashMap;
+use crate::event::{EventDraft, EventKind, EventOutbox, EventSubject};
 use crate::group::{ServingGroup, Temperature};
 use crate::id::GroupId;
 use crate::time::Timestamp;
@@ -17,6 +18,7 @@
     settings: ColdSettings,
     authority: HolderAuthority,
     groups: HashMap<GroupId, ColdGroup>,
+    events: EventOutbox,
 }
 
 impl ColdBudgetHolder {
@@ -27,6 +29,7 @@
             settings,
             authority: HolderAuthority::new(settings.holder_lifetime()),
             groups: HashMap::default(),
+            events: EventOutbox::default(),
         }
     }
 
@@ -85,6 +88,7 @@
             && known.is_warm()
         {
             known.turn_cold(now);
+            self.events.push(cold_event(group));
         }
     }
 
@@ -122,8 +126,20 @@
         Self::check(group, req)?;
         if group.is_warm() && group.is_newly_marked(req) {
             group.turn_cold(now);
+            self.events.push(cold_event(&req.group));
         }
+        let (budget, warm) = (group.budget(), group.is_warm());
         let credits = group.grant(now, req, adopt, &settings);
+        if group.budget() != budget {
+            let reason = format!("{budget} to {} requests at a time", group.budget());
+            let event = event(EventKind::ColdBudgetChanged, &req.group, reason);
+            self.events.push(event);
+        }
+        if group.is_warm() && !warm {
+            let reason = "as many requests succeeded as a warm group bears";
+            self.events
+                .push(event(EventKind::GroupWarm, &req.group, reason));
+        }
         Ok(CreditGrant {
             group: req.group.clone(),
             generation: req.generation,
@@ -134,6 +150,11 @@
         })
     }
 
+    /// Takes the events that explain decisions, the oldest first.
+    pub fn take_events(&mut self) -> Vec<EventDraft> {
+        self.events.take()
+    }
+
     /// Returns the budget of a group.
     #[must_use]
     pub fn budget(&self, group: &GroupId) -> Option<u32> {
@@ -172,3 +193,12 @@
         Ok(())
     }
 }
+
+fn event(kind: EventKind, group: &GroupId, reason: impl Into<String>) -> EventDraft {
+    EventDraft::new(kind, EventSubject::group(group), reason)
+}
+
+fn cold_event(group: &GroupId) -> EventDraft {
+    let reason = "first tokens are out of line, although the group reports itself warm";
+    event(EventKind::GroupCold, group, reason)
+}
--- a/crates/geranium_core/src/limit/crash.rs
+++ b/crates/geranium_core/src/limit/crash.rs
@@ -6,6 +6,7 @@
 use super::{
     ChargeState, CrashDigest, CrashId, ExplainedCrash, RequestFingerprint, SuspicionEntry,
 };
+use crate::event::{EventDraft, EventKind, EventOutbox, EventSubject};
 use crate::time::Timestamp;
 
 /// Crashes after which a request is refused.
@@ -93,6 +94,7 @@
     settings: CrashSettings,
     suspicions: BTreeMap<RequestFingerprint, Suspicion>,
     explained: BTreeMap<CrashId, ExplainedCrash>,
+    events: EventOutbox,
 }
 
 impl CrashRegistry {
@@ -103,6 +105,7 @@
             settings,
             suspicions: BTreeMap::new(),
             explained: BTreeMap::new(),
+            events: EventOutbox::default(),
         }
     }
 
@@ -199,6 +202,11 @@
         self.trim(now);
     }
 
+    /// Takes the events that explain refusals, the oldest first.
+    pub fn take_events(&mut self) -> Vec<EventDraft> {
+        self.events.take()
+    }
+
     /// Returns the number of requests remembered.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -227,7 +235,14 @@
             return;
         }
         let suspicion = self.suspicions.entry(*fingerprint).or_default();
+        let before = suspicion.charged();
         suspicion.set(now, crash, ChargeState::Charged);
+        if before < CRASHES_TO_REFUSE && suspicion.charged() >= CRASHES_TO_REFUSE {
+            let reason = format!("request {fingerprint} crashed {CRASHES_TO_REFUSE} groups");
+            let subject = EventSubject::group(&crash.group);
+            let event = EventDraft::new(EventKind::CrashSuspected, subject, reason);
+            self.events.push(event);
+        }
     }
 
     fn clear(&mut self, now: Timestamp, fingerprint: &RequestFingerprint, crash: &CrashId) {
--- a/crates/geranium_core/src/limit/mod.rs
+++ b/crates/geranium_core/src/limit/mod.rs
@@ -10,6 +10,7 @@
 //! | [`TrialHolder`] | lets one suspect a group run at a time |
 
 mod account_queue;
+mod account_shares;
 mod admission;
 mod admission_error;
 mod admission_settings;
--- a/crates/geranium_core/src/prelude.rs
+++ b/crates/geranium_core/src/prelude.rs
@@ -5,7 +5,7 @@
     Assignment, EnginePhase, EngineReport, HostEntry, HostState, LoadOrder, Member, Order,
     OrderAction,
 };
-pub use crate::event::{EventDraft, EventKind, EventSubject};
+pub use crate::event::{EventDraft, EventKind, EventOutbox, EventSubject};
 pub use crate::id::{
     AccountId, FabricDomainId, FailureDomainId, FencingNumber, GroupId, HostId, Incarnation,
     ModelId, RecordName, RequestId, StoreRevision,
--- a/crates/geranium_core/src/route/group_table.rs
+++ b/crates/geranium_core/src/route/group_table.rs
@@ -7,7 +7,7 @@
 use super::{EntryHost, RouteQuery, RouteRefusal, RouterSettings};
 use crate::collections::HashMap;
 use crate::group::ServingGroup;
-use crate::id::{FailureDomainId, GroupId, HostId};
+use crate::id::{FailureDomainId, GroupId, HostId, ModelId};
 use crate::record::{DrainTarget, ModelSpec};
 use crate::time::Timestamp;
 
@@ -121,6 +121,21 @@
         self.reach.find(query.model, query.account)
     }
 
+    /// Returns the groups of a model, local or remote, that may get requests.
+    pub(super) fn usable<'a>(
+        &'a self,
+        model: &'a ModelId,
+        remote: bool,
+    ) -> impl Iterator<Item = &'a GroupSlot> {
+        let slots = self.slots.iter().flatten();
+        slots.filter(move |slot| {
+            let open = slot.active && slot.reachable && !slot.drained;
+            let serving = &slot.serving;
+            let is_remote = serving.failure_domain != self.local;
+            open && serving.served_model == *model && is_remote == remote
+        })
+    }
+
     /// Returns the entry hosts of another failure domain that answer.
     pub(super) fn entry_hosts(&self, domain: &FailureDomainId) -> &[HostId] {
         self.entry_hosts.get(domain).map_or(&[], Vec::as_slice)
--- a/crates/geranium_core/src/route/router.rs
+++ b/crates/geranium_core/src/route/router.rs
@@ -14,8 +14,9 @@
     PaceVerdict, PrefixIndex, RouteChoice, RoutePath, RoutePolicy, RouteQuery, RouteRefusal,
     RouterSettings,
 };
+use crate::event::{EventDraft, EventKind, EventOutbox, EventSubject};
 use crate::group::{ServingGroup, Temperature};
-use crate::id::{FailureDomainId, GroupId};
+use crate::id::{FailureDomainId, GroupId, ModelId};
 use crate::record::{DrainTarget, ModelSpec};
 use crate::time::Timestamp;
 
@@ -34,6 +35,7 @@
     excluded: Vec<u16>,
     own_in_flight: u32,
     pending_blocks: u32,
+    events: EventOutbox,
 }
 
 impl Router<LeastWait> {
@@ -57,6 +59,7 @@
             excluded: Vec::new(),
             own_in_flight: 0,
             pending_blocks: 0,
+            events: EventOutbox::default(),
         }
     }
 
@@ -183,11 +186,47 @@
     /// Notes that a group failed a request; several in a row set the group aside.
     pub fn failed(&mut self, now: Timestamp, dispatch: Dispatch) {
         let settings = self.settings;
-        if let Some(slot) = self.end(now, dispatch) {
-            slot.fail(now, &settings);
+        let slot = self.end(now, dispatch);
+        let set_aside = slot.and_then(|slot| {
+            let pause = slot.fail(now, &settings)?;
+            Some((slot.serving.group.clone(), pause))
+        });
+        if let Some((group, pause)) = set_aside {
+            let reason = format!("failures in a row; set aside for {} ms", pause.as_millis());
+            let subject = EventSubject::group(&group);
+            let event = EventDraft::new(EventKind::GroupSetAside, subject, reason);
+            self.events.push(event);
+        }
+    }
+
+    /// Returns how many requests of a model this entry host may have in progress.
+    ///
+    /// That is what it has in progress, and its part of what is free in the groups
+    /// by their estimated load, if `sharers` entry hosts share them. Groups of
+    /// other failure domains count only while no local one may be used. A cold
+    /// group counts by its credits.
+    pub fn capacity(
+        &self,
+        now: Timestamp,
+        model: &ModelId,
+        sharers: u32,
+        credits: &impl ColdCredits,
+    ) -> u32 {
+        let part = |remote: bool| {
+            let slots = self.table.usable(model, remote);
+            slots.map(|slot| slot.share(now, sharers, credits)).sum()
+        };
+        match part(false) {
+            0 => part(true),
+            local => local,
         }
     }
 
+    /// Takes the events that explain decisions, the oldest first.
+    pub fn take_events(&mut self) -> Vec<EventDraft> {
+        self.events.take()
+    }
+
     /// Returns the estimated requests in a group, those of other entry hosts included.
     #[must_use]
     pub fn load(&self, group: &GroupId) -> Option<u32> {
--- a/crates/geranium_core/src/route/slot.rs
+++ b/crates/geranium_core/src/route/slot.rs
@@ -148,6 +148,18 @@
         self.pending_blocks
     }
 
+    /// Returns the requests that this entry host may have in progress on the
+    /// group, if so many entry hosts share it.
+    pub(super) fn share(&self, now: Timestamp, sharers: u32, credits: &impl ColdCredits) -> u32 {
+        let own = self.own_in_flight;
+        if self.is_cold(credits) {
+            let serving = &self.serving;
+            return own + credits.available(now, &serving.group, serving.generation);
+        }
+        let free = self.capacity.saturating_sub(self.load());
+        own + free.div_ceil(sharers.max(1))
+    }
+
     /// Notes that a request started, which adds so many blocks of work.
     pub(super) fn start(&mut self, now: Timestamp, blocks: u32) {
         self.own_in_flight += 1;
@@ -177,16 +189,18 @@
         self.ejected_until = Timestamp::default();
     }
 
-    /// Notes a failure; sets the group aside after several in a row.
-    pub(super) fn fail(&mut self, now: Timestamp, settings: &RouterSettings) {
+    /// Notes a failure; sets the group aside after several in a row, and returns
+    /// for how long.
+    pub(super) fn fail(&mut self, now: Timestamp, settings: &RouterSettings) -> Option<Duration> {
         self.failures += 1;
         if self.failures < settings.failures_to_eject || now < self.ejected_until {
-            return;
+            return None;
         }
         let factor = 1 << self.ejections.min(16);
         let pause = (settings.eject_base * factor).min(settings.eject_max);
         self.ejected_until = now + pause;
         self.ejections += 1;
+        Some(pause)
     }
 
     /// Notes a first-token time, given the blocks that had to be computed, and
--- a/crates/geranium_core/tests/cold_budget.rs
+++ b/crates/geranium_core/tests/cold_budget.rs
@@ -139,6 +139,15 @@
         }
     }
 
+    let kinds: Vec<EventKind> = holder.take_events().iter().map(|e| e.kind).collect();
+    assert_eq!(
+        kinds,
+        [
+            EventKind::GroupCold,
+            EventKind::ColdBudgetChanged,
+            EventKind::GroupWarm
+        ]
+    );
     assert!(news && marked);
     assert_eq!(temperature, Some(Temperature::Cold));
     assert!(!user.marked_cold(&group, 1));
--- a/crates/geranium_core/tests/crash.rs
+++ b/crates/geranium_core/tests/crash.rs
@@ -74,6 +74,9 @@
     here.import(START, &told);
     here.import(START, &told);
 
+    let events = here.take_events();
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].kind, EventKind::CrashSuspected);
     assert_eq!(after_first, CrashVerdict::Suspect);
     assert_eq!(here.verdict(START, &x), CrashVerdict::Refused);
     assert_eq!(peer.verdict(START, &x), CrashVerdict::Refused);
--- a/crates/geranium_core/tests/route.rs
+++ b/crates/geranium_core/tests/route.rs
@@ -410,11 +410,44 @@
         }
     }
 
+    let events = alone.take_events();
     let overflow = route(&mut with_full, &[], &[]);
     let only = route(&mut alone, &[], &[]).expect("a group");
 
     assert_eq!(overflow, Err(RouteRefusal::Saturated(ModelId::new("m"))));
     assert_eq!(only.group, failing.group);
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].kind, EventKind::GroupSetAside);
+    assert_eq!(events[0].subject.group, Some(failing.group));
+}
+
+#[test]
+fn capacity_is_what_is_in_progress_and_a_part_of_what_is_free() {
+    let half_full = ServingGroup {
+        running: 6,
+        ..group("g1", "d1")
+    };
+    let cold = ServingGroup {
+        temperature: Temperature::Cold,
+        ..group("g2", "d1")
+    };
+    let model = ModelId::new("m");
+    let mut router = router(&[half_full, cold, group("g9", "d2")]);
+    let _running = start(&mut router, START, &group("g1", "d1"));
+
+    let local = router.capacity(START, &model, 2, &Credits(1));
+    router.update_drains([DrainTarget::FailureDomain(FailureDomainId::new("d1"))]);
+    let unreachable = router.capacity(START, &model, 2, &Credits(1));
+    router.update_entry_hosts(&[EntryHost {
+        host: HostId::new("e2"),
+        failure_domain: FailureDomainId::new("d2"),
+    }]);
+    let remote = router.capacity(START, &model, 2, &Credits(1));
+
+    // One in progress, two of three free slots, one credit.
+    assert_eq!(local, 4);
+    assert_eq!(unreachable, 0);
+    assert_eq!(remote, 5);
 }
 
 #[test]
