--- a/crates/geranium_core/src/route/prefix_index.rs
+++ b/crates/geranium_core/src/route/prefix_index.rs
@@ -62,11 +62,18 @@
         }
     }
 
-    /// Forgets everything that a group holds.
-    pub(super) fn clear(&mut self, slot: u16) {
+    /// Forgets everything that some groups hold, in one pass over the index.
+    pub(super) fn clear(&mut self, slots: &[u16]) {
+        if slots.is_empty() {
+            return;
+        }
+        let mut emptied = GroupSet::default();
+        for &slot in slots {
+            emptied.insert(slot);
+        }
         for half in [&mut self.young, &mut self.old] {
             half.retain(|_, holders| {
-                holders.remove(slot);
+                *holders = holders.without(&emptied);
                 !holders.is_empty()
             });
         }
--- a/crates/geranium_core/src/route/router.rs
+++ b/crates/geranium_core/src/route/router.rs
@@ -71,9 +71,7 @@
     /// Takes over the groups whose gate is open; all others get no requests.
     pub fn update_groups(&mut self, now: Timestamp, groups: &[ServingGroup]) {
         let emptied = self.table.set_groups(now, groups, &self.settings);
-        for position in emptied {
-            self.index.clear(position);
-        }
+        self.index.clear(&emptied);
     }
 
     /// Takes over what is drained; it gets no new requests from now on.
@@ -102,7 +100,7 @@
             CacheChange::Evicted(blocks) => self.index.evict_all(position, blocks),
             CacheChange::Cleared => {
                 slot.trust = 1.0;
-                self.index.clear(position);
+                self.index.clear(&[position]);
             }
         }
     }
