Test what built-in faults showed to be untested

Cause: sixteen faults built into a scratch copy of routing, admission and the crash registry; three went unnoticed (work never settled, idle time claimed, a stalled drain not seen).

Ruled out: none.

Conclusion: one test more for each of the three.

--- a/crates/geranium_core/tests/admission.rs
+++ b/crates/geranium_core/tests/admission.rs
@@ -228,20 +228,23 @@
 }
 
 /// Keeps accounts `a` and `b` backlogged and returns how many requests of each
-/// started.
-fn run_backlogged(priorities: [u8; 2], finishes: usize) -> [u32; 2] {
+/// started, after `b` alone was backlogged for a while.
+fn run_backlogged(priorities: [u8; 2], finishes: usize, alone: usize) -> [u32; 2] {
     let mut admission = admission(8);
     let mut rng = SmallRng::seed_from_u64(3);
     let mut now = START;
     let mut running: BTreeMap<(Timestamp, Ticket), usize> = BTreeMap::new();
     let mut accounts: BTreeMap<Ticket, usize> = BTreeMap::new();
     let mut starts = [0; 2];
-    for _ in 0..finishes {
-        for (account, priority) in priorities.into_iter().enumerate() {
+    let mut service = || Duration::from_millis(rng.random_range(50..150));
+    for i in 0..alone + finishes {
+        let accounts_now = if i < alone { [1, 1] } else { [0, 1] };
+        for account in accounts_now {
             let deadline = now + Duration::from_hours(1);
+            let priority = priorities[account];
             match submit(&mut admission, now, account, priority, deadline) {
                 AdmissionOutcome::Admitted(ticket) => {
-                    running.insert((now, ticket), account);
+                    running.insert((now + service(), ticket), account);
                 }
                 AdmissionOutcome::Queued(ticket) => {
                     accounts.insert(ticket, account);
@@ -255,9 +258,8 @@
         now = now.max(ends);
         for started in admission.finished(now, ticket).started {
             let account = accounts[&started.ticket];
-            starts[account] += 1;
-            let service = Duration::from_millis(rng.random_range(50..150));
-            running.insert((now + service, started.ticket), account);
+            starts[account] += u32::from(i >= alone);
+            running.insert((now + service(), started.ticket), account);
         }
     }
     starts
@@ -265,7 +267,15 @@
 
 #[test]
 fn backlogged_accounts_share_slot_time_by_weight() {
-    let [a, b] = run_backlogged([5, 5], 4_000);
+    let [a, b] = run_backlogged([5, 5], 4_000, 0);
+
+    let ratio = f64::from(a) / f64::from(b);
+    assert!((2.7..3.3).contains(&ratio), "{a} to {b}");
+}
+
+#[test]
+fn account_that_was_idle_has_no_claim_on_the_time_before() {
+    let [a, b] = run_backlogged([5, 5], 4_000, 4_000);
 
     let ratio = f64::from(a) / f64::from(b);
     assert!((2.7..3.3).contains(&ratio), "{a} to {b}");
@@ -273,7 +283,7 @@
 
 #[test]
 fn low_priority_account_keeps_its_share_beside_a_flood_of_high_priority() {
-    let [a, b] = run_backlogged([9, 0], 4_000);
+    let [a, b] = run_backlogged([9, 0], 4_000, 0);
 
     // One of eight slots is guaranteed to b, whose weight is one of five.
     assert!(b * 8 > (a + b) * 9 / 10, "{a} to {b}");
--- a/crates/geranium_core/tests/limit.rs
+++ b/crates/geranium_core/tests/limit.rs
@@ -123,6 +123,20 @@
     assert!(late.refused[0].refusal.retry_after().is_some());
 }
 
+#[test]
+fn queue_without_ends_is_refused_long_before_its_deadlines() {
+    let mut admission = admission(1, &[limit("a", 1)]);
+    submit(&mut admission, "a", 5);
+    let queued = submit_until(&mut admission, "a", 5, Duration::from_secs(100));
+
+    let early = admission.tick(START + Duration::from_secs(60));
+    let late = admission.tick(START + Duration::from_secs(85));
+
+    assert_eq!(early.refused, []);
+    assert_eq!(late.refused.len(), 1);
+    assert_eq!(late.refused[0].ticket, ticket(&queued));
+}
+
 #[test]
 fn retries_stay_a_fraction_of_requests_when_everything_fails() {
     let settings = RetryBudgetSettings {
--- a/crates/geranium_core/tests/route.rs
+++ b/crates/geranium_core/tests/route.rs
@@ -253,6 +253,25 @@
     assert_eq!(router.load(&name), Some(6));
 }
 
+#[test]
+fn work_that_is_done_no_longer_counts_against_a_group() {
+    let groups = [group("g1", "d1"), group("g2", "d1")];
+    let mut router = router(&groups);
+    router.cache_event(&stored("g1", 1, &blocks(0..4)));
+    let mut dispatches: Vec<_> = (0..8)
+        .map(|_| start(&mut router, START, &groups[0]))
+        .collect();
+    let while_pending = route(&mut router, &blocks(0..4), &[]).expect("a group");
+
+    for dispatch in &mut dispatches {
+        let _ = router.first_token(START, dispatch, Duration::from_millis(50));
+    }
+    let after = route(&mut router, &blocks(0..4), &[]).expect("a group");
+
+    assert_eq!(while_pending.group, groups[1].group);
+    assert_eq!(after.group, groups[0].group);
+}
+
 #[test]
 fn full_groups_are_refused_as_saturated() {
     let full = ServingGroup {
