--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -115,4 +115,10 @@
     GroupSetAside => "group_set_aside",
     /// The budget of a cold group changed.
     ColdBudgetChanged => "cold_budget_changed",
+    /// The process was paused and has not run for a while.
+    ProcessPaused => "process_paused",
+    /// Nothing was heard of another failure domain for a while.
+    DomainSilent => "domain_silent",
+    /// Another failure domain was heard of again.
+    DomainHeard => "domain_heard",
 }
--- a/crates/geranium_core/src/group/effect.rs
+++ b/crates/geranium_core/src/group/effect.rs
@@ -1,5 +1,7 @@
 //! Inputs and effects of the group controller.
 
+use std::time::Duration;
+
 use crate::engine::{EngineReport, HostEntry, Order};
 use crate::event::EventDraft;
 use crate::group::GroupTable;
@@ -50,6 +52,8 @@
         /// Revision of the value; zero if absent.
         revision: StoreRevision,
     },
+    /// A peer sent its table, which may be an amendment.
+    TableHeard(&'a GroupTable),
     /// A write of the table has an outcome.
     TableWritten(WriteOutcome),
     /// An engine reported.
@@ -59,6 +63,13 @@
         /// Host of the engine.
         host: &'a HostId,
     },
+    /// A peer answered [`GroupEffect::AskPeers`]: it heard the host some time ago.
+    HeardByPeer {
+        /// Host of the engine.
+        host: &'a HostId,
+        /// Time since the peer received the host's last report.
+        age: Duration,
+    },
     /// An order has an outcome.
     OrderAnswered {
         /// The order.
@@ -95,6 +106,13 @@
         /// Revision that the present value must have; zero if it must be absent.
         expected: StoreRevision,
     },
+    /// Give the table to this host's gate and to the peers of the failure domain.
+    PublishTable(GroupTable),
+    /// Ask the peers of the failure domain when they last heard these hosts, and
+    /// answer with [`GroupInput::HeardByPeer`] for each that was heard.
+    AskPeers(Vec<HostId>),
+    /// Give up the lease and leave it to others for a while: they hear more engines.
+    YieldLeadership,
     /// Send an order and answer with [`GroupInput::OrderAnswered`].
     SendOrder(Order),
     /// Record an event.
--- a/crates/geranium_core/src/limit/trial.rs
+++ b/crates/geranium_core/src/limit/trial.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
 
 use super::{CrashId, HolderAuthority, RequestFingerprint};
 use crate::collections::HashMap;
@@ -29,7 +30,7 @@
 }
 
 /// A request to run a suspect on a group.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrialRequest {
     /// Entry host that asks.
     pub user: HostId,
@@ -46,7 +47,7 @@
 }
 
 /// Leave to run a suspect on a group.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrialGrant {
     /// Time on the user's clock at which a suspect that is not past its point
     /// must have left the group.
@@ -117,7 +118,7 @@
         }
         if let Some(trial) = self.trials.get(&req.group)
             && now < trial.expires
-            && trial.generation >= req.generation
+            && trial.generation == req.generation
         {
             return Err(TrialRefusal::Busy(req.group.clone(), trial.expires));
         }
@@ -129,7 +130,7 @@
             expires: now + self.lifetime + self.margin,
         };
         if let Some(old) = self.trials.insert(req.group.clone(), trial)
-            && old.generation < req.generation
+            && old.generation != req.generation
         {
             self.earlier.insert(req.group.clone(), old);
         }
--- a/crates/geranium_daemon/src/control/leader.rs
+++ b/crates/geranium_daemon/src/control/leader.rs
@@ -10,6 +10,7 @@
 use geranium_core::id::{FailureDomainId, StoreRevision};
 use geranium_core::time::Timestamp;
 use geranium_platform::{CasOutcome, KvStore, LeaseId, StoreError, Swap};
+use geranium_telemetry::ProcessIdentity;
 use tokio_util::sync::CancellationToken;
 
 use super::ControlInput;
@@ -34,6 +35,9 @@
     format!("{LEADER_PREFIX}{failure_domain}")
 }
 
+/// Time that a process leaves the lease to others after it led.
+const YIELD_PAUSE: Duration = Duration::from_secs(3);
+
 /// Time by which the holder's authority ends before its lease can.
 const AUTHORITY_MARGIN: Duration = Duration::from_millis(500);
 
@@ -72,7 +76,8 @@
         let store = &self.node.store;
         let identity = self.node.recorder.identity();
         let key = leader_key(&identity.failure_domain);
-        if store.get(&key).await?.is_some() {
+        if let Some(held) = store.get(&key).await? {
+            self.note_leader(&held.value);
             return Ok(None);
         }
         let asked_at = self.node.clock.now();
@@ -100,11 +105,15 @@
 
     /// Renews the lease until it is lost or the process shuts down.
     async fn lead(&self, lease: LeaseId, granted_at: Timestamp) {
+        self.node.set_leader(Some(self.node.settings.host.clone()));
         self.tell(ControlInput::Leadership(true)).await;
         self.extend_authority(granted_at);
         loop {
-            self.pause(RENEW_INTERVAL).await;
-            if self.shutdown.is_cancelled() {
+            let yields = tokio::select! {
+                () = self.pause(RENEW_INTERVAL) => false,
+                () = self.node.yield_leadership.notified() => true,
+            };
+            if yields || self.shutdown.is_cancelled() {
                 // Authority ends before the lease does, so that the next leader
                 // finds no credits in the making.
                 self.node.traffic.resign_cold_authority();
@@ -124,7 +133,10 @@
             }
         }
         self.node.traffic.resign_cold_authority();
+        self.node.set_leader(None);
         self.tell(ControlInput::Leadership(false)).await;
+        // Others get their turn before this process campaigns again.
+        self.pause(YIELD_PAUSE).await;
     }
 
     fn extend_authority(&self, asked_at: Timestamp) {
@@ -134,6 +146,13 @@
             .extend_cold_authority(self.node.clock.now(), until);
     }
 
+    fn note_leader(&self, value: &[u8]) {
+        match serde_json::from_slice::<ProcessIdentity>(value) {
+            Ok(leader) => self.node.set_leader(Some(leader.host)),
+            Err(e) => log::warn!("the leader's key is malformed: {e}"),
+        }
+    }
+
     async fn tell(&self, input: ControlInput) {
         let _ = self.node.control.send(input).await;
     }
--- a/crates/geranium_fakes/src/engine/session.rs
+++ b/crates/geranium_fakes/src/engine/session.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures::{Stream, stream};
 use geranium_engine::{ChatRequest, block_hashes};
 use quick_error::quick_error;
 use tokio::time::Instant;
@@ -13,7 +11,6 @@
 use super::SlotGuard;
 use super::core::EngineCore;
 use super::registry::SessionId;
-use super::render::{ChunkFrame, END_EVENT, error_event};
 use super::text::TokenSeed;
 
 /// Most tokens in one write.
@@ -120,53 +117,23 @@
         }
     }
 
-    /// Returns the completion as server-sent events.
-    pub fn into_events(self) -> impl Stream<Item = Result<Bytes, EarlyEnd>> + Send + 'static {
-        let frame = ChunkFrame::new(&self.spec.request, &self.spec.chat.model);
-        stream::unfold((self, frame), |(mut session, frame)| async move {
-            if session.ended {
-                return None;
-            }
-            let event = session.next_events(&frame).await;
-            Some((event, (session, frame)))
-        })
+    /// Returns the engine that runs the completion.
+    pub fn core(&self) -> &EngineCore {
+        &self.core
     }
 
-    /// Runs the completion and returns its whole text.
-    pub async fn into_text(mut self) -> Result<String, EarlyEnd> {
-        let mut text = String::new();
-        while let Some(burst) = self.next_burst().await? {
-            for index in burst.first..burst.after_last {
-                text.push_str(&self.seed.token(index));
-            }
-        }
-        self.finish();
-        Ok(text)
+    /// Returns the seed of the tokens.
+    pub const fn seed(&self) -> TokenSeed {
+        self.seed
     }
 
-    async fn next_events(&mut self, frame: &ChunkFrame) -> Result<Bytes, EarlyEnd> {
-        let mut buf = String::new();
-        match self.next_burst().await {
-            Ok(Some(burst)) => {
-                for index in burst.first..burst.after_last {
-                    frame.push_token(&mut buf, index, &self.seed.token(index));
-                }
-            }
-            Ok(None) => {
-                self.finish();
-                frame.push_finish(&mut buf, self.end);
-                buf.push_str(END_EVENT);
-            }
-            Err(EarlyEnd::Expired) => {
-                buf = error_event("deadline_exceeded", &EarlyEnd::Expired.to_string());
-            }
-            Err(e) => return Err(e),
-        }
-        Ok(Bytes::from(buf))
+    /// Returns whether the completion has ended.
+    pub const fn has_ended(&self) -> bool {
+        self.ended
     }
 
     /// Waits for the next tokens; `None` after the last one.
-    async fn next_burst(&mut self) -> Result<Option<Burst>, EarlyEnd> {
+    pub async fn next_burst(&mut self) -> Result<Option<Burst>, EarlyEnd> {
         let outcome = self.try_next_burst().await;
         if let Err(e) = &outcome {
             self.end_early(*e);
@@ -182,11 +149,14 @@
             return Ok(None);
         }
         let (core, due) = (self.core.clone(), self.due);
-        self.bounded(async move {
+        let next = async move {
             tokio::time::sleep_until(due).await;
-            core.wait_moving().await;
-        })
-        .await?;
+            core.wait_moving().await
+        };
+        if self.bounded(next).await? {
+            // Tokens that a pause kept back come one at a time after it.
+            self.due = Instant::now();
+        }
         Ok(Some(self.take_burst()))
     }
 
@@ -267,7 +237,8 @@
         }
     }
 
-    fn finish(&mut self) {
+    /// Ends the completion as whole.
+    pub fn finish(&mut self) {
         self.core.stats.lock().completed += 1;
         let mut state = self.core.state.lock();
         state.finish_request(self.core.cfg.warm_after);
