--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -111,6 +111,10 @@
     ClaimWithdrawn => "claim_withdrawn",
     /// A group table read from the store breaks a rule and is not used.
     TableRejected => "table_rejected",
+    /// A group is set aside for a while after failures.
+    GroupSetAside => "group_set_aside",
+    /// The budget of a cold group changed.
+    ColdBudgetChanged => "cold_budget_changed",
     /// The process was paused and has not run for a while.
     ProcessPaused => "process_paused",
     /// Nothing was heard of another failure domain for a while.
--- a/crates/geranium_core/tests/route.rs
+++ b/crates/geranium_core/tests/route.rs
@@ -253,6 +253,25 @@
     assert_eq!(router.load(&name), Some(6));
 }
 
+#[test]
+fn work_that_is_done_no_longer_counts_against_a_group() {
+    let groups = [group("g1", "d1"), group("g2", "d1")];
+    let mut router = router(&groups);
+    router.cache_event(&stored("g1", 1, &blocks(0..4)));
+    let mut dispatches: Vec<_> = (0..8)
+        .map(|_| start(&mut router, START, &groups[0]))
+        .collect();
+    let while_pending = route(&mut router, &blocks(0..4), &[]).expect("a group");
+
+    for dispatch in &mut dispatches {
+        let _ = router.first_token(START, dispatch, Duration::from_millis(50));
+    }
+    let after = route(&mut router, &blocks(0..4), &[]).expect("a group");
+
+    assert_eq!(while_pending.group, groups[1].group);
+    assert_eq!(after.group, groups[0].group);
+}
+
 #[test]
 fn full_groups_are_refused_as_saturated() {
     let full = ServingGroup {
@@ -410,11 +429,44 @@
         }
     }
 
+    let events = alone.take_events();
     let overflow = route(&mut with_full, &[], &[]);
     let only = route(&mut alone, &[], &[]).expect("a group");
 
     assert_eq!(overflow, Err(RouteRefusal::Saturated(ModelId::new("m"))));
     assert_eq!(only.group, failing.group);
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].kind, EventKind::GroupSetAside);
+    assert_eq!(events[0].subject.group, Some(failing.group));
+}
+
+#[test]
+fn capacity_is_what_is_in_progress_and_a_part_of_what_is_free() {
+    let half_full = ServingGroup {
+        running: 6,
+        ..group("g1", "d1")
+    };
+    let cold = ServingGroup {
+        temperature: Temperature::Cold,
+        ..group("g2", "d1")
+    };
+    let model = ModelId::new("m");
+    let mut router = router(&[half_full, cold, group("g9", "d2")]);
+    let _running = start(&mut router, START, &group("g1", "d1"));
+
+    let local = router.capacity(START, &model, 2, &Credits(1));
+    router.update_drains([DrainTarget::FailureDomain(FailureDomainId::new("d1"))]);
+    let unreachable = router.capacity(START, &model, 2, &Credits(1));
+    router.update_entry_hosts(&[EntryHost {
+        host: HostId::new("e2"),
+        failure_domain: FailureDomainId::new("d2"),
+    }]);
+    let remote = router.capacity(START, &model, 2, &Credits(1));
+
+    // One in progress, two of three free slots, one credit.
+    assert_eq!(local, 4);
+    assert_eq!(unreachable, 0);
+    assert_eq!(remote, 5);
 }
 
 #[test]
