Check the protocol of group tables exhaustively

Any process may act as the leader at any time, so no property rests on a lease.

The property holds if orders end with the connection to the old process; the engines' contract has to say so. For engines that ignore the number it holds if no order is on its way for longer than the rest (--mutate unfenced-rest).

--- a/crates/geranium_spec/src/mutation.rs
+++ b/crates/geranium_spec/src/mutation.rs
@@ -21,6 +21,8 @@
 pub enum Protocol {
     /// Claims for calls that must not repeat.
     Claims,
+    /// Group tables, leaders and engines.
+    Groups,
 }
 
 macro_rules! mutations {
@@ -69,6 +71,18 @@
     EarlySweep => "early-sweep", Claims;
     /// A call whose connection broke is taken for one that was not sent.
     BrokenTakenForUnsent => "broken-taken-for-unsent", Claims;
+    /// Engines follow orders with old fencing numbers.
+    Fencing => "fencing", Groups;
+    /// Orders are sent before the table that they derive from is written.
+    IntentBeforeOrder => "intent-before-order", Groups;
+    /// The store takes group tables without comparing revisions.
+    TableCas => "table-cas", Groups;
+    /// Hosts are used again before their engines have left their group.
+    ReserveBeforeReuse => "reserve-before-reuse", Groups;
+    /// Hosts whose engines ignore fencing numbers are used again without a rest.
+    UnfencedRest => "unfenced-rest", Groups;
+    /// Orders to an engine outlive its restart.
+    OrdersOutliveRestart => "orders-outlive-restart", Groups;
 }
 
 impl fmt::Display for Mutation {
--- a/crates/geranium_spec/src/suite.rs
+++ b/crates/geranium_spec/src/suite.rs
@@ -4,6 +4,7 @@
 
 use crate::check::{CheckReport, Violation, check, find_violation};
 use crate::claims::{ClaimBounds, ClaimModel};
+use crate::groups::{GroupBounds, GroupModel};
 use crate::{Mutation, Protocol};
 
 /// How far the states are enumerated.
@@ -25,7 +26,10 @@
     let claims = claim_bounds(level)
         .into_iter()
         .map(|bounds| thread::spawn(move || check(&ClaimModel::new(bounds, None))));
-    let checks: Vec<_> = claims.collect();
+    let groups = group_bounds(level)
+        .into_iter()
+        .map(|bounds| thread::spawn(move || check(&GroupModel::new(bounds, None))));
+    let checks: Vec<_> = claims.chain(groups).collect();
     let join = |check: thread::JoinHandle<CheckReport>| check.join().expect("no check panics");
     checks.into_iter().map(join).collect()
 }
@@ -34,7 +38,14 @@
 #[must_use]
 pub fn check_mutation(mutation: Mutation) -> Option<Violation> {
     match mutation.protocol() {
-        Protocol::Claims => find_violation(&ClaimModel::new(ClaimBounds::lossy(), Some(mutation))),
+        Protocol::Claims => {
+            let model = ClaimModel::new(ClaimBounds::lossy(), Some(mutation));
+            find_violation(&model)
+        }
+        Protocol::Groups => {
+            let model = GroupModel::new(group_bounds_for(mutation), Some(mutation));
+            find_violation(&model)
+        }
     }
 }
 
@@ -49,3 +60,28 @@
         ],
     }
 }
+
+fn group_bounds(level: Level) -> Vec<GroupBounds> {
+    match level {
+        Level::Small => vec![
+            GroupBounds::checking().with_writes(3),
+            GroupBounds::ignoring().with_writes(3),
+        ],
+        Level::Full => vec![
+            GroupBounds::checking(),
+            GroupBounds::ignoring(),
+            GroupBounds::mixed(),
+            GroupBounds::lossy(),
+            GroupBounds::restarting(),
+        ],
+    }
+}
+
+/// Returns bounds in which a guard is needed.
+fn group_bounds_for(mutation: Mutation) -> GroupBounds {
+    match mutation {
+        Mutation::UnfencedRest => GroupBounds::ignoring(),
+        Mutation::OrdersOutliveRestart => GroupBounds::restarting(),
+        _ => GroupBounds::checking(),
+    }
+}
