Check the gate of a replica group exhaustively

Cause: no replica group may serve while a member is missing. The gate works from reports that arrive late, out of order or never, and from a table that may be old.

The real GroupGate is asked in every state. It holds that each member of an open gate followed the gate's table at most one report age and one report delay ago; the delay counts, because the age runs from the arrival of a report.

A closed pipe no longer ends the program with a panic.

--- a/crates/geranium_spec/src/main.rs
+++ b/crates/geranium_spec/src/main.rs
@@ -4,6 +4,8 @@
 //! removed, and the shortest trace to a violation is printed. The exit status is
 //! non-zero if a property is violated.
 
+use std::fmt::Write as _;
+use std::io::{self, Write as _};
 use std::process::ExitCode;
 
 use geranium_spec::prelude::*;
@@ -63,30 +65,34 @@
 
 fn print_checks(level: Level) -> ExitCode {
     let reports = check_all(level);
-    for report in &reports {
-        print!("{report}");
-    }
     let failed = reports.iter().filter(|report| !report.passed()).count();
-    println!("{} models, {failed} failed", reports.len());
-    ExitCode::from(u8::from(failed > 0))
+    let mut text: String = reports.iter().map(ToString::to_string).collect();
+    let _ = writeln!(text, "{} models, {failed} failed", reports.len());
+    print(&text, ExitCode::from(u8::from(failed > 0)))
 }
 
 fn print_mutation(mutation: Mutation) -> ExitCode {
     match check_mutation(mutation) {
-        Some(violation) => {
-            print!("{mutation}: {violation}");
-            ExitCode::FAILURE
-        }
+        Some(violation) => print(&format!("{mutation}: {violation}"), ExitCode::FAILURE),
         None => {
-            println!("{mutation}: no property is violated");
-            ExitCode::SUCCESS
+            let text = format!("{mutation}: no property is violated\n");
+            print(&text, ExitCode::SUCCESS)
         }
     }
 }
 
 fn list_mutations() -> ExitCode {
-    for mutation in Mutation::ALL {
-        println!("{mutation}");
+    let lines = Mutation::ALL.iter().map(|mutation| format!("{mutation}\n"));
+    print(&lines.collect::<String>(), ExitCode::SUCCESS)
+}
+
+/// Prints a text; a reader that closes the pipe early changes nothing.
+fn print(text: &str, status: ExitCode) -> ExitCode {
+    match io::stdout().write_all(text.as_bytes()) {
+        Err(e) if e.kind() != io::ErrorKind::BrokenPipe => {
+            eprintln!("geranium_spec: {e}");
+            ExitCode::from(2)
+        }
+        _ => status,
     }
-    ExitCode::SUCCESS
 }
--- a/crates/geranium_spec/src/mutation.rs
+++ b/crates/geranium_spec/src/mutation.rs
@@ -23,6 +23,8 @@
     Claims,
     /// Group tables, leaders and engines.
     Groups,
+    /// The gate of a replica group.
+    Gate,
 }
 
 macro_rules! mutations {
@@ -83,6 +85,10 @@
     UnfencedRest => "unfenced-rest", Groups;
     /// Orders to an engine outlive its restart.
     OrdersOutliveRestart => "orders-outlive-restart", Groups;
+    /// A gate is used as it was when the last report arrived.
+    GateWithoutAge => "gate-without-age", Gate;
+    /// The report of rank 0 is taken for one of every member.
+    HeadSpeaksForMembers => "head-speaks-for-members", Gate;
 }
 
 impl fmt::Display for Mutation {
--- a/crates/geranium_spec/src/suite.rs
+++ b/crates/geranium_spec/src/suite.rs
@@ -4,6 +4,7 @@
 
 use crate::check::{CheckReport, Violation, check, find_violation};
 use crate::claims::{ClaimBounds, ClaimModel};
+use crate::gate::{GateBounds, GateModel};
 use crate::groups::{GroupBounds, GroupModel};
 use crate::{Mutation, Protocol};
 
@@ -29,7 +30,10 @@
     let groups = group_bounds(level)
         .into_iter()
         .map(|bounds| thread::spawn(move || check(&GroupModel::new(bounds, None))));
-    let checks: Vec<_> = claims.chain(groups).collect();
+    let gate = gate_bounds(level)
+        .into_iter()
+        .map(|bounds| thread::spawn(move || check(&GateModel::new(bounds, None))));
+    let checks: Vec<_> = claims.chain(groups).chain(gate).collect();
     let join = |check: thread::JoinHandle<CheckReport>| check.join().expect("no check panics");
     checks.into_iter().map(join).collect()
 }
@@ -46,6 +50,14 @@
             let model = GroupModel::new(group_bounds_for(mutation), Some(mutation));
             find_violation(&model)
         }
+        Protocol::Gate => find_violation(&GateModel::new(GateBounds::small(), Some(mutation))),
+    }
+}
+
+fn gate_bounds(level: Level) -> Vec<GateBounds> {
+    match level {
+        Level::Small => vec![GateBounds::small()],
+        Level::Full => vec![GateBounds::replacing(), GateBounds::reordering()],
     }
 }
 
