--- a/crates/geranium_core/src/event/kind.rs
+++ b/crates/geranium_core/src/event/kind.rs
@@ -111,4 +111,10 @@
     ClaimWithdrawn => "claim_withdrawn",
     /// A group table read from the store breaks a rule and is not used.
     TableRejected => "table_rejected",
+    /// The process was paused and has not run for a while.
+    ProcessPaused => "process_paused",
+    /// Nothing was heard of another failure domain for a while.
+    DomainSilent => "domain_silent",
+    /// Another failure domain was heard of again.
+    DomainHeard => "domain_heard",
 }
--- a/crates/geranium_core/src/limit/admission.rs
+++ b/crates/geranium_core/src/limit/admission.rs
@@ -59,8 +59,9 @@
 /// Shares the capacity for one model among client accounts.
 ///
 /// An account below its guaranteed share goes first, the one that has used the
-/// least slot time for its weight before the others. What is left goes by
-/// priority. No slot stays idle while a request that may use it waits.
+/// least slot time for its weight before the others. What is left goes by the
+/// priority of each account's next request; waiting raises a request only within
+/// its account, so that a long queue earns no larger share. No slot stays idle while a request that may use it waits.
 #[derive(Clone, Debug)]
 pub struct Admission {
     settings: AdmissionSettings,
@@ -239,12 +240,17 @@
         req: &AdmissionRequest<'_>,
     ) -> Result<(), AdmissionRefusal> {
         let account = req.account.clone();
-        if self.capacity == 0 {
+        if self.is_without_capacity(now) {
             let retry_after = self.retry_after(self.settings.initial_service);
             return Err(AdmissionRefusal::NoCapacity(account, retry_after));
         }
         let ahead = self.accounts[req.account].ahead_of(req.priority);
-        let wait = self.expected_wait(now, req.account, ahead);
+        let wait = match self.capacity {
+            // The capacity is about to come back, such as when one group takes
+            // over from another.
+            0 => Duration::ZERO,
+            _ => self.expected_wait(now, req.account, ahead),
+        };
         let start_by = req.deadline - self.settings.reserve;
         let left = start_by.since(now);
         if wait > left {
@@ -351,24 +357,32 @@
     /// Estimates the wait of a request of an account with `ahead` others before it.
     fn expected_wait(&self, now: Timestamp, account: &AccountId, ahead: usize) -> Duration {
         let queue = &self.accounts[account];
-        let is_rival = |(name, q): &(&AccountId, &AccountQueue)| q.queued() > 0 || *name == account;
-        let rivals: u32 = self
-            .accounts
-            .iter()
-            .filter(is_rival)
-            .map(|(_, q)| q.weight)
-            .sum();
+        let mut rivals = 0;
+        let mut shared = self.capacity;
+        for (name, other) in &self.accounts {
+            if name == account || other.queued() > 0 {
+                rivals += other.weight;
+            } else {
+                shared = shared.saturating_sub(other.in_progress);
+            }
+        }
         let share = f64::from(queue.weight) / f64::from(rivals.max(1));
-        let slots = (f64::from(self.capacity) * share).min(f64::from(queue.max_concurrent));
+        let slots = (f64::from(shared) * share).min(f64::from(queue.max_concurrent));
         let gap = self.drain.gap_secs(now, self.capacity) * f64::from(self.capacity) / slots;
         let wait = gap * (ahead + 1) as f64;
         Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
     }
 
+    /// Returns whether there has been no capacity for longer than the grace.
+    fn is_without_capacity(&self, now: Timestamp) -> bool {
+        let grace = self.settings.zero_capacity_grace;
+        let zero_for = self.zero_since.map(|since| now.since(since));
+        self.capacity == 0 && zero_for.is_none_or(|zero_for| zero_for >= grace)
+    }
+
     fn shed(&mut self, now: Timestamp, account: &AccountId, change: &mut AdmissionChange) {
         let first = self.expected_wait(now, account, 0).as_secs_f64();
-        let grace = self.settings.zero_capacity_grace;
-        let no_capacity = self.zero_since.is_some_and(|t| now.since(t) >= grace);
+        let no_capacity = self.is_without_capacity(now);
         let suspended = self.capacity == 0 && !no_capacity;
         let Some(queue) = self.accounts.get_mut(account) else {
             return;
--- a/crates/geranium_core/src/route/candidate.rs
+++ b/crates/geranium_core/src/route/candidate.rs
@@ -9,6 +9,8 @@
     pub load: u32,
     /// Requests of this entry host in the group.
     pub own: u32,
+    /// Blocks of work that the group is thought to have before it.
+    pub pending_blocks: f32,
     /// Requests that the group bears at a time.
     pub capacity: u32,
     /// Blocks of the prompt that the group is trusted to have cached.
@@ -22,6 +24,13 @@
 }
 
 impl Candidate {
+    /// Returns whether more than a share of the capacity is in use.
+    #[must_use]
+    #[inline]
+    pub fn is_above(&self, share: f32) -> bool {
+        self.load as f32 > self.capacity as f32 * share
+    }
+
     /// Returns the share of the capacity that is in use.
     #[must_use]
     pub fn utilization(&self) -> f32 {
--- /dev/null
+++ b/crates/geranium_peer/src/prelude.rs
@@ -0,0 +1,6 @@
+//! The types that most users of this crate need.
+
+pub use crate::{
+    PeerClient, PeerClientConfig, PeerCommand, PeerError, PeerHandler, PeerReply, PeerServer,
+    PeerServerConfig, PeerToken,
+};
