Let tests fail rather than hang, and bound the stand-in's history by bytes

Cause: trial mutations of the clients showed that a watch which misses a change, or a replica which outlives a member, made a test wait for ever. And 10,000 changes of values up to a megabyte each would fill the machine.

The history of the platform's stand-in holds at most 64 MiB of values.

Ruled out: a limit near the usual time of a test, which would be a verdict from speed.

--- a/crates/geranium_fakes/src/platform/change.rs
+++ b/crates/geranium_fakes/src/platform/change.rs
@@ -14,3 +14,10 @@
     /// Lease of the new value.
     pub lease: u64,
 }
+
+impl Change {
+    /// Returns the number of bytes of the new value.
+    pub(super) fn value_len(&self) -> usize {
+        self.value.as_ref().map_or(0, Bytes::len)
+    }
+}
--- a/crates/geranium_fakes/src/platform/state.rs
+++ b/crates/geranium_fakes/src/platform/state.rs
@@ -22,6 +22,9 @@
     lease: u64,
 }
 
+/// Bytes of values kept for watches; older changes are compacted.
+const MAX_HISTORY_BYTES: usize = 64 << 20;
+
 /// The whole state of the stand-in.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlatformState {
@@ -31,6 +34,7 @@
     entries: BTreeMap<Bytes, Entry>,
     leases: Leases,
     history: VecDeque<Change>,
+    history_bytes: usize,
 }
 
 impl PlatformState {
@@ -44,6 +48,7 @@
             entries: BTreeMap::new(),
             leases: Leases::default(),
             history: VecDeque::new(),
+            history_bytes: 0,
         }
     }
 
@@ -165,6 +170,7 @@
     pub fn compact(&mut self) {
         self.compacted = self.revision;
         self.history.clear();
+        self.history_bytes = 0;
     }
 
     /// Returns the oldest revision that a watch can begin with, if `start` is older.
@@ -270,18 +276,20 @@
 
     fn record(&mut self, change: Change) {
         self.revision = change.revision;
+        self.history_bytes += change.value_len();
         self.history.push_back(change);
     }
 
     /// Forgets the oldest revisions, never a part of one.
     fn trim_history(&mut self) {
-        while self.history.len() > self.history_limit {
+        while self.history.len() > self.history_limit || self.history_bytes > MAX_HISTORY_BYTES {
             let Some(oldest) = self.history.front().map(|change| change.revision) else {
                 return;
             };
             self.compacted = oldest;
             let rest = self.history.partition_point(|c| c.revision <= oldest);
-            self.history.drain(..rest);
+            let forgotten = self.history.drain(..rest);
+            self.history_bytes -= forgotten.map(|change| change.value_len()).sum::<usize>();
         }
     }
 }
--- a/crates/geranium_fakes/tests/platform_state.rs
+++ b/crates/geranium_fakes/tests/platform_state.rs
@@ -103,3 +103,16 @@
     assert_eq!(state.compacted_before(2), Some(2));
     assert_eq!(state.compacted_before(3), None);
 }
+
+#[test]
+fn the_history_of_large_values_is_bounded() {
+    let mut state = PlatformState::new(1_000);
+    let value = Bytes::from(vec![b'x'; 1 << 20]);
+    for _ in 0..65 {
+        state.put("/large", value.clone());
+    }
+
+    assert_eq!(state.compacted_before(2), Some(2));
+    assert_eq!(state.compacted_before(3), None);
+    assert_eq!(all_keys(&state), ["/large"]);
+}
--- a/crates/geranium_platform/tests/leases.rs
+++ b/crates/geranium_platform/tests/leases.rs
@@ -2,8 +2,7 @@
 
 use std::time::Duration;
 
-use futures::StreamExt;
-use geranium_fakes::fixture::{ABSENT, applied, platform, put, store_client};
+use geranium_fakes::fixture::{ABSENT, applied, next_batch, platform, put, store_client};
 use geranium_fakes::platform::PlatformFault;
 use geranium_platform::prelude::*;
 
@@ -22,7 +21,7 @@
     let written = applied(store.transact(vec![swap]).await);
     let mut watch = store.watch("/leader", written).await.expect("opened");
 
-    let batch = watch.next().await.expect("open").expect("a batch");
+    let batch = next_batch(&mut watch).await;
 
     assert!(matches!(&batch.changes[..], [WatchChange::Deleted { key, .. }] if key == "/leader"));
     assert_eq!(store.get("/leader").await, Ok(None));
--- a/crates/geranium_platform/tests/watches.rs
+++ b/crates/geranium_platform/tests/watches.rs
@@ -4,7 +4,7 @@
 
 use futures::StreamExt;
 use geranium_core::id::StoreRevision;
-use geranium_fakes::fixture::{connections, platform, store_client};
+use geranium_fakes::fixture::{connections, next_batch, platform, store_client};
 use geranium_fakes::http::GateState;
 use geranium_fakes::platform::PlatformFault;
 use geranium_fakes::{FakePlatform, PlatformConfig};
@@ -31,7 +31,7 @@
 
     platform.put("/b/1", "other");
     platform.put("/a/1", "x");
-    let batch = watch.next().await.expect("open").expect("a batch");
+    let batch = next_batch(&mut watch).await;
 
     assert_eq!(keys(&batch), ["/a/1"]);
     assert_eq!(batch.revision, StoreRevision(platform.stats().revision));
@@ -44,7 +44,7 @@
     let start = store.range("/a/").await.expect("readable").revision;
     let mut watch = store.watch("/a/", start).await.expect("opened");
     platform.put("/a/1", "x");
-    let reached = watch.next().await.expect("open").expect("a batch").revision;
+    let reached = next_batch(&mut watch).await.revision;
 
     platform.set_fault(&connections(GateState::Close));
     let broken = watch.next().await;
@@ -55,7 +55,7 @@
     let mut watch = store.watch("/a/", reached).await.expect("opened again");
     let mut seen = Vec::new();
     while seen.len() < 2 {
-        let batch = watch.next().await.expect("open").expect("a batch");
+        let batch = next_batch(&mut watch).await;
         seen.extend(keys(&batch).into_iter().map(str::to_owned));
     }
 
@@ -81,7 +81,7 @@
     let present = store.range("/").await.expect("readable");
     let mut watch = store.watch("/", present.revision).await.expect("opened");
     platform.put("/3", "x");
-    let batch = watch.next().await.expect("open").expect("a batch");
+    let batch = next_batch(&mut watch).await;
 
     assert_eq!(first, Some(Err(StoreError::Compacted(start.0))));
     assert_eq!(present.values.len(), 2);
@@ -97,13 +97,13 @@
 
     platform.put("/b/1", "x");
     platform.put("/a/1", "x");
-    let first = watch.next().await.expect("open").expect("a batch");
+    let first = next_batch(&mut watch).await;
     platform.set_fault(&PlatformFault {
         compact: true,
         ..PlatformFault::default()
     });
     platform.put("/a/2", "x");
-    let second = watch.next().await.expect("open").expect("a batch");
+    let second = next_batch(&mut watch).await;
 
     assert_eq!(keys(&first), ["/a/1"]);
     assert_eq!(keys(&second), ["/a/2"]);
@@ -125,7 +125,7 @@
 
     let mut reached = start;
     while reached < revision {
-        let batch = watch.next().await.expect("open").expect("a batch");
+        let batch = next_batch(&mut watch).await;
         assert_eq!(batch.changes, []);
         reached = batch.revision;
     }
