--- a/crates/geranium_daemon/src/claim/driver.rs
+++ b/crates/geranium_daemon/src/claim/driver.rs
@@ -5,11 +5,11 @@
 
 use geranium_core::id::StoreRevision;
 use geranium_core::once::{
-    Claim, ClaimAnswer, ClaimCall, ClaimEffect, ClaimHolder, ClaimInput, OpId, ReadOutcome,
-    StoredClaim, UpstreamOutcome, WriteOutcome,
+    BatchWrite, Claim, ClaimAnswer, ClaimCall, ClaimEffect, ClaimHolder, ClaimInput, OpId,
+    ReadOutcome, StoredClaim, UpstreamOutcome,
 };
 use geranium_core::time::Timestamp;
-use geranium_platform::{CasOutcome, KvStore, StoreError, StoredValue, Swap};
+use geranium_platform::{KvStore, StoredValue};
 use tokio::sync::{mpsc, oneshot};
 
 use super::service::{ClaimService, HolderDirectory, UpstreamCall};
@@ -21,6 +21,7 @@
 pub struct ClaimDriver<S, D, U> {
     service: Arc<ClaimService<S, D>>,
     call: ClaimCall,
+    nonce: u64,
     upstream: Option<U>,
     answer: Option<oneshot::Sender<ClaimAnswer>>,
     tx: mpsc::UnboundedSender<ClaimInput>,
@@ -32,7 +33,7 @@
     /// Makes a driver that answers over `answer`.
     pub fn new(
         service: Arc<ClaimService<S, D>>,
-        call: ClaimCall,
+        (call, nonce): (ClaimCall, u64),
         upstream: U,
         answer: oneshot::Sender<ClaimAnswer>,
     ) -> Self {
@@ -40,6 +41,7 @@
         Self {
             service,
             call,
+            nonce,
             upstream: Some(upstream),
             answer: Some(answer),
             tx,
@@ -108,18 +110,14 @@
     }
 
     fn write(&self, op: OpId, key: String, claim: &Claim, expected: StoreRevision) {
-        let store = self.service.store.clone();
-        let tx = self.tx.clone();
-        let swap = Swap {
+        let write = BatchWrite {
+            call: self.nonce,
+            op,
             key,
+            value: claim.encode(),
             expected,
-            value: Some(claim.encode()),
-            lease: None,
         };
-        tokio::spawn(async move {
-            let outcome = write_outcome(store.transact(vec![swap]).await);
-            let _ = tx.send(ClaimInput::Written { op, outcome });
-        });
+        self.service.sender.push(write, self.tx.clone());
     }
 
     fn check_holder(&self, holder: ClaimHolder) {
@@ -151,17 +149,6 @@
     }
 }
 
-fn stored_claim(value: &StoredValue) -> StoredClaim {
+pub(super) fn stored_claim(value: &StoredValue) -> StoredClaim {
     StoredClaim::read(&value.key, &value.value, value.revision)
 }
-
-fn write_outcome(outcome: Result<CasOutcome, StoreError>) -> WriteOutcome {
-    match outcome {
-        Ok(CasOutcome::Applied(revision)) => WriteOutcome::Applied(revision),
-        Ok(CasOutcome::Conflict(values)) => {
-            WriteOutcome::Conflict(values.first().map(stored_claim))
-        }
-        Err(StoreError::Ambiguous(..) | StoreError::Malformed(..)) => WriteOutcome::Ambiguous,
-        Err(_) => WriteOutcome::NoEffect,
-    }
-}
--- a/crates/geranium_daemon/src/claim/mod.rs
+++ b/crates/geranium_daemon/src/claim/mod.rs
@@ -1,6 +1,9 @@
 //! Calls that must not repeat: drives the claim of each call.
 
 mod driver;
+mod sender;
 mod service;
+mod sweep;
 
 pub use service::{ClaimService, HolderDirectory, UpstreamCall};
+pub use sweep::sweep_claims;
--- /dev/null
+++ b/crates/geranium_daemon/src/claim/sender.rs
@@ -0,0 +1,113 @@
+//! Sends claim writes, several in one store transaction.
+
+use std::sync::Arc;
+
+use geranium_core::collections::HashMap;
+use geranium_core::once::{Batch, BatchConfig, BatchOutcome, BatchWrite, ClaimBatcher, ClaimInput};
+use geranium_platform::{CasOutcome, KvStore, StoreError, Swap};
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+
+use super::driver::stored_claim;
+use crate::clock::ProcessClock;
+
+struct SenderState {
+    batcher: ClaimBatcher,
+    /// Where the outcome of each write goes, by call and operation.
+    waiting: HashMap<(u64, u64), mpsc::UnboundedSender<ClaimInput>>,
+    wakes: bool,
+}
+
+/// Sends claim writes, several in one store transaction.
+pub struct ClaimSender<S> {
+    store: S,
+    clock: ProcessClock,
+    state: Mutex<SenderState>,
+}
+
+impl<S: KvStore> ClaimSender<S> {
+    /// Makes a sender with nothing to send.
+    pub fn new(store: S, clock: ProcessClock) -> Self {
+        let state = SenderState {
+            batcher: ClaimBatcher::new(BatchConfig::default()),
+            waiting: HashMap::default(),
+            wakes: false,
+        };
+        Self {
+            store,
+            clock,
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Runs a decision that needs the queue's admission.
+    pub fn with_admission<T>(&self, decide: impl FnOnce(&mut ClaimBatcher) -> T) -> T {
+        decide(&mut self.state.lock().batcher)
+    }
+
+    /// Takes in a write; its outcome goes to `tx`.
+    pub fn push(self: &Arc<Self>, write: BatchWrite, tx: mpsc::UnboundedSender<ClaimInput>) {
+        let mut state = self.state.lock();
+        state.waiting.insert((write.call, write.op), tx);
+        state.batcher.push(write);
+        drop(state);
+        self.send_due();
+    }
+
+    /// Sends the transactions that are due and looks again when the rate allows more.
+    fn send_due(self: &Arc<Self>) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        while let Some(batch) = state.batcher.next_batch(now) {
+            let sender = self.clone();
+            tokio::spawn(async move { sender.transact(batch).await });
+        }
+        let Some(at) = state.batcher.next_wake().filter(|_| !state.wakes) else {
+            return;
+        };
+        state.wakes = true;
+        let sender = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(at.since(now)).await;
+            sender.state.lock().wakes = false;
+            sender.send_due();
+        });
+    }
+
+    async fn transact(self: Arc<Self>, batch: Batch) {
+        let swaps = batch.writes.iter().map(|write| Swap {
+            key: write.key.clone(),
+            expected: write.expected,
+            value: Some(write.value.clone()),
+            lease: None,
+        });
+        let outcome = batch_outcome(self.store.transact(swaps.collect()).await);
+        let mut state = self.state.lock();
+        for result in state.batcher.finish(batch.id, outcome) {
+            if let Some(tx) = state.waiting.remove(&(result.call, result.op)) {
+                let outcome = result.outcome;
+                // A call that has ended no longer listens.
+                let _ = tx.send(ClaimInput::Written {
+                    op: result.op,
+                    outcome,
+                });
+            }
+        }
+        drop(state);
+        self.send_due();
+    }
+}
+
+fn batch_outcome(outcome: Result<CasOutcome, StoreError>) -> BatchOutcome {
+    match outcome {
+        Ok(CasOutcome::Applied(revision)) => BatchOutcome::Applied(revision),
+        Ok(CasOutcome::Conflict(values)) => {
+            let present = values
+                .iter()
+                .map(|value| (value.key.clone(), stored_claim(value)));
+            BatchOutcome::Conflict(present.collect())
+        }
+        Err(StoreError::Ambiguous(..) | StoreError::Malformed(..)) => BatchOutcome::Ambiguous,
+        Err(_) => BatchOutcome::NoEffect,
+    }
+}
--- a/crates/geranium_daemon/src/claim/service.rs
+++ b/crates/geranium_daemon/src/claim/service.rs
@@ -6,24 +6,17 @@
 
 use geranium_core::event::EventDraft;
 use geranium_core::once::{
-    ClaimAnswer, ClaimBudget, ClaimCall, ClaimConfig, ClaimHolder, ClaimRequest, HolderStatus,
-    NotRun, NotRunReason, OtherAttempts, UpstreamOutcome,
+    ClaimAnswer, ClaimCall, ClaimConfig, ClaimHolder, ClaimRequest, HolderStatus, UpstreamOutcome,
 };
 use geranium_core::time::Timestamp;
 use geranium_platform::KvStore;
 use geranium_telemetry::EventRecorder;
-use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
 use super::driver::ClaimDriver;
+use super::sender::ClaimSender;
 use crate::clock::ProcessClock;
 
-/// Store writes a second that claims of one entry host may take.
-const CLAIM_WRITES_PER_SECOND: f64 = 100.0;
-
-/// Store writes that claims of one entry host may take at once.
-const CLAIM_WRITE_BURST: f64 = 100.0;
-
 /// Tells whether the process that holds a claim still runs.
 pub trait HolderDirectory: Send + Sync + 'static {
     /// Looks a holder up in the membership.
@@ -43,7 +36,7 @@
     pub(super) recorder: Arc<EventRecorder>,
     pub(super) clock: ProcessClock,
     cfg: ClaimConfig,
-    budget: Mutex<ClaimBudget>,
+    pub(super) sender: Arc<ClaimSender<S>>,
     next_nonce: AtomicU64,
 }
 
@@ -56,14 +49,14 @@
         clock: ProcessClock,
         cfg: ClaimConfig,
     ) -> Self {
-        let budget = ClaimBudget::new(CLAIM_WRITES_PER_SECOND, CLAIM_WRITE_BURST);
+        let sender = Arc::new(ClaimSender::new(store.clone(), clock));
         Self {
             store,
             directory,
             recorder,
             clock,
             cfg,
-            budget: Mutex::new(budget),
+            sender,
             next_nonce: AtomicU64::new(1),
         }
     }
@@ -79,9 +72,11 @@
         let (tx, rx) = oneshot::channel();
         let holder = self.new_holder();
         let now = self.clock.now();
-        let (call, effects) =
-            ClaimCall::submit(self.cfg, req, holder, &mut *self.budget.lock(), now);
-        let driver = ClaimDriver::new(self.clone(), call, upstream, tx);
+        let nonce = holder.nonce;
+        let (call, effects) = self
+            .sender
+            .with_admission(|admission| ClaimCall::submit(self.cfg, req, holder, admission, now));
+        let driver = ClaimDriver::new(self.clone(), (call, nonce), upstream, tx);
         tokio::spawn(driver.run(effects));
         // The driver answers before it ends; only a panic of its task gets here.
         rx.await.unwrap_or(ClaimAnswer::OutcomeUnknown(
@@ -92,16 +87,6 @@
         ))
     }
 
-    /// Returns the refusal of a call for which no service can be reached.
-    #[must_use]
-    pub fn no_endpoint(&self) -> ClaimAnswer {
-        ClaimAnswer::NotRun(NotRun {
-            reason: NotRunReason::ServiceUnreachable,
-            other_attempts: OtherAttempts::NotChecked,
-            retry_after: self.cfg.unavailable_retry_after,
-        })
-    }
-
     pub(super) fn emit(&self, draft: EventDraft) {
         self.recorder.record(self.clock.now(), draft);
     }
--- /dev/null
+++ b/crates/geranium_daemon/src/claim/sweep.rs
@@ -0,0 +1,62 @@
+//! Deletes claims whose retention is over.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use geranium_core::id::AccountId;
+use geranium_core::once::{SweepAction, claim_sweep_prefix, expired_claims};
+use geranium_platform::{KvStore, StoreError, Swap};
+
+use super::driver::stored_claim;
+use crate::node::Node;
+
+/// Time between two looks at a part of an account's claims.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Parts of an account's claims.
+const PARTS: u64 = 256;
+
+/// Deletions in one transaction.
+const MAX_DELETIONS: usize = 64;
+
+/// Deletes expired claims while this process leads its failure domain.
+pub async fn sweep_claims(node: Arc<Node>) {
+    for round in 0_u64.. {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        let view = node.published.view();
+        let accounts: Vec<AccountId> = view
+            .records
+            .accounts()
+            .map(|spec| spec.account.clone())
+            .collect();
+        if !view.leading || accounts.is_empty() {
+            continue;
+        }
+        let account = &accounts[(round / PARTS) as usize % accounts.len()];
+        let prefix = claim_sweep_prefix(account, (round % PARTS) as u8);
+        if let Err(e) = sweep_part(&node, &prefix).await {
+            log::debug!("cannot sweep claims below {prefix:?}: {e}");
+        }
+    }
+}
+
+async fn sweep_part(node: &Node, prefix: &str) -> Result<(), StoreError> {
+    let read = node.store.range(prefix).await?;
+    let claims: Vec<_> = read
+        .values
+        .iter()
+        .map(|v| (v.key.as_str(), stored_claim(v)))
+        .collect();
+    let now = node.clock.now();
+    let expired = expired_claims(now, claims.iter().map(|(key, claim)| (*key, claim)));
+    for chunk in expired.chunks(MAX_DELETIONS) {
+        let swaps = chunk.iter().map(|SweepAction { key, expected }| Swap {
+            key: key.clone(),
+            expected: *expected,
+            value: None,
+            lease: None,
+        });
+        node.store.transact(swaps.collect()).await?;
+    }
+    Ok(())
+}
--- a/crates/geranium_daemon/src/control/mod.rs
+++ b/crates/geranium_daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 //! One [`ControlTask`] owns the aggregates of group control, so that they need no
 //! lock; helper tasks read the outside world and send it [`ControlInput`]s.
 
+mod cache_poller;
 mod input;
 mod leader;
 mod mirror;
@@ -12,6 +13,7 @@
 mod table_store;
 mod task;
 
+pub use cache_poller::follow_caches;
 pub use input::ControlInput;
 pub use leader::{LeaderCampaign, leader_key};
 pub use mirror::{MirrorTarget, StoreMirror};
--- a/crates/geranium_daemon/src/control/task.rs
+++ b/crates/geranium_daemon/src/control/task.rs
@@ -12,6 +12,7 @@
 };
 use geranium_core::id::{GroupId, HostId};
 use geranium_core::record::{DrainTarget, ModelSpec, RecordSet};
+use geranium_core::time::Timestamp;
 use geranium_engine::HttpEngineClient;
 use geranium_peer::{PeerCommand, PeerReply};
 use tokio::sync::mpsc;
@@ -21,6 +22,7 @@
 use super::reports::ReportPoller;
 use super::table_store::TableStore;
 use super::{ControlInput, ControlView};
+use crate::metrics::DomainLabel;
 use crate::node::{Node, Store};
 use crate::peers::PeerInput;
 
@@ -41,6 +43,7 @@
     poller: ReportPoller<HttpEngineClient>,
     rx: mpsc::Receiver<ControlInput>,
     store_reachable: bool,
+    counted_at: Timestamp,
 }
 
 impl ControlTask {
@@ -66,6 +69,7 @@
             table_store: TableStore::new(node.store.clone(), &domain, tx.clone()),
             orders: OrderSender::new(engines.clone(), tx.clone()),
             poller: ReportPoller::new(engines, domain, interval, tx),
+            counted_at: node.clock.now(),
             node,
             rx,
             store_reachable: false,
@@ -239,6 +243,7 @@
             self.emit(draft);
         }
         let view = self.view();
+        self.count_downtime(now, &view);
         let peers = self.node.peers.view();
         self.node.traffic.update(now, &view, &peers);
         self.node.published.set(view);
@@ -249,6 +254,36 @@
             .try_send(PeerInput::Groups(self.serving.clone()));
     }
 
+    /// Counts the time of replicas that records ask for and that do not serve.
+    fn count_downtime(&mut self, now: Timestamp, view: &ControlView) {
+        let elapsed = now.since(self.counted_at);
+        self.counted_at = now;
+        let domain = &self.node.settings.failure_domain;
+        if !view.leading || view.records.drained().failure_domains.contains(domain) {
+            return;
+        }
+        let mut missing = 0;
+        for spec in view.records.models() {
+            let placements = spec
+                .placements
+                .iter()
+                .filter(|p| p.failure_domain == *domain);
+            let wanted: u32 = placements.map(|placement| placement.replicas).sum();
+            let serving = view
+                .serving
+                .iter()
+                .filter(|group| group.record == spec.name)
+                .count();
+            missing += u64::from(wanted).saturating_sub(serving as u64);
+        }
+        let millis = u64::try_from(elapsed.as_millis()).unwrap_or_default();
+        let label = DomainLabel {
+            failure_domain: domain.to_string(),
+        };
+        let downtime = &self.node.metrics.group_downtime_ms;
+        downtime.get_or_create(&label).inc_by(missing * millis);
+    }
+
     fn view(&self) -> ControlView {
         let table = self.gate.table();
         let why = |id: &GroupId| Some((id.clone(), self.gate.why_closed(id)?.to_owned()));
--- a/crates/geranium_daemon/src/main.rs
+++ b/crates/geranium_daemon/src/main.rs
@@ -37,6 +37,8 @@
         daemon.add_store_mirrors();
         daemon.add_leadership();
         daemon.add_traffic_clock();
+        daemon.add_cache_events();
+        daemon.add_claim_sweep();
         daemon.add_caller_interface().await?;
         daemon.add_operator_interface().await?;
         daemon.run_until_signal().await
--- a/crates/geranium_daemon/src/node.rs
+++ b/crates/geranium_daemon/src/node.rs
@@ -310,6 +310,7 @@
         self.metrics
             .store_reachable
             .set(i64::from(view.store_reachable));
+        self.refresh_entry_hosts();
         let accelerators = crate::operator::accelerators(self, &view);
         self.metrics.accelerators.clear();
         self.set_accelerators("serving", accelerators.serving);
@@ -318,6 +319,16 @@
         }
     }
 
+    fn refresh_entry_hosts(&self) {
+        self.metrics.entry_hosts.clear();
+        for known in self.peers.view().hosts.values() {
+            let label = ReasonLabel {
+                reason: known.state.to_owned(),
+            };
+            self.metrics.entry_hosts.get_or_create(&label).inc();
+        }
+    }
+
     fn set_accelerators(&self, reason: &str, count: u32) {
         let label = ReasonLabel {
             reason: reason.to_owned(),
--- a/crates/geranium_daemon/src/relay/attempt.rs
+++ b/crates/geranium_daemon/src/relay/attempt.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use geranium_core::group::Temperature;
+use geranium_core::limit::ColdSettings;
 use geranium_core::route::{RouteChoice, RoutePath};
 use geranium_core::time::Timestamp;
 use geranium_engine::{CompletionRequest, CompletionStream, EngineApi, EngineError, Resume};
@@ -38,7 +40,7 @@
         group: choice.group.clone(),
         fencing: choice.fencing,
         priority: req.priority,
-        remaining: req.deadline.since(now),
+        remaining: remaining(now, req, choice),
         body: req.body.clone(),
         resume,
     };
@@ -58,6 +60,16 @@
     }
 }
 
+/// Returns the time that the group may take; a cold group gets no longer than
+/// its budget's holder reckons with.
+fn remaining(now: Timestamp, req: &RelayRequest, choice: &RouteChoice) -> Duration {
+    let remaining = req.deadline.since(now);
+    match choice.temperature {
+        Temperature::Cold => remaining.min(ColdSettings::default().run_limit),
+        Temperature::Warm => remaining,
+    }
+}
+
 /// Passes the completion on to an entry host of the group's failure domain.
 async fn forward(
     node: &Node,
--- a/crates/geranium_daemon/src/relay/job.rs
+++ b/crates/geranium_daemon/src/relay/job.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use geranium_core::event::{EventDraft, EventKind, EventSubject};
+use geranium_core::group::Temperature;
 use geranium_core::id::GroupId;
 use geranium_core::limit::{ColdOutcome, CrashId, CrashVerdict, RetryBackoff};
 use geranium_core::route::{Dispatch, RouteChoice, RoutePath, RouteQuery, RouteRefusal};
@@ -22,6 +23,7 @@
 use super::chunk::read_piece;
 use super::output::ReaderGone;
 use super::trial::{Trial, suspect_of};
+use super::witness::CrashWitness;
 use super::{RelayOutput, RelayRequest};
 use crate::caller::refusal;
 use crate::node::Node;
@@ -51,6 +53,8 @@
     Whole,
     /// The group broke off; the request may have run in part.
     Broken(String),
+    /// The request left the group, which did not fail.
+    Left(String),
     /// The group refused the request without running it.
     NotRun(String),
     /// The caller left or reads too slowly.
@@ -76,6 +80,7 @@
     accepted_at: Timestamp,
     crashed: bool,
     trial: Option<Trial>,
+    witness: Option<CrashWitness>,
     any_sent: bool,
     _admitted: Admitted,
 }
@@ -107,6 +112,7 @@
             accepted_at,
             crashed: false,
             trial: None,
+            witness: None,
             any_sent: false,
             _admitted: admitted,
         }
@@ -137,6 +143,10 @@
                 tokio::time::sleep(delay).await;
             }
             let (choice, mut dispatch) = self.choose_for_trial().await?;
+            self.witness = CrashWitness::new(&self.node, &choice);
+            if choice.temperature == Temperature::Cold {
+                self.node.metrics.cold_starts.inc();
+            }
             let end = self.try_group(&choice, &mut dispatch).await;
             let outcome = match &end {
                 AttemptEnd::Whole => ColdOutcome::Succeeded,
@@ -163,6 +173,10 @@
                     return Err(Some(e));
                 }
                 AttemptEnd::NotRun(why) => self.move_on(now, &choice, &why),
+                AttemptEnd::Left(why) => {
+                    self.cancel(&choice).await;
+                    self.move_on(now, &choice, &why);
+                }
                 AttemptEnd::Broken(why) => {
                     self.note_crash(now, &choice).await;
                     self.cancel(&choice).await;
@@ -302,15 +316,14 @@
     ) -> AttemptEnd {
         let mut heard_at = opened_at;
         let mut tokens = 0_u64;
+        let mut checks = tokio::time::interval(CHECK_INTERVAL);
         loop {
             let event = tokio::select! {
                 event = stream.next() => event,
                 () = self.output.left() => return AttemptEnd::ReaderGone,
-                () = tokio::time::sleep(CHECK_INTERVAL) => {
-                    match self.check_stall(choice, heard_at, tokens) {
-                        Some(end) => return end,
-                        None => continue,
-                    }
+                _ = checks.tick() => match self.check(choice, heard_at, tokens) {
+                    Some(end) => return end,
+                    None => continue,
                 }
             };
             heard_at = self.node.clock.now();
@@ -323,7 +336,7 @@
                     if tokens == 1 {
                         // The request is past the point at which a group crashed.
                         self.trial = None;
-                        self.note_first_token(dispatch, opened_at, heard_at);
+                        self.note_first_token(choice, dispatch, opened_at, heard_at);
                     }
                     if let Err(end) = self.take_in(piece, from).await {
                         return end;
@@ -333,17 +346,15 @@
         }
     }
 
-    /// Decides on a stream that has been silent for a while.
-    fn check_stall(
-        &self,
-        choice: &RouteChoice,
-        heard_at: Timestamp,
-        tokens: u64,
-    ) -> Option<AttemptEnd> {
+    /// Decides whether the attempt may go on.
+    fn check(&self, choice: &RouteChoice, heard_at: Timestamp, tokens: u64) -> Option<AttemptEnd> {
         let now = self.node.clock.now();
         if now >= self.req.deadline {
             return Some(AttemptEnd::DeadlinePassed);
         }
+        if self.node.traffic.must_leave(now, choice) {
+            return Some(AttemptEnd::Left("its cold credit expired".to_owned()));
+        }
         let silent = now.since(heard_at);
         let limit = if tokens == 0 {
             FIRST_TOKEN_TIMEOUT
@@ -446,10 +457,16 @@
         }
     }
 
-    fn note_first_token(&self, dispatch: &mut Dispatch, opened_at: Timestamp, now: Timestamp) {
+    fn note_first_token(
+        &self,
+        choice: &RouteChoice,
+        dispatch: &mut Dispatch,
+        opened_at: Timestamp,
+        now: Timestamp,
+    ) {
         self.node
             .traffic
-            .first_token(now, dispatch, now.since(opened_at));
+            .first_token(now, choice, dispatch, now.since(opened_at));
         if !self.req.forwarded {
             self.node
                 .metrics
@@ -470,7 +487,12 @@
     async fn note_crash(&mut self, now: Timestamp, choice: &RouteChoice) {
         self.crashed = true;
         let was_on_trial = self.trial.is_some();
-        if choice.path != RoutePath::Direct {
+        let engine_died = match self.witness.take() {
+            Some(witness) => witness.engine_died(&self.node).await,
+            None => false,
+        };
+        if !engine_died {
+            self.trial = None;
             return;
         }
         let crash = CrashId {
--- a/crates/geranium_daemon/src/relay/mod.rs
+++ b/crates/geranium_daemon/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod output;
 mod request;
 mod trial;
+mod witness;
 
 pub use chunk::finish_text;
 pub use job::RelayJob;
--- /dev/null
+++ b/crates/geranium_daemon/src/relay/witness.rs
@@ -0,0 +1,55 @@
+//! Evidence of whether an engine of a group died.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::future::join_all;
+use geranium_core::id::{HostId, Incarnation};
+use geranium_core::route::{RouteChoice, RoutePath};
+use geranium_engine::EngineApi;
+
+use crate::node::Node;
+
+/// Longest wait for the report of a member.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The members of a group and their incarnations when a request was sent to it.
+///
+/// Only the death of an engine whose host still answers speaks against a request:
+/// a host that is silent, cut off or drained says nothing about it.
+pub struct CrashWitness {
+    members: Vec<(HostId, SocketAddr, Incarnation)>,
+}
+
+impl CrashWitness {
+    /// Notes the members of a group that this entry host reaches itself.
+    #[must_use]
+    pub fn new(node: &Node, choice: &RouteChoice) -> Option<Self> {
+        if choice.path != RoutePath::Direct {
+            return None;
+        }
+        let view = node.published.view();
+        let group = view.table.as_ref()?.groups().get(&choice.group)?;
+        let members = group.members.iter().filter_map(|member| {
+            let incarnation = view.reports.get(&member.host)?.report.incarnation;
+            Some((member.host.clone(), member.address, incarnation))
+        });
+        Some(Self {
+            members: members.collect(),
+        })
+    }
+
+    /// Returns whether a member answers with another incarnation.
+    pub async fn engine_died(&self, node: &Node) -> bool {
+        let asked = self
+            .members
+            .iter()
+            .map(|(host, address, incarnation)| async move {
+                let report =
+                    tokio::time::timeout(REPORT_TIMEOUT, node.engines.report(*address)).await;
+                let report = report.ok()?.ok()?;
+                Some(report.host == *host && report.incarnation != *incarnation)
+            });
+        join_all(asked).await.contains(&Some(true))
+    }
+}
--- a/crates/geranium_daemon/src/startup.rs
+++ b/crates/geranium_daemon/src/startup.rs
@@ -22,11 +22,11 @@
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 
-use crate::claim::ClaimService;
+use crate::claim::{ClaimService, sweep_claims};
 use crate::clock::ProcessClock;
 use crate::control::{
     ControlInput, ControlTask, HOST_PREFIX, LeaderCampaign, MirrorTarget, Published, StoreMirror,
-    table_key,
+    follow_caches, table_key,
 };
 use crate::metrics::Metrics;
 use crate::node::{Holders, Node};
@@ -192,6 +192,16 @@
         self.duties.spawn(campaign.run());
     }
 
+    /// Adds the questions for cache events, which the router goes by.
+    pub fn add_cache_events(&mut self) {
+        self.duties.spawn(follow_caches(self.node.clone()));
+    }
+
+    /// Adds the deletion of claims whose retention is over.
+    pub fn add_claim_sweep(&mut self) {
+        self.duties.spawn(sweep_claims(self.node.clone()));
+    }
+
     /// Adds the clock of queues and cold credits.
     pub fn add_traffic_clock(&mut self) {
         let node = self.node.clone();
@@ -201,6 +211,9 @@
             loop {
                 ticks.tick().await;
                 ask_for_credits(&node);
+                for draft in node.traffic.take_events() {
+                    node.record(draft);
+                }
             }
         });
     }
--- a/crates/geranium_daemon/src/traffic/mod.rs
+++ b/crates/geranium_daemon/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 
 use std::time::Duration;
 
+use geranium_core::event::EventDraft;
 use geranium_core::id::{AccountId, GroupId, ModelId};
 use geranium_core::limit::CrashId;
 use geranium_core::limit::{
@@ -16,7 +17,9 @@
     CreditGrant, CreditRefusal, CreditRequest, RequestFingerprint, Ticket, TrialGrant,
     TrialRefusal, TrialRequest,
 };
-use geranium_core::route::{BlockHash, Dispatch, RouteChoice, RouteQuery, RouteRefusal};
+use geranium_core::route::{
+    BlockHash, CacheEvent, Dispatch, RouteChoice, RouteQuery, RouteRefusal,
+};
 use geranium_core::time::Timestamp;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -118,8 +121,32 @@
     }
 
     /// Notes the first token of a request.
-    pub fn first_token(&self, now: Timestamp, dispatch: &mut Dispatch, waited: Duration) {
-        self.state.lock().router.first_token(now, dispatch, waited);
+    pub fn first_token(
+        &self,
+        now: Timestamp,
+        choice: &RouteChoice,
+        dispatch: &mut Dispatch,
+        waited: Duration,
+    ) {
+        self.state.lock().first_token(now, choice, dispatch, waited);
+    }
+
+    /// Returns whether the credits of a cold group expired under its requests,
+    /// which then go on elsewhere.
+    #[must_use]
+    pub fn must_leave(&self, now: Timestamp, choice: &RouteChoice) -> bool {
+        self.state.lock().must_leave(now, choice)
+    }
+
+    /// Takes in an event of a group's prefix cache.
+    pub fn cache_event(&self, event: &CacheEvent) {
+        self.state.lock().router.cache_event(event);
+    }
+
+    /// Takes the events that explain decisions, the oldest first.
+    #[must_use]
+    pub fn take_events(&self) -> Vec<EventDraft> {
+        self.state.lock().take_events()
     }
 
     /// Notes the end of a request at its group.
--- a/crates/geranium_daemon/src/traffic/state.rs
+++ b/crates/geranium_daemon/src/traffic/state.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use geranium_core::collections::HashMap;
+use geranium_core::event::EventDraft;
 use geranium_core::group::{ServingGroup, Temperature};
 use geranium_core::id::{GroupId, ModelId};
 use geranium_core::limit::{
@@ -13,7 +14,8 @@
 };
 use geranium_core::record::{ModelSpec, RecordSet};
 use geranium_core::route::{
-    ColdCredits, Dispatch, RouteChoice, RouteQuery, RouteRefusal, Router, RouterSettings,
+    ColdCredits, Dispatch, PaceVerdict, RouteChoice, RouteQuery, RouteRefusal, Router,
+    RouterSettings,
 };
 use geranium_core::time::Timestamp;
 use geranium_telemetry::ProcessIdentity;
@@ -45,7 +47,6 @@
     pub waiting: HashMap<(ModelId, Ticket), Waiter>,
     admissions: HashMap<ModelId, Admission>,
     serving: Arc<Vec<ServingGroup>>,
-    remote_groups: Vec<ServingGroup>,
     records: Arc<RecordSet>,
     entry_hosts: u32,
     rng: SmallRng,
@@ -67,7 +68,6 @@
             waiting: HashMap::default(),
             admissions: HashMap::default(),
             serving: Arc::default(),
-            remote_groups: Vec::new(),
             records: Arc::default(),
             entry_hosts: 1,
             rng: SmallRng::seed_from_u64(seed),
@@ -109,7 +109,42 @@
             self.router.update_groups(now, &groups);
         }
         self.router.update_entry_hosts(&peers.remote_entries);
-        self.remote_groups.clone_from(&peers.remote_groups);
+    }
+
+    /// Takes the events that explain decisions, the oldest first.
+    pub fn take_events(&mut self) -> Vec<EventDraft> {
+        let mut events = self.router.take_events();
+        events.extend(self.holder.take_events());
+        events.extend(self.crashes.take_events());
+        events
+    }
+
+    /// Notes a first token and treats the group as cold if it came out of line.
+    pub fn first_token(
+        &mut self,
+        now: Timestamp,
+        choice: &RouteChoice,
+        dispatch: &mut Dispatch,
+        waited: Duration,
+    ) {
+        let verdict = self.router.first_token(now, dispatch, waited);
+        let current = self
+            .serving
+            .iter()
+            .any(|group| group.group == choice.group && group.generation == choice.generation);
+        if verdict == PaceVerdict::Cold && current {
+            self.cold.mark_cold(&choice.group, choice.generation);
+        }
+    }
+
+    /// Returns whether the credits of a cold group expired under its requests.
+    pub fn must_leave(&mut self, now: Timestamp, choice: &RouteChoice) -> bool {
+        let cold = choice.temperature == Temperature::Cold;
+        cold && self
+            .cold
+            .expired(now)
+            .iter()
+            .any(|expired| expired.group == choice.group)
     }
 
     pub fn tick(&mut self, now: Timestamp) -> Vec<CreditRequest> {
@@ -186,50 +221,35 @@
 
     /// Sets the requests that each model may have in progress over this entry host.
     fn update_capacity(&mut self, now: Timestamp) {
-        let mut capacities: HashMap<ModelId, u32> = HashMap::default();
-        let serving = self.serving.clone();
-        for group in serving.iter() {
-            let share = self.share_of(now, group);
-            *capacities.entry(group.served_model.clone()).or_default() += share;
-        }
-        for group in &self.remote_groups {
-            // Other failure domains admit what is passed on to them themselves.
-            let free = limit_of(group).saturating_sub(group.running);
-            *capacities.entry(group.served_model.clone()).or_default() += free;
-        }
+        self.want_credits();
         let models: Vec<ModelId> = self.admissions.keys().cloned().collect();
         for model in models {
-            let capacity = capacities.get(&model).copied().unwrap_or_default();
+            let capacity = self
+                .router
+                .capacity(now, &model, self.entry_hosts, &self.cold);
             let change = self.admission(&model).set_capacity(now, capacity);
             self.apply(&model, change);
         }
     }
 
-    /// Returns the requests of a group that this entry host may have in progress.
-    fn share_of(&mut self, now: Timestamp, group: &ServingGroup) -> u32 {
-        let (id, generation) = (&group.group, group.generation);
-        let cold = group.temperature == Temperature::Cold || self.cold.marked_cold(id, generation);
-        if !cold {
-            return group.warm_concurrency.div_ceil(self.entry_hosts);
+    /// Asks for one cold credit more than is needed, so that the next request
+    /// finds one.
+    fn want_credits(&mut self) {
+        let serving = self.serving.clone();
+        for group in serving.iter() {
+            let (id, generation) = (&group.group, group.generation);
+            let cold =
+                group.temperature == Temperature::Cold || self.cold.marked_cold(id, generation);
+            if !cold {
+                continue;
+            }
+            let admission = self.admissions.get(&group.served_model);
+            let queued =
+                u32::try_from(admission.map_or(0, Admission::queued)).unwrap_or(u32::MAX / 2);
+            let wanted = self.cold.in_use(id) + 1 + queued;
+            self.cold
+                .want(id, generation, wanted.min(group.warm_concurrency));
         }
-        // One credit more than is used is always asked for, so that the next
-        // request finds one.
-        let in_use = self.cold.in_use(id);
-        let queued: usize = self
-            .admissions
-            .get(&group.served_model)
-            .map_or(0, Admission::queued);
-        let wanted = in_use + 1 + u32::try_from(queued).unwrap_or(u32::MAX / 2);
-        self.cold
-            .want(id, generation, wanted.min(group.warm_concurrency));
-        in_use + self.cold.available(now, id, generation)
-    }
-}
-
-fn limit_of(group: &ServingGroup) -> u32 {
-    match group.temperature {
-        Temperature::Cold => group.cold_concurrency,
-        Temperature::Warm => group.warm_concurrency,
     }
 }
 
