--- a/crates/geranium_daemon/tests/system/claims.rs
+++ b/crates/geranium_daemon/tests/system/claims.rs
@@ -6,8 +6,10 @@
 use geranium_fakes::service::ServiceFault;
 use hyper::StatusCode;
 
-use crate::system::{DomainSize, System};
-use crate::wait::until;
+use geranium_fakes::system::until;
+use geranium_fakes::system::{DomainSize, System};
+
+use crate::GERANIUMD;
 
 const TWO_DOMAINS: [DomainSize; 2] = [
     DomainSize {
@@ -23,7 +25,7 @@
 ];
 
 async fn system() -> System {
-    let system = System::start(&TWO_DOMAINS, |_| {}).await;
+    let system = System::start(GERANIUMD, &TWO_DOMAINS, |_| {}).await;
     system.apply_service().await;
     system
 }
--- a/crates/geranium_daemon/tests/system/control.rs
+++ b/crates/geranium_daemon/tests/system/control.rs
@@ -9,8 +9,10 @@
 use hyper::StatusCode;
 use serde_json::json;
 
-use crate::system::{DomainSize, System, content, expected, open_groups};
-use crate::wait::until;
+use geranium_fakes::system::until;
+use geranium_fakes::system::{DomainSize, System, content, expected, open_groups};
+
+use crate::GERANIUMD;
 
 const TWO_ENTRIES: DomainSize = DomainSize {
     name: "lima-1",
@@ -50,7 +52,7 @@
 }
 
 async fn serving() -> System {
-    let system = System::start(&[TWO_ENTRIES], |_| {}).await;
+    let system = System::start(GERANIUMD, &[TWO_ENTRIES], |_| {}).await;
     system.apply_model(&[("lima-1", 1)], 2).await;
     system.wait_serving("lima-1", 1).await;
     system.chat_until_ok(0, "first", 2).await;
@@ -71,7 +73,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn leader_killed_at_formation_is_followed_by_another_that_finishes_it() {
-    let mut system = System::start(&[TWO_ENTRIES], |cfg| {
+    let mut system = System::start(GERANIUMD, &[TWO_ENTRIES], |cfg| {
         cfg.load_time = Duration::from_millis(1_500);
     })
     .await;
@@ -229,7 +231,7 @@
             engines: 2,
         },
     ];
-    let system = System::start(&domains, |cfg| cfg.warm_after = 1).await;
+    let system = System::start(GERANIUMD, &domains, |cfg| cfg.warm_after = 1).await;
     system.apply_model(&[("lima-1", 1), ("lima-2", 1)], 2).await;
     system.wait_serving("lima-1", 1).await;
     system.wait_serving("lima-2", 1).await;
@@ -319,16 +321,16 @@
         entry_hosts: 1,
         engines: 4,
     };
-    let system = System::start(&[domain], |cfg| cfg.warm_after = 1).await;
+    let system = System::start(GERANIUMD, &[domain], |cfg| cfg.warm_after = 1).await;
     system.apply_model(&[("lima-1", 1)], 2).await;
     system.wait_serving("lima-1", 1).await;
     system.chat_until_ok(0, "first", 2).await;
-    let mut newer = crate::system::model(&[("lima-1", 1)], 2);
+    let mut newer = geranium_fakes::system::model(&[("lima-1", 1)], 2);
     newer["version"] = json!("4");
     system.apply(&newer).await;
     let of = |version: &str| {
         let prompt = geranium_engine::ChatRequest::user("summary", "which version").prompt();
-        geranium_fakes::expected_text(crate::system::WEIGHTS, version, &prompt, 4)
+        geranium_fakes::expected_text(geranium_fakes::system::WEIGHTS, version, &prompt, 4)
     };
 
     let start = Instant::now();
--- a/crates/geranium_daemon/tests/system/main.rs
+++ b/crates/geranium_daemon/tests/system/main.rs
@@ -2,8 +2,8 @@
 
 mod claims;
 mod control;
-mod entry;
 mod operators;
 mod requests;
-mod system;
-mod wait;
+
+/// The daemon that these tests start.
+const GERANIUMD: &str = env!("CARGO_BIN_EXE_geraniumd");
--- a/crates/geranium_daemon/tests/system/operators.rs
+++ b/crates/geranium_daemon/tests/system/operators.rs
@@ -3,8 +3,10 @@
 use geranium_operator::ApplyOutcome;
 use serde_json::json;
 
-use crate::system::{DomainSize, System, account, model};
-use crate::wait::until;
+use geranium_fakes::system::until;
+use geranium_fakes::system::{DomainSize, System, account, model};
+
+use crate::GERANIUMD;
 
 const TWO_HOSTS: [DomainSize; 2] = [
     DomainSize {
@@ -21,7 +23,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn of_two_operators_racing_a_hundred_times_one_wins_and_the_other_is_told() {
-    let system = System::start(&TWO_HOSTS, |_| {}).await;
+    let system = System::start(GERANIUMD, &TWO_HOSTS, |_| {}).await;
     system.apply(&account()).await;
     let other = system.entry(1).operator;
     until("the account on both hosts", || async {
@@ -58,7 +60,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn accepted_record_is_in_force_on_every_host_and_an_ambiguous_write_is_settled() {
-    let system = System::start(&TWO_HOSTS, |_| {}).await;
+    let system = System::start(GERANIUMD, &TWO_HOSTS, |_| {}).await;
     let lose = geranium_fakes::platform::PlatformFault {
         lose_answers: Some(1),
         ..geranium_fakes::platform::PlatformFault::default()
--- a/crates/geranium_daemon/tests/system/requests.rs
+++ b/crates/geranium_daemon/tests/system/requests.rs
@@ -7,8 +7,10 @@
 use hyper::StatusCode;
 use std::time::Duration;
 
-use crate::system::{DESK_KEY, DomainSize, System, content, expected};
-use crate::wait::until;
+use geranium_fakes::system::until;
+use geranium_fakes::system::{DESK_KEY, DomainSize, System, content, expected};
+
+use crate::GERANIUMD;
 
 const ONE_DOMAIN: DomainSize = DomainSize {
     name: "lima-1",
@@ -17,7 +19,10 @@
 };
 
 async fn serving_system(groups: u32, domain: DomainSize) -> System {
-    let system = System::start(&[domain], |cfg| cfg.token_time = Duration::from_millis(4)).await;
+    let system = System::start(GERANIUMD, &[domain], |cfg| {
+        cfg.token_time = Duration::from_millis(4);
+    })
+    .await;
     system.apply_model(&[(domain.name, groups)], 2).await;
     system.wait_serving(domain.name, groups as usize).await;
     system.chat_until_ok(0, "first", 2).await;
@@ -271,7 +276,7 @@
         engines: 2,
         ..ONE_DOMAIN
     };
-    let system = System::start(&[domain], |cfg| {
+    let system = System::start(GERANIUMD, &[domain], |cfg| {
         cfg.token_time = Duration::from_millis(2);
         cfg.cold_capacity = 2;
         cfg.warm_after = 12;
@@ -304,7 +309,7 @@
         engines: 6,
         ..ONE_DOMAIN
     };
-    let system = System::start(&[domain], |cfg| {
+    let system = System::start(GERANIUMD, &[domain], |cfg| {
         cfg.crash_marker = Some("poison".to_owned());
         cfg.warm_after = 1;
     })
--- a/crates/geranium_fakes/src/lib.rs
+++ b/crates/geranium_fakes/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`engine`] | stand-in for a model engine on one host |
 //! | [`service`] | stand-in for a plain service |
 //! | [`fixture`] | groups of engines and chats for tests |
+//! | [`system`] | a small system of all of these and entry hosts as processes |
 //! | [`http`] | the listeners that they share |
 //! | [`cli`] | the command line of the binary |
 
@@ -21,6 +22,7 @@
 pub mod http;
 pub mod platform;
 pub mod service;
+pub mod system;
 
 pub use engine::{EngineConfig, FakeEngine, expected_text};
 pub use platform::{FakePlatform, PlatformConfig};
--- a/crates/geranium_daemon/tests/system/entry.rs
+++ b/crates/geranium_fakes/src/system/entry.rs
@@ -1,6 +1,7 @@
 //! Entry hosts as processes.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 
@@ -19,6 +20,7 @@
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
 /// Returns a free loopback address.
+#[must_use]
 pub fn free_address() -> SocketAddr {
     let offset = (std::process::id() % u32::from(PORTS)) as u16;
     loop {
@@ -34,15 +36,21 @@
 /// Where an entry host listens.
 #[derive(Clone, Debug)]
 pub struct EntryAddresses {
+    /// Name of the entry host.
     pub host: String,
+    /// Its failure domain.
     pub failure_domain: String,
+    /// Listener for callers.
     pub caller: SocketAddr,
+    /// Listener for operators.
     pub operator: SocketAddr,
+    /// Listener for peers.
     pub peer: SocketAddr,
 }
 
 impl EntryAddresses {
     /// Chooses addresses for an entry host.
+    #[must_use]
     pub fn choose(host: &str, failure_domain: &str) -> Self {
         Self {
             host: host.to_owned(),
@@ -56,15 +64,26 @@
 
 /// A running entry host; dropping it kills the process.
 pub struct Entry {
+    /// Where it listens.
     pub at: EntryAddresses,
     child: Child,
 }
 
 impl Entry {
-    /// Starts an entry host.
-    pub fn start(at: EntryAddresses, platform: SocketAddr, peers: &[SocketAddr]) -> Self {
+    /// Starts an entry host from a built `geraniumd`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process cannot be started.
+    #[must_use]
+    pub fn start(
+        geraniumd: &Path,
+        at: EntryAddresses,
+        platform: SocketAddr,
+        peers: &[SocketAddr],
+    ) -> Self {
         let peers: Vec<String> = peers.iter().map(ToString::to_string).collect();
-        let child = Command::new(env!("CARGO_BIN_EXE_geraniumd"))
+        let child = Command::new(geraniumd)
             .env_clear()
             .env("GERANIUM_HOST", &at.host)
             .env("GERANIUM_FAILURE_DOMAIN", &at.failure_domain)
@@ -83,27 +102,47 @@
     }
 
     /// Kills the process without warning.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process is not there.
     pub fn kill(&mut self) {
         self.child.kill().expect("the process exists");
         self.child.wait().expect("the process ends");
     }
 
     /// Stops the process in its tracks.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process is not there.
     pub fn freeze(&self) {
         self.signal("-STOP");
     }
 
     /// Lets a frozen process go on.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process is not there.
     pub fn thaw(&self) {
         self.signal("-CONT");
     }
 
     /// Asks the process to end gracefully.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process is not there.
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
 
     /// Returns the exit code if the process has ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process is not there.
     pub fn exit_code(&mut self) -> Option<i32> {
         self.child
             .try_wait()
@@ -111,6 +150,12 @@
             .and_then(|status| status.code())
     }
 
+    /// Returns the id of the process.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill")
--- a/crates/geranium_daemon/tests/system/system.rs
+++ b/crates/geranium_fakes/src/system/small_system.rs
@@ -1,6 +1,7 @@
 //! A small system: stand-ins in this process, entry hosts as processes.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,17 +9,17 @@
 use geranium_core::id::{FabricDomainId, FailureDomainId, HostId};
 use geranium_core::record::hash_key;
 use geranium_engine::ChatRequest;
-use geranium_fakes::{
-    EngineConfig, FakeEngine, FakePlatform, FakeService, PlatformConfig, ServiceConfig,
-    expected_text,
-};
 use geranium_net::{ClientConfig, ClientError, HttpClient, HttpRequest};
 use geranium_operator::{ApplyAnswer, ApplyRequest, OperatorClient, OperatorError, StatusView};
 use hyper::StatusCode;
 use serde_json::{Value, json};
 
-use crate::entry::{Entry, EntryAddresses, OPERATOR_TOKEN};
-use crate::wait::until;
+use super::entry::{Entry, EntryAddresses, OPERATOR_TOKEN};
+use super::wait::until;
+use crate::{
+    EngineConfig, FakeEngine, FakePlatform, FakeService, PlatformConfig, ServiceConfig,
+    expected_text,
+};
 
 /// Key of the client account `desk`.
 pub const DESK_KEY: &str = "desk-key-of-the-system-tests";
@@ -35,24 +36,42 @@
 /// What a failure domain consists of.
 #[derive(Clone, Copy, Debug)]
 pub struct DomainSize {
+    /// Name of the failure domain.
     pub name: &'static str,
+    /// Number of entry hosts.
     pub entry_hosts: usize,
+    /// Number of engines.
     pub engines: usize,
 }
 
 /// A small system.
 pub struct System {
+    /// The platform's service.
     pub platform: FakePlatform,
+    /// The plain service.
     pub service: FakeService,
+    /// The engines; `None` for one that was stopped.
     pub engines: Vec<Option<FakeEngine>>,
+    /// The entry hosts.
     pub entries: Vec<Entry>,
+    /// Client of the operator interface.
     pub operator: OperatorClient,
+    /// Client of the caller interface.
     pub http: HttpClient,
+    geraniumd: PathBuf,
 }
 
 impl System {
     /// Starts a system without records; `tune` adjusts each engine.
-    pub async fn start(domains: &[DomainSize], tune: impl Fn(&mut EngineConfig)) -> Self {
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
+    pub async fn start(
+        geraniumd: impl Into<PathBuf>,
+        domains: &[DomainSize],
+        tune: impl Fn(&mut EngineConfig),
+    ) -> Self {
         let platform = FakePlatform::start(PlatformConfig::default())
             .await
             .expect("platform");
@@ -77,6 +96,7 @@
             entries: Vec::new(),
             operator: OperatorClient::new(OPERATOR_TOKEN),
             http: HttpClient::new(&ClientConfig::default()),
+            geraniumd: geraniumd.into(),
         };
         system.start_entries(domains);
         system.wait_for_entries().await;
@@ -84,16 +104,28 @@
     }
 
     /// Returns an entry host by position.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub fn entry(&self, position: usize) -> &EntryAddresses {
         &self.entries[position].at
     }
 
     /// Returns an engine by position.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub fn engine(&self, position: usize) -> &FakeEngine {
         self.engines[position].as_ref().expect("the engine runs")
     }
 
     /// Returns the position of the engine that serves as rank 0 of a group.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub fn head_of(&self, group: &str) -> usize {
         let leads = |engine: &FakeEngine| {
             let assignment = engine.report().assignment;
@@ -107,6 +139,14 @@
     }
 
     /// Writes a record through an entry host.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call failed or was refused.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub async fn apply_at(
         &self,
         entry: usize,
@@ -127,6 +167,10 @@
     }
 
     /// Writes a record through the first entry host.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub async fn apply(&self, document: &Value) {
         self.apply_at(0, document, "test", None)
             .await
@@ -134,6 +178,10 @@
     }
 
     /// Writes the account `desk` and a model with replicas in each domain.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub async fn apply_model(&self, placements: &[(&str, u32)], hosts_per_replica: u32) {
         self.apply(&account()).await;
         self.apply(&model(placements, hosts_per_replica)).await;
@@ -141,6 +189,10 @@
 
     /// Waits until a number of groups serve in a failure domain, as each of its
     /// entry hosts sees it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub async fn wait_serving(&self, failure_domain: &str, groups: usize) {
         for entry in self
             .entries
@@ -160,6 +212,10 @@
     }
 
     /// Returns the status of an entry host.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub async fn status(&self, entry: usize) -> StatusView {
         self.operator
             .status(self.entry(entry).operator)
@@ -168,6 +224,14 @@
     }
 
     /// Sends a whole chat completion.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call failed or was refused.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub async fn chat(
         &self,
         entry: usize,
@@ -183,6 +247,10 @@
     }
 
     /// Sends whole chat completions until one is answered.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub async fn chat_until_ok(&self, entry: usize, prompt: &str, tokens: u32) -> String {
         until("an answered completion", || async {
             let (status, body) = self.chat(entry, prompt, tokens).await.ok()?;
@@ -192,6 +260,10 @@
     }
 
     /// Sends requests one at a time until every serving group is warm.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub async fn warm_up(&self, entry: usize) {
         until("warm groups", || async {
             let _ = self.chat(entry, "warm up", 2).await;
@@ -206,6 +278,10 @@
     }
 
     /// Makes the request of a chat completion.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub fn chat_request(&self, entry: usize, chat: &ChatRequest) -> HttpRequest {
         HttpRequest::post(self.entry(entry).caller, "/v1/chat/completions")
             .header_text("authorization", &format!("Bearer {DESK_KEY}"))
@@ -214,6 +290,10 @@
     }
 
     /// Makes the request of a ban, which must not repeat.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub fn ban_request(&self, entry: usize, key: &str, body: &str) -> HttpRequest {
         HttpRequest::post(self.entry(entry).caller, "/v1/services/sanctions/bans")
             .header_text("authorization", &format!("Bearer {DESK_KEY}"))
@@ -223,12 +303,24 @@
     }
 
     /// Sends a ban, which must not repeat.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call failed or was refused.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub async fn ban(&self, entry: usize, key: &str) -> Result<(StatusCode, Value), ClientError> {
         let req = self.ban_request(entry, key, "{\"reader\":\"r1\"}");
         self.http.send_json(req, CALL_TIMEOUT).await
     }
 
     /// Writes the service `sanctions` and waits until every entry host knows it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system is not as the caller takes it to be.
     pub async fn apply_service(&self) {
         self.apply(&account()).await;
         let document = json!({
@@ -263,7 +355,8 @@
         }
         let peers: Vec<SocketAddr> = addresses.iter().map(|at| at.peer).collect();
         let platform = self.platform.address();
-        let start = |at| Entry::start(at, platform, &peers);
+        let geraniumd = &self.geraniumd;
+        let start = |at| Entry::start(geraniumd, at, platform, &peers);
         self.entries = addresses.into_iter().map(start).collect();
     }
 
@@ -279,12 +372,20 @@
 }
 
 /// Returns the groups that take requests.
+///
+/// # Panics
+///
+/// Panics if the system is not as the caller takes it to be.
 pub fn open_groups(status: &StatusView) -> Vec<String> {
     let open = status.groups.iter().filter(|group| group.open);
     open.map(|group| group.group.to_string()).collect()
 }
 
 /// Returns the text of a whole answer.
+///
+/// # Panics
+///
+/// Panics if the system is not as the caller takes it to be.
 pub fn content(body: &Bytes) -> String {
     let value: Value = serde_json::from_slice(body).expect("JSON");
     let content = value["choices"][0]["message"]["content"].as_str();
@@ -292,12 +393,20 @@
 }
 
 /// Returns the text that a prompt must give.
+///
+/// # Panics
+///
+/// Panics if the system is not as the caller takes it to be.
 pub fn expected(prompt: &str, tokens: u32) -> String {
     let prompt = ChatRequest::user("summary", prompt).prompt();
     expected_text(WEIGHTS, VERSION, &prompt, tokens)
 }
 
 /// Returns the record of the account `desk`.
+///
+/// # Panics
+///
+/// Panics if the system is not as the caller takes it to be.
 pub fn account() -> Value {
     json!({
         "schema_version": 2, "kind": "account", "name": "desk",
@@ -306,6 +415,10 @@
 }
 
 /// Returns a model record.
+///
+/// # Panics
+///
+/// Panics if the system is not as the caller takes it to be.
 pub fn model(placements: &[(&str, u32)], hosts_per_replica: u32) -> Value {
     let placements: Vec<Value> = placements
         .iter()
--- /dev/null
+++ b/crates/geranium_measure/src/experiment/claims.rs
@@ -0,0 +1,76 @@
+//! Latency and platform calls of calls that must not repeat.
+
+use std::path::Path;
+use std::time::Instant;
+
+use futures::StreamExt;
+use futures::stream::iter;
+use geranium_fakes::system::{DomainSize, System};
+use hdrhistogram::Histogram;
+use hyper::StatusCode;
+
+use super::fleet::calls;
+use crate::measure_error::MeasureError;
+use crate::report::Report;
+
+/// Calls at a time of each step.
+const STEPS: [usize; 3] = [1, 8, 32];
+
+/// Calls of each step.
+const CALLS: usize = 400;
+
+/// Measures claimed calls through one entry host.
+pub async fn run(geraniumd: &Path, report: &mut Report) -> Result<(), MeasureError> {
+    let domain = DomainSize {
+        name: "lima-1",
+        entry_hosts: 1,
+        engines: 0,
+    };
+    let system = System::start(geraniumd, &[domain], |_| {}).await;
+    system.apply_service().await;
+    for at_a_time in STEPS {
+        let mut histogram: Histogram<u64> =
+            Histogram::new(3).map_err(|e| MeasureError::Call(e.to_string()))?;
+        let before = calls(&system);
+        let start = Instant::now();
+        let outcomes: Vec<(StatusCode, u64)> = iter(0..CALLS)
+            .map(|i| one(&system, format!("{at_a_time}-{i}")))
+            .buffer_unordered(at_a_time)
+            .collect()
+            .await;
+        let seconds = start.elapsed().as_secs_f64();
+        let done = outcomes
+            .iter()
+            .filter(|(status, _)| *status == StatusCode::OK);
+        let done: Vec<u64> = done.map(|(_, micros)| *micros).collect();
+        for micros in &done {
+            histogram.saturating_record(*micros);
+        }
+        let name = format!("{at_a_time} claimed calls at a time, ");
+        report.figure(&format!("{name}done"), done.len() as f64, "of 400");
+        report.figure(
+            &format!("{name}rate"),
+            done.len() as f64 / seconds,
+            "calls/s",
+        );
+        let p50 = histogram.value_at_quantile(0.5) as f64 / 1_000.0;
+        let p99 = histogram.value_at_quantile(0.99) as f64 / 1_000.0;
+        report.figure(&format!("{name}p50"), p50, "ms");
+        report.figure(&format!("{name}p99"), p99, "ms");
+        let per_call = (calls(&system) - before) as f64 / done.len().max(1) as f64;
+        report.figure(&format!("{name}platform calls of one"), per_call, "calls");
+    }
+    Ok(())
+}
+
+async fn one(system: &System, key: String) -> (StatusCode, u64) {
+    let start = Instant::now();
+    let status = match system.ban(0, &key).await {
+        Ok((status, _)) => status,
+        Err(_) => StatusCode::BAD_GATEWAY,
+    };
+    (
+        status,
+        u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX),
+    )
+}
--- /dev/null
+++ b/crates/geranium_measure/src/experiment/config.rs
@@ -0,0 +1,92 @@
+//! Time from acceptance to force everywhere, and platform calls of a burst.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use geranium_fakes::system::{DomainSize, System, account, model, until};
+use hdrhistogram::Histogram;
+use serde_json::json;
+
+use super::fleet::calls;
+use crate::measure_error::MeasureError;
+use crate::report::Report;
+
+/// Changes that are timed one by one.
+const TIMED: u32 = 60;
+
+/// Changes of the burst.
+const BURST: u32 = 100;
+
+/// Goal of the users for the 99th percentile, in seconds.
+const GOAL_P99_S: f64 = 1.0;
+
+/// Measures changes over seven entry hosts in three failure domains.
+pub async fn run(geraniumd: &Path, report: &mut Report) -> Result<(), MeasureError> {
+    let size = |name, entry_hosts| DomainSize {
+        name,
+        entry_hosts,
+        engines: 0,
+    };
+    let domains = [size("lima-1", 3), size("lima-2", 2), size("lima-3", 2)];
+    let system = System::start(geraniumd, &domains, |_| {}).await;
+    system.apply(&account()).await;
+    let mut histogram: Histogram<u64> =
+        Histogram::new(3).map_err(|e| MeasureError::Call(e.to_string()))?;
+    for i in 0..TIMED {
+        let start = Instant::now();
+        let generation = change(&system, i).await?;
+        wait_in_force(&system, generation).await;
+        histogram.saturating_record(start.elapsed().as_micros() as u64);
+    }
+    let p50 = histogram.value_at_quantile(0.5) as f64 / 1e6;
+    let p99 = histogram.value_at_quantile(0.99) as f64 / 1e6;
+    report.figure("apply to in force on 7 hosts p50", p50, "s");
+    report.goal("apply to in force on 7 hosts p99", p99, GOAL_P99_S, "s");
+    burst(&system, report).await
+}
+
+async fn burst(system: &System, report: &mut Report) -> Result<(), MeasureError> {
+    let idle_start = calls(system);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let idle = (calls(system) - idle_start) as f64 / 5.0;
+    report.figure("platform calls at rest, 7 hosts", idle, "calls/s");
+    let before = calls(system);
+    let start = Instant::now();
+    let mut generation = 0;
+    for i in 0..BURST {
+        generation = change(system, TIMED + i).await?;
+    }
+    wait_in_force(system, generation).await;
+    let seconds = start.elapsed().as_secs_f64();
+    let made = (calls(system) - before) as f64 - idle * seconds;
+    report.figure("burst of 100 changes until in force", seconds, "s");
+    report.figure(
+        "platform calls of one change",
+        made / f64::from(BURST),
+        "calls",
+    );
+    Ok(())
+}
+
+async fn change(system: &System, number: u32) -> Result<u64, MeasureError> {
+    let mut document = model(&[("lima-1", 0)], 2);
+    document["warm_concurrency"] = json!(100 + number);
+    let applied = system.apply_at(0, &document, "measure", None).await;
+    Ok(applied
+        .map_err(|e| MeasureError::Call(e.to_string()))?
+        .generation)
+}
+
+async fn wait_in_force(system: &System, generation: u64) {
+    let at = system.entry(0).operator;
+    until("the change in force everywhere", || async {
+        let views = system
+            .operator
+            .in_force(at, "model", "summary", generation)
+            .await
+            .ok()?;
+        let all = views.len() == system.entries.len() && views.iter().all(|view| view.in_force);
+        all.then_some(())
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/geranium_measure/src/experiment/latency.rs
@@ -0,0 +1,181 @@
+//! Latency that an entry host adds to a request and to a token.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use geranium_engine::{
+    ChatRequest, CompletionEvent, CompletionRequest, CompletionStream, EngineApi,
+    EngineClientConfig, HttpEngineClient,
+};
+use geranium_fakes::system::{DomainSize, System};
+use hdrhistogram::Histogram;
+
+use crate::measure_error::MeasureError;
+use crate::report::Report;
+
+/// Requests of each way.
+const REQUESTS: u64 = 400;
+
+/// Tokens of one request.
+const TOKENS: u32 = 32;
+
+/// Goals of the users for the added latency of a request, in milliseconds.
+const GOAL_P50_MS: f64 = 0.3;
+const GOAL_P99_MS: f64 = 1.0;
+
+/// Time to the first token and between tokens, in microseconds.
+struct Times {
+    first: Histogram<u64>,
+    between: Histogram<u64>,
+}
+
+impl Times {
+    fn new() -> Result<Self, MeasureError> {
+        let make = || Histogram::new(3).map_err(|e| MeasureError::Call(e.to_string()));
+        Ok(Self {
+            first: make()?,
+            between: make()?,
+        })
+    }
+}
+
+/// Compares direct calls of an engine with calls through an entry host.
+pub async fn run(geraniumd: &Path, report: &mut Report) -> Result<(), MeasureError> {
+    let domain = DomainSize {
+        name: "lima-1",
+        entry_hosts: 1,
+        engines: 1,
+    };
+    let system = System::start(geraniumd, &[domain], |cfg| {
+        cfg.token_time = Duration::from_micros(500);
+        cfg.warm_after = 1;
+    })
+    .await;
+    system.apply_model(&[("lima-1", 1)], 1).await;
+    system.wait_serving("lima-1", 1).await;
+    system.warm_up(0).await;
+    let (mut direct, mut through) = (Times::new()?, Times::new()?);
+    for i in 0..REQUESTS {
+        // Alternating, so that both see the same machine.
+        let prompt = format!("request {i}");
+        direct_call(&system, &prompt, i, &mut direct).await?;
+        call_through(&system, &prompt, &mut through).await?;
+    }
+    print(report, &direct, &through);
+    Ok(())
+}
+
+async fn direct_call(
+    system: &System,
+    prompt: &str,
+    number: u64,
+    times: &mut Times,
+) -> Result<(), MeasureError> {
+    let engine = system.engine(0);
+    let assignment = engine.report().assignment;
+    let assignment = assignment.ok_or_else(|| MeasureError::Call("no group serves".into()))?;
+    let body = serde_json::to_vec(&chat(prompt)).map_err(|e| MeasureError::Call(e.to_string()))?;
+    let req = CompletionRequest {
+        request: geranium_core::id::RequestId::new(format!("direct-{number}")),
+        group: assignment.group,
+        fencing: assignment.fencing,
+        priority: 5,
+        remaining: Duration::from_secs(30),
+        body: body.into(),
+        resume: None,
+    };
+    let client = client();
+    let start = Instant::now();
+    let stream = client.stream_completion(engine.address(), &req).await;
+    read(
+        stream.map_err(|e| MeasureError::Call(e.to_string()))?,
+        start,
+        times,
+    )
+    .await
+}
+
+async fn call_through(
+    system: &System,
+    prompt: &str,
+    times: &mut Times,
+) -> Result<(), MeasureError> {
+    let at = system.entry(0).caller;
+    let req = system.chat_request(0, &chat(prompt));
+    let start = Instant::now();
+    let res = system.http.send(req, Duration::from_secs(30)).await;
+    let res = res.map_err(|e| MeasureError::Call(e.to_string()))?;
+    if !res.status().is_success() {
+        return Err(MeasureError::Call(format!("status {}", res.status())));
+    }
+    read(stream_of(at, res), start, times).await
+}
+
+/// Makes the stream of an entry host's answer.
+pub fn stream_of(at: SocketAddr, res: hyper::Response<hyper::body::Incoming>) -> CompletionStream {
+    CompletionStream::new(at, res.into_body(), 1 << 20)
+}
+
+fn chat(prompt: &str) -> ChatRequest {
+    let mut chat = ChatRequest::user("summary", prompt);
+    chat.max_tokens = TOKENS;
+    chat
+}
+
+fn client() -> HttpEngineClient {
+    use std::sync::OnceLock;
+    static CLIENT: OnceLock<HttpEngineClient> = OnceLock::new();
+    CLIENT
+        .get_or_init(|| HttpEngineClient::new(EngineClientConfig::default()))
+        .clone()
+}
+
+async fn read(
+    mut stream: CompletionStream,
+    start: Instant,
+    times: &mut Times,
+) -> Result<(), MeasureError> {
+    let mut last: Option<Instant> = None;
+    while let Some(event) = stream.next().await {
+        match event.map_err(|e| MeasureError::Call(e.to_string()))? {
+            CompletionEvent::Done => break,
+            CompletionEvent::Piece(_) => {
+                let now = Instant::now();
+                let since = now.duration_since(last.unwrap_or(start)).as_micros();
+                let histogram = if last.is_none() {
+                    &mut times.first
+                } else {
+                    &mut times.between
+                };
+                histogram.saturating_record(u64::try_from(since).unwrap_or(u64::MAX));
+                last = Some(now);
+            }
+        }
+    }
+    Ok(())
+}
+
+fn print(report: &mut Report, direct: &Times, through: &Times) {
+    for (name, quantile, goal) in [("p50", 0.5, GOAL_P50_MS), ("p99", 0.99, GOAL_P99_MS)] {
+        let a = direct.first.value_at_quantile(quantile) as f64 / 1_000.0;
+        let b = through.first.value_at_quantile(quantile) as f64 / 1_000.0;
+        report.figure(&format!("first token direct {name}"), a, "ms");
+        report.figure(
+            &format!("first token through an entry host {name}"),
+            b,
+            "ms",
+        );
+        report.figure(&format!("first token, ratio to direct {name}"), b / a, "");
+        report.goal(
+            &format!("added to the first token {name}"),
+            b - a,
+            goal,
+            "ms",
+        );
+        let a = direct.between.value_at_quantile(quantile) as f64 / 1_000.0;
+        let b = through.between.value_at_quantile(quantile) as f64 / 1_000.0;
+        report.figure(&format!("added between tokens {name}"), b - a, "ms");
+    }
+}
--- /dev/null
+++ b/crates/geranium_measure/src/experiment/streams.rs
@@ -0,0 +1,66 @@
+//! Memory of open streams.
+
+use std::path::Path;
+use std::time::Duration;
+
+use futures::StreamExt;
+use geranium_engine::{ChatRequest, CompletionEvent};
+use geranium_fakes::system::{DomainSize, System};
+
+use super::latency::stream_of;
+use crate::measure_error::MeasureError;
+use crate::process_stats::ProcessStats;
+use crate::report::Report;
+
+/// Open streams of each step.
+const STEPS: [usize; 4] = [0, 50, 100, 200];
+
+/// Goal of the users, in KiB.
+const GOAL_KIB: f64 = 32.0;
+
+/// Opens streams step by step and reads the memory of the entry host.
+pub async fn run(geraniumd: &Path, report: &mut Report) -> Result<(), MeasureError> {
+    let domain = DomainSize {
+        name: "lima-1",
+        entry_hosts: 1,
+        engines: 8,
+    };
+    let system = System::start(geraniumd, &[domain], |cfg| {
+        cfg.token_time = Duration::from_millis(50);
+        cfg.warm_after = 1;
+    })
+    .await;
+    system.apply_model(&[("lima-1", 8)], 1).await;
+    system.wait_serving("lima-1", 8).await;
+    system.warm_up(0).await;
+    let pid = system.entries[0].pid();
+    let mut open = Vec::new();
+    let mut points = Vec::new();
+    for step in STEPS {
+        while open.len() < step {
+            let mut chat = ChatRequest::user("summary", format!("stream {}", open.len()));
+            chat.max_tokens = 1_000_000;
+            let req = system.chat_request(0, &chat);
+            let res = system.http.send(req, Duration::from_secs(30)).await;
+            let res = res.map_err(|e| MeasureError::Call(e.to_string()))?;
+            if !res.status().is_success() {
+                return Err(MeasureError::Call(format!("status {}", res.status())));
+            }
+            let mut stream = stream_of(system.entry(0).caller, res);
+            if let Some(Ok(CompletionEvent::Piece(_))) = stream.next().await {
+                open.push(tokio::spawn(async move {
+                    while stream.next().await.is_some() {}
+                }));
+            }
+        }
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let resident = ProcessStats::read(pid)?.resident as f64 / 1_024.0;
+        points.push((open.len() as f64, resident));
+    }
+    let fit = report.slope("memory of open streams", "stream", &points, "KiB");
+    report.goal("memory of an open stream", fit.slope, GOAL_KIB, "KiB");
+    for task in open {
+        task.abort();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/geranium_measure/src/fit.rs
@@ -0,0 +1,42 @@
+//! Straight lines through measured points.
+
+/// A straight line through measured points.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Fit {
+    /// Increase for each step of one.
+    pub slope: f64,
+    /// Value at zero.
+    pub intercept: f64,
+    /// Largest distance of a point from the line.
+    pub spread: f64,
+}
+
+impl Fit {
+    /// Fits a line by least squares.
+    #[must_use]
+    pub fn of(points: &[(f64, f64)]) -> Self {
+        let n = points.len() as f64;
+        let mean_x = points.iter().map(|p| p.0).sum::<f64>() / n;
+        let mean_y = points.iter().map(|p| p.1).sum::<f64>() / n;
+        let covariance: f64 = points.iter().map(|p| (p.0 - mean_x) * (p.1 - mean_y)).sum();
+        let variance: f64 = points.iter().map(|p| (p.0 - mean_x).powi(2)).sum();
+        let slope = if variance > 0.0 {
+            covariance / variance
+        } else {
+            0.0
+        };
+        let intercept = mean_y - slope * mean_x;
+        let distances = points.iter().map(|p| (p.1 - intercept - slope * p.0).abs());
+        Self {
+            slope,
+            intercept,
+            spread: distances.fold(0.0, f64::max),
+        }
+    }
+
+    /// Returns the value of the line.
+    #[must_use]
+    pub fn at(&self, x: f64) -> f64 {
+        self.intercept + self.slope * x
+    }
+}
--- /dev/null
+++ b/crates/geranium_measure/src/process_stats.rs
@@ -0,0 +1,64 @@
+//! Processor time and memory of a process, as the system tells them.
+
+use std::time::{Duration, Instant};
+
+use crate::measure_error::MeasureError;
+
+/// Clock ticks a second of the processor times in `/proc`; fixed on Linux.
+const TICKS_PER_SECOND: u64 = 100;
+
+/// Bytes of a page.
+const PAGE_BYTES: u64 = 4_096;
+
+/// Fields of `/proc/PID/stat` before the processor times, after the name.
+const FIELDS_BEFORE_TIMES: usize = 11;
+
+/// Figures of a process at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessStats {
+    /// Processor time used so far.
+    pub cpu: Duration,
+    /// Resident memory, in bytes.
+    pub resident: u64,
+    at: Instant,
+}
+
+impl ProcessStats {
+    /// Reads the figures of a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no such process.
+    pub fn read(pid: u32) -> Result<Self, MeasureError> {
+        let stat = read(pid, "stat")?;
+        let rest = stat
+            .rsplit_once(')')
+            .map(|(_, rest)| rest)
+            .unwrap_or_default();
+        let times = rest.split_whitespace().skip(FIELDS_BEFORE_TIMES).take(2);
+        let ticks: u64 = times.filter_map(|text| text.parse::<u64>().ok()).sum();
+        let statm = read(pid, "statm")?;
+        let pages = statm
+            .split_whitespace()
+            .nth(1)
+            .and_then(|text| text.parse::<u64>().ok());
+        let pages = pages.ok_or_else(|| MeasureError::Process(pid, "statm is malformed".into()))?;
+        Ok(Self {
+            cpu: Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND),
+            resident: pages * PAGE_BYTES,
+            at: Instant::now(),
+        })
+    }
+
+    /// Returns the processor time since an earlier reading, in percent of a core.
+    #[must_use]
+    pub fn percent_since(&self, earlier: &Self) -> f64 {
+        let cpu = self.cpu.saturating_sub(earlier.cpu).as_secs_f64();
+        100.0 * cpu / self.at.duration_since(earlier.at).as_secs_f64()
+    }
+}
+
+fn read(pid: u32, file: &str) -> Result<String, MeasureError> {
+    std::fs::read_to_string(format!("/proc/{pid}/{file}"))
+        .map_err(|e| MeasureError::Process(pid, e.to_string()))
+}
