Date loads by their lag; take a new group's load as evidence

Cause: the daemon gives the holder the present time with each load, although the load was measured up to 1.25 s before: 0.75 s until the gate closes and the engine's own lag. A load from before a holder change could free credits of a paused host. Telling the driver to date loads itself left the fault one line away.

Ruled out: a wait for a later report on every new group, which would keep each new version without credits for 1.25 s; the load that shows a new generation was measured on it.

Conclusion: ColdSettings::report_lag is taken off by the holder.

--- a/crates/geranium_core/src/limit/cold_group.rs
+++ b/crates/geranium_core/src/limit/cold_group.rs
@@ -44,8 +44,11 @@
 }
 
 impl ColdGroup {
-    /// Makes the budget of a group about whose load nothing is known at `since`.
-    pub(super) fn new(since: Timestamp, group: &ServingGroup) -> Self {
+    /// Makes the budget of a group that is seen for the first time.
+    ///
+    /// Its load was measured on its present generation, so no request of an
+    /// earlier one is missing from it.
+    pub(super) fn new(now: Timestamp, group: &ServingGroup) -> Self {
         Self {
             generation: group.generation,
             cold_concurrency: group.cold_concurrency,
@@ -55,8 +58,8 @@
             warm: group.temperature == Temperature::Warm,
             successes: 0,
             users: BTreeMap::new(),
-            uncovered: Uncovered::Unknown,
-            uncovered_since: since,
+            uncovered: Uncovered::AtMost(group.running + group.waiting),
+            uncovered_since: now,
         }
     }
 
@@ -83,6 +86,9 @@
         if restarted || turned_cold {
             self.turn_cold(now);
         }
+        if restarted {
+            self.uncovered = Uncovered::AtMost(group.running + group.waiting);
+        }
         if group.temperature == Temperature::Warm && (restarted || warmed_up) {
             self.warm = true;
         }
--- a/crates/geranium_core/src/limit/cold_holder.rs
+++ b/crates/geranium_core/src/limit/cold_holder.rs
@@ -60,16 +60,15 @@
     /// Takes over the serving groups of the failure domain.
     pub fn update_groups(&mut self, now: Timestamp, groups: &[ServingGroup]) {
         self.expire(now);
-        let since = if self.authority.is_held(now) {
-            now.max(self.authority.ready_at())
-        } else {
-            now
-        };
+        let ready = self.authority.may_grant(now);
         for group in groups {
             match self.groups.get_mut(&group.group) {
                 Some(known) => known.update(now, group),
                 None => {
-                    let known = ColdGroup::new(since, group);
+                    let mut known = ColdGroup::new(now, group);
+                    if !ready {
+                        known.lose_track(self.authority.ready_at());
+                    }
                     self.groups.insert(group.group.clone(), known);
                 }
             }
@@ -92,9 +91,10 @@
         }
     }
 
-    /// Takes in the requests running and waiting in a group, measured at a time
-    /// on this host's clock.
-    pub fn observe_load(&mut self, group: &GroupId, measured_at: Timestamp, load: u32) {
+    /// Takes in the requests running and waiting in a group, as known at a time on
+    /// this host's clock; they were measured within the report lag before it.
+    pub fn observe_load(&mut self, group: &GroupId, known_at: Timestamp, load: u32) {
+        let measured_at = known_at - self.settings.report_lag;
         if let Some(known) = self.groups.get_mut(group) {
             known.observe_load(measured_at, load);
         }
--- a/crates/geranium_core/src/limit/cold_settings.rs
+++ b/crates/geranium_core/src/limit/cold_settings.rs
@@ -11,6 +11,9 @@
     pub margin: Duration,
     /// Time between two requests of a user for the same group.
     pub renew_interval: Duration,
+    /// Longest time between the measurement of a group's load and the time for
+    /// which the driver gives it to the holder.
+    pub report_lag: Duration,
     /// Longest time that a request may run on a cold group; its deadline is cut
     /// to this, so that engines end it even if its entry host cannot.
     pub run_limit: Duration,
@@ -22,6 +25,7 @@
             lifetime: Duration::from_secs(3),
             margin: Duration::from_millis(100),
             renew_interval: Duration::from_millis(500),
+            report_lag: Duration::from_millis(1_250),
             run_limit: Duration::from_secs(60),
         }
     }
--- a/crates/geranium_core/tests/cold_budget.rs
+++ b/crates/geranium_core/tests/cold_budget.rs
@@ -41,6 +41,7 @@
 fn settings() -> ColdSettings {
     ColdSettings {
         run_limit: Duration::from_hours(24),
+        report_lag: Duration::ZERO,
         ..ColdSettings::default()
     }
 }
@@ -69,6 +70,55 @@
     }
 }
 
+#[test]
+fn group_seen_for_the_first_time_gets_credits_for_what_is_free_at_once() {
+    let group = cold_group().group;
+    let mut holder = ColdBudgetHolder::new(settings());
+    holder.extend_authority(
+        START - Duration::from_secs(10),
+        START + Duration::from_secs(10),
+    );
+    let busy = ServingGroup {
+        running: 1,
+        ..cold_group()
+    };
+    let mut users: Vec<_> = (0..HOSTS).map(|i| user(i, 1)).collect();
+
+    holder.update_groups(START, &[busy]);
+    for user in &mut users {
+        user.want(&group, 1, 10);
+        exchange(START, user, &mut holder);
+    }
+
+    let credits: u32 = users.iter().map(|u| u.available(START, &group, 1)).sum();
+    assert_eq!(credits, BUDGET - 1);
+}
+
+#[test]
+fn load_measured_before_a_new_holder_was_ready_tells_it_nothing() {
+    let group = cold_group().group;
+    let lagging = ColdSettings {
+        report_lag: Duration::from_secs(1),
+        ..settings()
+    };
+    let mut holder = ColdBudgetHolder::new(lagging);
+    holder.update_groups(START, &[cold_group()]);
+    holder.extend_authority(START, START + Duration::from_secs(100));
+    let ready = START + lagging.holder_lifetime();
+    let mut user = user(0, 1);
+    user.want(&group, 1, 1);
+    holder.observe_load(&group, ready, 0);
+    exchange(ready, &mut user, &mut holder);
+    let early = user.available(ready, &group, 1);
+    let later = ready + lagging.report_lag;
+
+    holder.observe_load(&group, later, 0);
+    exchange(later, &mut user, &mut holder);
+
+    assert_eq!(early, 0);
+    assert_eq!(user.available(later, &group, 1), 1);
+}
+
 #[test]
 fn credits_of_all_hosts_add_up_to_the_budget() {
     let group = cold_group().group;
