--- a/crates/geranium_daemon/src/relay/job.rs
+++ b/crates/geranium_daemon/src/relay/job.rs
@@ -192,7 +192,11 @@
         if now >= self.req.deadline {
             return Err(Some(refusal::deadline_passed(self.any_sent)));
         }
-        let granted = self.node.traffic.try_retry(now);
+        let granted = if self.assembler.tokens() > 0 {
+            self.node.traffic.try_resume(now)
+        } else {
+            self.node.traffic.try_retry(now)
+        };
         let reason = if granted { "granted" } else { "budget_empty" };
         let label = crate::metrics::ReasonLabel {
             reason: reason.to_owned(),
@@ -505,7 +509,9 @@
         } else {
             suspect_of(&self.node, &crash).await
         };
-        self.trial = None;
+        if let Some(trial) = self.trial.take() {
+            trial.crashed();
+        }
         let digest = self
             .node
             .traffic
--- a/crates/geranium_daemon/src/relay/trial.rs
+++ b/crates/geranium_daemon/src/relay/trial.rs
@@ -12,6 +12,7 @@
 pub struct Trial {
     node: Arc<Node>,
     req: TrialRequest,
+    released: bool,
 }
 
 impl Trial {
@@ -43,6 +44,7 @@
         granted.then(|| Self {
             node: node.clone(),
             req,
+            released: false,
         })
     }
 }
@@ -62,8 +64,19 @@
     }
 }
 
+impl Trial {
+    /// Lets the trial run out at its holder, which then still knows the suspect
+    /// of a crash.
+    pub fn crashed(mut self) {
+        self.released = true;
+    }
+}
+
 impl Drop for Trial {
     fn drop(&mut self) {
+        if self.released {
+            return;
+        }
         let Some(leader) = self.node.leader_address() else {
             self.node.traffic.end_trial(&self.req);
             return;
--- a/crates/geranium_daemon/src/traffic/mod.rs
+++ b/crates/geranium_daemon/src/traffic/mod.rs
@@ -98,7 +98,9 @@
 
     /// Notes a request of a caller, which earns a share of a retry.
     pub fn count_request(&self, now: Timestamp) {
-        self.state.lock().retries.request(now);
+        let mut state = self.state.lock();
+        state.retries.request(now);
+        state.resumes.request(now);
     }
 
     /// Spends a retry if the budget allows it.
@@ -107,6 +109,12 @@
         self.state.lock().retries.try_retry(now)
     }
 
+    /// Spends the resumption of a stream whose group failed, if the budget allows it.
+    #[must_use]
+    pub fn try_resume(&self, now: Timestamp) -> bool {
+        self.state.lock().resumes.try_retry(now)
+    }
+
     /// Chooses a group and notes that the request starts there.
     ///
     /// # Errors
--- a/crates/geranium_measure/src/experiment/claims.rs
+++ b/crates/geranium_measure/src/experiment/claims.rs
@@ -44,7 +44,7 @@
             .filter(|(status, _)| *status == StatusCode::OK);
         let done: Vec<u64> = done.map(|(_, micros)| *micros).collect();
         for micros in &done {
-            histogram.saturating_record(*micros);
+            let _ = histogram.record(*micros);
         }
         let name = format!("{at_a_time} claimed calls at a time, ");
         report.figure(&format!("{name}done"), done.len() as f64, "of 400");
--- a/crates/geranium_measure/src/experiment/config.rs
+++ b/crates/geranium_measure/src/experiment/config.rs
@@ -36,7 +36,7 @@
         let start = Instant::now();
         let generation = change(&system, i).await?;
         wait_in_force(&system, generation).await;
-        histogram.saturating_record(start.elapsed().as_micros() as u64);
+        let _ = histogram.record(start.elapsed().as_micros() as u64);
     }
     let p50 = histogram.value_at_quantile(0.5) as f64 / 1e6;
     let p99 = histogram.value_at_quantile(0.99) as f64 / 1e6;
--- a/crates/geranium_measure/src/experiment/failure.rs
+++ b/crates/geranium_measure/src/experiment/failure.rs
@@ -104,8 +104,9 @@
     system.apply_model(&[("lima-1", 1), ("lima-2", 1)], 2).await;
     system.wait_serving("lima-1", 1).await;
     system.wait_serving("lima-2", 1).await;
+    system.chat_until_ok(2, "first", 2).await;
+    system.chat_until_ok(0, "first", 2).await;
     system.warm_up(0).await;
-    system.warm_up(2).await;
     let out = json!({
         "schema_version": 2, "kind": "drain", "name": "domain-lima-1",
         "target": {"failure_domain": "lima-1"}, "reason": "measure",
--- a/crates/geranium_measure/src/experiment/latency.rs
+++ b/crates/geranium_measure/src/experiment/latency.rs
@@ -149,7 +149,7 @@
                 } else {
                     &mut times.between
                 };
-                histogram.saturating_record(u64::try_from(since).unwrap_or(u64::MAX));
+                let _ = histogram.record(u64::try_from(since).unwrap_or(u64::MAX));
                 last = Some(now);
             }
         }
