Measure heartbeats, and bound them to 20 exchanges a second

At 28 exchanges a second that is 24 KB/s of the 28 KB/s that a host may spend for control.

Conclusion: 20 exchanges a second in a domain (17 KB/s; the interval is 700 ms in a domain of 15 hosts and stays 250 ms up to 6 hosts), 4 a second with other domains.

--- a/crates/geranium_core/src/member/timing.rs
+++ b/crates/geranium_core/src/member/timing.rs
@@ -57,11 +57,11 @@
     fn default() -> Self {
         Self {
             heartbeat_interval: Duration::from_millis(250),
-            max_exchanges_per_second: 28,
+            max_exchanges_per_second: 20,
             suspect_after_intervals: 4,
             forget_after: Duration::from_secs(120),
             domain_interval: Duration::from_secs(1),
-            max_domain_exchanges_per_second: 8,
+            max_domain_exchanges_per_second: 4,
             seed_interval: Duration::from_secs(1),
             pause_threshold: Duration::from_millis(500),
             report_silent_after: Duration::from_millis(600),
