--- a/crates/geranium_core/src/group/config.rs
+++ b/crates/geranium_core/src/group/config.rs
@@ -15,10 +15,12 @@
 pub const ORDER_RESEND_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Age of the last confirmation of the table beyond which no order is sent.
-pub const TABLE_CONFIRMATION_AGE: Duration = Duration::from_millis(1_000);
+///
+/// It is above [`STORE_TIMEOUT`], so that a slow read still confirms the table.
+pub const TABLE_CONFIRMATION_AGE: Duration = Duration::from_millis(2_000);
 
 /// Time after which a read or write without an outcome is settled by a new read.
-pub const STORE_TIMEOUT: Duration = Duration::from_millis(3_000);
+pub const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Time that a dissolving group must have been idle before its hosts are released.
 pub const DRAIN_SETTLE: Duration = Duration::from_millis(2_000);
@@ -32,8 +34,14 @@
 /// Time after which a member that still loads, while another is done, is a straggler.
 pub const STRAGGLER_LIMIT: Duration = Duration::from_secs(120);
 
-/// Replica groups that load weights at the same time.
-pub const MAX_LOADING_GROUPS: usize = 4;
+/// Time over which missed reports are counted.
+pub const STRAGGLER_WINDOW: Duration = Duration::from_secs(10);
+
+/// Missed reports within the window that make a member a straggler.
+pub const STRAGGLER_MISSES: usize = 12;
+
+/// Hosts that load weights at the same time, which keeps to the weight store's rate.
+pub const MAX_LOADING_HOSTS: usize = 16;
 
 /// Time limits of group control.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -58,8 +66,12 @@
     pub unfenced_rest: Duration,
     /// Time after which a member that still loads, while another is done, is a straggler.
     pub straggler_limit: Duration,
-    /// Replica groups that load weights at the same time.
-    pub max_loading_groups: usize,
+    /// Time over which missed reports are counted.
+    pub straggler_window: Duration,
+    /// Missed reports within the window that make a member a straggler.
+    pub straggler_misses: usize,
+    /// Hosts that load weights at the same time, which keeps to the weight store's rate.
+    pub max_loading_hosts: usize,
 }
 
 impl Default for GroupConfig {
@@ -75,7 +87,9 @@
             drain_limit: DRAIN_LIMIT,
             unfenced_rest: UNFENCED_REST,
             straggler_limit: STRAGGLER_LIMIT,
-            max_loading_groups: MAX_LOADING_GROUPS,
+            straggler_window: STRAGGLER_WINDOW,
+            straggler_misses: STRAGGLER_MISSES,
+            max_loading_hosts: MAX_LOADING_HOSTS,
         }
     }
 }
--- a/crates/geranium_core/src/limit/crash.rs
+++ b/crates/geranium_core/src/limit/crash.rs
@@ -1,11 +1,12 @@
 //! Requests that crash the backend servers that run them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::{
     ChargeState, CrashDigest, CrashId, ExplainedCrash, RequestFingerprint, SuspicionEntry,
 };
+use crate::event::{EventDraft, EventKind, EventOutbox, EventSubject};
 use crate::time::Timestamp;
 
 /// Crashes after which a request is refused.
@@ -27,7 +28,7 @@
 impl Default for CrashSettings {
     fn default() -> Self {
         Self {
-            max_entries: 4_096,
+            max_entries: 1_024,
             max_explained: 256,
             memory: Duration::from_hours(1),
         }
@@ -46,15 +47,6 @@
     Refused,
 }
 
-/// A request in flight when its group crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct InFlight {
-    /// The request.
-    pub fingerprint: RequestFingerprint,
-    /// Whether it was on trial and had not been cleared yet.
-    pub on_trial: bool,
-}
-
 #[derive(Clone, Debug, Default)]
 struct Suspicion {
     crashes: BTreeMap<CrashId, ChargeState>,
@@ -68,13 +60,26 @@
     }
 
     fn set(&mut self, now: Timestamp, crash: &CrashId, state: ChargeState) {
-        let known = self.crashes.get(crash).copied();
-        let full = self.crashes.len() >= MAX_CRASHES_PER_REQUEST;
-        if known >= Some(state) || (known.is_none() && full) {
+        if self.crashes.get(crash) >= Some(&state) {
             return;
         }
         self.crashes.insert(crash.clone(), state);
         self.changed_at = self.changed_at.max(now);
+        self.forget_cleared();
+    }
+
+    /// Makes room for later crashes; charges beyond those that refuse the request
+    /// change nothing.
+    fn forget_cleared(&mut self) {
+        while self.crashes.len() > MAX_CRASHES_PER_REQUEST {
+            let mut crashes = self.crashes.iter();
+            let cleared = crashes.find(|(_, s)| **s == ChargeState::Cleared);
+            let Some(crash) = cleared.map(|(crash, _)| crash.clone()) else {
+                self.crashes.pop_last();
+                return;
+            };
+            self.crashes.remove(&crash);
+        }
     }
 }
 
@@ -89,6 +94,7 @@
     settings: CrashSettings,
     suspicions: BTreeMap<RequestFingerprint, Suspicion>,
     explained: BTreeMap<CrashId, ExplainedCrash>,
+    events: EventOutbox,
 }
 
 impl CrashRegistry {
@@ -99,6 +105,7 @@
             settings,
             suspicions: BTreeMap::new(),
             explained: BTreeMap::new(),
+            events: EventOutbox::default(),
         }
     }
 
@@ -117,28 +124,33 @@
     /// Takes in the crash of a group with the requests of this entry host in
     /// flight there; returns what peers must be told before any of them is
     /// answered or run again.
+    ///
+    /// `on_trial` is the suspect that the holder of trials names for the crash
+    /// ([`TrialHolder::suspect`](super::TrialHolder::suspect)), on whichever entry
+    /// host it ran; the crash is charged to it alone.
     pub fn group_crashed(
         &mut self,
         now: Timestamp,
         crash: &CrashId,
-        in_flight: &[InFlight],
+        in_flight: &[RequestFingerprint],
+        on_trial: Option<RequestFingerprint>,
     ) -> CrashDigest {
-        let on_trial = in_flight.iter().find(|req| req.on_trial);
-        if let Some(suspect) = on_trial {
+        if let Some(cause) = on_trial {
             let explained = ExplainedCrash {
                 crash: crash.clone(),
-                cause: suspect.fingerprint,
+                cause,
                 at: now,
             };
             self.explain(now, &explained);
         }
-        for req in in_flight {
-            self.charge(now, &req.fingerprint, crash);
+        for fingerprint in in_flight {
+            self.charge(now, fingerprint, crash);
         }
         self.trim(now);
-        let touched = in_flight.iter().map(|req| req.fingerprint);
+        let touched = in_flight.iter().copied().chain(on_trial);
+        let touched: BTreeSet<RequestFingerprint> = touched.collect();
         CrashDigest {
-            entries: touched.filter_map(|f| self.entry(f)).collect(),
+            entries: touched.into_iter().filter_map(|f| self.entry(f)).collect(),
             explained: self.explained.get(crash).cloned().into_iter().collect(),
         }
     }
@@ -190,6 +202,11 @@
         self.trim(now);
     }
 
+    /// Takes the events that explain refusals, the oldest first.
+    pub fn take_events(&mut self) -> Vec<EventDraft> {
+        self.events.take()
+    }
+
     /// Returns the number of requests remembered.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -218,7 +235,14 @@
             return;
         }
         let suspicion = self.suspicions.entry(*fingerprint).or_default();
+        let before = suspicion.charged();
         suspicion.set(now, crash, ChargeState::Charged);
+        if before < CRASHES_TO_REFUSE && suspicion.charged() >= CRASHES_TO_REFUSE {
+            let reason = format!("request {fingerprint} crashed {CRASHES_TO_REFUSE} groups");
+            let subject = EventSubject::group(&crash.group);
+            let event = EventDraft::new(EventKind::CrashSuspected, subject, reason);
+            self.events.push(event);
+        }
     }
 
     fn clear(&mut self, now: Timestamp, fingerprint: &RequestFingerprint, crash: &CrashId) {
--- a/crates/geranium_core/src/route/slot.rs
+++ b/crates/geranium_core/src/route/slot.rs
@@ -2,17 +2,12 @@
 
 use std::time::Duration;
 
-use super::RouterSettings;
 use super::own_load::OwnLoad;
-use crate::group::ServingGroup;
+use super::pace::Pace;
+use super::{ColdCredits, PaceVerdict, RouterSettings};
+use crate::group::{ServingGroup, Temperature};
 use crate::time::Timestamp;
 
-/// First-token samples before a group is compared with its peers.
-const MIN_SAMPLES: u32 = 5;
-/// Weight of a new first-token sample.
-const SAMPLE_WEIGHT: f32 = 0.2;
-/// Blocks of work that every request costs beside its prompt.
-const BASE_BLOCKS: f32 = 4.0;
 /// Factor on the trust in a group's cache entries after a gap in its events.
 const GAP_TRUST_FACTOR: f32 = 0.5;
 /// Least trust in a group's cache entries.
@@ -25,10 +20,18 @@
 /// What the router knows about one group.
 #[derive(Clone, Debug)]
 pub(super) struct GroupSlot {
-    /// The group as last given.
-    pub(super) serving: ServingGroup,
+    /// The group as last given; apart, so that a decision reads little memory.
+    pub(super) serving: Box<ServingGroup>,
+    /// Requests that the group bears at a time while warm.
+    pub(super) capacity: u32,
+    /// Whether the group reports itself cold.
+    pub(super) cold: bool,
+    /// Whether this host or an entry host of its failure domain reaches it.
+    pub(super) reachable: bool,
     /// Whether the group was in the last update.
     pub(super) active: bool,
+    /// Whether the update that is under way has not named the group yet.
+    pub(super) stale: bool,
     /// Whether a drain covers the group.
     pub(super) drained: bool,
     /// Time until which the group is set aside.
@@ -37,13 +40,13 @@
     pub(super) trust: f32,
     /// First-token time relative to its peers; 1 is usual.
     pub(super) slowdown: f32,
-    own: OwnLoad,
+    own: Box<OwnLoad>,
+    own_in_flight: u32,
+    pending_blocks: u32,
     reported: u32,
     reported_at: Timestamp,
     since_report: i32,
-    pace: f32,
-    paced_at: Timestamp,
-    samples: u32,
+    pace: Pace,
     failures: u32,
     ejections: u32,
     next_sequence: Option<u64>,
@@ -53,25 +56,38 @@
     /// Makes a slot for a group seen for the first time.
     pub(super) fn new(now: Timestamp, serving: &ServingGroup) -> Self {
         Self {
-            serving: serving.clone(),
+            serving: Box::new(serving.clone()),
+            capacity: serving.warm_concurrency,
+            cold: serving.temperature == Temperature::Cold,
+            reachable: true,
             active: true,
+            stale: false,
             drained: false,
             ejected_until: Timestamp::default(),
             trust: 1.0,
             slowdown: 1.0,
-            own: OwnLoad::default(),
+            own: Box::default(),
+            own_in_flight: 0,
+            pending_blocks: 0,
             reported: serving.running + serving.waiting,
             reported_at: now,
             since_report: 0,
-            pace: 0.0,
-            paced_at: now,
-            samples: 0,
+            pace: Pace::default(),
             failures: 0,
             ejections: 0,
             next_sequence: None,
         }
     }
 
+    /// Returns whether a new description has the same record, model and place.
+    pub(super) fn is_same(&self, serving: &ServingGroup) -> bool {
+        let known = &self.serving;
+        known.record == serving.record
+            && known.served_model == serving.served_model
+            && known.failure_domain == serving.failure_domain
+            && known.head == serving.head
+    }
+
     /// Takes over a new description; returns whether the generation changed.
     pub(super) fn update(
         &mut self,
@@ -92,98 +108,126 @@
         if new_generation {
             self.forget_generation();
         }
-        self.serving.clone_from(serving);
+        self.serving.as_mut().clone_from(serving);
+        self.capacity = serving.warm_concurrency;
+        self.cold = serving.temperature == Temperature::Cold;
         self.active = true;
+        self.stale = false;
         new_generation
     }
 
     fn forget_generation(&mut self) {
         self.trust = 1.0;
         self.slowdown = 1.0;
-        self.samples = 0;
+        self.pace = Pace::default();
         self.failures = 0;
         self.ejections = 0;
         self.ejected_until = Timestamp::default();
         self.next_sequence = None;
     }
 
+    /// Returns whether the group is to be treated as cold.
+    pub(super) fn is_cold(&self, credits: &impl ColdCredits) -> bool {
+        self.cold || credits.marked_cold(&self.serving.group, self.serving.generation)
+    }
+
     /// Returns the requests of this entry host in flight.
     pub(super) fn own_in_flight(&self) -> u32 {
-        self.own.in_flight()
+        self.own_in_flight
     }
 
     /// Returns the estimated requests in the group.
     pub(super) fn load(&self) -> u32 {
         let estimate = i64::from(self.reported) + i64::from(self.since_report);
         let estimate = u32::try_from(estimate.max(0)).unwrap_or(u32::MAX);
-        estimate.max(self.own.in_flight())
+        estimate.max(self.own_in_flight)
+    }
+
+    /// Returns the blocks that requests of this entry host still wait for.
+    pub(super) fn pending_blocks(&self) -> u32 {
+        self.pending_blocks
+    }
+
+    /// Returns the requests that this entry host may have in progress on the
+    /// group, if so many entry hosts share it.
+    pub(super) fn share(&self, now: Timestamp, sharers: u32, credits: &impl ColdCredits) -> u32 {
+        let own = self.own_in_flight;
+        if self.is_cold(credits) {
+            let serving = &self.serving;
+            return own + credits.available(now, &serving.group, serving.generation);
+        }
+        let free = self.capacity.saturating_sub(self.load());
+        own + free.div_ceil(sharers.max(1))
     }
 
-    /// Notes that a request started.
-    pub(super) fn start(&mut self, now: Timestamp) {
-        self.own.start(now);
+    /// Notes that a request started, which adds so many blocks of work.
+    pub(super) fn start(&mut self, now: Timestamp, blocks: u32) {
+        self.own_in_flight += 1;
+        self.own.change(now, 1);
         self.since_report += 1;
+        self.pending_blocks += blocks;
+    }
+
+    /// Notes that so many blocks of work are done or given up.
+    pub(super) fn settle(&mut self, blocks: u32) {
+        self.pending_blocks = self.pending_blocks.saturating_sub(blocks);
     }
 
     /// Notes that a request ended.
     pub(super) fn end(&mut self, now: Timestamp) {
-        if self.own.in_flight() > 0 {
-            self.own.end(now);
+        if self.own_in_flight > 0 {
+            self.own_in_flight -= 1;
+            self.own.change(now, -1);
             self.since_report -= 1;
         }
     }
 
-    /// Notes an answer: the group is healthy.
+    /// Notes a whole answer: the group is healthy.
     pub(super) fn succeed(&mut self) {
         self.failures = 0;
         self.ejections = 0;
         self.ejected_until = Timestamp::default();
     }
 
-    /// Notes a failure; sets the group aside after several in a row.
-    pub(super) fn fail(&mut self, now: Timestamp, settings: &RouterSettings) {
+    /// Notes a failure; sets the group aside after several in a row, and returns
+    /// for how long.
+    pub(super) fn fail(&mut self, now: Timestamp, settings: &RouterSettings) -> Option<Duration> {
         self.failures += 1;
         if self.failures < settings.failures_to_eject || now < self.ejected_until {
-            return;
+            return None;
         }
         let factor = 1 << self.ejections.min(16);
         let pause = (settings.eject_base * factor).min(settings.eject_max);
         self.ejected_until = now + pause;
         self.ejections += 1;
+        Some(pause)
     }
 
-    /// Notes a first-token time, given the blocks that had to be computed.
-    pub(super) fn sample_pace(&mut self, now: Timestamp, waited: Duration, computed_blocks: u32) {
-        let sample = waited.as_secs_f32() / (BASE_BLOCKS + computed_blocks as f32);
-        self.pace = if self.samples == 0 {
-            sample
-        } else {
-            self.pace + SAMPLE_WEIGHT * (sample - self.pace)
-        };
-        self.samples = self.samples.saturating_add(1);
-        self.paced_at = now;
+    /// Notes a first-token time, given the blocks that had to be computed, and
+    /// judges the group by it.
+    pub(super) fn sample_pace(
+        &mut self,
+        now: Timestamp,
+        waited: Duration,
+        blocks: u32,
+        settings: &RouterSettings,
+    ) -> PaceVerdict {
+        let load = self.load();
+        self.pace.sample(now, waited, blocks, load);
+        self.pace.judge(self.slowdown, load, settings)
     }
 
     /// Returns the smoothed first-token time a block, once there are enough samples.
     pub(super) fn pace(&self) -> Option<f32> {
-        (self.samples >= MIN_SAMPLES).then_some(self.pace)
+        self.pace.present()
     }
 
-    /// Compares the group with the median of its peers; old samples count less.
+    /// Compares the group with the median of its peers.
     pub(super) fn compare_pace(&mut self, now: Timestamp, median: f32, settings: &RouterSettings) {
-        let Some(pace) = self.pace() else {
-            self.slowdown = 1.0;
-            return;
-        };
-        let ratio = (pace / median.max(f32::MIN_POSITIVE)).max(1.0);
-        let age = now.since(self.paced_at).as_secs_f32();
-        let half_lives = age / settings.slowdown_half_life.as_secs_f32();
-        let ratio = 1.0 + (ratio - 1.0) * (-half_lives).exp2();
-        self.slowdown = if ratio >= settings.straggler_ratio {
-            ratio
-        } else {
-            1.0
-        };
+        let half_life = settings.slowdown_half_life;
+        let ratio = self.pace.ratio_to(median, now, half_life);
+        let straggles = ratio >= settings.straggler_ratio;
+        self.slowdown = if straggles { ratio } else { 1.0 };
     }
 
     /// Takes the sequence number of a cache event; returns whether it is to be used.
--- a/crates/geranium_daemon/src/relay/mod.rs
+++ b/crates/geranium_daemon/src/relay/mod.rs
@@ -9,6 +9,8 @@
 mod job;
 mod output;
 mod request;
+mod trial;
+mod witness;
 
 pub use chunk::finish_text;
 pub use job::RelayJob;
--- a/crates/geranium_daemon/src/traffic/mod.rs
+++ b/crates/geranium_daemon/src/traffic/mod.rs
@@ -9,14 +9,17 @@
 
 use std::time::Duration;
 
+use geranium_core::event::EventDraft;
 use geranium_core::id::{AccountId, GroupId, ModelId};
 use geranium_core::limit::CrashId;
 use geranium_core::limit::{
-    AdmissionChange, AdmissionOutcome, AdmissionRefusal, AdmissionRequest, ColdOutcome,
-    CrashDigest, CrashVerdict, CreditGrant, CreditRefusal, CreditRequest, InFlight,
-    RequestFingerprint, Ticket,
+    AdmissionOutcome, AdmissionRefusal, AdmissionRequest, ColdOutcome, CrashDigest, CrashVerdict,
+    CreditGrant, CreditRefusal, CreditRequest, RequestFingerprint, Ticket, TrialGrant,
+    TrialRefusal, TrialRequest,
+};
+use geranium_core::route::{
+    BlockHash, CacheEvent, Dispatch, RouteChoice, RouteQuery, RouteRefusal,
 };
-use geranium_core::route::{BlockHash, RouteChoice, RouteQuery, RouteRefusal};
 use geranium_core::time::Timestamp;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -26,6 +29,7 @@
 use state::TrafficState;
 
 use crate::control::ControlView;
+use crate::peers::PeerView;
 
 /// Outcome of a wait for admission.
 pub type AdmissionWait = oneshot::Receiver<Result<(), AdmissionRefusal>>;
@@ -55,8 +59,8 @@
     }
 
     /// Takes over the latest state of control.
-    pub fn update(&self, now: Timestamp, view: &ControlView, entry_hosts: u32) {
-        self.state.lock().update(now, view, entry_hosts);
+    pub fn update(&self, now: Timestamp, view: &ControlView, peers: &PeerView) {
+        self.state.lock().update(now, view, peers);
     }
 
     /// Lets time pass: sheds queued requests and returns the cold credits to ask for.
@@ -112,22 +116,48 @@
         &self,
         now: Timestamp,
         query: &RouteQuery<'_>,
-    ) -> Result<RouteChoice, RouteRefusal> {
+    ) -> Result<(RouteChoice, Dispatch), RouteRefusal> {
         self.state.lock().start(now, query)
     }
 
     /// Notes the first token of a request.
-    pub fn first_token(&self, now: Timestamp, choice: &RouteChoice, waited: Duration) {
-        let computed = choice.blocks.saturating_sub(choice.cached_blocks);
-        self.state
-            .lock()
-            .router
-            .first_token(now, &choice.group, waited, computed);
+    pub fn first_token(
+        &self,
+        now: Timestamp,
+        choice: &RouteChoice,
+        dispatch: &mut Dispatch,
+        waited: Duration,
+    ) {
+        self.state.lock().first_token(now, choice, dispatch, waited);
+    }
+
+    /// Returns whether the credits of a cold group expired under its requests,
+    /// which then go on elsewhere.
+    #[must_use]
+    pub fn must_leave(&self, now: Timestamp, choice: &RouteChoice) -> bool {
+        self.state.lock().must_leave(now, choice)
+    }
+
+    /// Takes in an event of a group's prefix cache.
+    pub fn cache_event(&self, event: &CacheEvent) {
+        self.state.lock().router.cache_event(event);
+    }
+
+    /// Takes the events that explain decisions, the oldest first.
+    #[must_use]
+    pub fn take_events(&self) -> Vec<EventDraft> {
+        self.state.lock().take_events()
     }
 
     /// Notes the end of a request at its group.
-    pub fn end(&self, now: Timestamp, choice: &RouteChoice, outcome: ColdOutcome) {
-        self.state.lock().end(now, choice, outcome);
+    pub fn end(
+        &self,
+        now: Timestamp,
+        choice: &RouteChoice,
+        dispatch: Dispatch,
+        outcome: ColdOutcome,
+    ) {
+        self.state.lock().end(now, choice, dispatch, outcome);
     }
 
     /// Returns what may be done with a request that may crash backend servers.
@@ -136,17 +166,25 @@
         self.state.lock().crashes.verdict(now, fingerprint)
     }
 
-    /// Notes the requests in flight when a group crashed; returns what peers must hear.
+    /// Charges a request with the crash of the group that ran it, unless another
+    /// one was on trial there; returns what peers must hear.
     pub fn group_crashed(
         &self,
         now: Timestamp,
         crash: &CrashId,
-        in_flight: &[InFlight],
+        fingerprint: RequestFingerprint,
+        on_trial: Option<RequestFingerprint>,
     ) -> CrashDigest {
-        self.state
-            .lock()
+        let mut state = self.state.lock();
+        state
             .crashes
-            .group_crashed(now, crash, in_flight)
+            .group_crashed(now, crash, &[fingerprint], on_trial)
+    }
+
+    /// Returns the suspect that was on trial when a group crashed.
+    #[must_use]
+    pub fn suspect_of(&self, crash: &CrashId) -> Option<RequestFingerprint> {
+        self.state.lock().trials.suspect(crash)
     }
 
     /// Clears a suspect that finished whole.
@@ -161,12 +199,16 @@
 
     /// Gains or extends the right to hand out cold credits.
     pub fn extend_cold_authority(&self, now: Timestamp, until: Timestamp) {
-        self.state.lock().holder.extend_authority(now, until);
+        let mut state = self.state.lock();
+        state.holder.extend_authority(now, until);
+        state.trials.extend_authority(now, until);
     }
 
     /// Gives up the right to hand out cold credits.
     pub fn resign_cold_authority(&self) {
-        self.state.lock().holder.resign();
+        let mut state = self.state.lock();
+        state.holder.resign();
+        state.trials.resign();
     }
 
     /// Answers a request for cold credits.
@@ -182,6 +224,24 @@
         self.state.lock().holder.request(now, req)
     }
 
+    /// Answers a request for a trial.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the suspect may not run on the group now.
+    pub fn grant_trial(
+        &self,
+        now: Timestamp,
+        req: &TrialRequest,
+    ) -> Result<TrialGrant, TrialRefusal> {
+        self.state.lock().trials.request(now, req)
+    }
+
+    /// Ends a trial.
+    pub fn end_trial(&self, req: &TrialRequest) {
+        self.state.lock().trials.release(req);
+    }
+
     /// Takes in cold credits.
     pub fn cold_granted(&self, now: Timestamp, grant: &CreditGrant) {
         self.state.lock().cold.granted(now, grant);
@@ -215,9 +275,3 @@
         deadline,
     }
 }
-
-/// Returns whether a change concerns nobody.
-#[must_use]
-pub fn is_empty(change: &AdmissionChange) -> bool {
-    change.started.is_empty() && change.refused.is_empty()
-}
--- a/crates/geranium_daemon/src/traffic/state.rs
+++ b/crates/geranium_daemon/src/traffic/state.rs
@@ -1,18 +1,21 @@
 //! The state behind the lock.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use geranium_core::collections::HashMap;
+use geranium_core::event::EventDraft;
 use geranium_core::group::{ServingGroup, Temperature};
-use geranium_core::id::ModelId;
+use geranium_core::id::{GroupId, ModelId};
 use geranium_core::limit::{
     AccountLimit, Admission, AdmissionChange, AdmissionRefusal, AdmissionSettings,
     ColdBudgetHolder, ColdCreditUser, ColdOutcome, ColdSettings, CrashRegistry, CrashSettings,
-    CreditRequest, RetryBudget, RetryBudgetSettings, Ticket,
+    CreditRequest, RetryBudget, RetryBudgetSettings, Ticket, TrialHolder,
 };
 use geranium_core::record::{ModelSpec, RecordSet};
 use geranium_core::route::{
-    ColdCredits, RouteChoice, RouteQuery, RouteRefusal, Router, RouterSettings,
+    ColdCredits, Dispatch, PaceVerdict, RouteChoice, RouteQuery, RouteRefusal, Router,
+    RouterSettings,
 };
 use geranium_core::time::Timestamp;
 use geranium_telemetry::ProcessIdentity;
@@ -22,6 +25,13 @@
 
 use super::accounts::AccountDirectory;
 use crate::control::ControlView;
+use crate::peers::PeerView;
+
+/// Longest time for a suspect to get past the point at which its group crashed.
+const TRIAL_LIFETIME: Duration = Duration::from_secs(10);
+
+/// Time added to a trial's lifetime for clocks of different speed.
+const TRIAL_MARGIN: Duration = Duration::from_millis(100);
 
 type Waiter = oneshot::Sender<Result<(), AdmissionRefusal>>;
 
@@ -33,6 +43,7 @@
     pub crashes: CrashRegistry,
     pub cold: ColdCreditUser,
     pub holder: ColdBudgetHolder,
+    pub trials: TrialHolder,
     pub waiting: HashMap<(ModelId, Ticket), Waiter>,
     admissions: HashMap<ModelId, Admission>,
     serving: Arc<Vec<ServingGroup>>,
@@ -53,6 +64,7 @@
             crashes: CrashRegistry::new(CrashSettings::default()),
             cold: ColdCreditUser::new(host, incarnation, ColdSettings::default()),
             holder: ColdBudgetHolder::new(ColdSettings::default()),
+            trials: TrialHolder::new(TRIAL_LIFETIME, TRIAL_MARGIN),
             waiting: HashMap::default(),
             admissions: HashMap::default(),
             serving: Arc::default(),
@@ -69,25 +81,72 @@
         admissions.or_insert_with(|| Admission::new(AdmissionSettings::default(), seed))
     }
 
-    pub fn update(&mut self, now: Timestamp, view: &ControlView, entry_hosts: u32) {
+    pub fn update(&mut self, now: Timestamp, view: &ControlView, peers: &PeerView) {
         let records_changed = !Arc::ptr_eq(&self.records, &view.records);
-        self.entry_hosts = entry_hosts.max(1);
+        self.entry_hosts = peers.active.max(1);
         self.serving = view.serving.clone();
         if records_changed {
             self.records = view.records.clone();
             self.update_records(now);
         }
-        self.router.update_groups(now, &view.serving);
+        self.update_router(now, peers);
         self.holder.update_groups(now, &view.serving);
         for group in view.serving.iter() {
             let load = group.running + group.waiting;
             self.holder.observe_load(&group.group, now, load);
         }
-        let open = |id: &geranium_core::id::GroupId| view.serving.iter().any(|g| g.group == *id);
+        let open = |id: &GroupId| view.serving.iter().any(|group| group.group == *id);
         self.cold.retain_groups(open);
         self.update_capacity(now);
     }
 
+    fn update_router(&mut self, now: Timestamp, peers: &PeerView) {
+        if peers.remote_groups.is_empty() {
+            self.router.update_groups(now, &self.serving);
+        } else {
+            let mut groups = self.serving.as_ref().clone();
+            groups.extend(peers.remote_groups.iter().cloned());
+            self.router.update_groups(now, &groups);
+        }
+        self.router.update_entry_hosts(&peers.remote_entries);
+    }
+
+    /// Takes the events that explain decisions, the oldest first.
+    pub fn take_events(&mut self) -> Vec<EventDraft> {
+        let mut events = self.router.take_events();
+        events.extend(self.holder.take_events());
+        events.extend(self.crashes.take_events());
+        events
+    }
+
+    /// Notes a first token and treats the group as cold if it came out of line.
+    pub fn first_token(
+        &mut self,
+        now: Timestamp,
+        choice: &RouteChoice,
+        dispatch: &mut Dispatch,
+        waited: Duration,
+    ) {
+        let verdict = self.router.first_token(now, dispatch, waited);
+        let current = self
+            .serving
+            .iter()
+            .any(|group| group.group == choice.group && group.generation == choice.generation);
+        if verdict == PaceVerdict::Cold && current {
+            self.cold.mark_cold(&choice.group, choice.generation);
+        }
+    }
+
+    /// Returns whether the credits of a cold group expired under its requests.
+    pub fn must_leave(&mut self, now: Timestamp, choice: &RouteChoice) -> bool {
+        let cold = choice.temperature == Temperature::Cold;
+        cold && self
+            .cold
+            .expired(now)
+            .iter()
+            .any(|expired| expired.group == choice.group)
+    }
+
     pub fn tick(&mut self, now: Timestamp) -> Vec<CreditRequest> {
         self.update_capacity(now);
         let models: Vec<ModelId> = self.admissions.keys().cloned().collect();
@@ -102,21 +161,27 @@
         &mut self,
         now: Timestamp,
         query: &RouteQuery<'_>,
-    ) -> Result<RouteChoice, RouteRefusal> {
+    ) -> Result<(RouteChoice, Dispatch), RouteRefusal> {
         let choice = self.router.choose(now, query, &self.cold, &mut self.rng)?;
         let cold = choice.temperature == Temperature::Cold;
         if cold && !self.cold.try_start(now, &choice.group, choice.generation) {
             return Err(RouteRefusal::NoColdCredit(query.model.clone()));
         }
-        self.router.started(now, &choice.group, query.prefix);
-        Ok(choice)
+        let dispatch = self.router.started(now, &choice, query.prefix);
+        Ok((choice, dispatch))
     }
 
-    pub fn end(&mut self, now: Timestamp, choice: &RouteChoice, outcome: ColdOutcome) {
+    pub fn end(
+        &mut self,
+        now: Timestamp,
+        choice: &RouteChoice,
+        dispatch: Dispatch,
+        outcome: ColdOutcome,
+    ) {
         if outcome == ColdOutcome::Failed {
-            self.router.failed(now, &choice.group);
+            self.router.failed(now, dispatch);
         } else {
-            self.router.finished(now, &choice.group);
+            self.router.finished(now, dispatch);
         }
         if choice.temperature == Temperature::Cold {
             self.cold.ended(&choice.group, choice.generation, outcome);
@@ -156,38 +221,35 @@
 
     /// Sets the requests that each model may have in progress over this entry host.
     fn update_capacity(&mut self, now: Timestamp) {
-        let mut capacities: HashMap<ModelId, u32> = HashMap::default();
-        let serving = self.serving.clone();
-        for group in serving.iter() {
-            let share = self.share_of(now, group);
-            *capacities.entry(group.served_model.clone()).or_default() += share;
-        }
+        self.want_credits();
         let models: Vec<ModelId> = self.admissions.keys().cloned().collect();
         for model in models {
-            let capacity = capacities.get(&model).copied().unwrap_or_default();
+            let capacity = self
+                .router
+                .capacity(now, &model, self.entry_hosts, &self.cold);
             let change = self.admission(&model).set_capacity(now, capacity);
             self.apply(&model, change);
         }
     }
 
-    /// Returns the requests of a group that this entry host may have in progress.
-    fn share_of(&mut self, now: Timestamp, group: &ServingGroup) -> u32 {
-        let (id, generation) = (&group.group, group.generation);
-        let cold = group.temperature == Temperature::Cold || self.cold.marked_cold(id, generation);
-        if !cold {
-            return group.warm_concurrency.div_ceil(self.entry_hosts);
+    /// Asks for one cold credit more than is needed, so that the next request
+    /// finds one.
+    fn want_credits(&mut self) {
+        let serving = self.serving.clone();
+        for group in serving.iter() {
+            let (id, generation) = (&group.group, group.generation);
+            let cold =
+                group.temperature == Temperature::Cold || self.cold.marked_cold(id, generation);
+            if !cold {
+                continue;
+            }
+            let admission = self.admissions.get(&group.served_model);
+            let queued =
+                u32::try_from(admission.map_or(0, Admission::queued)).unwrap_or(u32::MAX / 2);
+            let wanted = self.cold.in_use(id) + 1 + queued;
+            self.cold
+                .want(id, generation, wanted.min(group.warm_concurrency));
         }
-        // One credit more than is used is always asked for, so that the next
-        // request finds one.
-        let in_use = self.cold.in_use(id);
-        let queued: usize = self
-            .admissions
-            .get(&group.served_model)
-            .map_or(0, Admission::queued);
-        let wanted = in_use + 1 + u32::try_from(queued).unwrap_or(u32::MAX / 2);
-        self.cold
-            .want(id, generation, wanted.min(group.warm_concurrency));
-        in_use + self.cold.available(now, id, generation)
     }
 }
 
--- a/crates/geranium_fakes/src/engine/handler.rs
+++ b/crates/geranium_fakes/src/engine/handler.rs
@@ -18,6 +18,7 @@
 
 use super::core::EngineCore;
 use super::members::{MemberAnswer, MemberQuestion};
+use super::output::{into_events, into_text};
 use super::refusal::CallRefusal;
 use super::render::whole_answer;
 use super::session::{Session, SessionSpec};
@@ -25,8 +26,8 @@
 
 /// Largest body of a call, in bytes.
 const MAX_BODY: usize = 64 << 20;
-/// Time for a completion that names none.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(600);
+/// Longest time for a completion, also for one that names none.
+const MAX_DEADLINE: Duration = Duration::from_secs(24 * 3_600);
 /// Bytes of one block hash in an export.
 const HASH_BYTES: usize = size_of::<u64>();
 
@@ -160,13 +161,13 @@
 
 async fn run(session: Session) -> Response {
     if session.is_streamed() {
-        let mut res = Response::new(Body::from_stream(session.into_events()));
+        let mut res = Response::new(Body::from_stream(into_events(session)));
         let events = HeaderValue::from_static("text/event-stream");
         res.headers_mut().insert(CONTENT_TYPE, events);
         return res;
     }
     let facts = session.facts();
-    match session.into_text().await {
+    match into_text(session).await {
         Ok(text) => {
             let answer = whole_answer(
                 &facts.request,
@@ -219,7 +220,7 @@
     Some(SessionSpec {
         request: req.header(REQUEST_HEADER).unwrap_or_default(),
         priority: req.header(PRIORITY_HEADER).unwrap_or_default(),
-        deadline: Instant::now() + remaining.unwrap_or(DEFAULT_DEADLINE),
+        deadline: Instant::now() + remaining.unwrap_or(MAX_DEADLINE).min(MAX_DEADLINE),
         chat,
         weights: load.model.clone(),
         version: load.version.clone(),
--- a/crates/geranium_peer/schema/peer.capnp
+++ b/crates/geranium_peer/schema/peer.capnp
@@ -154,93 +154,6 @@
   hasMore @2 :Bool;
 }
 
-struct CreditRequest {
-  user @0 :Text;
-  incarnation @1 :UInt64;
-  group @2 :Text;
-  generation @3 :UInt64;
-  sequence @4 :UInt64;
-  inUse @5 :UInt32;
-  keep @6 :UInt32;
-  wanted @7 :UInt32;
-  successes @8 :UInt32;
-  failures @9 :UInt32;
-  marked @10 :Bool;
-  marks @11 :UInt32;
-  askedAt @12 :UInt64;    # microseconds on the user's clock
-}
-
-struct CreditGrant {
-  group @0 :Text;
-  generation @1 :UInt64;
-  sequence @2 :UInt64;
-  credits @3 :UInt32;
-  askedAt @4 :UInt64;     # microseconds on the user's clock
-  warm @5 :Bool;
-}
-
-struct OtherGeneration {
-  group @0 :Text;
-  asked @1 :UInt64;
-  known @2 :UInt64;
-}
-
-struct StaleRequest {
-  user @0 :Text;
-  sequence @1 :UInt64;
-}
-
-struct CreditAnswer {
-  union {
-    granted @0 :CreditGrant;
-    notHolder @1 :Void;
-    waiting @2 :UInt64;   # microseconds on the holder's clock
-    unknownGroup @3 :Text;
-    otherGeneration @4 :OtherGeneration;
-    staleRequest @5 :StaleRequest;
-  }
-}
-
-struct TrialRequest {
-  user @0 :Text;
-  incarnation @1 :UInt64;
-  group @2 :Text;
-  fingerprint @3 :Data;   # 16 bytes
-  askedAt @4 :UInt64;     # microseconds on the user's clock
-}
-
-struct BusyGroup {
-  group @0 :Text;
-  until @1 :UInt64;       # microseconds on the holder's clock
-}
-
-struct TrialAnswer {
-  union {
-    expires @0 :UInt64;   # microseconds on the user's clock
-    notHolder @1 :Void;
-    waiting @2 :UInt64;   # microseconds on the holder's clock
-    busy @3 :BusyGroup;
-  }
-}
-
-struct ClaimState {
-  union {
-    absent @0 :Void;
-    running @1 :Void;
-    done @2 :Data;
-    unknown @3 :Void;
-  }
-}
-
-struct DrainNotice {
-  target :union {
-    failureDomain @0 :Text;
-    host @1 :Text;
-  }
-  leaving @2 :Bool;
-  reason @3 :Text;
-}
-
 # The first object of a connection; everything else needs the token.
 interface Gate {
   open @0 (token :Data) -> (host :EntryHost);
@@ -251,10 +164,7 @@
   pullRecords @1 (caller :MemberInfo, held :List(RecordVersion)) -> (answer :PullAnswer);
   pushRecords @2 (caller :MemberInfo, records :List(Record));
   inForce @3 (keys :List(Text)) -> (versions :List(RecordVersion));
-  coldCredits @4 (request :CreditRequest) -> (answer :CreditAnswer);
-  claimState @5 (key :Text, waitMicros :UInt64) -> (state :ClaimState);
-  drainNotice @6 (notice :DrainNotice);
-  startTrial @7 (request :TrialRequest) -> (answer :TrialAnswer);
-  endTrial @8 (request :TrialRequest);
-  shareCrashes @9 (digest :CrashDigest);
+  # JSON of a command and of its reply: values that are JSON in the platform's
+  # store or that change with the decisions, not with this protocol.
+  command @4 (command :Data) -> (reply :Data);
 }
--- a/crates/geranium_peer/src/client/job.rs
+++ b/crates/geranium_peer/src/client/job.rs
@@ -6,8 +6,7 @@
 use tokio::sync::oneshot;
 
 use super::call::{
-    ClaimStateCall, ColdCreditsCall, DrainNoticeCall, EndTrialCall, HeartbeatCall, InForceCall,
-    PeerCall, PullRecordsCall, PushRecordsCall, ShareCrashesCall, StartTrialCall,
+    CommandCall, HeartbeatCall, InForceCall, PeerCall, PullRecordsCall, PushRecordsCall,
 };
 use crate::PeerError;
 
@@ -25,10 +24,5 @@
     PullRecords(Request<PullRecordsCall>),
     PushRecords(Request<PushRecordsCall>),
     InForce(Request<InForceCall>),
-    ColdCredits(Request<ColdCreditsCall>),
-    ClaimState(Request<ClaimStateCall>),
-    DrainNotice(Request<DrainNoticeCall>),
-    StartTrial(Request<StartTrialCall>),
-    EndTrial(Request<EndTrialCall>),
-    ShareCrashes(Request<ShareCrashesCall>),
+    Command(Request<CommandCall>),
 }
--- a/crates/geranium_peer/src/client/mod.rs
+++ b/crates/geranium_peer/src/client/mod.rs
@@ -10,9 +10,6 @@
 use std::thread;
 use std::time::Duration;
 
-use geranium_core::limit::{
-    CrashDigest, CreditGrant, CreditRefusal, CreditRequest, TrialGrant, TrialRefusal, TrialRequest,
-};
 use geranium_core::member::{Heartbeat, MemberInfo};
 use geranium_core::record::spread::PullAnswer;
 use geranium_core::record::{RecordIndex, RecordKey, StoredRecord};
@@ -20,11 +17,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::LocalSet;
 
-use crate::{ClaimState, DrainNotice, PeerClientConfig, PeerError};
-use call::{
-    ClaimStateCall, ColdCreditsCall, DrainNoticeCall, EndTrialCall, HeartbeatCall, InForceCall,
-    PeerCall, PullRecordsCall, PushRecordsCall, ShareCrashesCall, StartTrialCall,
-};
+use crate::{PeerClientConfig, PeerCommand, PeerError, PeerReply};
+use call::{CommandCall, HeartbeatCall, InForceCall, PeerCall, PullRecordsCall, PushRecordsCall};
 use job::{Job, Request};
 
 /// Calls other entry hosts; clones share the connections.
@@ -122,87 +116,19 @@
         self.call(to, InForceCall(keys), limit, Job::InForce).await
     }
 
-    /// Asks for cold-start credits; the inner result is the holder's answer.
+    /// Sends a command and returns the reply.
     ///
     /// # Errors
     ///
-    /// Returns a [`PeerError`] if no answer came; credits may then have been
-    /// granted and lapse unused.
-    pub async fn cold_credits(
+    /// Returns a [`PeerError`] if no reply came; the command may have been
+    /// carried out.
+    pub async fn command(
         &self,
         to: SocketAddr,
-        request: CreditRequest,
-    ) -> Result<Result<CreditGrant, CreditRefusal>, PeerError> {
+        command: PeerCommand,
+    ) -> Result<PeerReply, PeerError> {
         let limit = self.config.call_timeout;
-        self.call(to, ColdCreditsCall(request), limit, Job::ColdCredits)
-            .await
-    }
-
-    /// Asks for the state of a claim; the peer waits while the call is running.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`PeerError`] if no answer came.
-    pub async fn claim_state(
-        &self,
-        to: SocketAddr,
-        key: String,
-        wait: Duration,
-    ) -> Result<ClaimState, PeerError> {
-        let limit = self.config.call_timeout + wait;
-        let call = ClaimStateCall { key, wait };
-        self.call(to, call, limit, Job::ClaimState).await
-    }
-
-    /// Tells that a failure domain or a host leaves or is back.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`PeerError`] if the peer did not confirm it.
-    pub async fn drain_notice(&self, to: SocketAddr, notice: DrainNotice) -> Result<(), PeerError> {
-        let limit = self.config.call_timeout;
-        self.call(to, DrainNoticeCall(notice), limit, Job::DrainNotice)
-            .await
-    }
-
-    /// Asks to run a suspect on a group; the inner result is the holder's answer.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`PeerError`] if no answer came; the trial may then have begun.
-    pub async fn start_trial(
-        &self,
-        to: SocketAddr,
-        request: TrialRequest,
-    ) -> Result<Result<TrialGrant, TrialRefusal>, PeerError> {
-        let limit = self.config.call_timeout;
-        self.call(to, StartTrialCall(request), limit, Job::StartTrial)
-            .await
-    }
-
-    /// Ends the trial that a request began.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`PeerError`] if the peer did not confirm it.
-    pub async fn end_trial(&self, to: SocketAddr, request: TrialRequest) -> Result<(), PeerError> {
-        let limit = self.config.call_timeout;
-        self.call(to, EndTrialCall(request), limit, Job::EndTrial)
-            .await
-    }
-
-    /// Tells what is known about requests that crash backend servers.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`PeerError`] if the peer did not confirm it.
-    pub async fn share_crashes(
-        &self,
-        to: SocketAddr,
-        digest: CrashDigest,
-    ) -> Result<(), PeerError> {
-        let limit = self.config.call_timeout;
-        self.call(to, ShareCrashesCall(digest), limit, Job::ShareCrashes)
+        self.call(to, CommandCall(command), limit, Job::Command)
             .await
     }
 
--- a/crates/geranium_peer/src/client/worker.rs
+++ b/crates/geranium_peer/src/client/worker.rs
@@ -53,12 +53,7 @@
             Job::PullRecords(request) => self.make(request),
             Job::PushRecords(request) => self.make(request),
             Job::InForce(request) => self.make(request),
-            Job::ColdCredits(request) => self.make(request),
-            Job::ClaimState(request) => self.make(request),
-            Job::DrainNotice(request) => self.make(request),
-            Job::StartTrial(request) => self.make(request),
-            Job::EndTrial(request) => self.make(request),
-            Job::ShareCrashes(request) => self.make(request),
+            Job::Command(request) => self.make(request),
         }
     }
 
--- a/crates/geranium_peer/src/prelude.rs
+++ b/crates/geranium_peer/src/prelude.rs
@@ -1,6 +1,6 @@
 //! The types that most users of this crate need.
 
 pub use crate::{
-    ClaimState, DrainNotice, PeerClient, PeerClientConfig, PeerError, PeerHandler, PeerServer,
+    PeerClient, PeerClientConfig, PeerCommand, PeerError, PeerHandler, PeerReply, PeerServer,
     PeerServerConfig, PeerToken,
 };
--- a/crates/geranium_peer/tests/rpc.rs
+++ b/crates/geranium_peer/tests/rpc.rs
@@ -6,13 +6,13 @@
 use std::time::{Duration, Instant};
 
 use geranium_core::engine::{Assignment, EnginePhase, EngineReport};
-use geranium_core::group::Temperature;
+use geranium_core::group::{GroupTable, Temperature};
 use geranium_core::id::{
     FailureDomainId, FencingNumber, GroupId, HostId, Incarnation, ModelId, RecordName,
 };
 use geranium_core::limit::{
-    ChargeState, CrashDigest, CrashId, CreditGrant, CreditRefusal, CreditRequest, ExplainedCrash,
-    RequestFingerprint, SuspicionEntry, TrialGrant, TrialRefusal, TrialRequest,
+    ChargeState, CrashDigest, CrashId, CreditGrant, CreditRequest, ExplainedCrash,
+    RequestFingerprint, SuspicionEntry,
 };
 use geranium_core::member::{
     ConfigStatus, DomainSummary, GroupSummary, Heartbeat, MemberInfo, MemberStatus, SharedDelta,
@@ -20,7 +20,7 @@
 };
 use geranium_core::record::spread::PullAnswer;
 use geranium_core::record::{
-    ConfigDigest, DrainTarget, RecordIndex, RecordKey, RecordKind, StoredRecord, WriterId,
+    ConfigDigest, RecordIndex, RecordKey, RecordKind, StoredRecord, WriterId,
 };
 use geranium_core::time::{HybridTime, Timestamp};
 use geranium_peer::prelude::*;
@@ -110,45 +110,6 @@
     }
 }
 
-fn credit_request() -> CreditRequest {
-    CreditRequest {
-        user: HostId::new("e1"),
-        incarnation: Incarnation(7),
-        group: GroupId::new("g1"),
-        generation: 4,
-        sequence: 5,
-        in_use: 1,
-        keep: 2,
-        wanted: 3,
-        successes: 6,
-        failures: 8,
-        marked: true,
-        marks: 9,
-        asked_at: Timestamp(10),
-    }
-}
-
-fn credit_grant() -> CreditGrant {
-    CreditGrant {
-        group: GroupId::new("g1"),
-        generation: 4,
-        sequence: 5,
-        credits: 2,
-        asked_at: Timestamp(10),
-        warm: true,
-    }
-}
-
-fn trial_request() -> TrialRequest {
-    TrialRequest {
-        user: HostId::new("e1"),
-        incarnation: Incarnation(7),
-        group: GroupId::new("g1"),
-        fingerprint: RequestFingerprint([9; 16]),
-        asked_at: Timestamp(11),
-    }
-}
-
 /// Returns a heartbeat in which no field has its default.
 fn heartbeat(name: &str) -> Heartbeat {
     Heartbeat {
@@ -240,49 +201,31 @@
         index(&[record("newer")])
     }
 
-    async fn cold_credits(&self, request: CreditRequest) -> Result<CreditGrant, CreditRefusal> {
-        self.note(&request);
-        let group = request.group.clone();
-        match request.wanted {
-            0 => Err(CreditRefusal::NotHolder),
-            1 => Err(CreditRefusal::Waiting(Timestamp(40))),
-            2 => Err(CreditRefusal::UnknownGroup(group)),
-            3 => Ok(credit_grant()),
-            4 => Err(CreditRefusal::OtherGeneration(group, 4, 5)),
-            _ => Err(CreditRefusal::StaleRequest(request.user, 5)),
-        }
-    }
-
-    async fn claim_state(&self, key: String, wait: Duration) -> ClaimState {
-        self.note((&key, &wait));
-        if key == "held" {
-            self.0.go_on.notified().await;
-        }
-        ClaimState::Done(b"kept".to_vec())
-    }
-
-    async fn drain_notice(&self, notice: DrainNotice) {
-        self.note(&notice);
-    }
-
-    async fn start_trial(&self, request: TrialRequest) -> Result<TrialGrant, TrialRefusal> {
-        self.note(&request);
-        let expires = Timestamp(50);
-        match request.incarnation.0 {
-            0 => Err(TrialRefusal::NotHolder),
-            1 => Err(TrialRefusal::Waiting(expires)),
-            2 => Err(TrialRefusal::Busy(request.group, expires)),
-            _ => Ok(TrialGrant { expires }),
+    async fn command(&self, command: PeerCommand) -> PeerReply {
+        self.note(&command);
+        match command {
+            PeerCommand::Credits(request) => PeerReply::Credits(CreditGrant {
+                group: request.group,
+                generation: request.generation,
+                sequence: request.sequence,
+                credits: request.wanted - 1,
+                asked_at: request.asked_at,
+                warm: false,
+            }),
+            PeerCommand::OperatorAddress => {
+                self.0.go_on.notified().await;
+                PeerReply::OperatorAddress(any_port())
+            }
+            _ => PeerReply::Done,
         }
     }
+}
 
-    async fn end_trial(&self, request: TrialRequest) {
-        self.note(&request);
-    }
-
-    async fn share_crashes(&self, digest: CrashDigest) {
-        self.note(&digest);
-    }
+/// Returns a client that waits long for a command.
+fn patient_client() -> PeerClient {
+    let mut config = PeerClientConfig::new(PeerToken::new(TOKEN));
+    config.call_timeout = Duration::from_secs(20);
+    PeerClient::start(config).expect("started")
 }
 
 fn any_port() -> SocketAddr {
@@ -357,92 +300,44 @@
 }
 
 #[tokio::test]
-async fn every_answer_to_a_request_for_credits_is_carried() {
+async fn commands_and_their_replies_are_carried() {
     let handler = Handler::default();
     let server = serve(&handler);
     let (client, to) = (client(TOKEN), server.address());
-    let group = GroupId::new("g1");
-    let expected = [
-        Err(CreditRefusal::NotHolder),
-        Err(CreditRefusal::Waiting(Timestamp(40))),
-        Err(CreditRefusal::UnknownGroup(group.clone())),
-        Ok(credit_grant()),
-        Err(CreditRefusal::OtherGeneration(group, 4, 5)),
-        Err(CreditRefusal::StaleRequest(HostId::new("e1"), 5)),
-    ];
-
-    for (wanted, expected) in (0..).zip(expected) {
-        let request = CreditRequest {
-            wanted,
-            ..credit_request()
-        };
-        let answer = client.cold_credits(to, request).await;
-
-        assert_eq!(answer, Ok(expected));
-    }
-    assert_eq!(handler.calls()[3], format!("{:?}", credit_request()));
-}
-
-#[tokio::test]
-async fn every_answer_to_a_request_for_a_trial_is_carried() {
-    let handler = Handler::default();
-    let server = serve(&handler);
-    let (client, to) = (client(TOKEN), server.address());
-    let expires = Timestamp(50);
-    let expected = [
-        Err(TrialRefusal::NotHolder),
-        Err(TrialRefusal::Waiting(expires)),
-        Err(TrialRefusal::Busy(GroupId::new("g1"), expires)),
-        Ok(TrialGrant { expires }),
+    let request = CreditRequest {
+        user: HostId::new("e1"),
+        incarnation: Incarnation(9),
+        group: GroupId::new("g1"),
+        generation: 4,
+        sequence: 7,
+        in_use: 1,
+        keep: 1,
+        wanted: 3,
+        successes: 2,
+        failures: 0,
+        marked: true,
+        marks: 1,
+        asked_at: Timestamp(12),
+    };
+    let table = GroupTable::new(FailureDomainId::new("lima-1"));
+    let commands = [
+        PeerCommand::Credits(request),
+        PeerCommand::Crashes(crashes()),
+        PeerCommand::Table(Box::new(table)),
     ];
 
-    for (run, expected) in (0..).zip(expected) {
-        let request = TrialRequest {
-            incarnation: Incarnation(run),
-            ..trial_request()
-        };
-        let answer = client.start_trial(to, request).await;
-
-        assert_eq!(answer, Ok(expected));
+    let mut replies = Vec::new();
+    for command in &commands {
+        replies.push(client.command(to, command.clone()).await.expect("a reply"));
     }
-    client
-        .end_trial(to, trial_request())
-        .await
-        .expect("confirmed");
-    assert_eq!(handler.calls()[4], format!("{:?}", trial_request()));
-}
 
-#[tokio::test]
-async fn crashes_claims_and_drain_notices_are_carried() {
-    let handler = Handler::default();
-    let server = serve(&handler);
-    let (client, to) = (client(TOKEN), server.address());
-    let notice = DrainNotice {
-        target: DrainTarget::FailureDomain(FailureDomainId::new("lima-2")),
-        leaving: true,
-        reason: "power work".to_owned(),
+    let PeerReply::Credits(grant) = &replies[0] else {
+        panic!("no credits, but {:?}", replies[0]);
     };
-    let wait = Duration::from_secs(1);
-
-    let state = client.claim_state(to, "claim-1".to_owned(), wait).await;
-    client
-        .drain_notice(to, notice.clone())
-        .await
-        .expect("confirmed");
-    client
-        .share_crashes(to, crashes())
-        .await
-        .expect("confirmed");
-
-    assert_eq!(state, Ok(ClaimState::Done(b"kept".to_vec())));
-    assert_eq!(
-        handler.calls(),
-        [
-            format!("{:?}", ("claim-1", wait)),
-            format!("{notice:?}"),
-            format!("{:?}", crashes()),
-        ]
-    );
+    assert_eq!((grant.credits, grant.generation, grant.sequence), (2, 4, 7));
+    assert_eq!(replies[1..], [PeerReply::Done, PeerReply::Done]);
+    let noted: Vec<String> = commands.iter().map(|c| format!("{c:?}")).collect();
+    assert_eq!(handler.calls(), noted);
 }
 
 #[tokio::test]
@@ -468,9 +363,7 @@
     let client = PeerClient::start(config).expect("started");
     let to = server.address();
 
-    let held = client
-        .claim_state(to, "held".to_owned(), Duration::ZERO)
-        .await;
+    let held = client.command(to, PeerCommand::OperatorAddress).await;
     let answer = client.heartbeat(to, heartbeat("e1")).await;
 
     assert_eq!(
@@ -525,11 +418,10 @@
     let mut config = server_config(any_port());
     config.max_calls = 1;
     let server = PeerServer::start(config, handler.clone()).expect("started");
-    let (client, to) = (client(TOKEN), server.address());
-    let wait = Duration::from_secs(20);
+    let (client, to) = (patient_client(), server.address());
     let held = tokio::spawn({
         let client = client.clone();
-        async move { client.claim_state(to, "held".to_owned(), wait).await }
+        async move { client.command(to, PeerCommand::OperatorAddress).await }
     });
     while handler.calls().is_empty() {
         tokio::time::sleep(Duration::from_millis(5)).await;
@@ -548,11 +440,10 @@
 async fn a_stop_lets_the_calls_in_progress_end() {
     let handler = Handler::default();
     let server = serve(&handler);
-    let (client, to) = (client(TOKEN), server.address());
-    let wait = Duration::from_secs(20);
+    let (client, to) = (patient_client(), server.address());
     let held = tokio::spawn({
         let client = client.clone();
-        async move { client.claim_state(to, "held".to_owned(), wait).await }
+        async move { client.command(to, PeerCommand::OperatorAddress).await }
     });
     while handler.calls().is_empty() {
         tokio::time::sleep(Duration::from_millis(5)).await;
--- /dev/null
+++ b/crates/geranium_spec/src/suite.rs
@@ -0,0 +1,99 @@
+//! The checks that are run together.
+
+use std::thread;
+
+use crate::check::{CheckReport, Violation, check, find_violation};
+use crate::claims::{ClaimBounds, ClaimModel};
+use crate::gate::{GateBounds, GateModel};
+use crate::groups::{GroupBounds, GroupModel};
+use crate::{Mutation, Protocol};
+
+/// How far the states are enumerated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// Bounds that a debug build checks in seconds.
+    Small,
+    /// Bounds that a release build checks in less than a minute.
+    Full,
+}
+
+/// Checks every protocol without a mutation.
+///
+/// # Panics
+///
+/// Panics if a check panicked.
+#[must_use]
+pub fn check_all(level: Level) -> Vec<CheckReport> {
+    let claims = claim_bounds(level)
+        .into_iter()
+        .map(|bounds| thread::spawn(move || check(&ClaimModel::new(bounds, None))));
+    let groups = group_bounds(level)
+        .into_iter()
+        .map(|bounds| thread::spawn(move || check(&GroupModel::new(bounds, None))));
+    let gate = gate_bounds(level)
+        .into_iter()
+        .map(|bounds| thread::spawn(move || check(&GateModel::new(bounds, None))));
+    let checks: Vec<_> = claims.chain(groups).chain(gate).collect();
+    let join = |check: thread::JoinHandle<CheckReport>| check.join().expect("no check panics");
+    checks.into_iter().map(join).collect()
+}
+
+/// Returns the shortest trace to a violation with one guard removed.
+#[must_use]
+pub fn check_mutation(mutation: Mutation) -> Option<Violation> {
+    match mutation.protocol() {
+        Protocol::Claims => {
+            let model = ClaimModel::new(ClaimBounds::lossy(), Some(mutation));
+            find_violation(&model)
+        }
+        Protocol::Groups => {
+            let model = GroupModel::new(group_bounds_for(mutation), Some(mutation));
+            find_violation(&model)
+        }
+        Protocol::Gate => find_violation(&GateModel::new(GateBounds::small(), Some(mutation))),
+    }
+}
+
+fn gate_bounds(level: Level) -> Vec<GateBounds> {
+    match level {
+        Level::Small => vec![GateBounds::small()],
+        Level::Full => vec![GateBounds::replacing(), GateBounds::reordering()],
+    }
+}
+
+fn claim_bounds(level: Level) -> Vec<ClaimBounds> {
+    match level {
+        Level::Small => vec![ClaimBounds::lossy_prefix(), ClaimBounds::reused_key()],
+        Level::Full => vec![
+            ClaimBounds::every_fault(),
+            ClaimBounds::two_resends(),
+            ClaimBounds::lossy(),
+            ClaimBounds::reused_key(),
+        ],
+    }
+}
+
+fn group_bounds(level: Level) -> Vec<GroupBounds> {
+    match level {
+        Level::Small => vec![
+            GroupBounds::checking().with_writes(3),
+            GroupBounds::ignoring().with_writes(3),
+        ],
+        Level::Full => vec![
+            GroupBounds::checking(),
+            GroupBounds::ignoring(),
+            GroupBounds::mixed(),
+            GroupBounds::lossy(),
+            GroupBounds::restarting(),
+        ],
+    }
+}
+
+/// Returns bounds in which a guard is needed.
+fn group_bounds_for(mutation: Mutation) -> GroupBounds {
+    match mutation {
+        Mutation::UnfencedRest => GroupBounds::ignoring(),
+        Mutation::OrdersOutliveRestart => GroupBounds::restarting(),
+        _ => GroupBounds::checking(),
+    }
+}
