--- a/crates/geranium_peer/examples/heartbeat_cost.rs
+++ b/crates/geranium_peer/examples/heartbeat_cost.rs
@@ -5,16 +5,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 
 use geranium_core::engine::{Assignment, EnginePhase, EngineReport};
 use geranium_core::group::Temperature;
 use geranium_core::id::{
     FailureDomainId, FencingNumber, GroupId, HostId, Incarnation, ModelId, RecordName,
 };
-use geranium_core::limit::{
-    CrashDigest, CreditGrant, CreditRefusal, CreditRequest, TrialGrant, TrialRefusal, TrialRequest,
-};
+use geranium_core::limit::CrashDigest;
 use geranium_core::member::{
     ConfigStatus, DomainSummary, GroupSummary, Heartbeat, MemberInfo, MemberStatus, SharedDelta,
     SharedReport,
@@ -51,23 +48,9 @@
         RecordIndex::default()
     }
 
-    async fn cold_credits(&self, _: CreditRequest) -> Result<CreditGrant, CreditRefusal> {
-        Err(CreditRefusal::NotHolder)
-    }
-
-    async fn claim_state(&self, _: String, _: Duration) -> ClaimState {
-        ClaimState::Absent
-    }
-
-    async fn drain_notice(&self, _: DrainNotice) {}
-
-    async fn start_trial(&self, _: TrialRequest) -> Result<TrialGrant, TrialRefusal> {
-        Err(TrialRefusal::NotHolder)
+    async fn command(&self, _: PeerCommand) -> PeerReply {
+        PeerReply::Done
     }
-
-    async fn end_trial(&self, _: TrialRequest) {}
-
-    async fn share_crashes(&self, _: CrashDigest) {}
 }
 
 #[tokio::main(flavor = "current_thread")]
