--- a/crates/geranium_core/examples/spread_figures.rs
+++ b/crates/geranium_core/examples/spread_figures.rs
@@ -22,7 +22,9 @@
         _ => vec![(3, 2), (3, 3), (9, 5), (27, 15)],
     };
     for (domains, hosts) in sizes {
-        let figures = figures::Figures::measure(domains, hosts, Duration::from_secs(120), 10);
+        let idle = Duration::from_secs(120);
+        let changes = if domains * hosts > 100 { 50 } else { 200 };
+        let figures = figures::Figures::measure(domains, hosts, idle, 10, changes);
         println!("{figures}");
     }
 }
--- a/crates/geranium_core/src/member/mod.rs
+++ b/crates/geranium_core/src/member/mod.rs
@@ -18,6 +18,7 @@
 mod incoming;
 mod membership;
 mod outgoing;
+mod own_summary;
 mod peer;
 mod shared;
 mod timing;
--- a/crates/geranium_core/src/member/outgoing.rs
+++ b/crates/geranium_core/src/member/outgoing.rs
@@ -7,10 +7,7 @@
 use super::incoming::left;
 use super::peer::Peer;
 use super::shared::{Audience, SharedItem, SharedKey, delta};
-use super::{
-    DomainSummary, Heartbeat, MemberEffect, MemberInfo, MemberStatus, Membership, PeerState,
-    SharedDelta, duty,
-};
+use super::{Heartbeat, MemberEffect, MemberInfo, Membership, PeerState, SharedDelta, duty};
 use crate::event::{EventDraft, EventKind, EventSubject};
 use crate::id::{FailureDomainId, HostId, Incarnation};
 use crate::time::{HybridTime, Timestamp};
@@ -18,9 +15,6 @@
 /// Time after which a heartbeat without any outcome counts as failed.
 const IN_FLIGHT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Longest time for which an unchanged summary of the own domain is not renewed.
-const SUMMARY_MAX_AGE: Duration = Duration::from_secs(10);
-
 /// Silence of a domain after which it counts as silent; the second representative
 /// then asks it too, and every host tries its seed.
 const DOMAIN_SILENCE: Duration = Duration::from_secs(30);
@@ -268,42 +262,6 @@
         let own = [&self.config.own].into_iter();
         own.chain(self.live_peers()).cloned().collect()
     }
-
-    /// Logs a new summary of the own domain if the last one no longer holds.
-    fn renew_summary(&mut self, now: Timestamp) {
-        let summary = self.summary(now);
-        let key = SharedKey::Domain(summary.failure_domain.clone());
-        if let Some(SharedItem::Domain(last)) = self.log.get(&key) {
-            let is_same = last.members == summary.members && last.groups == summary.groups;
-            if is_same && now.since(last.made_at) < SUMMARY_MAX_AGE {
-                return;
-            }
-        }
-        self.log.put(key, SharedItem::Domain(summary));
-    }
-
-    fn summary(&self, now: Timestamp) -> DomainSummary {
-        let own = MemberStatus {
-            info: self.config.own.clone(),
-            digest: self.status.digest,
-        };
-        let alive = self.peers.values().filter(|p| p.state == PeerState::Alive);
-        let peers = alive.map(|p| MemberStatus {
-            info: p.info.clone(),
-            digest: p.config.digest,
-        });
-        let mut members: Vec<MemberStatus> = [own].into_iter().chain(peers).collect();
-        let active = self.active_members();
-        let first = duty::representatives(&active);
-        let position = |m: &MemberStatus| first.iter().position(|host| **host == m.info.host);
-        members.sort_by_key(|m| (position(m).unwrap_or(usize::MAX), m.info.host.clone()));
-        DomainSummary {
-            failure_domain: self.config.own.failure_domain.clone(),
-            made_at: now,
-            members,
-            groups: self.groups.clone(),
-        }
-    }
 }
 
 /// Name and failure domain of the host that a heartbeat is for.
--- /dev/null
+++ b/crates/geranium_core/src/member/own_summary.rs
@@ -0,0 +1,48 @@
+//! The summary of the own failure domain that other domains are told.
+
+use std::time::Duration;
+
+use super::shared::{SharedItem, SharedKey};
+use super::{DomainSummary, MemberStatus, Membership, PeerState, duty};
+use crate::time::Timestamp;
+
+/// Longest time for which an unchanged summary of the own domain is not renewed.
+const SUMMARY_MAX_AGE: Duration = Duration::from_secs(10);
+
+impl Membership {
+    /// Logs a new summary of the own domain if the last one no longer holds.
+    pub(super) fn renew_summary(&mut self, now: Timestamp) {
+        let summary = self.summary(now);
+        let key = SharedKey::Domain(summary.failure_domain.clone());
+        if let Some(SharedItem::Domain(last)) = self.log.get(&key) {
+            let is_same = last.members == summary.members && last.groups == summary.groups;
+            if is_same && now.since(last.made_at) < SUMMARY_MAX_AGE {
+                return;
+            }
+        }
+        self.log.put(key, SharedItem::Domain(summary));
+    }
+
+    fn summary(&self, now: Timestamp) -> DomainSummary {
+        let own = MemberStatus {
+            info: self.config.own.clone(),
+            digest: self.status.digest,
+        };
+        let alive = self.peers.values().filter(|p| p.state == PeerState::Alive);
+        let peers = alive.map(|p| MemberStatus {
+            info: p.info.clone(),
+            digest: p.config.digest,
+        });
+        let mut members: Vec<MemberStatus> = [own].into_iter().chain(peers).collect();
+        let active = self.active_members();
+        let first = duty::representatives(&active);
+        let position = |m: &MemberStatus| first.iter().position(|host| **host == m.info.host);
+        members.sort_by_key(|m| (position(m).unwrap_or(usize::MAX), m.info.host.clone()));
+        DomainSummary {
+            failure_domain: self.config.own.failure_domain.clone(),
+            made_at: now,
+            members,
+            groups: self.groups.clone(),
+        }
+    }
+}
--- a/crates/geranium_core/src/record/spread/mod.rs
+++ b/crates/geranium_core/src/record/spread/mod.rs
@@ -5,6 +5,7 @@
 //! they hold. A host adopts newer versions only, so that neither a restart, a
 //! store restored from an older copy nor an outdated peer reverts a record.
 
+mod adopt;
 mod effect;
 mod follower;
 mod peer_sync;
--- a/crates/geranium_core/src/record/spread/replica.rs
+++ b/crates/geranium_core/src/record/spread/replica.rs
@@ -5,44 +5,32 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
+use super::adopt::Source;
 use super::follower::StoreFollower;
 use super::peer_sync::PeerSync;
 use super::store_view::StoreView;
-use super::{ConfigEffect, PullAnswer, SpreadTiming, StoreChange, StoreRead, WriteBackOutcome};
+use super::{ConfigEffect, SpreadTiming, StoreChange, StoreRead, WriteBackOutcome};
 use crate::event::{EventDraft, EventKind, EventSubject};
 use crate::id::{FailureDomainId, StoreRevision};
 use crate::member::{ConfigStatus, MemberInfo};
-use crate::record::{MergeOutcome, RecordIndex, RecordKey, RecordSet, StoredRecord};
+use crate::record::{RecordKey, RecordSet, StoredRecord};
 use crate::time::Timestamp;
 
-/// Largest sum of records in one message to a peer, in bytes.
-const MAX_MESSAGE_SIZE: usize = 512 * 1_024;
-
-/// Most records that are pushed at once; peers ask for larger changes.
-const MAX_PUSHED: usize = 64;
-
 /// The records in force on one host and how it learns of changes.
 ///
 /// Every input returns the effects that the driver carries out. The driver calls
 /// [`tick`](Self::tick) about ten times a second.
 #[derive(Clone, Debug)]
 pub struct ConfigReplica {
-    failure_domain: FailureDomainId,
-    timing: SpreadTiming,
-    rng: SmallRng,
-    records: Arc<RecordSet>,
-    follower: StoreFollower,
-    store: StoreView,
-    sync: PeerSync,
+    pub(super) failure_domain: FailureDomainId,
+    pub(super) timing: SpreadTiming,
+    pub(super) rng: SmallRng,
+    pub(super) records: Arc<RecordSet>,
+    pub(super) follower: StoreFollower,
+    pub(super) store: StoreView,
+    pub(super) sync: PeerSync,
     /// Live peers of the own failure domain.
-    peers: Vec<MemberInfo>,
-}
-
-/// Where versions came from.
-#[derive(Clone, Copy, Debug)]
-enum Source<'a> {
-    Store(&'static str),
-    Peer(&'a MemberInfo),
+    pub(super) peers: Vec<MemberInfo>,
 }
 
 impl ConfigReplica {
@@ -217,51 +205,6 @@
         }
     }
 
-    /// Takes in versions that a peer sent.
-    pub fn take_in_push(
-        &mut self,
-        peer: &MemberInfo,
-        records: impl IntoIterator<Item = StoredRecord>,
-        now: Timestamp,
-    ) -> Vec<ConfigEffect> {
-        self.adopt(records, Source::Peer(peer), now)
-    }
-
-    /// Answers a peer that tells which versions it holds.
-    #[must_use]
-    pub fn answer_pull(&self, index: &RecordIndex) -> PullAnswer {
-        let newer = self.records.newer_than(index);
-        let total = newer.len();
-        let records = within_message(newer);
-        PullAnswer {
-            has_more: records.len() < total,
-            records,
-            wanted: self.records.missing_from(index),
-        }
-    }
-
-    /// Takes in the answer to a pull.
-    pub fn take_in_pull(
-        &mut self,
-        peer: &MemberInfo,
-        answer: PullAnswer,
-        now: Timestamp,
-    ) -> Vec<ConfigEffect> {
-        let records = answer.records.iter().map(|record| (**record).clone());
-        let records: Vec<StoredRecord> = records.collect();
-        let mut effects = self.adopt(records, Source::Peer(peer), now);
-        self.sync
-            .finish(&peer.host, answer.has_more, &self.timing, now);
-        let wanted = answer.wanted.iter().filter_map(|key| self.records.get(key));
-        // What does not fit into one message the peer asks for itself.
-        let records = within_message(wanted.map(|entry| entry.stored.clone()));
-        if !records.is_empty() {
-            let peers = vec![peer.clone()];
-            effects.push(ConfigEffect::PushToPeers { peers, records });
-        }
-        effects
-    }
-
     /// Takes note of a pull that failed.
     pub fn fail_pull(&mut self, peer: &MemberInfo, now: Timestamp) {
         self.sync.finish(&peer.host, false, &self.timing, now);
@@ -294,69 +237,8 @@
         effects
     }
 
-    /// Merges versions; newer ones come into force and are passed on.
-    fn adopt(
-        &mut self,
-        records: impl IntoIterator<Item = StoredRecord>,
-        source: Source<'_>,
-        now: Timestamp,
-    ) -> Vec<ConfigEffect> {
-        let mut effects = Vec::new();
-        let mut adopted = Vec::new();
-        for record in records {
-            let key = record.key.clone();
-            let generation = record.generation();
-            match Arc::make_mut(&mut self.records).merge(record) {
-                MergeOutcome::Same => {}
-                MergeOutcome::Stale => {
-                    if let Source::Peer(peer) = source {
-                        let reason = format!("{} sent generation {generation}", peer.host);
-                        effects.push(key_event(EventKind::RecordStale, &key, reason));
-                    }
-                }
-                MergeOutcome::Adopted => {
-                    let reason = format!("generation {generation} from {source}");
-                    effects.push(key_event(EventKind::RecordInForce, &key, reason));
-                    adopted.push(key);
-                }
-            }
-        }
-        if adopted.is_empty() {
-            return effects;
-        }
-        self.sync.remember(self.records.digest());
-        effects.push(ConfigEffect::RecordsChanged);
-        self.compare(&adopted, now);
-        effects.extend(self.pass_on(&adopted, source));
-        effects
-    }
-
-    /// Sends versions to the peers of the domain, unless one of them sent them.
-    ///
-    /// Of the hosts that watch the store only the first one sends; the peers ask
-    /// the second one if its digest shows that it knows more.
-    fn pass_on(&self, keys: &[RecordKey], source: Source<'_>) -> Option<ConfigEffect> {
-        let is_first = match source {
-            Source::Peer(peer) => peer.failure_domain != self.failure_domain,
-            Source::Store("write") => true,
-            Source::Store(_) => self.follower.position() == Some(0),
-        };
-        if !is_first || keys.len() > MAX_PUSHED {
-            return None;
-        }
-        let digest = self.records.digest();
-        let lacks = |peer: &&MemberInfo| self.sync.digest_of(&peer.host) != Some(digest);
-        let peers: Vec<MemberInfo> = self.peers.iter().filter(lacks).cloned().collect();
-        if peers.is_empty() {
-            return None;
-        }
-        let records = keys.iter().filter_map(|key| self.records.get(key));
-        let records = within_message(records.map(|entry| entry.stored.clone()));
-        Some(ConfigEffect::PushToPeers { peers, records })
-    }
-
     /// Compares records with what the store holds, if this host follows it.
-    fn compare(&mut self, keys: &[RecordKey], now: Timestamp) {
+    pub(super) fn compare(&mut self, keys: &[RecordKey], now: Timestamp) {
         if !self.follower.is_watching() {
             return;
         }
@@ -367,29 +249,6 @@
     }
 }
 
-impl std::fmt::Display for Source<'_> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Store(call) => write!(f, "the store, by {call}"),
-            Self::Peer(peer) => write!(f, "host {}", peer.host),
-        }
-    }
-}
-
-/// Returns the first records, at least one, that fit into one message.
-fn within_message(records: impl IntoIterator<Item = Arc<StoredRecord>>) -> Vec<Arc<StoredRecord>> {
-    let mut size = 0;
-    let mut fitting = Vec::new();
-    for record in records {
-        size += record.to_store().len();
-        if size > MAX_MESSAGE_SIZE && !fitting.is_empty() {
-            break;
-        }
-        fitting.push(record);
-    }
-    fitting
-}
-
 pub(super) fn key_event(kind: EventKind, key: &RecordKey, reason: String) -> ConfigEffect {
     let subject = EventSubject::record(&key.name);
     let event = EventDraft::new(kind, subject, reason).caused_by(key.to_string());
--- a/crates/geranium_core/tests/entry_hosts/figures.rs
+++ b/crates/geranium_core/tests/entry_hosts/figures.rs
@@ -13,6 +13,9 @@
 /// Time between two changes of the burst.
 const BURST_STEP: Duration = Duration::from_millis(10);
 
+/// Messages of a thousand that are lost.
+const LOST_PER_MILLE: u32 = 10;
+
 /// Longest wait for a change.
 const LIMIT: Duration = Duration::from_secs(30);
 
@@ -28,12 +31,20 @@
     pub burst_settled: Duration,
     /// Time to in force with one host cut from the store, sorted.
     pub one_cut: Vec<Duration>,
+    /// Time to in force while one message of a hundred is lost, sorted.
+    pub lossy: Vec<Duration>,
 }
 
 impl Figures {
     /// Measures a fleet: idle for a while, a burst, then one host after another
-    /// cut from the store.
-    pub fn measure(domains: usize, hosts: usize, idle: Duration, cuts: usize) -> Self {
+    /// cut from the store, then `changes` while messages are lost.
+    pub fn measure(
+        domains: usize,
+        hosts: usize,
+        idle: Duration,
+        cuts: usize,
+        changes: usize,
+    ) -> Self {
         let mut fleet = Fleet::start(domains, hosts);
         fleet.run(Duration::from_secs(20));
         let (calls, heartbeats) = (fleet.store.calls, fleet.counts.heartbeats);
@@ -55,6 +66,7 @@
             burst_pushed: after.1.pushed_records - before.1.pushed_records,
             burst_settled: settled,
             one_cut: one_cut(&mut fleet, domains, hosts, cuts),
+            lossy: lossy(&mut fleet, domains, hosts, changes),
         }
     }
 }
@@ -87,15 +99,36 @@
     times
 }
 
+fn lossy(fleet: &mut Fleet, domains: usize, hosts: usize, changes: usize) -> Vec<Duration> {
+    fleet.lost_per_mille = LOST_PER_MILLE;
+    let mut times = Vec::new();
+    for i in 0..changes {
+        let record = fleet.apply(i % domains, (i / domains) % hosts, drain("lossy", i));
+        times.push(fleet.run_while(LIMIT, |f| f.is_everywhere(&record)));
+        fleet.run(Duration::from_millis(700));
+    }
+    times.sort();
+    times
+}
+
+/// Returns the time that `percent` of the sorted times do not exceed.
+fn percentile(times: &[Duration], percent: usize) -> Duration {
+    let rank = (times.len() * percent).div_ceil(100).max(1);
+    times[rank - 1]
+}
+
 impl fmt::Display for Figures {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let median = self.one_cut[self.one_cut.len() / 2];
-        let longest = self.one_cut[self.one_cut.len() - 1];
+        let (median, longest) = (
+            percentile(&self.one_cut, 50),
+            percentile(&self.one_cut, 100),
+        );
         write!(
             f,
             "{} domains x {} hosts: idle {:.3} store calls/s, {:.1} heartbeats/s a host; \
              burst of {BURST}: {} store calls, {} pulls, {} records pushed, \
-             in force {:?} after the last; one host cut: median {median:?}, longest {longest:?}",
+             in force {:?} after the last; one host cut: median {median:?}, longest {longest:?}; \
+             {} changes with 1% of the messages lost: median {:?}, p99 {:?}, longest {:?}",
             self.domains,
             self.hosts,
             self.idle_calls_per_second,
@@ -104,6 +137,10 @@
             self.burst_pulls,
             self.burst_pushed,
             self.burst_settled,
+            self.lossy.len(),
+            percentile(&self.lossy, 50),
+            percentile(&self.lossy, 99),
+            percentile(&self.lossy, 100),
         )
     }
 }
