Let a host without peers learn its duties

Cause: MembersChanged came only with a change of the peers; a driver of a lone host never set a watcher, as the test fixture had to work around.

--- a/crates/geranium_core/src/member/effect.rs
+++ b/crates/geranium_core/src/member/effect.rs
@@ -17,7 +17,8 @@
         /// The message.
         heartbeat: Box<Heartbeat>,
     },
-    /// The live hosts changed: duties are to be worked out anew.
+    /// The live hosts changed, or this one started: duties are to be worked out
+    /// anew.
     MembersChanged,
     /// This process was paused: whatever it believes to be fresh may be old.
     Paused(Duration),
--- a/crates/geranium_core/src/member/membership.rs
+++ b/crates/geranium_core/src/member/membership.rs
@@ -38,6 +38,8 @@
     pub(super) log: SharedLog,
     pub(super) status: ConfigStatus,
     pub(super) groups: Vec<GroupSummary>,
+    /// Whether the driver was told to work out duties for the first time.
+    pub(super) is_started: bool,
 }
 
 impl Membership {
@@ -59,6 +61,7 @@
             log: SharedLog::default(),
             status: ConfigStatus::default(),
             groups: Vec::new(),
+            is_started: false,
         }
     }
 
--- a/crates/geranium_core/src/member/outgoing.rs
+++ b/crates/geranium_core/src/member/outgoing.rs
@@ -31,6 +31,9 @@
     /// `time` is the hybrid time that the heartbeats carry.
     pub fn tick(&mut self, now: Timestamp, time: HybridTime) -> Vec<MemberEffect> {
         let mut effects = self.advance(now);
+        if !std::mem::replace(&mut self.is_started, true) {
+            effects.push(MemberEffect::MembersChanged);
+        }
         self.find_silent(now, &mut effects);
         self.find_silent_domains(&mut effects);
         self.forget_old(now, &mut effects);
--- a/crates/geranium_core/tests/entry_hosts/fleet.rs
+++ b/crates/geranium_core/tests/entry_hosts/fleet.rs
@@ -443,10 +443,6 @@
                 MemberEffect::Paused(_) => {}
             }
         }
-        // A host without peers never sees a change of its members.
-        if self.hosts[&at].membership.peers().next().is_none() {
-            self.renew_duties(at);
-        }
     }
 
     fn renew_duties(&mut self, at: SocketAddr) {
