Count a report's age from its question, and give new leaders numbers of their own

Now GroupInput::Report and GroupGate::observe take the time at which the report was asked for; a leader plans once every host has reported or had the time to; a new leader jumps to a range of numbers of its own.

--- a/crates/geranium_core/src/group/controller.rs
+++ b/crates/geranium_core/src/group/controller.rs
@@ -173,7 +173,9 @@
             GroupInput::TableWritten { sequence, outcome } => {
                 self.table_written(now, sequence, outcome, effects);
             }
-            GroupInput::Report(report) => self.report(now, report, effects),
+            GroupInput::Report { report, asked_at } => {
+                self.report(now, report, asked_at.min(now), effects);
+            }
             GroupInput::ReportMissed { host } => self.world.note_missed(now, host),
             GroupInput::HeardByPeer { host, age } => {
                 self.world.note_heard_by_peer(now, host, age);
@@ -227,10 +229,16 @@
         self.emit_domain(effects, EventKind::LeadershipLost, "the lease was lost");
     }
 
-    fn report(&mut self, now: Timestamp, report: &EngineReport, effects: &mut Vec<GroupEffect>) {
+    fn report(
+        &mut self,
+        now: Timestamp,
+        report: &EngineReport,
+        asked_at: Timestamp,
+        effects: &mut Vec<GroupEffect>,
+    ) {
         let before = self.world.reports().get(&report.host);
         let changed = before.is_none_or(|o| o.report.differs_in_state(report));
-        if self.world.observe(now, report) && changed {
+        if self.world.observe(asked_at, report) && changed {
             self.step(now, effects);
         }
     }
@@ -262,7 +270,7 @@
         self.ask_peers(now, effects);
         if self.world.is_outseen(now) {
             self.yield_leadership(now, effects);
-        } else if matches!(self.phase, Phase::Ready) && !self.world.is_blind(now) {
+        } else if matches!(self.phase, Phase::Ready) && self.world.is_settled(now) {
             self.plan(now, effects);
         }
     }
--- a/crates/geranium_core/src/group/effect.rs
+++ b/crates/geranium_core/src/group/effect.rs
@@ -7,6 +7,7 @@
 use crate::group::GroupTable;
 use crate::id::{FencingNumber, HostId, StoreRevision};
 use crate::record::{DrainTarget, ModelSpec};
+use crate::time::Timestamp;
 
 /// Outcome of a write of the group table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -64,7 +65,13 @@
         outcome: WriteOutcome,
     },
     /// An engine reported.
-    Report(&'a EngineReport),
+    Report {
+        /// The report.
+        report: &'a EngineReport,
+        /// When this process asked for it, which bounds its age even if the
+        /// process was paused before it took the answer.
+        asked_at: Timestamp,
+    },
     /// An engine did not answer a request for its report.
     ReportMissed {
         /// Host of the engine.
--- a/crates/geranium_core/src/group/gate.rs
+++ b/crates/geranium_core/src/group/gate.rs
@@ -68,9 +68,9 @@
         self.world.set_hosts(hosts);
     }
 
-    /// Takes note of a report and returns whether it was news.
-    pub fn observe(&mut self, now: Timestamp, report: &EngineReport) -> bool {
-        self.world.observe(now, report)
+    /// Takes note of a report that was asked for at a time, and returns whether it was news.
+    pub fn observe(&mut self, asked_at: Timestamp, report: &EngineReport) -> bool {
+        self.world.observe(asked_at, report)
     }
 
     /// Returns whether a group takes requests at this very moment.
--- a/crates/geranium_core/src/group/planner.rs
+++ b/crates/geranium_core/src/group/planner.rs
@@ -61,6 +61,7 @@
             return Ok(None);
         };
         let before = self.table.clone();
+        self.leave_earlier_numbers()?;
         let kept = self.take_back_delegations()?;
         self.follow_fencing()?;
         self.acknowledge_releases()?;
--- a/crates/geranium_core/src/group/planner/release.rs
+++ b/crates/geranium_core/src/group/planner/release.rs
@@ -9,7 +9,28 @@
 /// Distance above the table's numbers beyond which a reported one is not believed.
 const MAX_FENCING_JUMP: u64 = 1 << 40;
 
+/// Numbers between two jumps of new leaders.
+const LEADER_JUMP: u64 = 1 << 16;
+
+/// Different jumps that new leaders make.
+const LEADER_JUMPS: u64 = 1 << 14;
+
 impl Planner<'_> {
+    /// Starts a new leader's numbers in a range of its own.
+    ///
+    /// A store restored from an older copy, read by a process that knew the lost
+    /// writes from nowhere, would else hand out the lost numbers again.
+    pub(super) fn leave_earlier_numbers(&mut self) -> Result<(), GroupError> {
+        let table = &self.table;
+        if table.writer() == self.process || table.version().sequence == 0 {
+            return Ok(());
+        }
+        let jump = (self.process.0 % LEADER_JUMPS + 1) * LEADER_JUMP;
+        let from = table.next_fencing().0;
+        self.table
+            .raise_fencing_above(FencingNumber(from.saturating_add(jump)))
+    }
+
     /// Follows numbers above those of the table, which a store restored from an
     /// older copy leaves behind, and renumbers what engines would refuse.
     pub(super) fn follow_fencing(&mut self) -> Result<(), GroupError> {
--- a/crates/geranium_core/src/group/reports.rs
+++ b/crates/geranium_core/src/group/reports.rs
@@ -13,7 +13,7 @@
 pub struct Observation {
     /// The report.
     pub report: EngineReport,
-    /// When this process received it.
+    /// When this process asked for it.
     pub heard_at: Timestamp,
     ended: Vec<Incarnation>,
 }
@@ -27,15 +27,18 @@
 impl ReportBook {
     /// Takes note of a report and returns whether it was news.
     ///
+    /// `asked_at` is when this process asked for the report: an answer that
+    /// waited while the process was paused is as old as its question.
+    ///
     /// A report that arrives after a later one of the same incarnation, or after
     /// one of a newer incarnation, is ignored.
-    pub fn observe(&mut self, now: Timestamp, report: &EngineReport) -> bool {
+    pub fn observe(&mut self, asked_at: Timestamp, report: &EngineReport) -> bool {
         let Some(known) = self.by_host.get_mut(&report.host) else {
             self.by_host.insert(
                 report.host.clone(),
                 Observation {
                     report: report.clone(),
-                    heard_at: now,
+                    heard_at: asked_at,
                     ended: Vec::new(),
                 },
             );
@@ -55,7 +58,7 @@
             }
         }
         known.report.clone_from(report);
-        known.heard_at = now;
+        known.heard_at = asked_at;
         true
     }
 
--- a/crates/geranium_core/src/group/world.rs
+++ b/crates/geranium_core/src/group/world.rs
@@ -94,9 +94,9 @@
         paused
     }
 
-    /// Takes note of a report and returns whether it was news.
-    pub fn observe(&mut self, now: Timestamp, report: &EngineReport) -> bool {
-        self.reports.observe(now, report)
+    /// Takes note of a report that was asked for at a time, and returns whether it was news.
+    pub fn observe(&mut self, asked_at: Timestamp, report: &EngineReport) -> bool {
+        self.reports.observe(asked_at, report)
     }
 
     /// Takes note that a peer heard a host some time ago.
@@ -186,6 +186,16 @@
         settled && !hosts.any(|host| self.recent(now, host).is_some())
     }
 
+    /// Returns whether enough is known of the hosts to change groups: each has
+    /// reported or had the time to, and some are heard.
+    #[must_use]
+    pub fn is_settled(&self, now: Timestamp) -> bool {
+        let observed = now.since(self.observing_since) > self.cfg.silence_limit;
+        let mut hosts = self.hosts.iter().flat_map(BTreeMap::keys);
+        let all_heard = hosts.all(|host| self.recent(now, host).is_some());
+        (observed || all_heard) && !self.is_blind(now)
+    }
+
     /// Returns whether peers hear more of the failure domain's hosts than this process.
     #[must_use]
     pub fn is_outseen(&self, now: Timestamp) -> bool {
--- a/crates/geranium_core/tests/group_gate.rs
+++ b/crates/geranium_core/tests/group_gate.rs
@@ -186,3 +186,17 @@
     assert_eq!(after[0].temperature, Temperature::Cold);
     assert_eq!(events, [EventKind::GroupCold]);
 }
+
+#[test]
+fn an_answer_that_waited_during_a_pause_opens_no_gate() {
+    let mut f = open_gate();
+    let woken = START + Duration::from_secs(5);
+    let group = f.table.groups()[&f.id].clone();
+
+    for rank in 0..2 {
+        f.gate.observe(START, &warm_report(&f.id, &group, rank, 2));
+    }
+    let (open, _) = evaluate(&mut f.gate, woken);
+
+    assert!(open.is_empty());
+}
--- a/crates/geranium_daemon/src/control/input.rs
+++ b/crates/geranium_daemon/src/control/input.rs
@@ -4,6 +4,7 @@
 use geranium_core::group::{GroupTable, OrderOutcome, WriteOutcome};
 use geranium_core::id::{HostId, StoreRevision};
 use geranium_core::record::StoredRecord;
+use geranium_core::time::Timestamp;
 
 /// What the control task is told.
 #[derive(Debug)]
@@ -34,8 +35,8 @@
         /// Its outcome.
         outcome: WriteOutcome,
     },
-    /// An engine reported.
-    Report(Box<EngineReport>),
+    /// An engine reported, asked at a time.
+    Report(Box<EngineReport>, Timestamp),
     /// An engine gave no usable report.
     ReportMissed(HostId),
     /// The outcome of an order.
--- a/crates/geranium_daemon/src/control/orders.rs
+++ b/crates/geranium_daemon/src/control/orders.rs
@@ -10,19 +10,22 @@
 use tokio::sync::mpsc;
 
 use super::ControlInput;
+use crate::clock::ProcessClock;
 
 /// Sends orders and reports their outcomes to the control task.
 pub struct OrderSender<E> {
     engines: E,
+    clock: ProcessClock,
     addresses: BTreeMap<HostId, SocketAddr>,
     tx: mpsc::Sender<ControlInput>,
 }
 
 impl<E: EngineApi> OrderSender<E> {
     /// Makes a sender that knows no host yet.
-    pub fn new(engines: E, tx: mpsc::Sender<ControlInput>) -> Self {
+    pub fn new(engines: E, clock: ProcessClock, tx: mpsc::Sender<ControlInput>) -> Self {
         Self {
             engines,
+            clock,
             addresses: BTreeMap::new(),
             tx,
         }
@@ -36,11 +39,12 @@
     /// Sends an order; one for a host that is not listed gets no answer.
     pub fn send(&self, order: Order) {
         let engines = self.engines.clone();
+        let clock = self.clock;
         let address = self.addresses.get(&order.host).copied();
         let tx = self.tx.clone();
         tokio::spawn(async move {
             let outcome = match address {
-                Some(address) => send_to(&engines, address, &order, &tx).await,
+                Some(address) => send_to((&engines, clock), address, &order, &tx).await,
                 None => OrderOutcome::NoAnswer,
             };
             let _ = tx
@@ -51,14 +55,16 @@
 }
 
 async fn send_to<E: EngineApi>(
-    engines: &E,
+    (engines, clock): (&E, ProcessClock),
     address: SocketAddr,
     order: &Order,
     tx: &mpsc::Sender<ControlInput>,
 ) -> OrderOutcome {
+    let asked_at = clock.now();
     match engines.send_order(address, order).await {
         Ok(report) => {
-            let _ = tx.send(ControlInput::Report(Box::new(report))).await;
+            let input = ControlInput::Report(Box::new(report), asked_at);
+            let _ = tx.send(input).await;
             OrderOutcome::Accepted
         }
         Err(EngineError::StaleFencing(_, highest)) => OrderOutcome::Refused { highest },
--- a/crates/geranium_daemon/src/control/reports.rs
+++ b/crates/geranium_daemon/src/control/reports.rs
@@ -12,10 +12,12 @@
 use tokio::time::MissedTickBehavior;
 
 use super::ControlInput;
+use crate::clock::ProcessClock;
 
 /// Asks the engines of a failure domain for their reports, each in a task of its own.
 pub struct ReportPoller<E> {
     engines: E,
+    clock: ProcessClock,
     failure_domain: FailureDomainId,
     interval: Duration,
     tx: mpsc::Sender<ControlInput>,
@@ -25,13 +27,14 @@
 impl<E: EngineApi> ReportPoller<E> {
     /// Makes a poller that knows no host yet.
     pub fn new(
-        engines: E,
+        (engines, clock): (E, ProcessClock),
         failure_domain: FailureDomainId,
         interval: Duration,
         tx: mpsc::Sender<ControlInput>,
     ) -> Self {
         Self {
             engines,
+            clock,
             failure_domain,
             interval,
             tx,
@@ -64,13 +67,17 @@
     fn start(&self, host: HostId, address: SocketAddr) -> JoinHandle<()> {
         let engines = self.engines.clone();
         let tx = self.tx.clone();
+        let clock = self.clock;
         let mut ticks = tokio::time::interval(self.interval);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         tokio::spawn(async move {
             loop {
                 ticks.tick().await;
+                let asked_at = clock.now();
                 let input = match engines.report(address).await {
-                    Ok(report) if report.host == host => ControlInput::Report(Box::new(report)),
+                    Ok(report) if report.host == host => {
+                        ControlInput::Report(Box::new(report), asked_at)
+                    }
                     Ok(report) => {
                         log::warn!(
                             "{address} is listed as {host} but reports as {}",
--- a/crates/geranium_daemon/src/control/task.rs
+++ b/crates/geranium_daemon/src/control/task.rs
@@ -75,8 +75,8 @@
         let incarnation = cfg.identity.incarnation;
         let controller = GroupController::new(cfg.group.clone(), domain.clone(), incarnation);
         let table_store = TableStore::new(store, &domain, tx.clone());
-        let orders = OrderSender::new(engines.clone(), tx.clone());
-        let poller = ReportPoller::new(engines, domain.clone(), cfg.report_interval, tx);
+        let orders = OrderSender::new(engines.clone(), clock, tx.clone());
+        let poller = ReportPoller::new((engines, clock), domain.clone(), cfg.report_interval, tx);
         Self {
             clock,
             recorder,
@@ -137,7 +137,7 @@
             ControlInput::TableWritten { sequence, outcome } => {
                 self.decide(GroupInput::TableWritten { sequence, outcome });
             }
-            ControlInput::Report(report) => self.observe(&report),
+            ControlInput::Report(report, asked_at) => self.observe(&report, asked_at),
             ControlInput::ReportMissed(host) => {
                 self.decide(GroupInput::ReportMissed { host: &host });
             }
@@ -223,11 +223,10 @@
         }
     }
 
-    fn observe(&mut self, report: &EngineReport) {
-        let now = self.clock.now();
-        Arc::make_mut(&mut self.reports).observe(now, report);
-        self.gate.observe(now, report);
-        self.decide(GroupInput::Report(report));
+    fn observe(&mut self, report: &EngineReport, asked_at: Timestamp) {
+        Arc::make_mut(&mut self.reports).observe(asked_at, report);
+        self.gate.observe(asked_at, report);
+        self.decide(GroupInput::Report { report, asked_at });
     }
 
     fn decide(&mut self, input: GroupInput<'_>) {
--- a/crates/geranium_matrix/src/control/entry.rs
+++ b/crates/geranium_matrix/src/control/entry.rs
@@ -63,7 +63,7 @@
     engines: BTreeMap<HostId, usize>,
     lease_until: Option<Timestamp>,
     calls: BTreeMap<CallId, PendingCall>,
-    polls: BTreeMap<CallId, HostId>,
+    polls: BTreeMap<CallId, (HostId, Timestamp)>,
     next_call: CallId,
     lost_calls: u32,
     store_reachable: bool,
@@ -246,15 +246,24 @@
     }
 
     fn receive_report(&mut self, now: Timestamp, poll: CallId, mut report: EngineReport) {
-        self.polls.remove(&poll);
+        let Some((_, asked_at)) = self.polls.remove(&poll) else {
+            return;
+        };
         if self.mutation == Some(Mutation::ReleaseWhileBusy) {
             report.running = 0;
         }
-        self.input(now, GroupInput::Report(&report));
+        let told = &report;
+        self.input(
+            now,
+            GroupInput::Report {
+                report: told,
+                asked_at,
+            },
+        );
         if self.mutation == Some(Mutation::GateIgnoresLeaving) {
             report.leaving = false;
         }
-        self.gate.observe(now, &report);
+        self.gate.observe(asked_at, &report);
     }
 
     fn receive_lease(&mut self, now: Timestamp, call: CallId, granted: bool) {
@@ -359,12 +368,12 @@
     }
 
     fn poll_engines(&mut self, now: Timestamp) {
-        for host in std::mem::take(&mut self.polls).into_values() {
+        for (host, _) in std::mem::take(&mut self.polls).into_values() {
             self.input(now, GroupInput::ReportMissed { host: &host });
         }
         for (host, engine) in self.engines.clone() {
             self.next_call += 1;
-            self.polls.insert(self.next_call, host);
+            self.polls.insert(self.next_call, (host, now));
             self.outbox
                 .push((Node::Engine(engine), Message::Poll(self.next_call)));
         }
--- a/crates/geranium_matrix/src/control/inject.rs
+++ b/crates/geranium_matrix/src/control/inject.rs
@@ -75,14 +75,32 @@
         )
     }
 
-    /// Returns whether groups serve on through the fault on some entry host.
-    pub(super) fn spares_service(self, step: Step) -> bool {
-        match self {
-            Self::EntryHostsReplaced | Self::OperatorsRace => false,
-            // The leading entry host, which alone hears the member, is replaced.
-            Self::MemberCutFromFollowers => step != Step::LeaderChange,
-            _ => !self.hits_engines(),
-        }
+    /// Returns whether the fault may move the leadership to another entry host.
+    pub(super) fn moves_leader(self) -> bool {
+        matches!(
+            self,
+            Self::LeaderCutFromStore
+                | Self::LeaderCutFromEngines
+                | Self::LeaderCutOff
+                | Self::LeaderPaused
+                | Self::LeaderDies
+                | Self::TwoLeaders
+                | Self::DomainCutFromStore
+                | Self::StoreSlow
+                | Self::EntryHostsReplaced
+        )
+    }
+
+    /// Returns whether the fault takes an entry host away from callers.
+    pub(super) fn takes_entry_host(self) -> bool {
+        matches!(
+            self,
+            Self::LeaderCutFromEngines
+                | Self::LeaderCutOff
+                | Self::FollowerCutOff
+                | Self::LeaderPaused
+                | Self::LeaderDies
+        )
     }
 
     /// Returns how long the fault lasts.
--- a/crates/geranium_matrix/src/control/mod.rs
+++ b/crates/geranium_matrix/src/control/mod.rs
@@ -18,10 +18,12 @@
 mod network;
 mod oracle;
 mod outage;
+mod random;
 mod rig;
 mod scenario;
 mod step;
 mod store;
+mod times;
 
 pub use engine::FakeEngine;
 pub use entry::EntryHost;
@@ -33,3 +35,4 @@
 pub use rig::Rig;
 pub use scenario::{ControlColumn, Scenario, ScenarioResult};
 pub use step::Step;
+pub use times::RepairTimes;
--- a/crates/geranium_matrix/tests/control_cells.rs
+++ b/crates/geranium_matrix/tests/control_cells.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use geranium_core::group::{DelegatedSpares, Frozen};
-use geranium_matrix::control::{ControlColumn, OutageCost, OutageFault, Step};
+use geranium_matrix::control::{ControlColumn, OutageCost, OutageFault, Scenario, Step};
 use geranium_matrix::{Column, Fault, Matrix, Verdict};
 
 fn column(step: Step, checks_fencing: bool) -> ControlColumn {
@@ -75,3 +75,26 @@
     assert!(results.iter().all(|r| r.violations.is_empty()));
     assert!(results.iter().all(|r| r.measures.group_downtime.is_zero()));
 }
+
+#[test]
+fn random_faults_at_random_moments_break_no_rule() {
+    for seed in 0..12 {
+        let scenario = Scenario::random(seed);
+
+        let result = scenario.run(DelegatedSpares);
+
+        assert_eq!(result.violations, [], "seed {seed}: {scenario}");
+    }
+}
+
+#[test]
+fn an_answer_that_waited_while_its_process_was_paused_opens_no_gate() {
+    let column = column(Step::LeaderChange, false);
+
+    let results = column.results(
+        &[Fault::LeaderPaused, Fault::MemberReturns],
+        DelegatedSpares,
+    );
+
+    assert!(results.iter().all(|r| r.violations.is_empty()));
+}
