--- a/crates/geranium_daemon/src/control/input.rs
+++ b/crates/geranium_daemon/src/control/input.rs
@@ -1,9 +1,12 @@
 //! What the control task is told.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use geranium_core::engine::{EngineReport, HostEntry, Order};
 use geranium_core::group::{GroupTable, OrderOutcome, WriteOutcome};
 use geranium_core::id::{HostId, StoreRevision};
-use geranium_core::record::StoredRecord;
+use geranium_core::record::RecordSet;
 use geranium_core::time::Timestamp;
 
 /// What the control task is told.
@@ -13,24 +16,24 @@
     Leadership(bool),
     /// The platform's store answers, or no longer does.
     StoreReachable(bool),
-    /// Records read from the platform's store or learnt from a peer.
-    Records(Vec<StoredRecord>),
+    /// The records in force.
+    Records(Arc<RecordSet>),
     /// The platform's list of hosts.
     Hosts(Vec<HostEntry>),
-    /// The group table of this failure domain as a watch or a peer shows it.
+    /// The group table of this failure domain, from the store's watch or a peer.
     Table(Box<GroupTable>),
     /// The answer to a read of the group table.
     TableRead {
         /// Number of the read.
         read: u64,
-        /// The table; `None` if the store has none.
+        /// The table, if the store has one.
         table: Option<Box<GroupTable>>,
         /// Revision of the value; zero if absent.
         revision: StoreRevision,
     },
     /// The outcome of a write of the group table.
     TableWritten {
-        /// Sequence number of the table that was to be written.
+        /// Sequence number of the table.
         sequence: u64,
         /// Its outcome.
         outcome: WriteOutcome,
@@ -39,6 +42,8 @@
     Report(Box<EngineReport>, Timestamp),
     /// An engine gave no usable report.
     ReportMissed(HostId),
+    /// A peer heard an engine this long ago.
+    HeardByPeer(HostId, Duration),
     /// The outcome of an order.
     OrderAnswered(Box<Order>, OrderOutcome),
 }
--- a/crates/geranium_daemon/src/main.rs
+++ b/crates/geranium_daemon/src/main.rs
@@ -32,10 +32,13 @@
     runtime.block_on(async {
         let mut daemon = Daemon::prepare(settings)?;
         daemon.install_logger()?;
+        daemon.add_peers()?;
         daemon.add_group_control();
         daemon.add_store_mirrors();
         daemon.add_leadership();
         daemon.add_traffic_clock();
+        daemon.add_cache_events();
+        daemon.add_claim_sweep();
         daemon.add_caller_interface().await?;
         daemon.add_operator_interface().await?;
         daemon.run_until_signal().await
--- a/crates/geranium_fakes/src/engine/core.rs
+++ b/crates/geranium_fakes/src/engine/core.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use geranium_core::engine::{EnginePhase, EngineReport, Order};
+use geranium_core::engine::{EnginePhase, EngineReport, LoadOrder, Order};
 use geranium_core::id::Incarnation;
 use geranium_core::time::Timestamp;
 use parking_lot::Mutex;
@@ -11,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 use tokio_util::sync::CancellationToken;
 
+use super::condition::Condition;
 use super::load::{LaggedLoad, LoadSample};
 use super::registry::SessionRegistry;
 use super::{
@@ -25,19 +26,6 @@
 /// Bits of an incarnation that are random, for runs within one millisecond.
 const RANDOM_BITS: u32 = 12;
 
-/// State that faults change directly.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Condition {
-    pub paused_until: Option<Instant>,
-    pub straggle_factor: f64,
-    /// Slowest factor of the other members, as rank 0 sees it.
-    pub group_factor: f64,
-    /// Whether rank 0 waits for a member that does not answer.
-    pub stalled: bool,
-    pub leaving: bool,
-    pub lose_order_answers: u32,
-}
-
 /// One engine.
 pub(super) struct EngineCore {
     pub cfg: EngineConfig,
@@ -68,14 +56,7 @@
                 cfg.cache_gap_every,
             )),
             stats: Mutex::default(),
-            condition: Mutex::new(Condition {
-                paused_until: None,
-                straggle_factor: 1.0,
-                group_factor: 1.0,
-                stalled: false,
-                leaving: false,
-                lose_order_answers: 0,
-            }),
+            condition: Mutex::default(),
             requests: Mutex::default(),
             load: Mutex::new(LaggedLoad::new(cfg.report_lag)),
             kv_used: Mutex::default(),
@@ -159,9 +140,13 @@
         self.cut_streams();
     }
 
-    /// Ends the replica because a member is missing.
-    pub fn end_replica(&self) {
-        if self.state.lock().release() {
+    /// Ends the replica that follows an order because a member is missing.
+    pub fn end_replica(&self, order: &LoadOrder) {
+        let ended = {
+            let mut state = self.state.lock();
+            state.load_order() == Some(order) && state.release()
+        };
+        if ended {
             self.stats.lock().replica_deaths += 1;
             self.cache.lock().clear(self.now());
             self.cut_streams();
@@ -213,25 +198,30 @@
         self.cfg.token_time.mul_f64(factor * crowding.max(1.0))
     }
 
-    /// Waits while the engine is paused.
-    pub async fn wait_unpaused(&self) {
+    /// Waits while the engine is paused; returns whether it was.
+    pub async fn wait_unpaused(&self) -> bool {
+        let mut waited = false;
         loop {
             let paused_until = self.condition.lock().paused_until;
             match paused_until {
                 Some(until) if until > Instant::now() => {
+                    waited = true;
                     tokio::time::sleep_until(until.into()).await;
                 }
-                _ => return,
+                _ => return waited,
             }
         }
     }
 
-    /// Waits while the engine or a member that it needs is paused.
-    pub async fn wait_moving(&self) {
-        self.wait_unpaused().await;
+    /// Waits while the engine or a member that it needs is paused; returns
+    /// whether one was.
+    pub async fn wait_moving(&self) -> bool {
+        let mut waited = self.wait_unpaused().await;
         while self.condition.lock().stalled {
+            waited = true;
             tokio::time::sleep(STALL_POLL).await;
         }
+        waited
     }
 
     /// Returns the counts.
@@ -244,21 +234,7 @@
 
     /// Puts a fault into force.
     pub fn set_fault(&self, fault: &EngineFault) {
-        {
-            let mut condition = self.condition.lock();
-            if let Some(millis) = fault.pause_ms {
-                condition.paused_until = Some(Instant::now() + Duration::from_millis(millis));
-            }
-            if let Some(factor) = fault.straggle_factor {
-                condition.straggle_factor = factor.max(0.0);
-            }
-            if let Some(leaving) = fault.leaving {
-                condition.leaving = leaving;
-            }
-            if let Some(n) = fault.lose_order_answers {
-                condition.lose_order_answers = n;
-            }
-        }
+        self.condition.lock().set(fault);
         if fault.forget {
             self.forget();
         }
