--- a/crates/geranium_daemon/src/control/task.rs
+++ b/crates/geranium_daemon/src/control/task.rs
@@ -67,8 +67,8 @@
             hosts: Arc::default(),
             serving: Arc::default(),
             table_store: TableStore::new(node.store.clone(), &domain, tx.clone()),
-            orders: OrderSender::new(engines.clone(), tx.clone()),
-            poller: ReportPoller::new(engines, domain, interval, tx),
+            orders: OrderSender::new(engines.clone(), node.clock, tx.clone()),
+            poller: ReportPoller::new((engines, node.clock), domain, interval, tx),
             counted_at: node.clock.now(),
             node,
             rx,
@@ -120,7 +120,7 @@
             ControlInput::TableWritten { sequence, outcome } => {
                 self.decide(GroupInput::TableWritten { sequence, outcome });
             }
-            ControlInput::Report(report) => self.observe(&report),
+            ControlInput::Report(report, asked_at) => self.observe(&report, asked_at),
             ControlInput::ReportMissed(host) => {
                 self.decide(GroupInput::ReportMissed { host: &host });
             }
@@ -188,11 +188,10 @@
         }
     }
 
-    fn observe(&mut self, report: &EngineReport) {
-        let now = self.node.clock.now();
-        Arc::make_mut(&mut self.reports).observe(now, report);
-        self.gate.observe(now, report);
-        self.decide(GroupInput::Report(report));
+    fn observe(&mut self, report: &EngineReport, asked_at: Timestamp) {
+        Arc::make_mut(&mut self.reports).observe(asked_at, report);
+        self.gate.observe(asked_at, report);
+        self.decide(GroupInput::Report { report, asked_at });
     }
 
     fn decide(&mut self, input: GroupInput<'_>) {
