Check delegated spares, and say what each promise rests on

The holder of a delegation may fail to reach the store at any time and repairs by GroupTable::replace_members_as_holder; a successor revokes.

--- a/crates/geranium_spec/src/gate/model.rs
+++ b/crates/geranium_spec/src/gate/model.rs
@@ -9,7 +9,7 @@
 use geranium_core::group::{GroupConfig, GroupGate, GroupTable};
 use geranium_core::id::{
     FabricDomainId, FailureDomainId, FencingNumber, GroupId, HostId, Incarnation, ModelId,
-    RecordName, StoreRevision,
+    RecordName,
 };
 use geranium_core::record::ModelSpec;
 use geranium_core::time::Timestamp;
@@ -159,11 +159,8 @@
         };
         let mut gate = GroupGate::new(cfg, FailureDomainId::new("d"));
         gate.set_hosts(&self.hosts);
-        gate.set_table(
-            &self.tables[usize::from(known)],
-            StoreRevision(u64::from(known) + 1),
-        )
-        .expect("the table keeps its rules");
+        gate.set_table(&self.tables[usize::from(known)])
+            .expect("the table keeps its rules");
         for heard in heard {
             gate.observe(self.time(heard.tick), &self.engine_report(heard.report));
         }
--- a/crates/geranium_spec/src/groups/bounds.rs
+++ b/crates/geranium_spec/src/groups/bounds.rs
@@ -91,6 +91,29 @@
         }
     }
 
+    /// Returns bounds with spares delegated for outages.
+    #[must_use]
+    pub fn delegating() -> Self {
+        Self {
+            name: "groups, delegated spares",
+            writes: 3,
+            amendments: 1,
+            ..Self::checking()
+        }
+    }
+
+    /// Returns bounds with two repairs during outages.
+    #[must_use]
+    pub fn repairing_twice() -> Self {
+        Self {
+            name: "groups, two repairs by delegation",
+            engines: vec![EngineKind::Checks; 4],
+            writes: 2,
+            amendments: 2,
+            ..Self::checking()
+        }
+    }
+
     /// Returns the same bounds with fewer writes, for debug builds.
     #[must_use]
     pub fn with_writes(self, writes: u64) -> Self {
--- a/crates/geranium_spec/src/groups/facts.rs
+++ b/crates/geranium_spec/src/groups/facts.rs
@@ -1,7 +1,7 @@
 //! Orders and tables in the short form that the rules compare.
 
 use geranium_core::engine::{Order, OrderAction};
-use geranium_core::group::GroupTable;
+use geranium_core::group::{GroupTable, TableVersion};
 use geranium_core::id::{GroupId, HostId};
 
 use crate::Interner;
@@ -38,6 +38,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct TableFacts {
     pub valid: bool,
+    pub version: TableVersion,
     pub next_fencing: u64,
     /// Group of each host, if it is in one, with its fencing number.
     pub owners: Vec<Option<(u32, u64)>>,
@@ -81,9 +82,14 @@
             owners[usize::from(host_index(&member.host))] = Some(owner);
         }
     }
-    let orders = table.orders();
+    let mut orders = table.orders();
+    if table.version().amendment > 0 {
+        // Without the store a holder loads members, but releases nobody.
+        orders.retain(|order| order.action != OrderAction::Release);
+    }
     TableFacts {
         valid: table.check().is_ok(),
+        version: table.version(),
         next_fencing: table.next_fencing().0,
         owners,
         orders: orders
--- a/crates/geranium_spec/src/groups/model.rs
+++ b/crates/geranium_spec/src/groups/model.rs
@@ -165,15 +165,16 @@
     }
 
     fn witnesses(&self) -> Vec<Witness<GroupWorld>> {
-        vec![
-            Witness {
-                name: "a group whose members all follow the table",
-                shows: |world| world.serves,
-            },
-            Witness {
-                name: "a group that serves after the other process wrote",
+        let mut witnesses: Vec<Witness<GroupWorld>> = vec![Witness {
+            name: "a group whose members all follow the table",
+            shows: |world| world.serves,
+        }];
+        if self.bounds.writes >= 3 {
+            witnesses.push(Witness {
+                name: "a group that serves after the third write",
                 shows: |world| world.serves && world.stored.revision >= 3,
-            },
-        ]
+            });
+        }
+        witnesses
     }
 }
--- a/crates/geranium_spec/src/groups/steps/leader.rs
+++ b/crates/geranium_spec/src/groups/steps/leader.rs
@@ -15,12 +15,26 @@
         }
         if state.known != Some(world.stored) {
             let mut next = world.clone();
-            next.leaders[usize::from(leader)].known = Some(world.stored);
-            steps.push((A::Read(leader), next));
+            next.leaders[usize::from(leader)].known = Some(self.after_read(world, state.known));
+            if next != *world {
+                steps.push((A::Read(leader), next));
+            }
         }
         if let Some(known) = state.known {
             self.send_step(world, leader, known, steps);
             self.plan_steps(world, leader, known, steps);
+            self.amend_steps(world, leader, known, steps);
+        }
+    }
+
+    /// The table that a process goes on from: its own if the store holds an older
+    /// state, as after a repair during an outage.
+    fn after_read(&self, world: &GroupWorld, own: Option<KnownTable>) -> KnownTable {
+        let stored = self.facts(world.stored.table).version;
+        let ahead = own.filter(|own| self.facts(own.table).version > stored);
+        KnownTable {
+            table: ahead.map_or(world.stored.table, |own| own.table),
+            revision: world.stored.revision,
         }
     }
 
--- a/crates/geranium_spec/src/groups/steps/mod.rs
+++ b/crates/geranium_spec/src/groups/steps/mod.rs
@@ -1,5 +1,6 @@
 //! The steps that are possible in a state of the group model.
 
+mod delegate;
 mod engine;
 mod leader;
 mod plan;
--- a/crates/geranium_spec/src/groups/steps/plan.rs
+++ b/crates/geranium_spec/src/groups/steps/plan.rs
@@ -30,12 +30,14 @@
         }
         let mut base = world.clone();
         let mut prepared = table.clone();
+        let kept = self.take_back(&mut prepared, leader);
         self.acknowledge_releases(&mut base, &mut prepared);
         let mut changes = self.changes(world, &prepared);
         if changes.is_empty() && prepared != table {
-            changes.push(("acknowledges releases".to_owned(), prepared));
+            changes.push(("changes no group".to_owned(), prepared));
         }
         for (what, mut changed) in changes {
+            self.delegate(&mut changed, leader, kept.as_ref());
             changed.stamp(self.process(leader), 0);
             let mut next = base.clone();
             let table = self.tables.number(changed);
--- a/crates/geranium_spec/src/groups/steps/rules.rs
+++ b/crates/geranium_spec/src/groups/steps/rules.rs
@@ -9,7 +9,7 @@
         let table = self.facts(world.stored.table);
         let served = served_groups(world);
         world.broken = Broken {
-            table_rules: !table.valid,
+            table_rules: !table.valid || self.knows_invalid_table(world),
             fencing_reused: reuses_fencing(&world.sent),
             successor_unaware: world.sent.iter().any(|o| o.fencing >= table.next_fencing),
             host_in_two_groups: served.iter().any(|order| is_elsewhere(order, &table)),
@@ -19,6 +19,13 @@
             table.owners[usize::from(order.host)] == owner
         });
     }
+
+    fn knows_invalid_table(&self, world: &GroupWorld) -> bool {
+        let known = world.leaders.iter().filter_map(|leader| leader.known);
+        known
+            .into_iter()
+            .any(|known| !self.facts(known.table).valid)
+    }
 }
 
 /// Returns the orders followed by members whose whole group follows one number: a
--- a/crates/geranium_spec/src/mutation.rs
+++ b/crates/geranium_spec/src/mutation.rs
@@ -85,6 +85,11 @@
     UnfencedRest => "unfenced-rest", Groups;
     /// Orders to an engine outlive its restart.
     OrdersOutliveRestart => "orders-outlive-restart", Groups;
+    /// A process that doesn't reach the store repairs with spares and numbers that
+    /// were handed to another one.
+    RepairWithoutRight => "repair-without-right", Groups;
+    /// Spares are taken back from another process without fencing them.
+    RevokeWithoutFencing => "revoke-without-fencing", Groups;
     /// A gate is used as it was when the last report arrived.
     GateWithoutAge => "gate-without-age", Gate;
     /// The report of rank 0 is taken for one of every member.
--- a/crates/geranium_spec/src/suite.rs
+++ b/crates/geranium_spec/src/suite.rs
@@ -85,6 +85,8 @@
             GroupBounds::mixed(),
             GroupBounds::lossy(),
             GroupBounds::restarting(),
+            GroupBounds::delegating(),
+            GroupBounds::repairing_twice(),
         ],
     }
 }
@@ -94,6 +96,8 @@
     match mutation {
         Mutation::UnfencedRest => GroupBounds::ignoring(),
         Mutation::OrdersOutliveRestart => GroupBounds::restarting(),
+        Mutation::RevokeWithoutFencing => GroupBounds::delegating(),
+        Mutation::RepairWithoutRight => GroupBounds::repairing_twice(),
         _ => GroupBounds::checking(),
     }
 }
--- a/crates/geranium_spec/tests/groups.rs
+++ b/crates/geranium_spec/tests/groups.rs
@@ -29,6 +29,11 @@
     assert_holds(GroupBounds::lossy().with_writes(2));
 }
 
+#[test]
+fn groups_hold_with_spares_that_are_delegated() {
+    assert_holds(GroupBounds::delegating().with_writes(2));
+}
+
 #[test]
 fn groups_hold_with_an_engine_that_restarts() {
     assert_holds(GroupBounds::restarting().with_writes(2));
