Add the request half of the fault matrix

Found by it: a store restored from an older copy loses claims, so that a resend ran again. A holder that records an outcome now writes the claim anew if nobody may have deleted it yet (test failed first); that mends dispatch, answer kept and shutdown. A claim that was lost after its holder had finished still runs again: known red, resend_after_the_store_was_restored_runs_nothing_twice.

--- a/crates/geranium_core/src/once/call/phase.rs
+++ b/crates/geranium_core/src/once/call/phase.rs
@@ -38,6 +38,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Recording {
     pub claim: Claim,
+    /// Time before which nobody may have deleted the claim.
+    pub kept_until: Timestamp,
     pub expected: StoreRevision,
     pub pending: Pending,
     pub until: Timestamp,
--- a/crates/geranium_core/src/once/call/recording.rs
+++ b/crates/geranium_core/src/once/call/recording.rs
@@ -30,11 +30,13 @@
         state: ClaimState,
         effects: &mut Vec<ClaimEffect>,
     ) {
+        let kept_until = claim.expires_at;
         claim.state = state;
         claim.expires_at = now + self.cfg.retention;
         let pending = self.write(&claim, expected, effects);
         self.phase = Phase::Recording(Recording {
             claim,
+            kept_until,
             expected,
             pending,
             until: now + self.cfg.settle,
@@ -73,7 +75,9 @@
         match outcome {
             WriteOutcome::Applied(_) => self.recorded(&state.claim, effects),
             WriteOutcome::Conflict(present) => {
-                let Some(revision) = own_revision(&state.claim, present.as_ref()) else {
+                let lost = present.is_none() && self.is_lost(now, &state);
+                let own = own_revision(&state.claim, present.as_ref());
+                let Some(revision) = own.or(lost.then_some(StoreRevision(0))) else {
                     return;
                 };
                 if present.and_then(|stored| stored.claim).as_ref() == Some(&state.claim) {
@@ -92,6 +96,13 @@
         }
     }
 
+    /// Returns whether a claim that is not there was lost by the store, which was
+    /// restored from an older copy, and has to be kept from running again.
+    fn is_lost(&self, now: Timestamp, state: &Recording) -> bool {
+        let ran = matches!(state.claim.state, ClaimState::Done(_) | ClaimState::Unknown);
+        ran && now + self.cfg.clock_margin < state.kept_until
+    }
+
     fn recorded(&self, claim: &Claim, effects: &mut Vec<ClaimEffect>) {
         let attempt = claim.attempt;
         let (kind, reason) = match claim.state {
--- a/crates/geranium_core/tests/claims.rs
+++ b/crates/geranium_core/tests/claims.rs
@@ -296,6 +296,22 @@
     assert!(call.is_ended());
 }
 
+#[test]
+fn answer_is_recorded_although_the_store_has_lost_the_claim() {
+    let mut store = OneClaimStore::default();
+    let mut call = dispatched(&mut store, "entry-1");
+    store.present = None;
+    let done = UpstreamOutcome::Answered(service_answer("removed"));
+    let asked = step(&mut call, START, upstream(1, done));
+
+    let asked = carry_out(&mut call, &mut store, START, &asked);
+    carry_out(&mut call, &mut store, START, &asked);
+
+    let (mut resend, asked) = submit(request("{}"), holder("entry-2", 1), START);
+    let asked = carry_out(&mut resend, &mut store, START, &asked);
+    assert!(matches!(asked.answer, Some(ClaimAnswer::Replayed(_))));
+}
+
 #[test]
 fn key_that_outlived_the_retention_is_refused() {
     let mut old = request("{}");
--- a/crates/geranium_matrix/src/lib.rs
+++ b/crates/geranium_matrix/src/lib.rs
@@ -7,12 +7,14 @@
 //! | module | steps |
 //! | --- | --- |
 //! | [`control`] | formation, repair, configuration change, domain out and back, leaving, leader change |
+//! | [`request`] | admission, claim, dispatch, first token, mid-stream, end, answer kept, resend, refusal, shutdown |
 
 mod column;
 pub mod control;
 mod fault;
 mod matrix;
 pub mod prelude;
+pub mod request;
 
 pub use column::{Column, Verdict};
 pub use fault::Fault;
--- a/crates/geranium_matrix/src/main.rs
+++ b/crates/geranium_matrix/src/main.rs
@@ -8,6 +8,7 @@
 
 use geranium_core::group::{DelegatedSpares, Frozen};
 use geranium_matrix::control::{ControlColumn, Measures, OutageCost, OutageFault};
+use geranium_matrix::request::RequestColumn;
 use geranium_matrix::{Column, Matrix};
 
 /// Cells that run at the same time unless `--threads` says otherwise.
@@ -33,7 +34,10 @@
 
 fn print_matrix(threads: usize) -> ExitCode {
     let control = ControlColumn::all();
-    let columns: Vec<&dyn Column> = control.iter().map(|c| c as &dyn Column).collect();
+    let request = RequestColumn::all();
+    let control = control.iter().map(|c| c as &dyn Column);
+    let request = request.iter().map(|c| c as &dyn Column);
+    let columns: Vec<&dyn Column> = control.chain(request).collect();
     let matrix = Matrix::run(&columns, threads);
     for cell in &matrix.cells {
         println!("{cell}");
