Check the spread of a record exhaustively

ApplyPlan, its settling and RecordSet::merge are the real ones; clocks of the hosts differ by ten seconds. The version in force never goes back, and accepted changes follow one another unless the store is restored.

Found by it, and not mended here: after a restore, a change that was planned before its host heard of a version that the store has lost is accepted, yet may be outranked by that version (same generation, earlier clock).

--- a/crates/geranium_spec/src/lib.rs
+++ b/crates/geranium_spec/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod check;
 pub mod claims;
+pub mod config;
 pub mod gate;
 pub mod groups;
 mod intern;
--- a/crates/geranium_spec/src/mutation.rs
+++ b/crates/geranium_spec/src/mutation.rs
@@ -25,6 +25,8 @@
     Groups,
     /// The gate of a replica group.
     Gate,
+    /// Records of the operators.
+    Configuration,
 }
 
 macro_rules! mutations {
@@ -90,6 +92,12 @@
     RepairWithoutRight => "repair-without-right", Groups;
     /// Spares are taken back from another process without fencing them.
     RevokeWithoutFencing => "revoke-without-fencing", Groups;
+    /// A host takes every version that it hears of, older ones too.
+    MergeWithoutRank => "merge-without-rank", Configuration;
+    /// A change is planned from the store alone, whatever is in force.
+    PlanFromStoreAlone => "plan-from-store-alone", Configuration;
+    /// The store takes records without comparing revisions.
+    RecordCas => "record-cas", Configuration;
     /// A gate is used as it was when the last report arrived.
     GateWithoutAge => "gate-without-age", Gate;
     /// The report of rank 0 is taken for one of every member.
--- a/crates/geranium_spec/src/suite.rs
+++ b/crates/geranium_spec/src/suite.rs
@@ -4,6 +4,7 @@
 
 use crate::check::{CheckReport, Violation, check, find_violation};
 use crate::claims::{ClaimBounds, ClaimModel};
+use crate::config::{ConfigBounds, ConfigModel};
 use crate::gate::{GateBounds, GateModel};
 use crate::groups::{GroupBounds, GroupModel};
 use crate::{Mutation, Protocol};
@@ -33,7 +34,9 @@
     let gate = gate_bounds(level)
         .into_iter()
         .map(|bounds| thread::spawn(move || check(&GateModel::new(bounds, None))));
-    let checks: Vec<_> = claims.chain(groups).chain(gate).collect();
+    let config = [ConfigBounds::racing(), ConfigBounds::restoring()]
+        .map(|bounds| thread::spawn(move || check(&ConfigModel::new(bounds, None))));
+    let checks: Vec<_> = claims.chain(groups).chain(gate).chain(config).collect();
     let join = |check: thread::JoinHandle<CheckReport>| check.join().expect("no check panics");
     checks.into_iter().map(join).collect()
 }
@@ -50,6 +53,13 @@
             let model = GroupModel::new(group_bounds_for(mutation), Some(mutation));
             find_violation(&model)
         }
+        Protocol::Configuration => {
+            let bounds = match mutation {
+                Mutation::PlanFromStoreAlone => ConfigBounds::restoring(),
+                _ => ConfigBounds::racing(),
+            };
+            find_violation(&ConfigModel::new(bounds, Some(mutation)))
+        }
         Protocol::Gate => find_violation(&GateModel::new(GateBounds::small(), Some(mutation))),
     }
 }
