Space out the reads of a waiting resend

Cause: a resend that waits for a live holder read its claim every 100 ms, 99 reads in a deadline of 10 s, each counted by the platform. The pause now doubles up to 800 ms: at most 16 reads, and the first one still comes after 100 ms.

--- a/crates/geranium_core/src/once/call/phase.rs
+++ b/crates/geranium_core/src/once/call/phase.rs
@@ -51,6 +51,8 @@
     pub claim: Claim,
     pub holder_gone: bool,
     pub store_failed: bool,
+    /// Reads that found the claim still running.
+    pub polls: u32,
     pub pending: Pending,
 }
 
--- a/crates/geranium_core/src/once/call/waiting.rs
+++ b/crates/geranium_core/src/once/call/waiting.rs
@@ -1,11 +1,16 @@
 //! Waiting for another holder of the same call.
 
+use std::time::Duration;
+
 use super::{
     Claim, ClaimAnswer, ClaimCall, ClaimEffect, ClaimInput, ClaimState, Pending, Phase,
     StoredClaim, Timestamp, Waiting,
 };
 use crate::once::{HolderStatus, InProgress, ReadOutcome, UnknownReason};
 
+/// Times that the pause between two reads of a waiting call doubles.
+const MAX_POLL_DOUBLINGS: u32 = 3;
+
 impl ClaimCall {
     /// Waits for the holder, unless the deadline leaves no time to.
     pub(super) fn wait_for(
@@ -26,6 +31,7 @@
             claim,
             holder_gone: false,
             store_failed: false,
+            polls: 0,
             pending: Pending::Pause(next_poll),
         });
     }
@@ -87,7 +93,8 @@
                     self.answer_unknown(UnknownReason::HolderGone, state.claim.attempt, effects);
                 } else {
                     state.store_failed = false;
-                    state.pending = Pending::Pause(now + self.cfg.poll_interval);
+                    state.polls += 1;
+                    state.pending = Pending::Pause(now + self.poll_pause(state.polls));
                     effects.push(ClaimEffect::CheckHolder {
                         holder: state.claim.holder.clone(),
                     });
@@ -124,6 +131,12 @@
         }
     }
 
+    /// Returns the time to the next read; it doubles with each of the first few,
+    /// so that long calls cost the store few reads.
+    fn poll_pause(&self, polls: u32) -> Duration {
+        self.cfg.poll_interval * (1 << polls.min(MAX_POLL_DOUBLINGS))
+    }
+
     fn stop_waiting(&mut self, state: &Waiting, effects: &mut Vec<ClaimEffect>) {
         let attempt = state.claim.attempt;
         if state.holder_gone {
--- a/crates/geranium_core/src/once/config.rs
+++ b/crates/geranium_core/src/once/config.rs
@@ -15,7 +15,8 @@
     pub clock_margin: Duration,
     /// Longest body that is kept for resends, in bytes.
     pub max_kept_body: usize,
-    /// Time between two reads of a claim that another holder works on.
+    /// Time to the first read of a claim that another holder works on; later
+    /// reads are up to eight times as far apart.
     pub poll_interval: Duration,
     /// Time between two tries at a store that gave no usable answer.
     pub retry_interval: Duration,
--- a/crates/geranium_core/tests/claims.rs
+++ b/crates/geranium_core/tests/claims.rs
@@ -196,6 +196,26 @@
     assert!(matches!(asked.answer, Some(ClaimAnswer::Replayed(_))));
 }
 
+#[test]
+fn waiting_resend_reads_less_and_less_often() {
+    let mut store = OneClaimStore::default();
+    dispatched(&mut store, "entry-1");
+    let (mut resend, asked) = submit(request("{}"), holder("entry-2", 1), START);
+    carry_out(&mut resend, &mut store, START, &asked);
+
+    let mut reads = 0;
+    while let Some(wake) = resend.next_wake() {
+        let asked = step(&mut resend, wake, ClaimInput::Tick);
+        if asked.read.is_some() {
+            reads += 1;
+            step(&mut resend, wake, read_back(&asked, store.read()));
+        }
+    }
+
+    assert!(resend.is_answered());
+    assert!(reads <= 16, "{reads} reads in 10 s");
+}
+
 #[test]
 fn resend_is_told_when_a_live_holder_takes_longer_than_its_deadline() {
     let mut store = OneClaimStore::default();
