--- a/crates/geranium_spec/src/gate/model.rs
+++ b/crates/geranium_spec/src/gate/model.rs
@@ -8,14 +8,13 @@
 use geranium_core::engine::{EnginePhase, EngineReport, HostEntry, HostState, Member};
 use geranium_core::group::{GroupConfig, GroupGate, GroupTable};
 use geranium_core::id::{
-    FabricDomainId, FailureDomainId, FencingNumber, GroupId, HostId, Incarnation, ModelId,
-    RecordName,
+    FabricDomainId, FailureDomainId, FencingNumber, GroupId, HostId, Incarnation,
 };
-use geranium_core::record::ModelSpec;
 use geranium_core::time::Timestamp;
 
 use super::state::{Engine, Follows, Heard, Report};
 use super::{GateAction, GateWorld};
+use crate::fixture::model_spec;
 use crate::{Model, Mutation, Property, Witness};
 
 /// Hosts of the model; the last one is the spare.
@@ -117,7 +116,7 @@
         let mut first = GroupTable::new(FailureDomainId::new("d"));
         let members = vec![member(&hosts[0]), member(&hosts[1])];
         let group = first
-            .form(&spec(), &FabricDomainId::new("fabric"), members)
+            .form(&model_spec(), &FabricDomainId::new("fabric"), members)
             .expect("the hosts are free");
         first.stamp(Incarnation(1), 0);
         let mut second = first.clone();
@@ -243,21 +242,6 @@
     }
 }
 
-fn spec() -> ModelSpec {
-    ModelSpec {
-        name: RecordName::new("record"),
-        served_model: ModelId::new("model"),
-        weights: "weights".to_owned(),
-        version: "1".to_owned(),
-        adapters: Vec::new(),
-        hosts_per_replica: 2,
-        placements: Vec::new(),
-        accounts: Vec::new(),
-        cold_concurrency: 1,
-        warm_concurrency: 1,
-    }
-}
-
 impl Model for GateModel {
     type State = GateWorld;
     type Action = GateAction;
--- a/crates/geranium_spec/src/groups/model.rs
+++ b/crates/geranium_spec/src/groups/model.rs
@@ -1,21 +1,19 @@
 //! The group model: its fixed parts and its properties.
 
 use std::cell::RefCell;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 
 use geranium_core::collections::HashMap;
 use geranium_core::engine::Member;
 use geranium_core::group::GroupTable;
-use geranium_core::id::{
-    FabricDomainId, FailureDomainId, GroupId, HostId, Incarnation, ModelId, RecordName,
-};
+use geranium_core::id::{FabricDomainId, FailureDomainId, GroupId, Incarnation};
 use geranium_core::record::ModelSpec;
 
 use super::action::OrderArrival;
 use super::facts::{OrderFacts, TableFacts, table_facts};
 use super::state::{Broken, Engine, KnownTable, Leader};
 use super::{GroupAction, GroupBounds, GroupWorld};
+use crate::fixture::{model_spec, numbered_member};
 use crate::{Interner, Model, Mutation, Property, Witness};
 
 /// Hosts of one replica group.
@@ -37,14 +35,14 @@
     /// Makes a model, with one guard removed if a mutation is given.
     #[must_use]
     pub fn new(bounds: GroupBounds, mutation: Option<Mutation>) -> Self {
-        let hosts = (0..bounds.engines.len()).map(member).collect();
+        let hosts = (0..bounds.engines.len()).map(numbered_member).collect();
         Self {
             bounds,
             mutation,
             tables: Interner::default(),
             groups: Interner::default(),
             facts: RefCell::default(),
-            spec: spec(),
+            spec: model_spec(),
             hosts,
         }
     }
@@ -85,29 +83,6 @@
     FabricDomainId::new("fabric")
 }
 
-fn member(index: usize) -> Member {
-    let port = u16::try_from(index).unwrap_or(u16::MAX);
-    Member {
-        host: HostId::new(format!("h{index}")),
-        address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port),
-    }
-}
-
-fn spec() -> ModelSpec {
-    ModelSpec {
-        name: RecordName::new("record"),
-        served_model: ModelId::new("model"),
-        weights: "weights".to_owned(),
-        version: "1".to_owned(),
-        adapters: Vec::new(),
-        hosts_per_replica: 2,
-        placements: Vec::new(),
-        accounts: Vec::new(),
-        cold_concurrency: 1,
-        warm_concurrency: 1,
-    }
-}
-
 impl Model for GroupModel {
     type State = GroupWorld;
     type Action = GroupAction;
--- a/crates/geranium_spec/src/lib.rs
+++ b/crates/geranium_spec/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod check;
 pub mod claims;
 pub mod config;
+mod fixture;
 pub mod gate;
 pub mod groups;
 mod intern;
