--- a/crates/geranium_core/src/group/controller.rs
+++ b/crates/geranium_core/src/group/controller.rs
@@ -1,18 +1,18 @@
 //! State machine of the leader of a failure domain.
 
 mod hosts;
+mod orders;
 mod outage;
 mod store;
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::engine::{EngineReport, Order, OrderAction};
+use crate::engine::EngineReport;
 use crate::event::{EventDraft, EventKind, EventSubject};
-use crate::group::dispatch::{Dispatcher, DueOrder};
+use crate::group::dispatch::Dispatcher;
 use crate::group::progress::Progress;
 use crate::group::{
-    DelegatedSpares, GroupConfig, GroupEffect, GroupInput, GroupTable, OrderOutcome, OutagePolicy,
-    World,
+    DelegatedSpares, GroupConfig, GroupEffect, GroupInput, GroupTable, OutagePolicy, World,
 };
 use crate::id::{FailureDomainId, HostId, Incarnation, StoreRevision};
 use crate::time::Timestamp;
@@ -243,18 +243,6 @@
         }
     }
 
-    fn order_answered(&mut self, now: Timestamp, order: &Order, outcome: OrderOutcome) {
-        match outcome {
-            OrderOutcome::Accepted if order.action == OrderAction::Release => {
-                self.progress
-                    .release_accepted(now, &order.host, order.fencing);
-            }
-            // A newer leader may have written: read before the next order.
-            OrderOutcome::Refused { .. } => self.confirmed_at = None,
-            OrderOutcome::Accepted | OrderOutcome::NoAnswer => {}
-        }
-    }
-
     /// Sends the orders that are due and then plans the next change.
     fn step(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
         match self.phase {
@@ -275,46 +263,8 @@
         }
     }
 
-    fn send_due_orders(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
-        let due = self.dispatcher.due(now, &self.world, &self.table);
-        if due.is_empty() {
-            return;
-        }
-        let limit = self.world.config().table_confirmation_age;
-        let confirmed = self.confirmed_at.is_some_and(|at| now.since(at) <= limit);
-        if confirmed {
-            self.send(now, due, effects);
-        } else {
-            self.read_table(now, None, effects);
-        }
-    }
-
-    fn send(&mut self, now: Timestamp, due: Vec<DueOrder>, effects: &mut Vec<GroupEffect>) {
-        for DueOrder { order, first } in due {
-            self.dispatcher.note_sent(now, &order);
-            if first {
-                effects.push(GroupEffect::Emit(order_event(&order)));
-            }
-            effects.push(GroupEffect::SendOrder(order));
-        }
-    }
-
     fn emit_domain(&self, effects: &mut Vec<GroupEffect>, kind: EventKind, reason: &str) {
         let subject = EventSubject::failure_domain(self.world.failure_domain());
         effects.push(GroupEffect::Emit(EventDraft::new(kind, subject, reason)));
     }
 }
-
-fn order_event(order: &Order) -> EventDraft {
-    let mut subject = EventSubject::host(&order.host);
-    let what = match &order.action {
-        OrderAction::Load(load) => {
-            subject.group = Some(load.group.clone());
-            "load"
-        }
-        OrderAction::Release => "release",
-        OrderAction::Fence => "fence",
-    };
-    let reason = format!("{what} under fencing number {}", order.fencing);
-    EventDraft::new(EventKind::OrderSent, subject, reason)
-}
--- /dev/null
+++ b/crates/geranium_core/src/group/controller/orders.rs
@@ -0,0 +1,68 @@
+//! Orders and their answers.
+
+use super::GroupController;
+use crate::engine::{Order, OrderAction};
+use crate::event::{EventDraft, EventKind, EventSubject};
+use crate::group::dispatch::DueOrder;
+use crate::group::{GroupEffect, OrderOutcome, OutagePolicy};
+use crate::time::Timestamp;
+
+impl<P: OutagePolicy> GroupController<P> {
+    /// Takes the outcome of an order.
+    pub(super) fn order_answered(&mut self, now: Timestamp, order: &Order, outcome: OrderOutcome) {
+        match outcome {
+            OrderOutcome::Accepted if order.action == OrderAction::Release => {
+                self.progress
+                    .release_accepted(now, &order.host, order.fencing);
+            }
+            // A newer leader may have written: read before the next order.
+            OrderOutcome::Refused { .. } => self.confirmed_at = None,
+            OrderOutcome::Accepted | OrderOutcome::NoAnswer => {}
+        }
+    }
+
+    /// Sends the orders that are due if the table is confirmed, else reads it.
+    pub(super) fn send_due_orders(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
+        let due = self.dispatcher.due(now, &self.world, &self.table);
+        if due.is_empty() {
+            return;
+        }
+        let limit = self.world.config().table_confirmation_age;
+        let confirmed = self.confirmed_at.is_some_and(|at| now.since(at) <= limit);
+        if confirmed {
+            self.send(now, due, effects);
+        } else {
+            self.read_table(now, None, effects);
+        }
+    }
+
+    /// Sends orders, with an event for each new one.
+    pub(super) fn send(
+        &mut self,
+        now: Timestamp,
+        due: Vec<DueOrder>,
+        effects: &mut Vec<GroupEffect>,
+    ) {
+        for DueOrder { order, first } in due {
+            self.dispatcher.note_sent(now, &order);
+            if first {
+                effects.push(GroupEffect::Emit(order_event(&order)));
+            }
+            effects.push(GroupEffect::SendOrder(order));
+        }
+    }
+}
+
+fn order_event(order: &Order) -> EventDraft {
+    let mut subject = EventSubject::host(&order.host);
+    let what = match &order.action {
+        OrderAction::Load(load) => {
+            subject.group = Some(load.group.clone());
+            "load"
+        }
+        OrderAction::Release => "release",
+        OrderAction::Fence => "fence",
+    };
+    let reason = format!("{what} under fencing number {}", order.fencing);
+    EventDraft::new(EventKind::OrderSent, subject, reason)
+}
--- a/crates/geranium_matrix/src/control/mod.rs
+++ b/crates/geranium_matrix/src/control/mod.rs
@@ -8,6 +8,7 @@
 //! [`GroupController`]: geranium_core::group::GroupController
 //! [`GroupGate`]: geranium_core::group::GroupGate
 
+mod column;
 mod engine;
 mod entry;
 mod fleet;
@@ -25,6 +26,7 @@
 mod store;
 mod times;
 
+pub use column::ControlColumn;
 pub use engine::FakeEngine;
 pub use entry::EntryHost;
 pub use fleet::Fleet;
@@ -33,6 +35,6 @@
 pub use oracle::{Oracle, Violation};
 pub use outage::{OutageCost, OutageFault};
 pub use rig::Rig;
-pub use scenario::{ControlColumn, Scenario, ScenarioResult};
+pub use scenario::{Scenario, ScenarioResult};
 pub use step::Step;
 pub use times::RepairTimes;
--- a/crates/geranium_matrix/src/control/rig.rs
+++ b/crates/geranium_matrix/src/control/rig.rs
@@ -1,6 +1,9 @@
 //! One failure domain with fakes at its interfaces.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod check;
+mod deliver;
+
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use geranium_core::engine::{HostEntry, HostState, OrderAction};
@@ -9,7 +12,6 @@
 use geranium_core::record::{DrainTarget, ModelSpec};
 use geranium_core::time::Timestamp;
 
-use super::fleet::ACCELERATORS_PER_HOST;
 use super::measure::WatchedGroup;
 use super::message::{Message, Node};
 use super::network::{Network, Packet};
@@ -238,68 +240,6 @@
         }
     }
 
-    fn deliver_packets(&mut self) {
-        while let Some(packet) = self.network.next(self.now) {
-            match packet.to {
-                Node::Store => self.deliver_to_store(packet),
-                Node::Entry(position) => self.deliver_to_entry(position, packet),
-                Node::Engine(position) => self.deliver_to_engine(position, packet),
-            }
-        }
-    }
-
-    fn deliver_to_store(&mut self, packet: Packet) {
-        if !self.store_up {
-            return;
-        }
-        let answer = self.store.answer(self.now, packet.message);
-        for table in std::mem::take(&mut self.store.written) {
-            self.oracle.check_written(&table);
-            for position in 0..self.entries.len() {
-                let message = Message::Table(table.clone());
-                self.send(Node::Store, Node::Entry(position), message);
-            }
-        }
-        if let Some(message) = answer {
-            self.send(Node::Store, packet.from, message);
-        }
-    }
-
-    fn deliver_to_entry(&mut self, position: usize, packet: Packet) {
-        let host = &mut self.entries[position];
-        match host.paused_until.filter(|until| *until > self.now) {
-            _ if !host.alive => {}
-            Some(until) => self.network.enqueue(until, packet),
-            None => {
-                host.receive(self.now, packet.from, packet.message);
-                self.flush(position);
-            }
-        }
-    }
-
-    fn deliver_to_engine(&mut self, position: usize, packet: Packet) {
-        let engine = &mut self.engines[position];
-        if !engine.alive {
-            return;
-        }
-        if let Some(until) = engine.paused_until.filter(|until| *until > self.now) {
-            self.network.enqueue(until, packet);
-            return;
-        }
-        let answer = match packet.message {
-            Message::Poll(call) => engine.report(self.now).map(|r| Message::Report(call, r)),
-            Message::Order(order) => {
-                self.oracle.check_order(&order);
-                let outcome = engine.take(self.now, &order);
-                Some(Message::OrderAnswer(order, outcome))
-            }
-            _ => None,
-        };
-        if let Some(message) = answer {
-            self.send(Node::Engine(position), packet.from, message);
-        }
-    }
-
     fn tick_entries(&mut self) {
         for position in 0..self.entries.len() {
             let offset = self.now.as_millis() + 10 * position as u64;
@@ -341,58 +281,4 @@
             self.measures.repair_ordered_after.get_or_insert(after);
         }
     }
-
-    /// Compares what gates say with what engines do, before anything is delivered.
-    fn check_gates(&mut self) {
-        let mut open: Vec<(GroupId, Vec<HostId>)> = Vec::new();
-        for position in 0..self.entries.len() {
-            if self.entries[position].is_up(self.now) {
-                self.check_gate(position, &mut open);
-            }
-        }
-        self.oracle.check_shared(self.now, &open);
-        self.measure(&open);
-    }
-
-    fn check_gate(&mut self, position: usize, open: &mut Vec<(GroupId, Vec<HostId>)>) {
-        let gate = self.entries[position].gate();
-        for (id, group) in gate.table().groups() {
-            let members: Vec<HostId> = group.members.iter().map(|m| m.host.clone()).collect();
-            let mut missing = None;
-            for (rank, host) in members.iter().enumerate() {
-                let engine = self.engines.iter().find(|e| &e.entry.host == host);
-                let expected = group.assignment(id, rank);
-                let serves = engine.is_some_and(|e| e.serves(self.now, &expected));
-                let key = (id, group.fencing);
-                if self.oracle.note_member(self.now, key, host, serves) {
-                    missing = Some(host.clone());
-                }
-            }
-            if gate.is_open(self.now, id) {
-                self.oracle.check_open(self.now, id, &members, missing);
-                open.push((id.clone(), members));
-            }
-        }
-    }
-
-    fn measure(&mut self, open: &[(GroupId, Vec<HostId>)]) {
-        let groups: BTreeSet<&GroupId> = open.iter().map(|(id, _)| id).collect();
-        let hosts: BTreeSet<&HostId> = open.iter().flat_map(|(_, members)| members).collect();
-        let missing = self.wanted.saturating_sub(groups.len());
-        self.measures.group_downtime += QUANTUM * u32::try_from(missing).unwrap_or(0);
-        for engine in &self.engines {
-            let idle = engine.is_up(self.now) && !hosts.contains(&engine.entry.host);
-            let stranded = idle && (missing > 0 || engine.assignment().is_some());
-            if stranded {
-                let millis = u64::from(ACCELERATORS_PER_HOST) * 10;
-                self.measures.stranded_millis += millis;
-            }
-        }
-        if let Some(watched) = &self.watched
-            && !groups.contains(&watched.group)
-        {
-            let after = self.now.since(watched.lost_at);
-            self.measures.gate_closed_after.get_or_insert(after);
-        }
-    }
 }
