Bound every wait of the client tests as a whole

A progress notice could also have come before an expected change on a machine that stands still for 5 s.

The test of an idle watch keeps its own loop and all of its assertions.

--- a/crates/geranium_platform/tests/leases.rs
+++ b/crates/geranium_platform/tests/leases.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geranium_fakes::fixture::{ABSENT, applied, next_batch, platform, put, store_client};
+use geranium_fakes::fixture::{ABSENT, applied, next_changes, platform, put, store_client};
 use geranium_fakes::platform::PlatformFault;
 use geranium_platform::prelude::*;
 
@@ -21,7 +21,7 @@
     let written = applied(store.transact(vec![swap]).await);
     let mut watch = store.watch("/leader", written).await.expect("opened");
 
-    let batch = next_batch(&mut watch).await;
+    let batch = next_changes(&mut watch).await;
 
     assert!(matches!(&batch.changes[..], [WatchChange::Deleted { key, .. }] if key == "/leader"));
     assert_eq!(store.get("/leader").await, Ok(None));
--- a/crates/geranium_platform/tests/outages.rs
+++ b/crates/geranium_platform/tests/outages.rs
@@ -5,7 +5,7 @@
 
 use futures::StreamExt;
 use geranium_fakes::fixture::{
-    ABSENT, applied, connections, platform, put, store_client, wait_for_connect,
+    ABSENT, applied, connections, expect_soon, platform, put, store_client, wait_for_connect,
 };
 use geranium_fakes::http::GateState;
 use geranium_fakes::platform::PlatformFault;
@@ -188,7 +188,7 @@
         restore: true,
         ..PlatformFault::default()
     });
-    let cut = watch.next().await;
+    let cut = expect_soon("an item", watch.next()).await;
     let old = store.get("/k").await.expect("readable").expect("present");
 
     assert!(matches!(cut, Some(Err(StoreError::Unreachable(..)))));
@@ -244,7 +244,7 @@
     let partitioned = cut_off.transact(vec![put("/late", ABSENT, "x")]).await;
     let before = connected.get("/late").await;
     platform.set_fault(&connections(GateState::Open));
-    let healed = read_when_answered(&cut_off, "/k").await;
+    let healed = expect_soon("an answer", read_when_answered(&cut_off, "/k")).await;
 
     assert!(matches!(partitioned, Err(StoreError::Ambiguous(..))));
     assert_eq!(before, Ok(None));
--- a/crates/geranium_platform/tests/watches.rs
+++ b/crates/geranium_platform/tests/watches.rs
@@ -4,7 +4,9 @@
 
 use futures::StreamExt;
 use geranium_core::id::StoreRevision;
-use geranium_fakes::fixture::{connections, next_batch, platform, store_client};
+use geranium_fakes::fixture::{
+    connections, expect_soon, next_changes, platform, store_client, wait_until,
+};
 use geranium_fakes::http::GateState;
 use geranium_fakes::platform::PlatformFault;
 use geranium_fakes::{FakePlatform, PlatformConfig};
@@ -31,7 +33,7 @@
 
     platform.put("/b/1", "other");
     platform.put("/a/1", "x");
-    let batch = next_batch(&mut watch).await;
+    let batch = next_changes(&mut watch).await;
 
     assert_eq!(keys(&batch), ["/a/1"]);
     assert_eq!(batch.revision, StoreRevision(platform.stats().revision));
@@ -44,18 +46,18 @@
     let start = store.range("/a/").await.expect("readable").revision;
     let mut watch = store.watch("/a/", start).await.expect("opened");
     platform.put("/a/1", "x");
-    let reached = next_batch(&mut watch).await.revision;
+    let reached = next_changes(&mut watch).await.revision;
 
     platform.set_fault(&connections(GateState::Close));
-    let broken = watch.next().await;
-    let ended = watch.next().await;
+    let broken = expect_soon("an item", watch.next()).await;
+    let ended = expect_soon("an item", watch.next()).await;
     platform.put("/a/2", "x");
     platform.put("/a/3", "x");
     platform.set_fault(&connections(GateState::Open));
     let mut watch = store.watch("/a/", reached).await.expect("opened again");
     let mut seen = Vec::new();
     while seen.len() < 2 {
-        let batch = next_batch(&mut watch).await;
+        let batch = next_changes(&mut watch).await;
         seen.extend(keys(&batch).into_iter().map(str::to_owned));
     }
 
@@ -77,11 +79,11 @@
     });
 
     let mut watch = store.watch("/", start).await.expect("opened");
-    let first = watch.next().await;
+    let first = expect_soon("an item", watch.next()).await;
     let present = store.range("/").await.expect("readable");
     let mut watch = store.watch("/", present.revision).await.expect("opened");
     platform.put("/3", "x");
-    let batch = next_batch(&mut watch).await;
+    let batch = next_changes(&mut watch).await;
 
     assert_eq!(first, Some(Err(StoreError::Compacted(start.0))));
     assert_eq!(present.values.len(), 2);
@@ -97,13 +99,13 @@
 
     platform.put("/b/1", "x");
     platform.put("/a/1", "x");
-    let first = next_batch(&mut watch).await;
+    let first = next_changes(&mut watch).await;
     platform.set_fault(&PlatformFault {
         compact: true,
         ..PlatformFault::default()
     });
     platform.put("/a/2", "x");
-    let second = next_batch(&mut watch).await;
+    let second = next_changes(&mut watch).await;
 
     assert_eq!(keys(&first), ["/a/1"]);
     assert_eq!(keys(&second), ["/a/2"]);
@@ -123,12 +125,16 @@
     platform.put("/b/1", "x");
     let revision = StoreRevision(platform.stats().revision);
 
-    let mut reached = start;
-    while reached < revision {
-        let batch = next_batch(&mut watch).await;
-        assert_eq!(batch.changes, []);
-        reached = batch.revision;
-    }
+    let reached = expect_soon("the revision", async {
+        let mut reached = start;
+        while reached < revision {
+            let batch = watch.next().await.expect("open").expect("a batch");
+            assert_eq!(batch.changes, []);
+            reached = batch.revision;
+        }
+        reached
+    })
+    .await;
 
     assert_eq!(reached, revision);
     assert_eq!(platform.stats().calls["watch"], 1);
@@ -145,7 +151,7 @@
     });
 
     let mut watch = store.watch("/", StoreRevision(1)).await.expect("opened");
-    let silent = watch.next().await;
+    let silent = expect_soon("an item", watch.next()).await;
 
     assert!(matches!(silent, Some(Err(StoreError::Unreachable(..)))));
 }
@@ -159,7 +165,5 @@
 
     drop(watch);
 
-    while platform.stats().open_watches > 0 {
-        tokio::time::sleep(Duration::from_millis(1)).await;
-    }
+    wait_until(|| platform.stats().open_watches == 0).await;
 }
