--- a/crates/geranium_measure/src/experiment/config.rs
+++ b/crates/geranium_measure/src/experiment/config.rs
@@ -30,6 +30,9 @@
     let domains = [size("lima-1", 3), size("lima-2", 2), size("lima-3", 2)];
     let system = System::start(geraniumd, &domains, |_| {}).await;
     system.apply(&account()).await;
+    // The entry hosts have found each other before the first change is timed.
+    let first = change(&system, TIMED + BURST).await?;
+    wait_in_force(&system, first).await;
     let mut histogram: Histogram<u64> =
         Histogram::new(3).map_err(|e| MeasureError::Call(e.to_string()))?;
     for i in 0..TIMED {
