Test steady load beside killed, frozen and stopped hosts

Streams and claimed calls go on over three entry hosts in two failure domains while a host is frozen, killed or stopped, a member dies and the platform goes down. Checked: one execution a key, exact text, no end marker on a cut stream, each "not run" against the count of the service, kept answers on resends.

The first try waited for every group to be warm through one entry host, which never uses the groups of the other failure domain; it now calls each host.

--- /dev/null
+++ b/crates/geranium_daemon/tests/system/load.rs
@@ -0,0 +1,407 @@
+//! Steady load while entry hosts, an engine member and the platform fail.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::future::{join, join_all};
+use geranium_engine::{ChatRequest, CompletionEvent, CompletionStream};
+use geranium_fakes::platform::PlatformFault;
+use geranium_fakes::service::FakeService;
+use geranium_fakes::system::until;
+use geranium_fakes::system::{DESK_KEY, DomainSize, Entry, System, content, expected, open_groups};
+use geranium_net::{ApiError, HttpClient, HttpRequest};
+use hyper::StatusCode;
+
+use crate::GERANIUMD;
+
+const DOMAINS: [DomainSize; 2] = [
+    DomainSize {
+        name: "lima-1",
+        entry_hosts: 2,
+        engines: 5,
+    },
+    DomainSize {
+        name: "lima-2",
+        entry_hosts: 1,
+        engines: 2,
+    },
+];
+
+/// Callers that read streams.
+const READERS: usize = 4;
+
+/// Callers of the plain service.
+const MODERATORS: usize = 3;
+
+/// Tokens of each completion.
+const TOKENS: u32 = 24;
+
+/// Longest wait of a caller for one answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(4);
+
+/// Pause of a caller between two requests.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Sends of one call before its caller gives up.
+const MAX_SENDS: usize = 6;
+
+/// What a caller of the plain service was told.
+enum BanAnswer {
+    Lost,
+    Done(Bytes),
+    Refused(ApiError),
+}
+
+/// How a stream ended.
+#[derive(PartialEq)]
+enum StreamOutcome {
+    Whole,
+    Cut,
+    Refused,
+}
+
+/// Callers and what they saw.
+struct Load<'a> {
+    http: HttpClient,
+    service: &'a FakeService,
+    callers: Vec<SocketAddr>,
+    stopped: Cell<bool>,
+    whole: Cell<u64>,
+    done: Cell<u64>,
+    /// Answers of whole calls, by key.
+    answers: RefCell<BTreeMap<String, Bytes>>,
+    /// An entry host that was asked to stop; it may cut off nothing.
+    stopping: Cell<Option<usize>>,
+}
+
+impl<'a> Load<'a> {
+    fn new(http: HttpClient, service: &'a FakeService, entries: &[Entry]) -> Self {
+        Self {
+            http,
+            service,
+            callers: entries.iter().map(|entry| entry.at.caller).collect(),
+            stopped: Cell::new(false),
+            whole: Cell::new(0),
+            done: Cell::new(0),
+            answers: RefCell::default(),
+            stopping: Cell::new(None),
+        }
+    }
+
+    async fn run(&self) {
+        let readers = join_all((0..READERS).map(|i| self.read_streams(i)));
+        let moderators = join_all((0..MODERATORS).map(|i| self.ban_readers(i)));
+        join(readers, moderators).await;
+    }
+
+    /// Waits until both kinds of calls went on for a while.
+    async fn progress(&self, what: &str) {
+        let (whole, done) = (self.whole.get(), self.done.get());
+        until(what, || async move {
+            let streams = self.whole.get() >= whole + 4;
+            (streams && self.done.get() >= done + 4).then_some(())
+        })
+        .await;
+    }
+
+    async fn read_streams(&self, reader: usize) {
+        for i in 0.. {
+            if self.stopped.get() {
+                return;
+            }
+            let entry = (reader + i) % self.callers.len();
+            let prompt = format!("reader {reader} story {i}");
+            if self.read_stream(entry, &prompt).await == StreamOutcome::Whole {
+                self.whole.set(self.whole.get() + 1);
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn read_stream(&self, entry: usize, prompt: &str) -> StreamOutcome {
+        let at = self.callers[entry];
+        let mut chat = ChatRequest::user("summary", prompt);
+        chat.max_tokens = TOKENS;
+        let req = HttpRequest::post(at, "/v1/chat/completions")
+            .header_text("authorization", &format!("Bearer {DESK_KEY}"))
+            .and_then(|req| req.json(&chat))
+            .expect("a request");
+        let Ok(res) = self.http.send(req, ANSWER_LIMIT).await else {
+            return StreamOutcome::Cut;
+        };
+        if res.status() != StatusCode::OK {
+            let status = res.status();
+            let body = geranium_net::read_incoming(at, res.into_body(), 1 << 16).await;
+            let Ok(body) = body else {
+                return StreamOutcome::Cut;
+            };
+            let refusal = ApiError::parse(status, &body).expect("a typed refusal");
+            check_stopping(&refusal);
+            return StreamOutcome::Refused;
+        }
+        let mut stream = CompletionStream::new(at, res.into_body(), 1 << 20);
+        let outcome = read_text(&mut stream, &expected(prompt, TOKENS)).await;
+        let stopping = self.stopping.get() == Some(entry);
+        let cut_off = stopping && outcome != StreamOutcome::Whole;
+        assert!(!cut_off, "a planned stop cut {prompt:?} off");
+        outcome
+    }
+
+    async fn ban_readers(&self, moderator: usize) {
+        for i in 0.. {
+            if self.stopped.get() {
+                return;
+            }
+            let key = format!("m{moderator}-{i}");
+            if self.ban(moderator + i, &key).await {
+                self.done.set(self.done.get() + 1);
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Sends a ban to one entry host after the other until its outcome is known.
+    async fn ban(&self, first: usize, key: &str) -> bool {
+        for i in 0..MAX_SENDS {
+            let entry = (first + i) % self.callers.len();
+            match self.send_ban(entry, key).await {
+                BanAnswer::Lost => self.check_lost(entry, key),
+                BanAnswer::Done(body) => {
+                    self.check_done(key, body);
+                    return true;
+                }
+                BanAnswer::Refused(e) => {
+                    self.check_refusal(key, &e);
+                    if e.kind == "outcome_unknown" {
+                        return false;
+                    }
+                }
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        false
+    }
+
+    async fn send_ban(&self, entry: usize, key: &str) -> BanAnswer {
+        let req = HttpRequest::post(self.callers[entry], "/v1/services/sanctions/bans")
+            .header_text("authorization", &format!("Bearer {DESK_KEY}"))
+            .and_then(|req| req.header_text("idempotency-key", key))
+            .expect("a request")
+            .body(Bytes::from(format!("{{\"reader\":\"{key}\"}}")));
+        match self.http.send_whole(req, ANSWER_LIMIT).await {
+            Err(_) => BanAnswer::Lost,
+            Ok((StatusCode::OK, body)) => BanAnswer::Done(body),
+            Ok((status, body)) => {
+                let refusal = ApiError::parse(status, &body);
+                BanAnswer::Refused(refusal.expect("a typed refusal"))
+            }
+        }
+    }
+
+    fn executions(&self, key: &str) -> u64 {
+        let executions = self.service.stats().executions;
+        executions.get(key).copied().unwrap_or_default()
+    }
+
+    fn check_done(&self, key: &str, body: Bytes) {
+        assert_eq!(self.executions(key), 1, "{key} was answered");
+        let echo: serde_json::Value = serde_json::from_slice(&body).expect("JSON");
+        assert_eq!(echo["idempotency_key"], key);
+        assert_eq!(echo["body"], format!("{{\"reader\":\"{key}\"}}"));
+        self.answers.borrow_mut().insert(key.to_owned(), body);
+    }
+
+    /// Checks that a planned stop lost no answer of a call that ran.
+    fn check_lost(&self, entry: usize, key: &str) {
+        let cut_off = self.stopping.get() == Some(entry) && self.executions(key) > 0;
+        assert!(!cut_off, "a planned stop cut {key} off");
+    }
+
+    fn check_refusal(&self, key: &str, e: &ApiError) {
+        check_stopping(e);
+        let earlier = e.earlier_attempt_may_have_run.unwrap_or_default();
+        if e.ran == Some(false) && !earlier {
+            assert_eq!(self.executions(key), 0, "{key} was refused: {e:?}");
+        }
+    }
+
+    /// Checks that each call ran at most once and that answers are kept.
+    async fn check_calls(&self, entry: usize) {
+        for (key, n) in self.service.stats().executions {
+            assert_eq!(n, 1, "{key} ran {n} times");
+        }
+        let kept: Vec<_> = self.answers.borrow().clone().into_iter().collect();
+        for (key, body) in kept.iter().step_by(kept.len().div_ceil(20)) {
+            match self.send_ban(entry, key).await {
+                BanAnswer::Done(again) => assert_eq!(again, body, "{key} was answered twice"),
+                BanAnswer::Refused(e) => panic!("the answer of {key} was not kept: {e:?}"),
+                BanAnswer::Lost => panic!("no answer for {key}"),
+            }
+            assert_eq!(self.executions(key), 1, "{key} was sent again");
+        }
+    }
+}
+
+/// Checks that a host about to stop refuses what it does not run.
+fn check_stopping(e: &ApiError) {
+    if e.kind == "stopping" {
+        assert_eq!(e.ran, Some(false), "{e:?}");
+    }
+}
+
+/// Reads a stream to its end; what it yields is always a part of the right text.
+async fn read_text(stream: &mut CompletionStream, expected: &str) -> StreamOutcome {
+    let mut text = String::new();
+    while let Some(event) = stream.next().await {
+        match event {
+            Ok(CompletionEvent::Piece(piece)) => {
+                text.push_str(&piece.text().expect("a chunk"));
+                assert!(expected.starts_with(&text), "{text:?} of {expected:?}");
+            }
+            Ok(CompletionEvent::Done) => {
+                assert_eq!(text, expected, "a cut stream looks whole");
+                return StreamOutcome::Whole;
+            }
+            Err(_) => return StreamOutcome::Cut,
+        }
+    }
+    StreamOutcome::Cut
+}
+
+async fn serving() -> System {
+    let system = System::start(GERANIUMD, &DOMAINS, |cfg| {
+        cfg.token_time = Duration::from_millis(4);
+        cfg.warm_after = 1;
+    })
+    .await;
+    system.apply_service().await;
+    system.apply_model(&[("lima-1", 2), ("lima-2", 1)], 2).await;
+    system.wait_serving("lima-1", 2).await;
+    system.wait_serving("lima-2", 1).await;
+    for entry in [0, 1, 2] {
+        system.chat_until_ok(entry, "first", 2).await;
+    }
+    system
+}
+
+fn platform_fault(unavailable: bool) -> PlatformFault {
+    PlatformFault {
+        unavailable: Some(unavailable),
+        ..PlatformFault::default()
+    }
+}
+
+/// Checks that each entry host of a list answers again.
+async fn serves_again(system: &System, entries: &[usize]) {
+    for &entry in entries {
+        let answer = system.chat_until_ok(entry, "after the faults", 4).await;
+        assert_eq!(answer, expected("after the faults", 4));
+        until("a ban after the faults", || async {
+            let (status, _) = system.ban(entry, &format!("after-{entry}")).await.ok()?;
+            (status == StatusCode::OK).then_some(())
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_and_frozen_entry_hosts_lose_and_double_nothing() {
+    let mut system = serving().await;
+    let System {
+        service,
+        entries,
+        http,
+        ..
+    } = &mut system;
+    let load = Load::new(http.clone(), service, entries);
+    let faults = async {
+        load.progress("load before the faults").await;
+        entries[1].freeze();
+        load.progress("load beside a frozen host").await;
+        entries[1].thaw();
+        load.progress("load after the thaw").await;
+        entries[0].kill();
+        load.progress("load beside a killed host").await;
+        load.stopped.set(true);
+    };
+
+    join(load.run(), faults).await;
+
+    load.check_calls(1).await;
+    serves_again(&system, &[1, 2]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_under_load_cuts_off_nothing() {
+    let mut system = serving().await;
+    let System {
+        service,
+        entries,
+        http,
+        ..
+    } = &mut system;
+    let load = Load::new(http.clone(), service, entries);
+    let faults = async {
+        load.progress("load before the stop").await;
+        load.stopping.set(Some(0));
+        entries[0].terminate();
+        let entry = &mut entries[0];
+        let code = until("the end of the process", || {
+            let code = entry.exit_code();
+            async move { code }
+        })
+        .await;
+        assert_eq!(code, 0);
+        load.progress("load beside a stopped host").await;
+        load.stopped.set(true);
+    };
+
+    join(load.run(), faults).await;
+
+    load.check_calls(1).await;
+    serves_again(&system, &[1, 2]).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn dead_member_and_lost_platform_lose_and_double_nothing() {
+    let mut system = serving().await;
+    let head = {
+        let status = system.status(0).await;
+        let group = open_groups(&status).into_iter().next();
+        system.head_of(&group.expect("an open group"))
+    };
+    let System {
+        service,
+        entries,
+        engines,
+        platform,
+        http,
+        ..
+    } = &mut system;
+    let load = Load::new(http.clone(), service, entries);
+    let faults = async {
+        load.progress("load before the faults").await;
+        engines[head] = None;
+        load.progress("load beside a dead member").await;
+        platform.set_fault(&platform_fault(true));
+        let whole = load.whole.get();
+        until("streams without the platform", || async {
+            (load.whole.get() >= whole + 8).then_some(())
+        })
+        .await;
+        platform.set_fault(&platform_fault(false));
+        load.progress("load after the outage").await;
+        load.stopped.set(true);
+    };
+
+    join(load.run(), faults).await;
+
+    load.check_calls(0).await;
+    serves_again(&system, &[0, 1, 2]).await;
+    let body = system.chat(0, "whole", 4).await.expect("an answer").1;
+    assert_eq!(content(&body), expected("whole", 4));
+}
--- a/crates/geranium_daemon/tests/system/main.rs
+++ b/crates/geranium_daemon/tests/system/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod control;
+mod load;
 mod operators;
 mod requests;
 
