--- a/crates/geranium_core/src/once/batch/batcher.rs
+++ b/crates/geranium_core/src/once/batch/batcher.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Takes over this host's share of the platform's rate, in transactions a second.
+    pub fn set_rate(&mut self, now: Timestamp, transactions_per_second: f64) {
+        self.bucket.set_rate(now, transactions_per_second);
+    }
+
     /// Takes in one write.
     pub fn push(&mut self, write: BatchWrite) {
         self.queue.push_back(write);
--- a/crates/geranium_core/src/once/budget.rs
+++ b/crates/geranium_core/src/once/budget.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Changes the rate; what was earned so far stays.
+    pub(super) fn set_rate(&mut self, now: Timestamp, per_second: f64) {
+        self.refill(now);
+        self.per_second = per_second.max(f64::MIN_POSITIVE);
+    }
+
     /// Takes tokens, or returns the time until they are there.
     pub(super) fn take(&mut self, now: Timestamp, count: f64) -> Result<(), Duration> {
         self.refill(now);
--- a/crates/geranium_core/tests/claim_batch.rs
+++ b/crates/geranium_core/tests/claim_batch.rs
@@ -171,3 +171,24 @@
 
     assert_eq!(batcher.admit(NOW), Err(Duration::from_millis(200)));
 }
+
+#[test]
+fn changed_rate_counts_from_the_change_on() {
+    let mut batcher = batcher(BatchConfig {
+        max_writes: 1,
+        ..BatchConfig::default()
+    });
+    for call in 0..11 {
+        batcher.push(write(call, &format!("k{call}")));
+        if let Some(batch) = batcher.next_batch(NOW) {
+            batcher.finish(batch.id, BatchOutcome::Applied(StoreRevision(call)));
+        }
+    }
+
+    batcher.set_rate(NOW, 100.0);
+    let soon = batcher.next_batch(NOW + Duration::from_millis(5));
+    let later = batcher.next_batch(NOW + Duration::from_millis(10));
+
+    assert_eq!(soon, None);
+    assert!(later.is_some());
+}
--- a/crates/geranium_daemon/src/claim/sender.rs
+++ b/crates/geranium_daemon/src/claim/sender.rs
@@ -11,6 +11,12 @@
 use super::driver::stored_claim;
 use crate::clock::ProcessClock;
 
+/// Transactions a second that claims of all entry hosts may take of the platform.
+const PLATFORM_TRANSACTIONS: f64 = 200.0;
+
+/// Transactions a second that one entry host gets at least.
+const LEAST_TRANSACTIONS: f64 = 1.0;
+
 struct SenderState {
     batcher: ClaimBatcher,
     /// Where the outcome of each write goes, by call and operation.
@@ -45,6 +51,16 @@
         decide(&mut self.state.lock().batcher)
     }
 
+    /// Takes an equal part of the platform's rate among the entry hosts.
+    pub fn share_rate(&self, entry_hosts: usize) {
+        let share = PLATFORM_TRANSACTIONS / entry_hosts.max(1) as f64;
+        let now = self.clock.now();
+        self.state
+            .lock()
+            .batcher
+            .set_rate(now, share.max(LEAST_TRANSACTIONS));
+    }
+
     /// Takes in a write; its outcome goes to `tx`.
     pub fn push(self: &Arc<Self>, write: BatchWrite, tx: mpsc::UnboundedSender<ClaimInput>) {
         let mut state = self.state.lock();
--- a/crates/geranium_daemon/src/claim/service.rs
+++ b/crates/geranium_daemon/src/claim/service.rs
@@ -96,6 +96,11 @@
         self.running.wait().await;
     }
 
+    /// Takes an equal part of the platform's rate among the entry hosts.
+    pub fn share_rate(&self, entry_hosts: usize) {
+        self.sender.share_rate(entry_hosts);
+    }
+
     pub(super) fn emit(&self, draft: EventDraft) {
         self.recorder.record(self.clock.now(), draft);
     }
--- a/crates/geranium_daemon/src/peers/task.rs
+++ b/crates/geranium_daemon/src/peers/task.rs
@@ -239,6 +239,7 @@
 
     fn publish(&self, now: Timestamp) {
         let view = PeerView::collect(&self.membership, self.records.records(), now);
+        self.node.claims.share_rate(1 + view.hosts.len());
         self.node.peers.set(view);
     }
 }
