Test every setting of the daemon and report a bad list once

Cause: no test read the daemon's settings, alone or as a process.

Ruled out: leaving the second line in, which sends the reader after a setting that was given. `SettingsReader::needed` records a missing setting only if its value has no fault yet.

Conclusion: each of the 17 settings refuses a bad value by name, value and what is valid; all faults come at once with exit code 2; no token is shown.

--- a/crates/geranium_daemon/src/settings.rs
+++ b/crates/geranium_daemon/src/settings.rs
@@ -224,7 +224,7 @@
     let operator_address = address(reader, &OPERATOR_ADDRESS);
     let peer_address = address(reader, &PEER_ADDRESS);
     let peers = reader.list(&PEERS);
-    let platform = platform(reader);
+    let platform = reader.required_list(&PLATFORM);
     let operator_token = token(reader, &OPERATOR_TOKEN);
     let peer_token = token(reader, &PEER_TOKEN);
     let log_level = reader.required(&LOG_LEVEL);
@@ -273,17 +273,6 @@
     Some(address)
 }
 
-fn platform<E>(reader: &mut SettingsReader<E>) -> Vec<SocketAddr>
-where
-    E: Fn(&str) -> Option<String>,
-{
-    let addresses = reader.list(&PLATFORM);
-    if addresses.is_empty() {
-        reader.invalid(&PLATFORM, "", "at least one address is needed");
-    }
-    addresses
-}
-
 fn token<E>(reader: &mut SettingsReader<E>, spec: &SettingSpec) -> Option<String>
 where
     E: Fn(&str) -> Option<String>,
--- /dev/null
+++ b/crates/geranium_daemon/tests/settings.rs
@@ -0,0 +1,211 @@
+//! Settings of the daemon, read in this process and by the daemon itself.
+
+use std::process::{Command, Output};
+
+use geranium_daemon::settings::{DaemonCommand, DaemonSettings, SPECS, help};
+use geranium_settings::SettingsError;
+
+/// The daemon that these tests start.
+const GERANIUMD: &str = env!("CARGO_BIN_EXE_geraniumd");
+
+/// Valid values of the settings that have no default.
+const VALID: [(&str, &str); 8] = [
+    ("--host", "lima-1-e0"),
+    ("--failure-domain", "lima-1"),
+    ("--caller-address", "127.0.0.1:7001"),
+    ("--operator-address", "127.0.0.1:7002"),
+    ("--peer-address", "127.0.0.1:7003"),
+    ("--platform", "127.0.0.1:7004, 127.0.0.1:7005"),
+    ("--operator-token", "operator-token-16"),
+    ("--peer-token", "peer-token-of-16-b"),
+];
+
+/// A value that each setting refuses.
+const REFUSED: [(&str, &str); 17] = [
+    ("--host", "lima 1"),
+    ("--failure-domain", ""),
+    ("--caller-address", "localhost:7001"),
+    ("--operator-address", "0.0.0.0:7002"),
+    ("--peer-address", "127.0.0.1"),
+    ("--peers", "odd"),
+    ("--platform", "127.0.0.1:99999"),
+    ("--operator-token", "15-bytes-secret"),
+    ("--peer-token", "short-secret"),
+    ("--log-level", "loud"),
+    ("--event-capacity", "0"),
+    ("--report-interval-ms", "49"),
+    ("--default-deadline-ms", "3600001"),
+    ("--max-body-bytes", "1023"),
+    ("--max-connections", "-1"),
+    ("--shutdown-timeout-ms", "soon"),
+    ("--max-loads", "1001"),
+];
+
+fn words(settings: &[(&str, &str)]) -> Vec<String> {
+    settings
+        .iter()
+        .flat_map(|(flag, value)| [(*flag).to_owned(), (*value).to_owned()])
+        .collect()
+}
+
+fn valid_with(flag: &str, value: &str) -> Vec<String> {
+    let mut settings = VALID.to_vec();
+    settings.retain(|(name, _)| *name != flag);
+    settings.push((flag, value));
+    words(&settings)
+}
+
+fn read(words: Vec<String>) -> Result<DaemonCommand, SettingsError> {
+    DaemonCommand::read(words.into_iter().map(Into::into).collect(), |_| None)
+}
+
+fn settings(words: Vec<String>) -> DaemonSettings {
+    match read(words) {
+        Ok(DaemonCommand::Run(settings)) => *settings,
+        Ok(_) => panic!("another command"),
+        Err(e) => panic!("{e}"),
+    }
+}
+
+fn faults(words: Vec<String>) -> SettingsError {
+    match read(words) {
+        Ok(_) => panic!("the settings were accepted"),
+        Err(e) => e,
+    }
+}
+
+fn run(words: &[String], env: &[(&str, &str)]) -> Output {
+    let mut command = Command::new(GERANIUMD);
+    command.env_clear().envs(env.iter().copied()).args(words);
+    command.output().expect("geraniumd ends")
+}
+
+#[test]
+fn valid_settings_are_read_with_their_defaults() {
+    let read = settings(words(&VALID));
+
+    assert_eq!(read.host.as_str(), "lima-1-e0");
+    assert_eq!(read.platform.len(), 2);
+    assert!(read.peers.is_empty());
+    assert_eq!(read.log_level, log::LevelFilter::Info);
+    assert_eq!(read.event_capacity, 8_192);
+    assert_eq!(read.max_loads, 16);
+}
+
+#[test]
+fn every_setting_refuses_a_bad_value_by_its_name_and_tells_what_is_valid() {
+    for spec in SPECS {
+        let found = REFUSED.iter().find(|(flag, _)| *flag == spec.flag);
+        let (flag, value) = found.unwrap_or_else(|| panic!("{} is not tried", spec.flag));
+
+        let err = faults(valid_with(flag, value));
+
+        assert_eq!(err.faults.len(), 1, "{flag}: {err}");
+        let text = err.to_string();
+        assert!(text.starts_with(flag), "{text}");
+        assert!(text.contains(&format!("valid: {}", spec.value)), "{text}");
+        assert_eq!(
+            text.contains(value),
+            !spec.secret || value.is_empty(),
+            "{text}"
+        );
+    }
+}
+
+#[test]
+fn limits_of_a_range_are_valid() {
+    for (flag, least, most) in [
+        ("--event-capacity", "1", "1000000"),
+        ("--report-interval-ms", "50", "5000"),
+        ("--default-deadline-ms", "1", "3600000"),
+        ("--max-body-bytes", "1024", "67108864"),
+        ("--max-connections", "1", "100000"),
+        ("--shutdown-timeout-ms", "1", "3600000"),
+        ("--max-loads", "1", "1000"),
+    ] {
+        settings(valid_with(flag, least));
+        settings(valid_with(flag, most));
+    }
+}
+
+#[test]
+fn listeners_must_differ() {
+    let err = faults(valid_with("--peer-address", "127.0.0.1:7001"));
+
+    assert!(err.to_string().contains("must differ"), "{err}");
+}
+
+#[test]
+fn process_reports_every_fault_at_once_and_no_secret() {
+    let refused: Vec<_> = REFUSED
+        .iter()
+        .filter(|(_, v)| !v.is_empty())
+        .copied()
+        .collect();
+
+    let output = run(&words(&refused), &[("GERANIUM_FAILURE_DOMAIN", "a b")]);
+
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    for (flag, value) in &refused {
+        assert!(text.contains(flag), "{flag} is not in {text}");
+        let secret = flag.ends_with("-token");
+        assert_eq!(text.contains(value), !secret, "{flag} in {text}");
+    }
+    assert!(
+        text.contains("--failure-domain has the value \"a b\""),
+        "{text}"
+    );
+}
+
+#[test]
+fn process_without_settings_names_each_that_is_missing_and_its_variable() {
+    let output = run(&[], &[]);
+
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2));
+    for (flag, _) in VALID {
+        assert!(text.contains(flag), "{flag} is not in {text}");
+    }
+    assert!(text.contains("GERANIUM_CALLER_ADDRESS"), "{text}");
+}
+
+#[test]
+fn check_checks_the_settings_and_starts_nothing() {
+    let mut valid = words(&VALID);
+    valid.push("--check".to_owned());
+    let mut broken = valid_with("--max-loads", "0");
+    broken.push("--check".to_owned());
+    let from_env: Vec<(String, &str)> = SPECS
+        .iter()
+        .filter_map(|s| Some((s.variable(), VALID.iter().find(|(f, _)| *f == s.flag)?.1)))
+        .collect();
+    let from_env: Vec<(&str, &str)> = from_env.iter().map(|(n, v)| (n.as_str(), *v)).collect();
+
+    let by_flags = run(&valid, &[]);
+    let by_variables = run(&["--check".to_owned()], &from_env);
+    let refused = run(&broken, &[]);
+
+    assert_eq!(by_flags.status.code(), Some(0));
+    assert_eq!(by_flags.stdout, b"settings are valid\n");
+    assert_eq!(by_variables.status.code(), Some(0));
+    assert_eq!(refused.status.code(), Some(2));
+}
+
+#[test]
+fn help_names_every_setting_and_no_value_of_a_secret() {
+    let env = [("GERANIUM_OPERATOR_TOKEN", "operator-token-16")];
+
+    let output = run(&["--help".to_owned()], &env);
+    let version = run(&["--version".to_owned()], &[]);
+
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert_eq!(output.status.code(), Some(0));
+    assert_eq!(text, help());
+    for spec in SPECS {
+        assert!(text.contains(spec.flag) && text.contains(&spec.variable()));
+    }
+    assert!(!text.contains("operator-token-16"));
+    let expected = format!("geraniumd {}\n", env!("CARGO_PKG_VERSION"));
+    assert_eq!(String::from_utf8_lossy(&version.stdout), expected);
+}
--- a/crates/geranium_settings/src/reader.rs
+++ b/crates/geranium_settings/src/reader.rs
@@ -46,11 +46,7 @@
         T::Err: Display,
     {
         let Some(text) = self.text(spec) else {
-            self.faults.push(SettingFault::Missing(
-                spec.flag.to_owned(),
-                spec.variable(),
-                spec.value.to_owned(),
-            ));
+            self.faults.push(missing(spec));
             return None;
         };
         self.parse(spec, &text)
@@ -79,6 +75,30 @@
         words.filter_map(|word| self.parse(spec, word)).collect()
     }
 
+    /// Reads a setting with one or more values, separated by commas.
+    pub fn required_list<T>(&mut self, spec: &SettingSpec) -> Vec<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let values = self.list(spec);
+        if values.is_empty() {
+            self.needed(spec);
+        }
+        values
+    }
+
+    /// Records that a setting is missing, unless its value has a fault already.
+    pub fn needed(&mut self, spec: &SettingSpec) {
+        let is_known = |fault: &SettingFault| match fault {
+            SettingFault::Missing(flag, ..) | SettingFault::Invalid(flag, ..) => flag == spec.flag,
+            SettingFault::Conflict(_) | SettingFault::Unexpected(_) => false,
+        };
+        if !self.faults.iter().any(is_known) {
+            self.faults.push(missing(spec));
+        }
+    }
+
     /// Records a fault that concerns several settings.
     pub fn conflict(&mut self, detail: impl Into<String>) {
         self.faults.push(SettingFault::Conflict(detail.into()));
@@ -142,6 +162,10 @@
     }
 }
 
+fn missing(spec: &SettingSpec) -> SettingFault {
+    SettingFault::Missing(spec.flag.to_owned(), spec.variable(), spec.value.to_owned())
+}
+
 fn shown(spec: &SettingSpec, value: &str) -> String {
     if spec.secret {
         HIDDEN.to_owned()
--- a/crates/geranium_settings/tests/reader.rs
+++ b/crates/geranium_settings/tests/reader.rs
@@ -64,3 +64,21 @@
     assert!(help.contains("--limit NUMBER"));
     assert!(help.contains("GERANIUM_LIMIT; default 7"));
 }
+
+#[test]
+fn list_that_is_needed_has_one_fault_whether_absent_or_not_valid() {
+    for (words, fault) in [
+        (&[][..], "--names (or GERANIUM_NAMES) is missing"),
+        (&["--names", ","], "--names (or GERANIUM_NAMES) is missing"),
+        (&["--names", "x"], "--names has the value \"x\""),
+    ] {
+        let mut reader = SettingsReader::new(args(words), |_: &str| None);
+
+        let numbers: Vec<u32> = reader.required_list(&NAMES);
+        let err = reader.finish().expect_err("one fault");
+
+        assert!(numbers.is_empty());
+        assert_eq!(err.faults.len(), 1, "{err}");
+        assert!(err.to_string().starts_with(fault), "{err}");
+    }
+}
