Hide key hashes in changes and test the operator interface

Cause: the answer to a new account held the whole document with its key hashes, and so did a diff and a lost race. A race lost at the write told the differences in the other direction than one lost at the check. An explanation showed times as microseconds since 1970.

Ruled out: hiding hashes in geraniumctl only, as other clients and logs of answers would still hold them; changing `geranium_core::record::diff`, which states what differs and is right to.

Changes are rendered in one place: a new record by its fields, hashes as (hidden), and differences always from the value that won to the refused one. The process moves to the library so that tests elsewhere can run it.

--- a/crates/geranium_daemon/src/apply.rs
+++ b/crates/geranium_daemon/src/apply.rs
@@ -7,13 +7,14 @@
 use geranium_core::record::{
     ApplyError, ApplyOutcome as Settled, ApplyPlan, ApplyRequest as ChangeRequest, CurrentRecord,
     Document, Expectation, Generation, KnownPlaces, RecordChange, RecordKey, Severity,
-    StoredRecord, diff,
+    StoredRecord,
 };
 use geranium_net::ApiError;
 use geranium_operator::{ApplyAnswer, ApplyOutcome, ApplyRequest, HistoryEntry, LostRace};
 use geranium_platform::{CasOutcome, KvStore, StoreError, StoredValue, Swap};
 use hyper::StatusCode;
 
+use crate::changes;
 use crate::node::Node;
 
 /// Tries of a change whose write had no effect or an unknown one.
@@ -197,7 +198,7 @@
 fn refused(change: &ChangeRequest, e: ApplyError) -> Result<Option<ApplyAnswer>, ApiError> {
     match e {
         ApplyError::Conflict(_, _, winner, differences) => {
-            let differences = differences.iter().map(ToString::to_string).collect();
+            let differences = differences.into_iter().flat_map(changes::render).collect();
             Ok(Some(lost(change, &winner, Some(differences))))
         }
         ApplyError::NotFound(key) => Err(ApiError::new(
@@ -232,8 +233,7 @@
             None,
         )));
     }
-    let changes = diff(plan.record.document.as_ref(), stored.document.as_ref());
-    let differences = changes.iter().map(ToString::to_string).collect();
+    let differences = changes::changes(stored.document.as_ref(), plan.record.document.as_ref());
     Ok(Some(lost(change, &stored.change, Some(differences))))
 }
 
@@ -262,7 +262,7 @@
     base: Option<&StoredRecord>,
 ) -> ApplyAnswer {
     let old = base.and_then(|record| record.document.as_ref());
-    let changes = diff(old, plan.record.document.as_ref());
+    let changes = changes::changes(old, plan.record.document.as_ref());
     let warnings = plan
         .warnings
         .iter()
@@ -270,7 +270,7 @@
     ApplyAnswer {
         outcome,
         generation,
-        changes: changes.iter().map(ToString::to_string).collect(),
+        changes,
         warnings: warnings.map(|finding| finding.fault.to_string()).collect(),
         lost_race: None,
     }
--- a/crates/geranium_daemon/src/lib.rs
+++ b/crates/geranium_daemon/src/lib.rs
@@ -11,9 +11,11 @@
 //! | [`claim`] | calls that must not repeat |
 //! | [`caller`], [`operator`] | the two HTTP interfaces |
 //! | [`node`] | what the parts share |
+//! | [`process`] | the process `geraniumd` |
 
 pub mod apply;
 pub mod caller;
+pub mod changes;
 pub mod claim;
 pub mod clock;
 pub mod control;
@@ -22,6 +24,7 @@
 pub mod operator;
 pub mod peers;
 pub mod prelude;
+pub mod process;
 pub mod relay;
 pub mod settings;
 pub mod startup;
--- a/crates/geranium_daemon/src/main.rs
+++ b/crates/geranium_daemon/src/main.rs
@@ -2,45 +2,6 @@
 
 use std::process::ExitCode;
 
-use geranium_daemon::settings::{DaemonCommand, DaemonSettings, help};
-use geranium_daemon::startup::Daemon;
-use geranium_daemon::startup_error::StartupError;
-use geranium_settings::EXIT_INVALID_SETTINGS;
-
 fn main() -> ExitCode {
-    let args: Vec<_> = std::env::args_os().skip(1).collect();
-    match DaemonCommand::read(args, |name| std::env::var(name).ok()) {
-        Ok(DaemonCommand::Help) => print!("{}", help()),
-        Ok(DaemonCommand::Version) => println!("geraniumd {}", env!("CARGO_PKG_VERSION")),
-        Ok(DaemonCommand::Check) => println!("settings are valid"),
-        Ok(DaemonCommand::Run(settings)) => {
-            if let Err(e) = run(*settings) {
-                eprintln!("geraniumd: {e}");
-                return ExitCode::FAILURE;
-            }
-        }
-        Err(e) => {
-            eprintln!("{e}");
-            return ExitCode::from(EXIT_INVALID_SETTINGS);
-        }
-    }
-    ExitCode::SUCCESS
-}
-
-fn run(settings: DaemonSettings) -> Result<(), StartupError> {
-    let runtime = tokio::runtime::Runtime::new().map_err(StartupError::Runtime)?;
-    runtime.block_on(async {
-        let mut daemon = Daemon::prepare(settings)?;
-        daemon.install_logger()?;
-        daemon.add_peers()?;
-        daemon.add_group_control();
-        daemon.add_store_mirrors();
-        daemon.add_leadership();
-        daemon.add_traffic_clock();
-        daemon.add_cache_events();
-        daemon.add_claim_sweep();
-        daemon.add_caller_interface().await?;
-        daemon.add_operator_interface().await?;
-        daemon.run_until_signal().await
-    })
+    geranium_daemon::process::main()
 }
--- a/crates/geranium_daemon/src/operator/explain.rs
+++ b/crates/geranium_daemon/src/operator/explain.rs
@@ -5,7 +5,7 @@
 use geranium_core::id::{GroupId, HostId, RecordName, RequestId};
 use geranium_net::ApiError;
 use geranium_operator::Explanation;
-use geranium_telemetry::{Event, EventFilter};
+use geranium_telemetry::{Event, EventFilter, time_of_day};
 use viz::{Request, Response, Result};
 
 use super::query::{bad_request, not_found, param};
@@ -161,6 +161,9 @@
         .map_or_else(String::new, |cause| format!(" (after {cause})"));
     format!(
         "{} {} on {}: {}{cause}",
-        event.wall, event.kind, event.id.host, event.reason
+        time_of_day(event.wall),
+        event.kind,
+        event.id.host,
+        event.reason
     )
 }
--- a/crates/geranium_daemon/src/operator/records.rs
+++ b/crates/geranium_daemon/src/operator/records.rs
@@ -4,7 +4,7 @@
 
 use geranium_core::record::{
     Document, Finding, KnownPlaces, RecordEntry, RecordError, RecordKey, RecordKind, Severity,
-    StoredRecord, check_change, diff,
+    StoredRecord, check_change,
 };
 use geranium_net::{ApiError, read_body};
 use geranium_operator::{
@@ -17,6 +17,7 @@
 use super::query::{Query, bad_request, not_found, record_key};
 use super::reply::json;
 use crate::apply;
+use crate::changes::changes;
 use crate::node::Node;
 
 /// Largest body of an operator call, in bytes.
@@ -93,11 +94,11 @@
     );
     let held = view.records.get(document.key());
     let old = held.and_then(|entry| entry.stored.document.as_ref());
-    let changes = diff(old, Some(document.value()));
+    let changes = changes(old, Some(document.value()));
     Ok(json(&ValidateAnswer {
         faults: render(&findings, Severity::Error),
         warnings: render(&findings, Severity::Warning),
-        changes: changes.iter().map(ToString::to_string).collect(),
+        changes,
     })?)
 }
 
--- a/crates/geranium_daemon/tests/system/main.rs
+++ b/crates/geranium_daemon/tests/system/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod control;
+mod operator_interface;
 mod operators;
 mod requests;
 
--- a/crates/geranium_daemon/tests/system/operators.rs
+++ b/crates/geranium_daemon/tests/system/operators.rs
@@ -46,14 +46,16 @@
             system.apply_at(1, &of_b, "ben", expected),
         );
         let (a, b) = (a.expect("an answer"), b.expect("an answer"));
-        let (winner, loser) = match (a.outcome, b.outcome) {
-            (ApplyOutcome::Accepted, ApplyOutcome::LostRace) => ("ana", b),
-            (ApplyOutcome::LostRace, ApplyOutcome::Accepted) => ("ben", a),
+        let (of_ana, of_ben) = (100 + round, 1_000 + round);
+        let (winner, loser, kept, refused) = match (a.outcome, b.outcome) {
+            (ApplyOutcome::Accepted, ApplyOutcome::LostRace) => ("ana", b, of_ana, of_ben),
+            (ApplyOutcome::LostRace, ApplyOutcome::Accepted) => ("ben", a, of_ben, of_ana),
             other => panic!("round {round}: {other:?}"),
         };
         let race = loser.lost_race.expect("who won");
         assert_eq!(race.winner.operator, winner);
-        assert!(!race.differences.is_empty());
+        let difference = format!("warm_concurrency: {kept} -> {refused}");
+        assert_eq!(race.differences, [difference]);
         assert_eq!(race.winner.generation, u64::from(round) + 1);
     }
 }
--- a/crates/geranium_operator/src/record_view.rs
+++ b/crates/geranium_operator/src/record_view.rs
@@ -62,7 +62,7 @@
 pub struct LostRace {
     /// The change that won.
     pub winner: HistoryEntry,
-    /// Fields in which the record differs from the refused change.
+    /// Fields that differ, from the value that won to the refused one.
     pub differences: Vec<String>,
 }
 
--- a/crates/geranium_telemetry/src/lib.rs
+++ b/crates/geranium_telemetry/src/lib.rs
@@ -5,6 +5,7 @@
 mod json_logger;
 mod json_logger_error;
 mod recorder;
+mod time_of_day;
 mod timeline;
 
 pub mod prelude;
@@ -14,4 +15,5 @@
 pub use json_logger::JsonLogger;
 pub use json_logger_error::JsonLoggerError;
 pub use recorder::{EventPage, EventRecorder, ProcessIdentity};
+pub use time_of_day::time_of_day;
 pub use timeline::merge;
