Test geraniumctl as a process and mend what that showed

Cause: no test ran the tool.

Ruled out: a test in geranium_daemon, which has the same trouble with the other binary; starting Cargo from a test, which rebuilds under other features; a binary next to geraniumctl, which may be old or absent. The daemon is an example of this package, built by plain `cargo test` and by `cargo test -p geranium_ctl`. `--test ctl` alone builds no examples, so the fixture refuses an absent or old one and says what to run.

Exit code 5 is not yet.

--- a/crates/geranium_ctl/src/command/apply.rs
+++ b/crates/geranium_ctl/src/command/apply.rs
@@ -14,6 +14,9 @@
 /// Time between two questions whether a record is in force.
 const WAIT_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How a change of the kind begins.
+const KIND_FIELD: &str = "kind: ";
+
 /// Checks a record.
 pub async fn validate(session: &Session<'_>, path: &str) -> Result<Exit, CtlError> {
     let file = RecordFile::read(path)?;
@@ -113,21 +116,38 @@
         ApplyOutcome::Unchanged => println!("{kind} {name} unchanged at generation {generation}"),
         ApplyOutcome::LostRace => println!("{kind} {name} not written: the race was lost"),
     }
-    for change in &answer.changes {
-        println!("  {change}");
-    }
+    print_changes(&answer.changes);
     if let Some(race) = &answer.lost_race {
         let winner = &race.winner;
         println!(
             "  {} wrote generation {} first",
             winner.operator, winner.generation
         );
+        if !race.differences.is_empty() {
+            println!("  what differs, theirs -> yours:");
+        }
         for difference in &race.differences {
             println!("  {difference}");
         }
     }
 }
 
+/// Prints changed fields; a whole new or removed document as its fields' names.
+fn print_changes(changes: &[String]) {
+    // The kind of a record differs only if the record is created or deleted.
+    let whole = changes.iter().any(|change| change.starts_with(KIND_FIELD));
+    if whole {
+        let fields = changes
+            .iter()
+            .filter_map(|change| change.split(": ").next());
+        println!("  fields: {}", fields.collect::<Vec<&str>>().join(", "));
+        return;
+    }
+    for change in changes {
+        println!("  {change}");
+    }
+}
+
 async fn wait(
     session: &Session<'_>,
     kind: &str,
--- a/crates/geranium_ctl/src/command/hash_key.rs
+++ b/crates/geranium_ctl/src/command/hash_key.rs
@@ -9,10 +9,14 @@
 ///
 /// # Errors
 ///
-/// Returns an error if standard input cannot be read.
+/// Returns an error if standard input cannot be read or holds no key.
 pub fn run() -> Result<Exit, CtlError> {
     let text = std::io::read_to_string(std::io::stdin())
         .map_err(|e| CtlError::File("standard input".to_owned(), e))?;
-    println!("{}", hash_key(text.trim()));
+    let key = text.trim();
+    if key.is_empty() {
+        return Err(CtlError::Usage("the account key is empty".to_owned()));
+    }
+    println!("{}", hash_key(key));
     Ok(Exit::Done)
 }
--- a/crates/geranium_ctl/src/command/records.rs
+++ b/crates/geranium_ctl/src/command/records.rs
@@ -1,11 +1,12 @@
 //! Commands that show records.
 
 use geranium_operator::RecordView;
+use geranium_telemetry::time_of_day;
 
 use super::session::Session;
 use crate::ctl_error::CtlError;
 use crate::exit::Exit;
-use crate::output::{print_json, table, time_of_day};
+use crate::output::{print_json, table};
 
 /// Shows a record.
 pub async fn get(session: &Session<'_>, kind: &str, name: &str) -> Result<Exit, CtlError> {
--- a/crates/geranium_ctl/src/command/status.rs
+++ b/crates/geranium_ctl/src/command/status.rs
@@ -1,6 +1,6 @@
 //! Commands that show and explain the state.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use geranium_core::id::FailureDomainId;
@@ -9,7 +9,7 @@
 use super::session::Session;
 use crate::ctl_error::CtlError;
 use crate::exit::Exit;
-use crate::output::{print_json, table};
+use crate::output::{print_json, print_wrapped, table};
 
 /// Shows one screen: what is asked for, served, missing, and what needs a person.
 pub async fn run(session: &Session<'_>) -> Result<Exit, CtlError> {
@@ -39,13 +39,11 @@
     if session.invocation.json {
         print_json(&found)?;
     } else {
-        for explanation in &found {
-            for line in &explanation.lines {
-                println!("{line}");
-            }
-            for line in &explanation.would_change {
-                println!("would change it: {line}");
-            }
+        for line in distinct(found.iter().flat_map(|e| &e.lines)) {
+            println!("{line}");
+        }
+        for line in distinct(found.iter().flat_map(|e| &e.would_change)) {
+            println!("would change it: {line}");
         }
     }
     if found.is_empty() {
@@ -55,6 +53,12 @@
     Ok(Exit::Done)
 }
 
+/// Leaves out lines that several entry hosts say alike.
+fn distinct<'a>(lines: impl Iterator<Item = &'a String>) -> Vec<&'a String> {
+    let mut seen = BTreeSet::new();
+    lines.filter(|line| seen.insert(*line)).collect()
+}
+
 /// Returns the operator addresses of every known entry host, without repeats.
 pub fn operator_addresses(session: &Session<'_>, view: &StatusView) -> Vec<SocketAddr> {
     let known = view.hosts.iter().filter_map(|host| host.operator_address);
@@ -152,19 +156,18 @@
 
 fn print_problems(views: &[StatusView], unreached: &[FailureDomainId]) {
     for domain in unreached {
-        println!("not reached: no entry host of {domain} answered");
+        let problem = format!("no entry host of {domain} answered");
+        print_wrapped("not reached", &problem);
     }
     for view in views.iter().filter(|view| !view.store.reachable) {
-        println!(
-            "{}: the platform's service is unreachable",
-            view.process.failure_domain
-        );
+        let domain = view.process.failure_domain.as_str();
+        print_wrapped(domain, "the platform's service is unreachable");
     }
-    let needs: Vec<&String> = views.iter().flat_map(|view| &view.needs_person).collect();
-    if needs.is_empty() {
-        println!("needs a person: nothing");
+    let mut needs = views.iter().flat_map(|view| &view.needs_person).peekable();
+    if needs.peek().is_none() {
+        print_wrapped("needs a person", "nothing");
     }
     for need in needs {
-        println!("needs a person: {need}");
+        print_wrapped("needs a person", need);
     }
 }
--- a/crates/geranium_ctl/src/command/timeline.rs
+++ b/crates/geranium_ctl/src/command/timeline.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use geranium_core::id::{HostId, Incarnation};
+use geranium_core::event::EventSubject;
+use geranium_core::id::{AccountId, GroupId, HostId, Incarnation, RecordName, RequestId};
 use geranium_core::time::Timestamp;
-use geranium_telemetry::{Event, merge};
+use geranium_telemetry::{Event, merge, time_of_day};
 use serde::Serialize;
 
 use super::session::Session;
@@ -14,7 +15,7 @@
 use crate::cli::TimelineFilter;
 use crate::ctl_error::CtlError;
 use crate::exit::Exit;
-use crate::output::{print_json, time_of_day};
+use crate::output::print_json;
 use crate::timeline_svg;
 
 /// Time between two rounds of `--follow`.
@@ -101,15 +102,33 @@
 fn print_events(events: &[Event]) {
     for event in events {
         println!(
-            "{} {:<14} {:<18} {}",
+            "{} {:<14} {:<18} {}{}",
             time_of_day(event.time.wall),
             event.id.host.as_str(),
             event.kind.as_str(),
-            event.reason
+            event.reason,
+            render_subject(&event.subject)
         );
     }
 }
 
+/// Renders what an event concerns, as the filters take it.
+fn render_subject(subject: &EventSubject) -> String {
+    let ids = [
+        ("request", subject.request.as_ref().map(RequestId::as_str)),
+        ("group", subject.group.as_ref().map(GroupId::as_str)),
+        ("host", subject.host.as_ref().map(HostId::as_str)),
+        ("record", subject.record.as_ref().map(RecordName::as_str)),
+        ("account", subject.account.as_ref().map(AccountId::as_str)),
+    ];
+    let known = ids.into_iter().filter_map(|(name, id)| Some((name, id?)));
+    let words: Vec<String> = known.map(|(name, id)| format!("{name}={id}")).collect();
+    if words.is_empty() {
+        return String::new();
+    }
+    format!(" [{}]", words.join(" "))
+}
+
 fn render_query(filter: &TimelineFilter) -> String {
     let mut pairs: Vec<String> = filter
         .pairs
--- a/crates/geranium_ctl/src/output.rs
+++ b/crates/geranium_ctl/src/output.rs
@@ -1,12 +1,17 @@
 //! Output for people and for programs.
 
-use comfy_table::Table;
 use comfy_table::presets::NOTHING;
-use geranium_core::time::Timestamp;
+use comfy_table::{ContentArrangement, Table};
 use serde::Serialize;
 
 use crate::ctl_error::CtlError;
 
+/// Widest line, in columns.
+const WIDTH: u16 = 100;
+
+/// Blanks before the further lines of a sentence, less one.
+const INDENT: usize = 3;
+
 /// Prints a value as JSON.
 ///
 /// # Errors
@@ -23,19 +28,22 @@
     let mut table = Table::new();
     table
         .load_preset(NOTHING)
+        .set_content_arrangement(ContentArrangement::Dynamic)
+        .set_width(WIDTH)
         .set_header(header.iter().copied());
     table
 }
 
-/// Renders the time of day in UTC with milliseconds.
-pub fn time_of_day(time: Timestamp) -> String {
-    let millis = time.as_millis();
-    let seconds = millis / 1_000 % 86_400;
-    format!(
-        "{:02}:{:02}:{:02}.{:03}",
-        seconds / 3_600,
-        seconds / 60 % 60,
-        seconds % 60,
-        millis % 1_000
-    )
+/// Prints a labelled sentence, broken between words where a line is full.
+pub fn print_wrapped(label: &str, text: &str) {
+    let mut line = format!("{label}:");
+    for word in text.split_whitespace() {
+        if line.chars().count() + 1 + word.chars().count() > usize::from(WIDTH) {
+            println!("{line}");
+            line = " ".repeat(INDENT);
+        }
+        line.push(' ');
+        line.push_str(word);
+    }
+    println!("{line}");
 }
--- /dev/null
+++ b/crates/geranium_ctl/tests/ctl/fixture.rs
@@ -0,0 +1,142 @@
+//! Runs of the tool and the system that it is asked about.
+
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::time::SystemTime;
+
+use geranium_fakes::system::{DomainSize, OPERATOR_TOKEN, System};
+use serde_json::Value;
+
+/// The tool that these tests start.
+const GERANIUMCTL: &str = env!("CARGO_BIN_EXE_geraniumctl");
+
+/// What to do about an absent or old daemon.
+const HOW_TO_BUILD: &str = "run `cargo build -p geranium_ctl --examples` first";
+
+/// Two failure domains, of which the first can form a group.
+pub const DOMAINS: [DomainSize; 2] = [
+    DomainSize {
+        name: "lima-1",
+        entry_hosts: 1,
+        engines: 2,
+    },
+    DomainSize {
+        name: "lima-2",
+        entry_hosts: 1,
+        engines: 0,
+    },
+];
+
+/// How a run of the tool ended.
+#[derive(Debug)]
+pub struct Run {
+    /// Exit code.
+    pub code: Option<i32>,
+    /// Standard output.
+    pub out: String,
+    /// Standard error.
+    pub err: String,
+}
+
+impl Run {
+    /// Returns the output as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.out).unwrap_or_else(|e| panic!("{e} in {self:?}"))
+    }
+
+    /// Checks the exit code and returns the output.
+    #[track_caller]
+    pub fn exits(&self, code: i32) -> &str {
+        assert_eq!(self.code, Some(code), "{self:?}");
+        &self.out
+    }
+}
+
+/// The tool with the settings that each run gets.
+pub struct Tool {
+    /// Environment variables.
+    pub env: Vec<(&'static str, String)>,
+}
+
+impl Tool {
+    /// Makes a tool without settings.
+    pub fn bare() -> Self {
+        Self { env: Vec::new() }
+    }
+
+    /// Makes a tool that asks the entry hosts of a system.
+    pub fn of(system: &System) -> Self {
+        let hosts = system.entries.iter().map(|e| e.at.operator.to_string());
+        let hosts: Vec<String> = hosts.collect();
+        Self {
+            env: vec![
+                ("GERANIUM_HOSTS", hosts.join(",")),
+                ("GERANIUM_OPERATOR_TOKEN", OPERATOR_TOKEN.to_owned()),
+            ],
+        }
+    }
+
+    /// Runs the tool.
+    pub fn run(&self, args: &[&str]) -> Run {
+        self.run_with(args, "")
+    }
+
+    /// Runs the tool with a document on standard input.
+    pub fn run_on(&self, args: &[&str], document: &Value) -> Run {
+        self.run_with(args, &document.to_string())
+    }
+
+    /// Runs the tool with text on standard input.
+    pub fn run_with(&self, args: &[&str], stdin: &str) -> Run {
+        let mut child = Command::new(GERANIUMCTL)
+            .env_clear()
+            .envs(self.env.iter().map(|(name, value)| (*name, value)))
+            .args(args)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("geraniumctl starts");
+        // A run that reads no input may have ended already.
+        let _ = child
+            .stdin
+            .take()
+            .expect("piped")
+            .write_all(stdin.as_bytes());
+        let output = child.wait_with_output().expect("geraniumctl ends");
+        Run {
+            code: output.status.code(),
+            out: String::from_utf8(output.stdout).expect("UTF-8"),
+            err: String::from_utf8(output.stderr).expect("UTF-8"),
+        }
+    }
+}
+
+/// Starts a system of two entry hosts in two failure domains.
+pub async fn start() -> System {
+    System::start(entry_host(), &DOMAINS, |_| {}).await
+}
+
+/// Returns the daemon, which Cargo builds as an example of this package.
+///
+/// `cargo test --test ctl` alone builds no examples, so an absent or old one is
+/// not taken.
+fn entry_host() -> PathBuf {
+    let target = Path::new(GERANIUMCTL).parent().expect("a directory");
+    let path = target.join("examples").join("entry_host");
+    let sources = std::fs::read_to_string(path.with_extension("d"));
+    let sources = sources.unwrap_or_else(|e| panic!("{path:?} is not built: {e}; {HOW_TO_BUILD}"));
+    let built_at = modified(&path);
+    let (_, sources) = sources.split_once(": ").expect("a list of sources");
+    for source in sources.split_whitespace() {
+        let is_old = modified(Path::new(source)) > built_at;
+        assert!(!is_old, "{path:?} is older than {source}; {HOW_TO_BUILD}");
+    }
+    path
+}
+
+fn modified(path: &Path) -> SystemTime {
+    let metadata = std::fs::metadata(path).unwrap_or_else(|e| panic!("{path:?}: {e}"));
+    metadata.modified().expect("a time of change")
+}
--- /dev/null
+++ b/crates/geranium_ctl/tests/ctl/offline.rs
@@ -0,0 +1,113 @@
+//! What needs no entry host.
+
+use geranium_core::record::hash_key;
+use serde_json::json;
+
+use crate::fixture::Tool;
+
+#[test]
+fn help_and_version_need_no_settings_and_work_behind_a_command() {
+    let tool = Tool::bare();
+
+    let help = tool.run(&["--help"]);
+    let of_command = tool.run(&["apply", "--help"]);
+    let version = tool.run(&["--version"]);
+
+    let text = help.exits(0);
+    for word in ["validate", "timeline", "exit codes", "GERANIUM_HOSTS"] {
+        assert!(text.contains(word), "{word} is not in the help");
+    }
+    assert_eq!(of_command.exits(0), text);
+    let expected = format!("geraniumctl {}\n", env!("CARGO_PKG_VERSION"));
+    assert_eq!(version.exits(0), expected);
+}
+
+#[test]
+fn usage_faults_are_reported_all_at_once() {
+    let tool = Tool::bare();
+
+    let run = tool.run(&["frobnicate", "--timeout-ms", "soon", "--generation", "x"]);
+
+    run.exits(2);
+    for fault in [
+        "--timeout-ms has the value \"soon\"",
+        "--generation has the value \"x\"",
+        "command \"frobnicate\" does not exist",
+        "--hosts",
+        "--operator-token",
+    ] {
+        assert!(run.err.contains(fault), "{fault} is not in {}", run.err);
+    }
+}
+
+#[test]
+fn arguments_of_commands_are_checked_before_any_host_is_asked() {
+    let env = vec![
+        ("GERANIUM_HOSTS", "127.0.0.1:9".to_owned()),
+        ("GERANIUM_OPERATOR_TOKEN", "operator-token-x".to_owned()),
+    ];
+    let tool = Tool { env };
+
+    for (args, fault) in [
+        (&[][..], "a command is missing"),
+        (&["get", "model"], "argument NAME is missing"),
+        (
+            &["drain", "rack", "r1"],
+            "\"rack\" is not one of domain|host",
+        ),
+        (
+            &["explain", "rack", "r1"],
+            "\"rack\" is not one of request|",
+        ),
+        (&["timeline", "--kind", "odd"], "no event has this kind"),
+        (&["status", "stray"], "unexpected argument \"stray\""),
+        (&["list", "--hosts", "localhost:1"], "--hosts has the value"),
+    ] {
+        let run = tool.run(args);
+        run.exits(2);
+        assert!(run.err.contains(fault), "{fault} is not in {}", run.err);
+        assert!(!run.err.contains("operator-token-x"));
+    }
+}
+
+#[test]
+fn host_that_cannot_be_reached_is_named() {
+    let address = geranium_fakes::system::free_address().to_string();
+    let tool = Tool::bare();
+
+    let run = tool.run(&["status", "--hosts", &address, "--operator-token", "t"]);
+
+    run.exits(1);
+    assert!(run.err.contains("no entry host answered"), "{run:?}");
+    assert!(run.err.contains(&address), "{run:?}");
+}
+
+#[test]
+fn key_is_hashed_without_its_line_end_and_an_empty_one_is_refused() {
+    let tool = Tool::bare();
+
+    let run = tool.run_with(&["hash-key"], "desk-key\n");
+    let empty = tool.run_with(&["hash-key"], "\n");
+
+    assert_eq!(run.exits(0).trim(), hash_key("desk-key"));
+    assert_eq!(empty.exits(2), "");
+    assert!(empty.err.contains("the account key is empty"));
+}
+
+#[test]
+fn file_that_is_no_record_is_refused_before_any_host_is_asked() {
+    let address = geranium_fakes::system::free_address().to_string();
+    let settings = ["--hosts", &address, "--operator-token", "t"];
+    let tool = Tool::bare();
+
+    let absent = tool.run(&[&["apply", "no-such-file.json"][..], &settings].concat());
+    let broken = tool.run_with(&[&["apply", "-"][..], &settings].concat(), "{");
+    let unnamed = json!({"kind": "model"});
+    let unnamed = tool.run_on(&[&["apply", "-"][..], &settings].concat(), &unnamed);
+
+    absent.exits(1);
+    assert!(absent.err.contains("no-such-file.json"));
+    broken.exits(4);
+    unnamed.exits(4);
+    assert!(unnamed.err.contains("\"name\" is missing"));
+}
