Check ids before a host is asked and name hosts that explain missed

`explain` left out hosts that did not answer, so that "no entry host knows" claimed too much.

Ruled out: escaping the names, as no valid id needs it and the hosts would refuse them all the same.

Conclusion: ids are parsed as what they are and refused with exit code 2 (4 in a file). Settings that a command does not use are still accepted in silence.

--- a/crates/geranium_ctl/src/cli/command.rs
+++ b/crates/geranium_ctl/src/cli/command.rs
@@ -1,9 +1,13 @@
 //! Commands and their arguments.
 
+use std::fmt::Display;
+use std::str::FromStr;
 use std::time::Duration;
 
 use geranium_core::event::EventKind;
-use geranium_settings::SettingsReader;
+use geranium_core::id::{AccountId, FailureDomainId, GroupId, HostId, RecordName, RequestId};
+use geranium_core::record::RecordKind;
+use geranium_settings::{SettingSpec, SettingsReader};
 
 use super::specs::{ACCOUNT, GROUP, HOST, KIND, RECORD, REQUEST, SINCE};
 
@@ -63,21 +67,28 @@
     E: Fn(&str) -> Option<String>,
 {
     let by = [
-        ("request", REQUEST),
-        ("group", GROUP),
-        ("host", HOST),
-        ("record", RECORD),
-        ("account", ACCOUNT),
-        ("kind", KIND),
+        ("request", setting::<RequestId, _>(reader, &REQUEST)),
+        ("group", setting::<GroupId, _>(reader, &GROUP)),
+        ("host", setting::<HostId, _>(reader, &HOST)),
+        ("record", setting::<RecordName, _>(reader, &RECORD)),
+        ("account", setting::<AccountId, _>(reader, &ACCOUNT)),
+        ("kind", setting::<String, _>(reader, &KIND)),
     ];
-    let mut filter = TimelineFilter::default();
-    for (name, spec) in by {
-        if let Some(value) = reader.optional::<String>(&spec) {
-            filter.pairs.push((name, value));
-        }
+    let given = by.into_iter().filter_map(|(name, id)| Some((name, id?)));
+    TimelineFilter {
+        pairs: given.collect(),
+        since: reader.optional::<u64>(&SINCE).map(Duration::from_secs),
     }
-    filter.since = reader.optional::<u64>(&SINCE).map(Duration::from_secs);
-    filter
+}
+
+/// Reads a setting as text that is valid for a type.
+fn setting<T, E>(reader: &mut SettingsReader<E>, spec: &SettingSpec) -> Option<String>
+where
+    T: FromStr + Display,
+    T::Err: Display,
+    E: Fn(&str) -> Option<String>,
+{
+    reader.optional::<T>(spec).map(|value| value.to_string())
 }
 
 /// Reads the command; `None` stands for a recorded fault.
@@ -92,16 +103,16 @@
     let command = match word.as_str() {
         "validate" => Command::Validate(argument(reader, "FILE")?),
         "apply" => Command::Apply(argument(reader, "FILE")?),
-        "get" => Command::Get(argument(reader, "KIND")?, argument(reader, "NAME")?),
-        "list" => Command::List(kind_of(filter)),
+        "get" => record(reader, Command::Get)?,
+        "list" => Command::List(record_kind(reader, filter)?),
         "diff" => Command::Diff(argument(reader, "FILE")?),
-        "delete" => Command::Delete(argument(reader, "KIND")?, argument(reader, "NAME")?),
-        "history" => Command::History(argument(reader, "KIND")?, argument(reader, "NAME")?),
+        "delete" => record(reader, Command::Delete)?,
+        "history" => record(reader, Command::History)?,
         "status" => Command::Status,
-        "drain" => Command::Drain(one_of(reader, DRAINABLE)?, argument(reader, "NAME")?),
-        "undrain" => Command::Undrain(one_of(reader, DRAINABLE)?, argument(reader, "NAME")?),
-        "timeline" => Command::Timeline(checked(reader, filter)?),
-        "explain" => Command::Explain(one_of(reader, EXPLAINABLE)?, argument(reader, "ID")?),
+        "drain" => named(reader, DRAINABLE, Command::Drain)?,
+        "undrain" => named(reader, DRAINABLE, Command::Undrain)?,
+        "timeline" => Command::Timeline(event_kind(reader, filter)?),
+        "explain" => named(reader, EXPLAINABLE, Command::Explain)?,
         "hash-key" => Command::HashKey,
         other => {
             reader.conflict(format!(
@@ -126,23 +137,73 @@
     word
 }
 
-fn one_of<E>(reader: &mut SettingsReader<E>, valid: &[&str]) -> Option<String>
+/// Takes an argument that is valid for a type.
+fn valid<T, E>(reader: &mut SettingsReader<E>, name: &str) -> Option<String>
 where
+    T: FromStr,
+    T::Err: Display,
     E: Fn(&str) -> Option<String>,
 {
-    let valid_words = valid.join("|");
-    let word = argument(reader, &valid_words)?;
-    if valid.contains(&word.as_str()) {
-        return Some(word);
+    let word = argument(reader, name)?;
+    if let Err(e) = word.parse::<T>() {
+        reader.conflict(format!("argument {name} is {word:?}: {e}"));
+        return None;
     }
-    reader.conflict(format!("argument {word:?} is not one of {valid_words}"));
-    // The name belongs to the refused word and is no fault of its own.
-    let _ = reader.word();
-    None
+    Some(word)
+}
+
+/// Takes the kind and the name of a record.
+fn record<E>(
+    reader: &mut SettingsReader<E>,
+    command: impl FnOnce(String, String) -> Command,
+) -> Option<Command>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let kind = valid::<RecordKind, _>(reader, "KIND");
+    let name = valid::<RecordName, _>(reader, "NAME");
+    Some(command(kind?, name?))
+}
+
+/// Takes what something is, one of several words, and its name.
+fn named<E>(
+    reader: &mut SettingsReader<E>,
+    kinds: &[&str],
+    command: impl FnOnce(String, String) -> Command,
+) -> Option<Command>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let valid_words = kinds.join("|");
+    let kind = argument(reader, &valid_words)?;
+    if !kinds.contains(&kind.as_str()) {
+        reader.conflict(format!("argument {kind:?} is not one of {valid_words}"));
+    }
+    let name = match kind.as_str() {
+        "request" => valid::<RequestId, _>(reader, "ID"),
+        "group" => valid::<GroupId, _>(reader, "ID"),
+        "record" => valid::<RecordName, _>(reader, "NAME"),
+        "domain" => valid::<FailureDomainId, _>(reader, "NAME"),
+        _ => valid::<HostId, _>(reader, "NAME"),
+    };
+    Some(command(kind, name?))
+}
+
+/// Checks the kind of records, if one is given.
+fn record_kind<E>(reader: &mut SettingsReader<E>, filter: TimelineFilter) -> Option<Option<String>>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let kind = kind_of(filter);
+    if let Some(Err(e)) = kind.as_deref().map(RecordKind::from_str) {
+        reader.invalid(&KIND, kind.unwrap_or_default(), e.to_string());
+        return None;
+    }
+    Some(kind)
 }
 
 /// Checks the kind of events, which no entry host needs to be asked for.
-fn checked<E>(reader: &mut SettingsReader<E>, filter: TimelineFilter) -> Option<TimelineFilter>
+fn event_kind<E>(reader: &mut SettingsReader<E>, filter: TimelineFilter) -> Option<TimelineFilter>
 where
     E: Fn(&str) -> Option<String>,
 {
--- a/crates/geranium_ctl/src/command/apply.rs
+++ b/crates/geranium_ctl/src/command/apply.rs
@@ -1,7 +1,10 @@
 //! Commands that check and change records.
 
+use std::str::FromStr;
 use std::time::{Duration, Instant};
 
+use geranium_core::id::RecordName;
+use geranium_core::record::RecordKind;
 use geranium_operator::{ApplyAnswer, ApplyOutcome, ApplyRequest, InForceView};
 use serde_json::Value;
 
@@ -68,6 +71,10 @@
 /// Writes a record.
 pub async fn apply(session: &Session<'_>, path: &str) -> Result<Exit, CtlError> {
     let file = RecordFile::read(path)?;
+    // Kind and name are part of the path of the call, so they are checked here.
+    let is_no_record = |e: String| CtlError::Document(path.to_owned(), e);
+    RecordKind::from_str(&file.kind).map_err(|e| is_no_record(e.to_string()))?;
+    RecordName::from_str(&file.name).map_err(|e| is_no_record(e.to_string()))?;
     write(session, &file.kind, &file.name, file.document).await
 }
 
--- a/crates/geranium_ctl/src/command/mod.rs
+++ b/crates/geranium_ctl/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod drain;
+mod explain;
 mod hash_key;
 mod records;
 mod session;
@@ -42,6 +43,6 @@
         Command::Drain(what, name) => drain::drain(&session, what, name).await,
         Command::Undrain(what, name) => drain::undrain(&session, what, name).await,
         Command::Timeline(filter) => timeline::run(&session, filter).await,
-        Command::Explain(what, id) => status::explain(&session, what, id).await,
+        Command::Explain(what, id) => explain::run(&session, what, id).await,
     }
 }
--- a/crates/geranium_ctl/src/command/status.rs
+++ b/crates/geranium_ctl/src/command/status.rs
@@ -1,6 +1,6 @@
-//! Commands that show and explain the state.
+//! The state of all failure domains.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use geranium_core::id::FailureDomainId;
@@ -26,39 +26,6 @@
     Ok(Exit::Done)
 }
 
-/// Explains a request, a group, a host or a record.
-pub async fn explain(session: &Session<'_>, what: &str, id: &str) -> Result<Exit, CtlError> {
-    let client = &session.client;
-    let first = session.ask(|host| client.status(host)).await?;
-    let mut found = Vec::new();
-    for address in operator_addresses(session, &first) {
-        if let Ok(explanation) = client.explain(address, what, id).await {
-            found.push(explanation);
-        }
-    }
-    if session.invocation.json {
-        print_json(&found)?;
-    } else {
-        for line in distinct(found.iter().flat_map(|e| &e.lines)) {
-            println!("{line}");
-        }
-        for line in distinct(found.iter().flat_map(|e| &e.would_change)) {
-            println!("would change it: {line}");
-        }
-    }
-    if found.is_empty() {
-        eprintln!("no entry host knows {what} {id}");
-        return Ok(Exit::NotFound);
-    }
-    Ok(Exit::Done)
-}
-
-/// Leaves out lines that several entry hosts say alike.
-fn distinct<'a>(lines: impl Iterator<Item = &'a String>) -> Vec<&'a String> {
-    let mut seen = BTreeSet::new();
-    lines.filter(|line| seen.insert(*line)).collect()
-}
-
 /// Returns the operator addresses of every known entry host, without repeats.
 pub fn operator_addresses(session: &Session<'_>, view: &StatusView) -> Vec<SocketAddr> {
     let known = view.hosts.iter().filter_map(|host| host.operator_address);
@@ -122,7 +89,7 @@
         "FAILURE DOMAIN",
         "WANTED",
         "SERVING",
-        "",
+        "MISSING BECAUSE",
     ]);
     for model in views.iter().flat_map(|view| &view.models) {
         rows.add_row([
--- a/crates/geranium_ctl/tests/ctl/main.rs
+++ b/crates/geranium_ctl/tests/ctl/main.rs
@@ -2,5 +2,6 @@
 
 mod fixture;
 mod offline;
+mod outages;
 mod records;
 mod views;
--- a/crates/geranium_ctl/tests/ctl/offline.rs
+++ b/crates/geranium_ctl/tests/ctl/offline.rs
@@ -60,6 +60,16 @@
             "\"rack\" is not one of request|",
         ),
         (&["timeline", "--kind", "odd"], "no event has this kind"),
+        (&["get", "odd", "x"], "record kind \"odd\" does not exist"),
+        (&["get", "model", "a b"], "argument NAME is \"a b\""),
+        (&["delete", "model", "a/b"], "argument NAME is \"a/b\""),
+        (&["list", "--kind", "odd"], "--kind has the value \"odd\""),
+        (&["explain", "group", "a b"], "argument ID is \"a b\""),
+        (&["undrain", "domain", "a b"], "argument NAME is \"a b\""),
+        (
+            &["timeline", "--group", "a&b=c"],
+            "--group has the value \"a&b=c\"",
+        ),
         (&["status", "stray"], "unexpected argument \"stray\""),
         (&["list", "--hosts", "localhost:1"], "--hosts has the value"),
     ] {
@@ -105,6 +115,11 @@
     let unnamed = json!({"kind": "model"});
     let unnamed = tool.run_on(&[&["apply", "-"][..], &settings].concat(), &unnamed);
 
+    let misnamed = json!({"kind": "model", "name": "a b"});
+    let misnamed = tool.run_on(&[&["apply", "-"][..], &settings].concat(), &misnamed);
+
+    misnamed.exits(4);
+    assert!(misnamed.err.contains("\"a b\""), "{misnamed:?}");
     absent.exits(1);
     assert!(absent.err.contains("no-such-file.json"));
     broken.exits(4);
