Read sources with blanks in the list of the example

Cause: Cargo writes a blank in a path with a backslash, and a checkout in such a directory would have failed the check of the example's age.

A path with a blank was not tried.

--- a/crates/geranium_ctl/tests/ctl/fixture.rs
+++ b/crates/geranium_ctl/tests/ctl/fixture.rs
@@ -129,8 +129,11 @@
     let sources = sources.unwrap_or_else(|e| panic!("{path:?} is not built: {e}; {HOW_TO_BUILD}"));
     let built_at = modified(&path);
     let (_, sources) = sources.split_once(": ").expect("a list of sources");
+    // Cargo writes a blank within a path with a backslash before it.
+    let sources = sources.replace("\\ ", "\0");
     for source in sources.split_whitespace() {
-        let is_old = modified(Path::new(source)) > built_at;
+        let source = source.replace('\0', " ");
+        let is_old = modified(Path::new(&source)) > built_at;
         assert!(!is_old, "{path:?} is older than {source}; {HOW_TO_BUILD}");
     }
     path
