--- a/crates/geranium_ctl/src/command/timeline.rs
+++ b/crates/geranium_ctl/src/command/timeline.rs
@@ -15,7 +15,7 @@
 use crate::cli::TimelineFilter;
 use crate::ctl_error::CtlError;
 use crate::exit::Exit;
-use crate::output::print_json;
+use crate::output::{print_json, print_json_lines};
 use crate::timeline_svg;
 
 /// Time between two rounds of `--follow`.
@@ -32,6 +32,18 @@
     unreached: Vec<SocketAddr>,
 }
 
+impl Timeline {
+    /// Tells what the events leave out, a line each.
+    fn gaps(&self) -> Vec<String> {
+        let unreached = self.unreached.iter();
+        let mut lines: Vec<String> = unreached.map(|a| format!("not reached: {a}")).collect();
+        if self.dropped > 0 {
+            lines.push(format!("{} older events are no longer kept", self.dropped));
+        }
+        lines
+    }
+}
+
 /// Merges and prints events.
 pub async fn run(session: &Session<'_>, filter: &TimelineFilter) -> Result<Exit, CtlError> {
     let first = session.ask(|host| session.client.status(host)).await?;
@@ -41,20 +53,20 @@
     if let Some(path) = &session.invocation.svg {
         timeline_svg::write(path, &timeline.events)?;
     }
+    if session.invocation.follow {
+        for gap in timeline.gaps() {
+            eprintln!("{gap}");
+        }
+        return follow(session, &addresses, &query, timeline.events).await;
+    }
     if session.invocation.json {
         print_json(&timeline)?;
     } else {
         print_events(&timeline.events);
-        for address in &timeline.unreached {
-            println!("not reached: {address}");
-        }
-        if timeline.dropped > 0 {
-            println!("{} older events are no longer kept", timeline.dropped);
+        for gap in timeline.gaps() {
+            println!("{gap}");
         }
     }
-    if session.invocation.follow {
-        follow(session, &addresses, &query, &timeline.events).await;
-    }
     Ok(Exit::Done)
 }
 
@@ -74,24 +86,35 @@
     timeline
 }
 
-async fn follow(session: &Session<'_>, addresses: &[SocketAddr], query: &str, seen: &[Event]) {
+/// Prints events as they come, with `--json` one object a line, until it is
+/// stopped or cannot print.
+async fn follow(
+    session: &Session<'_>,
+    addresses: &[SocketAddr],
+    query: &str,
+    mut fresh: Vec<Event>,
+) -> Result<Exit, CtlError> {
     let mut newest = Newest::new();
-    remember(&mut newest, seen);
     loop {
-        tokio::time::sleep(FOLLOW_INTERVAL).await;
-        let timeline = collect(session, addresses, query).await;
-        let is_new = |event: &&Event| {
-            let key = (event.id.host.clone(), event.id.incarnation);
-            newest
-                .get(&key)
-                .is_none_or(|seen| event.id.sequence > *seen)
-        };
-        let fresh: Vec<Event> = timeline.events.iter().filter(is_new).cloned().collect();
-        print_events(&fresh);
+        if session.invocation.json {
+            print_json_lines(&fresh)?;
+        } else {
+            print_events(&fresh);
+        }
         remember(&mut newest, &fresh);
+        tokio::time::sleep(FOLLOW_INTERVAL).await;
+        fresh = collect(session, addresses, query).await.events;
+        fresh.retain(|event| is_new(&newest, event));
     }
 }
 
+fn is_new(newest: &Newest, event: &Event) -> bool {
+    let process = (event.id.host.clone(), event.id.incarnation);
+    newest
+        .get(&process)
+        .is_none_or(|seen| event.id.sequence > *seen)
+}
+
 fn remember(newest: &mut Newest, events: &[Event]) {
     for event in events {
         let process = (event.id.host.clone(), event.id.incarnation);
--- a/crates/geranium_ctl/src/output.rs
+++ b/crates/geranium_ctl/src/output.rs
@@ -23,6 +23,19 @@
     Ok(())
 }
 
+/// Prints each value as one line of JSON.
+///
+/// # Errors
+///
+/// Returns an error if a value cannot be serialised.
+pub fn print_json_lines(values: &[impl Serialize]) -> Result<(), CtlError> {
+    for value in values {
+        let text = serde_json::to_string(value).map_err(|e| CtlError::Output(e.to_string()))?;
+        println!("{text}");
+    }
+    Ok(())
+}
+
 /// Makes a table with a header.
 pub fn table(header: &[&str]) -> Table {
     let mut table = Table::new();
--- a/crates/geranium_ctl/tests/ctl/fixture.rs
+++ b/crates/geranium_ctl/tests/ctl/fixture.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::time::SystemTime;
 
 use geranium_fakes::system::{DomainSize, OPERATOR_TOKEN, System};
@@ -87,9 +87,9 @@
         self.run_with(args, &document.to_string())
     }
 
-    /// Runs the tool with text on standard input.
-    pub fn run_with(&self, args: &[&str], stdin: &str) -> Run {
-        let mut child = Command::new(GERANIUMCTL)
+    /// Starts the tool.
+    pub fn spawn(&self, args: &[&str]) -> Child {
+        Command::new(GERANIUMCTL)
             .env_clear()
             .envs(self.env.iter().map(|(name, value)| (*name, value)))
             .args(args)
@@ -97,7 +97,12 @@
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()
-            .expect("geraniumctl starts");
+            .expect("geraniumctl starts")
+    }
+
+    /// Runs the tool with text on standard input.
+    pub fn run_with(&self, args: &[&str], stdin: &str) -> Run {
+        let mut child = self.spawn(args);
         // A run that reads no input may have ended already.
         let _ = child
             .stdin
--- /dev/null
+++ b/crates/geranium_ctl/tests/ctl/following.rs
@@ -0,0 +1,54 @@
+//! A run of the tool that goes on until it is stopped.
+
+use std::io::{BufRead, BufReader};
+use std::process::Child;
+use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
+
+use crate::fixture::Tool;
+
+/// Longest wait for a line; reached only by a test that fails.
+const LIMIT: Duration = Duration::from_secs(40);
+
+/// A run of the tool; dropping it kills the process.
+pub struct Following {
+    child: Child,
+    lines: Receiver<String>,
+}
+
+impl Following {
+    /// Starts the tool.
+    pub fn start(tool: &Tool, args: &[&str]) -> Self {
+        let mut child = tool.spawn(args);
+        let out = BufReader::new(child.stdout.take().expect("piped"));
+        let (tx, lines) = channel();
+        std::thread::spawn(move || {
+            for line in out.lines().map_while(Result::ok) {
+                if tx.send(line).is_err() {
+                    return;
+                }
+            }
+        });
+        Self { child, lines }
+    }
+
+    /// Waits for the next line of the output.
+    pub fn next_line(&mut self) -> String {
+        self.lines.recv_timeout(LIMIT).expect("a line in time")
+    }
+
+    /// Returns whether the process goes on.
+    pub fn is_running(&mut self) -> bool {
+        self.child
+            .try_wait()
+            .expect("the process is ours")
+            .is_none()
+    }
+}
+
+impl Drop for Following {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/geranium_ctl/tests/ctl/main.rs
+++ b/crates/geranium_ctl/tests/ctl/main.rs
@@ -1,6 +1,7 @@
 //! The tool as a process, alone and against a small system.
 
 mod fixture;
+mod following;
 mod offline;
 mod outages;
 mod records;
--- a/crates/geranium_ctl/tests/ctl/views.rs
+++ b/crates/geranium_ctl/tests/ctl/views.rs
@@ -1,13 +1,14 @@
 //! Commands that show and explain the state.
 
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::Duration;
 
-use geranium_fakes::system::until;
-use geranium_fakes::system::{System, open_groups};
+use geranium_fakes::system::{System, account, open_groups, until};
 use serde_json::Value;
 
 use crate::fixture::{Tool, start};
+use crate::following::Following;
 
 /// Widest line that one screen takes.
 const COLUMNS: usize = 100;
@@ -159,3 +160,26 @@
     domain.exits(0);
     again.exits(6);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn followed_time_line_prints_each_event_once_as_it_comes() {
+    let system = start().await;
+    let tool = Tool::of(&system);
+    let mut run = Following::start(&tool, &["timeline", "--follow", "--json"]);
+    let mut next = || -> Value {
+        let line = run.next_line();
+        serde_json::from_str(&line).unwrap_or_else(|e| panic!("{e}: {line}"))
+    };
+    let mut ids = BTreeSet::new();
+    let first = next();
+    ids.insert(first["id"].to_string());
+
+    system.apply(&account()).await;
+
+    let mut event = first;
+    while event["subject"]["record"] != "desk" {
+        event = next();
+        assert!(ids.insert(event["id"].to_string()), "{event} came twice");
+    }
+    assert!(run.is_running());
+}
