--- /dev/null
+++ b/crates/geranium_ctl/src/cli/command.rs
@@ -0,0 +1,225 @@
+//! Commands and their arguments.
+
+use std::fmt::Display;
+use std::str::FromStr;
+use std::time::Duration;
+
+use geranium_core::event::EventKind;
+use geranium_core::id::{AccountId, FailureDomainId, GroupId, HostId, RecordName, RequestId};
+use geranium_core::record::RecordKind;
+use geranium_settings::{SettingSpec, SettingsReader};
+
+use super::specs::{ACCOUNT, GROUP, HOST, KIND, RECORD, REQUEST, SINCE};
+
+/// What can be drained.
+const DRAINABLE: &[&str] = &["domain", "host"];
+
+/// What can be explained.
+const EXPLAINABLE: &[&str] = &["request", "group", "host", "record"];
+
+/// Conditions on events, as rendered into a query.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TimelineFilter {
+    /// Query pairs other than the time.
+    pub pairs: Vec<(&'static str, String)>,
+    /// Only events of this last time.
+    pub since: Option<Duration>,
+}
+
+/// A command with its arguments.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Prints the help text.
+    Help,
+    /// Prints the version.
+    Version,
+    /// Checks a record.
+    Validate(String),
+    /// Writes a record.
+    Apply(String),
+    /// Shows a record.
+    Get(String, String),
+    /// Lists records.
+    List(Option<String>),
+    /// Shows what a document would change.
+    Diff(String),
+    /// Deletes a record.
+    Delete(String, String),
+    /// Shows the changes of a record.
+    History(String, String),
+    /// Shows the state.
+    Status,
+    /// Takes something out of service.
+    Drain(String, String),
+    /// Brings something back.
+    Undrain(String, String),
+    /// Merges events.
+    Timeline(TimelineFilter),
+    /// Explains something.
+    Explain(String, String),
+    /// Hashes an account key.
+    HashKey,
+}
+
+/// Reads the conditions on events.
+pub fn read_filter<E>(reader: &mut SettingsReader<E>) -> TimelineFilter
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let by = [
+        ("request", setting::<RequestId, _>(reader, &REQUEST)),
+        ("group", setting::<GroupId, _>(reader, &GROUP)),
+        ("host", setting::<HostId, _>(reader, &HOST)),
+        ("record", setting::<RecordName, _>(reader, &RECORD)),
+        ("account", setting::<AccountId, _>(reader, &ACCOUNT)),
+        ("kind", setting::<String, _>(reader, &KIND)),
+    ];
+    let given = by.into_iter().filter_map(|(name, id)| Some((name, id?)));
+    TimelineFilter {
+        pairs: given.collect(),
+        since: reader.optional::<u64>(&SINCE).map(Duration::from_secs),
+    }
+}
+
+/// Reads a setting as text that is valid for a type.
+fn setting<T, E>(reader: &mut SettingsReader<E>, spec: &SettingSpec) -> Option<String>
+where
+    T: FromStr + Display,
+    T::Err: Display,
+    E: Fn(&str) -> Option<String>,
+{
+    reader.optional::<T>(spec).map(|value| value.to_string())
+}
+
+/// Reads the command; `None` stands for a recorded fault.
+pub fn read_command<E>(reader: &mut SettingsReader<E>, filter: TimelineFilter) -> Option<Command>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let Some(word) = reader.word() else {
+        reader.conflict("a command is missing; see geraniumctl --help");
+        return None;
+    };
+    let command = match word.as_str() {
+        "validate" => Command::Validate(argument(reader, "FILE")?),
+        "apply" => Command::Apply(argument(reader, "FILE")?),
+        "get" => record(reader, Command::Get)?,
+        "list" => Command::List(record_kind(reader, filter)?),
+        "diff" => Command::Diff(argument(reader, "FILE")?),
+        "delete" => record(reader, Command::Delete)?,
+        "history" => record(reader, Command::History)?,
+        "status" => Command::Status,
+        "drain" => named(reader, DRAINABLE, Command::Drain)?,
+        "undrain" => named(reader, DRAINABLE, Command::Undrain)?,
+        "timeline" => Command::Timeline(event_kind(reader, filter)?),
+        "explain" => named(reader, EXPLAINABLE, Command::Explain)?,
+        "hash-key" => Command::HashKey,
+        other => {
+            reader.conflict(format!(
+                "command {other:?} does not exist; see geraniumctl --help"
+            ));
+            return None;
+        }
+    };
+    Some(command)
+}
+
+fn argument<E>(reader: &mut SettingsReader<E>, name: &str) -> Option<String>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let word = reader.word();
+    if word.is_none() {
+        reader.conflict(format!(
+            "argument {name} is missing; see geraniumctl --help"
+        ));
+    }
+    word
+}
+
+/// Takes an argument that is valid for a type.
+fn valid<T, E>(reader: &mut SettingsReader<E>, name: &str) -> Option<String>
+where
+    T: FromStr,
+    T::Err: Display,
+    E: Fn(&str) -> Option<String>,
+{
+    let word = argument(reader, name)?;
+    if let Err(e) = word.parse::<T>() {
+        reader.conflict(format!("argument {name} is {word:?}: {e}"));
+        return None;
+    }
+    Some(word)
+}
+
+/// Takes the kind and the name of a record.
+fn record<E>(
+    reader: &mut SettingsReader<E>,
+    command: impl FnOnce(String, String) -> Command,
+) -> Option<Command>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let kind = valid::<RecordKind, _>(reader, "KIND");
+    let name = valid::<RecordName, _>(reader, "NAME");
+    Some(command(kind?, name?))
+}
+
+/// Takes what something is, one of several words, and its name.
+fn named<E>(
+    reader: &mut SettingsReader<E>,
+    kinds: &[&str],
+    command: impl FnOnce(String, String) -> Command,
+) -> Option<Command>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let valid_words = kinds.join("|");
+    let kind = argument(reader, &valid_words)?;
+    if !kinds.contains(&kind.as_str()) {
+        reader.conflict(format!("argument {kind:?} is not one of {valid_words}"));
+    }
+    let name = match kind.as_str() {
+        "request" => valid::<RequestId, _>(reader, "ID"),
+        "group" => valid::<GroupId, _>(reader, "ID"),
+        "record" => valid::<RecordName, _>(reader, "NAME"),
+        "domain" => valid::<FailureDomainId, _>(reader, "NAME"),
+        _ => valid::<HostId, _>(reader, "NAME"),
+    };
+    Some(command(kind, name?))
+}
+
+/// Checks the kind of records, if one is given.
+fn record_kind<E>(reader: &mut SettingsReader<E>, filter: TimelineFilter) -> Option<Option<String>>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let kind = kind_of(filter);
+    if let Some(Err(e)) = kind.as_deref().map(RecordKind::from_str) {
+        reader.invalid(&KIND, kind.unwrap_or_default(), e.to_string());
+        return None;
+    }
+    Some(kind)
+}
+
+/// Checks the kind of events, which no entry host needs to be asked for.
+fn event_kind<E>(reader: &mut SettingsReader<E>, filter: TimelineFilter) -> Option<TimelineFilter>
+where
+    E: Fn(&str) -> Option<String>,
+{
+    let Some(kind) = kind_of(filter.clone()) else {
+        return Some(filter);
+    };
+    let names: Vec<&str> = EventKind::ALL.iter().map(|kind| kind.as_str()).collect();
+    if names.contains(&kind.as_str()) {
+        return Some(filter);
+    }
+    let valid = format!("no event has this kind; kinds: {}", names.join(", "));
+    reader.invalid(&KIND, kind, valid);
+    None
+}
+
+fn kind_of(filter: TimelineFilter) -> Option<String> {
+    let kind = filter.pairs.into_iter().find(|(name, _)| *name == "kind");
+    kind.map(|(_, value)| value)
+}
--- a/crates/geranium_ctl/src/command/status.rs
+++ b/crates/geranium_ctl/src/command/status.rs
@@ -1,4 +1,4 @@
-//! Commands that show and explain the state.
+//! The state of all failure domains.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -9,7 +9,7 @@
 use super::session::Session;
 use crate::ctl_error::CtlError;
 use crate::exit::Exit;
-use crate::output::{print_json, table};
+use crate::output::{print_json, print_wrapped, table};
 
 /// Shows one screen: what is asked for, served, missing, and what needs a person.
 pub async fn run(session: &Session<'_>) -> Result<Exit, CtlError> {
@@ -26,35 +26,6 @@
     Ok(Exit::Done)
 }
 
-/// Explains a request, a group, a host or a record.
-pub async fn explain(session: &Session<'_>, what: &str, id: &str) -> Result<Exit, CtlError> {
-    let client = &session.client;
-    let first = session.ask(|host| client.status(host)).await?;
-    let mut found = Vec::new();
-    for address in operator_addresses(session, &first) {
-        if let Ok(explanation) = client.explain(address, what, id).await {
-            found.push(explanation);
-        }
-    }
-    if session.invocation.json {
-        print_json(&found)?;
-    } else {
-        for explanation in &found {
-            for line in &explanation.lines {
-                println!("{line}");
-            }
-            for line in &explanation.would_change {
-                println!("would change it: {line}");
-            }
-        }
-    }
-    if found.is_empty() {
-        eprintln!("no entry host knows {what} {id}");
-        return Ok(Exit::NotFound);
-    }
-    Ok(Exit::Done)
-}
-
 /// Returns the operator addresses of every known entry host, without repeats.
 pub fn operator_addresses(session: &Session<'_>, view: &StatusView) -> Vec<SocketAddr> {
     let known = view.hosts.iter().filter_map(|host| host.operator_address);
@@ -118,7 +89,7 @@
         "FAILURE DOMAIN",
         "WANTED",
         "SERVING",
-        "",
+        "MISSING BECAUSE",
     ]);
     for model in views.iter().flat_map(|view| &view.models) {
         rows.add_row([
@@ -152,19 +123,18 @@
 
 fn print_problems(views: &[StatusView], unreached: &[FailureDomainId]) {
     for domain in unreached {
-        println!("not reached: no entry host of {domain} answered");
+        let problem = format!("no entry host of {domain} answered");
+        print_wrapped("not reached", &problem);
     }
     for view in views.iter().filter(|view| !view.store.reachable) {
-        println!(
-            "{}: the platform's service is unreachable",
-            view.process.failure_domain
-        );
+        let domain = view.process.failure_domain.as_str();
+        print_wrapped(domain, "the platform's service is unreachable");
     }
-    let needs: Vec<&String> = views.iter().flat_map(|view| &view.needs_person).collect();
-    if needs.is_empty() {
-        println!("needs a person: nothing");
+    let mut needs = views.iter().flat_map(|view| &view.needs_person).peekable();
+    if needs.peek().is_none() {
+        print_wrapped("needs a person", "nothing");
     }
     for need in needs {
-        println!("needs a person: {need}");
+        print_wrapped("needs a person", need);
     }
 }
--- a/crates/geranium_daemon/tests/system/main.rs
+++ b/crates/geranium_daemon/tests/system/main.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod control;
 mod load;
+mod operator_interface;
 mod operators;
 mod requests;
 
