Count a silent holder as gone also while it leaves

Cause: a host that said it leaves and was then killed kept the state "leaving", which hid that it is silent. Its claims counted as held, so that resends waited until their deadline instead of being told outcome_unknown.

Ruled out: the waiting half of the claim state machine, which asks for the holder at each poll.

Before: holder_killed_during_its_planned_stop_leaves_an_unknown_outcome failed after 61 s without a definite answer. After: 9 of 9 claim tests pass in 12.1 s.

Conclusion: silence is kept beside the state that operators see.

--- a/crates/geranium_daemon/src/node.rs
+++ b/crates/geranium_daemon/src/node.rs
@@ -359,9 +359,10 @@
         let identity = self.recorder.identity();
         let is_own = holder.host == identity.host && holder.incarnation == identity.incarnation;
         let peers = self.peers.view();
-        let is_peer = peers.hosts.get(&holder.host).is_some_and(|known| {
-            known.info.incarnation == holder.incarnation && known.state != "suspected"
-        });
+        let is_peer = peers
+            .hosts
+            .get(&holder.host)
+            .is_some_and(|known| known.info.incarnation == holder.incarnation && !known.silent);
         if is_own || is_peer {
             HolderStatus::Live
         } else {
--- a/crates/geranium_daemon/src/peers/view.rs
+++ b/crates/geranium_daemon/src/peers/view.rs
@@ -25,6 +25,8 @@
     pub info: MemberInfo,
     /// `alive`, `suspected`, `unheard` or `leaving`.
     pub state: &'static str,
+    /// Whether it is silent, in whatever state it was before.
+    pub silent: bool,
     /// When it was last heard of, on this host's clock.
     pub heard_at: Timestamp,
     /// Digest of the records that it has in force.
@@ -59,6 +61,7 @@
             let known = KnownHost {
                 info: info.clone(),
                 state: state_text(state, info.leaving),
+                silent: state == PeerState::Suspected,
                 heard_at: membership.heard_at(&info.host).unwrap_or_default(),
                 digest: config.digest,
             };
@@ -102,6 +105,7 @@
         let known = KnownHost {
             info: info.clone(),
             state,
+            silent: !reachable,
             heard_at,
             digest,
         };
--- a/crates/geranium_daemon/tests/system/claims.rs
+++ b/crates/geranium_daemon/tests/system/claims.rs
@@ -182,9 +182,10 @@
 async fn call_in_progress(
     system: &System,
     key: &str,
+    delay_ms: u64,
 ) -> tokio::task::JoinHandle<Option<StatusCode>> {
     system.service.set_fault(ServiceFault {
-        delay_after_ms: Some(1_500),
+        delay_after_ms: Some(delay_ms),
         ..ServiceFault::default()
     });
     let req = system.ban_request(0, key, "{\"reader\":\"r1\"}");
@@ -203,7 +204,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stop_keeps_the_answer_of_a_call_whose_caller_left() {
     let mut system = system().await;
-    let call = call_in_progress(&system, "k7").await;
+    let call = call_in_progress(&system, "k7", 1_500).await;
 
     call.abort();
     system.entries[0].terminate();
@@ -218,7 +219,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stop_waits_until_the_answer_is_kept() {
     let mut system = system().await;
-    let call = call_in_progress(&system, "k8").await;
+    let call = call_in_progress(&system, "k8", 1_500).await;
     let slow = |millis| PlatformFault {
         delay_ms: Some(millis),
         ..PlatformFault::default()
@@ -235,3 +236,28 @@
     assert_eq!(resent.0, StatusCode::OK, "{}", resent.1);
     assert_eq!(executions(&system, "k8"), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn holder_killed_during_its_planned_stop_leaves_an_unknown_outcome() {
+    let mut system = system().await;
+    let call = call_in_progress(&system, "k9", 20_000).await;
+
+    system.entries[0].terminate();
+    until("the news that the host leaves", || async {
+        let at = system.entry(1).operator;
+        let hosts = system.operator.status(at).await.ok()?.hosts;
+        let leaving = |host: &geranium_operator::HostView| host.state == "leaving";
+        hosts.iter().any(leaving).then_some(())
+    })
+    .await;
+    system.entries[0].kill();
+    let resent = until("a definite answer", || async {
+        let (_, body) = system.ban(1, "k9").await.ok()?;
+        (body["error"]["type"] == "outcome_unknown").then_some(body)
+    })
+    .await;
+
+    assert_eq!(call.await.expect("the call ends"), None);
+    assert!(resent["error"]["ran"].is_null());
+    assert_eq!(executions(&system, "k9"), 1);
+}
