Give an attempt up also before its group accepts it

Cause: while a group had not accepted a completion, the relay heeded neither the caller's leaving nor an expired cold credit nor a closed gate; it waited for the accept timeout of 5 s and held its slot and credit meanwhile.

Ruled out: the queue before it, which a caller leaves by dropping its ticket.

Conclusion: the same checks hold from the first byte to the last.

--- a/crates/geranium_daemon/src/relay/job.rs
+++ b/crates/geranium_daemon/src/relay/job.rs
@@ -15,7 +15,7 @@
     Delivery, FinishReason, Piece, PieceBody, ResumePoint, StreamAssembler, StreamEnd, StreamLimits,
 };
 use geranium_core::time::Timestamp;
-use geranium_engine::{CompletionEvent, CompletionStream, EngineApi, Resume};
+use geranium_engine::{CompletionEvent, CompletionStream, EngineApi, EngineError, Resume};
 use geranium_net::ApiError;
 use hyper::StatusCode;
 
@@ -277,7 +277,13 @@
             Err(e) => return AttemptEnd::Failed(e),
         };
         let from = resume.as_ref().map_or(0, |resume| resume.from_index);
-        let opened = attempt::open(&self.node, now, &self.req, choice, resume).await;
+        let opened = match self.open(now, choice, resume).await {
+            Ok(opened) => opened,
+            Err(end) => {
+                self.any_sent = true;
+                return end;
+            }
+        };
         let mut stream = match opened {
             Ok(stream) => stream,
             Err(e) if e.is_not_run() => return AttemptEnd::NotRun(e.to_string()),
@@ -291,6 +297,29 @@
             .await
     }
 
+    /// Opens the stream, unless the attempt is given up before the group accepts.
+    async fn open(
+        &mut self,
+        now: Timestamp,
+        choice: &RouteChoice,
+        resume: Option<Resume>,
+    ) -> Result<Result<CompletionStream, EngineError>, AttemptEnd> {
+        let mut checks = tokio::time::interval(CHECK_INTERVAL);
+        let opening = attempt::open(&self.node, now, &self.req, choice, resume);
+        tokio::pin!(opening);
+        loop {
+            tokio::select! {
+                opened = &mut opening => return Ok(opened),
+                () = self.output.left() => return Err(AttemptEnd::ReaderGone),
+                _ = checks.tick() => {
+                    if let Some(end) = check(&self.node, &self.req, choice, now, 0) {
+                        return Err(end);
+                    }
+                }
+            }
+        }
+    }
+
     /// Returns where the next attempt goes on.
     fn resume_point(&mut self) -> Result<Option<Resume>, ApiError> {
         self.raw.clear();
@@ -325,7 +354,7 @@
             let event = tokio::select! {
                 event = stream.next() => event,
                 () = self.output.left() => return AttemptEnd::ReaderGone,
-                _ = checks.tick() => match self.check(choice, heard_at, tokens) {
+                _ = checks.tick() => match check(&self.node, &self.req, choice, heard_at, tokens) {
                     Some(end) => return end,
                     None => continue,
                 }
@@ -350,35 +379,6 @@
         }
     }
 
-    /// Decides whether the attempt may go on.
-    fn check(&self, choice: &RouteChoice, heard_at: Timestamp, tokens: u64) -> Option<AttemptEnd> {
-        let now = self.node.clock.now();
-        if now >= self.req.deadline {
-            return Some(AttemptEnd::DeadlinePassed);
-        }
-        if self.node.traffic.must_leave(now, choice) {
-            return Some(AttemptEnd::Left("its cold credit expired".to_owned()));
-        }
-        let silent = now.since(heard_at);
-        let limit = if tokens == 0 {
-            FIRST_TOKEN_TIMEOUT
-        } else {
-            TOKEN_TIMEOUT
-        };
-        if silent >= limit {
-            return Some(AttemptEnd::Broken(format!(
-                "no token for {} ms",
-                silent.as_millis()
-            )));
-        }
-        if silent >= CLOSED_GRACE && self.node.is_broken(&choice.group, choice.fencing) {
-            return Some(AttemptEnd::Broken(
-                "a member of the group is missing".to_owned(),
-            ));
-        }
-        None
-    }
-
     async fn take_in(
         &mut self,
         piece: geranium_engine::CompletionPiece,
@@ -564,3 +564,38 @@
         }
     }
 }
+
+/// Decides whether the attempt may go on.
+fn check(
+    node: &Node,
+    req: &RelayRequest,
+    choice: &RouteChoice,
+    heard_at: Timestamp,
+    tokens: u64,
+) -> Option<AttemptEnd> {
+    let now = node.clock.now();
+    if now >= req.deadline {
+        return Some(AttemptEnd::DeadlinePassed);
+    }
+    if node.traffic.must_leave(now, choice) {
+        return Some(AttemptEnd::Left("its cold credit expired".to_owned()));
+    }
+    let silent = now.since(heard_at);
+    let limit = if tokens == 0 {
+        FIRST_TOKEN_TIMEOUT
+    } else {
+        TOKEN_TIMEOUT
+    };
+    if silent >= limit {
+        return Some(AttemptEnd::Broken(format!(
+            "no token for {} ms",
+            silent.as_millis()
+        )));
+    }
+    if silent >= CLOSED_GRACE && node.is_broken(&choice.group, choice.fencing) {
+        return Some(AttemptEnd::Broken(
+            "a member of the group is missing".to_owned(),
+        ));
+    }
+    None
+}
--- a/crates/geranium_daemon/tests/system/requests.rs
+++ b/crates/geranium_daemon/tests/system/requests.rs
@@ -340,3 +340,52 @@
     assert_eq!(refusal.status, StatusCode::UNPROCESSABLE_ENTITY);
     assert!(crashes(&system) <= 2, "{} groups crashed", crashes(&system));
 }
+
+/// Returns how many callers left before their answer was whole.
+async fn callers_left(system: &System) -> u64 {
+    let at = system.entry(0).operator;
+    let req = geranium_net::HttpRequest::get(at, "/metrics");
+    let (_, body) = system
+        .http
+        .send_whole(req, Duration::from_secs(5))
+        .await
+        .expect("metrics");
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let left = text.lines().find(|line| line.contains("\"caller_left\""));
+    let count = left.and_then(|line| line.rsplit(' ').next()?.parse().ok());
+    count.unwrap_or_default()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_leaves_ends_a_request_that_no_group_has_accepted_yet() {
+    // Below the time after which a group that does not accept is given up.
+    const ENGINE_PAUSE: Duration = Duration::from_millis(4_000);
+    const PATIENCE: Duration = Duration::from_millis(300);
+    let system = serving_system(1, ONE_DOMAIN).await;
+
+    // A trial tells nothing if the engine goes on before the host is looked at.
+    until("an end while the engine stands still", || async {
+        system.chat_until_ok(0, "before the pause", 2).await;
+        let before = callers_left(&system).await;
+        for engine in system.engines.iter().flatten() {
+            engine.set_fault(&EngineFault {
+                pause_ms: u64::try_from(ENGINE_PAUSE.as_millis()).ok(),
+                ..EngineFault::default()
+            });
+        }
+        let start = std::time::Instant::now();
+        let chat = ChatRequest::user("summary", "nobody waits for it");
+        let req = system.chat_request(0, &chat);
+        let answer = system.http.send_whole(req, PATIENCE).await;
+        assert!(answer.is_err(), "a paused engine answered");
+        while start.elapsed() < ENGINE_PAUSE {
+            let ended = callers_left(&system).await > before;
+            if ended && start.elapsed() < ENGINE_PAUSE {
+                return Some(());
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        None
+    })
+    .await;
+}
