--- a/crates/geranium_daemon/src/caller/chat.rs
+++ b/crates/geranium_daemon/src/caller/chat.rs
@@ -41,7 +41,7 @@
     if outcome.is_err() {
         drop_body(&mut req).await;
     }
-    Ok(outcome.inspect_err(|e| node.metrics.answered(CallKind::Chat, &e.kind))?)
+    Ok(outcome?)
 }
 
 /// Lists the models that the caller may use.
@@ -67,6 +67,19 @@
 }
 
 async fn complete(node: &Arc<Node>, req: &mut Request) -> std::result::Result<Response, ApiError> {
+    let completion = accept(node, req)
+        .await
+        .inspect_err(|e| count_refusal(node, e))?;
+    node.traffic.count_request(node.clock.now());
+    serve(node, completion).await
+}
+
+/// Counts a refusal ahead of the relay, which counts its own outcomes.
+fn count_refusal(node: &Node, e: &ApiError) {
+    node.metrics.answered(CallKind::Chat, &e.kind);
+}
+
+async fn accept(node: &Node, req: &mut Request) -> std::result::Result<Completion, ApiError> {
     let account = auth::account(node, req)?;
     let now = node.clock.now();
     let deadline = headers::deadline(req.headers(), now, node.settings.default_deadline)?;
@@ -78,8 +91,7 @@
     if node.is_stopping() {
         return Err(refusal::stopping());
     }
-    node.traffic.count_request(now);
-    serve(node, completion).await
+    Ok(completion)
 }
 
 /// Checks a body and makes the request to relay.
@@ -157,7 +169,8 @@
     node: &Arc<Node>,
     completion: Completion,
 ) -> std::result::Result<Response, ApiError> {
-    let admitted = admit(node, &completion.relay).await?;
+    let admitted = admit(node, &completion.relay).await;
+    let admitted = admitted.inspect_err(|e| count_refusal(node, e))?;
     let request = completion.relay.request.clone();
     let mut res = if completion.stream {
         stream(node, completion.relay, admitted).await?
--- a/crates/geranium_daemon/src/caller/forward.rs
+++ b/crates/geranium_daemon/src/caller/forward.rs
@@ -18,7 +18,9 @@
     let account = account(&node, &req)?;
     let deadline = headers::deadline(req.headers(), now, node.settings.default_deadline)?;
     let request = headers::request_id(req.headers())?;
-    let body = read_body(&mut req, node.settings.max_body).await?;
+    let body = read_body(&mut req, node.settings.max_body)
+        .await
+        .map_err(ApiError::not_run)?;
     let mut completion = check(&node, account, request, deadline, &body)?;
     completion.relay.forwarded = true;
     if node.is_stopping() {
--- a/crates/geranium_daemon/src/caller/service.rs
+++ b/crates/geranium_daemon/src/caller/service.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use geranium_core::id::{AccountId, RecordName, RequestId};
+use geranium_core::engine::HostState;
+use geranium_core::id::{AccountId, HostId, RecordName, RequestId};
 use geranium_core::once::{
     ClaimAnswer, ClaimRequest, Fingerprint, IdempotencyKey, KeptBody, OtherAttempts,
     UpstreamAnswer, UpstreamOutcome,
@@ -164,14 +165,19 @@
     })
 }
 
-/// Returns where the service listens: this failure domain first, drained ones not at all.
+/// Returns where the service listens: this failure domain first; drained and
+/// leaving hosts not at all.
 fn endpoints(node: &Node, spec: &ServiceSpec) -> Vec<SocketAddr> {
     let view = node.published.view();
     let drained = view.records.drained();
+    let leaving = |host: &HostId| {
+        let listed = view.hosts.iter().find(|entry| entry.host == *host);
+        listed.is_some_and(|entry| entry.state == HostState::Leaving)
+    };
     let usable = spec
         .endpoints
         .iter()
-        .filter(|e| !drained.covers(&e.failure_domain, &e.host));
+        .filter(|e| !drained.covers(&e.failure_domain, &e.host) && !leaving(&e.host));
     let mut endpoints: Vec<_> = usable.collect();
     endpoints.sort_by_key(|e| e.failure_domain != node.settings.failure_domain);
     endpoints.into_iter().map(|e| e.address).collect()
--- a/crates/geranium_daemon/src/metrics.rs
+++ b/crates/geranium_daemon/src/metrics.rs
@@ -85,6 +85,8 @@
     pub store_reachable: Gauge,
     /// Whether this process leads its failure domain.
     pub leading: Gauge,
+    /// Known entry hosts whose records differ from those in force here.
+    pub hosts_behind: Gauge,
     /// Known entry hosts, by state.
     pub entry_hosts: Family<ReasonLabel, Gauge>,
 }
@@ -114,6 +116,7 @@
             events_dropped: Gauge::default(),
             store_reachable: Gauge::default(),
             leading: Gauge::default(),
+            hosts_behind: Gauge::default(),
             entry_hosts: Family::default(),
         };
         metrics.register_requests();
@@ -203,6 +206,11 @@
             self.store_reachable.clone(),
         );
         registry.register("leading", "Leads its failure domain", self.leading.clone());
+        registry.register(
+            "hosts_behind",
+            "Entry hosts whose records differ from those in force here",
+            self.hosts_behind.clone(),
+        );
         registry.register(
             "entry_hosts",
             "Known entry hosts by state",
--- a/crates/geranium_daemon/src/node.rs
+++ b/crates/geranium_daemon/src/node.rs
@@ -321,7 +321,13 @@
 
     fn refresh_entry_hosts(&self) {
         self.metrics.entry_hosts.clear();
-        for known in self.peers.view().hosts.values() {
+        let peers = self.peers.view();
+        let behind = peers
+            .hosts
+            .values()
+            .filter(|known| known.digest != peers.digest);
+        self.metrics.hosts_behind.set(behind.count() as i64);
+        for known in peers.hosts.values() {
             let label = ReasonLabel {
                 reason: known.state.to_owned(),
             };
--- a/crates/geranium_daemon/src/operator/explain.rs
+++ b/crates/geranium_daemon/src/operator/explain.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use geranium_core::engine::HostEntry;
 use geranium_core::id::{GroupId, HostId, RecordName, RequestId};
 use geranium_net::ApiError;
 use geranium_operator::Explanation;
@@ -89,7 +90,10 @@
 
 fn explain_host(node: &Node, view: &ControlView, id: &HostId) -> Explanation {
     let mut explanation = Explanation::default();
-    if let Some(host) = view.hosts.iter().find(|host| host.host == *id) {
+    // Another failure domain's group table is not known here.
+    let domain = &node.settings.failure_domain;
+    let own = |host: &&HostEntry| host.host == *id && host.failure_domain == *domain;
+    if let Some(host) = view.hosts.iter().find(own) {
         explanation.lines.push(format!(
             "host {id} is listed as {:?} in {}, {}, with {} accelerators",
             host.state, host.failure_domain, host.fabric_domain, host.accelerators
--- a/crates/geranium_daemon/src/operator/status.rs
+++ b/crates/geranium_daemon/src/operator/status.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use geranium_core::group::{GroupState, ReplicaGroup};
-use geranium_core::id::GroupId;
+use geranium_core::id::{FailureDomainId, GroupId};
 use geranium_core::record::ModelSpec;
 use geranium_core::time::Timestamp;
 use geranium_operator::{AcceleratorView, GroupView, MemberView, ModelView, StatusView, StoreView};
@@ -21,7 +21,7 @@
     let now = node.clock.now();
     let view = node.published.view();
     let models = models(&node, &view);
-    let needs_person = needs_person(&view, &models);
+    let needs_person = needs_person(&node.settings.failure_domain, &view, &models);
     let calls = node.store_calls();
     Ok(json(&StatusView {
         process: node.recorder.identity().clone(),
@@ -92,7 +92,7 @@
                 failure_domain: domain.clone(),
                 wanted,
                 serving,
-                missing: (serving < wanted).then(|| why_missing(view, spec)),
+                missing: (serving < wanted).then(|| why_missing(domain, view, spec)),
             });
         }
     }
@@ -107,7 +107,10 @@
     u32::try_from(groups.count()).unwrap_or(u32::MAX)
 }
 
-fn why_missing(view: &ControlView, spec: &ModelSpec) -> String {
+fn why_missing(domain: &FailureDomainId, view: &ControlView, spec: &ModelSpec) -> String {
+    if view.records.drained().failure_domains.contains(domain) {
+        return "the failure domain is out of service by a drain record".to_owned();
+    }
     let Some(table) = &view.table else {
         return "the group table is not known yet".to_owned();
     };
@@ -187,7 +190,9 @@
     }
 }
 
-fn needs_person(view: &ControlView, models: &[ModelView]) -> Vec<String> {
+/// Lists what the system cannot mend by itself: records that it does not
+/// understand, and models for which it finds no hosts.
+fn needs_person(domain: &FailureDomainId, view: &ControlView, models: &[ModelView]) -> Vec<String> {
     let mut needs = Vec::new();
     for entry in view.records.iter() {
         if let Some(e) = &entry.unreadable {
@@ -197,10 +202,17 @@
             ));
         }
     }
-    for model in models
+    if view.records.drained().failure_domains.contains(domain) {
+        return needs;
+    }
+    let has_group = |model: &ModelView| {
+        let groups = view.table.iter().flat_map(|table| table.groups().values());
+        groups.into_iter().any(|group| group.record == model.record)
+    };
+    let without = models
         .iter()
-        .filter(|model| model.serving == 0 && model.wanted > 0)
-    {
+        .filter(|model| model.wanted > 0 && model.serving == 0);
+    for model in without.filter(|model| !has_group(model)) {
         let why = model.missing.as_deref().unwrap_or_default();
         needs.push(format!(
             "{} serves nothing in {}: {why}",
--- a/crates/geranium_daemon/tests/system/claims.rs
+++ b/crates/geranium_daemon/tests/system/claims.rs
@@ -1,5 +1,6 @@
 //! Calls that must not repeat, through failures.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use geranium_fakes::platform::PlatformFault;
@@ -261,3 +262,30 @@
     assert!(resent["error"]["ran"].is_null());
     assert_eq!(executions(&system, "k9"), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_service_on_a_leaving_host_gets_no_new_work() {
+    let system = system().await;
+    system.ban(0, "k-before").await.expect("an answer");
+    let entry = serde_json::json!({
+        "host": "svc-1", "failure_domain": "lima-1", "fabric_domain": "lima-1-f0",
+        "address": system.service.address().to_string(), "accelerators": 0,
+        "checks_fencing": false, "state": "leaving",
+    });
+
+    system
+        .platform
+        .put("/platform/hosts/svc-1", entry.to_string());
+
+    let probes = AtomicU64::new(0);
+    until("a call that is not run", || async {
+        let probe = probes.fetch_add(1, Ordering::Relaxed);
+        let (_, body) = system.ban(0, &format!("k-probe-{probe}")).await.ok()?;
+        (body["error"]["type"] == "not_run").then_some(())
+    })
+    .await;
+    let (status, body) = system.ban(0, "k-after").await.expect("an answer");
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(body["error"]["ran"], false);
+    assert_eq!(executions(&system, "k-after"), 0);
+}
--- a/crates/geranium_daemon/tests/system/requests.rs
+++ b/crates/geranium_daemon/tests/system/requests.rs
@@ -389,3 +389,29 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_fails_is_counted_once() {
+    let system = serving_system(1, ONE_DOMAIN).await;
+    let mut chat = ChatRequest::user("summary", "never in time");
+    chat.stream = false;
+    chat.max_tokens = 10_000;
+    let req = system
+        .chat_request(0, &chat)
+        .header_text("x-deadline-ms", "300")
+        .expect("a request");
+
+    let answer = system.http.send_whole(req, Duration::from_secs(20)).await;
+
+    let (status, _) = answer.expect("an answer");
+    assert_eq!(status, StatusCode::GATEWAY_TIMEOUT);
+    let metrics = geranium_net::HttpRequest::get(system.entry(0).operator, "/metrics");
+    let (_, text) = system
+        .http
+        .send_whole(metrics, Duration::from_secs(20))
+        .await
+        .expect("metrics");
+    let text = String::from_utf8(text.to_vec()).expect("text");
+    let line = text.lines().find(|line| line.contains("deadline_passed"));
+    assert!(line.is_some_and(|line| line.ends_with(" 1")), "{line:?}");
+}
