Show the engines when a thawed leader seems to have done harm

The test was seen to fail once under heavy load, without its log.

Conclusion: cause not found, so nothing is changed but the message, which now shows the reports and counts of every engine.

--- a/crates/geranium_daemon/tests/system/control.rs
+++ b/crates/geranium_daemon/tests/system/control.rs
@@ -156,7 +156,13 @@
         .flatten()
         .map(|e| e.stats().replica_deaths)
         .sum();
-    assert_eq!(deaths, 0);
+    let seen: Vec<_> = system
+        .engines
+        .iter()
+        .flatten()
+        .map(|e| (e.report(), e.stats()))
+        .collect();
+    assert_eq!(deaths, 0, "{seen:#?}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
