Wait for the slow first token of another failure domain

Cause: a group of another failure domain is in no table here, so the check for a missing member took it for broken after one second of silence, and the request was broken off and tried again.

Ruled out: the timeouts of tokens, which are longer.

Conclusion: only groups of the own failure domain are looked up; the entry host over there watches its own and breaks the stream off.

--- a/crates/geranium_daemon/src/relay/job.rs
+++ b/crates/geranium_daemon/src/relay/job.rs
@@ -592,7 +592,9 @@
             silent.as_millis()
         )));
     }
-    if silent >= CLOSED_GRACE && node.is_broken(&choice.group, choice.fencing) {
+    // Only the hosts of its failure domain know the state of a group.
+    let is_known = choice.path == RoutePath::Direct;
+    if is_known && silent >= CLOSED_GRACE && node.is_broken(&choice.group, choice.fencing) {
         return Some(AttemptEnd::Broken(
             "a member of the group is missing".to_owned(),
         ));
--- a/crates/geranium_daemon/tests/system/requests.rs
+++ b/crates/geranium_daemon/tests/system/requests.rs
@@ -389,3 +389,38 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_first_token_of_another_failure_domain_is_waited_for() {
+    let domains = [
+        DomainSize {
+            name: "lima-1",
+            entry_hosts: 1,
+            engines: 0,
+        },
+        DomainSize {
+            name: "lima-2",
+            entry_hosts: 1,
+            engines: 2,
+        },
+    ];
+    let system = System::start(GERANIUMD, &domains, |cfg| {
+        cfg.token_time = Duration::from_millis(1_500);
+        cfg.warm_after = 1;
+    })
+    .await;
+    system.apply_model(&[("lima-2", 1)], 2).await;
+    system.wait_serving("lima-2", 1).await;
+    system.chat_until_ok(1, "first", 1).await;
+    system.warm_up(1).await;
+    let executions = || -> u64 {
+        let engines = system.engines.iter().flatten();
+        engines.map(|e| e.stats().executions).sum()
+    };
+    let before = executions();
+
+    let answer = system.chat_until_ok(0, "from afar", 1).await;
+
+    assert_eq!(answer, expected("from afar", 1));
+    assert_eq!(executions(), before + 1);
+}
