Use cold groups of other failure domains through their entry hosts

Cause: cold credits are handed out in a group's own failure domain, so that the router of another one never sent a cold group anything: with its own domain out and the other one's group cold, nothing was served. Seen by reading, then by a test that waited 40 s in vain. Ruled out: credits across failure domains; the entry host there admits what is passed on against its own credits, which keeps the budget.

--- a/crates/geranium_daemon/src/peers/view.rs
+++ b/crates/geranium_daemon/src/peers/view.rs
@@ -147,12 +147,13 @@
         address: SocketAddr::from(([0, 0, 0, 0], 0)),
         fencing: FencingNumber::default(),
         generation: 0,
-        temperature: summary.temperature,
+        // Its own entry hosts keep to the cold budget for whatever is passed on.
+        temperature: Temperature::Warm,
         running: limit.saturating_sub(summary.free_slots),
         waiting: 0,
         kv_free_tokens: 0,
         cold_concurrency: cold,
-        warm_concurrency: warm,
+        warm_concurrency: limit,
     }
 }
 
--- a/crates/geranium_daemon/tests/system/control.rs
+++ b/crates/geranium_daemon/tests/system/control.rs
@@ -402,3 +402,33 @@
     let answer = system.chat_until_ok(0, "moved", 4).await;
     assert_eq!(answer, expected("moved", 4));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_group_of_another_failure_domain_is_used_through_its_entry_host() {
+    let domains = [
+        DomainSize {
+            name: "lima-1",
+            entry_hosts: 1,
+            engines: 0,
+        },
+        DomainSize {
+            name: "lima-2",
+            entry_hosts: 1,
+            engines: 2,
+        },
+    ];
+    let system = System::start(GERANIUMD, &domains, |cfg| cfg.warm_after = 100_000).await;
+    system.apply_model(&[("lima-2", 1)], 2).await;
+    system.wait_serving("lima-2", 1).await;
+
+    let answer = system.chat_until_ok(0, "from next door", 4).await;
+
+    assert_eq!(answer, expected("from next door", 4));
+    let over: u64 = system
+        .engines
+        .iter()
+        .flatten()
+        .map(|e| e.stats().over_capacity)
+        .sum();
+    assert_eq!(over, 0);
+}
