Never pass an answer with a missing piece on as whole

Cause: an end marker without a finish chunk ended the answer wherever it stood. When a piece was lost, the finish chunk waited behind the hole with the others, the marker ended the answer at the hole, and a caller got status 200 with an empty or short text. Ruled out: dropping the rule; an engine that sends the marker alone stays valid while no piece is waiting.

--- /dev/null
+++ b/crates/geranium_daemon/src/claim/holders.rs
@@ -0,0 +1,35 @@
+//! Holders of claims as the membership knows them.
+
+use std::sync::Arc;
+
+use geranium_core::once::{ClaimHolder, HolderStatus};
+use geranium_core::time::Timestamp;
+use geranium_telemetry::EventRecorder;
+
+use super::HolderDirectory;
+use crate::peers::PublishedPeers;
+
+/// Looks up holders of claims in the membership.
+pub struct Holders {
+    /// Recorder, for the identity of this process.
+    pub recorder: Arc<EventRecorder>,
+    /// Other entry hosts.
+    pub peers: Arc<PublishedPeers>,
+}
+
+impl HolderDirectory for Holders {
+    fn status(&self, _now: Timestamp, holder: &ClaimHolder) -> HolderStatus {
+        let identity = self.recorder.identity();
+        let is_own = holder.host == identity.host && holder.incarnation == identity.incarnation;
+        let peers = self.peers.view();
+        let is_peer = peers
+            .hosts
+            .get(&holder.host)
+            .is_some_and(|known| known.info.incarnation == holder.incarnation && !known.silent);
+        if is_own || is_peer {
+            HolderStatus::Live
+        } else {
+            HolderStatus::Gone
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/gauges.rs
@@ -0,0 +1,59 @@
+//! Gauges that are worked out when they are read.
+
+use crate::metrics::ReasonLabel;
+use crate::node::Node;
+
+impl Node {
+    /// Brings gauges up to date before they are read.
+    pub fn refresh_metrics(&self) {
+        let view = self.published.view();
+        let (calls, failures) = self.store_calls();
+        self.metrics.store_calls.set(calls.cast_signed());
+        self.metrics.store_failures.set(failures.cast_signed());
+        self.metrics
+            .events_dropped
+            .set(self.recorder.dropped().cast_signed());
+        self.metrics.records.set(view.records.len() as i64);
+        self.metrics.groups_open.set(view.serving.len() as i64);
+        self.metrics
+            .groups_closed
+            .set(view.closed_because.len() as i64);
+        self.metrics.leading.set(i64::from(view.leading));
+        self.metrics
+            .store_reachable
+            .set(i64::from(view.store_reachable));
+        self.refresh_entry_hosts();
+        let accelerators = crate::operator::accelerators(self, &view);
+        self.metrics.accelerators.clear();
+        self.set_accelerators("serving", accelerators.serving);
+        for (reason, count) in accelerators.stranded {
+            self.set_accelerators(&reason, count);
+        }
+    }
+
+    fn refresh_entry_hosts(&self) {
+        self.metrics.entry_hosts.clear();
+        let peers = self.peers.view();
+        let behind = peers
+            .hosts
+            .values()
+            .filter(|known| known.digest != peers.digest);
+        self.metrics.hosts_behind.set(behind.count() as i64);
+        for known in peers.hosts.values() {
+            let label = ReasonLabel {
+                reason: known.state.to_owned(),
+            };
+            self.metrics.entry_hosts.get_or_create(&label).inc();
+        }
+    }
+
+    fn set_accelerators(&self, reason: &str, count: u32) {
+        let label = ReasonLabel {
+            reason: reason.to_owned(),
+        };
+        self.metrics
+            .accelerators
+            .get_or_create(&label)
+            .set(i64::from(count));
+    }
+}
--- a/crates/geranium_daemon/src/lib.rs
+++ b/crates/geranium_daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod claim;
 pub mod clock;
 pub mod control;
+mod gauges;
 pub mod metrics;
 pub mod node;
 pub mod operator;
--- a/crates/geranium_daemon/src/node.rs
+++ b/crates/geranium_daemon/src/node.rs
@@ -11,7 +11,6 @@
 use geranium_core::id::{FencingNumber, GroupId, HostId, Incarnation, StoreRevision};
 use geranium_core::limit::CrashDigest;
 use geranium_core::member::MemberInfo;
-use geranium_core::once::{ClaimHolder, HolderStatus};
 use geranium_core::record::{RecordKey, StoredRecord, WriterId};
 use geranium_core::time::Timestamp;
 use geranium_engine::{HttpEngineClient, ServiceClient};
@@ -23,10 +22,10 @@
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, mpsc};
 
-use crate::claim::{ClaimService, HolderDirectory};
+use crate::claim::{ClaimService, Holders};
 use crate::clock::ProcessClock;
 use crate::control::{ControlInput, Published};
-use crate::metrics::{Metrics, ReasonLabel};
+use crate::metrics::Metrics;
 use crate::peers::{PeerInput, PublishedPeers};
 use crate::settings::DaemonSettings;
 use crate::traffic::Traffic;
@@ -291,59 +290,6 @@
     pub fn store_calls(&self) -> (u64, u64) {
         self.store.counter().totals()
     }
-
-    /// Brings gauges up to date before they are read.
-    pub fn refresh_metrics(&self) {
-        let view = self.published.view();
-        let (calls, failures) = self.store_calls();
-        self.metrics.store_calls.set(calls.cast_signed());
-        self.metrics.store_failures.set(failures.cast_signed());
-        self.metrics
-            .events_dropped
-            .set(self.recorder.dropped().cast_signed());
-        self.metrics.records.set(view.records.len() as i64);
-        self.metrics.groups_open.set(view.serving.len() as i64);
-        self.metrics
-            .groups_closed
-            .set(view.closed_because.len() as i64);
-        self.metrics.leading.set(i64::from(view.leading));
-        self.metrics
-            .store_reachable
-            .set(i64::from(view.store_reachable));
-        self.refresh_entry_hosts();
-        let accelerators = crate::operator::accelerators(self, &view);
-        self.metrics.accelerators.clear();
-        self.set_accelerators("serving", accelerators.serving);
-        for (reason, count) in accelerators.stranded {
-            self.set_accelerators(&reason, count);
-        }
-    }
-
-    fn refresh_entry_hosts(&self) {
-        self.metrics.entry_hosts.clear();
-        let peers = self.peers.view();
-        let behind = peers
-            .hosts
-            .values()
-            .filter(|known| known.digest != peers.digest);
-        self.metrics.hosts_behind.set(behind.count() as i64);
-        for known in peers.hosts.values() {
-            let label = ReasonLabel {
-                reason: known.state.to_owned(),
-            };
-            self.metrics.entry_hosts.get_or_create(&label).inc();
-        }
-    }
-
-    fn set_accelerators(&self, reason: &str, count: u32) {
-        let label = ReasonLabel {
-            reason: reason.to_owned(),
-        };
-        self.metrics
-            .accelerators
-            .get_or_create(&label)
-            .set(i64::from(count));
-    }
 }
 
 /// Returns the milliseconds between two times.
@@ -351,28 +297,3 @@
 pub fn millis_between(earlier: Timestamp, now: Timestamp) -> u64 {
     u64::try_from(now.since(earlier).as_millis()).unwrap_or(u64::MAX)
 }
-
-/// Looks up holders of claims in the membership.
-pub struct Holders {
-    /// Recorder, for the identity of this process.
-    pub recorder: Arc<EventRecorder>,
-    /// Other entry hosts.
-    pub peers: Arc<PublishedPeers>,
-}
-
-impl HolderDirectory for Holders {
-    fn status(&self, _now: Timestamp, holder: &ClaimHolder) -> HolderStatus {
-        let identity = self.recorder.identity();
-        let is_own = holder.host == identity.host && holder.incarnation == identity.incarnation;
-        let peers = self.peers.view();
-        let is_peer = peers
-            .hosts
-            .get(&holder.host)
-            .is_some_and(|known| known.info.incarnation == holder.incarnation && !known.silent);
-        if is_own || is_peer {
-            HolderStatus::Live
-        } else {
-            HolderStatus::Gone
-        }
-    }
-}
--- /dev/null
+++ b/crates/geranium_daemon/src/relay/choosing.rs
@@ -0,0 +1,83 @@
+//! Choice of the group for an attempt.
+
+use std::time::Duration;
+
+use geranium_core::limit::{ColdOutcome, CrashVerdict};
+use geranium_core::route::{Dispatch, RouteChoice, RoutePath, RouteQuery, RouteRefusal};
+use geranium_net::ApiError;
+
+use super::RelayJob;
+use super::trial::Trial;
+use crate::caller::refusal;
+
+/// Pause before routing is tried again while no group can take the request.
+const ROUTE_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest time that a request waits for a group while it has none.
+const ROUTE_PATIENCE: Duration = Duration::from_secs(3);
+
+impl RelayJob {
+    /// Chooses a group; a suspect also needs leave to run there on trial.
+    pub(super) async fn choose_for_trial(
+        &mut self,
+    ) -> Result<(RouteChoice, Dispatch), Option<ApiError>> {
+        loop {
+            let now = self.node.clock.now();
+            let verdict = self.node.traffic.verdict(now, &self.req.fingerprint);
+            if verdict == CrashVerdict::Refused {
+                return Err(Some(refusal::crashes_servers()));
+            }
+            let (choice, dispatch) = self.choose().await?;
+            // The entry host of another failure domain asks for leave there.
+            if verdict == CrashVerdict::Clear || choice.path != RoutePath::Direct {
+                return Ok((choice, dispatch));
+            }
+            self.trial = Trial::ask(&self.node, self.req.fingerprint, &choice).await;
+            if self.trial.is_some() {
+                return Ok((choice, dispatch));
+            }
+            let now = self.node.clock.now();
+            self.node
+                .traffic
+                .end(now, &choice, dispatch, ColdOutcome::Cancelled);
+            tokio::select! {
+                () = tokio::time::sleep(ROUTE_PAUSE) => {}
+                () = self.output.left() => return Err(None),
+            }
+        }
+    }
+
+    /// Chooses a group, waiting for a short time if none can take the request.
+    async fn choose(&mut self) -> Result<(RouteChoice, Dispatch), Option<ApiError>> {
+        let start = self.node.clock.now();
+        loop {
+            let now = self.node.clock.now();
+            if now >= self.req.deadline {
+                return Err(Some(refusal::deadline_passed(self.any_sent)));
+            }
+            let query = RouteQuery {
+                model: &self.req.model,
+                account: &self.req.account,
+                prefix: &self.req.prefix,
+                exclude: &self.exclude,
+                forwarded: self.req.forwarded,
+            };
+            let refused = match self.node.traffic.start(now, &query) {
+                Ok(chosen) => return Ok(chosen),
+                Err(refused) => refused,
+            };
+            let hopeless = matches!(refused, RouteRefusal::NotAllowed(..));
+            if hopeless || now.since(start) >= ROUTE_PATIENCE {
+                return Err(Some(refusal::route(&refused, self.any_sent)));
+            }
+            if matches!(refused, RouteRefusal::Unavailable(_)) {
+                // A group that failed once may have been repaired since.
+                self.exclude.clear();
+            }
+            tokio::select! {
+                () = tokio::time::sleep(ROUTE_PAUSE) => {}
+                () = self.output.left() => return Err(None),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_daemon/src/relay/crashes.rs
@@ -0,0 +1,51 @@
+//! What a request's attempts tell about crashes.
+
+use geranium_core::limit::CrashId;
+use geranium_core::route::RouteChoice;
+use geranium_core::time::Timestamp;
+
+use super::RelayJob;
+use super::trial::suspect_of;
+
+impl RelayJob {
+    /// Clears a suspect whose answer is whole.
+    pub(super) async fn note_whole(&mut self, now: Timestamp) {
+        self.trial = None;
+        if self.crashed {
+            let digest = self.node.traffic.cleared(now, &self.req.fingerprint);
+            self.node.tell_peers_of_crash(&digest).await;
+        }
+    }
+
+    /// Charges the crash of a group to the request, before it runs anywhere again.
+    pub(super) async fn note_crash(&mut self, now: Timestamp, choice: &RouteChoice) {
+        self.crashed = true;
+        let was_on_trial = self.trial.is_some();
+        let engine_died = match self.witness.take() {
+            Some(witness) => witness.engine_died(&self.node).await,
+            None => false,
+        };
+        if !engine_died {
+            self.trial = None;
+            return;
+        }
+        let crash = CrashId {
+            group: choice.group.clone(),
+            generation: choice.generation,
+        };
+        let fingerprint = self.req.fingerprint;
+        let on_trial = if was_on_trial {
+            Some(fingerprint)
+        } else {
+            suspect_of(&self.node, &crash).await
+        };
+        if let Some(trial) = self.trial.take() {
+            trial.crashed();
+        }
+        let digest = self
+            .node
+            .traffic
+            .group_crashed(now, &crash, fingerprint, on_trial);
+        self.node.tell_peers_of_crash(&digest).await;
+    }
+}
--- a/crates/geranium_daemon/src/relay/mod.rs
+++ b/crates/geranium_daemon/src/relay/mod.rs
@@ -5,9 +5,13 @@
 //! the retry budget and the deadline.
 
 mod attempt;
+mod attempt_end;
+mod choosing;
 mod chunk;
+mod crashes;
 mod job;
 mod output;
+mod reading;
 mod request;
 mod trial;
 mod witness;
--- a/crates/geranium_daemon/src/startup.rs
+++ b/crates/geranium_daemon/src/startup.rs
@@ -22,14 +22,14 @@
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 
-use crate::claim::{ClaimService, sweep_claims};
+use crate::claim::{ClaimService, Holders, sweep_claims};
 use crate::clock::ProcessClock;
 use crate::control::{
     ControlInput, ControlTask, HOST_PREFIX, LeaderCampaign, MirrorTarget, Published, StoreMirror,
     follow_caches, table_key,
 };
 use crate::metrics::Metrics;
-use crate::node::{Holders, Node};
+use crate::node::Node;
 use crate::peers::{NodePeerHandler, PeerInput, PeerTask, PublishedPeers};
 use crate::settings::DaemonSettings;
 use crate::startup_error::StartupError;
--- a/crates/geranium_daemon/tests/system/requests.rs
+++ b/crates/geranium_daemon/tests/system/requests.rs
@@ -450,3 +450,52 @@
     assert_eq!(answer, expected("from afar", 1));
     assert_eq!(executions(), before + 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_with_a_lost_piece_never_looks_whole() {
+    let system = serving_system(2, ONE_DOMAIN).await;
+    system.warm_up(0).await;
+    let lose = |every| EngineFault {
+        lose_every: Some(every),
+        ..EngineFault::default()
+    };
+    for engine in system.engines.iter().flatten() {
+        engine.set_fault(&lose(7));
+    }
+
+    let (status, body) = system.chat(0, "with a hole", 20).await.expect("an answer");
+    let mut chat = ChatRequest::user("summary", "with a hole");
+    chat.max_tokens = 20;
+    let req = system.chat_request(0, &chat);
+    let streamed = system.http.send_whole(req, Duration::from_secs(30)).await;
+    for engine in system.engines.iter().flatten() {
+        engine.set_fault(&lose(0));
+    }
+    let mended = system.chat_until_ok(0, "with a hole", 20).await;
+
+    assert_ne!(status, StatusCode::OK, "{body:?}");
+    let (_, streamed) = streamed.expect("an answer");
+    let streamed = String::from_utf8(streamed.to_vec()).expect("text");
+    assert!(!streamed.contains("[DONE]"), "{streamed}");
+    assert_eq!(mended, expected("with a hole", 20));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn pieces_out_of_order_and_sent_twice_make_the_same_answer() {
+    let system = serving_system(1, ONE_DOMAIN).await;
+    let fault = EngineFault {
+        swap_every: Some(5),
+        repeat_every: Some(3),
+        ..EngineFault::default()
+    };
+    for engine in system.engines.iter().flatten() {
+        engine.set_fault(&fault);
+    }
+
+    let whole = system.chat_until_ok(0, "shuffled", 40).await;
+    let mut stream = open_stream(&system, 0, "shuffled", 40).await;
+    let streamed = read_to_end(&mut stream).await;
+
+    assert_eq!(whole, expected("shuffled", 40));
+    assert_eq!(streamed, expected("shuffled", 40));
+}
--- a/crates/geranium_fakes/src/engine/condition.rs
+++ b/crates/geranium_fakes/src/engine/condition.rs
@@ -28,6 +28,8 @@
     pub swap_every: u64,
     /// Every how many pieces one is sent twice.
     pub repeat_every: u64,
+    /// Every how many pieces one is never sent.
+    pub lose_every: u64,
 }
 
 impl Default for Condition {
@@ -41,6 +43,7 @@
             lose_order_answers: 0,
             swap_every: 0,
             repeat_every: 0,
+            lose_every: 0,
         }
     }
 }
@@ -59,5 +62,6 @@
         self.lose_order_answers = fault.lose_order_answers.unwrap_or(self.lose_order_answers);
         self.swap_every = fault.swap_every.unwrap_or(self.swap_every);
         self.repeat_every = fault.repeat_every.unwrap_or(self.repeat_every);
+        self.lose_every = fault.lose_every.unwrap_or(self.lose_every);
     }
 }
--- a/crates/geranium_fakes/src/engine/fault.rs
+++ b/crates/geranium_fakes/src/engine/fault.rs
@@ -28,6 +28,9 @@
     pub swap_every: Option<u64>,
     /// Sends each piece whose index is a multiple of this twice; zero sends all once.
     pub repeat_every: Option<u64>,
+    /// Never sends a piece whose index is a multiple of this, though the end marker
+    /// comes; zero sends all.
+    pub lose_every: Option<u64>,
     /// Cuts every stream and goes on.
     pub cut_streams: bool,
 }
--- a/crates/geranium_fakes/src/engine/output.rs
+++ b/crates/geranium_fakes/src/engine/output.rs
@@ -71,9 +71,12 @@
         }
     }
 
-    /// Adds a piece, unless it is to be sent after its successor.
+    /// Adds a piece, unless it is lost or to be sent after its successor.
     fn push(&mut self, index: u64, condition: &Condition) {
         let is_due = |every: u64| every > 0 && index.is_multiple_of(every);
+        if is_due(condition.lose_every) {
+            return;
+        }
         if is_due(condition.swap_every) && self.held.is_none() {
             self.held = Some(index);
             return;
