Bound the time of a request's body

Ruled out: a smaller body limit, which bounds the memory but not its time. Figures: body_that_never_ends_is_refused_in_time gets 408 slow_body after its 200 ms; without a limit it had no answer to wait for. Callers get 30 s.

--- a/crates/geranium_net/src/body.rs
+++ b/crates/geranium_net/src/body.rs
@@ -17,17 +17,47 @@
 /// Longest time for reading what is dropped.
 const DROP_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest time for the body of a request, so that slow callers hold no memory.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Reads the whole body of a request.
 ///
 /// # Errors
 ///
-/// Returns a typed refusal if the body has more than `limit` bytes or breaks off.
+/// Returns a typed refusal if the body has more than `limit` bytes, breaks off or
+/// takes longer than 30 s.
 pub async fn read_body(req: &mut Request, limit: usize) -> Result<Bytes, ApiError> {
+    read_body_within(req, limit, BODY_TIMEOUT).await
+}
+
+/// Reads the whole body of a request within a time.
+///
+/// # Errors
+///
+/// Returns a typed refusal if the body has more than `limit` bytes, breaks off or
+/// takes too long.
+pub async fn read_body_within(
+    req: &mut Request,
+    limit: usize,
+    timeout: Duration,
+) -> Result<Bytes, ApiError> {
     let mut body: Body = std::mem::take(req.body_mut());
+    let read = tokio::time::timeout(timeout, read_limited(&mut body, limit));
+    read.await.unwrap_or_else(|_| {
+        let message = format!("request body took longer than {} ms", timeout.as_millis());
+        Err(ApiError::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "slow_body",
+            message,
+        ))
+    })
+}
+
+async fn read_limited(body: &mut Body, limit: usize) -> Result<Bytes, ApiError> {
     let mut buf = BytesMut::new();
-    while let Some(data) = next_data(&mut body).await? {
+    while let Some(data) = next_data(body).await? {
         if buf.len() + data.len() > limit {
-            drop_rest(&mut body).await;
+            drop_rest(body).await;
             return Err(ApiError::new(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "oversize_body",
--- a/crates/geranium_net/tests/server.rs
+++ b/crates/geranium_net/tests/server.rs
@@ -6,8 +6,10 @@
 use bytes::Bytes;
 use geranium_net::{
     ApiError, ClientConfig, HttpClient, HttpRequest, HttpServer, ServerConfig, read_body,
+    read_body_within,
 };
 use hyper::StatusCode;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio_util::sync::CancellationToken;
 use viz::{IntoResponse, Request, Response, Result, Router};
 
@@ -18,6 +20,11 @@
     Ok(body.len().to_string().into_response())
 }
 
+async fn echo_length_soon(mut req: Request) -> Result<Response> {
+    let body = read_body_within(&mut req, LIMIT, Duration::from_millis(200)).await?;
+    Ok(body.len().to_string().into_response())
+}
+
 async fn serve() -> (SocketAddr, CancellationToken) {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let server = HttpServer::bind(any, ServerConfig::default())
@@ -25,7 +32,9 @@
         .expect("bound");
     let address = server.local_addr().expect("an address");
     let stop = CancellationToken::new();
-    let router = Router::new().post("/", echo_length);
+    let router = Router::new()
+        .post("/", echo_length)
+        .post("/soon", echo_length_soon);
     tokio::spawn(server.run(router, stop.clone()));
     (address, stop)
 }
@@ -73,3 +82,19 @@
             .starts_with(&format!("cannot listen on {address}"))
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn body_that_never_ends_is_refused_in_time() {
+    let (address, _stop) = serve().await;
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("connected");
+    let head = b"POST /soon HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nhalf a body";
+    stream.write_all(head).await.expect("written");
+
+    let mut answer = vec![0; 512];
+    let len = stream.read(&mut answer).await.expect("an answer");
+
+    let answer = String::from_utf8_lossy(&answer[..len]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+}
