--- a/crates/geranium_measure/src/experiment/mod.rs
+++ b/crates/geranium_measure/src/experiment/mod.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod latency;
 mod load;
+mod service;
 mod streams;
 
 use std::path::Path;
@@ -14,8 +15,8 @@
 use crate::report::Report;
 
 /// Names of the experiments.
-pub const NAMES: [&str; 7] = [
-    "latency", "load", "streams", "fleet", "config", "failure", "claims",
+pub const NAMES: [&str; 8] = [
+    "latency", "load", "streams", "fleet", "config", "failure", "claims", "service",
 ];
 
 /// Runs experiments; all of them without a choice.
@@ -43,6 +44,7 @@
             "fleet" => fleet::run(geraniumd, report).await?,
             "config" => config::run(geraniumd, report).await?,
             "failure" => failure::run(geraniumd, report).await?,
+            "service" => service::run(geraniumd, report).await?,
             _ => claims::run(geraniumd, report).await?,
         }
     }
