--- a/crates/geranium_ctl/src/command/apply.rs
+++ b/crates/geranium_ctl/src/command/apply.rs
@@ -33,7 +33,7 @@
         print_lines("fault", &answer.faults);
         print_lines("warning", &answer.warnings);
         if answer.faults.is_empty() {
-            println!("{} {} is valid", file.kind, file.name);
+            out!("{} {} is valid", file.kind, file.name);
         }
     }
     Ok(if answer.faults.is_empty() {
@@ -55,7 +55,7 @@
     } else {
         print_lines("fault", &answer.faults);
         for change in &answer.changes {
-            println!("{change}");
+            out!("{change}");
         }
     }
     if !answer.faults.is_empty() {
@@ -119,22 +119,23 @@
     let generation = answer.generation;
     print_lines("warning", &answer.warnings);
     match answer.outcome {
-        ApplyOutcome::Accepted => println!("{kind} {name} accepted as generation {generation}"),
-        ApplyOutcome::Unchanged => println!("{kind} {name} unchanged at generation {generation}"),
-        ApplyOutcome::LostRace => println!("{kind} {name} not written: the race was lost"),
+        ApplyOutcome::Accepted => out!("{kind} {name} accepted as generation {generation}"),
+        ApplyOutcome::Unchanged => out!("{kind} {name} unchanged at generation {generation}"),
+        ApplyOutcome::LostRace => out!("{kind} {name} not written: the race was lost"),
     }
     print_changes(&answer.changes);
     if let Some(race) = &answer.lost_race {
         let winner = &race.winner;
-        println!(
+        out!(
             "  {} wrote generation {} first",
-            winner.operator, winner.generation
+            winner.operator,
+            winner.generation
         );
         if !race.differences.is_empty() {
-            println!("  what differs, theirs -> yours:");
+            out!("  what differs, theirs -> yours:");
         }
         for difference in &race.differences {
-            println!("  {difference}");
+            out!("  {difference}");
         }
     }
 }
@@ -147,11 +148,11 @@
         let fields = changes
             .iter()
             .filter_map(|change| change.split(": ").next());
-        println!("  fields: {}", fields.collect::<Vec<&str>>().join(", "));
+        out!("  fields: {}", fields.collect::<Vec<&str>>().join(", "));
         return;
     }
     for change in changes {
-        println!("  {change}");
+        out!("  {change}");
     }
 }
 
@@ -181,11 +182,13 @@
         return print_json(&views);
     }
     let there = views.iter().filter(|view| view.in_force).count();
-    println!("in force on {there} of {} hosts", views.len());
+    out!("in force on {there} of {} hosts", views.len());
     for view in views.iter().filter(|view| !view.in_force) {
-        println!(
+        out!(
             "  not on {} in {}, last heard of {} ms ago",
-            view.host, view.failure_domain, view.heard_ms_ago
+            view.host,
+            view.failure_domain,
+            view.heard_ms_ago
         );
     }
     Ok(())
@@ -193,6 +196,6 @@
 
 fn print_lines(label: &str, lines: &[String]) {
     for line in lines {
-        println!("{label}: {line}");
+        out!("{label}: {line}");
     }
 }
--- a/crates/geranium_ctl/src/command/explain.rs
+++ b/crates/geranium_ctl/src/command/explain.rs
@@ -53,10 +53,10 @@
 
 fn print(found: &[Explanation]) {
     for line in distinct(found.iter().flat_map(|e| &e.lines)) {
-        println!("{line}");
+        out!("{line}");
     }
     for line in distinct(found.iter().flat_map(|e| &e.would_change)) {
-        println!("would change it: {line}");
+        out!("would change it: {line}");
     }
 }
 
--- a/crates/geranium_ctl/src/command/hash_key.rs
+++ b/crates/geranium_ctl/src/command/hash_key.rs
@@ -17,6 +17,6 @@
     if key.is_empty() {
         return Err(CtlError::Usage("the account key is empty".to_owned()));
     }
-    println!("{}", hash_key(key));
+    out!("{}", hash_key(key));
     Ok(Exit::Done)
 }
--- a/crates/geranium_ctl/src/command/mod.rs
+++ b/crates/geranium_ctl/src/command/mod.rs
@@ -24,11 +24,11 @@
     let session = Session::new(&invocation);
     match &invocation.command {
         Command::Help => {
-            print!("{}", help());
+            out!("{}", help().trim_end());
             Ok(Exit::Done)
         }
         Command::Version => {
-            println!("geraniumctl {}", env!("CARGO_PKG_VERSION"));
+            out!("geraniumctl {}", env!("CARGO_PKG_VERSION"));
             Ok(Exit::Done)
         }
         Command::HashKey => hash_key::run(),
--- a/crates/geranium_ctl/src/command/records.rs
+++ b/crates/geranium_ctl/src/command/records.rs
@@ -16,7 +16,7 @@
         print_json(&record)?;
         return Ok(Exit::Done);
     }
-    println!(
+    out!(
         "# {} {}, generation {}, by {} at {}",
         record.kind,
         record.name,
@@ -42,7 +42,7 @@
     for record in page.records.iter().filter(|record| !record.deleted) {
         rows.add_row(row(record));
     }
-    println!("{rows}");
+    out!("{rows}");
     Ok(Exit::Done)
 }
 
@@ -63,7 +63,7 @@
             time_of_day(entry.written_at),
         ]);
     }
-    println!("{rows}");
+    out!("{rows}");
     Ok(Exit::Done)
 }
 
--- a/crates/geranium_ctl/src/command/status.rs
+++ b/crates/geranium_ctl/src/command/status.rs
@@ -78,7 +78,7 @@
             if host.same_records { "same" } else { "differ" }.to_owned(),
         ]);
     }
-    println!("{rows}\n");
+    out!("{rows}\n");
 }
 
 fn print_models(views: &[StatusView]) {
@@ -102,7 +102,7 @@
             model.missing.clone().unwrap_or_default(),
         ]);
     }
-    println!("{rows}\n");
+    out!("{rows}\n");
     let mut rows = table(&["FAILURE DOMAIN", "ACCELERATORS", "SERVING", "STRANDED"]);
     for view in views {
         let accelerators = &view.accelerators;
@@ -118,7 +118,7 @@
             stranded.join(", "),
         ]);
     }
-    println!("{rows}\n");
+    out!("{rows}\n");
 }
 
 fn print_problems(views: &[StatusView], unreached: &[FailureDomainId]) {
--- a/crates/geranium_ctl/src/command/timeline.rs
+++ b/crates/geranium_ctl/src/command/timeline.rs
@@ -64,7 +64,7 @@
     } else {
         print_events(&timeline.events);
         for gap in timeline.gaps() {
-            println!("{gap}");
+            out!("{gap}");
         }
     }
     Ok(Exit::Done)
@@ -124,7 +124,7 @@
 
 fn print_events(events: &[Event]) {
     for event in events {
-        println!(
+        out!(
             "{} {:<14} {:<18} {}{}",
             time_of_day(event.time.wall),
             event.id.host.as_str(),
--- a/crates/geranium_ctl/src/main.rs
+++ b/crates/geranium_ctl/src/main.rs
@@ -1,5 +1,8 @@
 //! `geraniumctl`: the operator's command-line tool.
 
+#[macro_use]
+mod out;
+
 mod cli;
 mod command;
 mod ctl_error;
--- a/crates/geranium_ctl/src/output.rs
+++ b/crates/geranium_ctl/src/output.rs
@@ -19,7 +19,7 @@
 /// Returns an error if the value cannot be serialised.
 pub fn print_json(value: &impl Serialize) -> Result<(), CtlError> {
     let text = serde_json::to_string_pretty(value).map_err(|e| CtlError::Output(e.to_string()))?;
-    println!("{text}");
+    out!("{text}");
     Ok(())
 }
 
@@ -31,7 +31,7 @@
 pub fn print_json_lines(values: &[impl Serialize]) -> Result<(), CtlError> {
     for value in values {
         let text = serde_json::to_string(value).map_err(|e| CtlError::Output(e.to_string()))?;
-        println!("{text}");
+        out!("{text}");
     }
     Ok(())
 }
@@ -52,11 +52,11 @@
     let mut line = format!("{label}:");
     for word in text.split_whitespace() {
         if line.chars().count() + 1 + word.chars().count() > usize::from(WIDTH) {
-            println!("{line}");
+            out!("{line}");
             line = " ".repeat(INDENT);
         }
         line.push(' ');
         line.push_str(word);
     }
-    println!("{line}");
+    out!("{line}");
 }
--- a/crates/geranium_ctl/tests/ctl/offline.rs
+++ b/crates/geranium_ctl/tests/ctl/offline.rs
@@ -1,5 +1,7 @@
 //! What needs no entry host.
 
+use std::process::{Command, Stdio};
+
 use geranium_core::record::hash_key;
 use serde_json::json;
 
@@ -126,3 +128,20 @@
     unnamed.exits(4);
     assert!(unnamed.err.contains("\"name\" is missing"));
 }
+
+#[test]
+fn reader_that_closes_the_pipe_early_is_no_failure_of_the_tool() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_geraniumctl"))
+        .arg("--help")
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the tool starts");
+
+    drop(child.stdout.take());
+    let ended = child.wait_with_output().expect("the tool ends");
+
+    let err = String::from_utf8_lossy(&ended.stderr);
+    assert!(!err.contains("panicked"), "{err}");
+    assert!(ended.status.success());
+}
