Make sizes and engines of test systems by one call each

Twenty-three places spelt out a DomainSize field by field and four looked up an engine by its host with the same search; three tests found an open group with the same lines.

Ruled out: one shared list of domains for all tests, because their sizes differ and each test should show its own.

Assertions and settings of the tests are as they were.

--- a/crates/geranium_ctl/tests/ctl/fixture.rs
+++ b/crates/geranium_ctl/tests/ctl/fixture.rs
@@ -16,16 +16,8 @@
 
 /// Two failure domains, of which the first can form a group.
 pub const DOMAINS: [DomainSize; 2] = [
-    DomainSize {
-        name: "lima-1",
-        entry_hosts: 1,
-        engines: 2,
-    },
-    DomainSize {
-        name: "lima-2",
-        entry_hosts: 1,
-        engines: 0,
-    },
+    DomainSize::new("lima-1", 1, 2),
+    DomainSize::new("lima-2", 1, 0),
 ];
 
 /// How a run of the tool ended.
--- a/crates/geranium_daemon/tests/system/claims.rs
+++ b/crates/geranium_daemon/tests/system/claims.rs
@@ -13,16 +13,8 @@
 use crate::GERANIUMD;
 
 const TWO_DOMAINS: [DomainSize; 2] = [
-    DomainSize {
-        name: "lima-1",
-        entry_hosts: 1,
-        engines: 0,
-    },
-    DomainSize {
-        name: "lima-2",
-        entry_hosts: 1,
-        engines: 0,
-    },
+    DomainSize::new("lima-1", 1, 0),
+    DomainSize::new("lima-2", 1, 0),
 ];
 
 async fn system() -> System {
--- a/crates/geranium_daemon/tests/system/control.rs
+++ b/crates/geranium_daemon/tests/system/control.rs
@@ -6,6 +6,7 @@
 use geranium_core::id::{FabricDomainId, FailureDomainId, HostId};
 use geranium_fakes::engine::EngineFault;
 use geranium_fakes::platform::PlatformFault;
+use geranium_operator::GroupView;
 use hyper::StatusCode;
 use serde_json::json;
 
@@ -14,11 +15,13 @@
 
 use crate::GERANIUMD;
 
-const TWO_ENTRIES: DomainSize = DomainSize {
-    name: "lima-1",
-    entry_hosts: 2,
-    engines: 3,
-};
+const TWO_ENTRIES: DomainSize = DomainSize::new("lima-1", 2, 3);
+
+async fn an_open_group(system: &System) -> GroupView {
+    let status = system.status(0).await;
+    let mut groups = status.groups.into_iter();
+    groups.find(|group| group.open).expect("an open group")
+}
 
 async fn leader_of(system: &System) -> usize {
     until("a leader", || async {
@@ -110,13 +113,10 @@
             .flatten()
             .map(geranium_fakes::FakeEngine::report);
         let member = reports.rfind(|r| r.assignment.is_some()).expect("a member");
-        system
-            .engines
-            .iter()
-            .position(|e| e.as_ref().is_some_and(|e| *e.host() == member.host))
+        system.engine_on(&member.host)
     };
 
-    system.engines[lost.expect("its engine")] = None;
+    system.engines[lost] = None;
     system.entries[leader].kill();
 
     let other = 1 - leader;
@@ -197,19 +197,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn member_that_dies_is_replaced_by_a_spare_and_its_gate_closes() {
     let mut system = serving().await;
-    let status = system.status(0).await;
-    let group = status
-        .groups
-        .iter()
-        .find(|group| group.open)
-        .expect("an open group");
+    let group = an_open_group(&system).await;
     let dead = group.members[1].host.clone();
-    let position = system
-        .engines
-        .iter()
-        .position(|e| e.as_ref().is_some_and(|e| *e.host() == dead));
+    let position = system.engine_on(&dead);
 
-    system.engines[position.expect("the engine")] = None;
+    system.engines[position] = None;
 
     let repaired = until("a repaired group", || async {
         let status = system.status(0).await;
@@ -226,16 +218,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn drained_failure_domain_gets_no_new_work_and_comes_back() {
     let domains = [
-        DomainSize {
-            name: "lima-1",
-            entry_hosts: 1,
-            engines: 2,
-        },
-        DomainSize {
-            name: "lima-2",
-            entry_hosts: 1,
-            engines: 2,
-        },
+        DomainSize::new("lima-1", 1, 2),
+        DomainSize::new("lima-2", 1, 2),
     ];
     let system = System::start(GERANIUMD, &domains, |cfg| cfg.warm_after = 1).await;
     system.apply_model(&[("lima-1", 1), ("lima-2", 1)], 2).await;
@@ -287,18 +271,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn backend_server_that_begins_to_leave_gets_no_new_work() {
     let system = serving().await;
-    let status = system.status(0).await;
-    let group = status
-        .groups
-        .iter()
-        .find(|group| group.open)
-        .expect("an open group");
+    let group = an_open_group(&system).await;
     let leaving = group.members[1].host.clone();
-    let position = system
-        .engines
-        .iter()
-        .position(|e| e.as_ref().is_some_and(|e| *e.host() == leaving));
-    let engine = system.engine(position.expect("the engine"));
+    let engine = system.engine(system.engine_on(&leaving));
     engine.set_fault(&EngineFault {
         leaving: Some(true),
         ..EngineFault::default()
@@ -322,11 +297,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn new_version_takes_over_without_a_gap() {
-    let domain = DomainSize {
-        name: "lima-1",
-        entry_hosts: 1,
-        engines: 4,
-    };
+    let domain = DomainSize::new("lima-1", 1, 4);
     let system = System::start(GERANIUMD, &[domain], |cfg| cfg.warm_after = 1).await;
     system.apply_model(&[("lima-1", 1)], 2).await;
     system.wait_serving("lima-1", 1).await;
@@ -363,22 +334,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn host_that_the_platform_lists_as_leaving_is_replaced() {
     let system = serving().await;
-    let status = system.status(0).await;
-    let group = status
-        .groups
-        .iter()
-        .find(|group| group.open)
-        .expect("an open group");
+    let group = an_open_group(&system).await;
     let leaving = group.members[0].host.clone();
-    let position = system
-        .engines
-        .iter()
-        .position(|e| e.as_ref().is_some_and(|e| *e.host() == leaving));
     let entry = HostEntry {
         host: HostId::new(leaving.as_str()),
         failure_domain: FailureDomainId::new("lima-1"),
         fabric_domain: FabricDomainId::new("lima-1-f0"),
-        address: system.engine(position.expect("the engine")).address(),
+        address: system.engine(system.engine_on(&leaving)).address(),
         accelerators: 8,
         checks_fencing: true,
         state: HostState::Leaving,
@@ -406,16 +368,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn cold_group_of_another_failure_domain_is_used_through_its_entry_host() {
     let domains = [
-        DomainSize {
-            name: "lima-1",
-            entry_hosts: 1,
-            engines: 0,
-        },
-        DomainSize {
-            name: "lima-2",
-            entry_hosts: 1,
-            engines: 2,
-        },
+        DomainSize::new("lima-1", 1, 0),
+        DomainSize::new("lima-2", 1, 2),
     ];
     let system = System::start(GERANIUMD, &domains, |cfg| cfg.warm_after = 100_000).await;
     system.apply_model(&[("lima-2", 1)], 2).await;
--- a/crates/geranium_daemon/tests/system/load.rs
+++ b/crates/geranium_daemon/tests/system/load.rs
@@ -19,16 +19,8 @@
 use crate::GERANIUMD;
 
 const DOMAINS: [DomainSize; 2] = [
-    DomainSize {
-        name: "lima-1",
-        entry_hosts: 2,
-        engines: 5,
-    },
-    DomainSize {
-        name: "lima-2",
-        entry_hosts: 1,
-        engines: 2,
-    },
+    DomainSize::new("lima-1", 2, 5),
+    DomainSize::new("lima-2", 1, 2),
 ];
 
 /// Callers that read streams.
--- a/crates/geranium_daemon/tests/system/operator_interface.rs
+++ b/crates/geranium_daemon/tests/system/operator_interface.rs
@@ -15,11 +15,7 @@
 /// Longest time for one call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
-const ONE_DOMAIN: [DomainSize; 1] = [DomainSize {
-    name: "lima-1",
-    entry_hosts: 1,
-    engines: 2,
-}];
+const ONE_DOMAIN: [DomainSize; 1] = [DomainSize::new("lima-1", 1, 2)];
 
 async fn send(system: &System, req: HttpRequest) -> (StatusCode, Bytes) {
     let answer = system.http.send_whole(req, CALL_TIMEOUT).await;
--- a/crates/geranium_daemon/tests/system/operators.rs
+++ b/crates/geranium_daemon/tests/system/operators.rs
@@ -9,16 +9,8 @@
 use crate::GERANIUMD;
 
 const TWO_HOSTS: [DomainSize; 2] = [
-    DomainSize {
-        name: "lima-1",
-        entry_hosts: 1,
-        engines: 2,
-    },
-    DomainSize {
-        name: "lima-2",
-        entry_hosts: 1,
-        engines: 2,
-    },
+    DomainSize::new("lima-1", 1, 2),
+    DomainSize::new("lima-2", 1, 2),
 ];
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/geranium_daemon/tests/system/requests.rs
+++ b/crates/geranium_daemon/tests/system/requests.rs
@@ -12,11 +12,7 @@
 
 use crate::GERANIUMD;
 
-const ONE_DOMAIN: DomainSize = DomainSize {
-    name: "lima-1",
-    entry_hosts: 1,
-    engines: 4,
-};
+const ONE_DOMAIN: DomainSize = DomainSize::new("lima-1", 1, 4);
 
 async fn serving_system(groups: u32, domain: DomainSize) -> System {
     let system = System::start(GERANIUMD, &[domain], |cfg| {
@@ -419,16 +415,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn slow_first_token_of_another_failure_domain_is_waited_for() {
     let domains = [
-        DomainSize {
-            name: "lima-1",
-            entry_hosts: 1,
-            engines: 0,
-        },
-        DomainSize {
-            name: "lima-2",
-            entry_hosts: 1,
-            engines: 2,
-        },
+        DomainSize::new("lima-1", 1, 0),
+        DomainSize::new("lima-2", 1, 2),
     ];
     let system = System::start(GERANIUMD, &domains, |cfg| {
         cfg.token_time = Duration::from_millis(1_500);
--- a/crates/geranium_fakes/src/system/small_system.rs
+++ b/crates/geranium_fakes/src/system/small_system.rs
@@ -44,6 +44,18 @@
     pub engines: usize,
 }
 
+impl DomainSize {
+    /// Makes the size of a failure domain.
+    #[must_use]
+    pub const fn new(name: &'static str, entry_hosts: usize, engines: usize) -> Self {
+        Self {
+            name,
+            entry_hosts,
+            engines,
+        }
+    }
+}
+
 /// A small system.
 pub struct System {
     /// The platform's service.
@@ -121,6 +133,21 @@
         self.engines[position].as_ref().expect("the engine runs")
     }
 
+    /// Returns the position of the engine that runs on a host.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no engine runs there.
+    #[must_use]
+    pub fn engine_on(&self, host: &HostId) -> usize {
+        let runs_there = |engine: &FakeEngine| engine.host() == host;
+        let found = self
+            .engines
+            .iter()
+            .position(|e| e.as_ref().is_some_and(runs_there));
+        found.expect("an engine runs on the host")
+    }
+
     /// Returns the position of the engine that serves as rank 0 of a group.
     ///
     /// # Panics
--- a/crates/geranium_measure/src/experiment/claims.rs
+++ b/crates/geranium_measure/src/experiment/claims.rs
@@ -21,11 +21,7 @@
 
 /// Measures claimed calls through one entry host.
 pub async fn run(geraniumd: &Path, report: &mut Report) -> Result<(), MeasureError> {
-    let domain = DomainSize {
-        name: "lima-1",
-        entry_hosts: 1,
-        engines: 0,
-    };
+    let domain = DomainSize::new("lima-1", 1, 0);
     let system = System::start(geraniumd, &[domain], |_| {}).await;
     system.apply_service().await;
     for at_a_time in STEPS {
--- a/crates/geranium_measure/src/experiment/failure.rs
+++ b/crates/geranium_measure/src/experiment/failure.rs
@@ -52,11 +52,7 @@
 
 /// Returns the times to a closed gate, to the order and to service, in seconds.
 async fn death(geraniumd: &Path) -> (f64, f64, f64) {
-    let domain = DomainSize {
-        name: "lima-1",
-        entry_hosts: 2,
-        engines: 3,
-    };
+    let domain = DomainSize::new("lima-1", 2, 3);
     let mut system = System::start(geraniumd, &[domain], |cfg| cfg.warm_after = 1).await;
     system.apply_model(&[("lima-1", 1)], 2).await;
     system.wait_serving("lima-1", 1).await;
--- a/crates/geranium_measure/src/experiment/latency.rs
+++ b/crates/geranium_measure/src/experiment/latency.rs
@@ -43,11 +43,7 @@
 
 /// Compares direct calls of an engine with calls through an entry host.
 pub async fn run(geraniumd: &Path, report: &mut Report) -> Result<(), MeasureError> {
-    let domain = DomainSize {
-        name: "lima-1",
-        entry_hosts: 1,
-        engines: 1,
-    };
+    let domain = DomainSize::new("lima-1", 1, 1);
     let system = System::start(geraniumd, &[domain], |cfg| {
         // No timer of the stand-in, whose steps are as long as what is measured.
         cfg.token_time = Duration::ZERO;
--- a/crates/geranium_measure/src/experiment/load.rs
+++ b/crates/geranium_measure/src/experiment/load.rs
@@ -30,11 +30,7 @@
 
 /// Raises the number of streams until the rate no longer grows.
 pub async fn run(geraniumd: &Path, report: &mut Report) -> Result<(), MeasureError> {
-    let domain = DomainSize {
-        name: "lima-1",
-        entry_hosts: 1,
-        engines: 4,
-    };
+    let domain = DomainSize::new("lima-1", 1, 4);
     let system = System::start(geraniumd, &[domain], |cfg| {
         cfg.token_time = Duration::from_micros(200);
         cfg.batch_capacity = 1_000;
--- a/crates/geranium_measure/src/experiment/streams.rs
+++ b/crates/geranium_measure/src/experiment/streams.rs
@@ -20,11 +20,7 @@
 
 /// Opens streams step by step and reads the memory of the entry host.
 pub async fn run(geraniumd: &Path, report: &mut Report) -> Result<(), MeasureError> {
-    let domain = DomainSize {
-        name: "lima-1",
-        entry_hosts: 1,
-        engines: 8,
-    };
+    let domain = DomainSize::new("lima-1", 1, 8);
     let system = System::start(geraniumd, &[domain], |cfg| {
         cfg.token_time = Duration::from_millis(50);
         cfg.warm_after = 1;
