Call one piece where the daemon had two of the same

Each of these stood twice or more: whether a failed write may have taken effect (three matches on the same two store errors), the health answers of the two listeners, the reading of the bearer token, the names of the deadline and request headers (geranium_engine had them), the refusal of an unknown service, the reading of a stored group table, the check of a completion and of a forwarded one, the replicas that a record asks for in a failure domain (three sums), the look-ups in the control view, and the making of a planner.

The control task also copied the whole group table into its view 20 times a second; the gate now shares the one it holds. The peer task and its handler were handed parts of the node beside the node itself.

Ruled out: one path for calls to the leader and to this host as leader (credits, trials, suspects): the local answers need no message and differ in what they do with a refusal. drained().covers in Node::is_broken: it would differ for a group without members.

No figure of speed was taken.

--- a/crates/geranium_core/src/group/controller.rs
+++ b/crates/geranium_core/src/group/controller.rs
@@ -10,6 +10,7 @@
 use crate::engine::EngineReport;
 use crate::event::{EventDraft, EventKind, EventSubject};
 use crate::group::dispatch::Dispatcher;
+use crate::group::planner::Planner;
 use crate::group::progress::Progress;
 use crate::group::{
     DelegatedSpares, GroupConfig, GroupEffect, GroupInput, GroupTable, OutagePolicy, World,
@@ -263,6 +264,16 @@
         }
     }
 
+    fn planner(&self, now: Timestamp) -> Planner<'_> {
+        Planner::new(
+            now,
+            &self.world,
+            &self.progress,
+            self.incarnation,
+            &self.table,
+        )
+    }
+
     fn emit_domain(&self, effects: &mut Vec<GroupEffect>, kind: EventKind, reason: &str) {
         let subject = EventSubject::failure_domain(self.world.failure_domain());
         effects.push(GroupEffect::Emit(EventDraft::new(kind, subject, reason)));
--- a/crates/geranium_core/src/group/controller/outage.rs
+++ b/crates/geranium_core/src/group/controller/outage.rs
@@ -2,7 +2,6 @@
 
 use super::{GroupController, Phase};
 use crate::event::EventKind;
-use crate::group::planner::Planner;
 use crate::group::{GroupEffect, GroupTable, OutagePolicy};
 use crate::time::Timestamp;
 
@@ -88,14 +87,8 @@
     }
 
     fn amend(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
-        let planner = Planner::new(
-            now,
-            &self.world,
-            &self.progress,
-            self.incarnation,
-            &self.table,
-        );
-        match planner.amend() {
+        let amended = self.planner(now).amend();
+        match amended {
             Ok(Some(plan)) => {
                 self.table = plan.table;
                 effects.push(GroupEffect::PublishTable(self.table.clone()));
--- a/crates/geranium_core/src/group/controller/store.rs
+++ b/crates/geranium_core/src/group/controller/store.rs
@@ -2,7 +2,7 @@
 
 use super::{GroupController, PendingRead, PendingWrite, Phase};
 use crate::event::{EventDraft, EventKind, EventSubject};
-use crate::group::planner::{Plan, Planner};
+use crate::group::planner::Plan;
 use crate::group::{GroupEffect, GroupError, GroupTable, OutagePolicy, WriteOutcome};
 use crate::id::StoreRevision;
 use crate::time::Timestamp;
@@ -112,14 +112,8 @@
 
     /// Works out the next change and asks for its write.
     pub(super) fn plan(&mut self, now: Timestamp, effects: &mut Vec<GroupEffect>) {
-        let planner = Planner::new(
-            now,
-            &self.world,
-            &self.progress,
-            self.incarnation,
-            &self.table,
-        );
-        let plan = match planner.plan(&self.policy) {
+        let planned = self.planner(now).plan(&self.policy);
+        let plan = match planned {
             Ok(Some(plan)) => plan,
             Ok(None) if self.store_is_behind => self.restore(),
             Ok(None) => return,
--- a/crates/geranium_core/src/group/demand.rs
+++ b/crates/geranium_core/src/group/demand.rs
@@ -70,14 +70,8 @@
 }
 
 fn wanted(failure_domain: &FailureDomainId, spec: &ModelSpec) -> WantedReplicas {
-    let replicas: u32 = spec
-        .placements
-        .iter()
-        .filter(|p| &p.failure_domain == failure_domain)
-        .map(|p| p.replicas)
-        .sum();
     WantedReplicas {
         spec: spec.clone(),
-        replicas: replicas as usize,
+        replicas: spec.replicas_in(failure_domain) as usize,
     }
 }
--- a/crates/geranium_core/src/group/gate.rs
+++ b/crates/geranium_core/src/group/gate.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::hash::Hasher;
+use std::sync::Arc;
 
 use crate::engine::{EnginePhase, EngineReport, HostEntry};
 use crate::event::{EventDraft, EventKind, EventSubject};
@@ -21,7 +22,7 @@
 #[derive(Clone, Debug)]
 pub struct GroupGate {
     world: World,
-    table: GroupTable,
+    table: Arc<GroupTable>,
     open: BTreeMap<GroupId, ServingGroup>,
     closed_because: BTreeMap<GroupId, String>,
 }
@@ -32,7 +33,7 @@
     pub fn new(cfg: GroupConfig, failure_domain: FailureDomainId) -> Self {
         Self {
             world: World::new(cfg, failure_domain.clone()),
-            table: GroupTable::new(failure_domain),
+            table: Arc::new(GroupTable::new(failure_domain)),
             open: BTreeMap::new(),
             closed_because: BTreeMap::new(),
         }
@@ -48,13 +49,13 @@
             return Ok(false);
         }
         table.check()?;
-        self.table.clone_from(table);
+        self.table = Arc::new(table.clone());
         Ok(true)
     }
 
     /// Returns the table in use.
     #[must_use]
-    pub fn table(&self) -> &GroupTable {
+    pub const fn table(&self) -> &Arc<GroupTable> {
         &self.table
     }
 
--- a/crates/geranium_core/src/record/spec.rs
+++ b/crates/geranium_core/src/record/spec.rs
@@ -49,6 +49,18 @@
     pub warm_concurrency: u32,
 }
 
+impl ModelSpec {
+    /// Returns the replicas that the record asks for in a failure domain.
+    #[must_use]
+    pub fn replicas_in(&self, failure_domain: &FailureDomainId) -> u32 {
+        let placements = self.placements.iter();
+        placements
+            .filter(|placement| placement.failure_domain == *failure_domain)
+            .map(|placement| placement.replicas)
+            .sum()
+    }
+}
+
 /// A client account.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AccountSpec {
--- a/crates/geranium_daemon/src/apply.rs
+++ b/crates/geranium_daemon/src/apply.rs
@@ -98,19 +98,17 @@
         }
         Ok(CasOutcome::Conflict(values)) => {
             let now = read_value(values.into_iter().next());
-            lost_or_again(change, &plan, &now)
+            Ok(lost_or_again(change, &plan, &now))
         }
-        Err(StoreError::Ambiguous(..) | StoreError::Malformed(..)) => {
-            match settle(node, &plan).await? {
-                (Settled::Applied, revision) => {
-                    note_written(node, &plan.record, revision).await;
-                    Ok(Some(accepted()))
-                }
-                (Settled::Lost(winner), _) => Ok(Some(lost(change, &winner, None))),
-                (Settled::NotYet | Settled::PlanAgain, _) => Ok(None),
-                (Settled::Unknown(_), _) => Err(unknown_outcome(&change.key)),
+        Err(e) if e.may_have_taken_effect() => match settle(node, &plan).await? {
+            (Settled::Applied, revision) => {
+                note_written(node, &plan.record, revision).await;
+                Ok(Some(accepted()))
             }
-        }
+            (Settled::Lost(winner), _) => Ok(Some(lost(change, &winner, None))),
+            (Settled::NotYet | Settled::PlanAgain, _) => Ok(None),
+            (Settled::Unknown(_), _) => Err(unknown_outcome(&change.key)),
+        },
         Err(e) => Err(unavailable(&e)),
     }
 }
@@ -220,21 +218,19 @@
     change: &ChangeRequest,
     plan: &ApplyPlan,
     now: &CurrentRecord,
-) -> Result<Option<ApplyAnswer>, ApiError> {
-    let Some(stored) = &now.stored else {
-        return Ok(None);
-    };
+) -> Option<ApplyAnswer> {
+    let stored = now.stored.as_ref()?;
     if stored.descends_from(plan.record.writer()) {
         // An earlier try of this very change took effect after all.
-        return Ok(Some(answer(
+        return Some(answer(
             ApplyOutcome::Accepted,
             stored.generation().0,
             plan,
             None,
-        )));
+        ));
     }
     let differences = changes::changes(stored.document.as_ref(), plan.record.document.as_ref());
-    Ok(Some(lost(change, &stored.change, Some(differences))))
+    Some(lost(change, &stored.change, Some(differences)))
 }
 
 fn lost(
--- /dev/null
+++ b/crates/geranium_daemon/src/bearer.rs
@@ -0,0 +1,14 @@
+//! The authorization header.
+
+use hyper::header::AUTHORIZATION;
+use viz::Request;
+
+/// Scheme of the authorization header.
+const SCHEME: &str = "Bearer ";
+
+/// Returns the bearer token of a call, if it carries one.
+#[must_use]
+pub fn bearer_token(req: &Request) -> Option<&str> {
+    let header = req.headers().get(AUTHORIZATION)?.to_str().ok()?;
+    header.strip_prefix(SCHEME)
+}
--- a/crates/geranium_daemon/src/caller/auth.rs
+++ b/crates/geranium_daemon/src/caller/auth.rs
@@ -1,29 +1,22 @@
 //! Keys of client accounts and tokens of entry hosts.
 
 use geranium_net::ApiError;
-use hyper::header::AUTHORIZATION;
 use subtle::ConstantTimeEq;
 use viz::Request;
 
 use super::{PEER_TOKEN_HEADER, refusal};
+use crate::bearer::bearer_token;
 use crate::node::Node;
 use crate::traffic::AccountKeys;
 
-/// Scheme of the authorization header.
-const SCHEME: &str = "Bearer ";
-
 /// Returns the client account of a call.
 ///
 /// # Errors
 ///
 /// Returns a refusal if the key is missing or not known.
 pub fn account(node: &Node, req: &Request) -> Result<AccountKeys, ApiError> {
-    let header = req
-        .headers()
-        .get(AUTHORIZATION)
-        .and_then(|value| value.to_str().ok());
-    let key = header.and_then(|text| text.strip_prefix(SCHEME));
-    key.and_then(|key| node.traffic.account_of(key))
+    bearer_token(req)
+        .and_then(|key| node.traffic.account_of(key))
         .ok_or_else(refusal::unknown_account)
 }
 
--- a/crates/geranium_daemon/src/caller/chat.rs
+++ b/crates/geranium_daemon/src/caller/chat.rs
@@ -8,7 +8,7 @@
 use geranium_core::id::{AccountId, ModelId, RequestId};
 use geranium_core::limit::{CrashVerdict, RequestFingerprint};
 use geranium_core::time::Timestamp;
-use geranium_engine::ChatRequest;
+use geranium_engine::{ChatRequest, REQUEST_HEADER};
 use geranium_net::{ApiError, drop_body, read_body};
 use hyper::StatusCode;
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
@@ -81,6 +81,19 @@
 
 async fn accept(node: &Node, req: &mut Request) -> std::result::Result<Completion, ApiError> {
     let account = auth::account(node, req)?;
+    accept_as(node, req, account).await
+}
+
+/// Reads and checks a completion of a known client account.
+///
+/// # Errors
+///
+/// Returns a typed refusal; no backend server has seen the request.
+pub async fn accept_as(
+    node: &Node,
+    req: &mut Request,
+    account: AccountKeys,
+) -> std::result::Result<Completion, ApiError> {
     let now = node.clock.now();
     let deadline = headers::deadline(req.headers(), now, node.settings.default_deadline)?;
     let request = headers::request_id(req.headers())?;
@@ -99,7 +112,7 @@
 /// # Errors
 ///
 /// Returns a typed refusal; no backend server has seen the request.
-pub fn check(
+fn check(
     node: &Node,
     account: AccountKeys,
     request: RequestId,
@@ -178,7 +191,7 @@
         whole(node, completion.relay, admitted).await?
     };
     if let Ok(value) = HeaderValue::from_str(request.as_str()) {
-        res.headers_mut().insert(headers::REQUEST_HEADER, value);
+        res.headers_mut().insert(REQUEST_HEADER, value);
     }
     Ok(res)
 }
--- a/crates/geranium_daemon/src/caller/forward.rs
+++ b/crates/geranium_daemon/src/caller/forward.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use geranium_core::id::AccountId;
-use geranium_net::{ApiError, read_body};
+use geranium_net::ApiError;
 use viz::{Request, Response, Result};
 
-use super::chat::{check, serve};
+use super::chat::{accept_as, serve};
 use super::{ACCOUNT_HEADER, auth, headers, refusal};
 use crate::node::Node;
 use crate::traffic::AccountKeys;
@@ -14,18 +14,9 @@
 /// Answers a completion that another entry host passed on; it takes no further hop.
 pub async fn completions(node: Arc<Node>, mut req: Request) -> Result<Response> {
     auth::peer(&node, &req)?;
-    let now = node.clock.now();
     let account = account(&node, &req)?;
-    let deadline = headers::deadline(req.headers(), now, node.settings.default_deadline)?;
-    let request = headers::request_id(req.headers())?;
-    let body = read_body(&mut req, node.settings.max_body)
-        .await
-        .map_err(ApiError::not_run)?;
-    let mut completion = check(&node, account, request, deadline, &body)?;
+    let mut completion = accept_as(&node, &mut req, account).await?;
     completion.relay.forwarded = true;
-    if node.is_stopping() {
-        return Err(refusal::stopping().into());
-    }
     Ok(serve(&node, completion).await?)
 }
 
--- a/crates/geranium_daemon/src/caller/headers.rs
+++ b/crates/geranium_daemon/src/caller/headers.rs
@@ -4,18 +4,13 @@
 
 use geranium_core::id::RequestId;
 use geranium_core::time::Timestamp;
+use geranium_engine::{DEADLINE_HEADER, REQUEST_HEADER};
 use geranium_net::ApiError;
 use hyper::HeaderMap;
 use rand::Rng;
 
 use super::refusal::invalid;
 
-/// Header with the time that the caller waits, in milliseconds.
-pub const DEADLINE_HEADER: &str = "x-deadline-ms";
-
-/// Header with the id of the request, for its events.
-pub const REQUEST_HEADER: &str = "x-request-id";
-
 /// Longest time that a caller may wait, in milliseconds.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
 
--- a/crates/geranium_daemon/src/caller/mod.rs
+++ b/crates/geranium_daemon/src/caller/mod.rs
@@ -9,12 +9,10 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use hyper::StatusCode;
-use viz::{Request, Response, Result, Router};
+use viz::{Request, Router};
 
+use crate::health::{healthz, readyz};
 use crate::node::Node;
-use crate::operator::reply;
 
 /// Path on which entry hosts pass completions on to each other.
 pub const FORWARD_PATH: &str = "/internal/v1/chat/completions";
@@ -33,13 +31,14 @@
     let models = bind(node, chat::models);
     let service = bind(node, service::call);
     let ready = bind(node, readyz);
+    let healthy = bind(node, healthz);
     Router::new()
         .post("/v1/chat/completions", completions)
         .get("/v1/models", models)
         .post(FORWARD_PATH, forwarded)
         .any("/v1/services/:service/*", service)
         .get("/readyz", ready)
-        .get("/healthz", healthz)
+        .get("/healthz", healthy)
 }
 
 fn bind<F, Fut>(
@@ -52,27 +51,3 @@
     let node = node.clone();
     move |req| handler(node.clone(), req)
 }
-
-async fn readyz(node: Arc<Node>, _req: Request) -> Result<Response> {
-    if node.is_ready() {
-        return Ok(reply::typed(
-            StatusCode::OK,
-            "text/plain",
-            Bytes::from_static(b"ready\n"),
-        ));
-    }
-    let body = Bytes::from_static(b"not ready\n");
-    Ok(reply::typed(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "text/plain",
-        body,
-    ))
-}
-
-async fn healthz(_req: Request) -> Result<Response> {
-    Ok(reply::typed(
-        StatusCode::OK,
-        "text/plain",
-        Bytes::from_static(b"ok\n"),
-    ))
-}
--- a/crates/geranium_daemon/src/caller/service.rs
+++ b/crates/geranium_daemon/src/caller/service.rs
@@ -93,7 +93,7 @@
     let spec = view
         .records
         .service(&service)
-        .ok_or_else(|| unknown_service(&service))?;
+        .ok_or_else(|| unknown_service(service.as_str()))?;
     if !spec.accounts.contains(&account) {
         return Err(refusal::not_allowed(account.as_str(), service.as_str()));
     }
@@ -126,15 +126,12 @@
         .strip_prefix("/v1/services/")
         .unwrap_or_default();
     let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
-    let service = name.parse().map_err(|_| {
-        let message = format!("service {name:?} does not exist");
-        ApiError::new(StatusCode::NOT_FOUND, "unknown_service", message).not_run()
-    })?;
+    let service = name.parse().map_err(|_| unknown_service(name))?;
     Ok((service, format!("/{path}")))
 }
 
-fn unknown_service(service: &RecordName) -> ApiError {
-    let message = format!("service {:?} does not exist", service.as_str());
+fn unknown_service(name: &str) -> ApiError {
+    let message = format!("service {name:?} does not exist");
     ApiError::new(StatusCode::NOT_FOUND, "unknown_service", message).not_run()
 }
 
--- a/crates/geranium_daemon/src/claim/sender.rs
+++ b/crates/geranium_daemon/src/claim/sender.rs
@@ -123,7 +123,7 @@
                 .map(|value| (value.key.clone(), stored_claim(value)));
             BatchOutcome::Conflict(present.collect())
         }
-        Err(StoreError::Ambiguous(..) | StoreError::Malformed(..)) => BatchOutcome::Ambiguous,
+        Err(e) if e.may_have_taken_effect() => BatchOutcome::Ambiguous,
         Err(_) => BatchOutcome::NoEffect,
     }
 }
--- a/crates/geranium_daemon/src/control/mirror.rs
+++ b/crates/geranium_daemon/src/control/mirror.rs
@@ -5,12 +5,12 @@
 
 use futures::StreamExt;
 use geranium_core::engine::HostEntry;
-use geranium_core::group::GroupTable;
 use geranium_platform::{KvStore, StoreError, StoredValue, WatchBatch, WatchChange};
 use rand::Rng;
 use tokio::sync::mpsc;
 
 use super::ControlInput;
+use super::table_store::parse_table;
 
 /// Shortest pause before a failed read is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -116,12 +116,8 @@
     }
 
     async fn report_table(&self, key: &str) {
-        let Some(value) = self.values.get(key) else {
-            return;
-        };
-        match serde_json::from_slice::<GroupTable>(&value.value) {
-            Ok(table) => self.send(ControlInput::Table(Box::new(table))).await,
-            Err(e) => log::error!("value of {key:?} is not a group table: {e}"),
+        if let Some(table) = self.values.get(key).and_then(parse_table) {
+            self.send(ControlInput::Table(table)).await;
         }
     }
 
--- a/crates/geranium_daemon/src/control/published.rs
+++ b/crates/geranium_daemon/src/control/published.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use geranium_core::engine::HostEntry;
-use geranium_core::group::{GroupTable, ReportBook, ServingGroup};
-use geranium_core::id::GroupId;
+use geranium_core::group::{GroupTable, ReplicaGroup, ReportBook, ServingGroup};
+use geranium_core::id::{GroupId, RecordName};
 use geranium_core::record::RecordSet;
 use parking_lot::RwLock;
 
@@ -30,6 +30,27 @@
     pub store_reachable: bool,
 }
 
+impl ControlView {
+    /// Returns a group of the table.
+    #[must_use]
+    pub fn group(&self, id: &GroupId) -> Option<&ReplicaGroup> {
+        self.table.as_ref()?.groups().get(id)
+    }
+
+    /// Returns whether a group takes requests.
+    #[must_use]
+    pub fn is_open(&self, id: &GroupId) -> bool {
+        self.serving.iter().any(|group| group.group == *id)
+    }
+
+    /// Returns the replicas of a record that take requests.
+    #[must_use]
+    pub fn replicas_serving(&self, record: &RecordName) -> u32 {
+        let groups = self.serving.iter().filter(|group| group.record == *record);
+        u32::try_from(groups.count()).unwrap_or(u32::MAX)
+    }
+}
+
 /// Holds the latest [`ControlView`].
 #[derive(Debug, Default)]
 pub struct Published {
--- a/crates/geranium_daemon/src/control/table_store.rs
+++ b/crates/geranium_daemon/src/control/table_store.rs
@@ -2,7 +2,7 @@
 
 use geranium_core::group::{GroupTable, WriteOutcome};
 use geranium_core::id::{FailureDomainId, StoreRevision};
-use geranium_platform::{CasOutcome, KvStore, StoreError, Swap};
+use geranium_platform::{CasOutcome, KvStore, StoreError, StoredValue, Swap};
 use tokio::sync::mpsc;
 
 use super::ControlInput;
@@ -38,12 +38,9 @@
         tokio::spawn(async move {
             let (table, revision) = match store.get(&key).await {
                 Ok(None) => (None, StoreRevision::default()),
-                Ok(Some(value)) => match serde_json::from_slice::<GroupTable>(&value.value) {
-                    Ok(table) => (Some(Box::new(table)), value.revision),
-                    Err(e) => {
-                        log::error!("value of {key:?} is not a group table: {e}");
-                        return;
-                    }
+                Ok(Some(value)) => match parse_table(&value) {
+                    Some(table) => (Some(table), value.revision),
+                    None => return,
                 },
                 Err(e) => {
                     log::debug!("cannot read the group table: {e}");
@@ -85,11 +82,18 @@
     }
 }
 
+/// Reads a stored group table; one that is not valid is logged and left out.
+pub(super) fn parse_table(value: &StoredValue) -> Option<Box<GroupTable>> {
+    serde_json::from_slice(&value.value)
+        .inspect_err(|e| log::error!("value of {:?} is not a group table: {e}", value.key))
+        .ok()
+}
+
 fn write_outcome(outcome: Result<CasOutcome, StoreError>) -> WriteOutcome {
     match outcome {
         Ok(CasOutcome::Applied(revision)) => WriteOutcome::Applied { revision },
         Ok(CasOutcome::Conflict(_)) => WriteOutcome::Conflict,
-        Err(StoreError::Ambiguous(..) | StoreError::Malformed(..)) => WriteOutcome::Ambiguous,
+        Err(e) if e.may_have_taken_effect() => WriteOutcome::Ambiguous,
         Err(e) => {
             log::debug!("cannot write the group table: {e}");
             WriteOutcome::Failed
--- a/crates/geranium_daemon/src/control/task.rs
+++ b/crates/geranium_daemon/src/control/task.rs
@@ -160,10 +160,6 @@
 
     fn replace_records(&mut self, records: Arc<RecordSet>) {
         self.records = records;
-        self.records_changed();
-    }
-
-    fn records_changed(&mut self) {
         let models: Vec<ModelSpec> = self.records.models().cloned().collect();
         let drained: Vec<DrainTarget> = self.records.drains().map(|d| d.target.clone()).collect();
         self.gate.set_records(&models, &drained);
@@ -263,17 +259,8 @@
         }
         let mut missing = 0;
         for spec in view.records.models() {
-            let placements = spec
-                .placements
-                .iter()
-                .filter(|p| p.failure_domain == *domain);
-            let wanted: u32 = placements.map(|placement| placement.replicas).sum();
-            let serving = view
-                .serving
-                .iter()
-                .filter(|group| group.record == spec.name)
-                .count();
-            missing += u64::from(wanted).saturating_sub(serving as u64);
+            let serving = view.replicas_serving(&spec.name);
+            missing += u64::from(spec.replicas_in(domain).saturating_sub(serving));
         }
         let millis = u64::try_from(elapsed.as_millis()).unwrap_or_default();
         let label = DomainLabel {
@@ -291,7 +278,7 @@
         ControlView {
             records: self.records.clone(),
             hosts: self.hosts.clone(),
-            table: Some(Arc::new(table.clone())),
+            table: Some(table.clone()),
             serving: self.serving.clone(),
             closed_because,
             reports: self.reports.clone(),
--- /dev/null
+++ b/crates/geranium_daemon/src/health.rs
@@ -0,0 +1,28 @@
+//! Whether the process runs and takes requests, told on both listeners.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::StatusCode;
+use viz::{Request, Response, Result};
+
+use crate::node::Node;
+use crate::operator::reply::typed;
+
+/// Answers while the process runs.
+pub async fn healthz(_node: Arc<Node>, _req: Request) -> Result<Response> {
+    Ok(text(StatusCode::OK, b"ok\n"))
+}
+
+/// Answers whether the process takes requests.
+pub async fn readyz(node: Arc<Node>, _req: Request) -> Result<Response> {
+    Ok(if node.is_ready() {
+        text(StatusCode::OK, b"ready\n")
+    } else {
+        text(StatusCode::SERVICE_UNAVAILABLE, b"not ready\n")
+    })
+}
+
+fn text(status: StatusCode, body: &'static [u8]) -> Response {
+    typed(status, "text/plain", Bytes::from_static(body))
+}
--- a/crates/geranium_daemon/src/lib.rs
+++ b/crates/geranium_daemon/src/lib.rs
@@ -14,12 +14,14 @@
 //! | [`process`] | the process `geraniumd` |
 
 pub mod apply;
+mod bearer;
 pub mod caller;
 pub mod changes;
 pub mod claim;
 pub mod clock;
 pub mod control;
 mod gauges;
+mod health;
 pub mod metrics;
 pub mod node;
 pub mod operator;
--- a/crates/geranium_daemon/src/node.rs
+++ b/crates/geranium_daemon/src/node.rs
@@ -123,14 +123,10 @@
     #[must_use]
     pub fn is_broken(&self, group: &GroupId, fencing: FencingNumber) -> bool {
         let view = self.published.view();
-        let known = view
-            .table
-            .as_ref()
-            .and_then(|table| table.groups().get(group));
+        let known = view.group(group);
         let Some(known) = known.filter(|known| known.fencing == fencing) else {
             return true;
         };
-        let open = view.serving.iter().any(|serving| serving.group == *group);
         let drained = view.records.drained();
         let leaving = known.state == GroupState::Dissolving
             || drained
@@ -140,7 +136,7 @@
                 .members
                 .iter()
                 .any(|member| drained.hosts.contains(&member.host));
-        !open && !leaving
+        !leaving && !view.is_open(group)
     }
 
     /// Records an event.
--- a/crates/geranium_daemon/src/operator/explain.rs
+++ b/crates/geranium_daemon/src/operator/explain.rs
@@ -58,8 +58,7 @@
 
 fn explain_group(node: &Node, view: &ControlView, id: &GroupId) -> Explanation {
     let mut explanation = Explanation::default();
-    let group = view.table.as_ref().and_then(|table| table.groups().get(id));
-    if let Some(group) = group {
+    if let Some(group) = view.group(id) {
         let members: Vec<&str> = group.members.iter().map(|m| m.host.as_str()).collect();
         explanation.lines.push(format!(
             "group {id} serves record {} on {} in {}, fencing number {}",
--- a/crates/geranium_daemon/src/operator/mod.rs
+++ b/crates/geranium_daemon/src/operator/mod.rs
@@ -14,6 +14,7 @@
 
 pub use status::accelerators;
 
+use crate::health::{healthz, readyz};
 use crate::node::Node;
 
 /// Makes the router of the operator listener.
@@ -60,8 +61,8 @@
         explain::explain,
     );
     let router = open(router, node, "/metrics", status::metrics);
-    let router = open(router, node, "/healthz", status::healthz);
-    open(router, node, "/readyz", status::readyz)
+    let router = open(router, node, "/healthz", healthz);
+    open(router, node, "/readyz", readyz)
 }
 
 #[derive(Clone, Copy)]
--- a/crates/geranium_daemon/src/operator/status.rs
+++ b/crates/geranium_daemon/src/operator/status.rs
@@ -52,38 +52,12 @@
     ))
 }
 
-/// Answers while the process runs.
-pub async fn healthz(_node: Arc<Node>, _req: Request) -> Result<Response> {
-    Ok(typed(
-        StatusCode::OK,
-        "text/plain",
-        Bytes::from_static(b"ok\n"),
-    ))
-}
-
-/// Answers whether the process takes requests.
-pub async fn readyz(node: Arc<Node>, _req: Request) -> Result<Response> {
-    if node.is_ready() {
-        return Ok(typed(
-            StatusCode::OK,
-            "text/plain",
-            Bytes::from_static(b"ready\n"),
-        ));
-    }
-    let body = Bytes::from_static(b"not ready\n");
-    Ok(typed(StatusCode::SERVICE_UNAVAILABLE, "text/plain", body))
-}
-
 fn models(node: &Node, view: &ControlView) -> Vec<ModelView> {
     let domain = &node.settings.failure_domain;
     let mut models = Vec::new();
     for spec in view.records.models() {
-        let placements = spec
-            .placements
-            .iter()
-            .filter(|p| p.failure_domain == *domain);
-        let wanted: u32 = placements.map(|p| p.replicas).sum();
-        let serving = serving(view, spec);
+        let wanted = spec.replicas_in(domain);
+        let serving = view.replicas_serving(&spec.name);
         if wanted > 0 || serving > 0 {
             models.push(ModelView {
                 record: spec.name.clone(),
@@ -99,14 +73,6 @@
     models
 }
 
-fn serving(view: &ControlView, spec: &ModelSpec) -> u32 {
-    let groups = view
-        .serving
-        .iter()
-        .filter(|group| group.record == spec.name);
-    u32::try_from(groups.count()).unwrap_or(u32::MAX)
-}
-
 fn why_missing(domain: &FailureDomainId, view: &ControlView, spec: &ModelSpec) -> String {
     if view.records.drained().failure_domains.contains(domain) {
         return "the failure domain is out of service by a drain record".to_owned();
@@ -153,7 +119,7 @@
         record: group.record.clone(),
         fabric_domain: group.fabric_domain.clone(),
         fencing: group.fencing,
-        open: view.serving.iter().any(|serving| serving.group == *id),
+        open: view.is_open(id),
         closed_because: view.closed_because.get(id).cloned(),
         members: members.collect(),
     }
@@ -172,7 +138,7 @@
             .as_ref()
             .and_then(|table| table.group_of(&host.host));
         let reason = match group {
-            Some((id, _)) if view.serving.iter().any(|s| s.group == *id) => {
+            Some((id, _)) if view.is_open(id) => {
                 serving += host.accelerators;
                 continue;
             }
--- a/crates/geranium_daemon/src/peers/handler.rs
+++ b/crates/geranium_daemon/src/peers/handler.rs
@@ -9,7 +9,7 @@
 use geranium_core::record::spread::PullAnswer;
 use geranium_core::record::{RecordIndex, RecordKey, StoredRecord};
 use geranium_peer::{PeerCommand, PeerHandler, PeerReply};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use super::PeerInput;
 use crate::control::ControlInput;
@@ -18,19 +18,18 @@
 /// Hands calls of other entry hosts to the tasks of this process.
 pub struct NodePeerHandler {
     node: Arc<Node>,
-    tx: mpsc::Sender<PeerInput>,
     own: Heartbeat,
 }
 
 impl NodePeerHandler {
     /// Makes a handler; `own` answers while the peer task is gone.
-    pub const fn new(node: Arc<Node>, tx: mpsc::Sender<PeerInput>, own: Heartbeat) -> Self {
-        Self { node, tx, own }
+    pub const fn new(node: Arc<Node>, own: Heartbeat) -> Self {
+        Self { node, own }
     }
 
     async fn ask<T>(&self, question: impl FnOnce(oneshot::Sender<T>) -> PeerInput) -> Option<T> {
         let (tx, rx) = oneshot::channel();
-        self.tx.send(question(tx)).await.ok()?;
+        self.node.peer_tx.send(question(tx)).await.ok()?;
         rx.await.ok()
     }
 
@@ -67,7 +66,11 @@
     }
 
     async fn push_records(&self, caller: MemberInfo, records: Vec<StoredRecord>) {
-        let _ = self.tx.send(PeerInput::Push(caller, records)).await;
+        let _ = self
+            .node
+            .peer_tx
+            .send(PeerInput::Push(caller, records))
+            .await;
     }
 
     async fn in_force(&self, keys: Vec<RecordKey>) -> RecordIndex {
@@ -94,7 +97,11 @@
             PeerCommand::LastHeard(hosts) => PeerReply::Heard(self.last_heard(hosts)),
             PeerCommand::Crashes(digest) => {
                 self.node.traffic.import_crashes(now, &digest);
-                let _ = self.tx.send(PeerInput::Crashes(Box::new(digest))).await;
+                let _ = self
+                    .node
+                    .peer_tx
+                    .send(PeerInput::Crashes(Box::new(digest)))
+                    .await;
                 PeerReply::Done
             }
             PeerCommand::Table(table) => {
--- a/crates/geranium_daemon/src/peers/task.rs
+++ b/crates/geranium_daemon/src/peers/task.rs
@@ -11,7 +11,6 @@
 use geranium_core::record::spread::{ConfigEffect, ConfigReplica, SpreadTiming};
 use geranium_core::record::{RecordIndex, RecordKey};
 use geranium_core::time::Timestamp;
-use geranium_peer::PeerClient;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
@@ -37,12 +36,8 @@
 impl PeerTask {
     /// Makes the task of a process.
     #[must_use]
-    pub fn new(
-        node: Arc<Node>,
-        client: PeerClient,
-        tx: mpsc::Sender<PeerInput>,
-        rx: mpsc::Receiver<PeerInput>,
-    ) -> Self {
+    pub fn new(node: Arc<Node>, rx: mpsc::Receiver<PeerInput>) -> Self {
+        let (client, tx) = (node.peer_client.clone(), node.peer_tx.clone());
         let now = node.clock.now();
         let own = own_info(&node);
         let seeds = &node.settings.peers;
--- a/crates/geranium_daemon/src/relay/attempt.rs
+++ b/crates/geranium_daemon/src/relay/attempt.rs
@@ -7,7 +7,10 @@
 use geranium_core::limit::ColdSettings;
 use geranium_core::route::{RouteChoice, RoutePath};
 use geranium_core::time::Timestamp;
-use geranium_engine::{CompletionRequest, CompletionStream, EngineApi, EngineError, Resume};
+use geranium_engine::{
+    CompletionRequest, CompletionStream, DEADLINE_HEADER, EngineApi, EngineError, REQUEST_HEADER,
+    Resume,
+};
 use geranium_net::{ApiError, ClientError, HttpRequest, read_incoming};
 
 use super::RelayRequest;
@@ -84,8 +87,8 @@
         .header_text("content-type", "application/json")
         .and_then(|r| r.header_text(PEER_TOKEN_HEADER, &node.settings.peer_token))
         .and_then(|r| r.header_text(ACCOUNT_HEADER, req.account.as_str()))
-        .and_then(|r| r.header_text("x-request-id", req.request.as_str()))
-        .and_then(|r| r.header_text("x-deadline-ms", &remaining))
+        .and_then(|r| r.header_text(REQUEST_HEADER, req.request.as_str()))
+        .and_then(|r| r.header_text(DEADLINE_HEADER, &remaining))
         .map_err(EngineError::from_client)?;
     let limit = ACCEPT_TIMEOUT.min(completion.remaining);
     let res = node
--- a/crates/geranium_daemon/src/relay/witness.rs
+++ b/crates/geranium_daemon/src/relay/witness.rs
@@ -29,7 +29,7 @@
             return None;
         }
         let view = node.published.view();
-        let group = view.table.as_ref()?.groups().get(&choice.group)?;
+        let group = view.group(&choice.group)?;
         let members = group.members.iter().filter_map(|member| {
             let incarnation = view.reports.get(&member.host)?.report.incarnation;
             Some((member.host.clone(), member.address, incarnation))
--- a/crates/geranium_daemon/src/startup.rs
+++ b/crates/geranium_daemon/src/startup.rs
@@ -161,10 +161,8 @@
             return Ok(());
         };
         let node = &self.node;
-        let client = node.peer_client.clone();
-        let mut task = PeerTask::new(node.clone(), client, node.peer_tx.clone(), rx);
-        let handler =
-            NodePeerHandler::new(node.clone(), node.peer_tx.clone(), task.lone_heartbeat());
+        let mut task = PeerTask::new(node.clone(), rx);
+        let handler = NodePeerHandler::new(node.clone(), task.lone_heartbeat());
         let token = PeerToken::new(&node.settings.peer_token);
         let cfg = PeerServerConfig::new(node.settings.peer_address, token);
         self.peer_server = Some(PeerServer::start(cfg, handler)?);
--- a/crates/geranium_matrix/src/control/entry.rs
+++ b/crates/geranium_matrix/src/control/entry.rs
@@ -194,7 +194,7 @@
         }
         if now >= self.next_peers {
             self.next_peers = now + PEER_INTERVAL;
-            self.publish(self.gate.table().clone());
+            self.publish(self.gate.table().as_ref().clone());
         }
         let mut events = Vec::new();
         self.gate.evaluate(now, &mut events);
--- a/crates/geranium_platform/src/error.rs
+++ b/crates/geranium_platform/src/error.rs
@@ -39,3 +39,12 @@
         }
     }
 }
+
+impl StoreError {
+    /// Returns whether a write that failed like this may have taken effect, so
+    /// that it has to be read back.
+    #[must_use]
+    pub const fn may_have_taken_effect(&self) -> bool {
+        matches!(self, Self::Ambiguous(..) | Self::Malformed(..))
+    }
+}
