--- a/crates/geranium_daemon/src/caller/service.rs
+++ b/crates/geranium_daemon/src/caller/service.rs
@@ -21,7 +21,7 @@
 
 use super::{auth, headers, refusal};
 use crate::claim::UpstreamCall;
-use crate::clock::ProcessClock;
+use geranium_telemetry::ProcessClock;
 use crate::metrics::{CallKind, ReasonLabel};
 use crate::node::Node;
 
--- a/crates/geranium_daemon/src/claim/sender.rs
+++ b/crates/geranium_daemon/src/claim/sender.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::driver::stored_claim;
-use crate::clock::ProcessClock;
+use geranium_telemetry::ProcessClock;
 
 /// Transactions a second that claims of all entry hosts may take of the platform.
 const PLATFORM_TRANSACTIONS: f64 = 200.0;
--- a/crates/geranium_daemon/src/claim/service.rs
+++ b/crates/geranium_daemon/src/claim/service.rs
@@ -16,7 +16,7 @@
 
 use super::driver::ClaimDriver;
 use super::sender::ClaimSender;
-use crate::clock::ProcessClock;
+use geranium_telemetry::ProcessClock;
 
 /// Tells whether the process that holds a claim still runs.
 pub trait HolderDirectory: Send + Sync + 'static {
--- a/crates/geranium_daemon/src/control/orders.rs
+++ b/crates/geranium_daemon/src/control/orders.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 
 use super::ControlInput;
-use crate::clock::ProcessClock;
+use geranium_telemetry::ProcessClock;
 
 /// Sends orders and reports their outcomes to the control task.
 pub struct OrderSender<E> {
--- a/crates/geranium_daemon/src/control/reports.rs
+++ b/crates/geranium_daemon/src/control/reports.rs
@@ -12,7 +12,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::ControlInput;
-use crate::clock::ProcessClock;
+use geranium_telemetry::ProcessClock;
 
 /// Asks the engines of a failure domain for their reports, each in a task of its own.
 pub struct ReportPoller<E> {
--- a/crates/geranium_daemon/src/lib.rs
+++ b/crates/geranium_daemon/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod caller;
 pub mod changes;
 pub mod claim;
-pub mod clock;
 pub mod control;
 mod gauges;
 mod health;
--- a/crates/geranium_daemon/src/node.rs
+++ b/crates/geranium_daemon/src/node.rs
@@ -23,7 +23,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::claim::{ClaimService, Holders};
-use crate::clock::ProcessClock;
+use geranium_telemetry::ProcessClock;
 use crate::control::{ControlInput, Published};
 use crate::metrics::Metrics;
 use crate::peers::{PeerInput, PublishedPeers};
--- a/crates/geranium_daemon/src/startup.rs
+++ b/crates/geranium_daemon/src/startup.rs
@@ -23,7 +23,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::claim::{ClaimService, Holders, sweep_claims};
-use crate::clock::ProcessClock;
+use geranium_telemetry::ProcessClock;
 use crate::control::{
     ControlInput, ControlTask, HOST_PREFIX, LeaderCampaign, MirrorTarget, Published, StoreMirror,
     follow_caches, table_key,
--- /dev/null
+++ b/crates/geranium_entry/src/dialect.rs
@@ -0,0 +1,81 @@
+//! The interface to a platform's names and formats.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geranium_fleet::order::{HostOrder, OrderAnswer};
+use hyper::header::HeaderName;
+
+use crate::fact::Fact;
+
+/// Names of the headers that a platform uses.
+#[derive(Clone, Debug)]
+pub struct HeaderNames {
+    /// Identifier of one attempt of a caller.
+    pub request_id: HeaderName,
+    /// Milliseconds that the sender will wait.
+    pub deadline: HeaderName,
+    /// Key of a client account.
+    pub account_key: HeaderName,
+    /// Name of the client account, set by the entry host.
+    pub account: HeaderName,
+    /// Model that a request asks for.
+    pub model: HeaderName,
+    /// Prompt tokens and most answer tokens, separated by a comma.
+    pub token_counts: HeaderName,
+    /// Caller's estimate of the answer's tokens.
+    pub answer_estimate: HeaderName,
+    /// Id of the last event that the receiver has.
+    pub last_event_id: HeaderName,
+    /// Backend server that must answer; any other refuses.
+    pub expected_host: HeaderName,
+    /// Rank at the backend server, set by the entry host.
+    pub priority: HeaderName,
+    /// Present in answers to requests that have not run.
+    pub not_run: HeaderName,
+    /// Signature of a backend server on its answer.
+    pub signature: HeaderName,
+    /// Backend server that is at fault, in a refusal by a group's head.
+    pub at_fault: HeaderName,
+}
+
+/// State of a host as it answers itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostReport {
+    /// Orders that it has begun in this life.
+    pub seq: u64,
+}
+
+/// Names, formats and calls of a platform; decides nothing.
+pub trait Dialect: Clone + 'static {
+    /// Returns the names of headers.
+    fn headers(&self) -> &HeaderNames;
+
+    /// Returns the path by which a balancer asks whether the host is ready.
+    fn ready_path(&self) -> &str;
+
+    /// Reads a value of the store.
+    fn decode(&self, key: &str, value: &Bytes) -> Fact;
+
+    /// Reads the deletion of a value of the store.
+    fn decode_deletion(&self, key: &str) -> Fact;
+
+    /// Returns the store's key of a value of the entry hosts themselves.
+    fn own_key(&self, name: &str) -> String;
+
+    /// Sends an order to a host.
+    fn send_order(
+        &self,
+        order: &HostOrder,
+        limit: Duration,
+    ) -> impl Future<Output = OrderAnswer> + Send;
+
+    /// Asks a host for its state; `None` if it did not answer in time.
+    fn ask_host(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> impl Future<Output = Option<HostReport>> + Send;
+}
--- /dev/null
+++ b/crates/geranium_entry/src/follow.rs
@@ -0,0 +1,258 @@
+//! Follows the store: one read of everything, then one watch.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use geranium_core::collections::HashSet;
+use geranium_core::id::StoreRevision;
+use geranium_core::time::Timestamp;
+use geranium_fleet::deployment::Deployment;
+use geranium_fleet::host::Host;
+use geranium_fleet::route_table::RouteTable;
+use geranium_platform::{KvStore, StoreError, StoredValue, WatchChange};
+use serde::{Deserialize, Serialize};
+
+use crate::dialect::Dialect;
+use crate::fact::Fact;
+use crate::peers::PeerLink;
+use crate::state::Shared;
+
+/// Name of the values by which entry hosts find each other.
+pub(crate) const ENTRY_PREFIX: &str = "entry/";
+/// Name of the value that names the manager.
+pub(crate) const MANAGER: &str = "manager";
+/// Name of the values that count crashes of requests.
+pub(crate) const CRASH_PREFIX: &str = "crash/";
+/// Pause after a failed call, before jitter.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Time without an answer after which the store counts as having been away.
+const OUTAGE: Duration = Duration::from_millis(1_500);
+/// Pause between two watches, so that changes come in batches.
+const BATCH_PAUSE: Duration = Duration::from_millis(25);
+
+/// How an entry host shows itself to the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct EntryValue {
+    /// Name of the host.
+    pub(crate) name: String,
+    /// Address of its datagrams.
+    pub(crate) peers: std::net::SocketAddr,
+}
+
+/// Follows the store until the process ends.
+pub(crate) async fn run<D: Dialect, S: KvStore>(shared: Rc<Shared<D>>, store: S, peers: Rc<PeerLink>) {
+    let follower = Follower { shared, peers };
+    let mut revision: Option<StoreRevision> = None;
+    let mut heard_at = follower.shared.now();
+    loop {
+        let outcome = match revision {
+            None => follower.read_all(&store, &mut heard_at).await,
+            Some(after) => follower.watch(&store, after, &mut heard_at).await,
+        };
+        match outcome {
+            Ok(reached) => revision = Some(reached),
+            Err((reached, e)) => {
+                revision = reached;
+                follower.note_failure(&e, heard_at);
+                if matches!(e, StoreError::Compacted(_)) {
+                    revision = None;
+                    continue;
+                }
+                let jitter = rand::random_range(0.5..1.5);
+                tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
+            }
+        }
+    }
+}
+
+type FollowError = (Option<StoreRevision>, StoreError);
+
+struct Follower<D: Dialect> {
+    shared: Rc<Shared<D>>,
+    peers: Rc<PeerLink>,
+}
+
+impl<D: Dialect> Follower<D> {
+    /// Reads everything; what is not there any more has gone.
+    async fn read_all<S: KvStore>(
+        &self,
+        store: &S,
+        heard_at: &mut Timestamp,
+    ) -> Result<StoreRevision, FollowError> {
+        let read = store.range("").await.map_err(|e| (None, e))?;
+        self.note_heard(heard_at);
+        let mut hosts = HashSet::default();
+        let mut domains_out = HashSet::default();
+        let mut entries = HashSet::default();
+        for value in &read.values {
+            let fact = self.shared.dialect.decode(&value.key, &value.value);
+            match &fact {
+                Fact::Host(host, _) => {
+                    hosts.insert(host.id.clone());
+                }
+                Fact::DomainOut(domain) => {
+                    domains_out.insert(domain.clone());
+                }
+                Fact::Own { name, .. } => {
+                    entries.insert(name.clone());
+                }
+                _ => {}
+            }
+            self.apply(fact);
+        }
+        let now = self.shared.now();
+        {
+            let mut core = self.shared.core.borrow_mut();
+            core.directory.retain(&hosts, now);
+            core.directory.retain_domains_out(&domains_out);
+            let gone: Vec<String> = core
+                .entry_hosts
+                .iter()
+                .filter(|name| !entries.contains(&format!("{ENTRY_PREFIX}{name}")))
+                .cloned()
+                .collect();
+            for name in gone {
+                core.note_entry_host(&name, false);
+                self.peers.addresses.borrow_mut().remove(&name);
+            }
+            if !entries.contains(MANAGER) {
+                core.manager = None;
+            }
+            core.listed = true;
+        }
+        log::info!(revision = read.revision.0, hosts = hosts.len(), values = read.values.len(); "store was read whole");
+        self.shared.update_ready();
+        self.shared.changed.notify_waiters();
+        Ok(read.revision)
+    }
+
+    /// Takes in changes until a call fails.
+    async fn watch<S: KvStore>(
+        &self,
+        store: &S,
+        after: StoreRevision,
+        heard_at: &mut Timestamp,
+    ) -> Result<StoreRevision, FollowError> {
+        let mut reached = after;
+        let mut changes = store.watch("", after).await.map_err(|e| (Some(after), e))?;
+        while let Some(batch) = changes.next().await {
+            let batch = batch.map_err(|e| (Some(reached), e))?;
+            self.note_heard(heard_at);
+            reached = batch.revision;
+            if batch.changes.is_empty() {
+                continue;
+            }
+            for change in batch.changes {
+                self.apply_change(change);
+            }
+            self.shared.update_ready();
+            self.shared.changed.notify_waiters();
+            if !self.shared.is_manager.get() {
+                tokio::time::sleep(BATCH_PAUSE).await;
+            }
+        }
+        Ok(reached)
+    }
+
+    fn note_heard(&self, heard_at: &mut Timestamp) {
+        let now = self.shared.now();
+        if now.since(*heard_at) > OUTAGE {
+            self.shared.core.borrow_mut().directory.store_regained(now);
+            log::info!(away_ms = now.since(*heard_at).as_millis() as u64; "store answers again");
+        }
+        *heard_at = now;
+    }
+
+    fn note_failure(&self, e: &StoreError, heard_at: Timestamp) {
+        let silent = self.shared.now().since(heard_at).as_millis() as u64;
+        log::warn!(silent_ms = silent; "store call failed: {e}");
+    }
+
+    fn apply_change(&self, change: WatchChange) {
+        let fact = match change {
+            WatchChange::Put(StoredValue { key, value, .. }) => self.shared.dialect.decode(&key, &value),
+            WatchChange::Deleted { key, .. } => self.shared.dialect.decode_deletion(&key),
+        };
+        self.apply(fact);
+    }
+
+    fn apply(&self, fact: Fact) {
+        let now = self.shared.now();
+        match fact {
+            Fact::Deployment(deployment) => self.apply_deployment(*deployment),
+            Fact::Host(host, cold_ms) => self.apply_host(*host, cold_ms, now),
+            Fact::HostGone(id) => {
+                log::info!(host:% = id; "entry of a backend server has gone");
+                self.shared.core.borrow_mut().directory.remove(&id, now);
+            }
+            Fact::DomainOut(domain) => {
+                log::info!(failure_domain:% = domain; "failure domain is out of service");
+                self.shared.core.borrow_mut().directory.set_domain_out(&domain, true);
+            }
+            Fact::DomainBack(domain) => {
+                log::info!(failure_domain:% = domain; "failure domain is back in service");
+                self.shared.core.borrow_mut().directory.set_domain_out(&domain, false);
+            }
+            Fact::Own { name, value } => self.apply_own(&name, value.as_deref(), now),
+            Fact::Unusable { key, detail } => {
+                log::warn!(key:% = key.escape_debug(); "value of the store is set aside: {detail}");
+            }
+            Fact::Other => {}
+        }
+    }
+
+    fn apply_deployment(&self, deployment: Deployment) {
+        let mut core = self.shared.core.borrow_mut();
+        let in_force = core.table.as_ref().map(|t| t.deployment().version);
+        if in_force.is_some_and(|v| deployment.version <= v) {
+            log::debug!(version = deployment.version, in_force = in_force; "older configuration is set aside");
+            return;
+        }
+        log::info!(version = deployment.version, before = in_force, routes = deployment.routes.len(); "configuration is in force");
+        self.shared.metrics.version.set(i64::try_from(deployment.version).unwrap_or(i64::MAX));
+        core.table = Some(Rc::new(RouteTable::new(deployment)));
+    }
+
+    fn apply_host(&self, mut host: Host, cold_ms: u64, now: Timestamp) {
+        host.cold_until = (cold_ms > 0).then(|| now + Duration::from_millis(cold_ms));
+        log::info!(
+            host:% = host.id, state:? = host.state, seq = host.seq, cold_ms = cold_ms,
+            group = host.membership.as_ref().map(|m| format!("{}/{}/{}/{:?}", m.group, m.epoch, m.rank, m.state));
+            "backend server reports"
+        );
+        self.shared.core.borrow_mut().directory.put(host);
+    }
+
+    fn apply_own(&self, name: &str, value: Option<&[u8]>, now: Timestamp) {
+        let mut core = self.shared.core.borrow_mut();
+        if let Some(entry) = name.strip_prefix(ENTRY_PREFIX) {
+            let parsed = value.and_then(parse_entry);
+            core.note_entry_host(entry, parsed.is_some());
+            let mut addresses = self.peers.addresses.borrow_mut();
+            match parsed {
+                Some(e) => addresses.insert(entry.to_owned(), e.peers),
+                None => addresses.remove(entry),
+            };
+        } else if name == MANAGER {
+            core.manager = value.and_then(parse_entry).map(|e| (e.name, e.peers));
+            let manager = core.manager.as_ref().map(|(name, _)| name.as_str());
+            log::info!(manager = manager; "manager of the groups changed");
+        } else if let Some(print) = name.strip_prefix(CRASH_PREFIX) {
+            let text = print.split('/').next().unwrap_or_default();
+            if let (Ok(print), Some(_)) = (u64::from_str_radix(text, 16), value) {
+                core.crashes.note(print, now);
+            }
+        }
+    }
+}
+
+fn parse_entry(value: &[u8]) -> Option<EntryValue> {
+    match serde_json::from_slice(value) {
+        Ok(entry) => Some(entry),
+        Err(e) => {
+            log::warn!("entry of an entry host is malformed: {e}");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_entry/src/lib.rs
@@ -0,0 +1,42 @@
+//! An entry host in front of backend servers that register themselves.
+//!
+//! It relays requests unchanged to backend servers, resumes event streams on
+//! another group when one dies, and, as the elected manager, forms and repairs
+//! groups. All state of a process lives in one thread; every decision is made in
+//! `geranium_fleet`. A [`Dialect`] translates names and formats of the platform.
+//!
+//! | module | duty |
+//! | --- | --- |
+//! | [`dialect`], [`fact`] | the interface to a platform's names and formats |
+//! | [`settings`] | settings of the process |
+//! | [`node`] | starts and stops everything |
+//! | `relay` | one request from its head to its answer |
+//! | `pool` | connections to backend servers |
+//! | `follow` | what the store says |
+//! | `manager` | election, and orders to hosts |
+//! | `peers` | datagrams between entry hosts |
+//! | `watchdog` | silent groups |
+
+pub mod dialect;
+pub mod fact;
+mod follow;
+mod log_writer;
+mod manager;
+mod metrics;
+pub mod node;
+mod peers;
+mod pool;
+pub mod prelude;
+mod relay;
+mod running;
+mod server;
+pub mod settings;
+pub mod sse;
+mod state;
+mod watchdog;
+
+pub use dialect::{Dialect, HeaderNames};
+pub use fact::Fact;
+pub use log_writer::LogWriter;
+pub use node::{NodeError, run};
+pub use settings::{EntrySettings, SharedBounds};
--- /dev/null
+++ b/crates/geranium_entry/src/manager.rs
@@ -0,0 +1,370 @@
+//! Election of the manager, and its orders to hosts.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geranium_core::id::StoreRevision;
+use geranium_core::time::Timestamp;
+use geranium_fleet::host::HostId;
+use geranium_fleet::order::HostOrder;
+use geranium_fleet::planner::{GroupPlanner, PlannerSettings};
+use geranium_platform::{CasOutcome, KvStore, LeaseId, StoreError, Swap};
+use tokio::sync::watch;
+
+use crate::dialect::Dialect;
+use crate::follow::{ENTRY_PREFIX, EntryValue, MANAGER};
+use crate::metrics::CauseLabel;
+use crate::state::{Phase, Shared};
+
+/// Lease of the registration and of the manager's duty, at least.
+const LEASE: Duration = Duration::from_millis(2_000);
+/// Renewals within one lease.
+const RENEWALS: u32 = 4;
+/// Pause of each entry host by its order in the list, so that not all try at once
+/// to become manager.
+const ELECTION_STEP: Duration = Duration::from_millis(30);
+/// Pause after the last change before the manager plans.
+const PLAN_PAUSE: Duration = Duration::from_millis(10);
+/// Longest pause between two plans.
+const PLAN_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time for the answer to an order.
+const ORDER_LIMIT: Duration = Duration::from_millis(400);
+/// Longest time for the answer of a host that is asked whether it lives.
+const PROBE_LIMIT: Duration = Duration::from_millis(250);
+/// Questions without an answer after which a host is taken to be dead.
+const PROBES: u32 = 2;
+/// Time for which a suspicion is not looked into again.
+const PROBE_PAUSE: Duration = Duration::from_millis(1_500);
+/// Weight of the published shares of models, in host milliseconds of work.
+const PRIOR_WORK_MS: f64 = 60_000.0;
+
+/// Keeps the registration, takes part in the election and manages groups while
+/// elected, until the process leaves.
+pub(crate) async fn run<D: Dialect, S: KvStore>(shared: Rc<Shared<D>>, store: S) {
+    let lease_time = LEASE.max(shared.cfg.shortest_lease);
+    let (tx, rx) = watch::channel(None);
+    let managing = manage(shared.clone(), rx);
+    tokio::task::spawn_local(managing);
+    let mut phase = shared.phase.subscribe();
+    loop {
+        if *phase.borrow_and_update() != Phase::Serving {
+            return;
+        }
+        let member = Member {
+            shared: shared.clone(),
+            store: store.clone(),
+            lease_time,
+            elected: tx.clone(),
+        };
+        if let Err(e) = member.live(&mut phase).await {
+            log::warn!("registration of this entry host failed: {e}");
+        }
+        tx.send_replace(None);
+        shared.is_manager.set(false);
+        let jitter = rand::random_range(0.5..1.5);
+        tokio::time::sleep(Duration::from_millis(150).mul_f64(jitter)).await;
+    }
+}
+
+/// One lease's worth of membership.
+struct Member<D: Dialect, S: KvStore> {
+    shared: Rc<Shared<D>>,
+    store: S,
+    lease_time: Duration,
+    elected: watch::Sender<Option<Timestamp>>,
+}
+
+impl<D: Dialect, S: KvStore> Member<D, S> {
+    /// Registers and renews the lease until it is lost or the process leaves.
+    async fn live(&self, phase: &mut watch::Receiver<Phase>) -> Result<(), StoreError> {
+        let lease = self.store.grant_lease(self.lease_time).await?;
+        self.register(lease).await?;
+        let mut renewed = self.shared.now();
+        loop {
+            self.stand(lease).await;
+            tokio::select! {
+                () = tokio::time::sleep(self.lease_time / RENEWALS) => {}
+                () = self.wait_for_vacancy() => {
+                    let pause = ELECTION_STEP * self.rank();
+                    tokio::time::sleep(pause).await;
+                    continue;
+                }
+                _ = phase.changed() => {
+                    self.elected.send_replace(None);
+                    return self.store.revoke_lease(lease).await;
+                }
+            }
+            match self.store.keep_alive(lease).await {
+                Ok(_) => renewed = self.shared.now(),
+                Err(e @ StoreError::LeaseNotFound(_)) => return Err(e),
+                Err(e) => {
+                    log::warn!("lease was not renewed: {e}");
+                    if self.shared.now().since(renewed) > self.lease_time {
+                        self.elected.send_replace(None);
+                        self.shared.is_manager.set(false);
+                    }
+                }
+            }
+        }
+    }
+
+    fn entry_value(&self) -> Bytes {
+        let entry = EntryValue {
+            name: self.shared.cfg.name.to_string(),
+            peers: self.shared.cfg.peers,
+        };
+        match serde_json::to_vec(&entry) {
+            Ok(bytes) => Bytes::from(bytes),
+            Err(e) => {
+                log::error!("entry cannot be written: {e}");
+                Bytes::new()
+            }
+        }
+    }
+
+    async fn register(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let name = format!("{ENTRY_PREFIX}{}", self.shared.cfg.name);
+        let key = self.shared.dialect.own_key(&name);
+        let mut expected = StoreRevision(0);
+        loop {
+            let swap = Swap {
+                key: key.clone(),
+                expected,
+                value: Some(self.entry_value()),
+                lease: Some(lease),
+            };
+            match self.store.transact(vec![swap]).await? {
+                CasOutcome::Applied(_) => return Ok(()),
+                CasOutcome::Conflict(present) => {
+                    expected = present.first().map_or(StoreRevision(0), |v| v.revision);
+                }
+            }
+        }
+    }
+
+    fn is_vacant(&self) -> bool {
+        let core = self.shared.core.borrow();
+        core.listed && core.manager.is_none()
+    }
+
+    async fn wait_for_vacancy(&self) {
+        loop {
+            self.shared.changed.notified().await;
+            if self.is_vacant() {
+                return;
+            }
+        }
+    }
+
+    fn rank(&self) -> u32 {
+        let core = self.shared.core.borrow();
+        let before = core.entry_hosts.iter().filter(|n| ***n < *self.shared.cfg.name);
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Becomes manager if there is none.
+    async fn stand(&self, lease: LeaseId) {
+        if self.shared.is_manager.get() || !self.is_vacant() {
+            return;
+        }
+        let swap = Swap {
+            key: self.shared.dialect.own_key(MANAGER),
+            expected: StoreRevision(0),
+            value: Some(self.entry_value()),
+            lease: Some(lease),
+        };
+        match self.store.transact(vec![swap]).await {
+            Ok(CasOutcome::Applied(_)) => {
+                log::info!("this entry host is the manager of the groups");
+                self.shared.is_manager.set(true);
+                self.elected.send_replace(Some(self.shared.now()));
+            }
+            Ok(CasOutcome::Conflict(_)) => {}
+            Err(e) => log::warn!("candidacy as manager failed: {e}"),
+        }
+    }
+}
+
+/// Plans whenever something changes while this process is the manager.
+async fn manage<D: Dialect>(shared: Rc<Shared<D>>, mut elected: watch::Receiver<Option<Timestamp>>) {
+    loop {
+        let since = *elected.borrow_and_update();
+        let Some(since) = since else {
+            if elected.changed().await.is_err() {
+                return;
+            }
+            continue;
+        };
+        let manager = Rc::new(Manager::new(shared.clone(), since));
+        loop {
+            manager.look_into_suspects();
+            manager.plan();
+            tokio::select! {
+                () = shared.changed.notified() => tokio::time::sleep(PLAN_PAUSE).await,
+                () = tokio::time::sleep(PLAN_INTERVAL) => {}
+                _ = elected.changed() => break,
+            }
+        }
+        log::info!("this entry host is not the manager any more");
+    }
+}
+
+/// The duty of the elected entry host.
+struct Manager<D: Dialect> {
+    shared: Rc<Shared<D>>,
+    planners: std::cell::RefCell<geranium_core::collections::HashMap<Arc<str>, GroupPlanner>>,
+    probed: std::cell::RefCell<geranium_core::collections::HashMap<HostId, Timestamp>>,
+    since: Timestamp,
+}
+
+impl<D: Dialect> Manager<D> {
+    fn new(shared: Rc<Shared<D>>, since: Timestamp) -> Self {
+        Self {
+            shared,
+            planners: std::cell::RefCell::default(),
+            probed: std::cell::RefCell::default(),
+            since,
+        }
+    }
+
+    fn settings(&self, index: usize) -> PlannerSettings {
+        PlannerSettings {
+            nonce: format!("{}-{:x}-{index}", self.shared.cfg.name, self.since.as_millis()),
+            stall: self.shared.cfg.bounds.stall,
+            load_window: self.shared.cfg.bounds.load_window,
+            first_start: self.shared.cfg.first_start,
+        }
+    }
+
+    /// Plans for each service with model engines and sends the orders.
+    fn plan(self: &Rc<Self>) {
+        let now = self.shared.now();
+        let mut all = Vec::new();
+        {
+            let mut core = self.shared.core.borrow_mut();
+            for gone in core.directory.expire(now) {
+                log::info!(host:% = gone; "entry of a backend server did not come back");
+            }
+            let Some(table) = core.table.clone() else {
+                return;
+            };
+            let mut planners = self.planners.borrow_mut();
+            for (i, service) in table.deployment().services.values().enumerate() {
+                let Some(engine) = &service.engine else {
+                    continue;
+                };
+                let meter = core.demand.entry(service.name.clone()).or_default();
+                let traffic = meter.requests() > 0 || !self.shared.cfg.first_start;
+                let shares = meter.shares(engine, PRIOR_WORK_MS);
+                let planner = planners
+                    .entry(service.name.clone())
+                    .or_insert_with(|| GroupPlanner::new(self.settings(i), now));
+                let orders = planner.plan(&core.directory, &service.name, engine, &shares, traffic, now);
+                let stranded = planner.stranded(&core.directory, &service.name);
+                self.shared.metrics.stranded.set(i64::try_from(stranded).unwrap_or(i64::MAX));
+                all.extend(orders.into_iter().map(|o| (service.name.clone(), o)));
+                for stale in planner.take_stale() {
+                    self.ask_count(stale);
+                }
+            }
+        }
+        for (service, order) in all {
+            let manager = self.clone();
+            tokio::task::spawn_local(async move { manager.send(service, order).await });
+        }
+    }
+
+    async fn send(self: Rc<Self>, service: Arc<str>, order: HostOrder) {
+        let cause = CauseLabel {
+            cause: order.kind.word(),
+        };
+        self.shared.metrics.orders.get_or_create(&cause).inc();
+        let answer = self.shared.dialect.send_order(&order, ORDER_LIMIT).await;
+        let now = self.shared.now();
+        log::info!(host:% = order.host, order = order.kind.word(), detail:? = order.kind, expected_seq = order.expected_seq, answer:? = answer; "order sent");
+        if answer == geranium_fleet::order::OrderAnswer::Begun {
+            let mut core = self.shared.core.borrow_mut();
+            core.directory.note_seq(&order.host, order.born, order.expected_seq + 1);
+        }
+        if let Some(planner) = self.planners.borrow_mut().get_mut(&service) {
+            planner.note_answer(&order, answer, now);
+        }
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Asks a host that refused an order for its count of orders.
+    fn ask_count(self: &Rc<Self>, id: HostId) {
+        let manager = self.clone();
+        tokio::task::spawn_local(async move {
+            let known = {
+                let core = manager.shared.core.borrow();
+                core.directory.get(&id).map(|h| (h.address, h.born))
+            };
+            let Some((address, born)) = known else {
+                return;
+            };
+            let Some(report) = manager.shared.dialect.ask_host(address, PROBE_LIMIT).await else {
+                return;
+            };
+            log::info!(host:% = id, seq = report.seq; "count of orders was asked for");
+            manager.shared.core.borrow_mut().directory.note_seq(&id, born, report.seq);
+            manager.shared.changed.notify_waiters();
+        });
+    }
+
+    /// Asks the members of suspected groups whether they live.
+    fn look_into_suspects(self: &Rc<Self>) {
+        let now = self.shared.now();
+        let suspects: Vec<(HostId, Timestamp)> = {
+            let mut suspects = self.shared.suspects.borrow_mut();
+            suspects.retain(|_, at| now.since(*at) < PROBE_PAUSE);
+            suspects.iter().map(|(id, at)| (id.clone(), *at)).collect()
+        };
+        for (head, at) in suspects {
+            let mut probed = self.probed.borrow_mut();
+            let last = probed.get(&head).copied();
+            if last.is_some_and(|last| now.since(last) < PROBE_PAUSE || at <= last) {
+                continue;
+            }
+            probed.insert(head.clone(), now);
+            let manager = self.clone();
+            tokio::task::spawn_local(async move { manager.probe(&head).await });
+        }
+    }
+
+    async fn probe(self: Rc<Self>, head: &HostId) {
+        let members: Vec<(Arc<str>, HostId, u64, std::net::SocketAddr)> = {
+            let core = self.shared.core.borrow();
+            let planners = self.planners.borrow();
+            let Some(host) = core.directory.get(head) else {
+                return;
+            };
+            let Some(planner) = planners.get(&host.service) else {
+                return;
+            };
+            let members = planner.members_of_head(&core.directory, head);
+            members
+                .into_iter()
+                .map(|h| (h.service.clone(), h.id.clone(), h.born, h.address))
+                .collect()
+        };
+        let probes = members.into_iter().map(|(service, id, born, address)| {
+            let manager = self.clone();
+            async move {
+                for _ in 0..PROBES {
+                    if manager.shared.dialect.ask_host(address, PROBE_LIMIT).await.is_some() {
+                        return;
+                    }
+                }
+                log::warn!(host:% = id; "backend server does not answer and is taken to be dead");
+                if let Some(planner) = manager.planners.borrow_mut().get_mut(&service) {
+                    planner.mark_dead(&id, born, manager.shared.now());
+                }
+                manager.shared.changed.notify_waiters();
+            }
+        });
+        futures::future::join_all(probes).await;
+    }
+}
--- /dev/null
+++ b/crates/geranium_entry/src/node.rs
@@ -0,0 +1,144 @@
+//! Starts and stops an entry host.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use geranium_platform::KvStore;
+use quick_error::quick_error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::LocalSet;
+
+use crate::dialect::Dialect;
+use crate::peers::PeerLink;
+use crate::settings::EntrySettings;
+use crate::state::{Phase, Shared};
+use crate::{follow, manager, peers, server, watchdog};
+
+/// Time after the request to stop in which the balancer may still send callers
+/// here; it asks once a second and needs two answers.
+const BALANCER_NOTICE: Duration = Duration::from_millis(2_600);
+/// Part of the grace time after which the process ends with requests still running.
+const GRACE_PART: f64 = 0.96;
+/// Pause between two looks whether the last request has ended.
+const LEAVING_INTERVAL: Duration = Duration::from_millis(50);
+/// Pause between two clean-ups of unused connections and forgotten hosts.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+quick_error! {
+    /// Failure of an entry host.
+    #[derive(Debug)]
+    pub enum NodeError {
+        /// An address cannot be listened on.
+        Listen(what: &'static str, cause: std::io::Error) {
+            display("address for {} cannot be listened on: {}", what, cause)
+            source(cause)
+        }
+        /// Signals cannot be received.
+        Signals(cause: std::io::Error) {
+            display("signals cannot be received: {}", cause)
+            source(cause)
+        }
+        /// The runtime cannot be started.
+        Runtime(cause: std::io::Error) {
+            display("runtime cannot be started: {}", cause)
+            source(cause)
+        }
+    }
+}
+
+/// Runs an entry host until it is asked to stop.
+///
+/// # Errors
+///
+/// Returns an error if an address cannot be listened on.
+pub fn run<D: Dialect, S: KvStore>(cfg: EntrySettings, dialect: D, store: S) -> Result<(), NodeError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(NodeError::Runtime)?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, serve(cfg, dialect, store))
+}
+
+async fn serve<D: Dialect, S: KvStore>(cfg: EntrySettings, dialect: D, store: S) -> Result<(), NodeError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
+    let listener = TcpListener::bind(cfg.callers)
+        .await
+        .map_err(|e| NodeError::Listen("callers", e))?;
+    let link = PeerLink::bind(cfg.peers)
+        .await
+        .map_err(|e| NodeError::Listen("peers", e))?;
+    let link = Rc::new(link);
+    let shared = Rc::new(Shared::new(cfg, dialect));
+    log::info!(callers:% = shared.cfg.callers, first_start = shared.cfg.first_start; "entry host starts");
+
+    spawn_listeners(&shared);
+    tokio::task::spawn_local(server::run(shared.clone(), listener));
+    tokio::task::spawn_local(follow::run(shared.clone(), store.clone(), link.clone()));
+    tokio::task::spawn_local(manager::run(shared.clone(), store));
+    tokio::task::spawn_local(watchdog::run(shared.clone(), link.clone()));
+    tokio::task::spawn_local(peers::run_sender(shared.clone(), link.clone()));
+    tokio::task::spawn_local(peers::run_receiver(shared.clone(), link));
+    tokio::task::spawn_local(sweep(shared.clone()));
+
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => log::info!("settings are read again at the next start"),
+        }
+    }
+    leave(&shared).await;
+    Ok(())
+}
+
+fn spawn_listeners<D: Dialect>(shared: &Rc<Shared<D>>) {
+    let ready = shared.ready.clone();
+    let address = shared.cfg.readiness;
+    let path = shared.dialect.ready_path().to_owned();
+    tokio::task::spawn_local(async move {
+        if let Err(e) = server::run_readiness(address, &path, ready).await {
+            log::error!("balancer cannot be answered: {e}");
+        }
+    });
+    let Some(address) = shared.cfg.metrics else {
+        return;
+    };
+    let registry = shared.metrics.registry();
+    tokio::task::spawn_local(async move {
+        if let Err(e) = server::run_metrics(address, registry).await {
+            log::error!("metrics cannot be served: {e}");
+        }
+    });
+}
+
+async fn sweep<D: Dialect>(shared: Rc<Shared<D>>) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        let now = shared.now();
+        shared.pool.sweep(now);
+        shared.metrics.running.set(i64::try_from(shared.running.count()).unwrap_or(i64::MAX));
+        let mut core = shared.core.borrow_mut();
+        core.directory.expire(now);
+        let core = &mut *core;
+        core.dispatcher.forget_gone(&core.directory);
+    }
+}
+
+/// Ends the process without cutting off a request: the balancer hears first that
+/// the host is not ready, then connections close after their answers.
+async fn leave<D: Dialect>(shared: &Rc<Shared<D>>) {
+    let asked = shared.now();
+    log::info!(running = shared.running.count(); "entry host leaves");
+    shared.phase.send_replace(Phase::Leaving);
+    shared.update_ready();
+    let end = asked + shared.cfg.bounds.grace.mul_f64(GRACE_PART);
+    tokio::time::sleep(BALANCER_NOTICE).await;
+    shared.phase.send_replace(Phase::Closing);
+    tokio::time::sleep(LEAVING_INTERVAL * 4).await;
+    while shared.now() < end && shared.running.count() > 0 {
+        tokio::time::sleep(LEAVING_INTERVAL).await;
+    }
+    log::info!(running = shared.running.count(); "entry host stops");
+}
--- /dev/null
+++ b/crates/geranium_entry/src/peers.rs
@@ -0,0 +1,139 @@
+//! Datagrams between entry hosts: loads of backend servers and suspected groups.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use geranium_core::collections::HashMap;
+use geranium_core::time::Timestamp;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use crate::dialect::Dialect;
+use crate::state::Shared;
+
+/// Pause between two reports of the own load.
+const INTERVAL: Duration = Duration::from_millis(150);
+/// Age at which a report counts no more.
+const MAX_AGE: Duration = Duration::from_millis(700);
+/// Largest datagram.
+const MAX_DATAGRAM: usize = 60_000;
+
+/// A datagram between entry hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Datagram {
+    /// Requests that the sender runs at each backend server.
+    Load(Vec<(Arc<str>, u32)>),
+    /// A group whose head the sender takes to have stopped.
+    Suspect(Arc<str>),
+}
+
+/// The socket for datagrams, and where the other entry hosts listen.
+pub(crate) struct PeerLink {
+    socket: UdpSocket,
+    /// Addresses by the names of the entry hosts.
+    pub(crate) addresses: RefCell<HashMap<String, SocketAddr>>,
+    loads: RefCell<HashMap<SocketAddr, (Timestamp, Vec<(Arc<str>, u32)>)>>,
+}
+
+impl PeerLink {
+    /// Binds the socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub(crate) async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        Ok(Self {
+            socket: UdpSocket::bind(address).await?,
+            addresses: RefCell::default(),
+            loads: RefCell::default(),
+        })
+    }
+
+    /// Tells the manager of a group that may have stopped.
+    pub(crate) fn send_suspect(&self, to: SocketAddr, head: &Arc<str>) {
+        self.send(to, &Datagram::Suspect(head.clone()));
+    }
+
+    fn send(&self, to: SocketAddr, datagram: &Datagram) {
+        match serde_json::to_vec(datagram) {
+            Ok(bytes) => {
+                // Datagrams may be lost anywhere; the next one says the same.
+                if let Err(e) = self.socket.try_send_to(&bytes, to) {
+                    log::debug!(to:% = to; "datagram was not sent: {e}");
+                }
+            }
+            Err(e) => log::error!("datagram cannot be written: {e}"),
+        }
+    }
+}
+
+/// Sends the own load to the other entry hosts.
+pub(crate) async fn run_sender<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<PeerLink>) {
+    let mut idle_sent = false;
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        let now = shared.now();
+        let load: Vec<(Arc<str>, u32)> = {
+            let core = shared.core.borrow();
+            core.dispatcher.running().map(|(id, n)| (id.clone(), n)).collect()
+        };
+        let idle = load.is_empty();
+        if !(idle && idle_sent) {
+            let datagram = Datagram::Load(load);
+            let others: Vec<SocketAddr> = link.addresses.borrow().iter()
+                .filter(|(name, _)| ***name != *shared.cfg.name)
+                .map(|(_, address)| *address)
+                .collect();
+            for address in others {
+                link.send(address, &datagram);
+            }
+        }
+        idle_sent = idle;
+        apply_loads(&shared, &link, now);
+    }
+}
+
+/// Takes datagrams in.
+pub(crate) async fn run_receiver<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<PeerLink>) {
+    let mut buf = vec![0; MAX_DATAGRAM];
+    loop {
+        let (n, from) = match link.socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                log::warn!("cannot receive datagrams: {e}");
+                tokio::time::sleep(INTERVAL).await;
+                continue;
+            }
+        };
+        match serde_json::from_slice(&buf[..n]) {
+            Ok(Datagram::Load(load)) => {
+                link.loads.borrow_mut().insert(from, (shared.now(), load));
+            }
+            Ok(Datagram::Suspect(head)) => {
+                shared.suspects.borrow_mut().insert(head.clone(), shared.now());
+                shared.core.borrow_mut().dispatcher.suspect(&head, shared.now());
+                shared.changed.notify_waiters();
+            }
+            Err(e) => log::warn!(from:% = from; "datagram is malformed: {e}"),
+        }
+    }
+}
+
+fn apply_loads<D: Dialect>(shared: &Shared<D>, link: &PeerLink, now: Timestamp) {
+    let mut loads = link.loads.borrow_mut();
+    loads.retain(|_, (at, _)| now.since(*at) < MAX_AGE);
+    let mut sums: HashMap<Arc<str>, f64> = HashMap::default();
+    for (_, load) in loads.values() {
+        for (id, running) in load {
+            *sums.entry(id.clone()).or_default() += f64::from(*running);
+        }
+    }
+    let mut core = shared.core.borrow_mut();
+    core.dispatcher.clear_peers_running();
+    for (id, running) in &sums {
+        core.dispatcher.note_peers_running(id, *running);
+    }
+}
--- /dev/null
+++ b/crates/geranium_entry/src/relay/answer.rs
@@ -0,0 +1,110 @@
+//! Answers of the entry host itself.
+
+use std::time::Duration;
+
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+use super::body::RelayBody;
+use crate::dialect::Dialect;
+use crate::state::Shared;
+
+/// Why the entry host answers by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reason {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// No route covers the request.
+    NoRoute,
+    /// The account key is missing or unknown.
+    UnknownKey,
+    /// The body is longer than allowed.
+    BodyTooLong,
+    /// The body did not arrive in time or broke off.
+    BodyBroken,
+    /// The request lacks an identifier or has a malformed header.
+    Malformed,
+    /// The request crashed backend servers before and must not run again.
+    Crashes,
+    /// No backend server takes the request now; it has not run.
+    NoCapacity(&'static str),
+    /// The time ran out; the request has not run.
+    LateNotRun,
+    /// The time ran out; the request may have run.
+    Late,
+    /// A backend server failed; the request may have run.
+    Lost,
+}
+
+impl Reason {
+    /// Returns a word for logs and metrics.
+    pub(crate) const fn word(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::BodyTooLong => "body_too_long",
+            Self::BodyBroken => "body_broken",
+            Self::Malformed => "malformed",
+            Self::Crashes => "crashes_servers",
+            Self::NoCapacity(word) => word,
+            Self::LateNotRun => "late_not_run",
+            Self::Late => "late",
+            Self::Lost => "lost",
+        }
+    }
+
+    const fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyBroken => StatusCode::REQUEST_TIMEOUT,
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::NoConfiguration | Self::Crashes | Self::NoCapacity(_) | Self::LateNotRun => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Late => StatusCode::GATEWAY_TIMEOUT,
+            Self::Lost => StatusCode::BAD_GATEWAY,
+        }
+    }
+}
+
+/// A request that gets its answer from the entry host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    /// Why.
+    pub(crate) reason: Reason,
+    /// Identifier of the request, if it has one.
+    pub(crate) request_id: Option<HeaderValue>,
+    /// When the caller may come back, if that helps.
+    pub(crate) retry_after: Option<Duration>,
+    /// Word for the kind of the route.
+    pub(crate) kind: &'static str,
+}
+
+impl Refusal {
+    /// Logs the refusal and makes the answer.
+    pub(crate) fn into_response<D: Dialect>(self, shared: &Shared<D>) -> Response<RelayBody> {
+        let status = self.reason.status();
+        shared.metrics.note_end(self.kind, self.reason.word());
+        let id = self.request_id.as_ref().and_then(|v| v.to_str().ok());
+        log::info!(
+            request = id, status = status.as_u16(), reason = self.reason.word(),
+            retry_after_ms = self.retry_after.map(|d| d.as_millis() as u64);
+            "request is answered by the entry host"
+        );
+        let mut res = Response::new(RelayBody::whole(self.reason.word()));
+        *res.status_mut() = status;
+        if let Some(id) = self.request_id {
+            res.headers_mut().insert(shared.dialect.headers().request_id.clone(), id);
+        }
+        if let Some(after) = self.retry_after {
+            let text = format!("{:.2}", after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&text) {
+                res.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        res
+    }
+}
--- /dev/null
+++ b/crates/geranium_entry/src/relay/attempt.rs
@@ -0,0 +1,227 @@
+//! One attempt at one backend server.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geranium_core::time::Timestamp;
+use geranium_fleet::host::Host;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::{CONTENT_ENCODING, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+
+use super::job::Job;
+use crate::dialect::Dialect;
+use crate::pool::{Connection, Pool, idle_time};
+use crate::running::AttemptGuard;
+use crate::state::Shared;
+
+/// Longest time to open a connection to a backend server.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AttemptError {
+    /// The request certainly has not run there.
+    NotRun(&'static str),
+    /// The request may have run there.
+    MayHaveRun(&'static str),
+    /// The backend server fell silent; the request may have run there.
+    Silent,
+    /// The time ran out after the request was sent.
+    Deadline,
+}
+
+impl AttemptError {
+    /// Returns a word for metrics.
+    pub(super) const fn word(self) -> &'static str {
+        match self {
+            Self::NotRun(cause) | Self::MayHaveRun(cause) => cause,
+            Self::Silent => "silent",
+            Self::Deadline => "late",
+        }
+    }
+}
+
+/// Counts a request at its backend server until this is dropped.
+pub(super) struct Place<D: Dialect> {
+    shared: Rc<Shared<D>>,
+    /// The attempt among those of the backend server.
+    pub(super) guard: AttemptGuard,
+}
+
+impl<D: Dialect> Drop for Place<D> {
+    fn drop(&mut self) {
+        let mut core = self.shared.core.borrow_mut();
+        core.dispatcher.done(self.guard.host());
+    }
+}
+
+/// An answer whose head has arrived.
+pub(super) struct Answer<D: Dialect> {
+    /// Head and unread body.
+    pub(super) res: Response<Incoming>,
+    /// Its place at the backend server.
+    pub(super) place: Place<D>,
+    /// The backend server.
+    pub(super) host: Host,
+    sender: SendRequest<Full<Bytes>>,
+    idle_for: Option<Duration>,
+}
+
+impl<D: Dialect> Answer<D> {
+    /// Splits the answer into its parts for reading.
+    pub(super) fn into_parts(self) -> (Response<Incoming>, Place<D>, Return) {
+        let back = Return {
+            sender: self.sender,
+            host: self.host,
+            idle_for: self.idle_for,
+        };
+        (self.res, self.place, back)
+    }
+}
+
+/// Gives a connection back to the pool after its answer was read to its end.
+pub(super) struct Return {
+    sender: SendRequest<Full<Bytes>>,
+    host: Host,
+    idle_for: Option<Duration>,
+}
+
+impl Return {
+    /// Puts the connection into the pool.
+    pub(super) fn put(self, pool: &Pool, now: Timestamp) {
+        pool.put(&self.host.id, self.host.address, self.sender, self.idle_for, now);
+    }
+
+    /// Returns the backend server.
+    pub(super) const fn host(&self) -> &Host {
+        &self.host
+    }
+}
+
+/// Takes a place at a backend server for a request.
+pub(super) fn take_place<D: Dialect>(job: &Job<D>, host: &Host) -> Place<D> {
+    let now = job.shared.now();
+    Place {
+        shared: job.shared.clone(),
+        guard: job.shared.running.start(&host.id, job.prompt_tokens, now),
+    }
+}
+
+/// Sends a request to a backend server and waits for the head of its answer.
+pub(super) async fn send<D: Dialect>(
+    job: &Job<D>,
+    host: &Host,
+    last_event_id: Option<u64>,
+) -> Result<Answer<D>, AttemptError> {
+    let place = take_place(job, host);
+    let moved = place.guard.moved();
+    let sending = send_on_connection(job, host, last_event_id);
+    let (res, sender) = tokio::select! {
+        sent = sending => sent?,
+        () = moved.notified() => return Err(AttemptError::Silent),
+        () = tokio::time::sleep(job.left()) => return Err(AttemptError::Deadline),
+    };
+    place.guard.heard(false, job.shared.now());
+    check(job, &res)?;
+    let idle_for = idle_time(res.headers());
+    Ok(Answer {
+        res,
+        place,
+        host: host.clone(),
+        sender,
+        idle_for,
+    })
+}
+
+type Sent = (Response<Incoming>, SendRequest<Full<Bytes>>);
+
+async fn send_on_connection<D: Dialect>(
+    job: &Job<D>,
+    host: &Host,
+    last_event_id: Option<u64>,
+) -> Result<Sent, AttemptError> {
+    let mut req = build(job, host, last_event_id)?;
+    if let Some(connection) = job.shared.pool.take(&host.id, host.address, job.shared.now()) {
+        match send_once(connection, req).await {
+            SendOutcome::Answered(sent) => return Ok(sent),
+            SendOutcome::NotSent(back) => req = back,
+            SendOutcome::Failed(e) => return Err(e),
+        }
+    }
+    let connection = Pool::connect(host.address, CONNECT_LIMIT).await.map_err(|e| {
+        log::info!(host:% = host.id; "{e}");
+        AttemptError::NotRun("connect")
+    })?;
+    match send_once(connection, req).await {
+        SendOutcome::Answered(sent) => Ok(sent),
+        SendOutcome::NotSent(_) => Err(AttemptError::NotRun("connection_closed")),
+        SendOutcome::Failed(e) => Err(e),
+    }
+}
+
+enum SendOutcome {
+    Answered(Sent),
+    NotSent(Request<Full<Bytes>>),
+    Failed(AttemptError),
+}
+
+async fn send_once(connection: Connection, req: Request<Full<Bytes>>) -> SendOutcome {
+    let mut sender = connection.sender;
+    match sender.try_send_request(req).await {
+        Ok(res) => SendOutcome::Answered((res, sender)),
+        Err(mut e) => match e.take_message() {
+            Some(req) => SendOutcome::NotSent(req),
+            None => {
+                log::debug!(reused = connection.reused; "request was lost: {}", e.error());
+                SendOutcome::Failed(AttemptError::MayHaveRun("reset"))
+            }
+        },
+    }
+}
+
+fn build<D: Dialect>(
+    job: &Job<D>,
+    host: &Host,
+    last_event_id: Option<u64>,
+) -> Result<Request<Full<Bytes>>, AttemptError> {
+    let names = job.shared.dialect.headers();
+    let path = job.uri.path_and_query().map_or("/", |p| p.as_str());
+    let mut req = Request::new(Full::new(job.body.clone()));
+    *req.method_mut() = job.method.clone();
+    *req.uri_mut() = path.parse().map_err(|_| AttemptError::NotRun("path"))?;
+    *req.headers_mut() = job.headers.clone();
+    let headers = req.headers_mut();
+    headers.insert(names.deadline.clone(), HeaderValue::from(job.left().as_millis() as u64));
+    let id = HeaderValue::from_str(&host.id).map_err(|_| AttemptError::NotRun("host_id"))?;
+    headers.insert(names.expected_host.clone(), id);
+    if let Some(last) = last_event_id {
+        headers.insert(names.last_event_id.clone(), HeaderValue::from(last));
+    }
+    Ok(req)
+}
+
+/// Checks that an answer belongs to the request and says what may be passed on.
+fn check<D: Dialect>(job: &Job<D>, res: &Response<Incoming>) -> Result<(), AttemptError> {
+    let names = job.shared.dialect.headers();
+    let headers = res.headers();
+    if headers.get(&names.request_id) != Some(&job.request_id) {
+        return Err(AttemptError::MayHaveRun("foreign_answer"));
+    }
+    if headers.contains_key(&names.not_run) {
+        return Err(AttemptError::NotRun("shed"));
+    }
+    if res.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Err(AttemptError::NotRun("misdirected"));
+    }
+    if headers.contains_key(CONTENT_ENCODING) {
+        return Err(AttemptError::MayHaveRun("encoded"));
+    }
+    if res.status().is_success() && !headers.contains_key(&names.signature) {
+        return Err(AttemptError::MayHaveRun("unsigned"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -0,0 +1,273 @@
+//! A request that was read and admitted.
+
+use std::hash::{Hash, Hasher};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geranium_core::time::Timestamp;
+use geranium_fleet::dispatch::{Choice, NoHost, Wanted};
+use geranium_fleet::host::HostId;
+use geranium_fleet::route::{Route, RouteKind};
+use geranium_fleet::service::Service;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::{Method, Request, Uri};
+use rand::Rng;
+
+use super::answer::{Reason, Refusal};
+use crate::dialect::Dialect;
+use crate::state::Shared;
+
+/// Time for which a caller waits if it names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// Longest time for a body to arrive.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// When a caller may come back while a group is being formed.
+const RETURN_FOR_GROUP: Duration = Duration::from_millis(1_200);
+/// When a caller may come back while all backend servers are full.
+const RETURN_FOR_ROOM: Duration = Duration::from_millis(500);
+/// When a caller may come back before a configuration is known.
+const RETURN_FOR_START: Duration = Duration::from_millis(1_000);
+
+/// A request with everything that its attempts need.
+pub(super) struct Job<D: Dialect> {
+    /// Shared state.
+    pub(super) shared: Rc<Shared<D>>,
+    /// Its route.
+    pub(super) route: Arc<Route>,
+    /// The service that it goes to.
+    pub(super) service: Arc<Service>,
+    /// Identifier.
+    pub(super) request_id: HeaderValue,
+    /// Method.
+    pub(super) method: Method,
+    /// Path and query.
+    pub(super) uri: Uri,
+    /// Headers for backend servers, without those of one attempt.
+    pub(super) headers: HeaderMap,
+    /// Body, whole.
+    pub(super) body: Bytes,
+    /// Model that it asks for.
+    pub(super) model: Option<String>,
+    /// Prompt tokens.
+    pub(super) prompt_tokens: f64,
+    /// Arrival of its head.
+    pub(super) arrived: Timestamp,
+    /// When the caller or the operator gives up on it.
+    pub(super) deadline: Timestamp,
+    /// Backend servers that had it.
+    pub(super) tried: Vec<HostId>,
+    /// Backend servers that may have run it.
+    pub(super) runs: u32,
+    /// Tells requests of the same content apart from others.
+    fingerprint: u64,
+}
+
+impl<D: Dialect> Job<D> {
+    /// Reads a request, finds its route and account, and checks its limits.
+    pub(super) async fn admit(shared: &Rc<Shared<D>>, req: Request<Incoming>) -> Result<Self, Refusal> {
+        let arrived = shared.now();
+        let (head, body) = req.into_parts();
+        let names = shared.dialect.headers();
+        let request_id = head.headers.get(&names.request_id).cloned();
+        let refuse = |reason: Reason| Refusal {
+            reason,
+            request_id: request_id.clone(),
+            retry_after: (reason == Reason::NoConfiguration).then_some(RETURN_FOR_START),
+            kind: "none",
+        };
+        let Some(table) = shared.core.borrow().table.clone() else {
+            return Err(refuse(Reason::NoConfiguration));
+        };
+        let host = head.headers.get(HOST).and_then(|v| v.to_str().ok()).unwrap_or_default();
+        let route = table.route(host, head.uri.path());
+        let route = route.cloned().ok_or_else(|| refuse(Reason::NoRoute))?;
+        let key = head.headers.get(&names.account_key).and_then(|v| v.to_str().ok());
+        let account = key.and_then(|k| table.account(k));
+        if table.needs_key(&route) && account.is_none() {
+            return Err(refuse(Reason::UnknownKey));
+        }
+        let id = request_id.clone().ok_or_else(|| refuse(Reason::Malformed))?;
+        let point = shared.core.borrow_mut().rng.random::<f64>();
+        let service = route.target(point).and_then(|name| table.deployment().services.get(name));
+        let service = service.cloned().ok_or_else(|| refuse(Reason::NoCapacity("no_service")))?;
+
+        let stated = number(&head.headers, &names.deadline);
+        let patience = stated.map_or(DEFAULT_DEADLINE, |ms| Duration::from_millis(ms as u64));
+        let deadline = arrived + patience.min(route.timeout);
+        let model = head.headers.get(&names.model).and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let (prompt_tokens, answer_tokens) = token_counts(&head.headers, &names.token_counts);
+        let estimate = number(&head.headers, &names.answer_estimate);
+        let mut headers = end_to_end(&head.headers);
+        for name in [&names.account_key, &names.account, &names.expected_host, &names.deadline, &names.priority] {
+            headers.remove(name);
+        }
+        if let Some(account) = account
+            && let Ok(value) = HeaderValue::from_str(&account.name)
+        {
+            headers.insert(names.account.clone(), value);
+        }
+        let max_body = table.deployment().limits.max_body;
+        let body = read_body(body, max_body).await.map_err(&refuse)?;
+        headers.remove(CONTENT_LENGTH);
+
+        let mut job = Self {
+            shared: shared.clone(),
+            route,
+            service,
+            request_id: id,
+            method: head.method,
+            uri: head.uri,
+            headers,
+            body,
+            model,
+            prompt_tokens,
+            arrived,
+            deadline,
+            tried: Vec::new(),
+            runs: 0,
+            fingerprint: 0,
+        };
+        job.fingerprint = job.content_hash(account.map(|a| &*a.name));
+        job.note_demand(estimate.unwrap_or(answer_tokens));
+        if shared.core.borrow().crashes.is_refused(job.fingerprint, arrived) {
+            return Err(job.refusal(Reason::Crashes));
+        }
+        Ok(job)
+    }
+
+    fn content_hash(&self, account: Option<&str>) -> u64 {
+        let mut hasher = rustc_hash::FxHasher::default();
+        self.uri.path().hash(&mut hasher);
+        account.hash(&mut hasher);
+        self.body.hash(&mut hasher);
+        hasher.finish()
+    }
+
+    fn note_demand(&self, answer_tokens: f64) {
+        let now = self.arrived;
+        let mut core = self.shared.core.borrow_mut();
+        core.budget(&self.service.name, &self.shared.cfg.bounds).request(now);
+        if let (Some(engine), Some(model)) = (&self.service.engine, &self.model) {
+            let meter = core.demand.entry(self.service.name.clone()).or_default();
+            meter.note(engine, model, self.prompt_tokens, answer_tokens, now);
+        }
+    }
+
+    /// Chooses the backend server for the next attempt.
+    pub(super) fn choose(&mut self) -> Result<Choice, NoHost> {
+        let now = self.shared.now();
+        let mut core = self.shared.core.borrow_mut();
+        let most_per_second = core.most_per_second(&self.service, &self.shared.cfg.bounds);
+        let core = &mut *core;
+        let wanted = Wanted {
+            service: &self.service.name,
+            model: self.service.engine.as_ref().and(self.model.as_deref()),
+            tried: &self.tried,
+            most_per_second,
+            most_running: f64::MAX,
+        };
+        let choice = core.dispatcher.choose(&core.directory, &wanted, now, &mut core.rng)?;
+        self.tried.push(choice.host.id.clone());
+        Ok(choice)
+    }
+
+    /// Spends a retry of the shared budget if one is left.
+    pub(super) fn may_retry(&self, cause: &'static str) -> bool {
+        if self.runs >= self.route.max_attempts.max(1) {
+            return false;
+        }
+        let now = self.shared.now();
+        let mut core = self.shared.core.borrow_mut();
+        let allowed = core.budget(&self.service.name, &self.shared.cfg.bounds).try_retry(now);
+        if allowed {
+            let label = crate::metrics::CauseLabel { cause };
+            self.shared.metrics.retries.get_or_create(&label).inc();
+        }
+        allowed
+    }
+
+    /// Returns the time that is left.
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.since(self.shared.now())
+    }
+
+    /// Notes that a backend server ended while it ran the request.
+    pub(super) fn note_crash(&self) {
+        let mut core = self.shared.core.borrow_mut();
+        core.crashes.note(self.fingerprint, self.shared.now());
+    }
+
+    /// Makes a refusal with the time at which the caller may come back.
+    pub(super) fn refusal(&self, reason: Reason) -> Refusal {
+        let retry_after = match reason {
+            Reason::NoCapacity("none_serves" | "all_tried") => Some(RETURN_FOR_GROUP),
+            Reason::NoCapacity(_) | Reason::LateNotRun => Some(RETURN_FOR_ROOM),
+            Reason::Crashes => Some(DEFAULT_DEADLINE),
+            _ => None,
+        };
+        Refusal {
+            reason,
+            request_id: Some(self.request_id.clone()),
+            retry_after,
+            kind: self.kind_word(),
+        }
+    }
+
+    /// Returns a word for the kind of the route.
+    pub(super) fn kind_word(&self) -> &'static str {
+        match self.route.kind {
+            RouteKind::Idempotent => "idempotent",
+            RouteKind::NonIdempotent => "non_idempotent",
+            RouteKind::Stream { .. } => "stream",
+        }
+    }
+}
+
+async fn read_body(body: Incoming, max: usize) -> Result<Bytes, Reason> {
+    let limited = Limited::new(body, max).collect();
+    match tokio::time::timeout(BODY_LIMIT, limited).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Reason::BodyTooLong),
+        Ok(Err(_)) | Err(_) => Err(Reason::BodyBroken),
+    }
+}
+
+/// Copies the headers that are not for one connection only.
+pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let hop = matches!(*name, CONNECTION | TE | TRAILER | TRANSFER_ENCODING | UPGRADE | EXPECT)
+            || matches!(name.as_str(), "keep-alive" | "proxy-connection" | "proxy-authenticate" | "proxy-authorization")
+            || named.contains(name);
+        if !hop {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
+    let text = headers.get(name)?.to_str().ok()?;
+    text.trim().parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0)
+}
+
+fn token_counts(headers: &HeaderMap, name: &HeaderName) -> (f64, f64) {
+    let text = headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let mut parts = text.split(',').map(|p| p.trim().parse().unwrap_or(0.0));
+    let prompt = parts.next().unwrap_or(0.0);
+    (prompt, parts.next().unwrap_or(0.0))
+}
--- /dev/null
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -0,0 +1,393 @@
+//! Event streams, resumed at another backend server within one answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use geranium_fleet::route::RouteKind;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderMap};
+use tokio::sync::{Notify, mpsc};
+
+use super::answer::Reason;
+use super::attempt::{self, Answer, AttemptError, Place, Return};
+use super::body::{RelayBody, StreamCut};
+use super::job::{Job, end_to_end};
+use crate::dialect::Dialect;
+use crate::sse::EventSplitter;
+use crate::state::Shared;
+
+/// Chunks of events that wait for a caller that reads slowly.
+const CHANNEL: usize = 32;
+/// Shortest time that is worth another attempt.
+const SHORTEST_ATTEMPT: Duration = Duration::from_millis(60);
+
+/// Reads whole events of one backend server.
+struct EventReader<D: Dialect> {
+    shared: Rc<Shared<D>>,
+    body: Incoming,
+    place: Place<D>,
+    back: Option<Return>,
+    splitter: EventSplitter,
+    moved: Rc<Notify>,
+    /// Events up to this id were passed on already.
+    passed: Option<u64>,
+}
+
+/// What a read of a stream brings.
+enum Piece {
+    /// Whole events that were not passed on before.
+    Events(Bytes),
+    /// The stream ended after its last event.
+    End,
+    /// The stream broke off.
+    Cut(&'static str),
+}
+
+impl<D: Dialect> EventReader<D> {
+    fn new(shared: &Rc<Shared<D>>, answer: Answer<D>, passed: Option<u64>) -> (hyper::http::response::Parts, Self) {
+        let (res, place, back) = answer.into_parts();
+        let (head, body) = res.into_parts();
+        let moved = place.guard.moved();
+        let reader = Self {
+            shared: shared.clone(),
+            body,
+            place,
+            back: Some(back),
+            splitter: EventSplitter::default(),
+            moved,
+            passed,
+        };
+        (head, reader)
+    }
+
+    /// Returns the next events; may be dropped while it waits without losing any.
+    async fn next(&mut self) -> Piece {
+        loop {
+            match self.body.frame().await {
+                None => return self.end(),
+                Some(Err(_)) => return Piece::Cut("reset"),
+                Some(Ok(frame)) => {
+                    let Some(data) = frame.data_ref() else {
+                        continue;
+                    };
+                    self.splitter.push(data);
+                    if let Some(events) = self.whole_events() {
+                        self.place.guard.heard(true, self.shared.now());
+                        return Piece::Events(events);
+                    }
+                    if self.splitter.is_oversize() {
+                        return Piece::Cut("oversize");
+                    }
+                }
+            }
+        }
+    }
+
+    fn end(&mut self) -> Piece {
+        if self.splitter.has_partial_event() {
+            return Piece::Cut("partial_event");
+        }
+        if let Some(back) = self.back.take() {
+            back.put(&self.shared.pool, self.shared.now());
+        }
+        Piece::End
+    }
+
+    fn whole_events(&mut self) -> Option<Bytes> {
+        let mut out = BytesMut::new();
+        while let Some(event) = self.splitter.next_event() {
+            if let (Some(id), Some(passed)) = (event.id, self.passed)
+                && id <= passed
+            {
+                continue;
+            }
+            self.passed = event.id.or(self.passed);
+            out.extend_from_slice(&event.bytes);
+        }
+        (!out.is_empty()).then(|| out.freeze())
+    }
+}
+
+/// The first events of a stream, with the reader of the rest.
+struct Started<D: Dialect> {
+    head: hyper::http::response::Parts,
+    first: Option<Bytes>,
+    reader: EventReader<D>,
+}
+
+/// A first piece, or an answer that is not a stream.
+enum Start<D: Dialect> {
+    Stream(Started<D>),
+    Whole(hyper::http::response::Parts, Bytes),
+}
+
+/// Runs the attempts of a streamed request and returns the answer.
+pub(super) async fn run<D: Dialect>(mut job: Job<D>) -> Response<RelayBody> {
+    let last = client_last_event(&job);
+    let mut may_have_run = false;
+    loop {
+        let choice = match job.choose() {
+            Ok(choice) => choice,
+            Err(why) => {
+                let reason = if may_have_run { Reason::Lost } else { Reason::NoCapacity(why.word()) };
+                return job.refusal(reason).into_response(&job.shared);
+            }
+        };
+        let host = choice.host;
+        let error = match start(&job, &host, last).await {
+            Ok(Start::Stream(started)) => {
+                let took = job.shared.now().since(job.arrived);
+                log::info!(
+                    request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
+                    host:% = host.id, among = choice.among, first_ms = took.as_millis() as u64;
+                    "stream begins"
+                );
+                job.shared.metrics.first_answer.observe(took.as_secs_f64());
+                job.shared.core.borrow_mut().dispatcher.note_outcome(&host.id, true, None);
+                job.runs += 1;
+                return pass_on(job, started);
+            }
+            Ok(Start::Whole(head, body)) => {
+                log::info!(
+                    request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
+                    host:% = host.id, status = head.status.as_u16();
+                    "request is answered without a stream"
+                );
+                job.shared.metrics.note_end(job.kind_word(), "answered");
+                let mut res = Response::new(RelayBody::whole(body));
+                *res.status_mut() = head.status;
+                *res.headers_mut() = passed_headers(&head.headers);
+                return res;
+            }
+            Err(e) => e,
+        };
+        log::info!(
+            request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
+            host:% = host.id, among = choice.among, cause:? = error;
+            "attempt failed"
+        );
+        let repeat = match error {
+            AttemptError::NotRun(_) => true,
+            AttemptError::MayHaveRun(cause) => {
+                job.runs += 1;
+                may_have_run = true;
+                if cause == "reset" {
+                    job.note_crash();
+                }
+                job.route.kind.may_repeat()
+            }
+            AttemptError::Silent => {
+                may_have_run = true;
+                job.route.kind.may_repeat()
+            }
+            AttemptError::Deadline => {
+                may_have_run = true;
+                false
+            }
+        };
+        if !matches!(error, AttemptError::Deadline) {
+            let now = job.shared.now();
+            let mut core = job.shared.core.borrow_mut();
+            core.dispatcher.note_outcome(&host.id, false, None);
+            if error == AttemptError::NotRun("connect") {
+                core.dispatcher.suspect(&host.id, now);
+            }
+        }
+        let enough_time = job.left() > SHORTEST_ATTEMPT;
+        if !(repeat && enough_time && job.may_retry(error.word())) {
+            let reason = match error {
+                AttemptError::Deadline => Reason::Late,
+                _ if may_have_run => Reason::Lost,
+                AttemptError::NotRun(cause) => Reason::NoCapacity(cause),
+                _ => Reason::Lost,
+            };
+            return job.refusal(reason).into_response(&job.shared);
+        }
+    }
+}
+
+fn client_last_event<D: Dialect>(job: &Job<D>) -> Option<u64> {
+    let name = &job.shared.dialect.headers().last_event_id;
+    job.headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// Sends the request and waits for the first event.
+async fn start<D: Dialect>(
+    job: &Job<D>,
+    host: &geranium_fleet::host::Host,
+    last: Option<u64>,
+) -> Result<Start<D>, AttemptError> {
+    let answer = attempt::send(job, host, last).await?;
+    let is_stream = answer.res.status().is_success();
+    let (head, mut reader) = EventReader::new(&job.shared, answer, last);
+    if !is_stream {
+        return read_whole(job, head, reader).await;
+    }
+    let moved = reader.moved.clone();
+    let piece = tokio::select! {
+        piece = reader.next() => piece,
+        () = moved.notified() => return Err(AttemptError::Silent),
+        () = tokio::time::sleep(job.left()) => return Err(AttemptError::Deadline),
+    };
+    let first = match piece {
+        Piece::Events(events) => Some(events),
+        Piece::End => None,
+        Piece::Cut(cause) => return Err(AttemptError::MayHaveRun(cause)),
+    };
+    Ok(Start::Stream(Started { head, first, reader }))
+}
+
+async fn read_whole<D: Dialect>(
+    job: &Job<D>,
+    head: hyper::http::response::Parts,
+    mut reader: EventReader<D>,
+) -> Result<Start<D>, AttemptError> {
+    let collected = (&mut reader.body).collect();
+    match tokio::time::timeout(job.left(), collected).await {
+        Ok(Ok(body)) => {
+            if let Some(back) = reader.back.take() {
+                back.put(&job.shared.pool, job.shared.now());
+            }
+            Ok(Start::Whole(head, body.to_bytes()))
+        }
+        Ok(Err(_)) => Err(AttemptError::MayHaveRun("cut")),
+        Err(_) => Err(AttemptError::Deadline),
+    }
+}
+
+fn passed_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = end_to_end(headers);
+    headers.remove(CONTENT_LENGTH);
+    headers
+}
+
+/// Answers with the first events and passes on the rest as it arrives.
+fn pass_on<D: Dialect>(job: Job<D>, started: Started<D>) -> Response<RelayBody> {
+    let (tx, rx) = mpsc::channel(CHANNEL);
+    let mut res = Response::new(RelayBody::Events(rx));
+    *res.status_mut() = started.head.status;
+    *res.headers_mut() = passed_headers(&started.head.headers);
+    let ended = started.first.is_none();
+    if let Some(first) = started.first
+        && let Err(e) = tx.try_send(Ok(first))
+    {
+        // The channel is new and has room; only a dropped receiver could fail.
+        log::error!("first events were not passed on: {e}");
+    }
+    if ended {
+        job.shared.metrics.note_end(job.kind_word(), "answered");
+        return res;
+    }
+    let pump = Pump {
+        job,
+        reader: started.reader,
+        tx,
+    };
+    tokio::task::spawn_local(pump.run());
+    res
+}
+
+/// Passes the events of a stream on until it ends.
+struct Pump<D: Dialect> {
+    job: Job<D>,
+    reader: EventReader<D>,
+    tx: mpsc::Sender<Result<Bytes, StreamCut>>,
+}
+
+impl<D: Dialect> Pump<D> {
+    async fn run(mut self) {
+        let outcome = self.pass().await;
+        let request = self.job.request_id.to_str().unwrap_or_default();
+        log::info!(
+            request = request, outcome = outcome, host:% = self.reader.place.guard.host(), last_event = self.reader.passed,
+            took_ms = self.job.shared.now().since(self.job.arrived).as_millis() as u64;
+            "stream ended"
+        );
+        self.job.shared.metrics.note_end(self.job.kind_word(), outcome);
+    }
+
+    async fn pass(&mut self) -> &'static str {
+        let deadline = tokio::time::sleep(self.job.left());
+        let mut deadline = std::pin::pin!(deadline);
+        loop {
+            let moved = self.reader.moved.clone();
+            let piece = tokio::select! {
+                biased;
+                () = self.tx.closed() => return "caller_left",
+                piece = self.reader.next() => piece,
+                () = moved.notified() => {
+                    self.resume("silent").await;
+                    continue;
+                }
+                () = &mut deadline => return self.cut(StreamCut::Deadline).await,
+            };
+            match piece {
+                Piece::Events(events) => {
+                    if self.tx.send(Ok(events)).await.is_err() {
+                        return "caller_left";
+                    }
+                }
+                Piece::End => return "answered",
+                Piece::Cut(cause) => {
+                    if cause == "reset" {
+                        self.job.note_crash();
+                    }
+                    if !self.resume(cause).await {
+                        return self.cut(StreamCut::Lost).await;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn cut(&self, cut: StreamCut) -> &'static str {
+        // The caller may have left; then nobody needs to be told.
+        let _ = self.tx.send(Err(cut)).await;
+        match cut {
+            StreamCut::Lost => "lost",
+            StreamCut::Deadline => "late",
+        }
+    }
+
+    /// Goes on at another backend server; returns whether one does.
+    async fn resume(&mut self, cause: &'static str) -> bool {
+        let resumable = matches!(self.job.route.kind, RouteKind::Stream { resumable: true });
+        let last = self.reader.passed;
+        if !resumable || last.is_none() || self.job.left() < SHORTEST_ATTEMPT {
+            return false;
+        }
+        loop {
+            let Ok(choice) = self.job.choose() else {
+                return false;
+            };
+            if !self.job.may_retry(cause) {
+                self.job.shared.core.borrow_mut().dispatcher.done(&choice.host.id);
+                return false;
+            }
+            let sending = attempt::send(&self.job, &choice.host, last);
+            let answer = tokio::select! {
+                answer = sending => answer,
+                () = self.tx.closed() => return false,
+            };
+            match answer {
+                Ok(answer) if answer.res.status().is_success() => {
+                    self.job.runs += 1;
+                    log::info!(
+                        request = self.job.request_id.to_str().unwrap_or_default(), cause = cause,
+                        from:% = self.reader.place.guard.host(), to:% = choice.host.id, after_event = last;
+                        "stream goes on at another backend server"
+                    );
+                    let (_, reader) = EventReader::new(&self.job.shared, answer, last);
+                    self.reader = reader;
+                    return true;
+                }
+                Ok(_) => self.job.runs += 1,
+                Err(AttemptError::NotRun(_)) => {}
+                Err(_) => self.job.runs += 1,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_entry/src/server.rs
@@ -0,0 +1,128 @@
+//! Listens for callers, the balancer and readers of metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use prometheus_client::registry::Registry;
+use tokio::net::{TcpListener, TcpStream};
+
+use geranium_net::{HttpServer, ServerConfig, ServerError};
+use tokio_util::sync::CancellationToken;
+use viz::{IntoResponse, Router, StatusCode, get};
+
+use crate::dialect::Dialect;
+use crate::metrics;
+use crate::relay;
+use crate::state::{Phase, Shared};
+
+/// Pause after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Smallest buffer of a connection that the HTTP library takes, in bytes.
+const MIN_BUFFER: usize = 8_192;
+/// Idle time of a connection before any configuration is known.
+const FIRST_IDLE: Duration = Duration::from_secs(15);
+/// Time for the head of a request before any configuration is known.
+const DEFAULT_MAX_HEAD: usize = 16_384;
+
+/// Takes callers' connections until the process ends.
+pub(crate) async fn run<D: Dialect>(shared: Rc<Shared<D>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, remote)) => {
+                tokio::task::spawn_local(serve(shared.clone(), stream, remote));
+            }
+            Err(e) => {
+                log::warn!("cannot accept a connection: {e}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve<D: Dialect>(shared: Rc<Shared<D>>, stream: TcpStream, remote: SocketAddr) {
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!(remote:% = remote; "cannot send small segments at once: {e}");
+    }
+    let (idle, max_head) = {
+        let core = shared.core.borrow();
+        let limits = core.table.as_ref().map(|t| t.deployment().limits);
+        limits.map_or((FIRST_IDLE, DEFAULT_MAX_HEAD), |l| (l.idle_timeout.max(l.head_timeout), l.max_head))
+    };
+    let mut phase = shared.phase.subscribe();
+    let service = service_fn(|req| {
+        let shared = shared.clone();
+        async move { Ok::<_, Infallible>(relay::handle(shared, req).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(max_head.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    loop {
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(e) = ended {
+                    log::debug!(remote:% = remote; "connection of a caller ended: {e}");
+                }
+                return;
+            }
+            closing = phase.wait_for(|p| *p == Phase::Closing) => {
+                if closing.is_err() {
+                    return;
+                }
+            }
+        }
+        connection.as_mut().graceful_shutdown();
+        if let Err(e) = connection.as_mut().await {
+            log::debug!(remote:% = remote; "connection of a caller ended: {e}");
+        }
+        return;
+    }
+}
+
+/// Answers the balancer until the process ends.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be listened on.
+pub(crate) async fn run_readiness(
+    address: SocketAddr,
+    path: &str,
+    ready: Arc<AtomicBool>,
+) -> Result<(), ServerError> {
+    let handler = move |_: viz::Request| {
+        let ready = ready.load(Ordering::Relaxed);
+        async move {
+            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            Ok::<_, viz::Error>(status.into_response())
+        }
+    };
+    let router = Router::new().route(path, get(handler));
+    let server = HttpServer::bind(address, ServerConfig::default()).await?;
+    server.run(router, CancellationToken::new()).await;
+    Ok(())
+}
+
+/// Serves the metrics until the process ends.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be listened on.
+pub(crate) async fn run_metrics(address: SocketAddr, registry: Arc<Registry>) -> Result<(), ServerError> {
+    let handler = move |_: viz::Request| {
+        let text = metrics::render(&registry);
+        async move { Ok::<_, viz::Error>(text.into_response()) }
+    };
+    let router = Router::new().route("/metrics", get(handler));
+    let server = HttpServer::bind(address, ServerConfig::default()).await?;
+    server.run(router, CancellationToken::new()).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/geranium_entry/src/sse.rs
@@ -0,0 +1,93 @@
+//! Whole events of an event stream, with their ids.
+
+use bytes::{Bytes, BytesMut};
+
+/// Longest event that is held back until it is whole, in bytes.
+const MAX_EVENT: usize = 4 << 20;
+
+/// Splits an event stream into whole events without changing a byte.
+///
+/// # Examples
+///
+/// ```
+/// use geranium_entry::sse::EventSplitter;
+///
+/// let mut splitter = EventSplitter::default();
+/// splitter.push(b"id: 7\ndata: x\n\nid: 8\nda");
+/// let event = splitter.next_event().expect("one event is whole");
+/// assert_eq!(event.id, Some(7));
+/// assert_eq!(&event.bytes[..], b"id: 7\ndata: x\n\n");
+/// assert!(splitter.next_event().is_none());
+/// assert!(splitter.has_partial_event());
+/// ```
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    buf: BytesMut,
+    scanned: usize,
+}
+
+/// One whole event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventBytes {
+    /// Its id, if it has a number.
+    pub id: Option<u64>,
+    /// Its bytes with the empty line that ends it.
+    pub bytes: Bytes,
+}
+
+impl EventSplitter {
+    /// Adds bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole event.
+    pub fn next_event(&mut self) -> Option<EventBytes> {
+        let end = self.find_end()?;
+        let bytes = self.buf.split_to(end).freeze();
+        self.scanned = 0;
+        Some(EventBytes {
+            id: event_id(&bytes),
+            bytes,
+        })
+    }
+
+    /// Returns whether an event has begun and is not whole.
+    #[must_use]
+    pub fn has_partial_event(&self) -> bool {
+        self.buf.iter().any(|b| !matches!(b, b'\n' | b'\r'))
+    }
+
+    /// Returns whether the event that has begun is too long.
+    #[must_use]
+    pub fn is_oversize(&self) -> bool {
+        self.buf.len() > MAX_EVENT
+    }
+
+    fn find_end(&mut self) -> Option<usize> {
+        let mut i = self.scanned;
+        while i < self.buf.len() {
+            if self.buf[i] == b'\n' {
+                let rest = &self.buf[i + 1..];
+                if rest.first() == Some(&b'\n') {
+                    return Some(i + 2);
+                }
+                if rest.starts_with(b"\r\n") {
+                    return Some(i + 3);
+                }
+            }
+            i += 1;
+        }
+        // The last two bytes may be the start of the end.
+        self.scanned = self.buf.len().saturating_sub(2);
+        None
+    }
+}
+
+/// Returns the number on the last line of an event that names an id.
+fn event_id(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|b| *b == b'\n').rev();
+    let mut values = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let text = std::str::from_utf8(values.next()?).ok()?;
+    text.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/geranium_entry/src/state.rs
@@ -0,0 +1,184 @@
+//! State of the process; all of it lives in one thread.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use geranium_core::collections::{HashMap, HashSet};
+use geranium_core::limit::{RetryBudget, RetryBudgetSettings};
+use geranium_core::time::Timestamp;
+use geranium_fleet::crash::CrashLedger;
+use geranium_fleet::demand::DemandMeter;
+use geranium_fleet::directory::Directory;
+use geranium_fleet::dispatch::Dispatcher;
+use geranium_fleet::route_table::RouteTable;
+use geranium_fleet::service::Service;
+use geranium_fleet::shared_rate::part_of;
+use geranium_telemetry::ProcessClock;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::{Notify, watch};
+
+use crate::dialect::Dialect;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::running::Running;
+use crate::settings::{EntrySettings, SharedBounds};
+
+/// Part of the shared retry budget that is used, as the entry hosts count in
+/// windows that are not aligned.
+const BUDGET_PART: f64 = 0.85;
+
+/// Phase of the process's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It takes requests.
+    Serving,
+    /// It is not ready any more and still takes what comes.
+    Leaving,
+    /// It closes connections after their answer.
+    Closing,
+}
+
+/// What the process believes and decides with.
+pub(crate) struct Core {
+    /// Configuration in force.
+    pub(crate) table: Option<Rc<RouteTable>>,
+    /// Backend servers.
+    pub(crate) directory: Directory,
+    /// Choice of backend servers.
+    pub(crate) dispatcher: Dispatcher,
+    /// Work seen by service.
+    pub(crate) demand: HashMap<Arc<str>, DemandMeter>,
+    /// Retry budgets by service.
+    budgets: HashMap<Arc<str>, RetryBudget>,
+    /// Requests that crash backend servers.
+    pub(crate) crashes: CrashLedger,
+    /// Entry hosts that are registered.
+    pub(crate) entry_hosts: HashSet<String>,
+    /// Most entry hosts seen at a time.
+    most_entry_hosts: usize,
+    /// Whether a complete list of backend servers was read.
+    pub(crate) listed: bool,
+    /// Name of the manager, if there is one, with the address of its datagrams.
+    pub(crate) manager: Option<(String, std::net::SocketAddr)>,
+    /// Random numbers.
+    pub(crate) rng: SmallRng,
+}
+
+impl Core {
+    /// Returns the number of entry hosts that a shared bound is divided by; errs
+    /// upwards, as a host that is out of touch still counts.
+    pub(crate) fn sharers(&self) -> usize {
+        self.most_entry_hosts.max(self.entry_hosts.len()).max(1)
+    }
+
+    /// Notes the registration of an entry host.
+    pub(crate) fn note_entry_host(&mut self, name: &str, present: bool) {
+        if present {
+            self.entry_hosts.insert(name.to_owned());
+            self.most_entry_hosts = self.most_entry_hosts.max(self.entry_hosts.len());
+        } else {
+            self.entry_hosts.remove(name);
+        }
+    }
+
+    /// Returns the retry budget of a service.
+    pub(crate) fn budget(&mut self, service: &Arc<str>, bounds: &SharedBounds) -> &mut RetryBudget {
+        let sharers = self.sharers();
+        self.budgets.entry(service.clone()).or_insert_with(|| {
+            let floor = part_of(bounds.retry_slack * BUDGET_PART, sharers);
+            RetryBudget::new(RetryBudgetSettings {
+                fraction: bounds.retry_ratio * BUDGET_PART,
+                floor: u32::try_from(floor).unwrap_or(u32::MAX),
+            })
+        })
+    }
+
+    /// Returns how many requests this entry host may send to one backend server of
+    /// a service in a second.
+    pub(crate) fn most_per_second(&self, service: &Service, bounds: &SharedBounds) -> Option<usize> {
+        (service.cold_rate > 0.0).then(|| {
+            let bound = service.cold_rate * bounds.cold_factor + bounds.cold_slack;
+            part_of(bound, self.sharers()).max(1)
+        })
+    }
+}
+
+/// Everything that the tasks of the process share.
+pub(crate) struct Shared<D: Dialect> {
+    /// Settings.
+    pub(crate) cfg: EntrySettings,
+    /// Names and formats of the platform.
+    pub(crate) dialect: D,
+    /// The clock.
+    pub(crate) clock: ProcessClock,
+    /// Beliefs and decisions.
+    pub(crate) core: RefCell<Core>,
+    /// Connections to backend servers.
+    pub(crate) pool: Pool,
+    /// Requests that run at backend servers.
+    pub(crate) running: Rc<Running>,
+    /// Counters.
+    pub(crate) metrics: Metrics,
+    /// Signals each change of what is known of backend servers.
+    pub(crate) changed: Notify,
+    /// Suspected heads for the manager to look into.
+    pub(crate) suspects: RefCell<HashMap<Arc<str>, Timestamp>>,
+    /// Phase of the process.
+    pub(crate) phase: watch::Sender<Phase>,
+    /// Whether the balancer may send callers here.
+    pub(crate) ready: Arc<AtomicBool>,
+    /// Whether this process is the manager.
+    pub(crate) is_manager: Cell<bool>,
+}
+
+impl<D: Dialect> Shared<D> {
+    /// Makes the state of a process that knows nothing yet.
+    pub(crate) fn new(cfg: EntrySettings, dialect: D) -> Self {
+        let dispatcher = Dispatcher::new(cfg.failure_domain.clone());
+        let core = Core {
+            table: None,
+            directory: Directory::default(),
+            dispatcher,
+            demand: HashMap::default(),
+            budgets: HashMap::default(),
+            crashes: CrashLedger::default(),
+            entry_hosts: HashSet::default(),
+            most_entry_hosts: 0,
+            listed: false,
+            manager: None,
+            rng: SmallRng::from_os_rng(),
+        };
+        Self {
+            cfg,
+            dialect,
+            clock: ProcessClock::start(),
+            core: RefCell::new(core),
+            pool: Pool::default(),
+            running: Rc::default(),
+            metrics: Metrics::default(),
+            changed: Notify::new(),
+            suspects: RefCell::default(),
+            phase: watch::Sender::new(Phase::Serving),
+            ready: Arc::default(),
+            is_manager: Cell::new(false),
+        }
+    }
+
+    /// Returns the present time.
+    pub(crate) fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Brings the answer to the balancer up to date.
+    pub(crate) fn update_ready(&self) {
+        let core = self.core.borrow();
+        let ready = core.table.is_some() && core.listed && *self.phase.borrow() == Phase::Serving;
+        let was = self.ready.swap(ready, std::sync::atomic::Ordering::Relaxed);
+        if was != ready {
+            log::info!(ready = ready; "readiness changed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_entry/src/watchdog.rs
@@ -0,0 +1,71 @@
+//! Finds groups that stopped answering.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use geranium_fleet::host::HostId;
+use geranium_fleet::silence::SilenceThresholds;
+
+use crate::dialect::Dialect;
+use crate::peers::PeerLink;
+use crate::state::Shared;
+
+/// Pause between two looks.
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// Looks for silent groups until the process ends.
+pub(crate) async fn run<D: Dialect>(shared: Rc<Shared<D>>, peers: Rc<PeerLink>) {
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        for head in silent_heads(&shared) {
+            suspect(&shared, &peers, &head);
+        }
+    }
+}
+
+fn silent_heads<D: Dialect>(shared: &Shared<D>) -> Vec<HostId> {
+    let now = shared.now();
+    let core = shared.core.borrow();
+    let Some(table) = &core.table else {
+        return Vec::new();
+    };
+    let services = &table.deployment().services;
+    let mut silent = Vec::new();
+    shared.running.for_each(|id, work| {
+        let Some(host) = core.directory.get(id) else {
+            return;
+        };
+        let engine = services.get(&host.service).and_then(|s| s.engine.as_ref());
+        let Some(engine) = engine else {
+            return;
+        };
+        let model = host.model.as_deref().and_then(|m| engine.model(m));
+        let pace = model.map_or(1.0, |m| m.pace);
+        let thresholds = SilenceThresholds::new(engine, pace);
+        if thresholds.is_silent(&work.activity(), engine.read_per_s / pace, now) {
+            silent.push(id.clone());
+        }
+    });
+    silent
+}
+
+/// Moves the work of a silent group away and tells the manager.
+fn suspect<D: Dialect>(shared: &Shared<D>, peers: &PeerLink, head: &HostId) {
+    let now = shared.now();
+    let first = shared.suspects.borrow_mut().insert(head.clone(), now);
+    shared.core.borrow_mut().dispatcher.suspect(head, now);
+    shared.running.for_each(|id, work| {
+        if id == head {
+            if first.is_none_or(|at| now.since(at) > Duration::from_secs(1)) {
+                shared.metrics.silences.inc();
+                log::warn!(head:% = head, activity:? = work.activity(); "group is silent, its work moves away");
+            }
+            work.move_away();
+        }
+    });
+    let manager = shared.core.borrow().manager.as_ref().map(|(_, address)| *address);
+    if let Some(address) = manager.filter(|_| !shared.is_manager.get()) {
+        peers.send_suspect(address, head);
+    }
+    shared.changed.notify_waiters();
+}
--- /dev/null
+++ b/crates/geranium_fleet/src/demand.rs
@@ -0,0 +1,79 @@
+//! The work seen for each model.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use geranium_core::collections::HashMap;
+use geranium_core::time::Timestamp;
+
+use crate::engine_profile::EngineProfile;
+
+/// Time after which work counts half.
+const HALF_LIFE: Duration = Duration::from_secs(8);
+
+/// Work of the models of one service, in host milliseconds, decaying with age.
+#[derive(Clone, Debug, Default)]
+pub struct DemandMeter {
+    work: HashMap<Arc<str>, f64>,
+    decayed_at: Timestamp,
+    requests: u64,
+}
+
+impl DemandMeter {
+    /// Notes a request for a model with its prompt and answer tokens.
+    pub fn note(
+        &mut self,
+        profile: &EngineProfile,
+        model: &str,
+        prompt: f64,
+        answer: f64,
+        now: Timestamp,
+    ) {
+        let Some(model) = profile.model(model) else {
+            return;
+        };
+        self.decay(now);
+        self.requests += 1;
+        let work = profile.work_ms(prompt, answer) * model.pace * model.size as f64;
+        *self.work.entry(model.name.clone()).or_default() += work;
+    }
+
+    /// Returns the number of requests noted since the start.
+    #[must_use]
+    pub const fn requests(&self) -> u64 {
+        self.requests
+    }
+
+    /// Returns the share of each model's work, in the order of the profile.
+    ///
+    /// The published shares count as much as `prior` host milliseconds of work.
+    #[must_use]
+    pub fn shares(&self, profile: &EngineProfile, prior: f64) -> Vec<f64> {
+        let published: f64 = profile.models.iter().map(|m| m.share).sum();
+        let works: Vec<f64> = profile
+            .models
+            .iter()
+            .map(|m| {
+                let seen = self.work.get(&m.name).copied().unwrap_or(0.0);
+                seen + prior * m.share / published.max(f64::MIN_POSITIVE)
+            })
+            .collect();
+        let total: f64 = works.iter().sum();
+        works
+            .iter()
+            .map(|w| w / total.max(f64::MIN_POSITIVE))
+            .collect()
+    }
+
+    fn decay(&mut self, now: Timestamp) {
+        let passed = now.since(self.decayed_at);
+        if passed < Duration::from_millis(250) {
+            return;
+        }
+        let factor = 0.5_f64.powf(passed.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        for work in self.work.values_mut() {
+            *work *= factor;
+        }
+        self.decayed_at = now;
+    }
+}
--- /dev/null
+++ b/crates/geranium_fleet/src/directory.rs
@@ -0,0 +1,150 @@
+//! Backend servers that are known, and which of them may get new work.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use geranium_core::collections::{HashMap, HashSet};
+use geranium_core::time::Timestamp;
+
+use crate::host::{Host, HostId, HostState};
+
+/// Time for which an entry that lapsed during an outage of the store stays
+/// usable; below the time that a leaving host goes on serving.
+const LAPSE_GRACE: Duration = Duration::from_millis(1_600);
+/// Time after an outage of the store in which removed entries may come back.
+const RETURN_WINDOW: Duration = Duration::from_millis(2_500);
+
+/// All known backend servers.
+#[derive(Debug, Default)]
+pub struct Directory {
+    hosts: HashMap<HostId, Host>,
+    lapsed: HashMap<HostId, Timestamp>,
+    domains_out: HashSet<Arc<str>>,
+    regained_at: Option<Timestamp>,
+    generation: u64,
+}
+
+impl Directory {
+    /// Takes in what a host says of itself and returns whether it is a new life.
+    pub fn put(&mut self, mut host: Host) -> bool {
+        self.generation += 1;
+        self.lapsed.remove(&host.id);
+        let known = self.hosts.get(&host.id);
+        let same_life = known.is_some_and(|k| k.born == host.born);
+        if let Some(known) = known.filter(|_| same_life) {
+            // An entry is written when something else changes, so that its count
+            // of orders may be older than an answer of the host itself.
+            host.seq = host.seq.max(known.seq);
+        }
+        self.hosts.insert(host.id.clone(), host);
+        !same_life
+    }
+
+    /// Notes that the entry of a host has gone.
+    ///
+    /// Shortly after an outage of the store the host stays usable for a moment,
+    /// as its entry may have lapsed although it lives.
+    pub fn remove(&mut self, id: &str, now: Timestamp) {
+        self.generation += 1;
+        let window = self.regained_at.map(|at| at + RETURN_WINDOW);
+        if window.is_some_and(|end| now < end)
+            && let Some(host) = self.hosts.get(id)
+        {
+            let until = now + LAPSE_GRACE;
+            self.lapsed.entry(host.id.clone()).or_insert(until);
+            return;
+        }
+        self.hosts.remove(id);
+        self.lapsed.remove(id);
+    }
+
+    /// Drops hosts whose entry lapsed and did not come back; returns their ids.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<HostId> {
+        if self.lapsed.is_empty() {
+            return Vec::new();
+        }
+        let mut gone = Vec::new();
+        self.lapsed.retain(|id, until| {
+            let keep = now < *until;
+            if !keep {
+                gone.push(id.clone());
+            }
+            keep
+        });
+        for id in &gone {
+            self.generation += 1;
+            self.hosts.remove(id);
+        }
+        gone
+    }
+
+    /// Notes that the store answers again after an outage.
+    pub fn store_regained(&mut self, now: Timestamp) {
+        self.regained_at = Some(now);
+    }
+
+    /// Removes every host that is not in a complete list.
+    pub fn retain(&mut self, listed: &HashSet<HostId>, now: Timestamp) {
+        let missing: Vec<HostId> = self
+            .hosts
+            .keys()
+            .filter(|id| !listed.contains(*id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(&id, now);
+        }
+    }
+
+    /// Notes the count of orders that a host is known to have begun.
+    pub fn note_seq(&mut self, id: &str, born: u64, seq: u64) {
+        if let Some(host) = self.hosts.get_mut(id).filter(|h| h.born == born) {
+            host.seq = host.seq.max(seq);
+        }
+    }
+
+    /// Takes a failure domain out of service or back.
+    pub fn set_domain_out(&mut self, domain: &Arc<str>, out: bool) {
+        self.generation += 1;
+        if out {
+            self.domains_out.insert(domain.clone());
+        } else {
+            self.domains_out.remove(domain);
+        }
+    }
+
+    /// Takes back every failure domain that is not in a complete list.
+    pub fn retain_domains_out(&mut self, listed: &HashSet<Arc<str>>) {
+        self.generation += 1;
+        self.domains_out.retain(|d| listed.contains(d));
+    }
+
+    /// Returns whether a failure domain is out of service.
+    #[must_use]
+    pub fn is_domain_out(&self, domain: &str) -> bool {
+        self.domains_out.contains(domain)
+    }
+
+    /// Returns a host by its id.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Host> {
+        self.hosts.get(id)
+    }
+
+    /// Returns all hosts.
+    pub fn hosts(&self) -> impl Iterator<Item = &Host> {
+        self.hosts.values()
+    }
+
+    /// Returns whether new work may be sent to a host.
+    #[must_use]
+    pub fn takes_work(&self, host: &Host) -> bool {
+        host.state == HostState::Ready && !self.is_domain_out(&host.failure_domain)
+    }
+
+    /// Returns a number that grows with each change.
+    #[must_use]
+    pub const fn generation(&self) -> u64 {
+        self.generation
+    }
+}
--- /dev/null
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -0,0 +1,252 @@
+//! Chooses the backend server that gets a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use geranium_core::collections::HashMap;
+use geranium_core::time::Timestamp;
+use rand::Rng;
+
+use crate::directory::Directory;
+use crate::host::{Host, HostId};
+use crate::shared_rate::SharedRate;
+
+/// Window of the bound on cold backend servers.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+/// Time for which a backend server that failed or fell silent gets no new work
+/// while others can take it.
+const SUSPICION: Duration = Duration::from_millis(2_500);
+/// Added load of a backend server in another failure domain, in requests.
+const REMOTE_LOAD: f64 = 0.35;
+/// Weight of a new sample in the averages of failures and times.
+const SAMPLE_WEIGHT: f64 = 0.15;
+/// Load that a share of failures of 1 adds, in requests.
+const FAILURE_LOAD: f64 = 12.0;
+
+/// Load and evidence of one backend server, as this entry host sees it.
+#[derive(Debug)]
+struct Seen {
+    running: u32,
+    peers_running: f64,
+    failures: f64,
+    mean_ms: f64,
+    suspected_until: Timestamp,
+    cold: SharedRate,
+}
+
+impl Default for Seen {
+    fn default() -> Self {
+        Self {
+            running: 0,
+            peers_running: 0.0,
+            failures: 0.0,
+            mean_ms: 0.0,
+            suspected_until: Timestamp::default(),
+            cold: SharedRate::new(COLD_WINDOW),
+        }
+    }
+}
+
+/// Why no backend server can take a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoHost {
+    /// None is known that serves this.
+    None,
+    /// All that serve this were tried before.
+    AllTried,
+    /// All are at a bound on new work.
+    AtBound,
+    /// All are full, so that the request would wait too long.
+    Full,
+}
+
+impl NoHost {
+    /// Returns a word for logs.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::None => "none_serves",
+            Self::AllTried => "all_tried",
+            Self::AtBound => "at_cold_bound",
+            Self::Full => "full",
+        }
+    }
+}
+
+/// The chosen backend server.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The backend server.
+    pub host: Host,
+    /// Number of backend servers that could have been chosen.
+    pub among: usize,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Model, for services with model engines.
+    pub model: Option<&'a str>,
+    /// Backend servers that had the request before.
+    pub tried: &'a [HostId],
+    /// Most requests that a backend server takes in a second from this entry
+    /// host, so that all together stay below what a cold one bears.
+    pub most_per_second: Option<usize>,
+    /// Requests at one backend server, over all entry hosts, beyond which it is full.
+    pub most_running: f64,
+}
+
+/// Chooses backend servers by load, distance and evidence.
+#[derive(Debug)]
+pub struct Dispatcher {
+    failure_domain: Arc<str>,
+    seen: HashMap<HostId, Seen>,
+}
+
+impl Dispatcher {
+    /// Makes a dispatcher for an entry host in a failure domain.
+    #[must_use]
+    pub fn new(failure_domain: Arc<str>) -> Self {
+        Self {
+            failure_domain,
+            seen: HashMap::default(),
+        }
+    }
+
+    /// Chooses a backend server and counts the request there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why none can take the request.
+    pub fn choose(
+        &mut self,
+        directory: &Directory,
+        wanted: &Wanted<'_>,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> Result<Choice, NoHost> {
+        let mut best: Option<(f64, &Host)> = None;
+        let mut reason = NoHost::None;
+        let mut among = 0;
+        for host in directory.hosts() {
+            if !serves(directory, host, wanted) {
+                continue;
+            }
+            if wanted.tried.contains(&host.id) {
+                reason = rank(reason, NoHost::AllTried);
+                continue;
+            }
+            let seen = self.seen.entry(host.id.clone()).or_default();
+            if wanted.most_per_second.is_some_and(|m| seen.cold.used(now) >= m) {
+                reason = rank(reason, NoHost::AtBound);
+                continue;
+            }
+            let running = f64::from(seen.running) + seen.peers_running;
+            if running >= wanted.most_running {
+                reason = rank(reason, NoHost::Full);
+                continue;
+            }
+            among += 1;
+            let score = self.score(host, running, now) + rng.random::<f64>() * 0.1;
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, host));
+            }
+        }
+        let (_, host) = best.ok_or(reason)?;
+        let seen = self.seen.entry(host.id.clone()).or_default();
+        seen.cold.try_take(usize::MAX, now);
+        seen.running += 1;
+        Ok(Choice {
+            host: host.clone(),
+            among,
+        })
+    }
+
+    fn score(&self, host: &Host, running: f64, now: Timestamp) -> f64 {
+        let Some(seen) = self.seen.get(&host.id) else {
+            return 0.0;
+        };
+        let remote = if host.failure_domain == self.failure_domain {
+            0.0
+        } else {
+            REMOTE_LOAD
+        };
+        let suspected = if now < seen.suspected_until { 1_000.0 } else { 0.0 };
+        let slowness = (seen.mean_ms / 100.0).min(20.0);
+        running + remote + suspected + seen.failures * FAILURE_LOAD + slowness
+    }
+
+    /// Notes that a request has left a backend server.
+    pub fn done(&mut self, id: &str) {
+        if let Some(seen) = self.seen.get_mut(id) {
+            seen.running = seen.running.saturating_sub(1);
+        }
+    }
+
+    /// Notes how a request ended at a backend server: well, and in what time.
+    pub fn note_outcome(&mut self, id: &str, good: bool, took: Option<Duration>) {
+        let Some(seen) = self.seen.get_mut(id) else {
+            return;
+        };
+        let failure = if good { 0.0 } else { 1.0 };
+        seen.failures += (failure - seen.failures) * SAMPLE_WEIGHT;
+        if let Some(took) = took {
+            let ms = took.as_secs_f64() * 1_000.0;
+            let weight = if seen.mean_ms == 0.0 { 1.0 } else { SAMPLE_WEIGHT };
+            seen.mean_ms += (ms - seen.mean_ms) * weight;
+        }
+    }
+
+    /// Gives a backend server no new work for a while if others can take it.
+    pub fn suspect(&mut self, id: &HostId, now: Timestamp) {
+        let seen = self.seen.entry(id.clone()).or_default();
+        seen.suspected_until = now + SUSPICION;
+    }
+
+    /// Forgets what the other entry hosts run.
+    pub fn clear_peers_running(&mut self) {
+        for seen in self.seen.values_mut() {
+            seen.peers_running = 0.0;
+        }
+    }
+
+    /// Notes the requests that the other entry hosts run at a backend server.
+    pub fn note_peers_running(&mut self, id: &HostId, running: f64) {
+        self.seen.entry(id.clone()).or_default().peers_running = running;
+    }
+
+    /// Returns the requests that run at each backend server.
+    pub fn running(&self) -> impl Iterator<Item = (&HostId, u32)> {
+        let running = self.seen.iter().map(|(id, s)| (id, s.running));
+        running.filter(|(_, n)| *n > 0)
+    }
+
+    /// Forgets backend servers that are gone and have no work of ours.
+    pub fn forget_gone(&mut self, directory: &Directory) {
+        self.seen
+            .retain(|id, s| s.running > 0 || directory.get(id).is_some());
+    }
+}
+
+fn serves(directory: &Directory, host: &Host, wanted: &Wanted<'_>) -> bool {
+    if *host.service != *wanted.service || !directory.takes_work(host) {
+        return false;
+    }
+    match wanted.model {
+        None => true,
+        Some(model) => host.is_open_head() && host.model.as_deref() == Some(model),
+    }
+}
+
+/// Returns the reason that tells a caller more.
+fn rank(old: NoHost, new: NoHost) -> NoHost {
+    let order = |r: NoHost| match r {
+        NoHost::None => 0,
+        NoHost::AllTried => 1,
+        NoHost::AtBound => 2,
+        NoHost::Full => 3,
+    };
+    if order(new) > order(old) { new } else { old }
+}
--- /dev/null
+++ b/crates/geranium_fleet/src/engine_profile.rs
@@ -0,0 +1,82 @@
+//! Published figures of a model engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use geranium_core::collections::HashMap;
+
+/// A model that replica groups of a service can run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelProfile {
+    /// Name.
+    pub name: Arc<str>,
+    /// Hosts of one replica group.
+    pub size: usize,
+    /// Factor on all times of a group.
+    pub pace: f64,
+    /// Share of the work at the start.
+    pub share: f64,
+    /// Time to load the weights from the weight store.
+    pub load_time: Duration,
+    /// Time to join with weights that are staged on the host.
+    pub warm_time: Duration,
+}
+
+/// Figures of a model engine; times hold for a pace of 1.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineProfile {
+    /// Requests that a group runs at once.
+    pub slots: u32,
+    /// Tokens of context that a group's memory holds.
+    pub kv_capacity: u64,
+    /// Models in the operator's order.
+    pub models: Vec<ModelProfile>,
+    /// Time of one token step, in milliseconds.
+    pub step_ms: f64,
+    /// Time that each writing request adds to a step, in milliseconds.
+    pub per_request_ms: f64,
+    /// Time that 1,000 tokens of context add to a step, in milliseconds.
+    pub per_k_context_ms: f64,
+    /// Prompt tokens read in a second.
+    pub read_per_s: f64,
+    /// Most prompt tokens read in one step.
+    pub chunk: f64,
+    /// Steps of one pass that includes writing requests.
+    pub stride: u32,
+    /// Mean prompt tokens of a request.
+    pub usual_prompt: f64,
+    /// Mean answer tokens of a request.
+    pub usual_answer: f64,
+    /// Loads from the weight store that may start in a second.
+    pub loads_per_s: f64,
+    /// Time from the order to open until the group serves.
+    pub form_time: Duration,
+    /// One-way network delays between failure domains.
+    pub delays: HashMap<(Arc<str>, Arc<str>), Duration>,
+}
+
+impl EngineProfile {
+    /// Returns a model by its name.
+    #[must_use]
+    pub fn model(&self, name: &str) -> Option<&ModelProfile> {
+        self.models.iter().find(|m| &*m.name == name)
+    }
+
+    /// Returns the longest time of one pass in milliseconds: all slots write
+    /// while each step also reads a full chunk of prompts.
+    #[must_use]
+    pub fn longest_pass_ms(&self) -> f64 {
+        let writing = self.step_ms + f64::from(self.slots) * self.per_request_ms;
+        let reading = self.chunk / self.read_per_s * 1_000.0;
+        f64::from(self.stride.max(1)) * (writing + reading)
+    }
+
+    /// Returns the time that a group spends on one request in milliseconds when
+    /// its batch is full.
+    #[must_use]
+    pub fn work_ms(&self, prompt: f64, answer: f64) -> f64 {
+        let reading = prompt / self.read_per_s * 1_000.0;
+        let per_token = self.step_ms / f64::from(self.slots.max(1)) + self.per_request_ms;
+        reading + answer * per_token
+    }
+}
--- /dev/null
+++ b/crates/geranium_fleet/src/lib.rs
@@ -0,0 +1,31 @@
+//! Decisions of entry hosts in front of backend servers that register themselves.
+//!
+//! Nothing here reads a clock or a socket: the present time is an argument of
+//! every function that decides. `geranium_entry` drives these types.
+//!
+//! | module | duty |
+//! | --- | --- |
+//! | [`deployment`] | one version of the operator's configuration |
+//! | [`route_table`] | the route of a request by host and longest prefix |
+//! | [`host`], [`directory`] | the backend servers and what they say of themselves |
+//! | [`planner`] | which groups are formed, opened, dissolved, and by which orders |
+//! | [`dispatch`] | the backend server that gets a request |
+//! | [`silence`] | groups that stopped answering while work waits there |
+//! | [`shared_rate`] | bounds that all entry hosts keep together |
+//! | [`demand`] | the work seen for each model |
+
+pub mod crash;
+pub mod demand;
+pub mod deployment;
+pub mod directory;
+pub mod dispatch;
+pub mod engine_profile;
+pub mod host;
+pub mod order;
+pub mod planner;
+pub mod prelude;
+pub mod route;
+pub mod route_table;
+pub mod service;
+pub mod shared_rate;
+pub mod silence;
--- /dev/null
+++ b/crates/geranium_fleet/src/planner.rs
@@ -0,0 +1,355 @@
+//! Decides which groups are formed, opened and dissolved, and by which orders.
+//!
+//! Nobody checks fencing numbers, so that safety rests on three things: each
+//! order names the count of orders that the host must have begun, so that a late
+//! one is refused; a group is opened only after every member reported to be ready
+//! under its name, epoch and list; and a member is free for another group only
+//! when the head of its group certainly no longer serves.
+
+mod formation;
+mod memory;
+mod view;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use geranium_core::collections::{HashMap, HashSet};
+use geranium_core::time::Timestamp;
+
+use crate::directory::Directory;
+use crate::engine_profile::EngineProfile;
+use crate::host::{GroupState, Host, HostId, HostState};
+use crate::order::{HostOrder, OrderAnswer, OrderKind};
+use crate::shared_rate::SharedRate;
+
+use memory::{Formed, Held, LastGroup};
+use view::GroupView;
+
+/// Time for which a host gets no second order while the first shows no effect.
+const ORDER_HOLD: Duration = Duration::from_millis(900);
+/// Time within which the missing members of a new group are asked again.
+const FORMING: Duration = Duration::from_secs(4);
+/// Time for which a group formed by another leader may stay incomplete.
+const ADOPTION: Duration = Duration::from_millis(1_500);
+/// Time after the first host was seen in which a new system waits for the others.
+const SETTLING: Duration = Duration::from_millis(1_200);
+/// Margin on the time after which a head without a member has stopped.
+const STALL_MARGIN: Duration = Duration::from_millis(800);
+/// Time for which a host that did not answer is taken to be dead.
+const DEAD_MEMORY: Duration = Duration::from_secs(8);
+/// Step of the epoch after a host refused one as too low.
+const EPOCH_STEP: u64 = 1_000_000;
+
+/// Settings of the planner.
+#[derive(Clone, Debug)]
+pub struct PlannerSettings {
+    /// Word that no other leader uses, for names of groups.
+    pub nonce: String,
+    /// Time after which a head that lost a member stops for good.
+    pub stall: Duration,
+    /// Window of the bound on loads from the weight store.
+    pub load_window: Duration,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
+}
+
+/// Forms, opens and dissolves the groups of one service.
+#[derive(Debug)]
+pub struct GroupPlanner {
+    cfg: PlannerSettings,
+    started_at: Timestamp,
+    next_group: u64,
+    epoch: u64,
+    formed: HashMap<Arc<str>, Formed>,
+    first_seen: HashMap<Arc<str>, Timestamp>,
+    heads: HashMap<Arc<str>, HostId>,
+    released: HashMap<Arc<str>, Timestamp>,
+    last_groups: HashMap<HostId, LastGroup>,
+    held: HashMap<HostId, Held>,
+    dead: HashMap<HostId, (u64, Timestamp)>,
+    stale: HashSet<HostId>,
+    loads: SharedRate,
+}
+
+impl GroupPlanner {
+    /// Makes a planner that knows nothing yet.
+    #[must_use]
+    pub fn new(cfg: PlannerSettings, now: Timestamp) -> Self {
+        let loads = SharedRate::new(cfg.load_window);
+        Self {
+            cfg,
+            started_at: now,
+            next_group: 0,
+            epoch: 0,
+            formed: HashMap::default(),
+            first_seen: HashMap::default(),
+            heads: HashMap::default(),
+            released: HashMap::default(),
+            last_groups: HashMap::default(),
+            held: HashMap::default(),
+            dead: HashMap::default(),
+            stale: HashSet::default(),
+            loads,
+        }
+    }
+
+    /// Decides on the orders that are due.
+    ///
+    /// `shares` holds the share of the work of each model of the profile;
+    /// `traffic` tells whether requests have been seen.
+    pub fn plan(
+        &mut self,
+        directory: &Directory,
+        service: &str,
+        profile: &EngineProfile,
+        shares: &[f64],
+        traffic: bool,
+        now: Timestamp,
+    ) -> Vec<HostOrder> {
+        let mut hosts: Vec<&Host> = directory
+            .hosts()
+            .filter(|h| *h.service == *service)
+            .collect();
+        hosts.sort_by(|a, b| a.id.cmp(&b.id));
+        let views = view::collect(&hosts);
+        self.remember(&hosts, &views, now);
+        let mut orders = Vec::new();
+        for view in &views {
+            self.tend(view, directory, profile, now, &mut orders);
+        }
+        if !self.is_settling(&views, now) {
+            self.form(&hosts, &views, directory, profile, shares, traffic, now, &mut orders);
+        }
+        for order in &orders {
+            let held = Held {
+                born: order.born,
+                until: now + ORDER_HOLD,
+                began: None,
+            };
+            self.held.insert(order.host.clone(), held);
+        }
+        orders
+    }
+
+    /// Notes the answer to an order.
+    pub fn note_answer(&mut self, order: &HostOrder, answer: OrderAnswer, now: Timestamp) {
+        if let Some(held) = self.held.get_mut(&order.host) {
+            match answer {
+                OrderAnswer::Begun => held.began = Some(order.expected_seq + 1),
+                OrderAnswer::Unknown => held.until = now + ORDER_HOLD,
+                _ => held.until = now,
+            }
+        }
+        match (&order.kind, answer) {
+            (OrderKind::Leave { group, .. }, OrderAnswer::Begun | OrderAnswer::Holds) => {
+                self.released.entry(group.clone()).or_insert(now);
+            }
+            (_, OrderAnswer::Conflict) => {
+                self.stale.insert(order.host.clone());
+            }
+            (OrderKind::Join { group, .. }, OrderAnswer::Outdated) => {
+                self.epoch += EPOCH_STEP;
+                if let Some(formed) = self.formed.get_mut(group) {
+                    formed.abandoned = true;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the hosts whose count of orders has to be asked for.
+    pub fn take_stale(&mut self) -> Vec<HostId> {
+        self.stale.drain().collect()
+    }
+
+    /// Notes that a host answered nothing and is taken to be dead.
+    pub fn mark_dead(&mut self, id: &HostId, born: u64, now: Timestamp) {
+        self.dead.insert(id.clone(), (born, now + DEAD_MEMORY));
+    }
+
+    /// Notes that a host has shown life.
+    pub fn mark_alive(&mut self, id: &str) {
+        self.dead.remove(id);
+    }
+
+    /// Returns the hosts of the group of a head, to be asked whether they live.
+    #[must_use]
+    pub fn members_of_head<'a>(&self, directory: &'a Directory, head: &str) -> Vec<&'a Host> {
+        let Some(membership) = directory.get(head).and_then(|h| h.membership.as_ref()) else {
+            return directory.get(head).into_iter().collect();
+        };
+        let same = |h: &&Host| h.membership.as_ref().is_some_and(|m| m.group == membership.group);
+        directory.hosts().filter(same).collect()
+    }
+
+    /// Returns the hosts that are in no group that serves or is being formed.
+    #[must_use]
+    pub fn stranded(&self, directory: &Directory, service: &str) -> usize {
+        let idle = |h: &&Host| {
+            *h.service == *service
+                && !h.membership.as_ref().is_some_and(|m| m.state != GroupState::Broken)
+        };
+        directory.hosts().filter(idle).count()
+    }
+
+    fn is_dead(&self, host: &Host, now: Timestamp) -> bool {
+        let mark = self.dead.get(&host.id);
+        mark.is_some_and(|(born, until)| *born == host.born && now < *until)
+    }
+
+    fn is_alive(&self, host: &Host, now: Timestamp) -> bool {
+        host.state == HostState::Ready && !self.is_dead(host, now)
+    }
+
+    /// Returns whether a host has an order on its way or has not yet reported the
+    /// effect of its last one.
+    fn is_held(&self, host: &Host, now: Timestamp) -> bool {
+        let Some(held) = self.held.get(&host.id).filter(|h| h.born == host.born) else {
+            return false;
+        };
+        now < held.until
+    }
+
+    fn is_settling(&self, views: &[GroupView<'_>], now: Timestamp) -> bool {
+        views.is_empty() && now.since(self.started_at) < SETTLING
+    }
+
+    /// Looks after one group that members report.
+    fn tend(
+        &mut self,
+        view: &GroupView<'_>,
+        directory: &Directory,
+        profile: &EngineProfile,
+        now: Timestamp,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        let Some(head) = view.head() else {
+            self.tend_headless(view, now, orders);
+            return;
+        };
+        let head_state = head.membership.as_ref().map(|m| m.state);
+        if head_state == Some(GroupState::Broken) || self.is_held(head, now) {
+            return;
+        }
+        if self.is_dead(head, now) {
+            self.tend_headless(view, now, orders);
+            return;
+        }
+        let size = self.group_size(view, profile);
+        let complete = size == Some(view.members.len());
+        let all_alive = view.members.values().all(|h| self.is_alive(h, now));
+        let abandoned = self.formed.get(&view.group).is_some_and(|f| f.abandoned);
+        if complete && all_alive && !abandoned {
+            self.tend_complete(view, head, orders);
+            return;
+        }
+        let drains = view.members.values().any(|h| h.state == HostState::Draining);
+        let lost = !complete || view.members.values().any(|h| self.is_dead(h, now));
+        if drains && !lost && head_state == Some(GroupState::Open) {
+            orders.push(order_to(head, view.close()));
+            return;
+        }
+        if drains && !lost && head_state == Some(GroupState::Closing) {
+            return;
+        }
+        if !complete && !abandoned && self.is_forming(view, now) {
+            self.ask_missing(view, directory, now, orders);
+            return;
+        }
+        orders.push(order_to(head, view.leave()));
+    }
+
+    /// Opens a group whose members have all reported to be ready.
+    fn tend_complete(
+        &mut self,
+        view: &GroupView<'_>,
+        head: &Host,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        let states = view.members.values().filter_map(|h| h.membership.as_ref());
+        let all_ready = states.clone().all(|m| m.state == GroupState::Ready);
+        if all_ready {
+            let kind = OrderKind::Open {
+                group: view.group.clone(),
+                epoch: view.epoch,
+            };
+            if let Some(formed) = self.formed.get_mut(&view.group) {
+                formed.open_sent = true;
+            }
+            orders.push(order_to(head, kind));
+        }
+    }
+
+    /// Lets one member of a group without head leave, so that the head stops for
+    /// good if it still runs out of reach.
+    fn tend_headless(&mut self, view: &GroupView<'_>, now: Timestamp, orders: &mut Vec<HostOrder>) {
+        if self.released.contains_key(&view.group) || self.never_opened(&view.group) {
+            return;
+        }
+        let known_dead_head = view.head().is_some_and(|h| self.is_dead(h, now));
+        if !known_dead_head && self.is_forming(view, now) {
+            return;
+        }
+        let mut members = view.members.iter().filter(|(rank, _)| **rank > 0);
+        let member = members.find(|(_, h)| self.is_alive(h, now) && !self.is_held(h, now));
+        if let Some((_, member)) = member {
+            orders.push(order_to(member, view.leave()));
+        }
+    }
+
+    /// Sends the join again to members that do not report it yet.
+    fn ask_missing(
+        &self,
+        view: &GroupView<'_>,
+        directory: &Directory,
+        now: Timestamp,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        let Some(formed) = self.formed.get(&view.group) else {
+            return;
+        };
+        for (id, born) in &formed.members {
+            let Some(host) = directory.get(id).filter(|h| h.born == *born) else {
+                continue;
+            };
+            let joined = host.membership.as_ref().is_some_and(|m| m.group == view.group);
+            if joined || self.is_held(host, now) || !self.is_alive(host, now) {
+                continue;
+            }
+            orders.push(order_to(host, formed.join(&view.group)));
+        }
+    }
+
+    /// Returns whether the members of a group may still be on their way into it.
+    fn is_forming(&self, view: &GroupView<'_>, now: Timestamp) -> bool {
+        if let Some(formed) = self.formed.get(&view.group) {
+            return now.since(formed.at) < FORMING && !formed.open_sent;
+        }
+        let first_seen = self.first_seen.get(&view.group).copied().unwrap_or(now);
+        now.since(first_seen) < ADOPTION
+    }
+
+    fn group_size(&self, view: &GroupView<'_>, profile: &EngineProfile) -> Option<usize> {
+        if let Some(formed) = self.formed.get(&view.group) {
+            return Some(formed.members.len());
+        }
+        let model = view.model()?;
+        profile.model(model).map(|m| m.size)
+    }
+
+    /// Returns whether no order to open a group can be on its way.
+    fn never_opened(&self, group: &str) -> bool {
+        self.formed.get(group).is_some_and(|f| !f.open_sent)
+    }
+}
+
+/// Addresses an order to a host in its present state.
+fn order_to(host: &Host, kind: OrderKind) -> HostOrder {
+    HostOrder {
+        host: host.id.clone(),
+        born: host.born,
+        address: host.address,
+        expected_seq: host.seq,
+        kind,
+    }
+}
--- /dev/null
+++ b/crates/geranium_fleet/src/planner/view.rs
@@ -0,0 +1,68 @@
+//! A group as its members report it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::host::{GroupState, Host};
+use crate::order::OrderKind;
+
+/// The members that report one group and epoch.
+#[derive(Debug)]
+pub(super) struct GroupView<'a> {
+    /// Name.
+    pub(super) group: Arc<str>,
+    /// Epoch.
+    pub(super) epoch: u64,
+    /// Members by their position.
+    pub(super) members: BTreeMap<usize, &'a Host>,
+}
+
+impl<'a> GroupView<'a> {
+    /// Returns the head, if it is listed.
+    pub(super) fn head(&self) -> Option<&'a Host> {
+        self.members.get(&0).copied()
+    }
+
+    /// Returns the model, as members that have finished joining report it.
+    pub(super) fn model(&self) -> Option<&Arc<str>> {
+        let done = |h: &&&Host| {
+            let state = h.membership.as_ref().map(|m| m.state);
+            state != Some(GroupState::Joining)
+        };
+        self.members.values().find(done).and_then(|h| h.model.as_ref())
+    }
+
+    /// Returns the order to leave the group.
+    pub(super) fn leave(&self) -> OrderKind {
+        OrderKind::Leave {
+            group: self.group.clone(),
+            epoch: self.epoch,
+        }
+    }
+
+    /// Returns the order to finish the running work.
+    pub(super) fn close(&self) -> OrderKind {
+        OrderKind::Close {
+            group: self.group.clone(),
+            epoch: self.epoch,
+        }
+    }
+}
+
+/// Gathers the groups that hosts report, ordered by name and epoch.
+pub(super) fn collect<'a>(hosts: &[&'a Host]) -> Vec<GroupView<'a>> {
+    let mut views: BTreeMap<(Arc<str>, u64), GroupView<'a>> = BTreeMap::new();
+    for host in hosts {
+        let Some(membership) = &host.membership else {
+            continue;
+        };
+        let key = (membership.group.clone(), membership.epoch);
+        let view = views.entry(key).or_insert_with(|| GroupView {
+            group: membership.group.clone(),
+            epoch: membership.epoch,
+            members: BTreeMap::new(),
+        });
+        view.members.insert(membership.rank, *host);
+    }
+    views.into_values().collect()
+}
--- /dev/null
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -0,0 +1,16 @@
+//! The types that most users of this crate need.
+
+pub use crate::crash::CrashLedger;
+pub use crate::demand::DemandMeter;
+pub use crate::deployment::{Account, ClientLimits, Deployment};
+pub use crate::directory::Directory;
+pub use crate::dispatch::{Choice, Dispatcher, NoHost};
+pub use crate::engine_profile::{EngineProfile, ModelProfile};
+pub use crate::host::{GroupState, Host, HostId, HostState, Membership};
+pub use crate::order::{HostOrder, OrderAnswer, OrderKind};
+pub use crate::planner::{GroupPlanner, PlannerSettings};
+pub use crate::route::{Route, RouteKind, Target};
+pub use crate::route_table::RouteTable;
+pub use crate::service::Service;
+pub use crate::shared_rate::SharedRate;
+pub use crate::silence::SilenceThresholds;
--- /dev/null
+++ b/crates/geranium_fleet/src/silence.rs
@@ -0,0 +1,73 @@
+//! Groups that stopped answering while work waits there.
+
+use std::time::Duration;
+
+use geranium_core::time::Timestamp;
+
+use crate::engine_profile::EngineProfile;
+
+/// Passes without any event after which writing requests show a stopped group.
+const SILENT_PASSES: f64 = 2.0;
+/// Shortest silence that counts, so that delays of the network do not.
+const SHORTEST_SILENCE_MS: f64 = 350.0;
+/// Passes that a request may wait for its turn to be read.
+const WAITING_PASSES: f64 = 3.0;
+/// Factor on the time that the reading of prompts takes.
+const READING_FACTOR: f64 = 2.0;
+
+/// Silence after which a group is taken to have stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SilenceThresholds {
+    /// While a request of ours is in the middle of its answer.
+    pub writing: Duration,
+    /// While all our requests wait for their first event, without reading.
+    pub waiting: Duration,
+}
+
+/// What one entry host knows of its work at a group.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GroupActivity {
+    /// Requests in the middle of their answer.
+    pub writing: usize,
+    /// Requests that wait for their first event.
+    pub waiting: usize,
+    /// Prompt tokens of the requests that wait.
+    pub waiting_tokens: f64,
+    /// Last event or answer of any kind.
+    pub last_heard: Timestamp,
+    /// When the oldest request that still runs was sent.
+    pub oldest_sent: Timestamp,
+}
+
+impl SilenceThresholds {
+    /// Derives thresholds from the engine's figures for a model's pace.
+    #[must_use]
+    pub fn new(profile: &EngineProfile, pace: f64) -> Self {
+        let pass = profile.longest_pass_ms() * pace;
+        let writing = (pass * SILENT_PASSES).max(SHORTEST_SILENCE_MS);
+        let waiting = (pass * WAITING_PASSES).max(2.0 * SHORTEST_SILENCE_MS);
+        Self {
+            writing: millis(writing),
+            waiting: millis(waiting),
+        }
+    }
+
+    /// Returns whether a group has been silent for too long.
+    #[must_use]
+    pub fn is_silent(&self, activity: &GroupActivity, read_per_s: f64, now: Timestamp) -> bool {
+        let quiet_since = activity.last_heard.max(activity.oldest_sent);
+        let quiet = now.since(quiet_since);
+        if activity.writing > 0 {
+            return quiet > self.writing;
+        }
+        if activity.waiting == 0 {
+            return false;
+        }
+        let reading = activity.waiting_tokens / read_per_s * 1_000.0 * READING_FACTOR;
+        quiet > self.waiting + millis(reading)
+    }
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::from_micros((ms * 1_000.0) as u64)
+}
