--- a/crates/geranium_entry/src/dialect.rs
+++ b/crates/geranium_entry/src/dialect.rs
@@ -45,7 +45,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HostReport {
     /// Orders that it has begun in this life.
-    pub seq: u64,
+    pub orders_begun: u64,
 }
 
 /// Names, formats and calls of a platform; decides nothing.
--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -265,7 +265,7 @@
                 let stranded = planner.stranded(&core.directory, &service.name);
                 self.shared.metrics.stranded.set(i64::try_from(stranded).unwrap_or(i64::MAX));
                 all.extend(orders.into_iter().map(|o| (service.name.clone(), o)));
-                for stale in planner.take_stale() {
+                for stale in planner.take_stale(now) {
                     self.ask_count(stale);
                 }
             }
@@ -283,10 +283,10 @@
         self.shared.metrics.orders.get_or_create(&cause).inc();
         let answer = self.shared.dialect.send_order(&order, ORDER_LIMIT).await;
         let now = self.shared.now();
-        log::info!(host:% = order.host, order = order.kind.word(), detail:? = order.kind, expected_seq = order.expected_seq, answer:? = answer; "order sent");
+        log::info!(host:% = order.host, order = order.kind.word(), detail:? = order.kind, expected_count = order.expected_count, answer:? = answer; "order sent");
         if answer == geranium_fleet::order::OrderAnswer::Begun {
             let mut core = self.shared.core.borrow_mut();
-            core.directory.note_seq(&order.host, order.born, order.expected_seq + 1);
+            core.directory.note_orders(&order.host, order.born, order.expected_count + 1);
         }
         if let Some(planner) = self.planners.borrow_mut().get_mut(&service) {
             planner.note_answer(&order, answer, now);
@@ -308,8 +308,8 @@
             let Some(report) = manager.shared.dialect.ask_host(address, PROBE_LIMIT).await else {
                 return;
             };
-            log::info!(host:% = id, seq = report.seq; "count of orders was asked for");
-            manager.shared.core.borrow_mut().directory.note_seq(&id, born, report.seq);
+            log::info!(host:% = id, count = report.orders_begun; "count of orders was asked for");
+            manager.shared.core.borrow_mut().directory.note_orders(&id, born, report.orders_begun);
             manager.shared.changed.notify_waiters();
         });
     }
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -31,11 +31,13 @@
         self.lapsed.remove(&host.id);
         let known = self.hosts.get(&host.id);
         let same_life = known.is_some_and(|k| k.born == host.born);
-        if let Some(known) = known.filter(|_| same_life) {
-            // An entry is written when something else changes, so that its count
-            // of orders may be older than an answer of the host itself.
-            host.seq = host.seq.max(known.seq);
-        }
+        host.orders_begun = match known.filter(|_| same_life) {
+            Some(known) => known.orders_begun,
+            // A host that begins a life has begun no order. If the guess is wrong it
+            // refuses the first order and is asked.
+            None if host.membership.is_none() => Some(0),
+            None => None,
+        };
         self.hosts.insert(host.id.clone(), host);
         !same_life
     }
@@ -97,9 +99,10 @@
     }
 
     /// Notes the count of orders that a host is known to have begun.
-    pub fn note_seq(&mut self, id: &str, born: u64, seq: u64) {
+    pub fn note_orders(&mut self, id: &str, born: u64, count: u64) {
         if let Some(host) = self.hosts.get_mut(id).filter(|h| h.born == born) {
-            host.seq = host.seq.max(seq);
+            let known = host.orders_begun.unwrap_or(0);
+            host.orders_begun = Some(known.max(count));
         }
     }
 
--- a/crates/geranium_fleet/src/host.rs
+++ b/crates/geranium_fleet/src/host.rs
@@ -64,11 +64,9 @@
     pub state: HostState,
     /// End of its cold start, if one is under way.
     pub cold_until: Option<Timestamp>,
-    /// Orders that it has begun in this life, from its entry or its answers.
-    pub seq: u64,
-    /// Orders that it had begun when it wrote its entry; what the entry says is
-    /// older than the last order if this is below `seq`.
-    pub reported_seq: u64,
+    /// Orders that it has begun in this life, as its answers tell; its entry does
+    /// not, so that `None` means that it has to be asked.
+    pub orders_begun: Option<u64>,
     /// Fabric domain, for hosts of model engines.
     pub fabric_domain: Option<Arc<str>>,
     /// Models whose weights lie on the host.
--- a/crates/geranium_fleet/src/order.rs
+++ b/crates/geranium_fleet/src/order.rs
@@ -71,7 +71,7 @@
     /// Its address.
     pub address: SocketAddr,
     /// Count of orders that the host must have begun; it refuses the order otherwise.
-    pub expected_seq: u64,
+    pub expected_count: u64,
     /// What to do.
     pub kind: OrderKind,
 }
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -27,12 +27,17 @@
 
 /// Time for which a host gets no second order while the first shows no effect.
 const ORDER_HOLD: Duration = Duration::from_millis(900);
+/// Time for which a host that refused an order is left alone, while its count of
+/// orders is asked for.
+const CONFLICT_HOLD: Duration = Duration::from_millis(250);
 /// Time within which the missing members of a new group are asked again.
 const FORMING: Duration = Duration::from_secs(4);
 /// Time for which a group formed by another leader may stay incomplete.
 const ADOPTION: Duration = Duration::from_millis(1_500);
-/// Time after the first host was seen in which a new system waits for the others.
-const SETTLING: Duration = Duration::from_millis(1_200);
+/// Time without a new host after which a new system has seen them all.
+const SETTLING: Duration = Duration::from_millis(700);
+/// Longest time that a new system waits for further hosts.
+const LONGEST_SETTLING: Duration = Duration::from_secs(4);
 /// Margin on the time after which a head without a member has stopped.
 const STALL_MARGIN: Duration = Duration::from_millis(800);
 /// Time for which a host that did not answer is taken to be dead.
@@ -58,6 +63,7 @@
 pub struct GroupPlanner {
     cfg: PlannerSettings,
     started_at: Timestamp,
+    newest_host_at: Timestamp,
     next_group: u64,
     epoch: u64,
     formed: HashMap<Arc<str>, Formed>,
@@ -68,6 +74,7 @@
     held: HashMap<HostId, Held>,
     dead: HashMap<HostId, (u64, Timestamp)>,
     stale: HashSet<HostId>,
+    asked: HashMap<HostId, Timestamp>,
     loads: SharedRate,
 }
 
@@ -79,6 +86,7 @@
         Self {
             cfg,
             started_at: now,
+            newest_host_at: now,
             next_group: 0,
             epoch: 0,
             formed: HashMap::default(),
@@ -89,6 +97,7 @@
             held: HashMap::default(),
             dead: HashMap::default(),
             stale: HashSet::default(),
+            asked: HashMap::default(),
             loads,
         }
     }
@@ -124,7 +133,7 @@
             let held = Held {
                 born: order.born,
                 until: now + ORDER_HOLD,
-                began: None,
+                order: order.kind.clone(),
             };
             self.held.insert(order.host.clone(), held);
         }
@@ -135,8 +144,8 @@
     pub fn note_answer(&mut self, order: &HostOrder, answer: OrderAnswer, now: Timestamp) {
         if let Some(held) = self.held.get_mut(&order.host) {
             match answer {
-                OrderAnswer::Begun => held.began = Some(order.expected_seq + 1),
-                OrderAnswer::Unknown => held.until = now + ORDER_HOLD,
+                OrderAnswer::Begun | OrderAnswer::Unknown => held.until = now + ORDER_HOLD,
+                OrderAnswer::Conflict => held.until = now + CONFLICT_HOLD,
                 _ => held.until = now,
             }
         }
@@ -157,9 +166,15 @@
         }
     }
 
-    /// Returns the hosts whose count of orders has to be asked for.
-    pub fn take_stale(&mut self) -> Vec<HostId> {
-        self.stale.drain().collect()
+    /// Returns the hosts whose count of orders has to be asked for now.
+    pub fn take_stale(&mut self, now: Timestamp) -> Vec<HostId> {
+        let due = |asked: &Timestamp| now.since(*asked) >= CONFLICT_HOLD;
+        let stale: Vec<HostId> = self.stale.iter().filter(|id| self.asked.get(*id).is_none_or(due)).cloned().collect();
+        for id in &stale {
+            self.stale.remove(id);
+            self.asked.insert(id.clone(), now);
+        }
+        stale
     }
 
     /// Notes that a host answered nothing and is taken to be dead.
@@ -201,17 +216,16 @@
         host.state == HostState::Ready && !self.is_dead(host, now)
     }
 
-    /// Returns whether a host has an order on its way or has not yet reported the
-    /// effect of its last one.
+    /// Returns whether a host has an order on its way, has not yet reported the
+    /// effect of its last one, or has to be asked for its count of orders.
     fn is_held(&self, host: &Host, now: Timestamp) -> bool {
-        let Some(held) = self.held.get(&host.id).filter(|h| h.born == host.born) else {
-            return false;
-        };
-        now < held.until
+        let held = self.held.get(&host.id).filter(|h| h.born == host.born);
+        held.is_some_and(|h| now < h.until) || host.orders_begun.is_none()
     }
 
     fn is_settling(&self, views: &[GroupView<'_>], now: Timestamp) -> bool {
-        views.is_empty() && now.since(self.started_at) < SETTLING
+        let grows = now.since(self.newest_host_at) < SETTLING;
+        views.is_empty() && grows && now.since(self.started_at) < LONGEST_SETTLING
     }
 
     /// Looks after one group that members report.
@@ -349,7 +363,7 @@
         host: host.id.clone(),
         born: host.born,
         address: host.address,
-        expected_seq: host.seq,
+        expected_count: host.orders_begun.unwrap_or(0),
         kind,
     }
 }
--- a/crates/geranium_fleet/src/planner/memory.rs
+++ b/crates/geranium_fleet/src/planner/memory.rs
@@ -40,14 +40,29 @@
 }
 
 /// A host that gets no order for a while.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Held {
     /// Life of the host.
     pub(super) born: u64,
     /// End of the hold.
     pub(super) until: Timestamp,
-    /// Count of orders after the order, once the host has begun it.
-    pub(super) began: Option<u64>,
+    /// The order.
+    pub(super) order: OrderKind,
+}
+
+impl Held {
+    /// Returns whether what a host reports shows the effect of the order.
+    fn is_reported(&self, host: &Host) -> bool {
+        let membership = host.membership.as_ref();
+        let state_in = |name: &Arc<str>| membership.filter(|m| m.group == *name).map(|m| m.state);
+        match &self.order {
+            OrderKind::Join { group, .. } => state_in(group).is_some(),
+            OrderKind::Open { group, .. } => state_in(group) != Some(GroupState::Ready),
+            OrderKind::Close { group, .. } => state_in(group) != Some(GroupState::Open),
+            OrderKind::Leave { group, .. } => state_in(group).is_none(),
+            OrderKind::Stage { .. } => true,
+        }
+    }
 }
 
 /// The last group that a host reported.
@@ -61,8 +76,6 @@
     pub(super) was_head: bool,
     /// When the host was first seen in this life.
     pub(super) first_seen: Timestamp,
-    /// Whether the host had begun no order when it was first seen.
-    pub(super) fresh: bool,
 }
 
 impl GroupPlanner {
@@ -84,10 +97,13 @@
 
     fn remember_host(&mut self, host: &Host, now: Timestamp) {
         if let Some(held) = self.held.get(&host.id)
-            && (held.born != host.born || now >= held.until || self.has_reported(host))
+            && (held.born != host.born || now >= held.until || held.is_reported(host))
         {
             self.held.remove(&host.id);
         }
+        if host.orders_begun.is_none() {
+            self.stale.insert(host.id.clone());
+        }
         let known = self.last_groups.get(&host.id);
         if known.is_none_or(|k| k.born != host.born) {
             let last = LastGroup {
@@ -95,9 +111,9 @@
                 group: None,
                 was_head: false,
                 first_seen: now,
-                fresh: host.seq == 0,
             };
             self.last_groups.insert(host.id.clone(), last);
+            self.newest_host_at = now;
         }
         if let Some(membership) = &host.membership
             && let Some(last) = self.last_groups.get_mut(&host.id)
@@ -107,12 +123,6 @@
         }
     }
 
-    /// Returns whether a host has reported the effect of the order it began last.
-    fn has_reported(&self, host: &Host) -> bool {
-        let began = self.held.get(&host.id).and_then(|h| h.began);
-        began.is_some_and(|seq| host.reported_seq >= seq)
-    }
-
     /// Returns whether a host may become a member of another group.
     pub(super) fn is_free(&self, host: &Host, directory: &Directory, now: Timestamp) -> bool {
         if !self.is_alive(host, now) || self.is_held(host, now) {
@@ -130,7 +140,8 @@
         match &last.group {
             _ if last.was_head => true,
             Some(group) => self.is_group_over(group, directory, now),
-            None if last.fresh => true,
+            // The host refuses the order if the count is wrong.
+            None if host.orders_begun == Some(0) => true,
             None => now.since(last.first_seen) >= self.cfg.stall + STALL_MARGIN,
         }
     }
