Treat an order answered as done like one that has begun

A leave is answered 200 and counts; the next order named an old count. Open: groups stay ready and are not opened.

--- a/crates/geranium_entry/src/log_writer.rs
+++ b/crates/geranium_entry/src/log_writer.rs
@@ -9,6 +9,9 @@
 /// Pause between two writes to the output.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Most bytes in one write, so that a reader with a small buffer gets whole lines.
+const MAX_WRITE: usize = 4 << 10;
+
 #[derive(Default)]
 struct Waiting {
     bytes: Vec<u8>,
@@ -37,8 +40,10 @@
                 loop {
                     std::thread::sleep(FLUSH_INTERVAL);
                     let bytes = waiting.take();
-                    // Nobody is left to tell of a failure of the log's own output.
-                    let _ = out.write_all(&bytes).and_then(|()| out.flush());
+                    for piece in pieces(&bytes) {
+                        // Nobody is left to tell of a failure of the log's own output.
+                        let _ = out.write_all(piece).and_then(|()| out.flush());
+                    }
                 }
             })?;
         Ok(writer)
@@ -58,6 +63,23 @@
     }
 }
 
+/// Splits bytes into pieces of whole lines; a line that is longer than a piece
+/// stands alone.
+pub fn pieces(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = bytes;
+    std::iter::from_fn(move || {
+        if rest.is_empty() {
+            return None;
+        }
+        let window = &rest[..rest.len().min(MAX_WRITE)];
+        let within = window.iter().rposition(|b| *b == b'\n');
+        let end = within.or_else(|| rest.iter().position(|b| *b == b'\n'));
+        let (piece, left) = rest.split_at(end.map_or(rest.len(), |i| i + 1));
+        rest = left;
+        Some(piece)
+    })
+}
+
 impl Write for LogWriter {
     fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
         let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -8,7 +8,7 @@
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
 use geranium_fleet::host::HostId;
-use geranium_fleet::order::HostOrder;
+use geranium_fleet::order::{HostOrder, OrderAnswer};
 use geranium_fleet::planner::{GroupPlanner, PlannerSettings};
 use geranium_platform::{CasOutcome, KvStore, LeaseId, StoreError, Swap};
 use tokio::sync::watch;
@@ -197,6 +197,7 @@
             }
             continue;
         };
+        shared.core.borrow_mut().directory.forget_orders();
         let manager = Rc::new(Manager::new(shared.clone(), since));
         loop {
             manager.look_into_suspects();
@@ -284,7 +285,7 @@
         let answer = self.shared.dialect.send_order(&order, ORDER_LIMIT).await;
         let now = self.shared.now();
         log::info!(host:% = order.host, order = order.kind.word(), detail:? = order.kind, expected_count = order.expected_count, answer:? = answer; "order sent");
-        if answer == geranium_fleet::order::OrderAnswer::Begun {
+        if matches!(answer, OrderAnswer::Begun | OrderAnswer::Done) {
             let mut core = self.shared.core.borrow_mut();
             core.directory.note_orders(&order.host, order.born, order.expected_count + 1);
         }
@@ -310,6 +311,9 @@
             };
             log::info!(host:% = id, count = report.orders_begun; "count of orders was asked for");
             manager.shared.core.borrow_mut().directory.note_orders(&id, born, report.orders_begun);
+            for planner in manager.planners.borrow_mut().values_mut() {
+                planner.note_told(&id);
+            }
             manager.shared.changed.notify_waiters();
         });
     }
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -98,11 +98,19 @@
         }
     }
 
-    /// Notes the count of orders that a host is known to have begun.
+    /// Notes the count of orders that a host has begun.
     pub fn note_orders(&mut self, id: &str, born: u64, count: u64) {
         if let Some(host) = self.hosts.get_mut(id).filter(|h| h.born == born) {
-            let known = host.orders_begun.unwrap_or(0);
-            host.orders_begun = Some(known.max(count));
+            host.orders_begun = Some(count);
+        }
+    }
+
+    /// Forgets the counts of orders of all hosts that may have begun one, as
+    /// another manager may have sent them.
+    pub fn forget_orders(&mut self) {
+        for host in self.hosts.values_mut() {
+            let untouched = host.membership.is_none() && host.staged.is_empty();
+            host.orders_begun = untouched.then_some(0);
         }
     }
 
--- a/crates/geranium_fleet/src/order.rs
+++ b/crates/geranium_fleet/src/order.rs
@@ -81,8 +81,8 @@
 pub enum OrderAnswer {
     /// The order has begun.
     Begun,
-    /// The wanted state holds already.
-    Holds,
+    /// The order is done.
+    Done,
     /// The order does not fit the host's state or its count of orders.
     Conflict,
     /// The epoch is too low, or the group has other members there.
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use geranium_core::collections::{HashMap, HashSet};
+use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 
 use crate::directory::Directory;
@@ -27,9 +27,11 @@
 
 /// Time for which a host gets no second order while the first shows no effect.
 const ORDER_HOLD: Duration = Duration::from_millis(900);
-/// Time for which a host that refused an order is left alone, while its count of
-/// orders is asked for.
-const CONFLICT_HOLD: Duration = Duration::from_millis(250);
+/// Time for which a host that refused an order is left alone, as its report of the
+/// count of orders lags.
+const CONFLICT_HOLD: Duration = Duration::from_millis(300);
+/// Time after which a host that did not tell its count of orders is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(600);
 /// Time within which the missing members of a new group are asked again.
 const FORMING: Duration = Duration::from_secs(4);
 /// Time for which a group formed by another leader may stay incomplete.
@@ -73,8 +75,7 @@
     last_groups: HashMap<HostId, LastGroup>,
     held: HashMap<HostId, Held>,
     dead: HashMap<HostId, (u64, Timestamp)>,
-    stale: HashSet<HostId>,
-    asked: HashMap<HostId, Timestamp>,
+    stale: HashMap<HostId, Timestamp>,
     loads: SharedRate,
 }
 
@@ -96,8 +97,7 @@
             last_groups: HashMap::default(),
             held: HashMap::default(),
             dead: HashMap::default(),
-            stale: HashSet::default(),
-            asked: HashMap::default(),
+            stale: HashMap::default(),
             loads,
         }
     }
@@ -129,6 +129,7 @@
         if !self.is_settling(&views, now) {
             self.form(&hosts, &views, directory, profile, shares, traffic, now, &mut orders);
         }
+        orders.retain(|o| directory.get(&o.host).is_some_and(|h| h.orders_begun.is_some()));
         for order in &orders {
             let held = Held {
                 born: order.born,
@@ -144,17 +145,17 @@
     pub fn note_answer(&mut self, order: &HostOrder, answer: OrderAnswer, now: Timestamp) {
         if let Some(held) = self.held.get_mut(&order.host) {
             match answer {
-                OrderAnswer::Begun | OrderAnswer::Unknown => held.until = now + ORDER_HOLD,
+                OrderAnswer::Begun | OrderAnswer::Done | OrderAnswer::Unknown => held.until = now + ORDER_HOLD,
                 OrderAnswer::Conflict => held.until = now + CONFLICT_HOLD,
                 _ => held.until = now,
             }
         }
         match (&order.kind, answer) {
-            (OrderKind::Leave { group, .. }, OrderAnswer::Begun | OrderAnswer::Holds) => {
+            (OrderKind::Leave { group, .. }, OrderAnswer::Begun | OrderAnswer::Done) => {
                 self.released.entry(group.clone()).or_insert(now);
             }
             (_, OrderAnswer::Conflict) => {
-                self.stale.insert(order.host.clone());
+                self.stale.insert(order.host.clone(), now + CONFLICT_HOLD);
             }
             (OrderKind::Join { group, .. }, OrderAnswer::Outdated) => {
                 self.epoch += EPOCH_STEP;
@@ -168,13 +169,18 @@
 
     /// Returns the hosts whose count of orders has to be asked for now.
     pub fn take_stale(&mut self, now: Timestamp) -> Vec<HostId> {
-        let due = |asked: &Timestamp| now.since(*asked) >= CONFLICT_HOLD;
-        let stale: Vec<HostId> = self.stale.iter().filter(|id| self.asked.get(*id).is_none_or(due)).cloned().collect();
-        for id in &stale {
-            self.stale.remove(id);
-            self.asked.insert(id.clone(), now);
+        let due = self.stale.iter().filter(|(_, at)| now >= **at);
+        let due: Vec<HostId> = due.map(|(id, _)| id.clone()).collect();
+        for id in &due {
+            // Asked again then if no answer comes.
+            self.stale.insert(id.clone(), now + ASK_AGAIN);
         }
-        stale
+        due
+    }
+
+    /// Notes that the count of orders of a host was told.
+    pub fn note_told(&mut self, id: &str) {
+        self.stale.remove(id);
     }
 
     /// Notes that a host answered nothing and is taken to be dead.
--- a/crates/geranium_fleet/src/planner/memory.rs
+++ b/crates/geranium_fleet/src/planner/memory.rs
@@ -102,7 +102,7 @@
             self.held.remove(&host.id);
         }
         if host.orders_begun.is_none() {
-            self.stale.insert(host.id.clone());
+            self.stale.entry(host.id.clone()).or_insert(now);
         }
         let known = self.last_groups.get(&host.id);
         if known.is_none_or(|k| k.born != host.born) {
