Stage a second model's weights beside the running one, and let members of a dead head leave at once

Cause: a repair waited 12 to 16 s for one member's load, and members of a lost head waited for its stall.

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -19,7 +19,7 @@
 use crate::state::{Phase, Shared};
 
 /// Lease of the registration and of the manager's duty, at least.
-const LEASE: Duration = Duration::from_millis(2_000);
+const LEASE: Duration = Duration::from_millis(1_400);
 /// Renewals within one lease.
 const RENEWALS: u32 = 4;
 /// Pause of each entry host by its order in the list, so that not all try at once
@@ -233,9 +233,7 @@
     fn settings(&self, index: usize) -> PlannerSettings {
         PlannerSettings {
             nonce: format!("{}-{:x}-{index}", self.shared.cfg.name, self.since.as_millis()),
-            stall: self.shared.cfg.bounds.stall,
             load_window: self.shared.cfg.bounds.load_window,
-            first_start: self.shared.cfg.first_start,
         }
     }
 
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -22,7 +22,8 @@
 use crate::order::{HostOrder, OrderAnswer, OrderKind};
 use crate::shared_rate::SharedRate;
 
-use memory::{Formed, Held, LastGroup};
+use memory::{Formed, Held, LastGroup, Staging};
+use formation::Formation;
 use view::GroupView;
 
 /// Time for which a host gets no second order while the first shows no effect.
@@ -40,8 +41,8 @@
 const SETTLING: Duration = Duration::from_millis(700);
 /// Longest time that a new system waits for further hosts.
 const LONGEST_SETTLING: Duration = Duration::from_secs(4);
-/// Margin on the time after which a head without a member has stopped.
-const STALL_MARGIN: Duration = Duration::from_millis(800);
+/// Factor on the time of a load after which a host that stages is asked again.
+const STAGING_FACTOR: u32 = 3;
 /// Time for which a host that did not answer is taken to be dead.
 const DEAD_MEMORY: Duration = Duration::from_secs(8);
 /// Step of the epoch after a host refused one as too low.
@@ -52,12 +53,8 @@
 pub struct PlannerSettings {
     /// Word that no other leader uses, for names of groups.
     pub nonce: String,
-    /// Time after which a head that lost a member stops for good.
-    pub stall: Duration,
     /// Window of the bound on loads from the weight store.
     pub load_window: Duration,
-    /// Whether the whole system starts for the first time.
-    pub first_start: bool,
 }
 
 /// Forms, opens and dissolves the groups of one service.
@@ -71,9 +68,9 @@
     formed: HashMap<Arc<str>, Formed>,
     first_seen: HashMap<Arc<str>, Timestamp>,
     heads: HashMap<Arc<str>, HostId>,
-    released: HashMap<Arc<str>, Timestamp>,
     last_groups: HashMap<HostId, LastGroup>,
     held: HashMap<HostId, Held>,
+    staging: HashMap<HostId, Staging>,
     dead: HashMap<HostId, (u64, Timestamp)>,
     stale: HashMap<HostId, Timestamp>,
     loads: SharedRate,
@@ -93,9 +90,9 @@
             formed: HashMap::default(),
             first_seen: HashMap::default(),
             heads: HashMap::default(),
-            released: HashMap::default(),
             last_groups: HashMap::default(),
             held: HashMap::default(),
+            staging: HashMap::default(),
             dead: HashMap::default(),
             stale: HashMap::default(),
             loads,
@@ -127,7 +124,14 @@
             self.tend(view, directory, profile, now, &mut orders);
         }
         if !self.is_settling(&views, now) {
-            self.form(&hosts, &views, directory, profile, shares, traffic, now, &mut orders);
+            let mut formation = Formation {
+                lacks: self.lacking_hosts(&hosts, &views, profile, shares, now),
+                profile,
+                traffic,
+                now,
+            };
+            self.form(&hosts, directory, &mut formation, &mut orders);
+            self.stage(&hosts, &mut formation, &mut orders);
         }
         orders.retain(|o| directory.get(&o.host).is_some_and(|h| h.orders_begun.is_some()));
         for order in &orders {
@@ -151,9 +155,6 @@
             }
         }
         match (&order.kind, answer) {
-            (OrderKind::Leave { group, .. }, OrderAnswer::Begun | OrderAnswer::Done) => {
-                self.released.entry(group.clone()).or_insert(now);
-            }
             (_, OrderAnswer::Conflict) => {
                 self.stale.insert(order.host.clone(), now + CONFLICT_HOLD);
             }
@@ -300,21 +301,16 @@
         }
     }
 
-    /// Lets one member of a group without head leave, so that the head stops for
-    /// good if it still runs out of reach.
+    /// Lets the members of a group whose head does not answer leave, as the head
+    /// may still run out of reach; without members it cannot serve.
     fn tend_headless(&mut self, view: &GroupView<'_>, now: Timestamp, orders: &mut Vec<HostOrder>) {
-        if self.released.contains_key(&view.group) || self.never_opened(&view.group) {
-            return;
-        }
         let known_dead_head = view.head().is_some_and(|h| self.is_dead(h, now));
         if !known_dead_head && self.is_forming(view, now) {
             return;
         }
-        let mut members = view.members.iter().filter(|(rank, _)| **rank > 0);
-        let member = members.find(|(_, h)| self.is_alive(h, now) && !self.is_held(h, now));
-        if let Some((_, member)) = member {
-            orders.push(order_to(member, view.leave()));
-        }
+        let members = view.members.iter().filter(|(rank, _)| **rank > 0);
+        let reachable = members.filter(|(_, h)| self.is_alive(h, now) && !self.is_held(h, now));
+        orders.extend(reachable.map(|(_, member)| order_to(member, view.leave())));
     }
 
     /// Sends the join again to members that do not report it yet.
--- a/crates/geranium_fleet/src/planner/formation.rs
+++ b/crates/geranium_fleet/src/planner/formation.rs
@@ -5,31 +5,42 @@
 
 use geranium_core::time::Timestamp;
 
-use super::memory::Formed;
+use super::memory::{Formed, Staging};
 use super::view::GroupView;
 use super::{GroupPlanner, order_to};
 use crate::directory::Directory;
 use crate::engine_profile::{EngineProfile, ModelProfile};
 use crate::host::{GroupState, Host};
-use crate::order::HostOrder;
+use crate::order::{HostOrder, OrderKind};
+
+/// Readiness of a host that has to load the weights.
+const LOADS: u8 = 2;
+
+/// What the formation of groups depends on.
+pub(super) struct Formation<'a> {
+    /// Hosts that each model lacks to have its share.
+    pub(super) lacks: Vec<f64>,
+    /// The engine.
+    pub(super) profile: &'a EngineProfile,
+    /// Whether requests have been seen.
+    pub(super) traffic: bool,
+    /// The present time.
+    pub(super) now: Timestamp,
+}
 
 impl GroupPlanner {
     /// Forms as many groups as the free hosts allow.
     ///
-    /// Groups whose weights are staged come first, as they serve soonest; what is
-    /// left loads the weights of the model that lacks most hosts.
-    #[expect(clippy::too_many_arguments, reason = "one call site, the inputs of a plan")]
+    /// Groups form from hosts that join at once or have the weights. Before the
+    /// first request the others load while they join.
     pub(super) fn form(
         &mut self,
         hosts: &[&Host],
-        views: &[GroupView<'_>],
         directory: &Directory,
-        profile: &EngineProfile,
-        shares: &[f64],
-        traffic: bool,
-        now: Timestamp,
+        formation: &mut Formation<'_>,
         orders: &mut Vec<HostOrder>,
     ) {
+        let now = formation.now;
         let ordered = |h: &Host| orders.iter().any(|o| o.host == h.id);
         let mut domains: BTreeMap<&str, Vec<&Host>> = BTreeMap::new();
         for host in hosts.iter().copied() {
@@ -40,26 +51,83 @@
                 domains.entry(domain).or_default().push(host);
             }
         }
-        let mut lacks = self.lacking_hosts(hosts, views, profile, shares, now);
         for free in domains.values_mut() {
-            while let Some(i) = best_model(profile, &lacks, |m| staged(free, m) >= m.size) {
-                self.form_one(&profile.models[i], free, now, orders);
-                lacks[i] -= profile.models[i].size as f64;
-            }
-            while let Some(i) = best_model(profile, &lacks, |m| free.len() >= m.size) {
-                let model = &profile.models[i];
-                let loads = model.size - staged(free, model);
-                if traffic && !self.may_load(loads, profile, now) {
+            loop {
+                let quick = |m: &ModelProfile| self.quick(free, m) >= m.size;
+                let any = |m: &ModelProfile| !formation.traffic && free.len() >= m.size;
+                let model = best_model(formation, quick).or_else(|| best_model(formation, any));
+                let Some(i) = model else {
                     break;
-                }
+                };
+                let model = &formation.profile.models[i];
                 self.form_one(model, free, now, orders);
-                lacks[i] -= model.size as f64;
+                formation.lacks[i] -= model.size as f64;
             }
         }
     }
 
+    /// Loads weights on hosts beside their work, so that each can join another
+    /// model's group soon.
+    pub(super) fn stage(
+        &mut self,
+        hosts: &[&Host],
+        formation: &mut Formation<'_>,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        let now = formation.now;
+        for host in hosts.iter().copied() {
+            let joining = host.membership.as_ref().is_some_and(|m| m.state == GroupState::Joining);
+            let ordered = orders.iter().any(|o| o.host == host.id);
+            if joining || ordered || !self.is_alive(host, now) || self.is_held(host, now) {
+                continue;
+            }
+            if self.staging_model(host, formation.profile, now).is_some() {
+                continue;
+            }
+            let last = self.last_model(host).cloned();
+            let other = |m: &ModelProfile| Some(&m.name) != last.as_ref();
+            let has_other = formation.profile.models.iter().any(|m| other(m) && host.has_staged(&m.name));
+            if has_other {
+                continue;
+            }
+            let Some(i) = best_model(formation, other) else {
+                continue;
+            };
+            if formation.traffic && !self.may_load(formation.profile, now) {
+                return;
+            }
+            let model = &formation.profile.models[i];
+            if last.is_none() {
+                formation.lacks[i] -= 1.0;
+            }
+            let staging = Staging {
+                born: host.born,
+                model: model.name.clone(),
+                at: now,
+            };
+            self.staging.insert(host.id.clone(), staging);
+            orders.push(order_to(host, OrderKind::Stage { model: model.name.clone() }));
+        }
+    }
+
+    /// Returns how many hosts join a model's group without a load.
+    fn quick(&self, free: &[&Host], model: &ModelProfile) -> usize {
+        free.iter().filter(|h| self.readiness(h, model) < LOADS).count()
+    }
+
+    /// Returns how soon a host can serve a model: lower is sooner.
+    fn readiness(&self, host: &Host, model: &ModelProfile) -> u8 {
+        if self.last_model(host) == Some(&model.name) {
+            0
+        } else if host.has_staged(&model.name) {
+            1
+        } else {
+            LOADS
+        }
+    }
+
     /// Returns the hosts that each model lacks to have its share.
-    fn lacking_hosts(
+    pub(super) fn lacking_hosts(
         &self,
         hosts: &[&Host],
         views: &[GroupView<'_>],
@@ -87,15 +155,9 @@
         lacks
     }
 
-    fn may_load(&mut self, loads: usize, profile: &EngineProfile, now: Timestamp) -> bool {
+    fn may_load(&mut self, profile: &EngineProfile, now: Timestamp) -> bool {
         let most = profile.loads_per_s * self.cfg.load_window.as_secs_f64();
-        if self.loads.used(now) + loads > most as usize {
-            return false;
-        }
-        for _ in 0..loads {
-            self.loads.try_take(usize::MAX, now);
-        }
-        true
+        self.loads.try_take(most as usize, now)
     }
 
     /// Takes the members of one group from the free hosts and orders them to join.
@@ -106,7 +168,7 @@
         now: Timestamp,
         orders: &mut Vec<HostOrder>,
     ) {
-        free.sort_by_key(|h| (readiness(h, model), h.id.clone()));
+        free.sort_by_key(|h| (self.readiness(h, model), h.id.clone()));
         let members: Vec<&Host> = free.drain(..model.size).collect();
         self.epoch += 1;
         self.next_group += 1;
@@ -124,28 +186,9 @@
     }
 }
 
-/// Returns how soon a host can serve a model: lower is sooner.
-fn readiness(host: &Host, model: &ModelProfile) -> u8 {
-    if !host.has_staged(&model.name) {
-        2
-    } else if host.model.as_ref() == Some(&model.name) {
-        0
-    } else {
-        1
-    }
-}
-
-fn staged(free: &[&Host], model: &ModelProfile) -> usize {
-    free.iter().filter(|h| h.has_staged(&model.name)).count()
-}
-
-/// Returns the model that lacks most groups among those that can be formed.
-fn best_model(
-    profile: &EngineProfile,
-    lacks: &[f64],
-    can_form: impl Fn(&ModelProfile) -> bool,
-) -> Option<usize> {
-    let candidates = profile.models.iter().enumerate().filter(|(_, m)| can_form(m));
-    let by_groups = candidates.map(|(i, m)| (i, lacks[i] / m.size as f64));
+/// Returns the model that lacks most groups among those that fit.
+fn best_model(formation: &Formation<'_>, fits: impl Fn(&ModelProfile) -> bool) -> Option<usize> {
+    let candidates = formation.profile.models.iter().enumerate().filter(|(_, m)| fits(m));
+    let by_groups = candidates.map(|(i, m)| (i, formation.lacks[i] / m.size as f64));
     by_groups.max_by(|a, b| a.1.total_cmp(&b.1)).map(|(i, _)| i)
 }
--- a/crates/geranium_fleet/src/planner/memory.rs
+++ b/crates/geranium_fleet/src/planner/memory.rs
@@ -5,8 +5,9 @@
 use geranium_core::time::Timestamp;
 
 use super::view::GroupView;
-use super::{GroupPlanner, STALL_MARGIN};
+use super::{GroupPlanner, STAGING_FACTOR};
 use crate::directory::Directory;
+use crate::engine_profile::EngineProfile;
 use crate::host::{GroupState, Host, HostId};
 use crate::order::OrderKind;
 
@@ -70,12 +71,19 @@
 pub(super) struct LastGroup {
     /// Life of the host.
     pub(super) born: u64,
-    /// The group, or `None` if it reported none since it was first seen.
-    pub(super) group: Option<Arc<str>>,
-    /// Whether it was the head.
-    pub(super) was_head: bool,
-    /// When the host was first seen in this life.
-    pub(super) first_seen: Timestamp,
+    /// Model of the group, which the host joins again at once.
+    pub(super) model: Option<Arc<str>>,
+}
+
+/// Weights that a host was told to load.
+#[derive(Clone, Debug)]
+pub(super) struct Staging {
+    /// Life of the host.
+    pub(super) born: u64,
+    /// Model.
+    pub(super) model: Arc<str>,
+    /// When it was told.
+    pub(super) at: Timestamp,
 }
 
 impl GroupPlanner {
@@ -108,19 +116,36 @@
         if known.is_none_or(|k| k.born != host.born) {
             let last = LastGroup {
                 born: host.born,
-                group: None,
-                was_head: false,
-                first_seen: now,
+                model: None,
             };
             self.last_groups.insert(host.id.clone(), last);
             self.newest_host_at = now;
         }
-        if let Some(membership) = &host.membership
-            && let Some(last) = self.last_groups.get_mut(&host.id)
-        {
-            last.group = Some(membership.group.clone());
-            last.was_head = membership.rank == 0;
+        let Some(membership) = &host.membership else {
+            return;
+        };
+        if membership.state == GroupState::Joining {
+            return;
         }
+        let formed = self.formed.get(&membership.group).map(|f| &f.model);
+        let model = formed.or(host.model.as_ref()).cloned();
+        if let (Some(last), Some(model)) = (self.last_groups.get_mut(&host.id), model) {
+            last.model = Some(model);
+        }
+    }
+
+    /// Returns the model that a host joins again at once.
+    pub(super) fn last_model(&self, host: &Host) -> Option<&Arc<str>> {
+        let last = self.last_groups.get(&host.id);
+        last.filter(|l| l.born == host.born)?.model.as_ref()
+    }
+
+    /// Returns the model that a host is loading beside its work.
+    pub(super) fn staging_model(&self, host: &Host, profile: &EngineProfile, now: Timestamp) -> Option<&Arc<str>> {
+        let staging = self.staging.get(&host.id).filter(|s| s.born == host.born)?;
+        let limit = profile.model(&staging.model)?.load_time * STAGING_FACTOR;
+        let done = host.has_staged(&staging.model) || now.since(staging.at) > limit;
+        (!done).then_some(&staging.model)
     }
 
     /// Returns whether a host may become a member of another group.
@@ -131,37 +156,21 @@
         if let Some(membership) = &host.membership {
             return match (membership.rank, membership.state) {
                 (0, state) => state == GroupState::Broken,
-                _ => self.is_group_over(&membership.group, directory, now),
+                _ => self.is_group_over(&membership.group, directory),
             };
         }
-        let Some(last) = self.last_groups.get(&host.id) else {
-            return false;
-        };
-        match &last.group {
-            _ if last.was_head => true,
-            Some(group) => self.is_group_over(group, directory, now),
-            // The host refuses the order if the count is wrong.
-            None if host.orders_begun == Some(0) => true,
-            None => now.since(last.first_seen) >= self.cfg.stall + STALL_MARGIN,
-        }
+        true
     }
 
     /// Returns whether the head of a group certainly does not serve it any more.
-    fn is_group_over(&self, group: &str, directory: &Directory, now: Timestamp) -> bool {
+    fn is_group_over(&self, group: &str, directory: &Directory) -> bool {
         if self.never_opened(group) {
             return self.formed.get(group).is_some_and(|f| f.abandoned);
         }
         let head = self.heads.get(group).and_then(|id| directory.get(id));
-        if let Some(head) = head {
-            let serves = head
-                .membership
-                .as_ref()
-                .is_some_and(|m| &*m.group == group && m.state != GroupState::Broken);
-            if !serves {
-                return true;
-            }
-        }
-        let released = self.released.get(group);
-        released.is_some_and(|at| now.since(*at) >= self.cfg.stall + STALL_MARGIN)
+        head.is_some_and(|head| {
+            let membership = head.membership.as_ref();
+            !membership.is_some_and(|m| &*m.group == group && m.state != GroupState::Broken)
+        })
     }
 }
