--- a/crates/geranium_fleet/src/engine_profile.rs
+++ b/crates/geranium_fleet/src/engine_profile.rs
@@ -49,6 +49,8 @@
     pub usual_answer: f64,
     /// Loads from the weight store that may start in a second.
     pub loads_per_s: f64,
+    /// Loads that run at once before each takes longer.
+    pub loads_at_once: usize,
     /// Time from the order to open until the group serves.
     pub form_time: Duration,
     /// One-way network delays between failure domains.
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -8,6 +8,8 @@
 
 mod formation;
 mod memory;
+mod reclaim;
+mod staging;
 mod view;
 
 use std::sync::Arc;
@@ -23,7 +25,7 @@
 use crate::shared_rate::SharedRate;
 
 use memory::{Formed, Held, LastGroup, Staging};
-use formation::Formation;
+use reclaim::Reclaim;
 use view::GroupView;
 
 /// Time for which a host gets no second order while the first shows no effect.
@@ -71,6 +73,7 @@
     last_groups: HashMap<HostId, LastGroup>,
     held: HashMap<HostId, Held>,
     staging: HashMap<HostId, Staging>,
+    reclaims: HashMap<Arc<str>, Reclaim>,
     dead: HashMap<HostId, (u64, Timestamp)>,
     stale: HashMap<HostId, Timestamp>,
     loads: SharedRate,
@@ -93,6 +96,7 @@
             last_groups: HashMap::default(),
             held: HashMap::default(),
             staging: HashMap::default(),
+            reclaims: HashMap::default(),
             dead: HashMap::default(),
             stale: HashMap::default(),
             loads,
@@ -124,12 +128,8 @@
             self.tend(view, directory, profile, now, &mut orders);
         }
         if !self.is_settling(&views, now) {
-            let mut formation = Formation {
-                lacks: self.lacking_hosts(&hosts, &views, profile, shares, now),
-                profile,
-                traffic,
-                now,
-            };
+            let mut formation = self.formation(&hosts, &views, profile, shares, traffic, now);
+            self.reclaim(&hosts, &views, directory, &formation, &mut orders);
             self.form(&hosts, directory, &mut formation, &mut orders);
             self.stage(&hosts, &mut formation, &mut orders);
         }
@@ -288,6 +288,12 @@
         orders: &mut Vec<HostOrder>,
     ) {
         let states = view.members.values().filter_map(|h| h.membership.as_ref());
+        if self.reclaims.values().any(|r| r.groups.contains(&view.group)) {
+            if head.membership.as_ref().is_some_and(|m| m.state == GroupState::Ready) {
+                orders.push(order_to(head, view.leave()));
+            }
+            return;
+        }
         let all_ready = states.clone().all(|m| m.state == GroupState::Ready);
         if all_ready {
             let kind = OrderKind::Open {
--- /dev/null
+++ b/crates/geranium_fleet/src/planner/reclaim.rs
@@ -0,0 +1,163 @@
+//! Takes hosts back from groups of a model that has more than its share.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use geranium_core::time::Timestamp;
+
+use super::formation::{Formation, LOADS};
+use super::view::GroupView;
+use super::{GroupPlanner, order_to};
+use crate::directory::Directory;
+use crate::engine_profile::ModelProfile;
+use crate::host::{GroupState, Host};
+use crate::order::HostOrder;
+
+/// Part of a group that a model must lack before hosts are taken back for it.
+const LACKING_PART: f64 = 0.6;
+/// Time after which a fabric domain that did not yield a group is free again.
+const RECLAIM_LIMIT: Duration = Duration::from_secs(5);
+/// Fabric domains that are rearranged at a time.
+const MOST_AT_ONCE: usize = 2;
+
+/// A fabric domain whose free hosts wait for others to make up a group.
+#[derive(Clone, Debug)]
+pub(super) struct Reclaim {
+    /// Model of the group to be formed.
+    pub(super) model: Arc<str>,
+    /// Groups that give their hosts.
+    pub(super) groups: Vec<Arc<str>>,
+    /// When it began.
+    pub(super) at: Timestamp,
+}
+
+/// A fabric domain that could make up a group, with the groups to close for it.
+struct Candidate {
+    domain: Arc<str>,
+    groups: Vec<Arc<str>>,
+    hosts_taken: f64,
+}
+
+impl GroupPlanner {
+    /// Closes groups of a model with more than its share where their hosts and free
+    /// ones of the same fabric domain make up a group of the model that lacks most.
+    pub(super) fn reclaim(
+        &mut self,
+        hosts: &[&Host],
+        views: &[GroupView<'_>],
+        directory: &Directory,
+        formation: &Formation<'_>,
+        orders: &mut Vec<HostOrder>,
+    ) {
+        let now = formation.now;
+        self.reclaims.retain(|_, r| now.since(r.at) < RECLAIM_LIMIT);
+        if !formation.traffic || self.reclaims.len() >= MOST_AT_ONCE {
+            return;
+        }
+        let Some((wanted, relative_lack)) = self.most_lacking(formation) else {
+            return;
+        };
+        let model = &formation.profile.models[wanted];
+        let mut best: Option<Candidate> = None;
+        for (domain, members) in by_domain(hosts) {
+            if self.reclaims.contains_key(domain) {
+                continue;
+            }
+            let free: Vec<&Host> = members.iter().copied().filter(|h| self.is_free(h, directory, now)).collect();
+            let missing = model.size.saturating_sub(self.quick(&free, model));
+            if missing == 0 {
+                continue;
+            }
+            let found = self.givers(domain, views, missing, model, relative_lack, formation);
+            if let Some(found) = found
+                && best.as_ref().is_none_or(|b| found.hosts_taken < b.hosts_taken)
+            {
+                best = Some(found);
+            }
+        }
+        let Some(candidate) = best else {
+            return;
+        };
+        for view in views.iter().filter(|v| candidate.groups.contains(&v.group)) {
+            if let Some(head) = view.head() {
+                orders.push(order_to(head, view.close()));
+            }
+        }
+        let reclaim = Reclaim {
+            model: model.name.clone(),
+            groups: candidate.groups,
+            at: now,
+        };
+        self.reclaims.insert(candidate.domain, reclaim);
+    }
+
+    /// Returns the model that lacks most of its share, and the part that it lacks.
+    fn most_lacking(&self, formation: &Formation<'_>) -> Option<(usize, f64)> {
+        let models = formation.profile.models.iter().enumerate();
+        let lacking = models.filter(|(i, m)| formation.lacks[*i] >= LACKING_PART * m.size as f64);
+        // A reclaim under way counts as if it had ended.
+        let lacking = lacking.filter(|(i, m)| {
+            let coming = self.reclaims.values().filter(|r| r.model == m.name).count();
+            formation.lacks[*i] - (coming * m.size) as f64 >= LACKING_PART * m.size as f64
+        });
+        let relative = lacking.map(|(i, _)| (i, formation.relative_lack(i, 0.0)));
+        relative.max_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    /// Returns the groups of a fabric domain that can give the missing hosts.
+    fn givers(
+        &self,
+        domain: &Arc<str>,
+        views: &[GroupView<'_>],
+        missing: usize,
+        model: &ModelProfile,
+        relative_lack: f64,
+        formation: &Formation<'_>,
+    ) -> Option<Candidate> {
+        let mut candidate = Candidate {
+            domain: domain.clone(),
+            groups: Vec::new(),
+            hosts_taken: 0.0,
+        };
+        let mut found = 0;
+        let mut taken = vec![0.0; formation.profile.models.len()];
+        for view in views {
+            if found >= missing {
+                break;
+            }
+            let Some(head) = view.head().filter(|h| h.fabric_domain.as_ref() == Some(domain)) else {
+                continue;
+            };
+            let open = head.membership.as_ref().is_some_and(|m| m.state == GroupState::Open);
+            let giver = self.model_index(view, formation);
+            let Some(giver) = giver.filter(|g| open && formation.profile.models[*g].name != model.name) else {
+                continue;
+            };
+            let size = view.members.len() as f64;
+            if formation.relative_lack(giver, taken[giver] + size) >= relative_lack {
+                continue;
+            }
+            let useful = view.members.values().filter(|h| self.readiness(h, model) < LOADS).count();
+            if useful == 0 || self.is_held(head, formation.now) {
+                continue;
+            }
+            found += useful;
+            taken[giver] += size;
+            candidate.hosts_taken += size;
+            candidate.groups.push(view.group.clone());
+        }
+        (found >= missing).then_some(candidate)
+    }
+}
+
+/// Groups hosts by their fabric domain.
+pub(super) fn by_domain<'a>(hosts: &[&'a Host]) -> BTreeMap<&'a Arc<str>, Vec<&'a Host>> {
+    let mut domains: BTreeMap<&Arc<str>, Vec<&Host>> = BTreeMap::new();
+    for host in hosts.iter().copied() {
+        if let Some(domain) = &host.fabric_domain {
+            domains.entry(domain).or_default().push(host);
+        }
+    }
+    domains
+}
