--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the store: one read of everything, then one watch.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,7 +43,11 @@
 
 /// Follows the store until the process ends.
 pub(crate) async fn run<D: Dialect, S: KvStore>(shared: Rc<Shared<D>>, store: S, peers: Rc<PeerLink>) {
-    let follower = Follower { shared, peers };
+    let follower = Follower {
+        shared,
+        peers,
+        failing: Cell::new(false),
+    };
     let mut revision: Option<StoreRevision> = None;
     let mut heard_at = follower.shared.now();
     loop {
@@ -71,6 +76,8 @@
 struct Follower<D: Dialect> {
     shared: Rc<Shared<D>>,
     peers: Rc<PeerLink>,
+    /// Whether the last call failed.
+    failing: Cell<bool>,
 }
 
 impl<D: Dialect> Follower<D> {
@@ -157,7 +164,7 @@
 
     fn note_heard(&self, heard_at: &mut Timestamp) {
         let now = self.shared.now();
-        if now.since(*heard_at) > OUTAGE {
+        if self.failing.replace(false) && now.since(*heard_at) > OUTAGE {
             self.shared.core.borrow_mut().directory.store_regained(now);
             log::info!(away_ms = now.since(*heard_at).as_millis() as u64; "store answers again");
         }
@@ -165,6 +172,7 @@
     }
 
     fn note_failure(&self, e: &StoreError, heard_at: Timestamp) {
+        self.failing.set(true);
         let silent = self.shared.now().since(heard_at).as_millis() as u64;
         log::warn!(silent_ms = silent; "store call failed: {e}");
     }
--- a/crates/geranium_entry/src/node.rs
+++ b/crates/geranium_entry/src/node.rs
@@ -134,6 +134,7 @@
     shared.phase.send_replace(Phase::Leaving);
     shared.update_ready();
     let end = asked + shared.cfg.bounds.grace.mul_f64(GRACE_PART);
+    shared.stops_at.set(Some(end));
     tokio::time::sleep(BALANCER_NOTICE).await;
     shared.phase.send_replace(Phase::Closing);
     tokio::time::sleep(LEAVING_INTERVAL * 4).await;
--- a/crates/geranium_entry/src/relay/answer.rs
+++ b/crates/geranium_entry/src/relay/answer.rs
@@ -28,8 +28,8 @@
     Crashes,
     /// No backend server takes the request now; it has not run.
     NoCapacity(&'static str),
-    /// The time ran out; the request has not run.
-    LateNotRun,
+    /// The process stops before the request could end.
+    Leaving,
     /// The time ran out; the request may have run.
     Late,
     /// A backend server failed; the request may have run.
@@ -48,7 +48,7 @@
             Self::Malformed => "malformed",
             Self::Crashes => "crashes_servers",
             Self::NoCapacity(word) => word,
-            Self::LateNotRun => "late_not_run",
+            Self::Leaving => "leaving",
             Self::Late => "late",
             Self::Lost => "lost",
         }
@@ -61,7 +61,7 @@
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::REQUEST_TIMEOUT,
             Self::Malformed => StatusCode::BAD_REQUEST,
-            Self::NoConfiguration | Self::Crashes | Self::NoCapacity(_) | Self::LateNotRun => {
+            Self::NoConfiguration | Self::Crashes | Self::NoCapacity(_) | Self::Leaving => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/geranium_entry/src/relay/attempt.rs
+++ b/crates/geranium_entry/src/relay/attempt.rs
@@ -95,11 +95,6 @@
     pub(super) fn put(self, pool: &Pool, now: Timestamp) {
         pool.put(&self.host.id, self.host.address, self.sender, self.idle_for, now);
     }
-
-    /// Returns the backend server.
-    pub(super) const fn host(&self) -> &Host {
-        &self.host
-    }
 }
 
 /// Takes a place at a backend server for a request.
--- a/crates/geranium_entry/src/relay/job.rs
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -28,6 +28,12 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// Longest time for a body to arrive.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
+/// Time that a process about to stop allows for a stream.
+const STREAM_TIME: Duration = Duration::from_millis(4_500);
+/// Time that a process about to stop allows for a request with a whole answer.
+const WHOLE_TIME: Duration = Duration::from_millis(1_000);
+/// When a caller may come back to another entry host.
+const RETURN_ELSEWHERE: Duration = Duration::from_millis(10);
 /// When a caller may come back while a group is being formed.
 const RETURN_FOR_GROUP: Duration = Duration::from_millis(1_200);
 /// When a caller may come back while all backend servers are full.
@@ -136,12 +142,28 @@
         };
         job.fingerprint = job.content_hash(account.map(|a| &*a.name));
         job.note_demand(estimate.unwrap_or(answer_tokens));
+        if !job.ends_before_stop() {
+            return Err(job.refusal(Reason::Leaving));
+        }
         if shared.core.borrow().crashes.is_refused(job.fingerprint, arrived) {
             return Err(job.refusal(Reason::Crashes));
         }
         Ok(job)
     }
 
+    /// Returns whether the request can end before this process does.
+    fn ends_before_stop(&self) -> bool {
+        let Some(end) = self.shared.stops_at.get() else {
+            return true;
+        };
+        let needed = if self.route.kind.is_stream() {
+            self.deadline.since(self.arrived).min(STREAM_TIME)
+        } else {
+            self.deadline.since(self.arrived).min(WHOLE_TIME)
+        };
+        self.arrived + needed <= end
+    }
+
     fn content_hash(&self, account: Option<&str>) -> u64 {
         let mut hasher = rustc_hash::FxHasher::default();
         self.uri.path().hash(&mut hasher);
@@ -208,7 +230,8 @@
     pub(super) fn refusal(&self, reason: Reason) -> Refusal {
         let retry_after = match reason {
             Reason::NoCapacity("none_serves" | "all_tried") => Some(RETURN_FOR_GROUP),
-            Reason::NoCapacity(_) | Reason::LateNotRun => Some(RETURN_FOR_ROOM),
+            Reason::NoCapacity(_) => Some(RETURN_FOR_ROOM),
+            Reason::Leaving => Some(RETURN_ELSEWHERE),
             Reason::Crashes => Some(DEFAULT_DEADLINE),
             _ => None,
         };
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -132,6 +132,8 @@
     pub(crate) ready: Arc<AtomicBool>,
     /// Whether this process is the manager.
     pub(crate) is_manager: Cell<bool>,
+    /// When the process ends, once it was asked to stop.
+    pub(crate) stops_at: Cell<Option<Timestamp>>,
 }
 
 impl<D: Dialect> Shared<D> {
@@ -164,6 +166,7 @@
             phase: watch::Sender::new(Phase::Serving),
             ready: Arc::default(),
             is_manager: Cell::new(false),
+            stops_at: Cell::new(None),
         }
     }
 
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -149,8 +149,9 @@
 
     /// Returns whether new work may be sent to a host.
     #[must_use]
-    pub fn takes_work(&self, host: &Host) -> bool {
-        host.state == HostState::Ready && !self.is_domain_out(&host.failure_domain)
+    pub fn takes_work(&self, host: &Host, now: Timestamp) -> bool {
+        let lapsed = self.lapsed.get(&host.id).is_some_and(|until| now >= *until);
+        host.state == HostState::Ready && !lapsed && !self.is_domain_out(&host.failure_domain)
     }
 
     /// Returns a number that grows with each change.
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -131,7 +131,7 @@
         let mut reason = NoHost::None;
         let mut among = 0;
         for host in directory.hosts() {
-            if !serves(directory, host, wanted) {
+            if !serves(directory, host, wanted, now) {
                 continue;
             }
             if wanted.tried.contains(&host.id) {
@@ -230,8 +230,8 @@
     }
 }
 
-fn serves(directory: &Directory, host: &Host, wanted: &Wanted<'_>) -> bool {
-    if *host.service != *wanted.service || !directory.takes_work(host) {
+fn serves(directory: &Directory, host: &Host, wanted: &Wanted<'_>, now: Timestamp) -> bool {
+    if *host.service != *wanted.service || !directory.takes_work(host, now) {
         return false;
     }
     match wanted.model {
