--- a/crates/geranium_fleet/src/planner/staging.rs
+++ b/crates/geranium_fleet/src/planner/staging.rs
@@ -2,13 +2,48 @@
 
 use std::sync::Arc;
 
-use super::formation::{Formation, best_model};
+use geranium_core::collections::HashMap;
+
+use super::formation::{Formation, LOADS, best_model};
 use super::memory::Staging;
 use super::{GroupPlanner, order_to};
 use crate::engine_profile::ModelProfile;
 use crate::host::{GroupState, Host};
 use crate::order::{HostOrder, OrderKind};
 
+/// Hosts that never ran a model, and those that they can make up groups with.
+#[derive(Debug, Default)]
+struct Newcomers {
+    /// Hosts without a group that have or load a model's weights, by fabric domain.
+    usable: HashMap<(Arc<str>, usize), usize>,
+    /// Newcomers that no load was chosen for yet, by fabric domain.
+    undecided: HashMap<Arc<str>, usize>,
+}
+
+impl Newcomers {
+    /// Chooses the first model of a newcomer: one whose group its fabric domain can
+    /// complete, or else the one that lacks fewest hosts for a group.
+    fn choose(&mut self, host: &Host, formation: &Formation<'_>) -> Option<usize> {
+        let domain = host.fabric_domain.clone()?;
+        let undecided = self.undecided.get(&domain).copied().unwrap_or(1);
+        let missing = |i: usize, m: &ModelProfile| {
+            let usable = self.usable.get(&(domain.clone(), i)).copied().unwrap_or(0);
+            m.size - usable % m.size
+        };
+        let models = formation.profile.models.iter().enumerate();
+        let missing: Vec<usize> = models.map(|(i, m)| missing(i, m)).collect();
+        let index = |m: &ModelProfile| formation.profile.models.iter().position(|p| p.name == m.name);
+        let completes = |m: &ModelProfile| index(m).is_some_and(|i| missing[i] <= undecided);
+        let fewest = || (0..missing.len()).min_by_key(|i| missing[*i]);
+        let chosen = best_model(formation, completes).or_else(fewest)?;
+        *self.usable.entry((domain.clone(), chosen)).or_default() += 1;
+        if let Some(undecided) = self.undecided.get_mut(&domain) {
+            *undecided -= 1;
+        }
+        Some(chosen)
+    }
+}
+
 impl GroupPlanner {
     /// Orders loads for hosts whose one staged place holds nothing of use.
     ///
@@ -31,13 +66,15 @@
             }
         }
         wanting.sort_by(|a, b| (a.0, &a.1.id).cmp(&(b.0, &b.1.id)));
+        let mut newcomers = self.newcomers(hosts, &wanting, formation);
         for (_, host) in wanting {
             if formation.traffic && under_way >= formation.profile.loads_at_once {
                 return;
             }
             let last = self.last_model(host).cloned();
             let other = |m: &ModelProfile| Some(&m.name) != last.as_ref();
-            let Some(i) = best_model(formation, other) else {
+            let first = if last.is_none() { newcomers.choose(host, formation) } else { None };
+            let Some(i) = first.or_else(|| best_model(formation, other)) else {
                 continue;
             };
             if formation.traffic && !self.may_load(formation) {
@@ -68,6 +105,29 @@
         orders.push(order_to(host, OrderKind::Stage { model }));
     }
 
+    /// Counts the hosts without a group that could make up groups with newcomers.
+    fn newcomers(&self, hosts: &[&Host], wanting: &[(u8, &Host)], formation: &Formation<'_>) -> Newcomers {
+        let mut newcomers = Newcomers::default();
+        let is_new = |h: &Host| self.last_model(h).is_none();
+        for (_, host) in wanting.iter().filter(|(_, h)| is_new(h)) {
+            if let Some(domain) = &host.fabric_domain {
+                *newcomers.undecided.entry(domain.clone()).or_default() += 1;
+            }
+        }
+        for host in hosts.iter().filter(|h| h.membership.is_none() && self.is_alive(h, formation.now)) {
+            let Some(domain) = &host.fabric_domain else {
+                continue;
+            };
+            let coming = self.staging_model(host, formation.profile, formation.now);
+            for (i, model) in formation.profile.models.iter().enumerate() {
+                if coming == Some(&model.name) || self.readiness(host, model) < LOADS {
+                    *newcomers.usable.entry((domain.clone(), i)).or_default() += 1;
+                }
+            }
+        }
+        newcomers
+    }
+
     /// Returns whether a host could use other weights and may be told to load.
     fn wants_weights(&self, host: &Host, formation: &Formation<'_>) -> bool {
         let now = formation.now;
--- /dev/null
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -0,0 +1,97 @@
+//! How soon groups serve: at the start, after a member's death, after the death of
+//! the manager, and when one model has too few groups.
+
+mod rig;
+
+use std::time::Duration;
+
+use rig::{Rig, SERVICE, model};
+
+fn two_models() -> Vec<geranium_fleet::prelude::ModelProfile> {
+    vec![model("large", 4, 0.4), model("small", 2, 0.6)]
+}
+
+/// Makes a system that has formed its groups and staged second models.
+fn settled(seed: u64) -> Rig {
+    let mut rig = Rig::new(seed, 2, 10, two_models());
+    rig.run(Duration::from_secs(40), false);
+    rig
+}
+
+#[test]
+fn all_hosts_serve_before_the_first_request() {
+    let rig = settled(1);
+
+    assert_eq!(rig.open_groups("large"), 2);
+    assert_eq!(rig.open_groups("small"), 6);
+    assert_eq!(rig.planner.stranded(&rig.directory, SERVICE), 0);
+}
+
+#[test]
+fn survivors_of_a_dead_member_serve_again_without_a_load() {
+    let mut rig = settled(2);
+    let lost = rig.hosts.keys().next().cloned().expect("hosts exist");
+
+    rig.kill(&lost);
+    // The entry goes after 3.6 s; joins from staged weights take 1.5 s.
+    rig.run(Duration::from_secs(8), true);
+
+    assert!(rig.planner.stranded(&rig.directory, SERVICE) <= 1);
+    assert!(rig.violations.is_empty(), "{:?}", rig.violations);
+}
+
+#[test]
+fn members_of_a_dead_head_do_not_wait_for_its_stall() {
+    let mut rig = settled(3);
+    let head = rig
+        .directory
+        .hosts()
+        .find(|h| h.is_open_head() && h.model.as_deref() == Some("large"))
+        .map(|h| h.id.clone())
+        .expect("a large group serves");
+
+    rig.kill(&head);
+    rig.run(Duration::from_millis(6_500), true);
+
+    let waiting = rig
+        .directory
+        .hosts()
+        .filter(|h| h.membership.as_ref().is_some_and(|m| m.group.is_empty()));
+    assert_eq!(waiting.count(), 0);
+    assert!(rig.planner.stranded(&rig.directory, SERVICE) <= 1);
+}
+
+#[test]
+fn a_new_manager_takes_groups_over_without_breaking_them() {
+    let mut rig = settled(4);
+    let before = rig.orders;
+
+    rig.change_manager();
+    rig.run(Duration::from_secs(5), true);
+
+    assert_eq!(rig.open_groups("large") + rig.open_groups("small"), 8);
+    assert_eq!(rig.orders, before);
+}
+
+#[test]
+fn groups_move_to_the_model_with_more_work() {
+    let mut rig = settled(5);
+
+    rig.shares = vec![0.8, 0.2];
+    rig.run(Duration::from_secs(60), true);
+
+    assert_eq!(rig.open_groups("large"), 4);
+    assert!(rig.open_groups("small") >= 2);
+    assert!(rig.violations.is_empty(), "{:?}", rig.violations);
+}
+
+#[test]
+fn added_hosts_load_before_they_join() {
+    let mut rig = settled(6);
+
+    rig.add_host("new-1", "fabric-0");
+    rig.add_host("new-2", "fabric-0");
+    rig.run(Duration::from_secs(30), true);
+
+    assert_eq!(rig.planner.stranded(&rig.directory, SERVICE), 0);
+}
--- /dev/null
+++ b/crates/geranium_fleet/tests/rig/mod.rs
@@ -0,0 +1,469 @@
+//! Simulated hosts that carry orders out, and check what must always hold.
+
+// Each test file uses a part of the fixtures.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use geranium_core::time::Timestamp;
+use geranium_fleet::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Service of all simulated hosts.
+pub const SERVICE: &str = "engines";
+/// Step of the simulated time.
+pub const STEP: Duration = Duration::from_millis(50);
+/// Time after which a head that lost a member is broken.
+const STALL: Duration = Duration::from_secs(6);
+/// Silence after which the entry of a dead host goes.
+const ENTRY_TIME: Duration = Duration::from_millis(3_600);
+
+/// A group as a simulated host knows it.
+#[derive(Clone, Debug)]
+struct Joined {
+    group: Arc<str>,
+    epoch: u64,
+    model: Arc<str>,
+    members: Vec<HostId>,
+    ready_at: Timestamp,
+    state: GroupState,
+    stands_since: Option<Timestamp>,
+}
+
+/// A simulated host.
+#[derive(Clone, Debug)]
+pub struct SimHost {
+    host: Host,
+    orders: u64,
+    joined: Option<Joined>,
+    last_model: Option<Arc<str>>,
+    staging: Option<(Arc<str>, Timestamp)>,
+    max_epoch: u64,
+    alive: bool,
+    died_at: Timestamp,
+    cut: bool,
+}
+
+/// An order that is carried out later.
+struct Late {
+    at: Timestamp,
+    order: HostOrder,
+}
+
+/// Hosts, the list of them that a manager sees, and the manager.
+pub struct Rig {
+    pub now: Timestamp,
+    pub hosts: BTreeMap<HostId, SimHost>,
+    pub directory: Directory,
+    pub planner: GroupPlanner,
+    pub profile: EngineProfile,
+    pub shares: Vec<f64>,
+    pub rng: SmallRng,
+    /// Part of the orders that get no answer and are carried out late.
+    pub late_part: f64,
+    pub violations: Vec<String>,
+    pub orders: u64,
+    late: Vec<Late>,
+    ready: BTreeSet<(Arc<str>, u64, HostId)>,
+    managers: u32,
+}
+
+/// Makes a model of a size.
+pub fn model(name: &str, size: usize, share: f64) -> ModelProfile {
+    ModelProfile {
+        name: name.into(),
+        size,
+        pace: 1.0,
+        share,
+        load_time: Duration::from_secs(14),
+        warm_time: Duration::from_millis(1_500),
+    }
+}
+
+/// Makes an engine with models.
+pub fn profile(models: Vec<ModelProfile>) -> EngineProfile {
+    EngineProfile {
+        slots: 16,
+        kv_capacity: 1_000_000,
+        models,
+        step_ms: 8.0,
+        per_request_ms: 0.1,
+        per_k_context_ms: 0.01,
+        read_per_s: 45_000.0,
+        chunk: 2_048.0,
+        stride: 5,
+        usual_prompt: 1_000.0,
+        usual_answer: 150.0,
+        loads_per_s: 5.0,
+        loads_at_once: 7,
+        form_time: Duration::from_millis(300),
+        delays: Default::default(),
+    }
+}
+
+impl Rig {
+    /// Makes fabric domains of hosts that have just started, and a first manager.
+    pub fn new(seed: u64, domains: usize, hosts_each: usize, models: Vec<ModelProfile>) -> Self {
+        let now = Timestamp::from_millis(1_000_000);
+        let shares = models.iter().map(|m| m.share).collect();
+        let mut rig = Self {
+            now,
+            hosts: BTreeMap::new(),
+            directory: Directory::default(),
+            planner: manager(0, now),
+            profile: profile(models),
+            shares,
+            rng: SmallRng::seed_from_u64(seed),
+            late_part: 0.0,
+            violations: Vec::new(),
+            orders: 0,
+            late: Vec::new(),
+            ready: BTreeSet::new(),
+            managers: 0,
+        };
+        for domain in 0..domains {
+            for i in 0..hosts_each {
+                rig.add_host(&format!("h{domain}-{i:02}"), &format!("fabric-{domain}"));
+            }
+        }
+        rig
+    }
+
+    /// Adds an empty host.
+    pub fn add_host(&mut self, id: &str, domain: &str) {
+        let host = Host {
+            id: id.into(),
+            born: self.now.as_millis(),
+            service: SERVICE.into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            failure_domain: "a".into(),
+            slots: 16,
+            state: HostState::Ready,
+            cold_until: None,
+            orders_begun: None,
+            fabric_domain: Some(domain.into()),
+            staged: Vec::new(),
+            model: None,
+            membership: None,
+        };
+        let sim = SimHost {
+            host,
+            orders: 0,
+            joined: None,
+            last_model: None,
+            staging: None,
+            max_epoch: 0,
+            alive: true,
+            died_at: self.now,
+            cut: false,
+        };
+        self.hosts.insert(id.into(), sim);
+    }
+
+    /// Makes another manager that knows only what hosts report.
+    pub fn change_manager(&mut self) {
+        self.managers += 1;
+        self.planner = manager(self.managers, self.now);
+        self.directory.forget_orders();
+    }
+
+    /// Lets a host go dark.
+    pub fn kill(&mut self, id: &str) {
+        if let Some(sim) = self.hosts.get_mut(id) {
+            sim.alive = false;
+            sim.died_at = self.now;
+        }
+    }
+
+    /// Lets the store lose sight of a host that goes on running, or see it again.
+    pub fn set_cut(&mut self, id: &str, cut: bool) {
+        if let Some(sim) = self.hosts.get_mut(id) {
+            sim.cut = cut;
+            sim.died_at = self.now;
+        }
+    }
+
+    /// Starts a dead host again under the same id, with its staged weights.
+    pub fn revive(&mut self, id: &str) {
+        let now = self.now;
+        if let Some(sim) = self.hosts.get_mut(id).filter(|s| !s.alive) {
+            sim.alive = true;
+            sim.host.born = now.as_millis();
+            sim.orders = 0;
+            sim.joined = None;
+            sim.last_model = None;
+            sim.staging = None;
+            sim.max_epoch = 0;
+        }
+    }
+
+    /// Runs for a time; `traffic` tells the manager that requests are served.
+    pub fn run(&mut self, time: Duration, traffic: bool) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.carry_out_late();
+            self.advance_hosts();
+            self.report();
+            self.plan(traffic);
+        }
+    }
+
+    /// Returns the groups that serve, by model, with their whole membership.
+    pub fn open_groups(&self, model: &str) -> usize {
+        let open = self.hosts.values().filter(|s| {
+            let joined = s.joined.as_ref();
+            s.alive && joined.is_some_and(|j| j.state == GroupState::Open && *j.model == *model && j.members[0] == s.host.id)
+        });
+        open.filter(|s| s.joined.as_ref().is_some_and(|j| j.stands_since.is_none())).count()
+    }
+
+    fn plan(&mut self, traffic: bool) {
+        let orders = self.planner.plan(&self.directory, SERVICE, &self.profile, &self.shares, traffic, self.now);
+        for order in orders {
+            self.orders += 1;
+            let answer = self.send(order.clone());
+            if matches!(answer, OrderAnswer::Begun | OrderAnswer::Done) {
+                self.directory.note_orders(&order.host, order.born, order.expected_count + 1);
+            }
+            self.planner.note_answer(&order, answer, self.now);
+        }
+        for id in self.planner.take_stale(self.now) {
+            let Some(sim) = self.hosts.get(&id).filter(|s| s.alive) else {
+                continue;
+            };
+            self.directory.note_orders(&id, sim.host.born, sim.orders);
+            self.planner.note_told(&id);
+        }
+    }
+
+    fn send(&mut self, order: HostOrder) -> OrderAnswer {
+        if !self.hosts.get(&order.host).is_some_and(|s| s.alive) {
+            return OrderAnswer::Unknown;
+        }
+        if self.rng.random::<f64>() < self.late_part {
+            let after = Duration::from_millis(self.rng.random_range(2_000..12_000));
+            self.late.push(Late {
+                at: self.now + after,
+                order,
+            });
+            return OrderAnswer::Unknown;
+        }
+        self.execute(&order)
+    }
+
+    fn carry_out_late(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<Late>, Vec<Late>) = std::mem::take(&mut self.late).into_iter().partition(|l| l.at <= now);
+        self.late = later;
+        for late in due {
+            self.execute(&late.order);
+        }
+    }
+
+    /// Carries an order out as a host does.
+    fn execute(&mut self, order: &HostOrder) -> OrderAnswer {
+        let now = self.now;
+        let Some(sim) = self.hosts.get(&order.host).filter(|s| s.alive) else {
+            return OrderAnswer::Unknown;
+        };
+        if sim.orders != order.expected_count {
+            return OrderAnswer::Conflict;
+        }
+        match &order.kind {
+            OrderKind::Join { group, epoch, model, members } => {
+                if *epoch < sim.max_epoch {
+                    return OrderAnswer::Outdated;
+                }
+                self.check_two(&order.host, group);
+                self.join(&order.host, group, *epoch, model, members);
+                OrderAnswer::Begun
+            }
+            OrderKind::Open { group, epoch } => {
+                let fits = sim.joined.as_ref().is_some_and(|j| j.group == *group && j.epoch == *epoch && j.state == GroupState::Ready);
+                if !fits {
+                    return OrderAnswer::Conflict;
+                }
+                self.check_partial(&order.host);
+                self.change(&order.host, |j| j.state = GroupState::Open);
+                OrderAnswer::Begun
+            }
+            OrderKind::Close { group, epoch } => {
+                let fits = sim.joined.as_ref().is_some_and(|j| j.group == *group && j.epoch == *epoch && j.state == GroupState::Open);
+                if !fits {
+                    return OrderAnswer::Conflict;
+                }
+                self.change(&order.host, |j| j.state = GroupState::Ready);
+                OrderAnswer::Begun
+            }
+            OrderKind::Leave { group, epoch } => {
+                if !sim.joined.as_ref().is_some_and(|j| j.group == *group && j.epoch == *epoch) {
+                    return OrderAnswer::Conflict;
+                }
+                if let Some(sim) = self.hosts.get_mut(&order.host) {
+                    sim.joined = None;
+                    sim.orders += 1;
+                }
+                OrderAnswer::Done
+            }
+            OrderKind::Stage { model } => {
+                let load = self.profile.model(model).map_or(Duration::ZERO, |m| m.load_time);
+                if let Some(sim) = self.hosts.get_mut(&order.host) {
+                    sim.staging = Some((model.clone(), now + load));
+                    sim.orders += 1;
+                }
+                OrderAnswer::Begun
+            }
+        }
+    }
+
+    fn change(&mut self, id: &HostId, f: impl Fn(&mut Joined)) {
+        if let Some(sim) = self.hosts.get_mut(id) {
+            sim.orders += 1;
+            sim.joined.as_mut().map(f);
+        }
+    }
+
+    fn join(&mut self, id: &HostId, group: &Arc<str>, epoch: u64, model: &Arc<str>, members: &[HostId]) {
+        let now = self.now;
+        let figures = self.profile.model(model).cloned();
+        let Some(sim) = self.hosts.get_mut(id) else {
+            return;
+        };
+        let figures = figures.unwrap_or_else(|| panic!("model {model:?} does not exist"));
+        let takes = if sim.last_model.as_ref() == Some(model) {
+            Duration::from_millis(200)
+        } else if sim.host.staged.contains(model) {
+            figures.warm_time
+        } else {
+            figures.load_time
+        };
+        if takes == figures.load_time {
+            sim.staging = Some((model.clone(), now + takes));
+        }
+        sim.orders += 1;
+        sim.max_epoch = epoch;
+        sim.joined = Some(Joined {
+            group: group.clone(),
+            epoch,
+            model: model.clone(),
+            members: members.to_vec(),
+            ready_at: now + takes,
+            state: GroupState::Joining,
+            stands_since: None,
+        });
+    }
+
+    /// No host joins another group while the head of its group may serve.
+    fn check_two(&mut self, id: &HostId, group: &Arc<str>) {
+        let Some(present) = self.hosts.get(id).and_then(|s| s.joined.as_ref()) else {
+            return;
+        };
+        if present.group == *group {
+            return;
+        }
+        let head = self.hosts.get(&present.members[0]).filter(|s| s.alive);
+        let serving = head.and_then(|s| s.joined.as_ref()).filter(|j| j.group == present.group);
+        if serving.is_some_and(|j| matches!(j.state, GroupState::Open | GroupState::Closing)) {
+            let text = format!("host {id} joins {group} while the head of {} serves", present.group);
+            self.violations.push(text);
+        }
+    }
+
+    /// A group opens only if every member was ready under its name, epoch and list.
+    fn check_partial(&mut self, head: &HostId) {
+        let Some(joined) = self.hosts.get(head).and_then(|s| s.joined.clone()) else {
+            return;
+        };
+        for member in &joined.members {
+            let key = (joined.group.clone(), joined.epoch, member.clone());
+            if !self.ready.contains(&key) {
+                let text = format!("group {} opens although {member} was never ready", joined.group);
+                self.violations.push(text);
+            }
+        }
+    }
+
+    fn advance_hosts(&mut self) {
+        let now = self.now;
+        for sim in self.hosts.values_mut().filter(|s| s.alive) {
+            if let Some((model, _)) = sim.staging.clone().filter(|(_, at)| *at <= now) {
+                sim.host.staged = vec![model];
+                sim.staging = None;
+            }
+            if let Some(joined) = sim.joined.as_mut()
+                && joined.state == GroupState::Joining
+                && joined.ready_at <= now
+            {
+                joined.state = GroupState::Ready;
+                sim.last_model = Some(joined.model.clone());
+                self.ready.insert((joined.group.clone(), joined.epoch, sim.host.id.clone()));
+            }
+        }
+        self.break_groups();
+    }
+
+    /// Heads that lost a member stand still and break.
+    fn break_groups(&mut self) {
+        let now = self.now;
+        let member_of: BTreeMap<HostId, Option<Arc<str>>> = self
+            .hosts
+            .values()
+            .map(|s| (s.host.id.clone(), s.joined.as_ref().filter(|_| s.alive).map(|j| j.group.clone())))
+            .collect();
+        for sim in self.hosts.values_mut().filter(|s| s.alive) {
+            let id = sim.host.id.clone();
+            let Some(joined) = sim.joined.as_mut().filter(|j| j.members[0] == id) else {
+                continue;
+            };
+            if joined.state != GroupState::Open {
+                continue;
+            }
+            let whole = joined.members.iter().all(|m| member_of.get(m) == Some(&Some(joined.group.clone())));
+            if whole {
+                continue;
+            }
+            let since = *joined.stands_since.get_or_insert(now);
+            if now.since(since) >= STALL {
+                joined.state = GroupState::Broken;
+            }
+        }
+    }
+
+    /// Brings the manager's list up to date.
+    fn report(&mut self) {
+        let now = self.now;
+        for sim in self.hosts.values() {
+            let seen = sim.alive && !sim.cut;
+            if !seen && now.since(sim.died_at) >= ENTRY_TIME {
+                if self.directory.get(&sim.host.id).is_some() {
+                    self.directory.remove(&sim.host.id, now);
+                }
+                continue;
+            }
+            if !seen {
+                continue;
+            }
+            let mut host = sim.host.clone();
+            host.model = sim.last_model.clone();
+            host.membership = sim.joined.as_ref().map(|j| Membership {
+                group: j.group.clone(),
+                epoch: j.epoch,
+                rank: j.members.iter().position(|m| *m == host.id).unwrap_or(usize::MAX),
+                state: j.state,
+            });
+            self.directory.put(host);
+        }
+    }
+}
+
+fn manager(number: u32, now: Timestamp) -> GroupPlanner {
+    let cfg = PlannerSettings {
+        nonce: format!("m{number}"),
+        load_window: Duration::from_secs(5),
+    };
+    GroupPlanner::new(cfg, now)
+}
