--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -225,7 +225,8 @@
     fn apply_host(&self, mut host: Host, cold_ms: u64, now: Timestamp) {
         host.cold_until = (cold_ms > 0).then(|| now + Duration::from_millis(cold_ms));
         log::info!(
-            host:% = host.id, state:? = host.state, cold_ms = cold_ms,
+            host:% = host.id, state:? = host.state, cold_ms = cold_ms, born = host.born,
+            fabric_domain = host.fabric_domain.as_deref(), model = host.model.as_deref(), staged = host.staged.join(","),
             group = host.membership.as_ref().map(|m| format!("{}/{}/{}/{:?}", m.group, m.epoch, m.rank, m.state));
             "backend server reports"
         );
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -44,7 +44,7 @@
 /// Longest time that a new system waits for further hosts.
 const LONGEST_SETTLING: Duration = Duration::from_secs(4);
 /// Factor on the time of a load after which a host that stages is asked again.
-const STAGING_FACTOR: u32 = 3;
+const STAGING_FACTOR: u32 = 2;
 /// Time for which a host that did not answer is taken to be dead.
 const DEAD_MEMORY: Duration = Duration::from_secs(8);
 /// Step of the epoch after a host refused one as too low.
@@ -156,6 +156,7 @@
         }
         match (&order.kind, answer) {
             (_, OrderAnswer::Conflict) => {
+                self.staging.remove(&order.host);
                 self.stale.insert(order.host.clone(), now + CONFLICT_HOLD);
             }
             (OrderKind::Join { group, .. }, OrderAnswer::Outdated) => {
--- a/crates/geranium_fleet/src/planner/memory.rs
+++ b/crates/geranium_fleet/src/planner/memory.rs
@@ -112,6 +112,9 @@
         if host.orders_begun.is_none() {
             self.stale.entry(host.id.clone()).or_insert(now);
         }
+        if self.staging.get(&host.id).is_some_and(|s| s.born != host.born || host.has_staged(&s.model)) {
+            self.staging.remove(&host.id);
+        }
         let known = self.last_groups.get(&host.id);
         if known.is_none_or(|k| k.born != host.born) {
             let last = LastGroup {
@@ -144,8 +147,7 @@
     pub(super) fn staging_model(&self, host: &Host, profile: &EngineProfile, now: Timestamp) -> Option<&Arc<str>> {
         let staging = self.staging.get(&host.id).filter(|s| s.born == host.born)?;
         let limit = profile.model(&staging.model)?.load_time * STAGING_FACTOR;
-        let done = host.has_staged(&staging.model) || now.since(staging.at) > limit;
-        (!done).then_some(&staging.model)
+        (now.since(staging.at) <= limit).then_some(&staging.model)
     }
 
     /// Returns whether a host may become a member of another group.
--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -95,3 +95,20 @@
 
     assert_eq!(rig.planner.stranded(&rig.directory, SERVICE), 0);
 }
+
+#[test]
+fn loads_go_on_after_staged_weights_were_used() {
+    let mut rig = settled(7);
+    let lost: Vec<_> = rig.hosts.keys().step_by(3).take(6).cloned().collect();
+
+    for id in lost {
+        rig.kill(&id);
+        rig.run(Duration::from_secs(4), true);
+    }
+    rig.add_host("new-1", "fabric-0");
+    rig.add_host("new-2", "fabric-0");
+    rig.run(Duration::from_secs(18), true);
+
+    let staged = |id: &str| rig.hosts.get(id).is_some_and(|_| rig.directory.get(id).is_some_and(|h| !h.staged.is_empty()));
+    assert!(staged("new-1") && staged("new-2"));
+}
--- a/crates/geranium_fleet/tests/rig/mod.rs
+++ b/crates/geranium_fleet/tests/rig/mod.rs
@@ -400,6 +400,8 @@
             {
                 joined.state = GroupState::Ready;
                 sim.last_model = Some(joined.model.clone());
+                // The one staged place goes to the model that was joined last.
+                sim.host.staged = vec![joined.model.clone()];
                 self.ready.insert((joined.group.clone(), joined.epoch, sim.host.id.clone()));
             }
         }
