--- a/crates/geranium_entry/src/relay/attempt.rs
+++ b/crates/geranium_entry/src/relay/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at one backend server.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,7 +20,7 @@
 use crate::state::Shared;
 
 /// Longest time to open a connection to a backend server.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
 /// How an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,11 +115,12 @@
 ) -> Result<Answer<D>, AttemptError> {
     let place = take_place(job, host);
     let moved = place.guard.moved();
-    let sending = send_on_connection(job, host, last_event_id);
+    let written = Cell::new(false);
+    let sending = send_on_connection(job, host, last_event_id, &written);
     let (res, sender) = tokio::select! {
         sent = sending => sent?,
-        () = moved.notified() => return Err(AttemptError::Silent),
-        () = tokio::time::sleep(job.left()) => return Err(AttemptError::Deadline),
+        () = moved.notified() => return Err(ended_early(&written, AttemptError::Silent)),
+        () = tokio::time::sleep(job.left()) => return Err(ended_early(&written, AttemptError::Deadline)),
     };
     place.guard.heard(false, job.shared.now());
     check(job, &res)?;
@@ -132,18 +134,33 @@
     })
 }
 
+/// Returns the failure of an attempt that is given up: nothing has run if no byte of
+/// the request was written.
+fn ended_early(written: &Cell<bool>, error: AttemptError) -> AttemptError {
+    if written.get() {
+        error
+    } else {
+        AttemptError::NotRun(error.word())
+    }
+}
+
 type Sent = (Response<Incoming>, SendRequest<Full<Bytes>>);
 
 async fn send_on_connection<D: Dialect>(
     job: &Job<D>,
     host: &Host,
     last_event_id: Option<u64>,
+    written: &Cell<bool>,
 ) -> Result<Sent, AttemptError> {
     let mut req = build(job, host, last_event_id)?;
     if let Some(connection) = job.shared.pool.take(&host.id, host.address, job.shared.now()) {
+        written.set(true);
         match send_once(connection, req).await {
             SendOutcome::Answered(sent) => return Ok(sent),
-            SendOutcome::NotSent(back) => req = back,
+            SendOutcome::NotSent(back) => {
+                written.set(false);
+                req = back;
+            }
             SendOutcome::Failed(e) => return Err(e),
         }
     }
@@ -151,6 +168,7 @@
         log::info!(host:% = host.id; "{e}");
         AttemptError::NotRun("connect")
     })?;
+    written.set(true);
     match send_once(connection, req).await {
         SendOutcome::Answered(sent) => Ok(sent),
         SendOutcome::NotSent(_) => Err(AttemptError::NotRun("connection_closed")),
--- a/crates/geranium_entry/src/relay/job.rs
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -32,6 +32,8 @@
 const STREAM_TIME: Duration = Duration::from_millis(4_500);
 /// Time that a process about to stop allows for a request with a whole answer.
 const WHOLE_TIME: Duration = Duration::from_millis(1_000);
+/// Part of the objective that a request may wait in the queue of a group.
+const QUEUE_PART: f64 = 0.5;
 /// When a caller may come back to another entry host.
 const RETURN_ELSEWHERE: Duration = Duration::from_millis(10);
 /// When a caller may come back while a group is being formed.
@@ -187,19 +189,30 @@
         let now = self.shared.now();
         let mut core = self.shared.core.borrow_mut();
         let most_per_second = core.most_per_second(&self.service, &self.shared.cfg.bounds);
+        let most_running = self.most_running();
         let core = &mut *core;
         let wanted = Wanted {
             service: &self.service.name,
             model: self.service.engine.as_ref().and(self.model.as_deref()),
             tried: &self.tried,
             most_per_second,
-            most_running: f64::MAX,
+            most_running,
         };
         let choice = core.dispatcher.choose(&core.directory, &wanted, now, &mut core.rng)?;
         self.tried.push(choice.host.id.clone());
         Ok(choice)
     }
 
+    /// Returns how many requests may be at one backend server so that the objective
+    /// still holds.
+    fn most_running(&self) -> f64 {
+        let Some(engine) = &self.service.engine else {
+            return f64::MAX;
+        };
+        let pace = self.model.as_deref().and_then(|m| engine.model(m)).map_or(1.0, |m| m.pace);
+        engine.most_at_group(pace, self.route.objective.mul_f64(QUEUE_PART))
+    }
+
     /// Spends a retry of the shared budget if one is left.
     pub(super) fn may_retry(&self, cause: &'static str) -> bool {
         if self.runs >= self.route.max_attempts.max(1) {
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -127,6 +127,31 @@
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> Result<Choice, NoHost> {
+        // A suspected backend server is a candidate only where there is no other.
+        let sound = self.pick(directory, wanted, false, now, rng);
+        let picked = match sound {
+            Err(NoHost::None | NoHost::AllTried) => self.pick(directory, wanted, true, now, rng).or(sound),
+            sound => sound,
+        };
+        let (host, among) = picked?;
+        let seen = self.seen.entry(host.id.clone()).or_default();
+        seen.cold.try_take(usize::MAX, now);
+        seen.running += 1;
+        Ok(Choice {
+            host: host.clone(),
+            among,
+        })
+    }
+
+    /// Returns the least loaded backend server, among suspected ones or others.
+    fn pick<'a>(
+        &mut self,
+        directory: &'a Directory,
+        wanted: &Wanted<'_>,
+        suspected: bool,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> Result<(&'a Host, usize), NoHost> {
         let mut best: Option<(f64, &Host)> = None;
         let mut reason = NoHost::None;
         let mut among = 0;
@@ -139,6 +164,9 @@
                 continue;
             }
             let seen = self.seen.entry(host.id.clone()).or_default();
+            if (now < seen.suspected_until) != suspected {
+                continue;
+            }
             if wanted.most_per_second.is_some_and(|m| seen.cold.used(now) >= m) {
                 reason = rank(reason, NoHost::AtBound);
                 continue;
@@ -149,22 +177,15 @@
                 continue;
             }
             among += 1;
-            let score = self.score(host, running, now) + rng.random::<f64>() * 0.1;
+            let score = self.score(host, running) + rng.random::<f64>() * 0.1;
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, host));
             }
         }
-        let (_, host) = best.ok_or(reason)?;
-        let seen = self.seen.entry(host.id.clone()).or_default();
-        seen.cold.try_take(usize::MAX, now);
-        seen.running += 1;
-        Ok(Choice {
-            host: host.clone(),
-            among,
-        })
+        best.map(|(_, host)| (host, among)).ok_or(reason)
     }
 
-    fn score(&self, host: &Host, running: f64, now: Timestamp) -> f64 {
+    fn score(&self, host: &Host, running: f64) -> f64 {
         let Some(seen) = self.seen.get(&host.id) else {
             return 0.0;
         };
@@ -173,9 +194,8 @@
         } else {
             REMOTE_LOAD
         };
-        let suspected = if now < seen.suspected_until { 1_000.0 } else { 0.0 };
         let slowness = (seen.mean_ms / 100.0).min(20.0);
-        running + remote + suspected + seen.failures * FAILURE_LOAD + slowness
+        running + remote + seen.failures * FAILURE_LOAD + slowness
     }
 
     /// Notes that a request has left a backend server.
--- a/crates/geranium_fleet/src/engine_profile.rs
+++ b/crates/geranium_fleet/src/engine_profile.rs
@@ -73,6 +73,17 @@
         f64::from(self.stride.max(1)) * (writing + reading)
     }
 
+    /// Returns how many requests may be at a group of a model, running or queued,
+    /// so that the last of them begins within `wait`.
+    #[must_use]
+    pub fn most_at_group(&self, pace: f64, wait: Duration) -> f64 {
+        let slots = f64::from(self.slots);
+        let step = (self.step_ms + slots * self.per_request_ms) * pace;
+        let leaves_every_ms = (self.usual_answer * step / slots).max(1.0);
+        let queued = wait.as_secs_f64() * 1_000.0 / leaves_every_ms;
+        slots + queued.floor()
+    }
+
     /// Returns the time that a group spends on one request in milliseconds when
     /// its batch is full.
     #[must_use]
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -128,10 +128,10 @@
             self.tend(view, directory, profile, now, &mut orders);
         }
         if !self.is_settling(&views, now) {
-            let mut formation = self.formation(&hosts, &views, profile, shares, traffic, now);
+            let mut formation = self.formation((&hosts, directory), &views, profile, shares, traffic, now);
             self.reclaim(&hosts, &views, directory, &formation, &mut orders);
             self.form(&hosts, directory, &mut formation, &mut orders);
-            self.stage(&hosts, &mut formation, &mut orders);
+            self.stage(&hosts, directory, &mut formation, &mut orders);
         }
         orders.retain(|o| directory.get(&o.host).is_some_and(|h| h.orders_begun.is_some()));
         for order in &orders {
--- a/crates/geranium_fleet/src/planner/formation.rs
+++ b/crates/geranium_fleet/src/planner/formation.rs
@@ -93,14 +93,16 @@
     /// Works out the hosts that each model has and should have.
     pub(super) fn formation<'a>(
         &self,
-        hosts: &[&Host],
+        (hosts, directory): (&[&Host], &Directory),
         views: &[GroupView<'_>],
         profile: &'a EngineProfile,
         shares: &[f64],
         traffic: bool,
         now: Timestamp,
     ) -> Formation<'a> {
-        let alive = hosts.iter().filter(|h| self.is_alive(h, now)).count() as f64;
+        // Hosts of a failure domain that is out of service do no work for any model.
+        let in_service = |h: &&&Host| !directory.is_domain_out(&h.failure_domain);
+        let alive = hosts.iter().filter(in_service).filter(|h| self.is_alive(h, now)).count() as f64;
         let targets: Vec<f64> = shares.iter().map(|s| s * alive).collect();
         let mut formation = Formation {
             lacks: targets.clone(),
@@ -112,7 +114,8 @@
         for view in views {
             let broken = view.head().is_none_or(|h| {
                 let state = h.membership.as_ref().map(|m| m.state);
-                state == Some(GroupState::Broken) || self.is_dead(h, now)
+                let out = directory.is_domain_out(&h.failure_domain);
+                out || state == Some(GroupState::Broken) || self.is_dead(h, now)
             });
             if broken {
                 continue;
--- a/crates/geranium_fleet/src/planner/reclaim.rs
+++ b/crates/geranium_fleet/src/planner/reclaim.rs
@@ -61,7 +61,8 @@
         let model = &formation.profile.models[wanted];
         let mut best: Option<Candidate> = None;
         for (domain, members) in by_domain(hosts) {
-            if self.reclaims.contains_key(domain) {
+            let out = members.iter().any(|h| directory.is_domain_out(&h.failure_domain));
+            if out || self.reclaims.contains_key(domain) {
                 continue;
             }
             let free: Vec<&Host> = members.iter().copied().filter(|h| self.is_free(h, directory, now)).collect();
--- a/crates/geranium_fleet/src/planner/staging.rs
+++ b/crates/geranium_fleet/src/planner/staging.rs
@@ -7,6 +7,7 @@
 use super::formation::{Formation, LOADS, best_model};
 use super::memory::Staging;
 use super::{GroupPlanner, order_to};
+use crate::directory::Directory;
 use crate::engine_profile::ModelProfile;
 use crate::host::{GroupState, Host};
 use crate::order::{HostOrder, OrderKind};
@@ -52,6 +53,7 @@
     pub(super) fn stage(
         &mut self,
         hosts: &[&Host],
+        directory: &Directory,
         formation: &mut Formation<'_>,
         orders: &mut Vec<HostOrder>,
     ) {
@@ -62,7 +64,7 @@
             if self.staging_model(host, formation.profile, now).is_some() {
                 under_way += 1;
             } else if self.wants_weights(host, formation) && !orders.iter().any(|o| o.host == host.id) {
-                wanting.push((self.urgency(host), host));
+                wanting.push((self.urgency(host, directory), host));
             }
         }
         wanting.sort_by(|a, b| (a.0, &a.1.id).cmp(&(b.0, &b.1.id)));
@@ -142,8 +144,10 @@
     }
 
     /// Returns the order in which hosts load: lower is sooner.
-    fn urgency(&self, host: &Host) -> u8 {
-        if self.last_model(host).is_none() {
+    fn urgency(&self, host: &Host, directory: &Directory) -> u8 {
+        if directory.is_domain_out(&host.failure_domain) {
+            3
+        } else if self.last_model(host).is_none() {
             0
         } else if host.membership.is_none() {
             1
