--- a/crates/geranium_daemon/src/caller/service.rs
+++ b/crates/geranium_daemon/src/caller/service.rs
@@ -21,9 +21,9 @@
 
 use super::{auth, headers, refusal};
 use crate::claim::UpstreamCall;
-use geranium_telemetry::ProcessClock;
 use crate::metrics::{CallKind, ReasonLabel};
 use crate::node::Node;
+use geranium_telemetry::ProcessClock;
 
 /// Header with the key that names a call over its resends.
 const KEY_HEADER: &str = "idempotency-key";
--- a/crates/geranium_daemon/src/node.rs
+++ b/crates/geranium_daemon/src/node.rs
@@ -23,12 +23,12 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::claim::{ClaimService, Holders};
-use geranium_telemetry::ProcessClock;
 use crate::control::{ControlInput, Published};
 use crate::metrics::Metrics;
 use crate::peers::{PeerInput, PublishedPeers};
 use crate::settings::DaemonSettings;
 use crate::traffic::Traffic;
+use geranium_telemetry::ProcessClock;
 
 /// The platform's service as this process reaches it.
 pub type Store = EtcdClient;
--- a/crates/geranium_daemon/src/startup.rs
+++ b/crates/geranium_daemon/src/startup.rs
@@ -23,7 +23,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::claim::{ClaimService, Holders, sweep_claims};
-use geranium_telemetry::ProcessClock;
 use crate::control::{
     ControlInput, ControlTask, HOST_PREFIX, LeaderCampaign, MirrorTarget, Published, StoreMirror,
     follow_caches, table_key,
@@ -35,6 +34,7 @@
 use crate::startup_error::StartupError;
 use crate::traffic::Traffic;
 use crate::{caller, operator};
+use geranium_telemetry::ProcessClock;
 
 /// Inputs that may wait for the control task.
 const CONTROL_QUEUE: usize = 1_024;
--- /dev/null
+++ b/crates/geranium_entry/src/crash_notes.rs
@@ -0,0 +1,47 @@
+//! Tells the other entry hosts of requests that crash backend servers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use geranium_core::id::StoreRevision;
+use geranium_platform::{KvStore, StoreError, Swap};
+use tokio::sync::mpsc;
+
+use crate::dialect::Dialect;
+use crate::follow::CRASH_PREFIX;
+use crate::state::Shared;
+
+/// Time for which a crash is kept in the store.
+const MEMORY: Duration = Duration::from_secs(300);
+
+/// Writes the fingerprint of each request that crashed a backend server.
+pub(crate) async fn run<D: Dialect, S: KvStore>(
+    shared: Rc<Shared<D>>,
+    store: S,
+    mut rx: mpsc::UnboundedReceiver<u64>,
+) {
+    while let Some(fingerprint) = rx.recv().await {
+        if let Err(e) = write(&shared, &store, fingerprint).await {
+            log::warn!("crash of a request was not told to the other entry hosts: {e}");
+        }
+    }
+}
+
+async fn write<D: Dialect, S: KvStore>(
+    shared: &Shared<D>,
+    store: &S,
+    fingerprint: u64,
+) -> Result<(), StoreError> {
+    let lease = store.grant_lease(MEMORY).await?;
+    let at = shared.now().as_millis();
+    let name = format!("{CRASH_PREFIX}{fingerprint:x}/{}-{at}", shared.cfg.name);
+    let swap = Swap {
+        key: shared.dialect.own_key(&name),
+        expected: StoreRevision(0),
+        value: Some(Bytes::copy_from_slice(shared.cfg.name.as_bytes())),
+        lease: Some(lease),
+    };
+    store.transact(vec![swap]).await?;
+    Ok(())
+}
--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -42,7 +42,11 @@
 }
 
 /// Follows the store until the process ends.
-pub(crate) async fn run<D: Dialect, S: KvStore>(shared: Rc<Shared<D>>, store: S, peers: Rc<PeerLink>) {
+pub(crate) async fn run<D: Dialect, S: KvStore>(
+    shared: Rc<Shared<D>>,
+    store: S,
+    peers: Rc<PeerLink>,
+) {
     let follower = Follower {
         shared,
         peers,
@@ -179,7 +183,9 @@
 
     fn apply_change(&self, change: WatchChange) {
         let fact = match change {
-            WatchChange::Put(StoredValue { key, value, .. }) => self.shared.dialect.decode(&key, &value),
+            WatchChange::Put(StoredValue { key, value, .. }) => {
+                self.shared.dialect.decode(&key, &value)
+            }
             WatchChange::Deleted { key, .. } => self.shared.dialect.decode_deletion(&key),
         };
         self.apply(fact);
@@ -192,15 +198,23 @@
             Fact::Host(host, cold_ms) => self.apply_host(*host, cold_ms, now),
             Fact::HostGone(id) => {
                 log::info!(host:% = id; "entry of a backend server has gone");
-                self.shared.core.borrow_mut().directory.remove(&id, now);
+                self.remove_host(&id, now);
             }
             Fact::DomainOut(domain) => {
                 log::info!(failure_domain:% = domain; "failure domain is out of service");
-                self.shared.core.borrow_mut().directory.set_domain_out(&domain, true);
+                self.shared
+                    .core
+                    .borrow_mut()
+                    .directory
+                    .set_domain_out(&domain, true);
             }
             Fact::DomainBack(domain) => {
                 log::info!(failure_domain:% = domain; "failure domain is back in service");
-                self.shared.core.borrow_mut().directory.set_domain_out(&domain, false);
+                self.shared
+                    .core
+                    .borrow_mut()
+                    .directory
+                    .set_domain_out(&domain, false);
             }
             Fact::Own { name, value } => self.apply_own(&name, value.as_deref(), now),
             Fact::Unusable { key, detail } => {
@@ -218,7 +232,10 @@
             return;
         }
         log::info!(version = deployment.version, before = in_force, routes = deployment.routes.len(); "configuration is in force");
-        self.shared.metrics.version.set(i64::try_from(deployment.version).unwrap_or(i64::MAX));
+        self.shared
+            .metrics
+            .version
+            .set(i64::try_from(deployment.version).unwrap_or(i64::MAX));
         core.table = Some(Rc::new(RouteTable::new(deployment)));
     }
 
@@ -230,7 +247,25 @@
             group = host.membership.as_ref().map(|m| format!("{}/{}/{}/{:?}", m.group, m.epoch, m.rank, m.state));
             "backend server reports"
         );
+        let (id, born) = (host.id.clone(), host.born);
+        let before = self.born(&id);
         self.shared.core.borrow_mut().directory.put(host);
+        if let Some(before) = before.filter(|b| *b != born) {
+            self.shared.note_host_ended(&id, before);
+        }
+    }
+
+    fn born(&self, id: &str) -> Option<u64> {
+        let core = self.shared.core.borrow();
+        core.directory.get(id).map(|h| h.born)
+    }
+
+    fn remove_host(&self, id: &str, now: Timestamp) {
+        let born = self.born(id);
+        self.shared.core.borrow_mut().directory.remove(id, now);
+        if let Some(born) = born {
+            self.shared.note_host_ended(id, born);
+        }
     }
 
     fn apply_own(&self, name: &str, value: Option<&[u8]>, now: Timestamp) {
--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `peers` | datagrams between entry hosts |
 //! | `watchdog` | silent groups |
 
+mod crash_notes;
 pub mod dialect;
 pub mod fact;
 mod follow;
--- a/crates/geranium_entry/src/log_writer.rs
+++ b/crates/geranium_entry/src/log_writer.rs
@@ -56,7 +56,9 @@
         let dropped = std::mem::take(&mut waiting.dropped);
         let mut bytes = std::mem::take(&mut waiting.bytes);
         if dropped > 0 {
-            let line = format!("{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"fields\":{{\"count\":\"{dropped}\"}}}}\n");
+            let line = format!(
+                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"fields\":{{\"count\":\"{dropped}\"}}}}\n"
+            );
             bytes.extend_from_slice(line.as_bytes());
         }
         bytes
--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -160,7 +160,10 @@
 
     fn rank(&self) -> u32 {
         let core = self.shared.core.borrow();
-        let before = core.entry_hosts.iter().filter(|n| ***n < *self.shared.cfg.name);
+        let before = core
+            .entry_hosts
+            .iter()
+            .filter(|n| ***n < *self.shared.cfg.name);
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
@@ -188,7 +191,10 @@
 }
 
 /// Plans whenever something changes while this process is the manager.
-async fn manage<D: Dialect>(shared: Rc<Shared<D>>, mut elected: watch::Receiver<Option<Timestamp>>) {
+async fn manage<D: Dialect>(
+    shared: Rc<Shared<D>>,
+    mut elected: watch::Receiver<Option<Timestamp>>,
+) {
     loop {
         let since = *elected.borrow_and_update();
         let Some(since) = since else {
@@ -232,7 +238,11 @@
 
     fn settings(&self, index: usize) -> PlannerSettings {
         PlannerSettings {
-            nonce: format!("{}-{:x}-{index}", self.shared.cfg.name, self.since.as_millis()),
+            nonce: format!(
+                "{}-{:x}-{index}",
+                self.shared.cfg.name,
+                self.since.as_millis()
+            ),
             load_window: self.shared.cfg.bounds.load_window,
         }
     }
@@ -260,9 +270,19 @@
                 let planner = planners
                     .entry(service.name.clone())
                     .or_insert_with(|| GroupPlanner::new(self.settings(i), now));
-                let orders = planner.plan(&core.directory, &service.name, engine, &shares, traffic, now);
+                let orders = planner.plan(
+                    &core.directory,
+                    &service.name,
+                    engine,
+                    &shares,
+                    traffic,
+                    now,
+                );
                 let stranded = planner.stranded(&core.directory, &service.name);
-                self.shared.metrics.stranded.set(i64::try_from(stranded).unwrap_or(i64::MAX));
+                self.shared
+                    .metrics
+                    .stranded
+                    .set(i64::try_from(stranded).unwrap_or(i64::MAX));
                 all.extend(orders.into_iter().map(|o| (service.name.clone(), o)));
                 for stale in planner.take_stale(now) {
                     self.ask_count(stale);
@@ -285,7 +305,8 @@
         log::info!(host:% = order.host, order = order.kind.word(), detail:? = order.kind, expected_count = order.expected_count, answer:? = answer; "order sent");
         if matches!(answer, OrderAnswer::Begun | OrderAnswer::Done) {
             let mut core = self.shared.core.borrow_mut();
-            core.directory.note_orders(&order.host, order.born, order.expected_count + 1);
+            core.directory
+                .note_orders(&order.host, order.born, order.expected_count + 1);
         }
         if let Some(planner) = self.planners.borrow_mut().get_mut(&service) {
             planner.note_answer(&order, answer, now);
@@ -308,7 +329,12 @@
                 return;
             };
             log::info!(host:% = id, count = report.orders_begun; "count of orders was asked for");
-            manager.shared.core.borrow_mut().directory.note_orders(&id, born, report.orders_begun);
+            manager
+                .shared
+                .core
+                .borrow_mut()
+                .directory
+                .note_orders(&id, born, report.orders_begun);
             for planner in manager.planners.borrow_mut().values_mut() {
                 planner.note_told(&id);
             }
@@ -356,7 +382,13 @@
             let manager = self.clone();
             async move {
                 for _ in 0..PROBES {
-                    if manager.shared.dialect.ask_host(address, PROBE_LIMIT).await.is_some() {
+                    if manager
+                        .shared
+                        .dialect
+                        .ask_host(address, PROBE_LIMIT)
+                        .await
+                        .is_some()
+                    {
                         return;
                     }
                 }
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -62,7 +62,11 @@
         registry.register("retries", "Further attempts by cause", retries.clone());
         registry.register("orders", "Orders to hosts", orders.clone());
         registry.register("silences", "Groups that fell silent", silences.clone());
-        registry.register("first_answer_seconds", "Time to the first event", first_answer.clone());
+        registry.register(
+            "first_answer_seconds",
+            "Time to the first event",
+            first_answer.clone(),
+        );
         registry.register("running", "Requests at backend servers", running.clone());
         registry.register("stranded_hosts", "Hosts in no group", stranded.clone());
         registry.register("configuration_version", "Version in force", version.clone());
--- a/crates/geranium_entry/src/node.rs
+++ b/crates/geranium_entry/src/node.rs
@@ -7,13 +7,14 @@
 use quick_error::quick_error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
 use crate::dialect::Dialect;
 use crate::peers::PeerLink;
 use crate::settings::EntrySettings;
 use crate::state::{Phase, Shared};
-use crate::{follow, manager, peers, server, watchdog};
+use crate::{crash_notes, follow, manager, peers, server, watchdog};
 
 /// Time after the request to stop in which the balancer may still send callers
 /// here; it asks once a second and needs two answers.
@@ -52,7 +53,11 @@
 /// # Errors
 ///
 /// Returns an error if an address cannot be listened on.
-pub fn run<D: Dialect, S: KvStore>(cfg: EntrySettings, dialect: D, store: S) -> Result<(), NodeError> {
+pub fn run<D: Dialect, S: KvStore>(
+    cfg: EntrySettings,
+    dialect: D,
+    store: S,
+) -> Result<(), NodeError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -61,7 +66,11 @@
     local.block_on(&runtime, serve(cfg, dialect, store))
 }
 
-async fn serve<D: Dialect, S: KvStore>(cfg: EntrySettings, dialect: D, store: S) -> Result<(), NodeError> {
+async fn serve<D: Dialect, S: KvStore>(
+    cfg: EntrySettings,
+    dialect: D,
+    store: S,
+) -> Result<(), NodeError> {
     let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
     let mut reload = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
     let listener = TcpListener::bind(cfg.callers)
@@ -71,12 +80,14 @@
         .await
         .map_err(|e| NodeError::Listen("peers", e))?;
     let link = Rc::new(link);
-    let shared = Rc::new(Shared::new(cfg, dialect));
+    let (crashed, crashes) = mpsc::unbounded_channel();
+    let shared = Rc::new(Shared::new(cfg, dialect, crashed));
     log::info!(callers:% = shared.cfg.callers, first_start = shared.cfg.first_start; "entry host starts");
 
     spawn_listeners(&shared);
     tokio::task::spawn_local(server::run(shared.clone(), listener));
     tokio::task::spawn_local(follow::run(shared.clone(), store.clone(), link.clone()));
+    tokio::task::spawn_local(crash_notes::run(shared.clone(), store.clone(), crashes));
     tokio::task::spawn_local(manager::run(shared.clone(), store));
     tokio::task::spawn_local(watchdog::run(shared.clone(), link.clone()));
     tokio::task::spawn_local(peers::run_sender(shared.clone(), link.clone()));
@@ -118,7 +129,10 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = shared.now();
         shared.pool.sweep(now);
-        shared.metrics.running.set(i64::try_from(shared.running.count()).unwrap_or(i64::MAX));
+        shared
+            .metrics
+            .running
+            .set(i64::try_from(shared.running.count()).unwrap_or(i64::MAX));
         let mut core = shared.core.borrow_mut();
         core.directory.expire(now);
         let core = &mut *core;
--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -30,12 +30,20 @@
     Suspect(Arc<str>),
 }
 
+/// Requests that another entry host runs at each backend server.
+struct PeerLoad {
+    /// When it said so.
+    at: Timestamp,
+    /// Requests by backend server.
+    running: Vec<(Arc<str>, u32)>,
+}
+
 /// The socket for datagrams, and where the other entry hosts listen.
 pub(crate) struct PeerLink {
     socket: UdpSocket,
     /// Addresses by the names of the entry hosts.
     pub(crate) addresses: RefCell<HashMap<String, SocketAddr>>,
-    loads: RefCell<HashMap<SocketAddr, (Timestamp, Vec<(Arc<str>, u32)>)>>,
+    loads: RefCell<HashMap<SocketAddr, PeerLoad>>,
 }
 
 impl PeerLink {
@@ -78,12 +86,18 @@
         let now = shared.now();
         let load: Vec<(Arc<str>, u32)> = {
             let core = shared.core.borrow();
-            core.dispatcher.running().map(|(id, n)| (id.clone(), n)).collect()
+            core.dispatcher
+                .running()
+                .map(|(id, n)| (id.clone(), n))
+                .collect()
         };
         let idle = load.is_empty();
         if !(idle && idle_sent) {
             let datagram = Datagram::Load(load);
-            let others: Vec<SocketAddr> = link.addresses.borrow().iter()
+            let others: Vec<SocketAddr> = link
+                .addresses
+                .borrow()
+                .iter()
                 .filter(|(name, _)| ***name != *shared.cfg.name)
                 .map(|(_, address)| *address)
                 .collect();
@@ -110,11 +124,22 @@
         };
         match serde_json::from_slice(&buf[..n]) {
             Ok(Datagram::Load(load)) => {
-                link.loads.borrow_mut().insert(from, (shared.now(), load));
+                let load = PeerLoad {
+                    at: shared.now(),
+                    running: load,
+                };
+                link.loads.borrow_mut().insert(from, load);
             }
             Ok(Datagram::Suspect(head)) => {
-                shared.suspects.borrow_mut().insert(head.clone(), shared.now());
-                shared.core.borrow_mut().dispatcher.suspect(&head, shared.now());
+                shared
+                    .suspects
+                    .borrow_mut()
+                    .insert(head.clone(), shared.now());
+                shared
+                    .core
+                    .borrow_mut()
+                    .dispatcher
+                    .suspect(&head, shared.now());
                 shared.changed.notify_waiters();
             }
             Err(e) => log::warn!(from:% = from; "datagram is malformed: {e}"),
@@ -124,10 +149,10 @@
 
 fn apply_loads<D: Dialect>(shared: &Shared<D>, link: &PeerLink, now: Timestamp) {
     let mut loads = link.loads.borrow_mut();
-    loads.retain(|_, (at, _)| now.since(*at) < MAX_AGE);
+    loads.retain(|_, load| now.since(load.at) < MAX_AGE);
     let mut sums: HashMap<Arc<str>, f64> = HashMap::default();
-    for (_, load) in loads.values() {
-        for (id, running) in load {
+    for load in loads.values() {
+        for (id, running) in &load.running {
             *sums.entry(id.clone()).or_default() += f64::from(*running);
         }
     }
--- a/crates/geranium_entry/src/pool.rs
+++ b/crates/geranium_entry/src/pool.rs
@@ -62,7 +62,12 @@
 
 impl Pool {
     /// Returns an unused connection, if one is still good.
-    pub(crate) fn take(&self, id: &HostId, address: SocketAddr, now: Timestamp) -> Option<Connection> {
+    pub(crate) fn take(
+        &self,
+        id: &HostId,
+        address: SocketAddr,
+        now: Timestamp,
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&(id.clone(), address))?;
         while let Some(connection) = connections.pop() {
@@ -77,7 +82,10 @@
     }
 
     /// Opens a connection.
-    pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, ConnectError> {
+    pub(crate) async fn connect(
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Connection, ConnectError> {
         let stream = match tokio::time::timeout(limit, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) => return Err(ConnectError::Failed(address, e)),
@@ -132,7 +140,8 @@
 pub(crate) fn idle_time(headers: &HeaderMap) -> Option<Duration> {
     let closes = headers.get_all(CONNECTION).iter().any(|v| {
         let text = v.to_str().unwrap_or_default();
-        text.split(',').any(|t| t.trim().eq_ignore_ascii_case("close"))
+        text.split(',')
+            .any(|t| t.trim().eq_ignore_ascii_case("close"))
     });
     if closes {
         return None;
@@ -142,7 +151,13 @@
     };
     let named = value.split(',').find_map(|part| {
         let (name, seconds) = part.split_once('=')?;
-        (name.trim().eq_ignore_ascii_case("timeout")).then_some(seconds)?.trim().parse::<u32>().ok()
+        (name.trim().eq_ignore_ascii_case("timeout"))
+            .then_some(seconds)?
+            .trim()
+            .parse::<u32>()
+            .ok()
     });
-    Some(named.map_or(DEFAULT_IDLE, |s| Duration::from_secs(u64::from(s)).mul_f64(IDLE_PART)))
+    Some(named.map_or(DEFAULT_IDLE, |s| {
+        Duration::from_secs(u64::from(s)).mul_f64(IDLE_PART)
+    }))
 }
--- a/crates/geranium_entry/src/relay/answer.rs
+++ b/crates/geranium_entry/src/relay/answer.rs
@@ -97,7 +97,8 @@
         let mut res = Response::new(RelayBody::whole(self.reason.word()));
         *res.status_mut() = status;
         if let Some(id) = self.request_id {
-            res.headers_mut().insert(shared.dialect.headers().request_id.clone(), id);
+            res.headers_mut()
+                .insert(shared.dialect.headers().request_id.clone(), id);
         }
         if let Some(after) = self.retry_after {
             let text = format!("{:.2}", after.as_secs_f64());
--- a/crates/geranium_entry/src/relay/attempt.rs
+++ b/crates/geranium_entry/src/relay/attempt.rs
@@ -94,7 +94,13 @@
 impl Return {
     /// Puts the connection into the pool.
     pub(super) fn put(self, pool: &Pool, now: Timestamp) {
-        pool.put(&self.host.id, self.host.address, self.sender, self.idle_for, now);
+        pool.put(
+            &self.host.id,
+            self.host.address,
+            self.sender,
+            self.idle_for,
+            now,
+        );
     }
 }
 
@@ -153,7 +159,11 @@
     written: &Cell<bool>,
 ) -> Result<Sent, AttemptError> {
     let mut req = build(job, host, last_event_id)?;
-    if let Some(connection) = job.shared.pool.take(&host.id, host.address, job.shared.now()) {
+    if let Some(connection) = job
+        .shared
+        .pool
+        .take(&host.id, host.address, job.shared.now())
+    {
         written.set(true);
         match send_once(connection, req).await {
             SendOutcome::Answered(sent) => return Ok(sent),
@@ -164,10 +174,12 @@
             SendOutcome::Failed(e) => return Err(e),
         }
     }
-    let connection = Pool::connect(host.address, CONNECT_LIMIT).await.map_err(|e| {
-        log::info!(host:% = host.id; "{e}");
-        AttemptError::NotRun("connect")
-    })?;
+    let connection = Pool::connect(host.address, CONNECT_LIMIT)
+        .await
+        .map_err(|e| {
+            log::info!(host:% = host.id; "{e}");
+            AttemptError::NotRun("connect")
+        })?;
     written.set(true);
     match send_once(connection, req).await {
         SendOutcome::Answered(sent) => Ok(sent),
@@ -208,7 +220,10 @@
     *req.uri_mut() = path.parse().map_err(|_| AttemptError::NotRun("path"))?;
     *req.headers_mut() = job.headers.clone();
     let headers = req.headers_mut();
-    headers.insert(names.deadline.clone(), HeaderValue::from(job.left().as_millis() as u64));
+    headers.insert(
+        names.deadline.clone(),
+        HeaderValue::from(job.left().as_millis() as u64),
+    );
     let id = HeaderValue::from_str(&host.id).map_err(|_| AttemptError::NotRun("host_id"))?;
     headers.insert(names.expected_host.clone(), id);
     if let Some(last) = last_event_id {
--- a/crates/geranium_entry/src/relay/body.rs
+++ b/crates/geranium_entry/src/relay/body.rs
@@ -50,7 +50,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Events(rx) => rx.poll_recv(cx).map(|item| item.map(|r| r.map(Frame::data))),
+            Self::Events(rx) => rx
+                .poll_recv(cx)
+                .map(|item| item.map(|r| r.map(Frame::data))),
         }
     }
 
@@ -60,7 +62,9 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64)),
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
             Self::Events(_) => SizeHint::default(),
         }
     }
--- a/crates/geranium_entry/src/relay/job.rs
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -17,11 +17,12 @@
     CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
+use hyper::http::request::Parts;
 use hyper::{Method, Request, Uri};
 use rand::Rng;
 
 use super::answer::{Reason, Refusal};
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, HeaderNames};
 use crate::state::Shared;
 
 /// Time for which a caller waits if it names none.
@@ -73,84 +74,93 @@
     pub(super) tried: Vec<HostId>,
     /// Backend servers that may have run it.
     pub(super) runs: u32,
+    /// Whether a backend server may have run it without an answer.
+    pub(super) may_have_run: bool,
     /// Tells requests of the same content apart from others.
-    fingerprint: u64,
+    pub(super) fingerprint: u64,
+}
+
+/// What the configuration says of a request.
+struct Resolved {
+    route: Arc<Route>,
+    service: Arc<Service>,
+    account: Option<Arc<str>>,
+    max_body: usize,
 }
 
 impl<D: Dialect> Job<D> {
     /// Reads a request, finds its route and account, and checks its limits.
-    pub(super) async fn admit(shared: &Rc<Shared<D>>, req: Request<Incoming>) -> Result<Self, Refusal> {
+    pub(super) async fn admit(
+        shared: &Rc<Shared<D>>,
+        req: Request<Incoming>,
+    ) -> Result<Self, Refusal> {
         let arrived = shared.now();
         let (head, body) = req.into_parts();
-        let names = shared.dialect.headers();
-        let request_id = head.headers.get(&names.request_id).cloned();
+        let request_id = head
+            .headers
+            .get(&shared.dialect.headers().request_id)
+            .cloned();
         let refuse = |reason: Reason| Refusal {
             reason,
             request_id: request_id.clone(),
             retry_after: (reason == Reason::NoConfiguration).then_some(RETURN_FOR_START),
             kind: "none",
         };
-        let Some(table) = shared.core.borrow().table.clone() else {
-            return Err(refuse(Reason::NoConfiguration));
-        };
-        let host = head.headers.get(HOST).and_then(|v| v.to_str().ok()).unwrap_or_default();
-        let route = table.route(host, head.uri.path());
-        let route = route.cloned().ok_or_else(|| refuse(Reason::NoRoute))?;
-        let key = head.headers.get(&names.account_key).and_then(|v| v.to_str().ok());
-        let account = key.and_then(|k| table.account(k));
-        if table.needs_key(&route) && account.is_none() {
-            return Err(refuse(Reason::UnknownKey));
+        let resolved = resolve(shared, &head).map_err(refuse)?;
+        let body = read_body(body, resolved.max_body).await.map_err(refuse)?;
+        let id = request_id
+            .clone()
+            .ok_or_else(|| refuse(Reason::Malformed))?;
+        let job = Self::new(shared, resolved, id, head, body, arrived);
+        if !job.ends_before_stop() {
+            return Err(job.refusal(Reason::Leaving));
         }
-        let id = request_id.clone().ok_or_else(|| refuse(Reason::Malformed))?;
-        let point = shared.core.borrow_mut().rng.random::<f64>();
-        let service = route.target(point).and_then(|name| table.deployment().services.get(name));
-        let service = service.cloned().ok_or_else(|| refuse(Reason::NoCapacity("no_service")))?;
+        if shared
+            .core
+            .borrow()
+            .crashes
+            .is_refused(job.fingerprint, arrived)
+        {
+            return Err(job.refusal(Reason::Crashes));
+        }
+        Ok(job)
+    }
 
+    fn new(
+        shared: &Rc<Shared<D>>,
+        resolved: Resolved,
+        request_id: HeaderValue,
+        head: Parts,
+        body: Bytes,
+        arrived: Timestamp,
+    ) -> Self {
+        let names = shared.dialect.headers();
         let stated = number(&head.headers, &names.deadline);
         let patience = stated.map_or(DEFAULT_DEADLINE, |ms| Duration::from_millis(ms as u64));
-        let deadline = arrived + patience.min(route.timeout);
-        let model = head.headers.get(&names.model).and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let model = head.headers.get(&names.model).and_then(|v| v.to_str().ok());
         let (prompt_tokens, answer_tokens) = token_counts(&head.headers, &names.token_counts);
         let estimate = number(&head.headers, &names.answer_estimate);
-        let mut headers = end_to_end(&head.headers);
-        for name in [&names.account_key, &names.account, &names.expected_host, &names.deadline, &names.priority] {
-            headers.remove(name);
-        }
-        if let Some(account) = account
-            && let Ok(value) = HeaderValue::from_str(&account.name)
-        {
-            headers.insert(names.account.clone(), value);
-        }
-        let max_body = table.deployment().limits.max_body;
-        let body = read_body(body, max_body).await.map_err(&refuse)?;
-        headers.remove(CONTENT_LENGTH);
-
         let mut job = Self {
             shared: shared.clone(),
-            route,
-            service,
-            request_id: id,
+            request_id,
+            model: model.map(str::to_owned),
+            headers: passed_headers(&head.headers, names, resolved.account.as_deref()),
             method: head.method,
             uri: head.uri,
-            headers,
             body,
-            model,
             prompt_tokens,
             arrived,
-            deadline,
+            deadline: arrived + patience.min(resolved.route.timeout),
+            route: resolved.route,
+            service: resolved.service,
             tried: Vec::new(),
             runs: 0,
+            may_have_run: false,
             fingerprint: 0,
         };
-        job.fingerprint = job.content_hash(account.map(|a| &*a.name));
+        job.fingerprint = job.content_hash(resolved.account.as_deref());
         job.note_demand(estimate.unwrap_or(answer_tokens));
-        if !job.ends_before_stop() {
-            return Err(job.refusal(Reason::Leaving));
-        }
-        if shared.core.borrow().crashes.is_refused(job.fingerprint, arrived) {
-            return Err(job.refusal(Reason::Crashes));
-        }
-        Ok(job)
+        job
     }
 
     /// Returns whether the request can end before this process does.
@@ -177,7 +187,8 @@
     fn note_demand(&self, answer_tokens: f64) {
         let now = self.arrived;
         let mut core = self.shared.core.borrow_mut();
-        core.budget(&self.service.name, &self.shared.cfg.bounds).request(now);
+        core.budget(&self.service.name, &self.shared.cfg.bounds)
+            .request(now);
         if let (Some(engine), Some(model)) = (&self.service.engine, &self.model) {
             let meter = core.demand.entry(self.service.name.clone()).or_default();
             meter.note(engine, model, self.prompt_tokens, answer_tokens, now);
@@ -198,7 +209,9 @@
             most_per_second,
             most_running,
         };
-        let choice = core.dispatcher.choose(&core.directory, &wanted, now, &mut core.rng)?;
+        let choice = core
+            .dispatcher
+            .choose(&core.directory, &wanted, now, &mut core.rng)?;
         self.tried.push(choice.host.id.clone());
         Ok(choice)
     }
@@ -209,36 +222,19 @@
         let Some(engine) = &self.service.engine else {
             return f64::MAX;
         };
-        let pace = self.model.as_deref().and_then(|m| engine.model(m)).map_or(1.0, |m| m.pace);
+        let pace = self
+            .model
+            .as_deref()
+            .and_then(|m| engine.model(m))
+            .map_or(1.0, |m| m.pace);
         engine.most_at_group(pace, self.route.objective.mul_f64(QUEUE_PART))
     }
 
-    /// Spends a retry of the shared budget if one is left.
-    pub(super) fn may_retry(&self, cause: &'static str) -> bool {
-        if self.runs >= self.route.max_attempts.max(1) {
-            return false;
-        }
-        let now = self.shared.now();
-        let mut core = self.shared.core.borrow_mut();
-        let allowed = core.budget(&self.service.name, &self.shared.cfg.bounds).try_retry(now);
-        if allowed {
-            let label = crate::metrics::CauseLabel { cause };
-            self.shared.metrics.retries.get_or_create(&label).inc();
-        }
-        allowed
-    }
-
     /// Returns the time that is left.
     pub(super) fn left(&self) -> Duration {
         self.deadline.since(self.shared.now())
     }
 
-    /// Notes that a backend server ended while it ran the request.
-    pub(super) fn note_crash(&self) {
-        let mut core = self.shared.core.borrow_mut();
-        core.crashes.note(self.fingerprint, self.shared.now());
-    }
-
     /// Makes a refusal with the time at which the caller may come back.
     pub(super) fn refusal(&self, reason: Reason) -> Refusal {
         let retry_after = match reason {
@@ -266,6 +262,53 @@
     }
 }
 
+/// Finds the route, the service and the account of a request.
+fn resolve<D: Dialect>(shared: &Shared<D>, head: &Parts) -> Result<Resolved, Reason> {
+    let names = shared.dialect.headers();
+    let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
+    let table = shared
+        .core
+        .borrow()
+        .table
+        .clone()
+        .ok_or(Reason::NoConfiguration)?;
+    let host = text(&HOST).unwrap_or_default();
+    let route = table.route(host, head.uri.path()).ok_or(Reason::NoRoute)?;
+    let account = text(&names.account_key).and_then(|k| table.account(k));
+    if table.needs_key(route) && account.is_none() {
+        return Err(Reason::UnknownKey);
+    }
+    let point = shared.core.borrow_mut().rng.random::<f64>();
+    let services = &table.deployment().services;
+    let service = route.target(point).and_then(|name| services.get(name));
+    Ok(Resolved {
+        route: route.clone(),
+        service: service.cloned().ok_or(Reason::NoCapacity("no_service"))?,
+        account: account.map(|a| a.name.clone()),
+        max_body: table.deployment().limits.max_body,
+    })
+}
+
+/// Returns the headers of a request that go on to backend servers.
+fn passed_headers(headers: &HeaderMap, names: &HeaderNames, account: Option<&str>) -> HeaderMap {
+    let mut passed = end_to_end(headers);
+    let own = [
+        &names.account_key,
+        &names.account,
+        &names.expected_host,
+        &names.deadline,
+        &names.priority,
+        &CONTENT_LENGTH,
+    ];
+    for name in own {
+        passed.remove(name);
+    }
+    if let Some(Ok(value)) = account.map(HeaderValue::from_str) {
+        passed.insert(names.account.clone(), value);
+    }
+    passed
+}
+
 async fn read_body(body: Incoming, max: usize) -> Result<Bytes, Reason> {
     let limited = Limited::new(body, max).collect();
     match tokio::time::timeout(BODY_LIMIT, limited).await {
@@ -286,9 +329,13 @@
         .collect();
     let mut kept = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
-        let hop = matches!(*name, CONNECTION | TE | TRAILER | TRANSFER_ENCODING | UPGRADE | EXPECT)
-            || matches!(name.as_str(), "keep-alive" | "proxy-connection" | "proxy-authenticate" | "proxy-authorization")
-            || named.contains(name);
+        let hop = matches!(
+            *name,
+            CONNECTION | TE | TRAILER | TRANSFER_ENCODING | UPGRADE | EXPECT
+        ) || matches!(
+            name.as_str(),
+            "keep-alive" | "proxy-connection" | "proxy-authenticate" | "proxy-authorization"
+        ) || named.contains(name);
         if !hop {
             kept.append(name.clone(), value.clone());
         }
@@ -298,11 +345,17 @@
 
 fn number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
     let text = headers.get(name)?.to_str().ok()?;
-    text.trim().parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0)
+    text.trim()
+        .parse::<f64>()
+        .ok()
+        .filter(|n| n.is_finite() && *n >= 0.0)
 }
 
 fn token_counts(headers: &HeaderMap, name: &HeaderName) -> (f64, f64) {
-    let text = headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let text = headers
+        .get(name)
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default();
     let mut parts = text.split(',').map(|p| p.trim().parse().unwrap_or(0.0));
     let prompt = parts.next().unwrap_or(0.0);
     (prompt, parts.next().unwrap_or(0.0))
--- a/crates/geranium_entry/src/relay/mod.rs
+++ b/crates/geranium_entry/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod body;
 mod job;
+mod retry;
 mod stream;
 mod whole;
 
@@ -19,14 +20,18 @@
 pub(crate) use body::RelayBody;
 
 /// Answers one request of a caller.
-pub(crate) async fn handle<D: Dialect>(shared: Rc<Shared<D>>, req: Request<Incoming>) -> Response<RelayBody> {
+pub(crate) async fn handle<D: Dialect>(
+    shared: Rc<Shared<D>>,
+    req: Request<Incoming>,
+) -> Response<RelayBody> {
     let mut res = match job::Job::admit(&shared, req).await {
         Ok(job) if job.route.kind.is_stream() => stream::run(job).await,
         Ok(job) => whole::run(job).await,
         Err(refusal) => refusal.into_response(&shared),
     };
     if *shared.phase.borrow() != Phase::Serving {
-        res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        res.headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
     }
     res
 }
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -1,28 +1,28 @@
 //! Event streams, resumed at another backend server within one answer.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use geranium_fleet::dispatch::Choice;
+use geranium_fleet::host::Host;
 use geranium_fleet::route::RouteKind;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
+use hyper::http::response::Parts;
 use tokio::sync::{Notify, mpsc};
 
-use super::answer::Reason;
 use super::attempt::{self, Answer, AttemptError, Place, Return};
 use super::body::{RelayBody, StreamCut};
 use super::job::{Job, end_to_end};
+use super::retry::SHORTEST_ATTEMPT;
 use crate::dialect::Dialect;
 use crate::sse::EventSplitter;
 use crate::state::Shared;
 
 /// Chunks of events that wait for a caller that reads slowly.
 const CHANNEL: usize = 32;
-/// Shortest time that is worth another attempt.
-const SHORTEST_ATTEMPT: Duration = Duration::from_millis(60);
 
 /// Reads whole events of one backend server.
 struct EventReader<D: Dialect> {
@@ -30,6 +30,7 @@
     body: Incoming,
     place: Place<D>,
     back: Option<Return>,
+    host: Host,
     splitter: EventSplitter,
     moved: Rc<Notify>,
     /// Events up to this id were passed on already.
@@ -47,7 +48,8 @@
 }
 
 impl<D: Dialect> EventReader<D> {
-    fn new(shared: &Rc<Shared<D>>, answer: Answer<D>, passed: Option<u64>) -> (hyper::http::response::Parts, Self) {
+    fn new(shared: &Rc<Shared<D>>, answer: Answer<D>, passed: Option<u64>) -> (Parts, Self) {
+        let host = answer.host.clone();
         let (res, place, back) = answer.into_parts();
         let (head, body) = res.into_parts();
         let moved = place.guard.moved();
@@ -56,6 +58,7 @@
             body,
             place,
             back: Some(back),
+            host,
             splitter: EventSplitter::default(),
             moved,
             passed,
@@ -113,102 +116,71 @@
 
 /// The first events of a stream, with the reader of the rest.
 struct Started<D: Dialect> {
-    head: hyper::http::response::Parts,
+    head: Parts,
     first: Option<Bytes>,
     reader: EventReader<D>,
 }
 
 /// A first piece, or an answer that is not a stream.
 enum Start<D: Dialect> {
-    Stream(Started<D>),
-    Whole(hyper::http::response::Parts, Bytes),
+    Stream(Box<Started<D>>),
+    Whole(Parts, Bytes),
 }
 
 /// Runs the attempts of a streamed request and returns the answer.
 pub(super) async fn run<D: Dialect>(mut job: Job<D>) -> Response<RelayBody> {
     let last = client_last_event(&job);
-    let mut may_have_run = false;
     loop {
         let choice = match job.choose() {
             Ok(choice) => choice,
-            Err(why) => {
-                let reason = if may_have_run { Reason::Lost } else { Reason::NoCapacity(why.word()) };
-                return job.refusal(reason).into_response(&job.shared);
-            }
+            Err(why) => return job.no_host(why.word()).into_response(&job.shared),
         };
-        let host = choice.host;
-        let error = match start(&job, &host, last).await {
+        match start(&job, &choice.host, last).await {
             Ok(Start::Stream(started)) => {
-                let took = job.shared.now().since(job.arrived);
-                log::info!(
-                    request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
-                    host:% = host.id, among = choice.among, first_ms = took.as_millis() as u64;
-                    "stream begins"
-                );
-                job.shared.metrics.first_answer.observe(took.as_secs_f64());
-                job.shared.core.borrow_mut().dispatcher.note_outcome(&host.id, true, None);
+                note_start(&job, &choice);
                 job.runs += 1;
-                return pass_on(job, started);
-            }
-            Ok(Start::Whole(head, body)) => {
-                log::info!(
-                    request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
-                    host:% = host.id, status = head.status.as_u16();
-                    "request is answered without a stream"
-                );
-                job.shared.metrics.note_end(job.kind_word(), "answered");
-                let mut res = Response::new(RelayBody::whole(body));
-                *res.status_mut() = head.status;
-                *res.headers_mut() = passed_headers(&head.headers);
-                return res;
+                return pass_on(job, *started);
             }
-            Err(e) => e,
-        };
-        log::info!(
-            request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
-            host:% = host.id, among = choice.among, cause:? = error;
-            "attempt failed"
-        );
-        let repeat = match error {
-            AttemptError::NotRun(_) => true,
-            AttemptError::MayHaveRun(cause) => {
-                job.runs += 1;
-                may_have_run = true;
-                if cause == "reset" {
-                    job.note_crash();
+            Ok(Start::Whole(head, body)) => return answer_whole(&job, &choice, &head, body),
+            Err(e) => {
+                if let Err(refusal) = job.after_failure(&choice.host, e) {
+                    return refusal.into_response(&job.shared);
                 }
-                job.route.kind.may_repeat()
-            }
-            AttemptError::Silent => {
-                may_have_run = true;
-                job.route.kind.may_repeat()
-            }
-            AttemptError::Deadline => {
-                may_have_run = true;
-                false
-            }
-        };
-        if !matches!(error, AttemptError::Deadline) {
-            let now = job.shared.now();
-            let mut core = job.shared.core.borrow_mut();
-            core.dispatcher.note_outcome(&host.id, false, None);
-            if error == AttemptError::NotRun("connect") {
-                core.dispatcher.suspect(&host.id, now);
             }
         }
-        let enough_time = job.left() > SHORTEST_ATTEMPT;
-        if !(repeat && enough_time && job.may_retry(error.word())) {
-            let reason = match error {
-                AttemptError::Deadline => Reason::Late,
-                _ if may_have_run => Reason::Lost,
-                AttemptError::NotRun(cause) => Reason::NoCapacity(cause),
-                _ => Reason::Lost,
-            };
-            return job.refusal(reason).into_response(&job.shared);
-        }
     }
 }
 
+fn note_start<D: Dialect>(job: &Job<D>, choice: &Choice) {
+    let took = job.shared.now().since(job.arrived);
+    log::info!(
+        request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
+        host:% = choice.host.id, among = choice.among, first_ms = took.as_millis() as u64;
+        "stream begins"
+    );
+    job.shared.metrics.first_answer.observe(took.as_secs_f64());
+    let mut core = job.shared.core.borrow_mut();
+    core.dispatcher.note_outcome(&choice.host.id, true, None);
+}
+
+fn answer_whole<D: Dialect>(
+    job: &Job<D>,
+    choice: &Choice,
+    head: &Parts,
+    body: Bytes,
+) -> Response<RelayBody> {
+    log::info!(
+        request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
+        host:% = choice.host.id, status = head.status.as_u16();
+        "request is answered without a stream"
+    );
+    job.shared.metrics.note_end(job.kind_word(), "answered");
+    let mut res = Response::new(RelayBody::whole(body));
+    *res.status_mut() = head.status;
+    *res.headers_mut() = passed_headers(&head.headers);
+    res
+}
+
 fn client_last_event<D: Dialect>(job: &Job<D>) -> Option<u64> {
     let name = &job.shared.dialect.headers().last_event_id;
     job.headers.get(name)?.to_str().ok()?.trim().parse().ok()
@@ -217,7 +189,7 @@
 /// Sends the request and waits for the first event.
 async fn start<D: Dialect>(
     job: &Job<D>,
-    host: &geranium_fleet::host::Host,
+    host: &Host,
     last: Option<u64>,
 ) -> Result<Start<D>, AttemptError> {
     let answer = attempt::send(job, host, last).await?;
@@ -237,12 +209,16 @@
         Piece::End => None,
         Piece::Cut(cause) => return Err(AttemptError::MayHaveRun(cause)),
     };
-    Ok(Start::Stream(Started { head, first, reader }))
+    Ok(Start::Stream(Box::new(Started {
+        head,
+        first,
+        reader,
+    })))
 }
 
 async fn read_whole<D: Dialect>(
     job: &Job<D>,
-    head: hyper::http::response::Parts,
+    head: Parts,
     mut reader: EventReader<D>,
 ) -> Result<Start<D>, AttemptError> {
     let collected = (&mut reader.body).collect();
@@ -306,7 +282,10 @@
             took_ms = self.job.shared.now().since(self.job.arrived).as_millis() as u64;
             "stream ended"
         );
-        self.job.shared.metrics.note_end(self.job.kind_word(), outcome);
+        self.job
+            .shared
+            .metrics
+            .note_end(self.job.kind_word(), outcome);
     }
 
     async fn pass(&mut self) -> &'static str {
@@ -330,10 +309,14 @@
                         return "caller_left";
                     }
                 }
-                Piece::End => return "answered",
+                Piece::End => {
+                    let mut core = self.job.shared.core.borrow_mut();
+                    core.crashes.answered(self.job.fingerprint);
+                    return "answered";
+                }
                 Piece::Cut(cause) => {
                     if cause == "reset" {
-                        self.job.note_crash();
+                        self.job.note_broken_off(&self.reader.host);
                     }
                     if !self.resume(cause).await {
                         return self.cut(StreamCut::Lost).await;
@@ -364,7 +347,12 @@
                 return false;
             };
             if !self.job.may_retry(cause) {
-                self.job.shared.core.borrow_mut().dispatcher.done(&choice.host.id);
+                self.job
+                    .shared
+                    .core
+                    .borrow_mut()
+                    .dispatcher
+                    .done(&choice.host.id);
                 return false;
             }
             let sending = attempt::send(&self.job, &choice.host, last);
--- a/crates/geranium_entry/src/running.rs
+++ b/crates/geranium_entry/src/running.rs
@@ -33,7 +33,12 @@
             waiting: waiting.clone().count(),
             waiting_tokens: waiting.map(|a| a.prompt_tokens).sum(),
             last_heard: self.last_heard,
-            oldest_sent: self.attempts.values().map(|a| a.sent).min().unwrap_or_default(),
+            oldest_sent: self
+                .attempts
+                .values()
+                .map(|a| a.sent)
+                .min()
+                .unwrap_or_default(),
         }
     }
 
@@ -52,7 +57,12 @@
 
 impl Running {
     /// Notes an attempt; it ends when the returned guard is dropped.
-    pub(crate) fn start(self: &Rc<Self>, host: &HostId, prompt_tokens: f64, now: Timestamp) -> AttemptGuard {
+    pub(crate) fn start(
+        self: &Rc<Self>,
+        host: &HostId,
+        prompt_tokens: f64,
+        now: Timestamp,
+    ) -> AttemptGuard {
         let number = self.next.get();
         self.next.set(number + 1);
         let mut hosts = self.hosts.borrow_mut();
--- a/crates/geranium_entry/src/server.rs
+++ b/crates/geranium_entry/src/server.rs
@@ -53,7 +53,9 @@
     let (idle, max_head) = {
         let core = shared.core.borrow();
         let limits = core.table.as_ref().map(|t| t.deployment().limits);
-        limits.map_or((FIRST_IDLE, DEFAULT_MAX_HEAD), |l| (l.idle_timeout.max(l.head_timeout), l.max_head))
+        limits.map_or((FIRST_IDLE, DEFAULT_MAX_HEAD), |l| {
+            (l.idle_timeout.max(l.head_timeout), l.max_head)
+        })
     };
     let mut phase = shared.phase.subscribe();
     let service = service_fn(|req| {
@@ -66,25 +68,15 @@
         .max_buf_size(max_head.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    loop {
-        tokio::select! {
-            ended = connection.as_mut() => {
-                if let Err(e) = ended {
-                    log::debug!(remote:% = remote; "connection of a caller ended: {e}");
-                }
-                return;
-            }
-            closing = phase.wait_for(|p| *p == Phase::Closing) => {
-                if closing.is_err() {
-                    return;
-                }
-            }
-        }
-        connection.as_mut().graceful_shutdown();
-        if let Err(e) = connection.as_mut().await {
-            log::debug!(remote:% = remote; "connection of a caller ended: {e}");
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = phase.wait_for(|p| *p == Phase::Closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
         }
-        return;
+    };
+    if let Err(e) = ended {
+        log::debug!(remote:% = remote; "connection of a caller ended: {e}");
     }
 }
 
@@ -101,7 +93,11 @@
     let handler = move |_: viz::Request| {
         let ready = ready.load(Ordering::Relaxed);
         async move {
-            let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            let status = if ready {
+                StatusCode::OK
+            } else {
+                StatusCode::SERVICE_UNAVAILABLE
+            };
             Ok::<_, viz::Error>(status.into_response())
         }
     };
@@ -116,7 +112,10 @@
 /// # Errors
 ///
 /// Returns an error if the address cannot be listened on.
-pub(crate) async fn run_metrics(address: SocketAddr, registry: Arc<Registry>) -> Result<(), ServerError> {
+pub(crate) async fn run_metrics(
+    address: SocketAddr,
+    registry: Arc<Registry>,
+) -> Result<(), ServerError> {
     let handler = move |_: viz::Request| {
         let text = metrics::render(&registry);
         async move { Ok::<_, viz::Error>(text.into_response()) }
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -18,7 +18,7 @@
 use geranium_telemetry::ProcessClock;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
@@ -98,7 +98,11 @@
 
     /// Returns how many requests this entry host may send to one backend server of
     /// a service in a second.
-    pub(crate) fn most_per_second(&self, service: &Service, bounds: &SharedBounds) -> Option<usize> {
+    pub(crate) fn most_per_second(
+        &self,
+        service: &Service,
+        bounds: &SharedBounds,
+    ) -> Option<usize> {
         (service.cold_rate > 0.0).then(|| {
             let bound = service.cold_rate * bounds.cold_factor + bounds.cold_slack;
             part_of(bound, self.sharers()).max(1)
@@ -130,6 +134,8 @@
     pub(crate) phase: watch::Sender<Phase>,
     /// Whether the balancer may send callers here.
     pub(crate) ready: Arc<AtomicBool>,
+    /// Requests that crashed a backend server, for the other entry hosts.
+    pub(crate) crashed: mpsc::UnboundedSender<u64>,
     /// Whether this process is the manager.
     pub(crate) is_manager: Cell<bool>,
     /// When the process ends, once it was asked to stop.
@@ -138,7 +144,7 @@
 
 impl<D: Dialect> Shared<D> {
     /// Makes the state of a process that knows nothing yet.
-    pub(crate) fn new(cfg: EntrySettings, dialect: D) -> Self {
+    pub(crate) fn new(cfg: EntrySettings, dialect: D, crashed: mpsc::UnboundedSender<u64>) -> Self {
         let dispatcher = Dispatcher::new(cfg.failure_domain.clone());
         let core = Core {
             table: None,
@@ -165,6 +171,7 @@
             suspects: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
             ready: Arc::default(),
+            crashed,
             is_manager: Cell::new(false),
             stops_at: Cell::new(None),
         }
@@ -175,6 +182,19 @@
         self.clock.now()
     }
 
+    /// Notes that a life of a backend server has ended, and tells the others of the
+    /// requests that crashed it.
+    pub(crate) fn note_host_ended(&self, id: &str, born: u64) {
+        let now = self.now();
+        let crashed = self.core.borrow_mut().crashes.host_ended(id, born, now);
+        for fingerprint in crashed {
+            log::info!(host:% = id, fingerprint:% = format_args!("{fingerprint:x}"); "request was at a backend server that crashed");
+            if self.crashed.send(fingerprint).is_err() {
+                log::error!("crash notes are not written any more");
+            }
+        }
+    }
+
     /// Brings the answer to the balancer up to date.
     pub(crate) fn update_ready(&self) {
         let core = self.core.borrow();
--- a/crates/geranium_entry/src/watchdog.rs
+++ b/crates/geranium_entry/src/watchdog.rs
@@ -63,7 +63,12 @@
             work.move_away();
         }
     });
-    let manager = shared.core.borrow().manager.as_ref().map(|(_, address)| *address);
+    let manager = shared
+        .core
+        .borrow()
+        .manager
+        .as_ref()
+        .map(|(_, address)| *address);
     if let Some(address) = manager.filter(|_| !shared.is_manager.get()) {
         peers.send_suspect(address, head);
     }
--- a/crates/geranium_fleet/src/crash.rs
+++ b/crates/geranium_fleet/src/crash.rs
@@ -5,10 +5,15 @@
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 
+use crate::host::HostId;
+
 /// Crashes at all entry hosts together after which a request is refused.
 const CRASHES_TO_REFUSE: u32 = 3;
 /// Time for which a crash is remembered.
 const MEMORY: Duration = Duration::from_secs(600);
+/// Time within which a backend server must be seen to have ended after it broke
+/// off a request; a backend server that lives on has not crashed.
+const CONFIRMATION: Duration = Duration::from_secs(6);
 /// Requests remembered at most.
 const MAX_ENTRIES: usize = 4_096;
 
@@ -18,15 +23,64 @@
     last: Timestamp,
 }
 
+#[derive(Clone, Debug)]
+struct Suspicion {
+    host: HostId,
+    born: u64,
+    fingerprint: u64,
+    at: Timestamp,
+}
+
 /// Counts the crashes of each request, told apart by its fingerprint.
+///
+/// # Examples
+///
+/// ```
+/// use geranium_core::time::Timestamp;
+/// use geranium_fleet::crash::CrashLedger;
+///
+/// let mut ledger = CrashLedger::default();
+/// let now = Timestamp::from_millis(1_000);
+/// ledger.broke_off(&"h1".into(), 7, 99, now);
+/// assert_eq!(ledger.host_ended("h1", 7, now), vec![99]);
+/// assert!(!ledger.is_refused(99, now));
+/// ```
 #[derive(Debug, Default)]
 pub struct CrashLedger {
     entries: HashMap<u64, Entry>,
+    suspicions: Vec<Suspicion>,
 }
 
 impl CrashLedger {
-    /// Notes that a backend server ended while it ran a request.
-    pub fn note(&mut self, fingerprint: u64, now: Timestamp) -> u32 {
+    /// Notes that a backend server broke off while it ran a request.
+    pub fn broke_off(&mut self, host: &HostId, born: u64, fingerprint: u64, now: Timestamp) {
+        self.suspicions.retain(|s| now.since(s.at) < CONFIRMATION);
+        if self.suspicions.len() < MAX_ENTRIES {
+            self.suspicions.push(Suspicion {
+                host: host.clone(),
+                born,
+                fingerprint,
+                at: now,
+            });
+        }
+    }
+
+    /// Notes that a life of a backend server has ended; returns the requests that it
+    /// broke off shortly before, each of which has now crashed it.
+    pub fn host_ended(&mut self, host: &str, born: u64, now: Timestamp) -> Vec<u64> {
+        let ended = |s: &Suspicion| *s.host == *host && s.born == born;
+        let recent = |s: &Suspicion| now.since(s.at) < CONFIRMATION;
+        let charged = self.suspicions.iter().filter(|s| ended(s) && recent(s));
+        let charged: Vec<u64> = charged.map(|s| s.fingerprint).collect();
+        self.suspicions.retain(|s| !ended(s));
+        for fingerprint in &charged {
+            self.note(*fingerprint, now);
+        }
+        charged
+    }
+
+    /// Notes a crash by a request, here or at another entry host.
+    pub fn note(&mut self, fingerprint: u64, now: Timestamp) {
         if self.entries.len() >= MAX_ENTRIES {
             self.entries.retain(|_, e| now.since(e.last) < MEMORY / 2);
         }
@@ -36,7 +90,11 @@
         });
         entry.crashes += 1;
         entry.last = now;
-        entry.crashes
+    }
+
+    /// Notes that a request was answered, so that it was only near the crashes.
+    pub fn answered(&mut self, fingerprint: u64) {
+        self.entries.remove(&fingerprint);
     }
 
     /// Returns whether a request must not run again.
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -130,7 +130,9 @@
         // A suspected backend server is a candidate only where there is no other.
         let sound = self.pick(directory, wanted, false, now, rng);
         let picked = match sound {
-            Err(NoHost::None | NoHost::AllTried) => self.pick(directory, wanted, true, now, rng).or(sound),
+            Err(NoHost::None | NoHost::AllTried) => {
+                self.pick(directory, wanted, true, now, rng).or(sound)
+            }
             sound => sound,
         };
         let (host, among) = picked?;
@@ -167,7 +169,10 @@
             if (now < seen.suspected_until) != suspected {
                 continue;
             }
-            if wanted.most_per_second.is_some_and(|m| seen.cold.used(now) >= m) {
+            if wanted
+                .most_per_second
+                .is_some_and(|m| seen.cold.used(now) >= m)
+            {
                 reason = rank(reason, NoHost::AtBound);
                 continue;
             }
@@ -214,7 +219,11 @@
         seen.failures += (failure - seen.failures) * SAMPLE_WEIGHT;
         if let Some(took) = took {
             let ms = took.as_secs_f64() * 1_000.0;
-            let weight = if seen.mean_ms == 0.0 { 1.0 } else { SAMPLE_WEIGHT };
+            let weight = if seen.mean_ms == 0.0 {
+                1.0
+            } else {
+                SAMPLE_WEIGHT
+            };
             seen.mean_ms += (ms - seen.mean_ms) * weight;
         }
     }
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -128,12 +128,17 @@
             self.tend(view, directory, profile, now, &mut orders);
         }
         if !self.is_settling(&views, now) {
-            let mut formation = self.formation((&hosts, directory), &views, profile, shares, traffic, now);
+            let mut formation =
+                self.formation((&hosts, directory), &views, profile, shares, traffic, now);
             self.reclaim(&hosts, &views, directory, &formation, &mut orders);
             self.form(&hosts, directory, &mut formation, &mut orders);
             self.stage(&hosts, directory, &mut formation, &mut orders);
         }
-        orders.retain(|o| directory.get(&o.host).is_some_and(|h| h.orders_begun.is_some()));
+        orders.retain(|o| {
+            directory
+                .get(&o.host)
+                .is_some_and(|h| h.orders_begun.is_some())
+        });
         for order in &orders {
             let held = Held {
                 born: order.born,
@@ -149,7 +154,9 @@
     pub fn note_answer(&mut self, order: &HostOrder, answer: OrderAnswer, now: Timestamp) {
         if let Some(held) = self.held.get_mut(&order.host) {
             match answer {
-                OrderAnswer::Begun | OrderAnswer::Done | OrderAnswer::Unknown => held.until = now + ORDER_HOLD,
+                OrderAnswer::Begun | OrderAnswer::Done | OrderAnswer::Unknown => {
+                    held.until = now + ORDER_HOLD;
+                }
                 OrderAnswer::Conflict => held.until = now + CONFLICT_HOLD,
                 _ => held.until = now,
             }
@@ -201,7 +208,11 @@
         let Some(membership) = directory.get(head).and_then(|h| h.membership.as_ref()) else {
             return directory.get(head).into_iter().collect();
         };
-        let same = |h: &&Host| h.membership.as_ref().is_some_and(|m| m.group == membership.group);
+        let same = |h: &&Host| {
+            h.membership
+                .as_ref()
+                .is_some_and(|m| m.group == membership.group)
+        };
         directory.hosts().filter(same).collect()
     }
 
@@ -210,7 +221,10 @@
     pub fn stranded(&self, directory: &Directory, service: &str) -> usize {
         let idle = |h: &&Host| {
             *h.service == *service
-                && !h.membership.as_ref().is_some_and(|m| m.state != GroupState::Broken)
+                && !h
+                    .membership
+                    .as_ref()
+                    .is_some_and(|m| m.state != GroupState::Broken)
         };
         directory.hosts().filter(idle).count()
     }
@@ -265,7 +279,10 @@
             self.tend_complete(view, head, orders);
             return;
         }
-        let drains = view.members.values().any(|h| h.state == HostState::Draining);
+        let drains = view
+            .members
+            .values()
+            .any(|h| h.state == HostState::Draining);
         let lost = !complete || view.members.values().any(|h| self.is_dead(h, now));
         if drains && !lost && head_state == Some(GroupState::Open) {
             orders.push(order_to(head, view.close()));
@@ -282,15 +299,18 @@
     }
 
     /// Opens a group whose members have all reported to be ready.
-    fn tend_complete(
-        &mut self,
-        view: &GroupView<'_>,
-        head: &Host,
-        orders: &mut Vec<HostOrder>,
-    ) {
+    fn tend_complete(&mut self, view: &GroupView<'_>, head: &Host, orders: &mut Vec<HostOrder>) {
         let states = view.members.values().filter_map(|h| h.membership.as_ref());
-        if self.reclaims.values().any(|r| r.groups.contains(&view.group)) {
-            if head.membership.as_ref().is_some_and(|m| m.state == GroupState::Ready) {
+        if self
+            .reclaims
+            .values()
+            .any(|r| r.groups.contains(&view.group))
+        {
+            if head
+                .membership
+                .as_ref()
+                .is_some_and(|m| m.state == GroupState::Ready)
+            {
                 orders.push(order_to(head, view.leave()));
             }
             return;
@@ -335,7 +355,10 @@
             let Some(host) = directory.get(id).filter(|h| h.born == *born) else {
                 continue;
             };
-            let joined = host.membership.as_ref().is_some_and(|m| m.group == view.group);
+            let joined = host
+                .membership
+                .as_ref()
+                .is_some_and(|m| m.group == view.group);
             if joined || self.is_held(host, now) || !self.is_alive(host, now) {
                 continue;
             }
--- a/crates/geranium_fleet/src/planner/formation.rs
+++ b/crates/geranium_fleet/src/planner/formation.rs
@@ -76,7 +76,9 @@
 
     /// Returns how many hosts join a model's group without a load.
     pub(super) fn quick(&self, free: &[&Host], model: &ModelProfile) -> usize {
-        free.iter().filter(|h| self.readiness(h, model) < LOADS).count()
+        free.iter()
+            .filter(|h| self.readiness(h, model) < LOADS)
+            .count()
     }
 
     /// Returns how soon a host can serve a model: lower is sooner.
@@ -102,7 +104,11 @@
     ) -> Formation<'a> {
         // Hosts of a failure domain that is out of service do no work for any model.
         let in_service = |h: &&&Host| !directory.is_domain_out(&h.failure_domain);
-        let alive = hosts.iter().filter(in_service).filter(|h| self.is_alive(h, now)).count() as f64;
+        let alive = hosts
+            .iter()
+            .filter(in_service)
+            .filter(|h| self.is_alive(h, now))
+            .count() as f64;
         let targets: Vec<f64> = shares.iter().map(|s| s * alive).collect();
         let mut formation = Formation {
             lacks: targets.clone(),
@@ -128,10 +134,18 @@
     }
 
     /// Returns the place of a group's model in the profile.
-    pub(super) fn model_index(&self, view: &GroupView<'_>, formation: &Formation<'_>) -> Option<usize> {
+    pub(super) fn model_index(
+        &self,
+        view: &GroupView<'_>,
+        formation: &Formation<'_>,
+    ) -> Option<usize> {
         let formed = self.formed.get(&view.group).map(|f| &f.model);
         let model = formed.or_else(|| view.model())?;
-        formation.profile.models.iter().position(|p| p.name == *model)
+        formation
+            .profile
+            .models
+            .iter()
+            .position(|p| p.name == *model)
     }
 
     /// Takes the members of one group from the free hosts and orders them to join.
@@ -161,8 +175,16 @@
 }
 
 /// Returns the model that lacks most groups among those that fit.
-pub(super) fn best_model(formation: &Formation<'_>, fits: impl Fn(&ModelProfile) -> bool) -> Option<usize> {
-    let candidates = formation.profile.models.iter().enumerate().filter(|(_, m)| fits(m));
+pub(super) fn best_model(
+    formation: &Formation<'_>,
+    fits: impl Fn(&ModelProfile) -> bool,
+) -> Option<usize> {
+    let candidates = formation
+        .profile
+        .models
+        .iter()
+        .enumerate()
+        .filter(|(_, m)| fits(m));
     let by_groups = candidates.map(|(i, m)| (i, formation.lacks[i] / m.size as f64));
     by_groups.max_by(|a, b| a.1.total_cmp(&b.1)).map(|(i, _)| i)
 }
--- a/crates/geranium_fleet/src/planner/memory.rs
+++ b/crates/geranium_fleet/src/planner/memory.rs
@@ -112,7 +112,11 @@
         if host.orders_begun.is_none() {
             self.stale.entry(host.id.clone()).or_insert(now);
         }
-        if self.staging.get(&host.id).is_some_and(|s| s.born != host.born || host.has_staged(&s.model)) {
+        if self
+            .staging
+            .get(&host.id)
+            .is_some_and(|s| s.born != host.born || host.has_staged(&s.model))
+        {
             self.staging.remove(&host.id);
         }
         let known = self.last_groups.get(&host.id);
@@ -144,7 +148,12 @@
     }
 
     /// Returns the model that a host is loading beside its work.
-    pub(super) fn staging_model(&self, host: &Host, profile: &EngineProfile, now: Timestamp) -> Option<&Arc<str>> {
+    pub(super) fn staging_model(
+        &self,
+        host: &Host,
+        profile: &EngineProfile,
+        now: Timestamp,
+    ) -> Option<&Arc<str>> {
         let staging = self.staging.get(&host.id).filter(|s| s.born == host.born)?;
         let limit = profile.model(&staging.model)?.load_time * STAGING_FACTOR;
         (now.since(staging.at) <= limit).then_some(&staging.model)
--- a/crates/geranium_fleet/src/planner/reclaim.rs
+++ b/crates/geranium_fleet/src/planner/reclaim.rs
@@ -61,18 +61,26 @@
         let model = &formation.profile.models[wanted];
         let mut best: Option<Candidate> = None;
         for (domain, members) in by_domain(hosts) {
-            let out = members.iter().any(|h| directory.is_domain_out(&h.failure_domain));
+            let out = members
+                .iter()
+                .any(|h| directory.is_domain_out(&h.failure_domain));
             if out || self.reclaims.contains_key(domain) {
                 continue;
             }
-            let free: Vec<&Host> = members.iter().copied().filter(|h| self.is_free(h, directory, now)).collect();
+            let free: Vec<&Host> = members
+                .iter()
+                .copied()
+                .filter(|h| self.is_free(h, directory, now))
+                .collect();
             let missing = model.size.saturating_sub(self.quick(&free, model));
             if missing == 0 {
                 continue;
             }
             let found = self.givers(domain, views, missing, model, relative_lack, formation);
             if let Some(found) = found
-                && best.as_ref().is_none_or(|b| found.hosts_taken < b.hosts_taken)
+                && best
+                    .as_ref()
+                    .is_none_or(|b| found.hosts_taken < b.hosts_taken)
             {
                 best = Some(found);
             }
@@ -127,19 +135,31 @@
             if found >= missing {
                 break;
             }
-            let Some(head) = view.head().filter(|h| h.fabric_domain.as_ref() == Some(domain)) else {
+            let Some(head) = view
+                .head()
+                .filter(|h| h.fabric_domain.as_ref() == Some(domain))
+            else {
                 continue;
             };
-            let open = head.membership.as_ref().is_some_and(|m| m.state == GroupState::Open);
+            let open = head
+                .membership
+                .as_ref()
+                .is_some_and(|m| m.state == GroupState::Open);
             let giver = self.model_index(view, formation);
-            let Some(giver) = giver.filter(|g| open && formation.profile.models[*g].name != model.name) else {
+            let Some(giver) =
+                giver.filter(|g| open && formation.profile.models[*g].name != model.name)
+            else {
                 continue;
             };
             let size = view.members.len() as f64;
             if formation.relative_lack(giver, taken[giver] + size) >= relative_lack {
                 continue;
             }
-            let useful = view.members.values().filter(|h| self.readiness(h, model) < LOADS).count();
+            let useful = view
+                .members
+                .values()
+                .filter(|h| self.readiness(h, model) < LOADS)
+                .count();
             if useful == 0 || self.is_held(head, formation.now) {
                 continue;
             }
--- a/crates/geranium_fleet/src/planner/staging.rs
+++ b/crates/geranium_fleet/src/planner/staging.rs
@@ -33,7 +33,13 @@
         };
         let models = formation.profile.models.iter().enumerate();
         let missing: Vec<usize> = models.map(|(i, m)| missing(i, m)).collect();
-        let index = |m: &ModelProfile| formation.profile.models.iter().position(|p| p.name == m.name);
+        let index = |m: &ModelProfile| {
+            formation
+                .profile
+                .models
+                .iter()
+                .position(|p| p.name == m.name)
+        };
         let completes = |m: &ModelProfile| index(m).is_some_and(|i| missing[i] <= undecided);
         let fewest = || (0..missing.len()).min_by_key(|i| missing[*i]);
         let chosen = best_model(formation, completes).or_else(fewest)?;
@@ -63,7 +69,9 @@
         for host in hosts.iter().copied() {
             if self.staging_model(host, formation.profile, now).is_some() {
                 under_way += 1;
-            } else if self.wants_weights(host, formation) && !orders.iter().any(|o| o.host == host.id) {
+            } else if self.wants_weights(host, formation)
+                && !orders.iter().any(|o| o.host == host.id)
+            {
                 wanting.push((self.urgency(host, directory), host));
             }
         }
@@ -75,7 +83,11 @@
             }
             let last = self.last_model(host).cloned();
             let other = |m: &ModelProfile| Some(&m.name) != last.as_ref();
-            let first = if last.is_none() { newcomers.choose(host, formation) } else { None };
+            let first = if last.is_none() {
+                newcomers.choose(host, formation)
+            } else {
+                None
+            };
             let Some(i) = first.or_else(|| best_model(formation, other)) else {
                 continue;
             };
@@ -108,7 +120,12 @@
     }
 
     /// Counts the hosts without a group that could make up groups with newcomers.
-    fn newcomers(&self, hosts: &[&Host], wanting: &[(u8, &Host)], formation: &Formation<'_>) -> Newcomers {
+    fn newcomers(
+        &self,
+        hosts: &[&Host],
+        wanting: &[(u8, &Host)],
+        formation: &Formation<'_>,
+    ) -> Newcomers {
         let mut newcomers = Newcomers::default();
         let is_new = |h: &Host| self.last_model(h).is_none();
         for (_, host) in wanting.iter().filter(|(_, h)| is_new(h)) {
@@ -116,7 +133,10 @@
                 *newcomers.undecided.entry(domain.clone()).or_default() += 1;
             }
         }
-        for host in hosts.iter().filter(|h| h.membership.is_none() && self.is_alive(h, formation.now)) {
+        for host in hosts
+            .iter()
+            .filter(|h| h.membership.is_none() && self.is_alive(h, formation.now))
+        {
             let Some(domain) = &host.fabric_domain else {
                 continue;
             };
@@ -134,7 +154,10 @@
     fn wants_weights(&self, host: &Host, formation: &Formation<'_>) -> bool {
         let now = formation.now;
         let state = host.membership.as_ref().map(|m| m.state);
-        if state == Some(GroupState::Joining) || !self.is_alive(host, now) || self.is_held(host, now) {
+        if state == Some(GroupState::Joining)
+            || !self.is_alive(host, now)
+            || self.is_held(host, now)
+        {
             return false;
         }
         let last = self.last_model(host);
--- a/crates/geranium_fleet/src/planner/view.rs
+++ b/crates/geranium_fleet/src/planner/view.rs
@@ -29,7 +29,10 @@
             let state = h.membership.as_ref().map(|m| m.state);
             state != Some(GroupState::Joining)
         };
-        self.members.values().find(done).and_then(|h| h.model.as_ref())
+        self.members
+            .values()
+            .find(done)
+            .and_then(|h| h.model.as_ref())
     }
 
     /// Returns the order to leave the group.
--- a/crates/geranium_fleet/src/shared_rate.rs
+++ b/crates/geranium_fleet/src/shared_rate.rs
@@ -47,7 +47,11 @@
 
     /// Returns how many were taken in the window that ends now.
     pub fn used(&mut self, now: Timestamp) -> usize {
-        while self.taken.front().is_some_and(|t| now.since(*t) > self.window) {
+        while self
+            .taken
+            .front()
+            .is_some_and(|t| now.since(*t) > self.window)
+        {
             self.taken.pop_front();
         }
         self.taken.len()
--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -109,6 +109,10 @@
     rig.add_host("new-2", "fabric-0");
     rig.run(Duration::from_secs(18), true);
 
-    let staged = |id: &str| rig.hosts.get(id).is_some_and(|_| rig.directory.get(id).is_some_and(|h| !h.staged.is_empty()));
+    let staged = |id: &str| {
+        rig.hosts
+            .get(id)
+            .is_some_and(|_| rig.directory.get(id).is_some_and(|h| !h.staged.is_empty()))
+    };
     assert!(staged("new-1") && staged("new-2"));
 }
--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -37,7 +37,11 @@
     for seed in 0..60 {
         let rig = random_day(seed, 0.0);
 
-        assert!(rig.violations.is_empty(), "seed {seed}: {:?}", rig.violations);
+        assert!(
+            rig.violations.is_empty(),
+            "seed {seed}: {:?}",
+            rig.violations
+        );
     }
 }
 
@@ -46,6 +50,10 @@
     for seed in 0..60 {
         let rig = random_day(seed, 0.35);
 
-        assert!(rig.violations.is_empty(), "seed {seed}: {:?}", rig.violations);
+        assert!(
+            rig.violations.is_empty(),
+            "seed {seed}: {:?}",
+            rig.violations
+        );
     }
 }
--- a/crates/geranium_fleet/tests/rig/mod.rs
+++ b/crates/geranium_fleet/tests/rig/mod.rs
@@ -216,18 +216,30 @@
     pub fn open_groups(&self, model: &str) -> usize {
         let open = self.hosts.values().filter(|s| {
             let joined = s.joined.as_ref();
-            s.alive && joined.is_some_and(|j| j.state == GroupState::Open && *j.model == *model && j.members[0] == s.host.id)
+            s.alive
+                && joined.is_some_and(|j| {
+                    j.state == GroupState::Open && *j.model == *model && j.members[0] == s.host.id
+                })
         });
-        open.filter(|s| s.joined.as_ref().is_some_and(|j| j.stands_since.is_none())).count()
+        open.filter(|s| s.joined.as_ref().is_some_and(|j| j.stands_since.is_none()))
+            .count()
     }
 
     fn plan(&mut self, traffic: bool) {
-        let orders = self.planner.plan(&self.directory, SERVICE, &self.profile, &self.shares, traffic, self.now);
+        let orders = self.planner.plan(
+            &self.directory,
+            SERVICE,
+            &self.profile,
+            &self.shares,
+            traffic,
+            self.now,
+        );
         for order in orders {
             self.orders += 1;
             let answer = self.send(order.clone());
             if matches!(answer, OrderAnswer::Begun | OrderAnswer::Done) {
-                self.directory.note_orders(&order.host, order.born, order.expected_count + 1);
+                self.directory
+                    .note_orders(&order.host, order.born, order.expected_count + 1);
             }
             self.planner.note_answer(&order, answer, self.now);
         }
@@ -257,7 +269,9 @@
 
     fn carry_out_late(&mut self) {
         let now = self.now;
-        let (due, later): (Vec<Late>, Vec<Late>) = std::mem::take(&mut self.late).into_iter().partition(|l| l.at <= now);
+        let (due, later): (Vec<Late>, Vec<Late>) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|l| l.at <= now);
         self.late = later;
         for late in due {
             self.execute(&late.order);
@@ -274,7 +288,12 @@
             return OrderAnswer::Conflict;
         }
         match &order.kind {
-            OrderKind::Join { group, epoch, model, members } => {
+            OrderKind::Join {
+                group,
+                epoch,
+                model,
+                members,
+            } => {
                 if *epoch < sim.max_epoch {
                     return OrderAnswer::Outdated;
                 }
@@ -283,7 +302,9 @@
                 OrderAnswer::Begun
             }
             OrderKind::Open { group, epoch } => {
-                let fits = sim.joined.as_ref().is_some_and(|j| j.group == *group && j.epoch == *epoch && j.state == GroupState::Ready);
+                let fits = sim.joined.as_ref().is_some_and(|j| {
+                    j.group == *group && j.epoch == *epoch && j.state == GroupState::Ready
+                });
                 if !fits {
                     return OrderAnswer::Conflict;
                 }
@@ -292,7 +313,9 @@
                 OrderAnswer::Begun
             }
             OrderKind::Close { group, epoch } => {
-                let fits = sim.joined.as_ref().is_some_and(|j| j.group == *group && j.epoch == *epoch && j.state == GroupState::Open);
+                let fits = sim.joined.as_ref().is_some_and(|j| {
+                    j.group == *group && j.epoch == *epoch && j.state == GroupState::Open
+                });
                 if !fits {
                     return OrderAnswer::Conflict;
                 }
@@ -300,7 +323,11 @@
                 OrderAnswer::Begun
             }
             OrderKind::Leave { group, epoch } => {
-                if !sim.joined.as_ref().is_some_and(|j| j.group == *group && j.epoch == *epoch) {
+                if !sim
+                    .joined
+                    .as_ref()
+                    .is_some_and(|j| j.group == *group && j.epoch == *epoch)
+                {
                     return OrderAnswer::Conflict;
                 }
                 if let Some(sim) = self.hosts.get_mut(&order.host) {
@@ -310,7 +337,10 @@
                 OrderAnswer::Done
             }
             OrderKind::Stage { model } => {
-                let load = self.profile.model(model).map_or(Duration::ZERO, |m| m.load_time);
+                let load = self
+                    .profile
+                    .model(model)
+                    .map_or(Duration::ZERO, |m| m.load_time);
                 if let Some(sim) = self.hosts.get_mut(&order.host) {
                     sim.staging = Some((model.clone(), now + load));
                     sim.orders += 1;
@@ -327,7 +357,14 @@
         }
     }
 
-    fn join(&mut self, id: &HostId, group: &Arc<str>, epoch: u64, model: &Arc<str>, members: &[HostId]) {
+    fn join(
+        &mut self,
+        id: &HostId,
+        group: &Arc<str>,
+        epoch: u64,
+        model: &Arc<str>,
+        members: &[HostId],
+    ) {
         let now = self.now;
         let figures = self.profile.model(model).cloned();
         let Some(sim) = self.hosts.get_mut(id) else {
@@ -366,9 +403,14 @@
             return;
         }
         let head = self.hosts.get(&present.members[0]).filter(|s| s.alive);
-        let serving = head.and_then(|s| s.joined.as_ref()).filter(|j| j.group == present.group);
+        let serving = head
+            .and_then(|s| s.joined.as_ref())
+            .filter(|j| j.group == present.group);
         if serving.is_some_and(|j| matches!(j.state, GroupState::Open | GroupState::Closing)) {
-            let text = format!("host {id} joins {group} while the head of {} serves", present.group);
+            let text = format!(
+                "host {id} joins {group} while the head of {} serves",
+                present.group
+            );
             self.violations.push(text);
         }
     }
@@ -381,7 +423,10 @@
         for member in &joined.members {
             let key = (joined.group.clone(), joined.epoch, member.clone());
             if !self.ready.contains(&key) {
-                let text = format!("group {} opens although {member} was never ready", joined.group);
+                let text = format!(
+                    "group {} opens although {member} was never ready",
+                    joined.group
+                );
                 self.violations.push(text);
             }
         }
@@ -402,7 +447,8 @@
                 sim.last_model = Some(joined.model.clone());
                 // The one staged place goes to the model that was joined last.
                 sim.host.staged = vec![joined.model.clone()];
-                self.ready.insert((joined.group.clone(), joined.epoch, sim.host.id.clone()));
+                self.ready
+                    .insert((joined.group.clone(), joined.epoch, sim.host.id.clone()));
             }
         }
         self.break_groups();
@@ -414,7 +460,15 @@
         let member_of: BTreeMap<HostId, Option<Arc<str>>> = self
             .hosts
             .values()
-            .map(|s| (s.host.id.clone(), s.joined.as_ref().filter(|_| s.alive).map(|j| j.group.clone())))
+            .map(|s| {
+                (
+                    s.host.id.clone(),
+                    s.joined
+                        .as_ref()
+                        .filter(|_| s.alive)
+                        .map(|j| j.group.clone()),
+                )
+            })
             .collect();
         for sim in self.hosts.values_mut().filter(|s| s.alive) {
             let id = sim.host.id.clone();
@@ -424,7 +478,10 @@
             if joined.state != GroupState::Open {
                 continue;
             }
-            let whole = joined.members.iter().all(|m| member_of.get(m) == Some(&Some(joined.group.clone())));
+            let whole = joined
+                .members
+                .iter()
+                .all(|m| member_of.get(m) == Some(&Some(joined.group.clone())));
             if whole {
                 continue;
             }
@@ -454,7 +511,11 @@
             host.membership = sim.joined.as_ref().map(|j| Membership {
                 group: j.group.clone(),
                 epoch: j.epoch,
-                rank: j.members.iter().position(|m| *m == host.id).unwrap_or(usize::MAX),
+                rank: j
+                    .members
+                    .iter()
+                    .position(|m| *m == host.id)
+                    .unwrap_or(usize::MAX),
                 state: j.state,
             });
             self.directory.put(host);
