--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -29,8 +29,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Time without an answer after which the store counts as having been away.
 const OUTAGE: Duration = Duration::from_millis(1_500);
-/// Pause between two watches, so that changes come in batches.
-const BATCH_PAUSE: Duration = Duration::from_millis(25);
+/// Pause between two watches, so that changes come in batches; calls are counted.
+const BATCH_PAUSE: Duration = Duration::from_millis(150);
+/// The same for the manager, whose orders wait for what hosts report.
+const MANAGER_PAUSE: Duration = Duration::from_millis(15);
 
 /// How an entry host shows itself to the others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -159,9 +161,12 @@
             }
             self.shared.update_ready();
             self.shared.changed.notify_waiters();
-            if !self.shared.is_manager.get() {
-                tokio::time::sleep(BATCH_PAUSE).await;
-            }
+            let pause = if self.shared.is_manager.get() {
+                MANAGER_PAUSE
+            } else {
+                BATCH_PAUSE
+            };
+            tokio::time::sleep(pause).await;
         }
         Ok(reached)
     }
--- a/crates/geranium_entry/src/relay/retry.rs
+++ b/crates/geranium_entry/src/relay/retry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use geranium_fleet::host::Host;
+use geranium_fleet::route::RouteKind;
 
 use super::answer::{Reason, Refusal};
 use super::attempt::AttemptError;
@@ -44,6 +45,15 @@
         Err(self.refusal(self.reason_after(error)))
     }
 
+    /// Returns whether a request may be sent elsewhere after a server answered that
+    /// it failed.
+    pub(super) fn may_try_after_error(&mut self) -> bool {
+        self.runs += 1;
+        self.may_have_run = true;
+        let repeatable = self.route.kind == RouteKind::Idempotent;
+        repeatable && self.left() > SHORTEST_ATTEMPT && self.may_retry("server_error")
+    }
+
     /// Returns the refusal for a request that no backend server takes.
     pub(super) fn no_host(&self, word: &'static str) -> Refusal {
         let reason = if self.may_have_run {
--- a/crates/geranium_entry/src/relay/whole.rs
+++ b/crates/geranium_entry/src/relay/whole.rs
@@ -10,6 +10,7 @@
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
 
+use super::answer::Refusal;
 use super::attempt::{self, AttemptError};
 use super::body::RelayBody;
 use super::job::{Job, end_to_end};
@@ -19,25 +20,42 @@
 const MAX_ANSWER: usize = 16 << 20;
 /// Runs the attempts of a request and returns the answer.
 pub(super) async fn run<D: Dialect>(mut job: Job<D>) -> Response<RelayBody> {
+    let mut failure: Option<Response<RelayBody>> = None;
     loop {
         let choice = match job.choose() {
             Ok(choice) => choice,
-            Err(why) => return job.no_host(why.word()).into_response(&job.shared),
+            Err(why) => return or_refusal(&job, failure, job.no_host(why.word())),
         };
         let sent = job.shared.now();
         let outcome = attempt_whole(&job, &choice.host).await;
         let took = job.shared.now().since(sent);
         match outcome {
-            Ok((head, body)) => return answer(&job, &choice, took, &head, body),
+            Ok((head, body)) => {
+                let failed = head.status.is_server_error();
+                let res = answer(&job, &choice, took, &head, body);
+                if !failed || !job.may_try_after_error() {
+                    return res;
+                }
+                failure = Some(res);
+            }
             Err(e) => {
                 if let Err(refusal) = job.after_failure(&choice.host, e) {
-                    return refusal.into_response(&job.shared);
+                    return or_refusal(&job, failure, refusal);
                 }
             }
         }
     }
 }
 
+/// Returns a server's own failure if there was one, which says more than a refusal.
+fn or_refusal<D: Dialect>(
+    job: &Job<D>,
+    failure: Option<Response<RelayBody>>,
+    refusal: Refusal,
+) -> Response<RelayBody> {
+    failure.unwrap_or_else(|| refusal.into_response(&job.shared))
+}
+
 fn answer<D: Dialect>(
     job: &Job<D>,
     choice: &Choice,
