--- a/crates/geranium_fleet/src/planner/reclaim.rs
+++ b/crates/geranium_fleet/src/planner/reclaim.rs
@@ -16,6 +16,11 @@
 
 /// Part of a group that a model must lack before hosts are taken back for it.
 const LACKING_PART: f64 = 0.6;
+/// Part of its share that a model must lack before hosts are taken back for it, as
+/// each move takes its hosts out of service for seconds.
+const LACKING_SHARE: f64 = 0.15;
+/// Most that the giving model may then lack, as a part of what the other lacked.
+const GIVER_LACK: f64 = 0.5;
 /// Time after which a fabric domain that did not yield a group is free again.
 const RECLAIM_LIMIT: Duration = Duration::from_secs(5);
 /// Fabric domains that are rearranged at a time.
@@ -111,7 +116,8 @@
             formation.lacks[*i] - (coming * m.size) as f64 >= LACKING_PART * m.size as f64
         });
         let relative = lacking.map(|(i, _)| (i, formation.relative_lack(i, 0.0)));
-        relative.max_by(|a, b| a.1.total_cmp(&b.1))
+        let large = relative.filter(|(_, lack)| *lack >= LACKING_SHARE);
+        large.max_by(|a, b| a.1.total_cmp(&b.1))
     }
 
     /// Returns the groups of a fabric domain that can give the missing hosts.
@@ -152,7 +158,7 @@
                 continue;
             };
             let size = view.members.len() as f64;
-            if formation.relative_lack(giver, taken[giver] + size) >= relative_lack {
+            if formation.relative_lack(giver, taken[giver] + size) >= relative_lack * GIVER_LACK {
                 continue;
             }
             let useful = view
