Go on while the store is away: changes from other entry hosts, states from the hosts themselves

Now an entry host that does not hear the store takes changes from one that does, by revision; the manager asks hosts in transition every 300 ms and tells the others; it keeps its duty until another one is known.

--- a/crates/geranium_entry/src/dialect.rs
+++ b/crates/geranium_entry/src/dialect.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use geranium_fleet::host::HostReport;
 use geranium_fleet::order::{HostOrder, OrderAnswer};
 use hyper::header::HeaderName;
 
@@ -41,13 +42,6 @@
     pub at_fault: HeaderName,
 }
 
-/// State of a host as it answers itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HostReport {
-    /// Orders that it has begun in this life.
-    pub orders_begun: u64,
-}
-
 /// Names, formats and calls of a platform; decides nothing.
 pub trait Dialect: Clone + 'static {
     /// Returns the names of headers.
--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -9,9 +10,9 @@
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
 use geranium_fleet::deployment::Deployment;
-use geranium_fleet::host::Host;
+use geranium_fleet::host::{Host, HostId};
 use geranium_fleet::route_table::RouteTable;
-use geranium_platform::{KvStore, StoreError, StoredValue, WatchChange};
+use geranium_platform::{KvStore, StoreError, StoredValue, WatchBatch, WatchChange};
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::Dialect;
@@ -44,60 +45,60 @@
 }
 
 /// Follows the store until the process ends.
-pub(crate) async fn run<D: Dialect, S: KvStore>(
-    shared: Rc<Shared<D>>,
-    store: S,
-    peers: Rc<PeerLink>,
-) {
-    let follower = Follower {
-        shared,
-        peers,
-        failing: Cell::new(false),
-    };
-    let mut revision: Option<StoreRevision> = None;
-    let mut heard_at = follower.shared.now();
+pub(crate) async fn run<D: Dialect, S: KvStore>(follower: Rc<Follower<D>>, store: S) {
     loop {
-        let outcome = match revision {
-            None => follower.read_all(&store, &mut heard_at).await,
-            Some(after) => follower.watch(&store, after, &mut heard_at).await,
+        let outcome = match follower.shared.revision.get() {
+            None => follower.read_all(&store).await,
+            Some(after) => follower.watch(&store, after).await,
         };
-        match outcome {
-            Ok(reached) => revision = Some(reached),
-            Err((reached, e)) => {
-                revision = reached;
-                follower.note_failure(&e, heard_at);
-                if matches!(e, StoreError::Compacted(_)) {
-                    revision = None;
-                    continue;
-                }
-                let jitter = rand::random_range(0.5..1.5);
-                tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
-            }
+        let Err(e) = outcome else {
+            continue;
+        };
+        follower.note_failure(&e);
+        if matches!(e, StoreError::Compacted(_)) {
+            follower.shared.revision.set(None);
+            continue;
         }
+        let jitter = rand::random_range(0.5..1.5);
+        tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
     }
 }
 
-type FollowError = (Option<StoreRevision>, StoreError);
-
-struct Follower<D: Dialect> {
+/// Takes in what the store says.
+pub(crate) struct Follower<D: Dialect> {
     shared: Rc<Shared<D>>,
     peers: Rc<PeerLink>,
-    /// Whether the last call failed.
-    failing: Cell<bool>,
+    heard_at: Cell<Timestamp>,
 }
 
 impl<D: Dialect> Follower<D> {
+    /// Makes a follower that knows nothing yet.
+    pub(crate) fn new(shared: Rc<Shared<D>>, peers: Rc<PeerLink>) -> Self {
+        let heard_at = Cell::new(shared.now());
+        Self {
+            shared,
+            peers,
+            heard_at,
+        }
+    }
+
+    /// Returns the shared state.
+    pub(crate) fn shared(&self) -> &Shared<D> {
+        &self.shared
+    }
+
+    /// Returns the link to the other entry hosts.
+    pub(crate) fn peers(&self) -> &PeerLink {
+        &self.peers
+    }
+
     /// Reads everything; what is not there any more has gone.
-    async fn read_all<S: KvStore>(
-        &self,
-        store: &S,
-        heard_at: &mut Timestamp,
-    ) -> Result<StoreRevision, FollowError> {
-        let read = store.range("").await.map_err(|e| (None, e))?;
-        self.note_heard(heard_at);
+    async fn read_all<S: KvStore>(&self, store: &S) -> Result<(), StoreError> {
+        let read = store.range("").await?;
+        self.note_heard();
         let mut hosts = HashSet::default();
         let mut domains_out = HashSet::default();
-        let mut entries = HashSet::default();
+        let mut own = HashSet::default();
         for value in &read.values {
             let fact = self.shared.dialect.decode(&value.key, &value.value);
             match &fact {
@@ -108,59 +109,57 @@
                     domains_out.insert(domain.clone());
                 }
                 Fact::Own { name, .. } => {
-                    entries.insert(name.clone());
+                    own.insert(name.clone());
                 }
                 _ => {}
             }
             self.apply(fact);
         }
-        let now = self.shared.now();
-        {
-            let mut core = self.shared.core.borrow_mut();
-            core.directory.retain(&hosts, now);
-            core.directory.retain_domains_out(&domains_out);
-            let gone: Vec<String> = core
-                .entry_hosts
-                .iter()
-                .filter(|name| !entries.contains(&format!("{ENTRY_PREFIX}{name}")))
-                .cloned()
-                .collect();
-            for name in gone {
-                core.note_entry_host(&name, false);
-                self.peers.addresses.borrow_mut().remove(&name);
-            }
-            if !entries.contains(MANAGER) {
-                core.manager = None;
-            }
-            core.listed = true;
-        }
+        self.remove_unlisted(&hosts, &domains_out, &own);
         log::info!(revision = read.revision.0, hosts = hosts.len(), values = read.values.len(); "store was read whole");
+        self.shared.revision.set(Some(read.revision));
+        self.shared.recent.restart(read.revision);
         self.shared.update_ready();
         self.shared.changed.notify_waiters();
-        Ok(read.revision)
+        Ok(())
     }
 
-    /// Takes in changes until a call fails.
-    async fn watch<S: KvStore>(
+    fn remove_unlisted(
         &self,
-        store: &S,
-        after: StoreRevision,
-        heard_at: &mut Timestamp,
-    ) -> Result<StoreRevision, FollowError> {
-        let mut reached = after;
-        let mut changes = store.watch("", after).await.map_err(|e| (Some(after), e))?;
+        hosts: &HashSet<HostId>,
+        domains_out: &HashSet<Arc<str>>,
+        own: &HashSet<String>,
+    ) {
+        let now = self.shared.now();
+        let mut core = self.shared.core.borrow_mut();
+        core.directory.retain(hosts, now);
+        core.directory.retain_domains_out(domains_out);
+        let gone: Vec<String> = core
+            .entry_hosts
+            .iter()
+            .filter(|name| !own.contains(&format!("{ENTRY_PREFIX}{name}")))
+            .cloned()
+            .collect();
+        for name in gone {
+            core.note_entry_host(&name, false);
+            self.peers.addresses.borrow_mut().remove(&name);
+        }
+        if !own.contains(MANAGER) {
+            core.manager = None;
+        }
+        core.listed = true;
+    }
+
+    /// Takes in changes until a call fails.
+    async fn watch<S: KvStore>(&self, store: &S, after: StoreRevision) -> Result<(), StoreError> {
+        let mut changes = store.watch("", after).await?;
         while let Some(batch) = changes.next().await {
-            let batch = batch.map_err(|e| (Some(reached), e))?;
-            self.note_heard(heard_at);
-            reached = batch.revision;
+            let batch = batch?;
+            self.note_heard();
             if batch.changes.is_empty() {
                 continue;
             }
-            for change in batch.changes {
-                self.apply_change(change);
-            }
-            self.shared.update_ready();
-            self.shared.changed.notify_waiters();
+            self.take_in(batch);
             let pause = if self.shared.is_manager.get() {
                 MANAGER_PAUSE
             } else {
@@ -168,22 +167,36 @@
             };
             tokio::time::sleep(pause).await;
         }
-        Ok(reached)
+        Ok(())
     }
 
-    fn note_heard(&self, heard_at: &mut Timestamp) {
+    /// Takes in changes that were not taken in before, from the store or from
+    /// another entry host.
+    pub(crate) fn take_in(&self, mut batch: WatchBatch) {
+        let reached = self.shared.revision.get().unwrap_or_default();
+        batch.changes.retain(|c| revision_of(c) > reached);
+        self.shared.recent.add(&batch);
+        self.shared.revision.set(Some(batch.revision.max(reached)));
+        for change in batch.changes {
+            self.apply_change(change);
+        }
+        self.shared.update_ready();
+        self.shared.changed.notify_waiters();
+    }
+
+    fn note_heard(&self) {
         let now = self.shared.now();
-        if self.failing.replace(false) && now.since(*heard_at) > OUTAGE {
+        let away = now.since(self.heard_at.replace(now));
+        if self.shared.store_away.replace(false) && away > OUTAGE {
             self.shared.core.borrow_mut().directory.store_regained(now);
-            log::info!(away_ms = now.since(*heard_at).as_millis() as u64; "store answers again");
+            log::info!(away_ms = away.as_millis() as u64; "store answers again");
         }
-        *heard_at = now;
     }
 
-    fn note_failure(&self, e: &StoreError, heard_at: Timestamp) {
-        self.failing.set(true);
-        let silent = self.shared.now().since(heard_at).as_millis() as u64;
-        log::warn!(silent_ms = silent; "store call failed: {e}");
+    fn note_failure(&self, e: &StoreError) {
+        self.shared.store_away.set(true);
+        let silent = self.shared.now().since(self.heard_at.get());
+        log::warn!(silent_ms = silent.as_millis() as u64; "store call failed: {e}");
     }
 
     fn apply_change(&self, change: WatchChange) {
@@ -296,6 +309,13 @@
     }
 }
 
+const fn revision_of(change: &WatchChange) -> StoreRevision {
+    match change {
+        WatchChange::Put(value) => value.revision,
+        WatchChange::Deleted { revision, .. } => *revision,
+    }
+}
+
 fn parse_entry(value: &[u8]) -> Option<EntryValue> {
     match serde_json::from_slice(value) {
         Ok(entry) => Some(entry),
--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod peers;
 mod pool;
 pub mod prelude;
+mod recent_changes;
 mod relay;
 mod running;
 mod server;
--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -1,5 +1,7 @@
 //! Election of the manager, and its orders to hosts.
 
+use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,7 +9,7 @@
 use bytes::Bytes;
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
-use geranium_fleet::host::HostId;
+use geranium_fleet::host::{HostId, HostReport};
 use geranium_fleet::order::{HostOrder, OrderAnswer};
 use geranium_fleet::planner::{GroupPlanner, PlannerSettings};
 use geranium_platform::{CasOutcome, KvStore, LeaseId, StoreError, Swap};
@@ -16,6 +18,7 @@
 use crate::dialect::Dialect;
 use crate::follow::{ENTRY_PREFIX, EntryValue, MANAGER};
 use crate::metrics::CauseLabel;
+use crate::peers::PeerLink;
 use crate::state::{Phase, Shared};
 
 /// Lease of the registration and of the manager's duty, at least.
@@ -37,15 +40,23 @@
 const PROBES: u32 = 2;
 /// Time for which a suspicion is not looked into again.
 const PROBE_PAUSE: Duration = Duration::from_millis(1_500);
+/// Pause between two questions to hosts while the store is away.
+const ASK_INTERVAL: Duration = Duration::from_millis(300);
+/// Hosts asked at a time; each answer is counted like a health check.
+const MOST_ASKED: usize = 32;
 /// Weight of the published shares of models, in host milliseconds of work.
 const PRIOR_WORK_MS: f64 = 60_000.0;
 
 /// Keeps the registration, takes part in the election and manages groups while
 /// elected, until the process leaves.
-pub(crate) async fn run<D: Dialect, S: KvStore>(shared: Rc<Shared<D>>, store: S) {
+pub(crate) async fn run<D: Dialect, S: KvStore>(
+    shared: Rc<Shared<D>>,
+    store: S,
+    peers: Rc<PeerLink>,
+) {
     let lease_time = LEASE.max(shared.cfg.shortest_lease);
     let (tx, rx) = watch::channel(None);
-    let managing = manage(shared.clone(), rx);
+    let managing = manage(shared.clone(), rx, peers);
     tokio::task::spawn_local(managing);
     let mut phase = shared.phase.subscribe();
     loop {
@@ -81,7 +92,6 @@
     async fn live(&self, phase: &mut watch::Receiver<Phase>) -> Result<(), StoreError> {
         let lease = self.store.grant_lease(self.lease_time).await?;
         self.register(lease).await?;
-        let mut renewed = self.shared.now();
         loop {
             self.stand(lease).await;
             tokio::select! {
@@ -97,16 +107,13 @@
                 }
             }
             match self.store.keep_alive(lease).await {
-                Ok(_) => renewed = self.shared.now(),
+                Ok(_) => {}
                 Err(e @ StoreError::LeaseNotFound(_)) => return Err(e),
-                Err(e) => {
-                    log::warn!("lease was not renewed: {e}");
-                    if self.shared.now().since(renewed) > self.lease_time {
-                        self.elected.send_replace(None);
-                        self.shared.is_manager.set(false);
-                    }
-                }
+                // The duty goes on: where the store is away for all, nobody else can
+                // take it, and orders name counts that keep two managers apart.
+                Err(e) => log::warn!("lease was not renewed: {e}"),
             }
+            self.yield_to_successor();
         }
     }
 
@@ -158,6 +165,16 @@
         }
     }
 
+    /// Ends the duty if another entry host is known to have it.
+    fn yield_to_successor(&self) {
+        let core = self.shared.core.borrow();
+        let other = core.manager.as_ref().is_some_and(|(name, _)| **name != *self.shared.cfg.name);
+        if self.shared.is_manager.get() && other {
+            self.elected.send_replace(None);
+            self.shared.is_manager.set(false);
+        }
+    }
+
     fn rank(&self) -> u32 {
         let core = self.shared.core.borrow();
         let before = core
@@ -194,6 +211,7 @@
 async fn manage<D: Dialect>(
     shared: Rc<Shared<D>>,
     mut elected: watch::Receiver<Option<Timestamp>>,
+    peers: Rc<PeerLink>,
 ) {
     loop {
         let since = *elected.borrow_and_update();
@@ -204,9 +222,10 @@
             continue;
         };
         shared.core.borrow_mut().directory.forget_orders();
-        let manager = Rc::new(Manager::new(shared.clone(), since));
+        let manager = Rc::new(Manager::new(shared.clone(), since, peers.clone()));
         loop {
             manager.look_into_suspects();
+            manager.ask_hosts_in_transition();
             manager.plan();
             tokio::select! {
                 () = shared.changed.notified() => tokio::time::sleep(PLAN_PAUSE).await,
@@ -223,19 +242,63 @@
     shared: Rc<Shared<D>>,
     planners: std::cell::RefCell<geranium_core::collections::HashMap<Arc<str>, GroupPlanner>>,
     probed: std::cell::RefCell<geranium_core::collections::HashMap<HostId, Timestamp>>,
+    asked_at: Cell<Timestamp>,
+    peers: Rc<PeerLink>,
     since: Timestamp,
 }
 
 impl<D: Dialect> Manager<D> {
-    fn new(shared: Rc<Shared<D>>, since: Timestamp) -> Self {
+    fn new(shared: Rc<Shared<D>>, since: Timestamp, peers: Rc<PeerLink>) -> Self {
         Self {
             shared,
             planners: std::cell::RefCell::default(),
             probed: std::cell::RefCell::default(),
+            asked_at: Cell::new(since),
+            peers,
             since,
         }
     }
 
+    /// Asks hosts whose group changes for their state while the store is away, and
+    /// tells the other entry hosts.
+    fn ask_hosts_in_transition(self: &Rc<Self>) {
+        let now = self.shared.now();
+        let due = now.since(self.asked_at.get()) >= ASK_INTERVAL;
+        if !self.shared.store_away.get() || !due {
+            return;
+        }
+        self.asked_at.set(now);
+        let hosts: Vec<(HostId, SocketAddr)> = {
+            let core = self.shared.core.borrow();
+            let planners = self.planners.borrow();
+            let asked = planners
+                .iter()
+                .flat_map(|(service, p)| p.in_transition(&core.directory, service, now));
+            asked
+                .take(MOST_ASKED)
+                .map(|h| (h.id.clone(), h.address))
+                .collect()
+        };
+        let manager = self.clone();
+        tokio::task::spawn_local(async move {
+            let asks = hosts.into_iter().map(|(id, address)| {
+                let dialect = &manager.shared.dialect;
+                async move { (id, dialect.ask_host(address, PROBE_LIMIT).await) }
+            });
+            let answers = futures::future::join_all(asks).await;
+            let reports: Vec<(HostId, HostReport)> = answers
+                .into_iter()
+                .filter_map(|(id, report)| Some((id, report?)))
+                .collect();
+            let changed = manager.shared.take_reports(&reports);
+            if !changed.is_empty() {
+                manager
+                    .peers
+                    .send_reports(&manager.shared.cfg.name, reports);
+            }
+        });
+    }
+
     fn settings(&self, index: usize) -> PlannerSettings {
         PlannerSettings {
             nonce: format!(
@@ -363,7 +426,7 @@
     }
 
     async fn probe(self: Rc<Self>, head: &HostId) {
-        let members: Vec<(Arc<str>, HostId, u64, std::net::SocketAddr)> = {
+        let members: Vec<(Arc<str>, HostId, u64, SocketAddr)> = {
             let core = self.shared.core.borrow();
             let planners = self.planners.borrow();
             let Some(host) = core.directory.get(head) else {
--- a/crates/geranium_entry/src/node.rs
+++ b/crates/geranium_entry/src/node.rs
@@ -11,10 +11,11 @@
 use tokio::task::LocalSet;
 
 use crate::dialect::Dialect;
+use crate::follow::Follower;
 use crate::peers::PeerLink;
 use crate::settings::EntrySettings;
 use crate::state::{Phase, Shared};
-use crate::{crash_notes, follow, manager, peers, server, watchdog};
+use crate::{crash_notes, follow, manager, peers, recent_changes, server, watchdog};
 
 /// Time after the request to stop in which the balancer may still send callers
 /// here; it asks once a second and needs two answers.
@@ -86,9 +87,11 @@
 
     spawn_listeners(&shared);
     tokio::task::spawn_local(server::run(shared.clone(), listener));
-    tokio::task::spawn_local(follow::run(shared.clone(), store.clone(), link.clone()));
+    let follower = Rc::new(Follower::new(shared.clone(), link.clone()));
+    tokio::task::spawn_local(follow::run(follower.clone(), store.clone()));
+    tokio::task::spawn_local(recent_changes::run_client(follower));
     tokio::task::spawn_local(crash_notes::run(shared.clone(), store.clone(), crashes));
-    tokio::task::spawn_local(manager::run(shared.clone(), store));
+    tokio::task::spawn_local(manager::run(shared.clone(), store, link.clone()));
     tokio::task::spawn_local(watchdog::run(shared.clone(), link.clone()));
     tokio::task::spawn_local(peers::run_sender(shared.clone(), link.clone()));
     tokio::task::spawn_local(peers::run_receiver(shared.clone(), link));
@@ -113,6 +116,12 @@
             log::error!("balancer cannot be answered: {e}");
         }
     });
+    let (address, recent) = (shared.cfg.peers, shared.recent.clone());
+    tokio::task::spawn_local(async move {
+        if let Err(e) = recent_changes::serve(address, recent).await {
+            log::error!("other entry hosts cannot be answered: {e}");
+        }
+    });
     let Some(address) = shared.cfg.metrics else {
         return;
     };
--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -8,6 +8,7 @@
 
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
+use geranium_fleet::host::{HostId, HostReport};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -26,6 +27,8 @@
 enum Datagram {
     /// Requests that the sender runs at each backend server.
     Load(Vec<(Arc<str>, u32)>),
+    /// What hosts answered themselves while the store was away.
+    Reports(Vec<(HostId, HostReport)>),
     /// A group whose head the sender takes to have stopped.
     Suspect(Arc<str>),
 }
@@ -65,6 +68,21 @@
         self.send(to, &Datagram::Suspect(head.clone()));
     }
 
+    /// Passes on what hosts answered themselves.
+    pub(crate) fn send_reports(&self, own_name: &str, reports: Vec<(HostId, HostReport)>) {
+        let datagram = Datagram::Reports(reports);
+        for address in self.others(own_name) {
+            self.send(address, &datagram);
+        }
+    }
+
+    /// Returns the addresses of the other entry hosts.
+    fn others(&self, own_name: &str) -> Vec<SocketAddr> {
+        let addresses = self.addresses.borrow();
+        let others = addresses.iter().filter(|(name, _)| **name != *own_name);
+        others.map(|(_, address)| *address).collect()
+    }
+
     fn send(&self, to: SocketAddr, datagram: &Datagram) {
         match serde_json::to_vec(datagram) {
             Ok(bytes) => {
@@ -94,14 +112,7 @@
         let idle = load.is_empty();
         if !(idle && idle_sent) {
             let datagram = Datagram::Load(load);
-            let others: Vec<SocketAddr> = link
-                .addresses
-                .borrow()
-                .iter()
-                .filter(|(name, _)| ***name != *shared.cfg.name)
-                .map(|(_, address)| *address)
-                .collect();
-            for address in others {
+            for address in link.others(&shared.cfg.name) {
                 link.send(address, &datagram);
             }
         }
@@ -130,6 +141,10 @@
                 };
                 link.loads.borrow_mut().insert(from, load);
             }
+            Ok(Datagram::Reports(reports)) if shared.store_away.get() => {
+                shared.take_reports(&reports);
+            }
+            Ok(Datagram::Reports(_)) => {}
             Ok(Datagram::Suspect(head)) => {
                 shared
                     .suspects
--- /dev/null
+++ b/crates/geranium_entry/src/recent_changes.rs
@@ -0,0 +1,231 @@
+//! Recent changes of the store, passed on to entry hosts that do not hear it.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use geranium_core::id::StoreRevision;
+use geranium_net::{
+    ClientConfig, ClientError, HttpClient, HttpRequest, HttpServer, ServerConfig, ServerError,
+};
+use geranium_platform::{StoredValue, WatchBatch, WatchChange};
+use hyper::StatusCode;
+use rand::seq::IteratorRandom;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+use viz::{IntoResponse, RequestExt, Router, get};
+
+use crate::dialect::Dialect;
+use crate::follow::Follower;
+use crate::state::Shared;
+
+/// Changes kept.
+const MAX_CHANGES: usize = 4_096;
+/// Time for which a question waits for a change.
+const WAIT: Duration = Duration::from_millis(400);
+/// Longest time for the answer of another entry host.
+const LIMIT: Duration = Duration::from_millis(700);
+/// Pause between two looks whether the store is heard.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Path of the changes after a revision.
+const PATH: &str = "/changes/:after";
+
+/// A change as entry hosts pass it on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Change {
+    key: String,
+    revision: u64,
+    /// Base64 text, or `None` for a deletion.
+    value: Option<String>,
+}
+
+/// Changes up to a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Changes {
+    changes: Vec<Change>,
+    revision: u64,
+}
+
+#[derive(Debug, Default)]
+struct Log {
+    /// Revision after which every change is kept.
+    from: u64,
+    reached: u64,
+    changes: VecDeque<Change>,
+}
+
+/// The changes of the store that this entry host has taken in lately.
+#[derive(Debug, Default)]
+pub(crate) struct RecentChanges {
+    log: Mutex<Log>,
+    grown: Notify,
+}
+
+impl RecentChanges {
+    /// Forgets all changes and starts from a revision.
+    pub(crate) fn restart(&self, revision: StoreRevision) {
+        let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        *log = Log {
+            from: revision.0,
+            reached: revision.0,
+            changes: VecDeque::new(),
+        };
+    }
+
+    /// Adds the changes of a batch.
+    pub(crate) fn add(&self, batch: &WatchBatch) {
+        let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        for change in &batch.changes {
+            let change = encode(change);
+            if change.revision > log.reached {
+                log.changes.push_back(change);
+            }
+        }
+        log.reached = log.reached.max(batch.revision.0);
+        while log.changes.len() > MAX_CHANGES {
+            if let Some(oldest) = log.changes.pop_front() {
+                log.from = oldest.revision;
+            }
+        }
+        drop(log);
+        self.grown.notify_waiters();
+    }
+
+    /// Returns the changes after a revision, or `None` if they are not all kept.
+    fn after(&self, revision: u64) -> Option<Changes> {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        if revision < log.from || log.reached == 0 {
+            return None;
+        }
+        let newer = log.changes.iter().filter(|c| c.revision > revision);
+        Some(Changes {
+            changes: newer.cloned().collect(),
+            revision: log.reached.max(revision),
+        })
+    }
+
+    /// Waits a moment for changes after a revision.
+    async fn wait_after(&self, revision: u64) -> Option<Changes> {
+        let grown = self.grown.notified();
+        let changes = self.after(revision)?;
+        if !changes.changes.is_empty() || tokio::time::timeout(WAIT, grown).await.is_err() {
+            return Some(changes);
+        }
+        self.after(revision)
+    }
+}
+
+fn encode(change: &WatchChange) -> Change {
+    match change {
+        WatchChange::Put(v) => Change {
+            key: v.key.clone(),
+            revision: v.revision.0,
+            value: Some(STANDARD.encode(&v.value)),
+        },
+        WatchChange::Deleted { key, revision } => Change {
+            key: key.clone(),
+            revision: revision.0,
+            value: None,
+        },
+    }
+}
+
+fn decode(change: Change) -> Option<WatchChange> {
+    let revision = StoreRevision(change.revision);
+    let Some(text) = change.value else {
+        return Some(WatchChange::Deleted {
+            key: change.key,
+            revision,
+        });
+    };
+    match STANDARD.decode(text) {
+        Ok(bytes) => Some(WatchChange::Put(StoredValue {
+            key: change.key,
+            value: Bytes::from(bytes),
+            revision,
+        })),
+        Err(e) => {
+            log::warn!("change of another entry host is malformed: {e}");
+            None
+        }
+    }
+}
+
+/// Answers other entry hosts until the process ends.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be listened on.
+pub(crate) async fn serve(
+    address: SocketAddr,
+    recent: Arc<RecentChanges>,
+) -> Result<(), ServerError> {
+    let handler = move |req: viz::Request| {
+        let recent = recent.clone();
+        async move {
+            let (after,) = req.params::<(u64,)>()?;
+            let res = match recent.wait_after(after).await {
+                Some(changes) => viz::types::Json(changes).into_response(),
+                None => StatusCode::GONE.into_response(),
+            };
+            Ok::<_, viz::Error>(res)
+        }
+    };
+    let router = Router::new().route(PATH, get(handler));
+    let server = HttpServer::bind(address, ServerConfig::default()).await?;
+    server.run(router, CancellationToken::new()).await;
+    Ok(())
+}
+
+/// Takes in changes from other entry hosts while the store is not heard.
+pub(crate) async fn run_client<D: Dialect>(follower: Rc<Follower<D>>) {
+    let client = HttpClient::new(&ClientConfig::default());
+    loop {
+        tokio::time::sleep(PAUSE).await;
+        let shared = follower.shared();
+        let revision = shared.revision.get().filter(|_| shared.store_away.get());
+        let (Some(revision), Some(peer)) = (revision, other_host(shared, &follower)) else {
+            continue;
+        };
+        match ask(&client, peer, revision).await {
+            Ok(Some(batch)) if !batch.changes.is_empty() => {
+                log::info!(peer:% = peer, changes = batch.changes.len(), revision = batch.revision.0; "changes come from another entry host");
+                follower.take_in(batch);
+            }
+            Ok(_) => {}
+            Err(e) => log::debug!(peer:% = peer; "no changes from another entry host: {e}"),
+        }
+    }
+}
+
+fn other_host<D: Dialect>(shared: &Shared<D>, follower: &Follower<D>) -> Option<SocketAddr> {
+    let addresses = follower.peers().addresses.borrow();
+    let others = addresses
+        .iter()
+        .filter(|(name, _)| ***name != *shared.cfg.name);
+    others.map(|(_, address)| *address).choose(&mut rand::rng())
+}
+
+async fn ask(
+    client: &HttpClient,
+    peer: SocketAddr,
+    after: StoreRevision,
+) -> Result<Option<WatchBatch>, ClientError> {
+    let req = HttpRequest::get(peer, format!("/changes/{}", after.0));
+    let (status, body) = client.send_whole(req, LIMIT).await?;
+    if status != StatusCode::OK {
+        return Ok(None);
+    }
+    let changes: Changes =
+        serde_json::from_slice(&body).map_err(|e| ClientError::Malformed(peer, e.to_string()))?;
+    Ok(Some(WatchBatch {
+        revision: StoreRevision(changes.revision),
+        changes: changes.changes.into_iter().filter_map(decode).collect(),
+    }))
+}
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -6,12 +6,14 @@
 use std::sync::atomic::AtomicBool;
 
 use geranium_core::collections::{HashMap, HashSet};
+use geranium_core::id::StoreRevision;
 use geranium_core::limit::{RetryBudget, RetryBudgetSettings};
 use geranium_core::time::Timestamp;
 use geranium_fleet::crash::CrashLedger;
 use geranium_fleet::demand::DemandMeter;
 use geranium_fleet::directory::Directory;
 use geranium_fleet::dispatch::Dispatcher;
+use geranium_fleet::host::{HostId, HostReport};
 use geranium_fleet::route_table::RouteTable;
 use geranium_fleet::service::Service;
 use geranium_fleet::shared_rate::part_of;
@@ -23,6 +25,7 @@
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::recent_changes::RecentChanges;
 use crate::running::Running;
 use crate::settings::{EntrySettings, SharedBounds};
 
@@ -138,6 +141,12 @@
     pub(crate) crashed: mpsc::UnboundedSender<u64>,
     /// Whether this process is the manager.
     pub(crate) is_manager: Cell<bool>,
+    /// Whether the last call to the store failed.
+    pub(crate) store_away: Cell<bool>,
+    /// Revision of the store up to which changes were taken in.
+    pub(crate) revision: Cell<Option<StoreRevision>>,
+    /// Recent changes of the store, for entry hosts that do not hear it.
+    pub(crate) recent: Arc<RecentChanges>,
     /// When the process ends, once it was asked to stop.
     pub(crate) stops_at: Cell<Option<Timestamp>>,
 }
@@ -173,6 +182,9 @@
             ready: Arc::default(),
             crashed,
             is_manager: Cell::new(false),
+            store_away: Cell::new(false),
+            revision: Cell::new(None),
+            recent: Arc::default(),
             stops_at: Cell::new(None),
         }
     }
@@ -182,6 +194,23 @@
         self.clock.now()
     }
 
+    /// Takes in what hosts answered themselves; returns the ids of those that changed.
+    pub(crate) fn take_reports(&self, reports: &[(HostId, HostReport)]) -> Vec<HostId> {
+        let mut changed = Vec::new();
+        let mut core = self.core.borrow_mut();
+        for (id, report) in reports {
+            if core.directory.put_report(id, report) {
+                log::info!(host:% = id, report:? = report; "backend server reports while the store is away");
+                changed.push(id.clone());
+            }
+        }
+        drop(core);
+        if !changed.is_empty() {
+            self.changed.notify_waiters();
+        }
+        changed
+    }
+
     /// Notes that a life of a backend server has ended, and tells the others of the
     /// requests that crashed it.
     pub(crate) fn note_host_ended(&self, id: &str, born: u64) {
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -6,7 +6,7 @@
 use geranium_core::collections::{HashMap, HashSet};
 use geranium_core::time::Timestamp;
 
-use crate::host::{Host, HostId, HostState};
+use crate::host::{Host, HostId, HostReport, HostState};
 
 /// Time for which an entry that lapsed during an outage of the store stays
 /// usable; below the time that a leaving host goes on serving.
@@ -42,6 +42,25 @@
         !same_life
     }
 
+    /// Takes in what a host answered itself, for the time in which its entry cannot
+    /// be read; returns whether that changed anything.
+    pub fn put_report(&mut self, id: &str, report: &HostReport) -> bool {
+        let Some(host) = self.hosts.get_mut(id).filter(|h| h.born == report.born) else {
+            return false;
+        };
+        let same = host.membership == report.membership
+            && host.model == report.model
+            && host.staged == report.staged;
+        if same {
+            return false;
+        }
+        self.generation += 1;
+        host.membership.clone_from(&report.membership);
+        host.model.clone_from(&report.model);
+        host.staged.clone_from(&report.staged);
+        true
+    }
+
     /// Notes that the entry of a host has gone.
     ///
     /// Shortly after an outage of the store the host stays usable for a moment,
--- a/crates/geranium_fleet/src/host.rs
+++ b/crates/geranium_fleet/src/host.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use geranium_core::time::Timestamp;
+use serde::{Deserialize, Serialize};
 
 /// Identifier of a backend server.
 pub type HostId = Arc<str>;
@@ -18,7 +19,7 @@
 }
 
 /// State of a group, as one member reports it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GroupState {
     /// The member is preparing the weights.
     Joining,
@@ -33,7 +34,7 @@
 }
 
 /// Membership of a host in a group, as the host reports it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
     /// Name of the group.
     pub group: Arc<str>,
@@ -45,6 +46,21 @@
     pub state: GroupState,
 }
 
+/// State of a host as it answers itself when it is asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostReport {
+    /// Start of its process in Unix milliseconds.
+    pub born: u64,
+    /// Orders that it has begun in this life.
+    pub orders_begun: u64,
+    /// Group that it belongs to.
+    pub membership: Option<Membership>,
+    /// Model that it runs now.
+    pub model: Option<Arc<str>>,
+    /// Models whose weights lie on the host.
+    pub staged: Vec<Arc<str>>,
+}
+
 /// A backend server as it last described itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Host {
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use geranium_core::collections::HashMap;
+use geranium_core::collections::{HashMap, HashSet};
 use geranium_core::time::Timestamp;
 
 use crate::directory::Directory;
@@ -216,6 +216,37 @@
         directory.hosts().filter(same).collect()
     }
 
+    /// Returns the hosts that have an order to carry out or whose group is not open,
+    /// to be asked while their entries cannot be read.
+    #[must_use]
+    pub fn in_transition<'a>(
+        &self,
+        directory: &'a Directory,
+        service: &str,
+        now: Timestamp,
+    ) -> Vec<&'a Host> {
+        let mut hosts: Vec<&Host> = directory
+            .hosts()
+            .filter(|h| *h.service == *service)
+            .collect();
+        hosts.sort_by(|a, b| a.id.cmp(&b.id));
+        let views = view::collect(&hosts);
+        let open: HashSet<Arc<str>> = views
+            .iter()
+            .filter(|v| v.head().is_some_and(Host::is_open_head))
+            .map(|v| v.group.clone())
+            .collect();
+        hosts.retain(|h| {
+            let held = self.held.get(&h.id).is_some_and(|held| now < held.until);
+            let closed = h
+                .membership
+                .as_ref()
+                .is_some_and(|m| !open.contains(&m.group));
+            held || closed
+        });
+        hosts
+    }
+
     /// Returns the hosts that are in no group that serves or is being formed.
     #[must_use]
     pub fn stranded(&self, directory: &Directory, service: &str) -> usize {
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -6,7 +6,7 @@
 pub use crate::directory::Directory;
 pub use crate::dispatch::{Choice, Dispatcher, NoHost};
 pub use crate::engine_profile::{EngineProfile, ModelProfile};
-pub use crate::host::{GroupState, Host, HostId, HostState, Membership};
+pub use crate::host::{GroupState, Host, HostId, HostReport, HostState, Membership};
 pub use crate::order::{HostOrder, OrderAnswer, OrderKind};
 pub use crate::planner::{GroupPlanner, PlannerSettings};
 pub use crate::route::{Route, RouteKind, Target};
