--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -168,7 +168,10 @@
     /// Ends the duty if another entry host is known to have it.
     fn yield_to_successor(&self) {
         let core = self.shared.core.borrow();
-        let other = core.manager.as_ref().is_some_and(|(name, _)| **name != *self.shared.cfg.name);
+        let other = core
+            .manager
+            .as_ref()
+            .is_some_and(|(name, _)| **name != *self.shared.cfg.name);
         if self.shared.is_manager.get() && other {
             self.elected.send_replace(None);
             self.shared.is_manager.set(false);
