--- a/crates/geranium_ctl/src/cli.rs
+++ b/crates/geranium_ctl/src/cli.rs
@@ -72,7 +72,7 @@
         let reason = reader.optional(&REASON);
         let svg = reader.optional(&SVG);
         let command = read_command(&mut reader, filter);
-        let offline = matches!(command, Some(Command::HashKey));
+        let offline = matches!(command, Some(Command::HashKey | Command::ExplainLog(..)));
         if !offline && hosts.is_empty() {
             reader.needed(&HOSTS);
         }
--- a/crates/geranium_ctl/src/cli/command.rs
+++ b/crates/geranium_ctl/src/cli/command.rs
@@ -57,6 +57,8 @@
     Timeline(TimelineFilter),
     /// Explains something.
     Explain(String, String),
+    /// Explains a request, a host or a group from a file of log lines.
+    ExplainLog(String, String),
     /// Hashes an account key.
     HashKey,
 }
@@ -113,6 +115,10 @@
         "undrain" => named(reader, DRAINABLE, Command::Undrain)?,
         "timeline" => Command::Timeline(event_kind(reader, filter)?),
         "explain" => named(reader, EXPLAINABLE, Command::Explain)?,
+        "explain-log" => {
+            let file = argument(reader, "FILE")?;
+            Command::ExplainLog(file, argument(reader, "ID")?)
+        }
         "hash-key" => Command::HashKey,
         other => {
             reader.conflict(format!(
--- a/crates/geranium_ctl/src/cli/specs.rs
+++ b/crates/geranium_ctl/src/cli/specs.rs
@@ -71,6 +71,8 @@
   undrain domain|host NAME brings it back
   timeline [--follow]      merges the events of all entry hosts
   explain request|group|host|record ID
+  explain-log FILE ID      the same for a request, a host or a group of geranium-entry,
+                           from its log lines alone; FILE may be -
   hash-key                 reads an account key from standard input, prints its hash
 
 kinds of record: model, account, service, drain
--- a/crates/geranium_ctl/src/command/mod.rs
+++ b/crates/geranium_ctl/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod drain;
 mod explain;
+mod explain_log;
 mod hash_key;
 mod records;
 mod session;
@@ -31,6 +32,7 @@
             out!("geraniumctl {}", env!("CARGO_PKG_VERSION"));
             Ok(Exit::Done)
         }
+        Command::ExplainLog(path, id) => explain_log::run(path, id),
         Command::HashKey => hash_key::run(),
         Command::Validate(path) => apply::validate(&session, path).await,
         Command::Apply(path) => apply::apply(&session, path).await,
--- a/crates/geranium_ctl/tests/ctl/offline.rs
+++ b/crates/geranium_ctl/tests/ctl/offline.rs
@@ -145,3 +145,103 @@
     assert!(!err.contains("panicked"), "{err}");
     assert!(ended.status.success());
 }
+
+/// Makes a log line of an entry host, with what a collector wrote before it.
+fn log_line(ms: u64, host: &str, message: &str, fields: serde_json::Value) -> String {
+    let line = json!({"time_us": ms * 1_000, "level": "INFO", "target": "t", "host": host,
+        "failure_domain": "a", "incarnation": 1, "message": message, "fields": fields});
+    format!("  1.234 {host} {line}\n")
+}
+
+#[test]
+fn causes_of_three_failed_requests_are_found_from_logs_alone() {
+    let log = [
+        log_line(
+            9_000,
+            "e1",
+            "configuration is in force",
+            json!({"version": "7"}),
+        ),
+        log_line(
+            10_000,
+            "e1",
+            "group is silent, its work moves away",
+            json!({"head": "h1"}),
+        ),
+        log_line(
+            10_020,
+            "e2",
+            "order sent",
+            json!({"host": "h1", "order": "leave"}),
+        ),
+        log_line(
+            10_100,
+            "e1",
+            "attempt failed",
+            json!({"request": "midway", "host": "h1", "cause": "Silent"}),
+        ),
+        log_line(
+            10_110,
+            "e1",
+            "request is answered by the entry host",
+            json!({"request": "midway", "status": "502"}),
+        ),
+        log_line(
+            10_200,
+            "e1",
+            "request is answered by the entry host",
+            json!({"request": "refused", "status": "503", "reason": "none_serves"}),
+        ),
+        log_line(
+            10_300,
+            "e1",
+            "attempt failed",
+            json!({"request": "other", "host": "h9", "cause": "Silent"}),
+        ),
+        log_line(
+            20_000,
+            "e1",
+            "stream begins",
+            json!({"request": "late", "host": "h2", "first_ms": "900"}),
+        ),
+        log_line(
+            19_000,
+            "e1",
+            "backend server reports",
+            json!({"host": "h2", "group": "g/1/0/Open"}),
+        ),
+        "not a log line\n".to_owned(),
+    ]
+    .concat();
+    let file = std::env::temp_dir().join(format!("geranium-explain-{}", std::process::id()));
+    std::fs::write(&file, log).expect("the log can be written");
+    let path = file.to_str().expect("the path is text");
+    let tool = Tool::bare();
+
+    let midway = tool
+        .run(&["explain-log", path, "midway"])
+        .exits(0)
+        .to_owned();
+    let refused = tool
+        .run(&["explain-log", path, "refused"])
+        .exits(0)
+        .to_owned();
+    let late = tool.run(&["explain-log", path, "late"]).exits(0).to_owned();
+    let unknown = tool.run(&["explain-log", path, "nobody"]);
+
+    assert!(
+        midway.contains("group is silent") && midway.contains("order=leave"),
+        "{midway}"
+    );
+    assert!(!midway.contains("request=other"), "{midway}");
+    assert!(
+        refused.contains("reason=none_serves") && refused.contains("version=7"),
+        "{refused}"
+    );
+    assert!(
+        late.contains("first_ms=900") && late.contains("g/1/0/Open"),
+        "{late}"
+    );
+    unknown.exits(6);
+    std::fs::remove_file(&file).expect("the log can be removed");
+}
--- a/crates/geranium_entry/src/relay/answer.rs
+++ b/crates/geranium_entry/src/relay/answer.rs
@@ -91,7 +91,9 @@
         let id = self.request_id.as_ref().and_then(|v| v.to_str().ok());
         log::info!(
             request = id, status = status.as_u16(), reason = self.reason.word(),
-            retry_after_ms = self.retry_after.map(|d| d.as_millis() as u64);
+            retry_after_ms = self.retry_after.map(|d| d.as_millis() as u64),
+            version = shared.version(), revision = shared.revision.get().map(|r| r.0),
+            store_away = shared.store_away.get();
             "request is answered by the entry host"
         );
         let mut res = Response::new(RelayBody::whole(self.reason.word()));
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -155,7 +155,8 @@
     let took = job.shared.now().since(job.arrived);
     log::info!(
         request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
-        host:% = choice.host.id, among = choice.among, first_ms = took.as_millis() as u64;
+        host:% = choice.host.id, among = choice.among, first_ms = took.as_millis() as u64,
+        objective_ms = job.route.objective.as_millis() as u64;
         "stream begins"
     );
     job.shared.metrics.first_answer.observe(took.as_secs_f64());
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -194,6 +194,12 @@
         self.clock.now()
     }
 
+    /// Returns the version of the configuration in force.
+    pub(crate) fn version(&self) -> Option<u64> {
+        let core = self.core.borrow();
+        core.table.as_ref().map(|t| t.deployment().version)
+    }
+
     /// Takes in what hosts answered themselves; returns the ids of those that changed.
     pub(crate) fn take_reports(&self, reports: &[(HostId, HostReport)]) -> Vec<HostId> {
         let mut changed = Vec::new();
