--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -30,6 +30,9 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Time without an answer after which the store counts as having been away.
 const OUTAGE: Duration = Duration::from_millis(1_500);
+/// Margin on the cold start of backend servers that come back with their failure
+/// domain, as they may have turned cold unnoticed.
+const COLD_MARGIN: Duration = Duration::from_millis(1_500);
 /// Pause between two watches, so that changes come in batches; calls are counted.
 const BATCH_PAUSE: Duration = Duration::from_millis(150);
 /// The same for the manager, whose orders wait for what hosts report.
@@ -228,11 +231,10 @@
             }
             Fact::DomainBack(domain) => {
                 log::info!(failure_domain:% = domain; "failure domain is back in service");
-                self.shared
-                    .core
-                    .borrow_mut()
-                    .directory
-                    .set_domain_out(&domain, false);
+                let mut core = self.shared.core.borrow_mut();
+                let cold_until = now + core.longest_cold_time() + COLD_MARGIN;
+                core.directory.set_domain_out(&domain, false);
+                core.directory.set_domain_cold(&domain, cold_until);
             }
             Fact::Own { name, value } => self.apply_own(&name, value.as_deref(), now),
             Fact::Unusable { key, detail } => {
--- a/crates/geranium_entry/src/relay/job.rs
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -199,14 +199,14 @@
     pub(super) fn choose(&mut self) -> Result<Choice, NoHost> {
         let now = self.shared.now();
         let mut core = self.shared.core.borrow_mut();
-        let most_per_second = core.most_per_second(&self.service, &self.shared.cfg.bounds);
+        let cold_bound = core.cold_bound(&self.service, &self.shared.cfg.bounds);
         let most_running = self.most_running();
         let core = &mut *core;
         let wanted = Wanted {
             service: &self.service.name,
             model: self.service.engine.as_ref().and(self.model.as_deref()),
             tried: &self.tried,
-            most_per_second,
+            cold_bound,
             most_running,
         };
         let choice = core
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::time::Duration;
 
 use geranium_core::collections::{HashMap, HashSet};
 use geranium_core::id::StoreRevision;
@@ -12,7 +13,7 @@
 use geranium_fleet::crash::CrashLedger;
 use geranium_fleet::demand::DemandMeter;
 use geranium_fleet::directory::Directory;
-use geranium_fleet::dispatch::Dispatcher;
+use geranium_fleet::dispatch::{ColdBound, Dispatcher};
 use geranium_fleet::host::{HostId, HostReport};
 use geranium_fleet::route_table::RouteTable;
 use geranium_fleet::service::Service;
@@ -101,15 +102,18 @@
 
     /// Returns how many requests this entry host may send to one backend server of
     /// a service in a second.
-    pub(crate) fn most_per_second(
-        &self,
-        service: &Service,
-        bounds: &SharedBounds,
-    ) -> Option<usize> {
-        (service.cold_rate > 0.0).then(|| {
-            let bound = service.cold_rate * bounds.cold_factor + bounds.cold_slack;
-            part_of(bound, self.sharers()).max(1)
-        })
+    pub(crate) fn cold_bound(&self, service: &Service, bounds: &SharedBounds) -> Option<ColdBound> {
+        let bound = service.cold_rate * bounds.cold_factor + bounds.cold_slack;
+        (service.cold_rate > 0.0).then(|| ColdBound::new(bound, self.sharers()))
+    }
+
+    /// Returns the longest cold start of any service.
+    pub(crate) fn longest_cold_time(&self) -> Duration {
+        let services = self
+            .table
+            .iter()
+            .flat_map(|t| t.deployment().services.values());
+        services.map(|s| s.cold_time).max().unwrap_or_default()
     }
 }
 
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -31,6 +31,9 @@
         self.lapsed.remove(&host.id);
         let known = self.hosts.get(&host.id);
         let same_life = known.is_some_and(|k| k.born == host.born);
+        if let Some(known) = known.filter(|_| same_life) {
+            host.cold_until = host.cold_until.max(known.cold_until);
+        }
         host.orders_begun = match known.filter(|_| same_life) {
             Some(known) => known.orders_begun,
             // A host that begins a life has begun no order. If the guess is wrong it
@@ -143,6 +146,14 @@
         }
     }
 
+    /// Treats all hosts of a failure domain as cold until a time.
+    pub fn set_domain_cold(&mut self, domain: &str, until: Timestamp) {
+        let hosts = self.hosts.values_mut();
+        for host in hosts.filter(|h| *h.failure_domain == *domain) {
+            host.cold_until = host.cold_until.max(Some(until));
+        }
+    }
+
     /// Takes back every failure domain that is not in a complete list.
     pub fn retain_domains_out(&mut self, listed: &HashSet<Arc<str>>) {
         self.generation += 1;
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -9,7 +9,7 @@
 
 use crate::directory::Directory;
 use crate::host::{Host, HostId};
-use crate::shared_rate::SharedRate;
+use crate::shared_rate::{SharedRate, part_of};
 
 /// Window of the bound on cold backend servers.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
@@ -18,6 +18,8 @@
 const SUSPICION: Duration = Duration::from_millis(2_500);
 /// Added load of a backend server in another failure domain, in requests.
 const REMOTE_LOAD: f64 = 0.35;
+/// Added load of a cold backend server, in requests.
+const COLD_LOAD: f64 = 6.0;
 /// Weight of a new sample in the averages of failures and times.
 const SAMPLE_WEIGHT: f64 = 0.15;
 /// Load that a share of failures of 1 adds, in requests.
@@ -82,6 +84,35 @@
     pub among: usize,
 }
 
+/// Most requests that this entry host sends to one backend server in a second, so
+/// that all entry hosts together stay below what a cold one bears.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdBound {
+    /// To a backend server that is known to be cold: this entry host's part.
+    pub cold: usize,
+    /// To any other, as it may have turned cold a moment ago: more than the part,
+    /// as not all entry hosts send that much to the same one.
+    pub warm: usize,
+}
+
+impl ColdBound {
+    /// Entry hosts' parts that one of them may use at a warm backend server.
+    const WARM_PARTS: usize = 2;
+
+    /// Divides a bound by the number of entry hosts.
+    #[must_use]
+    pub fn new(bound: f64, entry_hosts: usize) -> Self {
+        let cold = part_of(bound, entry_hosts).max(1);
+        let warm = part_of(bound * Self::WARM_PARTS as f64, entry_hosts).max(cold);
+        Self { cold, warm }
+    }
+
+    fn at(self, host: &Host, now: Timestamp) -> usize {
+        let is_cold = host.cold_until.is_some_and(|until| now < until);
+        if is_cold { self.cold } else { self.warm }
+    }
+}
+
 /// What a request needs.
 #[derive(Clone, Copy, Debug)]
 pub struct Wanted<'a> {
@@ -91,9 +122,8 @@
     pub model: Option<&'a str>,
     /// Backend servers that had the request before.
     pub tried: &'a [HostId],
-    /// Most requests that a backend server takes in a second from this entry
-    /// host, so that all together stay below what a cold one bears.
-    pub most_per_second: Option<usize>,
+    /// Bound on the requests of this entry host in a second.
+    pub cold_bound: Option<ColdBound>,
     /// Requests at one backend server, over all entry hosts, beyond which it is full.
     pub most_running: f64,
 }
@@ -169,10 +199,8 @@
             if (now < seen.suspected_until) != suspected {
                 continue;
             }
-            if wanted
-                .most_per_second
-                .is_some_and(|m| seen.cold.used(now) >= m)
-            {
+            let bound = wanted.cold_bound.map(|b| b.at(host, now));
+            if bound.is_some_and(|most| seen.cold.used(now) >= most) {
                 reason = rank(reason, NoHost::AtBound);
                 continue;
             }
@@ -182,7 +210,7 @@
                 continue;
             }
             among += 1;
-            let score = self.score(host, running) + rng.random::<f64>() * 0.1;
+            let score = self.score(host, running, now) + rng.random::<f64>() * 0.1;
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, host));
             }
@@ -190,7 +218,7 @@
         best.map(|(_, host)| (host, among)).ok_or(reason)
     }
 
-    fn score(&self, host: &Host, running: f64) -> f64 {
+    fn score(&self, host: &Host, running: f64, now: Timestamp) -> f64 {
         let Some(seen) = self.seen.get(&host.id) else {
             return 0.0;
         };
@@ -200,7 +228,9 @@
             REMOTE_LOAD
         };
         let slowness = (seen.mean_ms / 100.0).min(20.0);
-        running + remote + seen.failures * FAILURE_LOAD + slowness
+        let is_cold = host.cold_until.is_some_and(|until| now < until);
+        let cold = if is_cold { COLD_LOAD } else { 0.0 };
+        cold + running + remote + seen.failures * FAILURE_LOAD + slowness
     }
 
     /// Notes that a request has left a backend server.
--- /dev/null
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -0,0 +1,191 @@
+//! Where requests go: load, cold backend servers, suspicion, full groups.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use geranium_core::time::Timestamp;
+use geranium_fleet::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const NOW: Timestamp = Timestamp::from_millis(100_000);
+
+fn host(id: &str, domain: &str) -> Host {
+    Host {
+        id: id.into(),
+        born: 1,
+        service: "app".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: domain.into(),
+        slots: 4,
+        state: HostState::Ready,
+        cold_until: None,
+        orders_begun: None,
+        fabric_domain: None,
+        staged: Vec::new(),
+        model: None,
+        membership: None,
+    }
+}
+
+fn directory(hosts: Vec<Host>) -> Directory {
+    let mut directory = Directory::default();
+    for host in hosts {
+        directory.put(host);
+    }
+    directory
+}
+
+fn wanted(tried: &[HostId]) -> Wanted<'_> {
+    Wanted {
+        service: "app",
+        model: None,
+        tried,
+        cold_bound: None,
+        most_running: f64::MAX,
+    }
+}
+
+fn choose(
+    dispatcher: &mut Dispatcher,
+    directory: &Directory,
+    wanted: &Wanted<'_>,
+    now: Timestamp,
+) -> Result<HostId, NoHost> {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let choice = dispatcher.choose(directory, wanted, now, &mut rng)?;
+    Ok(choice.host.id)
+}
+
+#[test]
+fn load_is_spread_and_the_own_domain_preferred() {
+    let directory = directory(vec![host("near", "a"), host("far", "b")]);
+    let mut dispatcher = Dispatcher::new("a".into());
+
+    let first = choose(&mut dispatcher, &directory, &wanted(&[]), NOW);
+    let second = choose(&mut dispatcher, &directory, &wanted(&[]), NOW);
+
+    assert_eq!(first, Ok("near".into()));
+    assert_eq!(second, Ok("far".into()));
+}
+
+#[test]
+fn a_cold_server_gets_this_entry_hosts_part_of_what_it_bears() {
+    let mut cold = host("cold", "a");
+    cold.cold_until = Some(NOW + Duration::from_secs(3));
+    let directory = directory(vec![cold]);
+    let mut dispatcher = Dispatcher::new("a".into());
+    let bound = ColdBound::new(26.0 * 1.5 + 5.0, 8);
+    let mut wanted = wanted(&[]);
+    wanted.cold_bound = Some(bound);
+
+    let taken = (0..20).filter(|_| choose(&mut dispatcher, &directory, &wanted, NOW).is_ok());
+
+    assert_eq!(taken.count(), 5);
+    let refused = choose(&mut dispatcher, &directory, &wanted, NOW);
+    assert_eq!(refused, Err(NoHost::AtBound));
+    let later = NOW + Duration::from_millis(1_001);
+    assert!(choose(&mut dispatcher, &directory, &wanted, later).is_ok());
+}
+
+#[test]
+fn all_entry_hosts_together_keep_the_bound_at_a_cold_server() {
+    for entry_hosts in 1..40 {
+        let bound = ColdBound::new(44.0, entry_hosts);
+
+        assert!(
+            bound.cold * entry_hosts <= 44.max(entry_hosts),
+            "{entry_hosts}"
+        );
+        assert!(bound.warm >= bound.cold);
+    }
+}
+
+#[test]
+fn a_domain_that_comes_back_is_treated_as_cold() {
+    let mut directory = directory(vec![host("h", "a")]);
+    let mut dispatcher = Dispatcher::new("a".into());
+    let mut wanted = wanted(&[]);
+    wanted.cold_bound = Some(ColdBound { cold: 1, warm: 10 });
+
+    directory.set_domain_cold("a", NOW + Duration::from_secs(4));
+    directory.put(host("h", "a"));
+
+    assert!(choose(&mut dispatcher, &directory, &wanted, NOW).is_ok());
+    assert_eq!(
+        choose(&mut dispatcher, &directory, &wanted, NOW),
+        Err(NoHost::AtBound)
+    );
+}
+
+#[test]
+fn a_suspected_server_is_used_only_where_there_is_no_other() {
+    let directory = directory(vec![host("suspected", "a"), host("sound", "b")]);
+    let mut dispatcher = Dispatcher::new("a".into());
+    dispatcher.suspect(&"suspected".into(), NOW);
+
+    for _ in 0..5 {
+        assert_eq!(
+            choose(&mut dispatcher, &directory, &wanted(&[]), NOW),
+            Ok("sound".into())
+        );
+    }
+    let tried: Vec<HostId> = vec!["sound".into()];
+    assert_eq!(
+        choose(&mut dispatcher, &directory, &wanted(&tried), NOW),
+        Ok("suspected".into())
+    );
+}
+
+#[test]
+fn work_of_other_entry_hosts_fills_a_server_too() {
+    let directory = directory(vec![host("h", "a")]);
+    let mut dispatcher = Dispatcher::new("a".into());
+    let id: HostId = Arc::from("h");
+    dispatcher.note_peers_running(&id, 17.0);
+    let mut wanted = wanted(&[]);
+    wanted.most_running = 17.0;
+
+    assert_eq!(
+        choose(&mut dispatcher, &directory, &wanted, NOW),
+        Err(NoHost::Full)
+    );
+}
+
+#[test]
+fn leaving_hosts_and_domains_that_are_out_get_nothing() {
+    let mut leaving = host("leaving", "a");
+    leaving.state = HostState::Draining;
+    let mut directory = directory(vec![leaving, host("out", "b")]);
+    directory.set_domain_out(&"b".into(), true);
+    let mut dispatcher = Dispatcher::new("a".into());
+
+    assert_eq!(
+        choose(&mut dispatcher, &directory, &wanted(&[]), NOW),
+        Err(NoHost::None)
+    );
+}
+
+#[test]
+fn entries_that_lapse_after_an_outage_stay_usable_for_a_moment() {
+    let mut directory = directory(vec![host("h", "a")]);
+    directory.store_regained(NOW);
+    directory.remove("h", NOW);
+    let host = directory.get("h").cloned().expect("the host is kept");
+
+    assert!(directory.takes_work(&host, NOW + Duration::from_millis(1_500)));
+    assert!(!directory.takes_work(&host, NOW + Duration::from_millis(1_700)));
+    assert_eq!(
+        directory.expire(NOW + Duration::from_millis(1_700)).len(),
+        1
+    );
+}
+
+#[test]
+fn entries_removed_in_calm_are_gone_at_once() {
+    let mut directory = directory(vec![host("h", "a")]);
+
+    directory.remove("h", NOW);
+
+    assert!(directory.get("h").is_none());
+}
