--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -13,12 +13,13 @@
 //! | `relay` | one request from its head to its answer |
 //! | `pool` | connections to backend servers |
 //! | `follow` | what the store says |
-//! | `manager` | election, and orders to hosts |
+//! | `election`, `manager` | who manages the groups, and the orders to hosts |
 //! | `peers` | datagrams between entry hosts |
 //! | `watchdog` | silent groups |
 
 mod crash_notes;
 pub mod dialect;
+mod election;
 pub mod fact;
 mod follow;
 mod log_writer;
--- a/crates/geranium_entry/src/node.rs
+++ b/crates/geranium_entry/src/node.rs
@@ -15,7 +15,7 @@
 use crate::peers::PeerLink;
 use crate::settings::EntrySettings;
 use crate::state::{Phase, Shared};
-use crate::{crash_notes, follow, manager, peers, recent_changes, server, watchdog};
+use crate::{crash_notes, election, follow, peers, recent_changes, server, watchdog};
 
 /// Time after the request to stop in which the balancer may still send callers
 /// here; it asks once a second and needs two answers.
@@ -91,7 +91,7 @@
     tokio::task::spawn_local(follow::run(follower.clone(), store.clone()));
     tokio::task::spawn_local(recent_changes::run_client(follower));
     tokio::task::spawn_local(crash_notes::run(shared.clone(), store.clone(), crashes));
-    tokio::task::spawn_local(manager::run(shared.clone(), store, link.clone()));
+    tokio::task::spawn_local(election::run(shared.clone(), store, link.clone()));
     tokio::task::spawn_local(watchdog::run(shared.clone(), link.clone()));
     tokio::task::spawn_local(peers::run_sender(shared.clone(), link.clone()));
     tokio::task::spawn_local(peers::run_receiver(shared.clone(), link));
--- a/crates/geranium_entry/src/relay/job.rs
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -33,6 +33,10 @@
 const STREAM_TIME: Duration = Duration::from_millis(4_500);
 /// Time that a process about to stop allows for a request with a whole answer.
 const WHOLE_TIME: Duration = Duration::from_millis(1_000);
+/// Part of the connections that a backend server takes from all callers together.
+const CONNECTIONS_PART: f64 = 0.9;
+/// Lowest rank that a model engine knows.
+const LOWEST_RANK: u8 = 9;
 /// Part of the objective that a request may wait in the queue of a group.
 const QUEUE_PART: f64 = 0.5;
 /// When a caller may come back to another entry host.
@@ -85,6 +89,7 @@
     route: Arc<Route>,
     service: Arc<Service>,
     account: Option<Arc<str>>,
+    rank: u8,
     max_body: usize,
 }
 
@@ -158,6 +163,10 @@
             may_have_run: false,
             fingerprint: 0,
         };
+        if job.service.engine.is_some() {
+            let rank = HeaderValue::from(u16::from(resolved.rank.min(LOWEST_RANK)));
+            job.headers.insert(names.priority.clone(), rank);
+        }
         job.fingerprint = job.content_hash(resolved.account.as_deref());
         job.note_demand(estimate.unwrap_or(answer_tokens));
         job
@@ -220,7 +229,8 @@
     /// still holds.
     fn most_running(&self) -> f64 {
         let Some(engine) = &self.service.engine else {
-            return f64::MAX;
+            // Connections beyond the cap are reset by the backend server.
+            return f64::from(self.service.max_connections) * CONNECTIONS_PART;
         };
         let pace = self
             .model
@@ -285,6 +295,7 @@
         route: route.clone(),
         service: service.cloned().ok_or(Reason::NoCapacity("no_service"))?,
         account: account.map(|a| a.name.clone()),
+        rank: account.and_then(|a| a.priority).unwrap_or(route.priority),
         max_body: table.deployment().limits.max_body,
     })
 }
--- a/crates/geranium_fleet/src/engine_profile.rs
+++ b/crates/geranium_fleet/src/engine_profile.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use geranium_core::collections::HashMap;
-
 /// A model that replica groups of a service can run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ModelProfile {
@@ -27,16 +25,12 @@
 pub struct EngineProfile {
     /// Requests that a group runs at once.
     pub slots: u32,
-    /// Tokens of context that a group's memory holds.
-    pub kv_capacity: u64,
     /// Models in the operator's order.
     pub models: Vec<ModelProfile>,
     /// Time of one token step, in milliseconds.
     pub step_ms: f64,
     /// Time that each writing request adds to a step, in milliseconds.
     pub per_request_ms: f64,
-    /// Time that 1,000 tokens of context add to a step, in milliseconds.
-    pub per_k_context_ms: f64,
     /// Prompt tokens read in a second.
     pub read_per_s: f64,
     /// Most prompt tokens read in one step.
@@ -53,8 +47,6 @@
     pub loads_at_once: usize,
     /// Time from the order to open until the group serves.
     pub form_time: Duration,
-    /// One-way network delays between failure domains.
-    pub delays: HashMap<(Arc<str>, Arc<str>), Duration>,
 }
 
 impl EngineProfile {
--- a/crates/geranium_fleet/tests/rig/mod.rs
+++ b/crates/geranium_fleet/tests/rig/mod.rs
@@ -87,11 +87,9 @@
 pub fn profile(models: Vec<ModelProfile>) -> EngineProfile {
     EngineProfile {
         slots: 16,
-        kv_capacity: 1_000_000,
         models,
         step_ms: 8.0,
         per_request_ms: 0.1,
-        per_k_context_ms: 0.01,
         read_per_s: 45_000.0,
         chunk: 2_048.0,
         stride: 5,
@@ -100,7 +98,6 @@
         loads_per_s: 5.0,
         loads_at_once: 7,
         form_time: Duration::from_millis(300),
-        delays: Default::default(),
     }
 }
 
