--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -9,6 +9,7 @@
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 use geranium_fleet::host::{HostId, HostReport};
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -17,6 +18,9 @@
 
 /// Pause between two reports of the own load.
 const INTERVAL: Duration = Duration::from_millis(150);
+/// Entry hosts that one report goes to, so that its cost does not grow with their
+/// number.
+const MOST_RECEIVERS: usize = 8;
 /// Age at which a report counts no more.
 const MAX_AGE: Duration = Duration::from_millis(700);
 /// Largest datagram.
@@ -96,28 +100,22 @@
     }
 }
 
-/// Sends the own load to the other entry hosts.
+/// Sends the own load to some of the other entry hosts, others each time.
 pub(crate) async fn run_sender<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<PeerLink>) {
-    let mut idle_sent = false;
     loop {
         tokio::time::sleep(INTERVAL).await;
-        let now = shared.now();
         let load: Vec<(Arc<str>, u32)> = {
             let core = shared.core.borrow();
-            core.dispatcher
-                .running()
-                .map(|(id, n)| (id.clone(), n))
-                .collect()
+            let running = core.dispatcher.running();
+            running.map(|(id, n)| (id.clone(), n)).collect()
         };
-        let idle = load.is_empty();
-        if !(idle && idle_sent) {
-            let datagram = Datagram::Load(load);
-            for address in link.others(&shared.cfg.name) {
-                link.send(address, &datagram);
-            }
+        let datagram = Datagram::Load(load);
+        let others = link.others(&shared.cfg.name);
+        let receivers = others.choose_multiple(&mut rand::rng(), MOST_RECEIVERS);
+        for address in receivers {
+            link.send(*address, &datagram);
         }
-        idle_sent = idle;
-        apply_loads(&shared, &link, now);
+        apply_loads(&shared, &link, others.len(), shared.now());
     }
 }
 
@@ -162,7 +160,8 @@
     }
 }
 
-fn apply_loads<D: Dialect>(shared: &Shared<D>, link: &PeerLink, now: Timestamp) {
+/// Works out the load of all other entry hosts from those that were heard.
+fn apply_loads<D: Dialect>(shared: &Shared<D>, link: &PeerLink, others: usize, now: Timestamp) {
     let mut loads = link.loads.borrow_mut();
     loads.retain(|_, load| now.since(load.at) < MAX_AGE);
     let mut sums: HashMap<Arc<str>, f64> = HashMap::default();
@@ -171,9 +170,10 @@
             *sums.entry(id.clone()).or_default() += f64::from(*running);
         }
     }
+    let factor = (others as f64 / loads.len().max(1) as f64).max(1.0);
     let mut core = shared.core.borrow_mut();
     core.dispatcher.clear_peers_running();
     for (id, running) in &sums {
-        core.dispatcher.note_peers_running(id, *running);
+        core.dispatcher.note_peers_running(id, *running * factor);
     }
 }
