--- a/crates/geranium_entry/src/relay/retry.rs
+++ b/crates/geranium_entry/src/relay/retry.rs
@@ -90,8 +90,8 @@
         let now = self.shared.now();
         let mut core = self.shared.core.borrow_mut();
         core.dispatcher.note_outcome(&host.id, false, None);
-        if error == AttemptError::NotRun("connect") {
-            core.dispatcher.suspect(&host.id, now);
+        if matches!(error, AttemptError::NotRun("connect" | "silent")) {
+            core.dispatcher.note_connection(host, false, now);
         }
     }
 
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -14,8 +14,15 @@
 /// Window of the bound on cold backend servers.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 /// Time for which a backend server that failed or fell silent gets no new work
-/// while others can take it.
+/// while others can take it; doubles with each further suspicion.
 const SUSPICION: Duration = Duration::from_millis(2_500);
+/// Doublings of that time at most.
+const MAX_DOUBLINGS: u32 = 2;
+/// Connections that failed into a failure domain without an answer from there in
+/// between, after which all of it counts as out of reach.
+const FAILED_CONNECTIONS: u32 = 3;
+/// Time for which a failure domain counts as out of reach.
+const OUT_OF_REACH: Duration = Duration::from_millis(1_500);
 /// Added load of a backend server in another failure domain, in requests.
 const REMOTE_LOAD: f64 = 0.35;
 /// Added load of a cold backend server, in requests.
@@ -33,6 +40,7 @@
     failures: f64,
     mean_ms: f64,
     suspected_until: Timestamp,
+    suspicions: u32,
     cold: SharedRate,
 }
 
@@ -44,6 +52,7 @@
             failures: 0.0,
             mean_ms: 0.0,
             suspected_until: Timestamp::default(),
+            suspicions: 0,
             cold: SharedRate::new(COLD_WINDOW),
         }
     }
@@ -133,6 +142,14 @@
 pub struct Dispatcher {
     failure_domain: Arc<str>,
     seen: HashMap<HostId, Seen>,
+    reach: HashMap<Arc<str>, Reach>,
+}
+
+/// Whether connections into a failure domain come about.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reach {
+    failed: u32,
+    lost_until: Timestamp,
 }
 
 impl Dispatcher {
@@ -142,6 +159,7 @@
         Self {
             failure_domain,
             seen: HashMap::default(),
+            reach: HashMap::default(),
         }
     }
 
@@ -196,7 +214,9 @@
                 continue;
             }
             let seen = self.seen.entry(host.id.clone()).or_default();
-            if (now < seen.suspected_until) != suspected {
+            let reach = self.reach.get(&host.failure_domain);
+            let out_of_reach = reach.is_some_and(|r| now < r.lost_until);
+            if (out_of_reach || now < seen.suspected_until) != suspected {
                 continue;
             }
             let bound = wanted.cold_bound.map(|b| b.at(host, now));
@@ -245,6 +265,9 @@
         let Some(seen) = self.seen.get_mut(id) else {
             return;
         };
+        if good {
+            seen.suspicions = 0;
+        }
         let failure = if good { 0.0 } else { 1.0 };
         seen.failures += (failure - seen.failures) * SAMPLE_WEIGHT;
         if let Some(took) = took {
@@ -261,7 +284,28 @@
     /// Gives a backend server no new work for a while if others can take it.
     pub fn suspect(&mut self, id: &HostId, now: Timestamp) {
         let seen = self.seen.entry(id.clone()).or_default();
-        seen.suspected_until = now + SUSPICION;
+        if now >= seen.suspected_until {
+            seen.suspicions += 1;
+        }
+        let doublings = seen.suspicions.saturating_sub(1).min(MAX_DOUBLINGS);
+        seen.suspected_until = now + SUSPICION * 2_u32.pow(doublings);
+    }
+
+    /// Notes that a backend server answered, or that no connection to it came about.
+    pub fn note_connection(&mut self, host: &Host, answered: bool, now: Timestamp) {
+        if answered {
+            self.reach.remove(&host.failure_domain);
+            return;
+        }
+        self.suspect(&host.id, now);
+        if host.failure_domain == self.failure_domain {
+            return;
+        }
+        let reach = self.reach.entry(host.failure_domain.clone()).or_default();
+        reach.failed += 1;
+        if reach.failed >= FAILED_CONNECTIONS {
+            reach.lost_until = now + OUT_OF_REACH;
+        }
     }
 
     /// Forgets what the other entry hosts run.
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -390,7 +390,8 @@
                 .membership
                 .as_ref()
                 .is_some_and(|m| m.group == view.group);
-            if joined || self.is_held(host, now) || !self.is_alive(host, now) {
+            // A late order of an earlier manager may have made it a member elsewhere.
+            if joined || !self.is_free(host, directory, now) {
                 continue;
             }
             orders.push(order_to(host, formed.join(&view.group)));
--- a/crates/geranium_fleet/tests/dispatch.rs
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -189,3 +189,47 @@
 
     assert!(directory.get("h").is_none());
 }
+
+#[test]
+fn a_failure_domain_out_of_reach_costs_three_connections_not_one_a_server() {
+    let far = (0..6).map(|i| host(&format!("far-{i}"), "b"));
+    let directory = directory(far.chain([host("near", "a")]).collect());
+    let mut dispatcher = Dispatcher::new("a".into());
+    for id in ["far-0", "far-1", "far-2"] {
+        let failed = directory.get(id).cloned().expect("the host is listed");
+        dispatcher.note_connection(&failed, false, NOW);
+    }
+
+    for _ in 0..8 {
+        assert_eq!(
+            choose(&mut dispatcher, &directory, &wanted(&[]), NOW),
+            Ok("near".into())
+        );
+    }
+    let later = NOW + Duration::from_millis(1_600);
+    let again = choose(&mut dispatcher, &directory, &wanted(&[]), later);
+    assert!(again.is_ok_and(|id| id.starts_with("far-")));
+}
+
+#[test]
+fn a_server_suspected_again_rests_longer_until_it_answers() {
+    let directory = directory(vec![host("bad", "a"), host("good", "a")]);
+    let mut dispatcher = Dispatcher::new("a".into());
+    let bad: HostId = "bad".into();
+    dispatcher.suspect(&bad, NOW);
+    let second = NOW + Duration::from_millis(2_600);
+    dispatcher.suspect(&bad, second);
+
+    let rests = second + Duration::from_millis(4_900);
+    for _ in 0..3 {
+        assert_eq!(
+            choose(&mut dispatcher, &directory, &wanted(&[]), rests),
+            Ok("good".into())
+        );
+    }
+    let over = second + Duration::from_millis(5_100);
+    assert_eq!(
+        choose(&mut dispatcher, &directory, &wanted(&[]), over),
+        Ok(bad)
+    );
+}
--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -5,8 +5,10 @@
 
 use std::time::Duration;
 
+use geranium_core::time::Timestamp;
+use geranium_fleet::prelude::*;
 use rand::Rng;
-use rig::{Rig, model};
+use rig::{Rig, SERVICE, model, profile};
 
 /// Runs a random day and returns the rig after it.
 fn random_day(seed: u64, late_part: f64) -> Rig {
@@ -57,3 +59,100 @@
         );
     }
 }
+
+#[test]
+fn a_late_join_of_an_earlier_manager_is_not_overruled() {
+    // Half of the orders come late, and the manager changes while groups form, so
+    // that hosts join groups of earlier managers after a later one has chosen them.
+    for seed in 1_000..1_040 {
+        let models = vec![model("large", 4, 0.5), model("small", 2, 0.5)];
+        let mut rig = Rig::new(seed, 1, 10, models);
+        rig.run(Duration::from_secs(20), false);
+        rig.late_part = 0.5;
+        let ids: Vec<_> = rig.hosts.keys().cloned().collect();
+        for _ in 0..30 {
+            let id = ids[rig.rng.random_range(0..ids.len())].clone();
+            if rig.rng.random() {
+                rig.kill(&id);
+                rig.run(Duration::from_millis(700), true);
+                rig.revive(&id);
+            } else {
+                rig.change_manager();
+            }
+            let pause = rig.rng.random_range(200..2_500);
+            rig.run(Duration::from_millis(pause), true);
+        }
+
+        assert!(
+            rig.violations.is_empty(),
+            "seed {seed}: {:?}",
+            rig.violations
+        );
+    }
+}
+
+/// Makes a host of a fabric domain that reports a membership.
+fn host(id: &str, membership: Option<Membership>) -> Host {
+    let model: Option<std::sync::Arc<str>> = Some("small".into());
+    Host {
+        id: id.into(),
+        born: 1,
+        service: SERVICE.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: "a".into(),
+        slots: 16,
+        state: HostState::Ready,
+        cold_until: None,
+        orders_begun: None,
+        fabric_domain: Some("f".into()),
+        staged: model.iter().cloned().collect(),
+        model,
+        membership,
+    }
+}
+
+fn member_of(group: &str, rank: usize, state: GroupState) -> Option<Membership> {
+    Some(Membership {
+        group: group.into(),
+        epoch: 1,
+        rank,
+        state,
+    })
+}
+
+#[test]
+fn a_member_that_joined_an_earlier_managers_group_is_not_asked_again() {
+    let start = Timestamp::from_millis(1_000_000);
+    let cfg = PlannerSettings {
+        nonce: "later".into(),
+        load_window: Duration::from_secs(5),
+    };
+    let mut planner = GroupPlanner::new(cfg, start);
+    let mut directory = Directory::default();
+    let engine = profile(vec![model("small", 2, 1.0)]);
+    let mut plan =
+        |directory: &Directory, now| planner.plan(directory, SERVICE, &engine, &[1.0], true, now);
+    directory.put(host("h1", None));
+    directory.put(host("h2", None));
+    let formed_at = start + Duration::from_secs(5);
+    let joins = plan(&directory, formed_at);
+    let group = joins.iter().find_map(|o| match &o.kind {
+        OrderKind::Join { group, .. } => Some(group.clone()),
+        _ => None,
+    });
+    let group = group.expect("a group is formed");
+    // The first member follows; the second carries out a late order of before.
+    directory.put(host("h1", member_of(&group, 0, GroupState::Joining)));
+    directory.put(host("h0", member_of("earlier", 0, GroupState::Open)));
+    directory.put(host("h2", member_of("earlier", 1, GroupState::Ready)));
+    for id in ["h0", "h1", "h2"] {
+        directory.note_orders(id, 1, 1);
+    }
+
+    for after_ms in (1_000..6_000).step_by(200) {
+        let orders = plan(&directory, formed_at + Duration::from_millis(after_ms));
+
+        let to_second = orders.iter().find(|o| &*o.host == "h2");
+        assert_eq!(to_second, None, "after {after_ms} ms");
+    }
+}
