Take a reported count of orders only with the group that is known, and keep the cold bound with many entry hosts

Where there are more entry hosts than requests, only as many of them as it bears, the same for all, may send to a cold server. Test failed first for 45, 72 and 400 entry hosts.

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -213,23 +213,26 @@
         tokio::task::spawn_local(async move {
             let known = {
                 let core = manager.shared.core.borrow();
-                core.directory.get(&id).map(|h| (h.address, h.born))
+                core.directory.get(&id).map(|h| h.address)
             };
-            let Some((address, born)) = known else {
+            let Some(address) = known else {
                 return;
             };
             let Some(report) = manager.shared.dialect.ask_host(address, PROBE_LIMIT).await else {
                 return;
             };
-            log::info!(host:% = id, count = report.orders_begun; "count of orders was asked for");
-            manager
-                .shared
-                .core
-                .borrow_mut()
-                .directory
-                .note_orders(&id, born, report.orders_begun);
-            for planner in manager.planners.borrow_mut().values_mut() {
-                planner.note_told(&id);
+            if manager.shared.store_away.get() {
+                manager.shared.take_reports(&[(id.clone(), report.clone())]);
+            }
+            let told = {
+                let mut core = manager.shared.core.borrow_mut();
+                core.directory.note_reported_orders(&id, &report)
+            };
+            log::info!(host:% = id, count = report.orders_begun, agrees = told; "count of orders was asked for");
+            if told {
+                for planner in manager.planners.borrow_mut().values_mut() {
+                    planner.note_told(&id);
+                }
             }
             manager.shared.changed.notify_waiters();
         });
--- a/crates/geranium_entry/src/relay/attempt.rs
+++ b/crates/geranium_entry/src/relay/attempt.rs
@@ -128,12 +128,7 @@
         () = moved.notified() => return Err(ended_early(&written, AttemptError::Silent)),
         () = tokio::time::sleep(job.left()) => return Err(ended_early(&written, AttemptError::Deadline)),
     };
-    let now = job.shared.now();
-    place.guard.heard(false, now);
-    {
-        let mut core = job.shared.core.borrow_mut();
-        core.dispatcher.note_connection(host, true, now);
-    }
+    place.guard.heard(false, job.shared.now());
     check(job, &res)?;
     let idle_for = idle_time(res.headers());
     Ok(Answer {
--- a/crates/geranium_entry/src/relay/retry.rs
+++ b/crates/geranium_entry/src/relay/retry.rs
@@ -91,7 +91,7 @@
         let mut core = self.shared.core.borrow_mut();
         core.dispatcher.note_outcome(&host.id, false, None);
         if matches!(error, AttemptError::NotRun("connect" | "silent")) {
-            core.dispatcher.note_connection(host, false, now);
+            core.dispatcher.suspect(&host.id, now);
         }
     }
 
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -86,6 +86,8 @@
         } else {
             self.entry_hosts.remove(name);
         }
+        let names = self.entry_hosts.iter().cloned();
+        self.dispatcher.set_entry_hosts(names);
     }
 
     /// Returns the retry budget of a service.
@@ -158,7 +160,7 @@
 impl<D: Dialect> Shared<D> {
     /// Makes the state of a process that knows nothing yet.
     pub(crate) fn new(cfg: EntrySettings, dialect: D, crashed: mpsc::UnboundedSender<u64>) -> Self {
-        let dispatcher = Dispatcher::new(cfg.failure_domain.clone());
+        let dispatcher = Dispatcher::new(cfg.name.clone(), cfg.failure_domain.clone());
         let core = Core {
             table: None,
             directory: Directory::default(),
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -6,7 +6,7 @@
 use geranium_core::collections::{HashMap, HashSet};
 use geranium_core::time::Timestamp;
 
-use crate::host::{Host, HostId, HostReport, HostState};
+use crate::host::{Host, HostId, HostReport, HostState, Membership};
 
 /// Time for which an entry that lapsed during an outage of the store stays
 /// usable; below the time that a leaving host goes on serving.
@@ -127,6 +127,23 @@
         }
     }
 
+    /// Notes the count of orders that a host reports, if it reports the group that its
+    /// entry names; returns whether it does.
+    ///
+    /// A count that is newer than what is known of the group would let an order
+    /// through that was decided on an older state.
+    pub fn note_reported_orders(&mut self, id: &str, report: &HostReport) -> bool {
+        let Some(host) = self.hosts.get_mut(id).filter(|h| h.born == report.born) else {
+            return false;
+        };
+        let group = |m: &Option<Membership>| m.as_ref().map(|m| (m.group.clone(), m.epoch));
+        if group(&host.membership) != group(&report.membership) {
+            return false;
+        }
+        host.orders_begun = Some(report.orders_begun);
+        true
+    }
+
     /// Forgets the counts of orders of all hosts that may have begun one, as
     /// another manager may have sent them.
     pub fn forget_orders(&mut self) {
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -1,11 +1,13 @@
 //! Chooses the backend server that gets a request.
 
+use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 use rand::Rng;
+use rustc_hash::FxHasher;
 
 use crate::directory::Directory;
 use crate::host::{Host, HostId};
@@ -14,15 +16,8 @@
 /// Window of the bound on cold backend servers.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 /// Time for which a backend server that failed or fell silent gets no new work
-/// while others can take it; doubles with each further suspicion.
+/// while others can take it.
 const SUSPICION: Duration = Duration::from_millis(2_500);
-/// Doublings of that time at most.
-const MAX_DOUBLINGS: u32 = 2;
-/// Connections that failed into a failure domain without an answer from there in
-/// between, after which all of it counts as out of reach.
-const FAILED_CONNECTIONS: u32 = 3;
-/// Time for which a failure domain counts as out of reach.
-const OUT_OF_REACH: Duration = Duration::from_millis(1_500);
 /// Added load of a backend server in another failure domain, in requests.
 const REMOTE_LOAD: f64 = 0.35;
 /// Added load of a cold backend server, in requests.
@@ -40,7 +35,6 @@
     failures: f64,
     mean_ms: f64,
     suspected_until: Timestamp,
-    suspicions: u32,
     cold: SharedRate,
 }
 
@@ -52,7 +46,6 @@
             failures: 0.0,
             mean_ms: 0.0,
             suspected_until: Timestamp::default(),
-            suspicions: 0,
             cold: SharedRate::new(COLD_WINDOW),
         }
     }
@@ -102,23 +95,28 @@
     /// To any other, as it may have turned cold a moment ago: more than the part,
     /// as not all entry hosts send that much to the same one.
     pub warm: usize,
+    /// Entry hosts that may send to a cold backend server at all, where there are
+    /// more of them than requests that it bears.
+    pub holders: Option<usize>,
 }
 
 impl ColdBound {
     /// Entry hosts' parts that one of them may use at a warm backend server.
     const WARM_PARTS: usize = 2;
+    /// Requests that an entry host may always send to a warm backend server.
+    const WARM_LEAST: usize = 3;
 
     /// Divides a bound by the number of entry hosts.
     #[must_use]
     pub fn new(bound: f64, entry_hosts: usize) -> Self {
-        let cold = part_of(bound, entry_hosts).max(1);
-        let warm = part_of(bound * Self::WARM_PARTS as f64, entry_hosts).max(cold);
-        Self { cold, warm }
-    }
-
-    fn at(self, host: &Host, now: Timestamp) -> usize {
-        let is_cold = host.cold_until.is_some_and(|until| now < until);
-        if is_cold { self.cold } else { self.warm }
+        let part = part_of(bound, entry_hosts);
+        let cold = part.max(1);
+        let warm = part_of(bound * Self::WARM_PARTS as f64, entry_hosts);
+        Self {
+            cold,
+            warm: warm.max(cold).max(Self::WARM_LEAST),
+            holders: (part == 0).then_some(bound as usize),
+        }
     }
 }
 
@@ -140,26 +138,21 @@
 /// Chooses backend servers by load, distance and evidence.
 #[derive(Debug)]
 pub struct Dispatcher {
+    name: Arc<str>,
     failure_domain: Arc<str>,
+    entry_hosts: Vec<String>,
     seen: HashMap<HostId, Seen>,
-    reach: HashMap<Arc<str>, Reach>,
-}
-
-/// Whether connections into a failure domain come about.
-#[derive(Clone, Copy, Debug, Default)]
-struct Reach {
-    failed: u32,
-    lost_until: Timestamp,
 }
 
 impl Dispatcher {
     /// Makes a dispatcher for an entry host in a failure domain.
     #[must_use]
-    pub fn new(failure_domain: Arc<str>) -> Self {
+    pub fn new(name: Arc<str>, failure_domain: Arc<str>) -> Self {
         Self {
+            name,
             failure_domain,
+            entry_hosts: Vec::new(),
             seen: HashMap::default(),
-            reach: HashMap::default(),
         }
     }
 
@@ -214,17 +207,18 @@
                 continue;
             }
             let seen = self.seen.entry(host.id.clone()).or_default();
-            let reach = self.reach.get(&host.failure_domain);
-            let out_of_reach = reach.is_some_and(|r| now < r.lost_until);
-            if (out_of_reach || now < seen.suspected_until) != suspected {
+            let running = f64::from(seen.running) + seen.peers_running;
+            if (now < seen.suspected_until) != suspected {
                 continue;
             }
-            let bound = wanted.cold_bound.map(|b| b.at(host, now));
-            if bound.is_some_and(|most| seen.cold.used(now) >= most) {
+            let used = seen.cold.used(now);
+            let bound = wanted
+                .cold_bound
+                .map(|b| self.most_per_second(b, host, now));
+            if bound.is_some_and(|most| used >= most) {
                 reason = rank(reason, NoHost::AtBound);
                 continue;
             }
-            let running = f64::from(seen.running) + seen.peers_running;
             if running >= wanted.most_running {
                 reason = rank(reason, NoHost::Full);
                 continue;
@@ -238,6 +232,36 @@
         best.map(|(_, host)| (host, among)).ok_or(reason)
     }
 
+    /// Returns how many requests this entry host may send to a backend server in a
+    /// second.
+    fn most_per_second(&self, bound: ColdBound, host: &Host, now: Timestamp) -> usize {
+        if !host.cold_until.is_some_and(|until| now < until) {
+            return bound.warm;
+        }
+        match bound.holders {
+            Some(holders) if !self.is_holder(&host.id, holders) => 0,
+            _ => bound.cold,
+        }
+    }
+
+    /// Returns whether this entry host is among those that may send to a cold backend
+    /// server; all entry hosts work out the same ones.
+    fn is_holder(&self, id: &str, holders: usize) -> bool {
+        let weight = |name: &str| {
+            let mut hasher = FxHasher::default();
+            (name, id).hash(&mut hasher);
+            hasher.finish()
+        };
+        let own = weight(&self.name);
+        let before = self.entry_hosts.iter().filter(|n| weight(n) > own);
+        before.count() < holders
+    }
+
+    /// Notes the names of all entry hosts.
+    pub fn set_entry_hosts(&mut self, names: impl IntoIterator<Item = String>) {
+        self.entry_hosts = names.into_iter().collect();
+    }
+
     fn score(&self, host: &Host, running: f64, now: Timestamp) -> f64 {
         let Some(seen) = self.seen.get(&host.id) else {
             return 0.0;
@@ -265,9 +289,6 @@
         let Some(seen) = self.seen.get_mut(id) else {
             return;
         };
-        if good {
-            seen.suspicions = 0;
-        }
         let failure = if good { 0.0 } else { 1.0 };
         seen.failures += (failure - seen.failures) * SAMPLE_WEIGHT;
         if let Some(took) = took {
@@ -284,28 +305,7 @@
     /// Gives a backend server no new work for a while if others can take it.
     pub fn suspect(&mut self, id: &HostId, now: Timestamp) {
         let seen = self.seen.entry(id.clone()).or_default();
-        if now >= seen.suspected_until {
-            seen.suspicions += 1;
-        }
-        let doublings = seen.suspicions.saturating_sub(1).min(MAX_DOUBLINGS);
-        seen.suspected_until = now + SUSPICION * 2_u32.pow(doublings);
-    }
-
-    /// Notes that a backend server answered, or that no connection to it came about.
-    pub fn note_connection(&mut self, host: &Host, answered: bool, now: Timestamp) {
-        if answered {
-            self.reach.remove(&host.failure_domain);
-            return;
-        }
-        self.suspect(&host.id, now);
-        if host.failure_domain == self.failure_domain {
-            return;
-        }
-        let reach = self.reach.entry(host.failure_domain.clone()).or_default();
-        reach.failed += 1;
-        if reach.failed >= FAILED_CONNECTIONS {
-            reach.lost_until = now + OUT_OF_REACH;
-        }
+        seen.suspected_until = now + SUSPICION;
     }
 
     /// Forgets what the other entry hosts run.
--- a/crates/geranium_fleet/tests/dispatch.rs
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -60,7 +60,7 @@
 #[test]
 fn load_is_spread_and_the_own_domain_preferred() {
     let directory = directory(vec![host("near", "a"), host("far", "b")]);
-    let mut dispatcher = Dispatcher::new("a".into());
+    let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
 
     let first = choose(&mut dispatcher, &directory, &wanted(&[]), NOW);
     let second = choose(&mut dispatcher, &directory, &wanted(&[]), NOW);
@@ -74,7 +74,7 @@
     let mut cold = host("cold", "a");
     cold.cold_until = Some(NOW + Duration::from_secs(3));
     let directory = directory(vec![cold]);
-    let mut dispatcher = Dispatcher::new("a".into());
+    let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
     let bound = ColdBound::new(26.0 * 1.5 + 5.0, 8);
     let mut wanted = wanted(&[]);
     wanted.cold_bound = Some(bound);
@@ -90,23 +90,39 @@
 
 #[test]
 fn all_entry_hosts_together_keep_the_bound_at_a_cold_server() {
-    for entry_hosts in 1..40 {
-        let bound = ColdBound::new(44.0, entry_hosts);
+    let mut cold = host("cold", "a");
+    cold.cold_until = Some(NOW + Duration::from_secs(3));
+    let directory = directory(vec![cold]);
+    for entry_hosts in [1, 7, 8, 43, 44, 45, 72, 400] {
+        let names: Vec<String> = (0..entry_hosts).map(|i| format!("e{i}")).collect();
+        let mut wanted = wanted(&[]);
+        wanted.cold_bound = Some(ColdBound::new(44.0, entry_hosts));
+        let mut arrived = 0;
+        for name in &names {
+            let mut dispatcher = Dispatcher::new(name.as_str().into(), "a".into());
+            dispatcher.set_entry_hosts(names.clone());
+            let taken =
+                (0..50).filter(|_| choose(&mut dispatcher, &directory, &wanted, NOW).is_ok());
+            arrived += taken.count();
+        }
 
         assert!(
-            bound.cold * entry_hosts <= 44.max(entry_hosts),
-            "{entry_hosts}"
+            (1..=44).contains(&arrived),
+            "{entry_hosts} entry hosts: {arrived}"
         );
-        assert!(bound.warm >= bound.cold);
     }
 }
 
 #[test]
 fn a_domain_that_comes_back_is_treated_as_cold() {
     let mut directory = directory(vec![host("h", "a")]);
-    let mut dispatcher = Dispatcher::new("a".into());
+    let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
     let mut wanted = wanted(&[]);
-    wanted.cold_bound = Some(ColdBound { cold: 1, warm: 10 });
+    wanted.cold_bound = Some(ColdBound {
+        cold: 1,
+        warm: 10,
+        holders: None,
+    });
 
     directory.set_domain_cold("a", NOW + Duration::from_secs(4));
     directory.put(host("h", "a"));
@@ -121,7 +137,7 @@
 #[test]
 fn a_suspected_server_is_used_only_where_there_is_no_other() {
     let directory = directory(vec![host("suspected", "a"), host("sound", "b")]);
-    let mut dispatcher = Dispatcher::new("a".into());
+    let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
     dispatcher.suspect(&"suspected".into(), NOW);
 
     for _ in 0..5 {
@@ -140,7 +156,7 @@
 #[test]
 fn work_of_other_entry_hosts_fills_a_server_too() {
     let directory = directory(vec![host("h", "a")]);
-    let mut dispatcher = Dispatcher::new("a".into());
+    let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
     let id: HostId = Arc::from("h");
     dispatcher.note_peers_running(&id, 17.0);
     let mut wanted = wanted(&[]);
@@ -158,7 +174,7 @@
     leaving.state = HostState::Draining;
     let mut directory = directory(vec![leaving, host("out", "b")]);
     directory.set_domain_out(&"b".into(), true);
-    let mut dispatcher = Dispatcher::new("a".into());
+    let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
 
     assert_eq!(
         choose(&mut dispatcher, &directory, &wanted(&[]), NOW),
@@ -189,47 +205,3 @@
 
     assert!(directory.get("h").is_none());
 }
-
-#[test]
-fn a_failure_domain_out_of_reach_costs_three_connections_not_one_a_server() {
-    let far = (0..6).map(|i| host(&format!("far-{i}"), "b"));
-    let directory = directory(far.chain([host("near", "a")]).collect());
-    let mut dispatcher = Dispatcher::new("a".into());
-    for id in ["far-0", "far-1", "far-2"] {
-        let failed = directory.get(id).cloned().expect("the host is listed");
-        dispatcher.note_connection(&failed, false, NOW);
-    }
-
-    for _ in 0..8 {
-        assert_eq!(
-            choose(&mut dispatcher, &directory, &wanted(&[]), NOW),
-            Ok("near".into())
-        );
-    }
-    let later = NOW + Duration::from_millis(1_600);
-    let again = choose(&mut dispatcher, &directory, &wanted(&[]), later);
-    assert!(again.is_ok_and(|id| id.starts_with("far-")));
-}
-
-#[test]
-fn a_server_suspected_again_rests_longer_until_it_answers() {
-    let directory = directory(vec![host("bad", "a"), host("good", "a")]);
-    let mut dispatcher = Dispatcher::new("a".into());
-    let bad: HostId = "bad".into();
-    dispatcher.suspect(&bad, NOW);
-    let second = NOW + Duration::from_millis(2_600);
-    dispatcher.suspect(&bad, second);
-
-    let rests = second + Duration::from_millis(4_900);
-    for _ in 0..3 {
-        assert_eq!(
-            choose(&mut dispatcher, &directory, &wanted(&[]), rests),
-            Ok("good".into())
-        );
-    }
-    let over = second + Duration::from_millis(5_100);
-    assert_eq!(
-        choose(&mut dispatcher, &directory, &wanted(&[]), over),
-        Ok(bad)
-    );
-}
--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -156,3 +156,27 @@
         assert_eq!(to_second, None, "after {after_ms} ms");
     }
 }
+
+#[test]
+fn a_count_newer_than_the_known_group_is_not_taken() {
+    let mut directory = Directory::default();
+    directory.put(host("h1", None));
+    directory.note_orders("h1", 1, 3);
+    let report = HostReport {
+        born: 1,
+        orders_begun: 4,
+        membership: member_of("earlier", 1, GroupState::Ready),
+        model: None,
+        staged: Vec::new(),
+    };
+
+    let before = directory.note_reported_orders("h1", &report);
+    let count_before = directory.get("h1").and_then(|h| h.orders_begun);
+    directory.put(host("h1", member_of("earlier", 1, GroupState::Ready)));
+    let after = directory.note_reported_orders("h1", &report);
+
+    assert!(!before);
+    assert_eq!(count_before, Some(3));
+    assert!(after);
+    assert_eq!(directory.get("h1").and_then(|h| h.orders_begun), Some(4));
+}
--- a/crates/geranium_fleet/tests/rig/mod.rs
+++ b/crates/geranium_fleet/tests/rig/mod.rs
@@ -47,6 +47,18 @@
     cut: bool,
 }
 
+impl SimHost {
+    fn membership(&self) -> Option<Membership> {
+        let position = |j: &Joined| j.members.iter().position(|m| *m == self.host.id);
+        self.joined.as_ref().map(|j| Membership {
+            group: j.group.clone(),
+            epoch: j.epoch,
+            rank: position(j).unwrap_or(usize::MAX),
+            state: j.state,
+        })
+    }
+}
+
 /// An order that is carried out later.
 struct Late {
     at: Timestamp,
@@ -244,8 +256,16 @@
             let Some(sim) = self.hosts.get(&id).filter(|s| s.alive) else {
                 continue;
             };
-            self.directory.note_orders(&id, sim.host.born, sim.orders);
-            self.planner.note_told(&id);
+            let report = HostReport {
+                born: sim.host.born,
+                orders_begun: sim.orders,
+                membership: sim.membership(),
+                model: sim.last_model.clone(),
+                staged: sim.host.staged.clone(),
+            };
+            if self.directory.note_reported_orders(&id, &report) {
+                self.planner.note_told(&id);
+            }
         }
     }
 
@@ -505,16 +525,7 @@
             }
             let mut host = sim.host.clone();
             host.model = sim.last_model.clone();
-            host.membership = sim.joined.as_ref().map(|j| Membership {
-                group: j.group.clone(),
-                epoch: j.epoch,
-                rank: j
-                    .members
-                    .iter()
-                    .position(|m| *m == host.id)
-                    .unwrap_or(usize::MAX),
-                state: j.state,
-            });
+            host.membership = sim.membership();
             self.directory.put(host);
         }
     }
