Read the settings again on SIGHUP and every two seconds

Bounds take effect at once, all else at the next start; faulty settings change nothing and are logged.

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -136,7 +136,7 @@
                 self.shared.cfg.name,
                 self.since.as_millis()
             ),
-            load_window: self.shared.cfg.bounds.load_window,
+            load_window: self.shared.bounds.get().load_window,
         }
     }
 
--- a/crates/geranium_entry/src/node.rs
+++ b/crates/geranium_entry/src/node.rs
@@ -1,5 +1,6 @@
 //! Starts and stops an entry host.
 
+use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +25,8 @@
 const GRACE_PART: f64 = 0.96;
 /// Pause between two looks whether the last request has ended.
 const LEAVING_INTERVAL: Duration = Duration::from_millis(50);
+/// Pause between two reads of the settings, which may change unannounced.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
 /// Pause between two clean-ups of unused connections and forgotten hosts.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -51,27 +54,42 @@
 
 /// Runs an entry host until it is asked to stop.
 ///
+/// `read_settings` reads the settings again; their bounds take effect at once, all
+/// else at the next start.
+///
 /// # Errors
 ///
 /// Returns an error if an address cannot be listened on.
-pub fn run<D: Dialect, S: KvStore>(
+pub fn run<D, S, E>(
     cfg: EntrySettings,
     dialect: D,
     store: S,
-) -> Result<(), NodeError> {
+    read_settings: impl Fn() -> Result<EntrySettings, E>,
+) -> Result<(), NodeError>
+where
+    D: Dialect,
+    S: KvStore,
+    E: Display,
+{
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(NodeError::Runtime)?;
     let local = LocalSet::new();
-    local.block_on(&runtime, serve(cfg, dialect, store))
+    local.block_on(&runtime, serve(cfg, dialect, store, read_settings))
 }
 
-async fn serve<D: Dialect, S: KvStore>(
+async fn serve<D, S, E>(
     cfg: EntrySettings,
     dialect: D,
     store: S,
-) -> Result<(), NodeError> {
+    read_settings: impl Fn() -> Result<EntrySettings, E>,
+) -> Result<(), NodeError>
+where
+    D: Dialect,
+    S: KvStore,
+    E: Display,
+{
     let mut terminate = signal(SignalKind::terminate()).map_err(NodeError::Signals)?;
     let mut reload = signal(SignalKind::hangup()).map_err(NodeError::Signals)?;
     let listener = TcpListener::bind(cfg.callers)
@@ -100,7 +118,12 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = reload.recv() => log::info!("settings are read again at the next start"),
+            _ = reload.recv() => log::info!("settings are read again"),
+            () = tokio::time::sleep(SETTINGS_INTERVAL) => {}
+        }
+        match read_settings() {
+            Ok(settings) => shared.set_bounds(settings.bounds),
+            Err(e) => log::warn!("settings are not taken: {e}"),
         }
     }
     leave(&shared).await;
@@ -156,7 +179,7 @@
     log::info!(running = shared.running.count(); "entry host leaves");
     shared.phase.send_replace(Phase::Leaving);
     shared.update_ready();
-    let end = asked + shared.cfg.bounds.grace.mul_f64(GRACE_PART);
+    let end = asked + shared.bounds.get().grace.mul_f64(GRACE_PART);
     shared.stops_at.set(Some(end));
     tokio::time::sleep(BALANCER_NOTICE).await;
     shared.phase.send_replace(Phase::Closing);
--- a/crates/geranium_entry/src/relay/job.rs
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -196,7 +196,7 @@
     fn note_demand(&self, answer_tokens: f64) {
         let now = self.arrived;
         let mut core = self.shared.core.borrow_mut();
-        core.budget(&self.service.name, &self.shared.cfg.bounds)
+        core.budget(&self.service.name, &self.shared.bounds.get())
             .request(now);
         if let (Some(engine), Some(model)) = (&self.service.engine, &self.model) {
             let meter = core.demand.entry(self.service.name.clone()).or_default();
@@ -208,7 +208,7 @@
     pub(super) fn choose(&mut self) -> Result<Choice, NoHost> {
         let now = self.shared.now();
         let mut core = self.shared.core.borrow_mut();
-        let cold_bound = core.cold_bound(&self.service, &self.shared.cfg.bounds);
+        let cold_bound = core.cold_bound(&self.service, &self.shared.bounds.get());
         let most_running = self.most_running();
         let core = &mut *core;
         let wanted = Wanted {
--- a/crates/geranium_entry/src/relay/retry.rs
+++ b/crates/geranium_entry/src/relay/retry.rs
@@ -110,7 +110,7 @@
         }
         let now = self.shared.now();
         let mut core = self.shared.core.borrow_mut();
-        let budget = core.budget(&self.service.name, &self.shared.cfg.bounds);
+        let budget = core.budget(&self.service.name, &self.shared.bounds.get());
         let allowed = budget.try_retry(now);
         if allowed {
             self.shared
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -123,6 +123,8 @@
 pub(crate) struct Shared<D: Dialect> {
     /// Settings.
     pub(crate) cfg: EntrySettings,
+    /// Bounds that hold over all entry hosts, as the settings last gave them.
+    pub(crate) bounds: Cell<SharedBounds>,
     /// Names and formats of the platform.
     pub(crate) dialect: D,
     /// The clock.
@@ -175,6 +177,7 @@
             rng: SmallRng::from_os_rng(),
         };
         Self {
+            bounds: Cell::new(cfg.bounds),
             cfg,
             dialect,
             clock: ProcessClock::start(),
@@ -200,6 +203,14 @@
         self.clock.now()
     }
 
+    /// Takes in bounds of settings that were read again.
+    pub(crate) fn set_bounds(&self, bounds: SharedBounds) {
+        if self.bounds.replace(bounds) != bounds {
+            log::info!(bounds:? = bounds; "bounds of the settings changed");
+            self.core.borrow_mut().budgets.clear();
+        }
+    }
+
     /// Returns the version of the configuration in force.
     pub(crate) fn version(&self) -> Option<u64> {
         let core = self.core.borrow();
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -235,7 +235,7 @@
     /// Returns how many requests this entry host may send to a backend server in a
     /// second.
     fn most_per_second(&self, bound: ColdBound, host: &Host, now: Timestamp) -> usize {
-        if !host.cold_until.is_some_and(|until| now < until) {
+        if host.cold_until.is_none_or(|until| now >= until) {
             return bound.warm;
         }
         match bound.holders {
