--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -35,6 +35,8 @@
     failures: f64,
     mean_ms: f64,
     suspected_until: Timestamp,
+    /// Whether it has not answered well since it was suspected.
+    on_trial: bool,
     cold: SharedRate,
 }
 
@@ -46,11 +48,20 @@
             failures: 0.0,
             mean_ms: 0.0,
             suspected_until: Timestamp::default(),
+            on_trial: false,
             cold: SharedRate::new(COLD_WINDOW),
         }
     }
 }
 
+impl Seen {
+    /// Returns whether new work goes elsewhere where it can: after the suspicion one
+    /// request at a time shows whether the backend server answers again.
+    fn is_suspected(&self, now: Timestamp) -> bool {
+        now < self.suspected_until || (self.on_trial && self.running > 0)
+    }
+}
+
 /// Why no backend server can take a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NoHost {
@@ -208,7 +219,7 @@
             }
             let seen = self.seen.entry(host.id.clone()).or_default();
             let running = f64::from(seen.running) + seen.peers_running;
-            if (now < seen.suspected_until) != suspected {
+            if seen.is_suspected(now) != suspected {
                 continue;
             }
             let used = seen.cold.used(now);
@@ -289,6 +300,9 @@
         let Some(seen) = self.seen.get_mut(id) else {
             return;
         };
+        if good {
+            seen.on_trial = false;
+        }
         let failure = if good { 0.0 } else { 1.0 };
         seen.failures += (failure - seen.failures) * SAMPLE_WEIGHT;
         if let Some(took) = took {
@@ -306,6 +320,7 @@
     pub fn suspect(&mut self, id: &HostId, now: Timestamp) {
         let seen = self.seen.entry(id.clone()).or_default();
         seen.suspected_until = now + SUSPICION;
+        seen.on_trial = true;
     }
 
     /// Forgets what the other entry hosts run.
--- a/crates/geranium_fleet/tests/dispatch.rs
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -205,3 +205,22 @@
 
     assert!(directory.get("h").is_none());
 }
+
+#[test]
+fn after_a_suspicion_one_request_tries_the_server_and_the_rest_go_elsewhere() {
+    let directory = directory(vec![host("dark", "a"), host("sound", "b")]);
+    let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
+    let dark: HostId = "dark".into();
+    dispatcher.suspect(&dark, NOW);
+    let later = NOW + Duration::from_millis(2_600);
+
+    let chosen: Vec<HostId> = (0..6)
+        .filter_map(|_| choose(&mut dispatcher, &directory, &wanted(&[]), later).ok())
+        .collect();
+    let tries = chosen.iter().filter(|id| **id == dark).count();
+    dispatcher.note_outcome("dark", true, None);
+    let after = choose(&mut dispatcher, &directory, &wanted(&[]), later);
+
+    assert_eq!((chosen.len(), tries), (6, 1));
+    assert_eq!(after, Ok(dark));
+}
