Let eight entry hosts watch the store and the others follow them

Whoever follows asks a watching host, another each time, and falls back to the store if that one does not hear it. Up to eight entry hosts nothing changes.

--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -1,6 +1,7 @@
 //! Follows the store: one read of everything, then one watch.
 
 use std::cell::Cell;
+use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,12 +13,16 @@
 use geranium_fleet::deployment::Deployment;
 use geranium_fleet::host::{Host, HostId};
 use geranium_fleet::route_table::RouteTable;
+use geranium_net::{ClientConfig, HttpClient};
 use geranium_platform::{KvStore, StoreError, StoredValue, WatchBatch, WatchChange};
+use rand::seq::IndexedRandom;
+use rustc_hash::FxHasher;
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::Dialect;
 use crate::fact::Fact;
 use crate::peers::PeerLink;
+use crate::recent_changes;
 use crate::state::Shared;
 
 /// Name of the values by which entry hosts find each other.
@@ -28,6 +33,9 @@
 pub(crate) const CRASH_PREFIX: &str = "crash/";
 /// Pause after a failed call, before jitter.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Entry hosts that watch the store; with more of them, the rest follows these, so
+/// that calls to the store do not grow with their number.
+const WATCHERS: usize = 8;
 /// Time without an answer after which the store counts as having been away.
 const OUTAGE: Duration = Duration::from_millis(1_500);
 /// Margin on the cold start of backend servers that come back with their failure
@@ -52,6 +60,12 @@
     loop {
         let outcome = match follower.shared.revision.get() {
             None => follower.read_all(&store).await,
+            Some(after) if follower.follows_others() => {
+                if follower.follow_other(after).await {
+                    continue;
+                }
+                follower.watch(&store, after).await
+            }
             Some(after) => follower.watch(&store, after).await,
         };
         let Err(e) = outcome else {
@@ -72,6 +86,7 @@
     shared: Rc<Shared<D>>,
     peers: Rc<PeerLink>,
     heard_at: Cell<Timestamp>,
+    client: HttpClient,
 }
 
 impl<D: Dialect> Follower<D> {
@@ -82,6 +97,7 @@
             shared,
             peers,
             heard_at,
+            client: HttpClient::new(&ClientConfig::default()),
         }
     }
 
@@ -90,11 +106,58 @@
         &self.shared
     }
 
+    /// Returns the client for questions to other entry hosts.
+    pub(crate) const fn client(&self) -> &HttpClient {
+        &self.client
+    }
+
     /// Returns the link to the other entry hosts.
     pub(crate) fn peers(&self) -> &PeerLink {
         &self.peers
     }
 
+    /// Returns whether enough other entry hosts watch the store for this one to follow
+    /// them; all entry hosts work out the same ones.
+    fn follows_others(&self) -> bool {
+        let core = self.shared.core.borrow();
+        let own = watcher_order(&self.shared.cfg.name);
+        let before = core.entry_hosts.iter().filter(|n| watcher_order(n) < own);
+        !self.shared.is_manager.get() && before.count() >= WATCHERS
+    }
+
+    /// Takes changes from one of the entry hosts that watch the store; returns whether
+    /// it answered.
+    async fn follow_other(&self, after: StoreRevision) -> bool {
+        let watcher = {
+            let addresses = self.peers.addresses.borrow();
+            let mut names: Vec<&String> = addresses.keys().collect();
+            names.sort_by_key(|n| watcher_order(n));
+            names.truncate(WATCHERS);
+            names
+                .choose(&mut rand::rng())
+                .and_then(|n| addresses.get(*n))
+                .copied()
+        };
+        let Some(watcher) = watcher else {
+            return false;
+        };
+        match recent_changes::ask(&self.client, watcher, after).await {
+            Ok(Some(batch)) => {
+                self.note_heard();
+                if !batch.changes.is_empty() {
+                    self.take_in(batch);
+                    tokio::time::sleep(BATCH_PAUSE).await;
+                }
+                true
+            }
+            Ok(None) => false,
+            Err(e) => {
+                log::debug!(watcher:% = watcher; "no changes from an entry host that watches: {e}");
+                false
+            }
+        }
+    }
+
     /// Reads everything; what is not there any more has gone.
     async fn read_all<S: KvStore>(&self, store: &S) -> Result<(), StoreError> {
         let read = store.range("").await?;
@@ -188,6 +251,7 @@
     }
 
     fn note_heard(&self) {
+        self.shared.recent.set_heard(true);
         let now = self.shared.now();
         let away = now.since(self.heard_at.replace(now));
         if self.shared.store_away.replace(false) && away > OUTAGE {
@@ -198,6 +262,7 @@
 
     fn note_failure(&self, e: &StoreError) {
         self.shared.store_away.set(true);
+        self.shared.recent.set_heard(false);
         let silent = self.shared.now().since(self.heard_at.get());
         log::warn!(silent_ms = silent.as_millis() as u64; "store call failed: {e}");
     }
@@ -311,6 +376,14 @@
     }
 }
 
+/// Returns the place of an entry host in the order in which they watch the store; it
+/// spreads the watching ones over failure domains.
+fn watcher_order(name: &str) -> u64 {
+    let mut hasher = FxHasher::default();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 const fn revision_of(change: &WatchChange) -> StoreRevision {
     match change {
         WatchChange::Put(value) => value.revision,
--- a/crates/geranium_entry/src/recent_changes.rs
+++ b/crates/geranium_entry/src/recent_changes.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -10,9 +11,7 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use geranium_core::id::StoreRevision;
-use geranium_net::{
-    ClientConfig, ClientError, HttpClient, HttpRequest, HttpServer, ServerConfig, ServerError,
-};
+use geranium_net::{ClientError, HttpClient, HttpRequest, HttpServer, ServerConfig, ServerError};
 use geranium_platform::{StoredValue, WatchBatch, WatchChange};
 use hyper::StatusCode;
 use rand::seq::IteratorRandom;
@@ -65,9 +64,16 @@
 pub(crate) struct RecentChanges {
     log: Mutex<Log>,
     grown: Notify,
+    /// Whether this entry host hears the store, or one that does.
+    heard: AtomicBool,
 }
 
 impl RecentChanges {
+    /// Notes whether this entry host hears the store.
+    pub(crate) fn set_heard(&self, heard: bool) {
+        self.heard.store(heard, Ordering::Relaxed);
+    }
+
     /// Forgets all changes and starts from a revision.
     pub(crate) fn restart(&self, revision: StoreRevision) {
         let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
@@ -100,7 +106,8 @@
     /// Returns the changes after a revision, or `None` if they are not all kept.
     fn after(&self, revision: u64) -> Option<Changes> {
         let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
-        if revision < log.from || log.reached == 0 {
+        let heard = self.heard.load(Ordering::Relaxed);
+        if !heard || revision < log.from || log.reached == 0 {
             return None;
         }
         let newer = log.changes.iter().filter(|c| c.revision > revision);
@@ -185,7 +192,6 @@
 
 /// Takes in changes from other entry hosts while the store is not heard.
 pub(crate) async fn run_client<D: Dialect>(follower: Rc<Follower<D>>) {
-    let client = HttpClient::new(&ClientConfig::default());
     loop {
         tokio::time::sleep(PAUSE).await;
         let shared = follower.shared();
@@ -193,7 +199,7 @@
         let (Some(revision), Some(peer)) = (revision, other_host(shared, &follower)) else {
             continue;
         };
-        match ask(&client, peer, revision).await {
+        match ask(follower.client(), peer, revision).await {
             Ok(Some(batch)) if !batch.changes.is_empty() => {
                 log::info!(peer:% = peer, changes = batch.changes.len(), revision = batch.revision.0; "changes come from another entry host");
                 follower.take_in(batch);
@@ -212,7 +218,13 @@
     others.map(|(_, address)| *address).choose(&mut rand::rng())
 }
 
-async fn ask(
+/// Asks another entry host for the changes after a revision; `None` if it does not
+/// have them all.
+///
+/// # Errors
+///
+/// Returns an error if it did not answer in time.
+pub(crate) async fn ask(
     client: &HttpClient,
     peer: SocketAddr,
     after: StoreRevision,
