End a watch once enough other entry hosts watch

Cause: whoever began to watch while fewer than eight were registered went on for good; the test took one moment for the lasting state.

--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -222,10 +222,16 @@
         while let Some(batch) = changes.next().await {
             let batch = batch?;
             self.note_heard();
-            if batch.changes.is_empty() {
+            let changed = !batch.changes.is_empty();
+            if changed {
+                self.take_in(batch);
+            }
+            if self.follows_others() {
+                return Ok(());
+            }
+            if !changed {
                 continue;
             }
-            self.take_in(batch);
             let pause = if self.shared.is_manager.get() {
                 MANAGER_PAUSE
             } else {
