--- a/crates/geranium_entry/src/election.rs
+++ b/crates/geranium_entry/src/election.rs
@@ -17,6 +17,8 @@
 
 /// Lease of the registration and of the manager's duty, at least.
 const LEASE: Duration = Duration::from_millis(1_400);
+/// Pause after a failed registration, before jitter.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Renewals within one lease.
 const RENEWALS: u32 = 4;
 /// Pause of each entry host by its order in the list, so that not all try at once
@@ -50,7 +52,7 @@
         tx.send_replace(None);
         shared.is_manager.set(false);
         let jitter = rand::random_range(0.5..1.5);
-        tokio::time::sleep(Duration::from_millis(150).mul_f64(jitter)).await;
+        tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
     }
 }
 
--- /dev/null
+++ b/crates/geranium_entry/src/relay/headers.rs
@@ -0,0 +1,77 @@
+//! Headers on their way through the entry host.
+
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+
+use crate::dialect::HeaderNames;
+
+/// Returns the headers of a request that go on to backend servers.
+pub(super) fn passed_headers(
+    headers: &HeaderMap,
+    names: &HeaderNames,
+    account: Option<&str>,
+) -> HeaderMap {
+    let mut passed = end_to_end(headers);
+    let own = [
+        &names.account_key,
+        &names.account,
+        &names.expected_host,
+        &names.deadline,
+        &names.priority,
+        &CONTENT_LENGTH,
+    ];
+    for name in own {
+        passed.remove(name);
+    }
+    if let Some(Ok(value)) = account.map(HeaderValue::from_str) {
+        passed.insert(names.account.clone(), value);
+    }
+    passed
+}
+
+/// Copies the headers that are not for one connection only.
+pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let hop = matches!(
+            *name,
+            CONNECTION | TE | TRAILER | TRANSFER_ENCODING | UPGRADE | EXPECT
+        ) || matches!(
+            name.as_str(),
+            "keep-alive" | "proxy-connection" | "proxy-authenticate" | "proxy-authorization"
+        ) || named.contains(name);
+        if !hop {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
+
+/// Returns a header that holds a number that is not negative.
+pub(super) fn number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
+    let text = headers.get(name)?.to_str().ok()?;
+    text.trim()
+        .parse::<f64>()
+        .ok()
+        .filter(|n| n.is_finite() && *n >= 0.0)
+}
+
+/// Returns the prompt tokens and the most answer tokens of a request.
+pub(super) fn token_counts(headers: &HeaderMap, name: &HeaderName) -> (f64, f64) {
+    let text = headers
+        .get(name)
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default();
+    let mut parts = text.split(',').map(|p| p.trim().parse().unwrap_or(0.0));
+    let prompt = parts.next().unwrap_or(0.0);
+    (prompt, parts.next().unwrap_or(0.0))
+}
--- a/crates/geranium_entry/src/relay/job.rs
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -13,16 +13,14 @@
 use geranium_fleet::service::Service;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
-};
+use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Uri};
 use rand::Rng;
 
 use super::answer::{Reason, Refusal};
-use crate::dialect::{Dialect, HeaderNames};
+use super::headers::{number, passed_headers, token_counts};
+use crate::dialect::Dialect;
 use crate::state::Shared;
 
 /// Time for which a caller waits if it names none.
@@ -300,26 +298,6 @@
     })
 }
 
-/// Returns the headers of a request that go on to backend servers.
-fn passed_headers(headers: &HeaderMap, names: &HeaderNames, account: Option<&str>) -> HeaderMap {
-    let mut passed = end_to_end(headers);
-    let own = [
-        &names.account_key,
-        &names.account,
-        &names.expected_host,
-        &names.deadline,
-        &names.priority,
-        &CONTENT_LENGTH,
-    ];
-    for name in own {
-        passed.remove(name);
-    }
-    if let Some(Ok(value)) = account.map(HeaderValue::from_str) {
-        passed.insert(names.account.clone(), value);
-    }
-    passed
-}
-
 async fn read_body(body: Incoming, max: usize) -> Result<Bytes, Reason> {
     let limited = Limited::new(body, max).collect();
     match tokio::time::timeout(BODY_LIMIT, limited).await {
@@ -328,46 +306,3 @@
         Ok(Err(_)) | Err(_) => Err(Reason::BodyBroken),
     }
 }
-
-/// Copies the headers that are not for one connection only.
-pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    let mut kept = HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let hop = matches!(
-            *name,
-            CONNECTION | TE | TRAILER | TRANSFER_ENCODING | UPGRADE | EXPECT
-        ) || matches!(
-            name.as_str(),
-            "keep-alive" | "proxy-connection" | "proxy-authenticate" | "proxy-authorization"
-        ) || named.contains(name);
-        if !hop {
-            kept.append(name.clone(), value.clone());
-        }
-    }
-    kept
-}
-
-fn number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
-    let text = headers.get(name)?.to_str().ok()?;
-    text.trim()
-        .parse::<f64>()
-        .ok()
-        .filter(|n| n.is_finite() && *n >= 0.0)
-}
-
-fn token_counts(headers: &HeaderMap, name: &HeaderName) -> (f64, f64) {
-    let text = headers
-        .get(name)
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or_default();
-    let mut parts = text.split(',').map(|p| p.trim().parse().unwrap_or(0.0));
-    let prompt = parts.next().unwrap_or(0.0);
-    (prompt, parts.next().unwrap_or(0.0))
-}
--- a/crates/geranium_entry/src/relay/mod.rs
+++ b/crates/geranium_entry/src/relay/mod.rs
@@ -3,6 +3,8 @@
 mod answer;
 mod attempt;
 mod body;
+mod event_reader;
+mod headers;
 mod job;
 mod retry;
 mod stream;
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -1,119 +1,26 @@
 //! Event streams, resumed at another backend server within one answer.
 
-use std::rc::Rc;
-
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use geranium_fleet::dispatch::Choice;
 use geranium_fleet::host::Host;
 use geranium_fleet::route::RouteKind;
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::http::response::Parts;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::mpsc;
 
-use super::attempt::{self, Answer, AttemptError, Place, Return};
+use super::attempt::{self, AttemptError};
 use super::body::{RelayBody, StreamCut};
-use super::job::{Job, end_to_end};
+use super::event_reader::{EventReader, Piece};
+use super::headers::end_to_end;
+use super::job::Job;
 use super::retry::SHORTEST_ATTEMPT;
 use crate::dialect::Dialect;
-use crate::sse::EventSplitter;
-use crate::state::Shared;
 
 /// Chunks of events that wait for a caller that reads slowly.
 const CHANNEL: usize = 32;
 
-/// Reads whole events of one backend server.
-struct EventReader<D: Dialect> {
-    shared: Rc<Shared<D>>,
-    body: Incoming,
-    place: Place<D>,
-    back: Option<Return>,
-    host: Host,
-    splitter: EventSplitter,
-    moved: Rc<Notify>,
-    /// Events up to this id were passed on already.
-    passed: Option<u64>,
-}
-
-/// What a read of a stream brings.
-enum Piece {
-    /// Whole events that were not passed on before.
-    Events(Bytes),
-    /// The stream ended after its last event.
-    End,
-    /// The stream broke off.
-    Cut(&'static str),
-}
-
-impl<D: Dialect> EventReader<D> {
-    fn new(shared: &Rc<Shared<D>>, answer: Answer<D>, passed: Option<u64>) -> (Parts, Self) {
-        let host = answer.host.clone();
-        let (res, place, back) = answer.into_parts();
-        let (head, body) = res.into_parts();
-        let moved = place.guard.moved();
-        let reader = Self {
-            shared: shared.clone(),
-            body,
-            place,
-            back: Some(back),
-            host,
-            splitter: EventSplitter::default(),
-            moved,
-            passed,
-        };
-        (head, reader)
-    }
-
-    /// Returns the next events; may be dropped while it waits without losing any.
-    async fn next(&mut self) -> Piece {
-        loop {
-            match self.body.frame().await {
-                None => return self.end(),
-                Some(Err(_)) => return Piece::Cut("reset"),
-                Some(Ok(frame)) => {
-                    let Some(data) = frame.data_ref() else {
-                        continue;
-                    };
-                    self.splitter.push(data);
-                    if let Some(events) = self.whole_events() {
-                        self.place.guard.heard(true, self.shared.now());
-                        return Piece::Events(events);
-                    }
-                    if self.splitter.is_oversize() {
-                        return Piece::Cut("oversize");
-                    }
-                }
-            }
-        }
-    }
-
-    fn end(&mut self) -> Piece {
-        if self.splitter.has_partial_event() {
-            return Piece::Cut("partial_event");
-        }
-        if let Some(back) = self.back.take() {
-            back.put(&self.shared.pool, self.shared.now());
-        }
-        Piece::End
-    }
-
-    fn whole_events(&mut self) -> Option<Bytes> {
-        let mut out = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
-            if let (Some(id), Some(passed)) = (event.id, self.passed)
-                && id <= passed
-            {
-                continue;
-            }
-            self.passed = event.id.or(self.passed);
-            out.extend_from_slice(&event.bytes);
-        }
-        (!out.is_empty()).then(|| out.freeze())
-    }
-}
-
 /// The first events of a stream, with the reader of the rest.
 struct Started<D: Dialect> {
     head: Parts,
--- a/crates/geranium_entry/src/relay/whole.rs
+++ b/crates/geranium_entry/src/relay/whole.rs
@@ -13,7 +13,8 @@
 use super::answer::Refusal;
 use super::attempt::{self, AttemptError};
 use super::body::RelayBody;
-use super::job::{Job, end_to_end};
+use super::headers::end_to_end;
+use super::job::Job;
 use crate::dialect::Dialect;
 
 /// Largest answer that is held until it is whole, in bytes.
--- a/crates/geranium_entry/src/watchdog.rs
+++ b/crates/geranium_entry/src/watchdog.rs
@@ -10,6 +10,8 @@
 use crate::peers::PeerLink;
 use crate::state::Shared;
 
+/// Time in which a further suspicion of a group is not noted again.
+const NOTE_PAUSE: Duration = Duration::from_secs(1);
 /// Pause between two looks.
 const INTERVAL: Duration = Duration::from_millis(50);
 
@@ -56,7 +58,7 @@
     shared.core.borrow_mut().dispatcher.suspect(head, now);
     shared.running.for_each(|id, work| {
         if id == head {
-            if first.is_none_or(|at| now.since(at) > Duration::from_secs(1)) {
+            if first.is_none_or(|at| now.since(at) > NOTE_PAUSE) {
                 shared.metrics.silences.inc();
                 log::warn!(head:% = head, activity:? = work.activity(); "group is silent, its work moves away");
             }
--- a/crates/geranium_fleet/src/demand.rs
+++ b/crates/geranium_fleet/src/demand.rs
@@ -11,6 +11,9 @@
 /// Time after which work counts half.
 const HALF_LIFE: Duration = Duration::from_secs(8);
 
+/// Shortest time after which the work is decayed again.
+const DECAY_STEP: Duration = Duration::from_millis(250);
+
 /// Work of the models of one service, in host milliseconds, decaying with age.
 #[derive(Clone, Debug, Default)]
 pub struct DemandMeter {
@@ -67,7 +70,7 @@
 
     fn decay(&mut self, now: Timestamp) {
         let passed = now.since(self.decayed_at);
-        if passed < Duration::from_millis(250) {
+        if passed < DECAY_STEP {
             return;
         }
         let factor = 0.5_f64.powf(passed.as_secs_f64() / HALF_LIFE.as_secs_f64());
