--- /dev/null
+++ b/crates/geranium_entry/tests/log_writer.rs
@@ -0,0 +1,32 @@
+//! The log's buffer neither blocks nor grows, and says what it dropped.
+
+use std::io::Write;
+
+use geranium_entry::LogWriter;
+
+#[test]
+fn lines_beyond_the_buffer_are_dropped_and_counted() {
+    let mut writer = LogWriter::default();
+    let line = [b'x'; 1_000];
+    for _ in 0..2_000 {
+        writer.write_all(&line).expect("a write never fails");
+    }
+
+    let first = writer.take();
+    let second = writer.take();
+
+    assert!(first.len() < 600_000, "{}", first.len());
+    let text = String::from_utf8_lossy(&first).into_owned();
+    assert!(text.contains("log lines dropped"));
+    assert!(second.is_empty());
+}
+
+#[test]
+fn what_fits_is_kept_in_order() {
+    let mut writer = LogWriter::default();
+
+    writer.write_all(b"one\n").expect("a write never fails");
+    writer.write_all(b"two\n").expect("a write never fails");
+
+    assert_eq!(writer.take(), b"one\ntwo\n");
+}
--- /dev/null
+++ b/crates/geranium_fleet/tests/evidence.rs
@@ -0,0 +1,101 @@
+//! Silent groups, crashing requests and the work seen.
+
+mod rig;
+
+use std::time::Duration;
+
+use geranium_core::time::Timestamp;
+use geranium_fleet::prelude::*;
+use geranium_fleet::silence::GroupActivity;
+use rig::{model, profile};
+
+const NOW: Timestamp = Timestamp::from_millis(100_000);
+
+fn activity(writing: usize, waiting: usize, heard_ms_ago: u64) -> GroupActivity {
+    GroupActivity {
+        writing,
+        waiting,
+        waiting_tokens: 0.0,
+        last_heard: NOW - Duration::from_millis(heard_ms_ago),
+        oldest_sent: NOW - Duration::from_secs(9),
+    }
+}
+
+#[test]
+fn a_group_is_silent_after_two_of_its_longest_passes() {
+    let engine = profile(vec![model("m", 2, 1.0)]);
+    let thresholds = SilenceThresholds::new(&engine, 1.0);
+    let pass = Duration::from_micros((engine.longest_pass_ms() * 1_000.0) as u64);
+    let silent = |a: &GroupActivity| thresholds.is_silent(a, engine.read_per_s, NOW);
+    let ms = u64::try_from(pass.as_millis()).expect("a pass is short");
+
+    assert!(!silent(&activity(3, 0, ms)));
+    assert!(silent(&activity(3, 0, 2 * ms + 2)));
+    assert!(!silent(&activity(0, 3, 2 * ms + 2)));
+    assert!(!silent(&activity(0, 0, 60_000)));
+}
+
+#[test]
+fn long_prompts_are_waited_for() {
+    let engine = profile(vec![model("m", 2, 1.0)]);
+    let thresholds = SilenceThresholds::new(&engine, 1.0);
+    let mut waiting = activity(0, 1, 1_500);
+    assert!(thresholds.is_silent(&waiting, engine.read_per_s, NOW));
+
+    waiting.waiting_tokens = engine.read_per_s;
+
+    assert!(!thresholds.is_silent(&waiting, engine.read_per_s, NOW));
+}
+
+#[test]
+fn a_request_is_refused_after_three_servers_ended_on_it() {
+    let mut ledger = CrashLedger::default();
+    for born in 0..3 {
+        assert!(!ledger.is_refused(7, NOW));
+        ledger.broke_off(&"h".into(), born, 7, NOW);
+        assert_eq!(ledger.host_ended("h", born, NOW), vec![7]);
+    }
+
+    assert!(ledger.is_refused(7, NOW));
+    assert!(!ledger.is_refused(8, NOW));
+}
+
+#[test]
+fn a_lost_answer_of_a_server_that_lives_on_is_no_crash() {
+    let mut ledger = CrashLedger::default();
+    for _ in 0..9 {
+        ledger.broke_off(&"h".into(), 1, 7, NOW);
+    }
+
+    assert!(!ledger.is_refused(7, NOW));
+    let later = NOW + Duration::from_secs(7);
+    assert_eq!(ledger.host_ended("h", 1, later), Vec::<u64>::new());
+}
+
+#[test]
+fn an_answer_clears_a_request_that_was_only_near_the_crashes() {
+    let mut ledger = CrashLedger::default();
+    for _ in 0..3 {
+        ledger.note(7, NOW);
+    }
+
+    ledger.answered(7);
+
+    assert!(!ledger.is_refused(7, NOW));
+}
+
+#[test]
+fn shares_go_from_the_published_to_the_seen() {
+    let engine = profile(vec![model("large", 4, 0.5), model("small", 2, 0.5)]);
+    let mut meter = DemandMeter::default();
+    let before = meter.shares(&engine, 60_000.0);
+
+    for _ in 0..5_000 {
+        meter.note(&engine, "small", 1_000.0, 150.0, NOW);
+    }
+    let after = meter.shares(&engine, 60_000.0);
+
+    assert!((before[0] - 0.5).abs() < 1e-9);
+    assert!(after[1] > 0.9, "{after:?}");
+    assert!((after[0] + after[1] - 1.0).abs() < 1e-9);
+}
