--- a/crates/geranium_fleet/tests/routes.rs
+++ b/crates/geranium_fleet/tests/routes.rs
@@ -76,7 +76,7 @@
 fn a_split_follows_its_weights() {
     let mut split = Route::clone(&route("r", "a.example", "/x/"));
     split.targets = vec![target("nine", 90), target("one", 10), target("none", 0)];
-    let service = |point: f64| split.target(point).map(|s| s.to_string());
+    let service = |point: f64| split.target(point).map(ToString::to_string);
 
     assert_eq!(service(0.0), Some("nine".into()));
     assert_eq!(service(0.899), Some("nine".into()));
