Forget groups and hosts of long ago

Found by reading: a manager kept an entry for each group that it had ever seen. Test: 200 losses, at most 24 groups remembered (it would be over 200).

--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -47,6 +47,11 @@
 const STAGING_FACTOR: u32 = 2;
 /// Time for which a host that did not answer is taken to be dead.
 const DEAD_MEMORY: Duration = Duration::from_secs(8);
+/// Time for which a group that nobody reports is remembered; longer than an order may
+/// be on its way.
+const GROUP_MEMORY: Duration = Duration::from_secs(60);
+/// Pause between two clean-ups of what is remembered.
+const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 /// Step of the epoch after a host refused one as too low.
 const EPOCH_STEP: u64 = 1_000_000;
 
@@ -65,6 +70,7 @@
     cfg: PlannerSettings,
     started_at: Timestamp,
     newest_host_at: Timestamp,
+    forgot_at: Timestamp,
     next_group: u64,
     epoch: u64,
     formed: HashMap<Arc<str>, Formed>,
@@ -88,6 +94,7 @@
             cfg,
             started_at: now,
             newest_host_at: now,
+            forgot_at: now,
             next_group: 0,
             epoch: 0,
             formed: HashMap::default(),
@@ -247,6 +254,15 @@
         hosts
     }
 
+    /// Returns how many groups are remembered.
+    #[must_use]
+    pub fn remembered_groups(&self) -> usize {
+        self.formed
+            .len()
+            .max(self.first_seen.len())
+            .max(self.heads.len())
+    }
+
     /// Returns the hosts that are in no group that serves or is being formed.
     #[must_use]
     pub fn stranded(&self, directory: &Directory, service: &str) -> usize {
--- a/crates/geranium_fleet/src/planner/memory.rs
+++ b/crates/geranium_fleet/src/planner/memory.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
+use geranium_core::collections::HashSet;
 use geranium_core::time::Timestamp;
 
 use super::view::GroupView;
-use super::{GroupPlanner, STAGING_FACTOR};
+use super::{FORGET_INTERVAL, GROUP_MEMORY, GroupPlanner, STAGING_FACTOR};
 use crate::directory::Directory;
 use crate::engine_profile::EngineProfile;
 use crate::host::{GroupState, Host, HostId};
@@ -101,6 +102,28 @@
         }
         let dead = &mut self.dead;
         dead.retain(|_, (_, until)| now < *until);
+        self.forget(hosts, views, now);
+    }
+
+    /// Forgets groups that nobody has reported for a while, and lives that have ended.
+    fn forget(&mut self, hosts: &[&Host], views: &[GroupView<'_>], now: Timestamp) {
+        if now.since(self.forgot_at) < FORGET_INTERVAL {
+            return;
+        }
+        self.forgot_at = now;
+        let reported: HashSet<&Arc<str>> = views.iter().map(|v| &v.group).collect();
+        let listed: HashSet<&HostId> = hosts.iter().map(|h| &h.id).collect();
+        let recent = |at: Timestamp| now.since(at) < GROUP_MEMORY;
+        self.formed
+            .retain(|g, f| reported.contains(g) || recent(f.at));
+        self.first_seen
+            .retain(|g, at| reported.contains(g) || recent(*at));
+        let first_seen = &self.first_seen;
+        self.heads.retain(|g, _| first_seen.contains_key(g));
+        self.last_groups.retain(|id, _| listed.contains(id));
+        self.held.retain(|id, _| listed.contains(id));
+        self.staging.retain(|id, _| listed.contains(id));
+        self.stale.retain(|id, _| listed.contains(id));
     }
 
     fn remember_host(&mut self, host: &Host, now: Timestamp) {
--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -116,3 +116,23 @@
     };
     assert!(staged("new-1") && staged("new-2"));
 }
+
+#[test]
+fn groups_of_long_ago_are_forgotten() {
+    let mut rig = settled(8);
+    let ids: Vec<_> = rig.hosts.keys().cloned().collect();
+    for id in ids.iter().cycle().take(200) {
+        rig.kill(id);
+        rig.run(Duration::from_secs(5), true);
+        rig.revive(id);
+    }
+
+    rig.run(Duration::from_secs(80), true);
+
+    // Eight groups serve; no other was formed within the memory of a minute.
+    assert!(
+        rig.planner.remembered_groups() <= 24,
+        "{}",
+        rig.planner.remembered_groups()
+    );
+}
