--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -364,6 +364,7 @@
         if let Some(entry) = name.strip_prefix(ENTRY_PREFIX) {
             let parsed = value.and_then(parse_entry);
             core.note_entry_host(entry, parsed.is_some());
+            log::info!(entry_host:% = entry.escape_debug(), registered = parsed.is_some(); "registration of an entry host changed");
             let mut addresses = self.peers.addresses.borrow_mut();
             match parsed {
                 Some(e) => addresses.insert(entry.to_owned(), e.peers),
