--- a/crates/geranium_entry/src/election.rs
+++ b/crates/geranium_entry/src/election.rs
@@ -24,6 +24,7 @@
 /// Pause of each entry host by its order in the list, so that not all try at once
 /// to become manager.
 const ELECTION_STEP: Duration = Duration::from_millis(30);
+
 /// Keeps the registration, takes part in the election and manages groups while
 /// elected, until the process leaves.
 pub(crate) async fn run<D: Dialect, S: KvStore>(
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -21,13 +21,11 @@
     lapsed: HashMap<HostId, Timestamp>,
     domains_out: HashSet<Arc<str>>,
     regained_at: Option<Timestamp>,
-    generation: u64,
 }
 
 impl Directory {
     /// Takes in what a host says of itself and returns whether it is a new life.
     pub fn put(&mut self, mut host: Host) -> bool {
-        self.generation += 1;
         self.lapsed.remove(&host.id);
         let known = self.hosts.get(&host.id);
         let same_life = known.is_some_and(|k| k.born == host.born);
@@ -57,7 +55,6 @@
         if same {
             return false;
         }
-        self.generation += 1;
         host.membership.clone_from(&report.membership);
         host.model.clone_from(&report.model);
         host.staged.clone_from(&report.staged);
@@ -69,7 +66,6 @@
     /// Shortly after an outage of the store the host stays usable for a moment,
     /// as its entry may have lapsed although it lives.
     pub fn remove(&mut self, id: &str, now: Timestamp) {
-        self.generation += 1;
         let window = self.regained_at.map(|at| at + RETURN_WINDOW);
         if window.is_some_and(|end| now < end)
             && let Some(host) = self.hosts.get(id)
@@ -96,7 +92,6 @@
             keep
         });
         for id in &gone {
-            self.generation += 1;
             self.hosts.remove(id);
         }
         gone
@@ -155,7 +150,6 @@
 
     /// Takes a failure domain out of service or back.
     pub fn set_domain_out(&mut self, domain: &Arc<str>, out: bool) {
-        self.generation += 1;
         if out {
             self.domains_out.insert(domain.clone());
         } else {
@@ -173,7 +167,6 @@
 
     /// Takes back every failure domain that is not in a complete list.
     pub fn retain_domains_out(&mut self, listed: &HashSet<Arc<str>>) {
-        self.generation += 1;
         self.domains_out.retain(|d| listed.contains(d));
     }
 
@@ -200,10 +193,4 @@
         let lapsed = self.lapsed.get(&host.id).is_some_and(|until| now >= *until);
         host.state == HostState::Ready && !lapsed && !self.is_domain_out(&host.failure_domain)
     }
-
-    /// Returns a number that grows with each change.
-    #[must_use]
-    pub const fn generation(&self) -> u64 {
-        self.generation
-    }
 }
