Give a host no second order before its entry shows the first one

Cause: an answered order raises the known count of orders at once, while the entry that shows the order's effect may lag. After 0.9 s the planner took such a host for free and sent it another join with the count that fits, which the host obeys. An entry host that is cut off from the store but reaches the hosts stays manager until it hears of another one, so that this join could take a member out of a group that the other manager has opened meanwhile (TWO).

Ruled out: a longer hold, as a cut has no bound.

Test a_host_whose_entry_lags_behind_its_order_gets_no_other_one failed before (second join 1.0 s after the first, with count 1) and passes after; all tests of geranium_fleet pass.

Also removed: GroupPlanner::mark_alive, which nobody called.

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -230,8 +230,9 @@
             };
             log::info!(host:% = id, count = report.orders_begun, agrees = told; "count of orders was asked for");
             if told {
+                let now = manager.shared.now();
                 for planner in manager.planners.borrow_mut().values_mut() {
-                    planner.note_told(&id);
+                    planner.note_told(&id, now);
                 }
             }
             manager.shared.changed.notify_waiters();
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -151,6 +151,7 @@
                 born: order.born,
                 until: now + ORDER_HOLD,
                 order: order.kind.clone(),
+                begun: false,
             };
             self.held.insert(order.host.clone(), held);
         }
@@ -161,9 +162,11 @@
     pub fn note_answer(&mut self, order: &HostOrder, answer: OrderAnswer, now: Timestamp) {
         if let Some(held) = self.held.get_mut(&order.host) {
             match answer {
-                OrderAnswer::Begun | OrderAnswer::Done | OrderAnswer::Unknown => {
+                OrderAnswer::Begun | OrderAnswer::Done => {
                     held.until = now + ORDER_HOLD;
+                    held.begun = true;
                 }
+                OrderAnswer::Unknown => held.until = now + ORDER_HOLD,
                 OrderAnswer::Conflict => held.until = now + CONFLICT_HOLD,
                 _ => held.until = now,
             }
@@ -194,9 +197,13 @@
         due
     }
 
-    /// Notes that the count of orders of a host was told.
-    pub fn note_told(&mut self, id: &str) {
+    /// Notes that a host told its count of orders together with the group that is
+    /// known.
+    pub fn note_told(&mut self, id: &str, now: Timestamp) {
         self.stale.remove(id);
+        if self.held.get(id).is_some_and(|held| now >= held.until) {
+            self.held.remove(id);
+        }
     }
 
     /// Notes that a host answered nothing and is taken to be dead.
@@ -204,11 +211,6 @@
         self.dead.insert(id.clone(), (born, now + DEAD_MEMORY));
     }
 
-    /// Notes that a host has shown life.
-    pub fn mark_alive(&mut self, id: &str) {
-        self.dead.remove(id);
-    }
-
     /// Returns the hosts of the group of a head, to be asked whether they live.
     #[must_use]
     pub fn members_of_head<'a>(&self, directory: &'a Directory, head: &str) -> Vec<&'a Host> {
@@ -244,7 +246,10 @@
             .map(|v| v.group.clone())
             .collect();
         hosts.retain(|h| {
-            let held = self.held.get(&h.id).is_some_and(|held| now < held.until);
+            let held = self
+                .held
+                .get(&h.id)
+                .is_some_and(|held| held.begun || now < held.until);
             let closed = h
                 .membership
                 .as_ref()
@@ -289,7 +294,7 @@
     /// effect of its last one, or has to be asked for its count of orders.
     fn is_held(&self, host: &Host, now: Timestamp) -> bool {
         let held = self.held.get(&host.id).filter(|h| h.born == host.born);
-        held.is_some_and(|h| now < h.until) || host.orders_begun.is_none()
+        held.is_some_and(|h| h.begun || now < h.until) || host.orders_begun.is_none()
     }
 
     fn is_settling(&self, views: &[GroupView<'_>], now: Timestamp) -> bool {
--- a/crates/geranium_fleet/src/planner/memory.rs
+++ b/crates/geranium_fleet/src/planner/memory.rs
@@ -50,6 +50,9 @@
     pub(super) until: Timestamp,
     /// The order.
     pub(super) order: OrderKind,
+    /// Whether the host said that it has begun the order. Its count of orders is then
+    /// newer than what is known of its group, until the host reports the effect.
+    pub(super) begun: bool,
 }
 
 impl Held {
@@ -126,12 +129,23 @@
         self.stale.retain(|id, _| listed.contains(id));
     }
 
-    fn remember_host(&mut self, host: &Host, now: Timestamp) {
-        if let Some(held) = self.held.get(&host.id)
-            && (held.born != host.born || now >= held.until || held.is_reported(host))
-        {
+    /// Ends the hold of a host that reports the effect of its order. A host that has
+    /// begun the order and does not report the effect is asked how it stands.
+    fn review_hold(&mut self, host: &Host, now: Timestamp) {
+        let Some(held) = self.held.get(&host.id) else {
+            return;
+        };
+        let expired = now >= held.until;
+        let over = held.born != host.born || held.is_reported(host);
+        if over || (expired && !held.begun) {
             self.held.remove(&host.id);
+        } else if expired {
+            self.stale.entry(host.id.clone()).or_insert(now);
         }
+    }
+
+    fn remember_host(&mut self, host: &Host, now: Timestamp) {
+        self.review_hold(host, now);
         if host.orders_begun.is_none() {
             self.stale.entry(host.id.clone()).or_insert(now);
         }
--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -180,3 +180,35 @@
     assert!(after);
     assert_eq!(directory.get("h1").and_then(|h| h.orders_begun), Some(4));
 }
+
+#[test]
+fn a_host_whose_entry_lags_behind_its_order_gets_no_other_one() {
+    let start = Timestamp::from_millis(1_000_000);
+    let cfg = PlannerSettings {
+        nonce: "cut-off".into(),
+        load_window: Duration::from_secs(5),
+    };
+    let mut planner = GroupPlanner::new(cfg, start);
+    let mut directory = Directory::default();
+    let engine = profile(vec![model("small", 2, 1.0)]);
+    for id in ["h1", "h2"] {
+        directory.put(host(id, None));
+    }
+    let formed_at = start + Duration::from_secs(5);
+    let joins = planner.plan(&directory, SERVICE, &engine, &[1.0], true, formed_at);
+    assert_eq!(joins.len(), 2);
+    // Both begin; another manager may open the group, which this one does not see.
+    for order in &joins {
+        directory.note_orders(&order.host, order.born, order.expected_count + 1);
+        planner.note_answer(order, OrderAnswer::Begun, formed_at);
+    }
+
+    for after_ms in (200..20_000).step_by(200) {
+        let now = formed_at + Duration::from_millis(after_ms);
+        let orders = planner.plan(&directory, SERVICE, &engine, &[1.0], true, now);
+
+        assert_eq!(orders, [], "after {after_ms} ms");
+    }
+    let asked = planner.take_stale(formed_at + Duration::from_secs(20));
+    assert_eq!(asked.len(), 2, "the hosts are asked how they stand");
+}
--- a/crates/geranium_fleet/tests/rig/mod.rs
+++ b/crates/geranium_fleet/tests/rig/mod.rs
@@ -264,7 +264,7 @@
                 staged: sim.host.staged.clone(),
             };
             if self.directory.note_reported_orders(&id, &report) {
-                self.planner.note_told(&id);
+                self.planner.note_told(&id, self.now);
             }
         }
     }
