Add the group protocol without fencing numbers to the specification

Two managers act at the same time on knowledge as old as they like; orders arrive late, after newer ones or never, answers get lost, a host starts anew under its id. The guards are the planner's own functions, moved into planner::guard.

--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -7,6 +7,7 @@
 //! when the head of its group certainly no longer serves.
 
 mod formation;
+pub mod guard;
 mod memory;
 mod reclaim;
 mod staging;
@@ -352,7 +353,6 @@
 
     /// Opens a group whose members have all reported to be ready.
     fn tend_complete(&mut self, view: &GroupView<'_>, head: &Host, orders: &mut Vec<HostOrder>) {
-        let states = view.members.values().filter_map(|h| h.membership.as_ref());
         if self
             .reclaims
             .values()
@@ -367,8 +367,8 @@
             }
             return;
         }
-        let all_ready = states.clone().all(|m| m.state == GroupState::Ready);
-        if all_ready {
+        let members = view.members.values().filter_map(|h| h.membership.as_ref());
+        if guard::may_open(view.members.len(), members) {
             let kind = OrderKind::Open {
                 group: view.group.clone(),
                 epoch: view.epoch,
--- /dev/null
+++ b/crates/geranium_fleet/src/planner/guard.rs
@@ -0,0 +1,36 @@
+//! Conditions under which an order is safe although nobody checks fencing numbers.
+//!
+//! The planner and the specification call the same functions.
+
+use crate::host::{GroupState, Membership};
+
+/// Returns whether the head of a group may be told to serve: every position of the
+/// group is held by a host that reports to be ready under its name and epoch.
+#[must_use]
+pub fn may_open<'a>(size: usize, members: impl IntoIterator<Item = &'a Membership>) -> bool {
+    let mut ready = 0;
+    for member in members {
+        if member.state != GroupState::Ready {
+            return false;
+        }
+        ready += 1;
+    }
+    ready == size
+}
+
+/// Returns whether the head of a group certainly does not serve it any more, by what
+/// the head says of itself.
+#[must_use]
+pub fn is_group_over(group: &str, head: Option<&Membership>) -> bool {
+    head.is_none_or(|m| &*m.group != group || m.state == GroupState::Broken)
+}
+
+/// Returns whether a host may become a member of another group, by what it reports;
+/// `is_over` tells it of a group that the host is a plain member of.
+#[must_use]
+pub fn may_join_another(own: Option<&Membership>, is_over: impl FnOnce(&str) -> bool) -> bool {
+    own.is_none_or(|m| match m.rank {
+        0 => m.state == GroupState::Broken,
+        _ => is_over(&m.group),
+    })
+}
--- a/crates/geranium_fleet/src/planner/memory.rs
+++ b/crates/geranium_fleet/src/planner/memory.rs
@@ -6,7 +6,7 @@
 use geranium_core::time::Timestamp;
 
 use super::view::GroupView;
-use super::{FORGET_INTERVAL, GROUP_MEMORY, GroupPlanner, STAGING_FACTOR};
+use super::{FORGET_INTERVAL, GROUP_MEMORY, GroupPlanner, STAGING_FACTOR, guard};
 use crate::directory::Directory;
 use crate::engine_profile::EngineProfile;
 use crate::host::{GroupState, Host, HostId};
@@ -201,13 +201,8 @@
         if !self.is_alive(host, now) || self.is_held(host, now) {
             return false;
         }
-        if let Some(membership) = &host.membership {
-            return match (membership.rank, membership.state) {
-                (0, state) => state == GroupState::Broken,
-                _ => self.is_group_over(&membership.group, directory),
-            };
-        }
-        true
+        let is_over = |group: &str| self.is_group_over(group, directory);
+        guard::may_join_another(host.membership.as_ref(), is_over)
     }
 
     /// Returns whether the head of a group certainly does not serve it any more.
@@ -216,9 +211,6 @@
             return self.formed.get(group).is_some_and(|f| f.abandoned);
         }
         let head = self.heads.get(group).and_then(|id| directory.get(id));
-        head.is_some_and(|head| {
-            let membership = head.membership.as_ref();
-            !membership.is_some_and(|m| &*m.group == group && m.state != GroupState::Broken)
-        })
+        head.is_some_and(|head| guard::is_group_over(group, head.membership.as_ref()))
     }
 }
--- a/crates/geranium_spec/src/lib.rs
+++ b/crates/geranium_spec/src/lib.rs
@@ -19,6 +19,7 @@
 mod intern;
 mod model;
 mod mutation;
+pub mod orders;
 pub mod prelude;
 pub mod suite;
 
--- a/crates/geranium_spec/src/mutation.rs
+++ b/crates/geranium_spec/src/mutation.rs
@@ -27,6 +27,8 @@
     Gate,
     /// Records of the operators.
     Configuration,
+    /// Groups formed by orders with an expected count.
+    CountedOrders,
 }
 
 macro_rules! mutations {
@@ -102,6 +104,14 @@
     GateWithoutAge => "gate-without-age", Gate;
     /// The report of rank 0 is taken for one of every member.
     HeadSpeaksForMembers => "head-speaks-for-members", Gate;
+    /// Hosts carry out orders whatever count of orders they expect.
+    OrdersWithoutCount => "orders-without-count", CountedOrders;
+    /// A group is opened as soon as its head is ready.
+    OpenBeforeMembers => "open-before-members", CountedOrders;
+    /// Members are used again while the head of their group may serve.
+    ReuseBeforeHeadLeft => "reuse-before-head-left", CountedOrders;
+    /// A count that an answer tells is used before the host's entry shows the effect.
+    CountAheadOfEntry => "count-ahead-of-entry", CountedOrders;
 }
 
 impl fmt::Display for Mutation {
--- /dev/null
+++ b/crates/geranium_spec/src/orders/action.rs
@@ -0,0 +1,95 @@
+//! Steps of the model of counted orders.
+
+use std::fmt;
+
+use super::state::{Order, Request};
+
+/// One step of one part of the model; numbers name hosts, managers and groups.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CountedAction {
+    /// A manager sees the entry of a host.
+    Seen {
+        /// The manager.
+        manager: u8,
+        /// The host.
+        host: u8,
+    },
+    /// A manager asks a host for its count of orders.
+    Asked {
+        /// The manager.
+        manager: u8,
+        /// The host.
+        host: u8,
+    },
+    /// A manager forms a group and sends its joins.
+    Forms {
+        /// The manager.
+        manager: u8,
+        /// The members, the head first.
+        members: [u8; 2],
+    },
+    /// A manager sends an order.
+    Sends(String),
+    /// A host carries an order out or refuses it.
+    Arrives {
+        /// The order.
+        order: String,
+        /// Whether the answer reaches the manager.
+        answered: bool,
+    },
+    /// A member has prepared its weights.
+    Ready(u8),
+    /// A head that lost a member is broken.
+    HeadBreaks(u8),
+    /// A host starts anew under its id.
+    Restarts(u8),
+}
+
+impl fmt::Display for CountedAction {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Seen { manager, host } => {
+                write!(f, "manager {manager} sees the entry of h{host}")
+            }
+            Self::Asked { manager, host } => {
+                write!(f, "manager {manager} asks h{host} for its count")
+            }
+            Self::Forms { manager, members } => {
+                let [head, other] = members;
+                write!(f, "manager {manager} forms a group of h{head} and h{other}")
+            }
+            Self::Sends(order) => write!(f, "{order} is sent"),
+            Self::Arrives { order, answered } => {
+                let answer = if *answered {
+                    "answers"
+                } else {
+                    "its answer is lost"
+                };
+                write!(f, "{order} arrives, {answer}")
+            }
+            Self::Ready(host) => write!(f, "h{host} is ready"),
+            Self::HeadBreaks(host) => write!(f, "the group of head h{host} is broken"),
+            Self::Restarts(host) => write!(f, "h{host} starts anew"),
+        }
+    }
+}
+
+impl fmt::Display for Order {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (word, group) = match self.request {
+            Request::Join(group) => ("join", group),
+            Request::Open(group) => ("open", group),
+            Request::Leave(group) => ("leave", group),
+        };
+        let Self {
+            manager,
+            host,
+            expected,
+            ..
+        } = self;
+        write!(
+            f,
+            "{word} g{group} of manager {manager} to h{host} after {expected} orders"
+        )
+    }
+}
--- a/crates/geranium_spec/src/suite.rs
+++ b/crates/geranium_spec/src/suite.rs
@@ -7,6 +7,7 @@
 use crate::config::{ConfigBounds, ConfigModel};
 use crate::gate::{GateBounds, GateModel};
 use crate::groups::{GroupBounds, GroupModel};
+use crate::orders::{CountedBounds, CountedModel};
 use crate::{Mutation, Protocol};
 
 /// How far the states are enumerated.
@@ -34,9 +35,13 @@
     let gate = gate_bounds(level)
         .into_iter()
         .map(|bounds| thread::spawn(move || check(&GateModel::new(bounds, None))));
+    let orders = counted_bounds(level)
+        .into_iter()
+        .map(|bounds| thread::spawn(move || check(&CountedModel::new(bounds, None))));
     let config = [ConfigBounds::racing(), ConfigBounds::restoring()]
         .map(|bounds| thread::spawn(move || check(&ConfigModel::new(bounds, None))));
-    let checks: Vec<_> = claims.chain(groups).chain(gate).chain(config).collect();
+    let protocols = claims.chain(groups).chain(gate).chain(orders);
+    let checks: Vec<_> = protocols.chain(config).collect();
     let join = |check: thread::JoinHandle<CheckReport>| check.join().expect("no check panics");
     checks.into_iter().map(join).collect()
 }
@@ -60,6 +65,15 @@
             };
             find_violation(&ConfigModel::new(bounds, Some(mutation)))
         }
+        Protocol::CountedOrders => {
+            let bounds = match mutation {
+                Mutation::CountAheadOfEntry | Mutation::OrdersWithoutCount => {
+                    CountedBounds::forming_again()
+                }
+                _ => CountedBounds::regrouping(),
+            };
+            find_violation(&CountedModel::new(bounds, Some(mutation)))
+        }
         Protocol::Gate => find_violation(&GateModel::new(GateBounds::small(), Some(mutation))),
     }
 }
@@ -71,6 +85,23 @@
     }
 }
 
+fn counted_bounds(level: Level) -> Vec<CountedBounds> {
+    match level {
+        Level::Small => vec![
+            CountedBounds::forming().with_orders(3),
+            CountedBounds::forming_again(),
+            CountedBounds::regrouping().with_one_manager(),
+            CountedBounds::restarting().with_one_manager(),
+        ],
+        Level::Full => vec![
+            CountedBounds::forming(),
+            CountedBounds::forming_again(),
+            CountedBounds::regrouping(),
+            CountedBounds::restarting(),
+        ],
+    }
+}
+
 fn claim_bounds(level: Level) -> Vec<ClaimBounds> {
     match level {
         Level::Small => vec![ClaimBounds::lossy_prefix(), ClaimBounds::reused_key()],
