Send each request to the lighter of two random servers

Cause: each entry host sent to the least loaded group that it knew of, while it hears the others' load 150 ms late, so that all of them filled the same group.

Ruled out in the same simulation: random noise on the score (Gumbel, 1 to 5 requests: 5 to 0.1 %, but it also picks cold and failing servers), the best of 3, 4, 6 and 12 (more refused with each), candidates within 3 or 6 requests of the least (0.2 to 17 %); 9 and 15 are alike.

What was heard of others moved from geranium_entry into PeerLoads, without network.

--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -9,6 +9,7 @@
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 use geranium_fleet::host::{HostId, HostReport};
+use geranium_fleet::peer_load::{PeerLoads, Running};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -21,8 +22,6 @@
 /// Entry hosts that one report goes to, so that its cost does not grow with their
 /// number.
 const MOST_RECEIVERS: usize = 8;
-/// Age at which a report counts no more.
-const MAX_AGE: Duration = Duration::from_millis(700);
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 
@@ -30,27 +29,19 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum Datagram {
     /// Requests that the sender runs at each backend server.
-    Load(Vec<(Arc<str>, u32)>),
+    Load(Running),
     /// What hosts answered themselves while the store was away.
     Reports(Vec<(HostId, HostReport)>),
     /// A group whose head the sender takes to have stopped.
     Suspect(Arc<str>),
 }
 
-/// Requests that another entry host runs at each backend server.
-struct PeerLoad {
-    /// When it said so.
-    at: Timestamp,
-    /// Requests by backend server.
-    running: Vec<(Arc<str>, u32)>,
-}
-
 /// The socket for datagrams, and where the other entry hosts listen.
 pub(crate) struct PeerLink {
     socket: UdpSocket,
     /// Addresses by the names of the entry hosts.
     pub(crate) addresses: RefCell<HashMap<String, SocketAddr>>,
-    loads: RefCell<HashMap<SocketAddr, PeerLoad>>,
+    loads: RefCell<PeerLoads<SocketAddr>>,
 }
 
 impl PeerLink {
@@ -104,7 +95,7 @@
 pub(crate) async fn run_sender<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<PeerLink>) {
     loop {
         tokio::time::sleep(INTERVAL).await;
-        let load: Vec<(Arc<str>, u32)> = {
+        let load: Running = {
             let core = shared.core.borrow();
             let running = core.dispatcher.running();
             running.map(|(id, n)| (id.clone(), n)).collect()
@@ -133,11 +124,8 @@
         };
         match serde_json::from_slice(&buf[..n]) {
             Ok(Datagram::Load(load)) => {
-                let load = PeerLoad {
-                    at: shared.now(),
-                    running: load,
-                };
-                link.loads.borrow_mut().insert(from, load);
+                let mut loads = link.loads.borrow_mut();
+                loads.note_report(from, load, shared.now());
             }
             Ok(Datagram::Reports(reports)) if shared.store_away.get() => {
                 shared.take_reports(&reports);
@@ -162,18 +150,7 @@
 
 /// Works out the load of all other entry hosts from those that were heard.
 fn apply_loads<D: Dialect>(shared: &Shared<D>, link: &PeerLink, others: usize, now: Timestamp) {
-    let mut loads = link.loads.borrow_mut();
-    loads.retain(|_, load| now.since(load.at) < MAX_AGE);
-    let mut sums: HashMap<Arc<str>, f64> = HashMap::default();
-    for load in loads.values() {
-        for (id, running) in &load.running {
-            *sums.entry(id.clone()).or_default() += f64::from(*running);
-        }
-    }
-    let factor = (others as f64 / loads.len().max(1) as f64).max(1.0);
+    let running = link.loads.borrow_mut().of_others(others, now);
     let mut core = shared.core.borrow_mut();
-    core.dispatcher.clear_peers_running();
-    for (id, running) in &sums {
-        core.dispatcher.note_peers_running(id, *running * factor);
-    }
+    core.dispatcher.set_peers_running(&running);
 }
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -7,6 +7,7 @@
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 use rand::Rng;
+use rand::seq::IteratorRandom;
 use rustc_hash::FxHasher;
 
 use crate::directory::Directory;
@@ -22,6 +23,8 @@
 const REMOTE_LOAD: f64 = 0.35;
 /// Added load of a cold backend server, in requests.
 const COLD_LOAD: f64 = 6.0;
+/// Load beyond the least loaded backend server at which another one is no candidate.
+const CANDIDATE_MARGIN: f64 = 9.0;
 /// Weight of a new sample in the averages of failures and times.
 const SAMPLE_WEIGHT: f64 = 0.15;
 /// Load that a share of failures of 1 adds, in requests.
@@ -197,7 +200,7 @@
         })
     }
 
-    /// Returns the least loaded backend server, among suspected ones or others.
+    /// Returns a backend server with little load, among suspected ones or others.
     fn pick<'a>(
         &mut self,
         directory: &'a Directory,
@@ -206,9 +209,8 @@
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> Result<(&'a Host, usize), NoHost> {
-        let mut best: Option<(f64, &Host)> = None;
+        let mut open: Vec<(f64, &Host)> = Vec::new();
         let mut reason = NoHost::None;
-        let mut among = 0;
         for host in directory.hosts() {
             if !serves(directory, host, wanted, now) {
                 continue;
@@ -234,13 +236,10 @@
                 reason = rank(reason, NoHost::Full);
                 continue;
             }
-            among += 1;
-            let score = self.score(host, running, now) + rng.random::<f64>() * 0.1;
-            if best.is_none_or(|(lowest, _)| score < lowest) {
-                best = Some((score, host));
-            }
+            open.push((self.score(host, running, now), host));
         }
-        best.map(|(_, host)| (host, among)).ok_or(reason)
+        let host = lighter_of_two(&open, rng).ok_or(reason)?;
+        Ok((host, open.len()))
     }
 
     /// Returns how many requests this entry host may send to a backend server in a
@@ -323,16 +322,14 @@
         seen.on_trial = true;
     }
 
-    /// Forgets what the other entry hosts run.
-    pub fn clear_peers_running(&mut self) {
+    /// Notes the requests that the other entry hosts run at each backend server.
+    pub fn set_peers_running(&mut self, running: &HashMap<HostId, f64>) {
         for seen in self.seen.values_mut() {
             seen.peers_running = 0.0;
         }
-    }
-
-    /// Notes the requests that the other entry hosts run at a backend server.
-    pub fn note_peers_running(&mut self, id: &HostId, running: f64) {
-        self.seen.entry(id.clone()).or_default().peers_running = running;
+        for (id, running) in running {
+            self.seen.entry(id.clone()).or_default().peers_running = *running;
+        }
     }
 
     /// Returns the requests that run at each backend server.
@@ -358,6 +355,23 @@
     }
 }
 
+/// Returns the less loaded of two random backend servers that are not far from the
+/// least loaded one.
+///
+/// Loads of other entry hosts are known late, so that all of them would send to the
+/// same least loaded one until they hear of it (M. Mitzenmacher, "The Power of Two
+/// Choices in Randomized Load Balancing", 2001).
+fn lighter_of_two<'a>(open: &[(f64, &'a Host)], rng: &mut impl Rng) -> Option<&'a Host> {
+    let least = open.iter().map(|(load, _)| *load).fold(f64::MAX, f64::min);
+    let near = open
+        .iter()
+        .filter(|(load, _)| *load <= least + CANDIDATE_MARGIN);
+    let two = near.choose_multiple(rng, 2);
+    two.into_iter()
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, host)| *host)
+}
+
 /// Returns the reason that tells a caller more.
 fn rank(old: NoHost, new: NoHost) -> NoHost {
     let order = |r: NoHost| match r {
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`host`], [`directory`] | the backend servers and what they say of themselves |
 //! | [`planner`] | which groups are formed, opened, dissolved, and by which orders |
 //! | [`dispatch`] | the backend server that gets a request |
+//! | [`peer_load`] | the load that other entry hosts cause |
 //! | [`silence`] | groups that stopped answering while work waits there |
 //! | [`shared_rate`] | bounds that all entry hosts keep together |
 //! | [`demand`] | the work seen for each model |
@@ -22,6 +23,7 @@
 pub mod engine_profile;
 pub mod host;
 pub mod order;
+pub mod peer_load;
 pub mod planner;
 pub mod prelude;
 pub mod route;
--- a/crates/geranium_fleet/tests/dispatch.rs
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -158,7 +158,7 @@
     let directory = directory(vec![host("h", "a")]);
     let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
     let id: HostId = Arc::from("h");
-    dispatcher.note_peers_running(&id, 17.0);
+    dispatcher.set_peers_running(&[(id.clone(), 17.0)].into_iter().collect());
     let mut wanted = wanted(&[]);
     wanted.most_running = 17.0;
 
--- /dev/null
+++ b/crates/geranium_fleet/tests/load_spread.rs
@@ -0,0 +1,176 @@
+//! Many entry hosts in front of few groups that are nearly full.
+//!
+//! The pattern: each entry host hears late what the others run. If all of them send to
+//! the least loaded group that they know of, they fill it before they hear of each
+//! other, and it refuses while other groups have room.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use geranium_core::time::Timestamp;
+use geranium_fleet::peer_load::{PeerLoads, Running};
+use geranium_fleet::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+/// Requests that a group runs at once.
+const SLOTS: u32 = 20;
+/// Requests that wait at a group before it refuses.
+const QUEUE: u32 = 4;
+/// Shortest and longest time of a request, in milliseconds.
+const TIMES_MS: std::ops::Range<u64> = 400..2_000;
+/// Mean time of a request, in seconds.
+const MEAN_S: f64 = 1.2;
+/// Step of the simulated time.
+const STEP: Duration = Duration::from_millis(10);
+/// Steps between two reports of an entry host.
+const REPORT_STEPS: usize = 15;
+/// Steps of a run.
+const STEPS: u32 = 3_000;
+
+/// An entry host with what it knows of the others.
+struct Entry {
+    dispatcher: Dispatcher,
+    loads: PeerLoads<usize>,
+}
+
+/// Entry hosts, and the groups behind them.
+struct Load {
+    rng: SmallRng,
+    directory: Directory,
+    entries: Vec<Entry>,
+    running: BTreeMap<HostId, u32>,
+    ends: BTreeMap<Timestamp, Vec<(usize, HostId)>>,
+    arrivals: u32,
+    refused: u32,
+}
+
+fn group(i: usize) -> Host {
+    Host {
+        id: format!("g{i:02}").into(),
+        born: 1,
+        service: "engines".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        failure_domain: format!("d{}", i % 3).into(),
+        slots: SLOTS,
+        state: HostState::Ready,
+        cold_until: None,
+        orders_begun: None,
+        fabric_domain: None,
+        staged: Vec::new(),
+        model: None,
+        membership: None,
+    }
+}
+
+impl Load {
+    fn new(entry_hosts: usize, groups: usize) -> Self {
+        let mut directory = Directory::default();
+        for i in 0..groups {
+            directory.put(group(i));
+        }
+        let entry = |i: usize| Entry {
+            dispatcher: Dispatcher::new(format!("e{i}").into(), format!("d{}", i % 3).into()),
+            loads: PeerLoads::default(),
+        };
+        Self {
+            rng: SmallRng::seed_from_u64(7),
+            directory,
+            entries: (0..entry_hosts).map(entry).collect(),
+            running: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            arrivals: 0,
+            refused: 0,
+        }
+    }
+
+    /// Plays requests that take a part of all places, and returns the part of the
+    /// arrivals that groups refuse.
+    fn play(&mut self, part: f64) -> f64 {
+        let places = self.directory.hosts().count() as f64 * f64::from(SLOTS);
+        let per_step = part * places / MEAN_S * STEP.as_secs_f64();
+        for step in 0..STEPS {
+            let now = START + STEP * step;
+            self.end_requests(now);
+            self.exchange(step as usize, now);
+            let whole = per_step.floor() as u32;
+            let extra = self.rng.random::<f64>() < per_step.fract();
+            for _ in 0..whole + u32::from(extra) {
+                self.request(now);
+            }
+        }
+        f64::from(self.refused) / f64::from(self.arrivals)
+    }
+
+    fn end_requests(&mut self, now: Timestamp) {
+        let later = self.ends.split_off(&(now + Duration::from_millis(1)));
+        for (entry, id) in std::mem::replace(&mut self.ends, later)
+            .into_values()
+            .flatten()
+        {
+            self.entries[entry].dispatcher.done(&id);
+            *self.running.get_mut(&id).expect("it runs there") -= 1;
+        }
+    }
+
+    /// Lets the entry hosts whose turn it is report to all others.
+    fn exchange(&mut self, step: usize, now: Timestamp) {
+        let others = self.entries.len() - 1;
+        for from in (0..=others).filter(|i| (step + i).is_multiple_of(REPORT_STEPS)) {
+            let running = self.entries[from].dispatcher.running();
+            let running: Running = running.map(|(id, n)| (id.clone(), n)).collect();
+            for (to, entry) in self.entries.iter_mut().enumerate() {
+                if to != from {
+                    entry.loads.note_report(from, running.clone(), now);
+                }
+            }
+            let entry = &mut self.entries[from];
+            let loads = entry.loads.of_others(others, now);
+            entry.dispatcher.set_peers_running(&loads);
+        }
+    }
+
+    /// Sends one request to an entry host, which tries two groups.
+    fn request(&mut self, now: Timestamp) {
+        let entry = self.rng.random_range(0..self.entries.len());
+        let mut tried = Vec::new();
+        for _ in 0..2 {
+            let wanted = Wanted {
+                service: "engines",
+                model: None,
+                tried: &tried,
+                cold_bound: None,
+                most_running: f64::from(SLOTS + QUEUE),
+            };
+            let dispatcher = &mut self.entries[entry].dispatcher;
+            let Ok(choice) = dispatcher.choose(&self.directory, &wanted, now, &mut self.rng) else {
+                return;
+            };
+            self.arrivals += 1;
+            let id = choice.host.id;
+            let running = self.running.entry(id.clone()).or_default();
+            if *running < SLOTS + QUEUE {
+                *running += 1;
+                let end = now + Duration::from_millis(self.rng.random_range(TIMES_MS));
+                self.ends.entry(end).or_default().push((entry, id));
+                return;
+            }
+            self.refused += 1;
+            self.entries[entry].dispatcher.done(&id);
+            tried.push(id);
+        }
+    }
+}
+
+#[test]
+fn few_entry_hosts_spread_a_load_that_nearly_fills_the_groups() {
+    for part in [0.5, 0.7, 0.85] {
+        let refused = Load::new(8, 20).play(part);
+
+        assert!(
+            refused < 0.01,
+            "{refused:.3} refused at {part} of the places"
+        );
+    }
+}
