Collect the load of many entry hosts at eight of them

Cause: with 72 entry hosts each reported its load to eight random others, so that each heard about 30 of 71 within 0.7 s and multiplied the sum by 2.4; the guess was off by more than half of a group's places.

All now report to the eight entry hosts that watch the store, which tell the rest the sum without their own part, two copies in 150 ms. Datagrams: 8 a host in 150 ms as before, and 16 a collector.

--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -1,7 +1,6 @@
 //! Follows the store: one read of everything, then one watch.
 
 use std::cell::Cell;
-use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,12 +15,11 @@
 use geranium_net::{ClientConfig, HttpClient};
 use geranium_platform::{KvStore, StoreError, StoredValue, WatchBatch, WatchChange};
 use rand::seq::IndexedRandom;
-use rustc_hash::FxHasher;
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::Dialect;
 use crate::fact::Fact;
-use crate::peers::PeerLink;
+use crate::peers::{LEADING, PeerLink, place};
 use crate::recent_changes;
 use crate::state::Shared;
 
@@ -33,9 +31,6 @@
 pub(crate) const CRASH_PREFIX: &str = "crash/";
 /// Pause after a failed call, before jitter.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// Entry hosts that watch the store; with more of them, the rest follows these, so
-/// that calls to the store do not grow with their number.
-const WATCHERS: usize = 8;
 /// Time without an answer after which the store counts as having been away.
 const OUTAGE: Duration = Duration::from_millis(1_500);
 /// Margin on the cold start of backend servers that come back with their failure
@@ -120,28 +115,19 @@
     /// them; all entry hosts work out the same ones.
     fn follows_others(&self) -> bool {
         let core = self.shared.core.borrow();
-        let own = watcher_order(&self.shared.cfg.name);
-        let before = core.entry_hosts.iter().filter(|n| watcher_order(n) < own);
-        !self.shared.is_manager.get() && before.count() >= WATCHERS
+        let own = place(&self.shared.cfg.name);
+        let before = core.entry_hosts.iter().filter(|n| place(n) < own);
+        !self.shared.is_manager.get() && before.count() >= LEADING
     }
 
     /// Takes changes from one of the entry hosts that watch the store; returns whether
     /// it answered.
     async fn follow_other(&self, after: StoreRevision) -> bool {
-        let watcher = {
-            let addresses = self.peers.addresses.borrow();
-            let mut names: Vec<&String> = addresses.keys().collect();
-            names.sort_by_key(|n| watcher_order(n));
-            names.truncate(WATCHERS);
-            names
-                .choose(&mut rand::rng())
-                .and_then(|n| addresses.get(*n))
-                .copied()
-        };
-        let Some(watcher) = watcher else {
+        let watchers = self.peers.leading();
+        let Some((_, watcher)) = watchers.choose(&mut rand::rng()) else {
             return false;
         };
-        match recent_changes::ask(&self.client, watcher, after).await {
+        match recent_changes::ask(&self.client, *watcher, after).await {
             Ok(Some(batch)) => {
                 self.note_heard();
                 if !batch.changes.is_empty() {
@@ -383,14 +369,6 @@
     }
 }
 
-/// Returns the place of an entry host in the order in which they watch the store; it
-/// spreads the watching ones over failure domains.
-fn watcher_order(name: &str) -> u64 {
-    let mut hasher = FxHasher::default();
-    name.hash(&mut hasher);
-    hasher.finish()
-}
-
 const fn revision_of(change: &WatchChange) -> StoreRevision {
     match change {
         WatchChange::Put(value) => value.revision,
--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -1,6 +1,7 @@
 //! Datagrams between entry hosts: loads of backend servers and suspected groups.
 
 use std::cell::RefCell;
+use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,8 +10,9 @@
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 use geranium_fleet::host::{HostId, HostReport};
-use geranium_fleet::peer_load::{PeerLoads, Running};
+use geranium_fleet::peer_load::{LoadSum, PeerLoads, Running};
 use rand::seq::IndexedRandom;
+use rustc_hash::FxHasher;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -19,9 +21,11 @@
 
 /// Pause between two reports of the own load.
 const INTERVAL: Duration = Duration::from_millis(150);
-/// Entry hosts that one report goes to, so that its cost does not grow with their
-/// number.
-const MOST_RECEIVERS: usize = 8;
+/// Entry hosts that watch the store and collect loads for all others, so that neither
+/// calls nor reports grow with the square of their number.
+pub(crate) const LEADING: usize = 8;
+/// Collectors from which each of the other entry hosts hears in one interval.
+const COPIES: usize = 2;
 /// Largest datagram.
 const MAX_DATAGRAM: usize = 60_000;
 
@@ -30,6 +34,8 @@
 enum Datagram {
     /// Requests that the sender runs at each backend server.
     Load(Running),
+    /// Requests that other entry hosts than the receiver run at each backend server.
+    Sum(LoadSum),
     /// What hosts answered themselves while the store was away.
     Reports(Vec<(HostId, HostReport)>),
     /// A group whose head the sender takes to have stopped.
@@ -78,6 +84,30 @@
         others.map(|(_, address)| *address).collect()
     }
 
+    /// Returns the entry hosts that lead, in an order that all of them work out alike.
+    pub(crate) fn leading(&self) -> Vec<(String, SocketAddr)> {
+        self.collectors_and_rest().0
+    }
+
+    fn collectors_and_rest(&self) -> (Vec<(String, SocketAddr)>, Vec<SocketAddr>) {
+        let addresses = self.addresses.borrow();
+        let mut all: Vec<(String, SocketAddr)> =
+            addresses.iter().map(|(n, a)| (n.clone(), *a)).collect();
+        drop(addresses);
+        all.sort_by_key(|(name, _)| place(name));
+        let rest = all.split_off(all.len().min(LEADING));
+        (all, rest.into_iter().map(|(_, address)| address).collect())
+    }
+
+    /// Tells some of the entry hosts that do not collect loads the sum of all.
+    fn send_sums(&self, rest: &[SocketAddr], own: &Running, now: Timestamp) {
+        let most = (rest.len() * COPIES).div_ceil(LEADING);
+        for address in rest.choose_multiple(&mut rand::rng(), most) {
+            let sum = self.loads.borrow_mut().sum_without(address, own, now);
+            self.send(*address, &Datagram::Sum(sum));
+        }
+    }
+
     fn send(&self, to: SocketAddr, datagram: &Datagram) {
         match serde_json::to_vec(datagram) {
             Ok(bytes) => {
@@ -91,7 +121,8 @@
     }
 }
 
-/// Sends the own load to some of the other entry hosts, others each time.
+/// Reports the own load to the collectors, and as one of them tells the sum to some of
+/// the other entry hosts, others each time.
 pub(crate) async fn run_sender<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<PeerLink>) {
     loop {
         tokio::time::sleep(INTERVAL).await;
@@ -100,13 +131,17 @@
             let running = core.dispatcher.running();
             running.map(|(id, n)| (id.clone(), n)).collect()
         };
+        let now = shared.now();
+        let (collectors, rest) = link.collectors_and_rest();
+        let is_collector = collectors.iter().any(|(name, _)| *name == *shared.cfg.name);
+        if is_collector {
+            link.send_sums(&rest, &load, now);
+        }
         let datagram = Datagram::Load(load);
-        let others = link.others(&shared.cfg.name);
-        let receivers = others.choose_multiple(&mut rand::rng(), MOST_RECEIVERS);
-        for address in receivers {
+        for (_, address) in collectors.iter().filter(|(n, _)| *n != *shared.cfg.name) {
             link.send(*address, &datagram);
         }
-        apply_loads(&shared, &link, others.len(), shared.now());
+        apply_loads(&shared, &link);
     }
 }
 
@@ -127,6 +162,10 @@
                 let mut loads = link.loads.borrow_mut();
                 loads.note_report(from, load, shared.now());
             }
+            Ok(Datagram::Sum(sum)) => {
+                link.loads.borrow_mut().note_sum(sum, shared.now());
+                apply_loads(&shared, &link);
+            }
             Ok(Datagram::Reports(reports)) if shared.store_away.get() => {
                 shared.take_reports(&reports);
             }
@@ -148,9 +187,18 @@
     }
 }
 
+/// Returns the place of an entry host in the order in which they lead; it spreads the
+/// leading ones over failure domains.
+pub(crate) fn place(name: &str) -> u64 {
+    let mut hasher = FxHasher::default();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Works out the load of all other entry hosts from those that were heard.
-fn apply_loads<D: Dialect>(shared: &Shared<D>, link: &PeerLink, others: usize, now: Timestamp) {
-    let running = link.loads.borrow_mut().of_others(others, now);
+fn apply_loads<D: Dialect>(shared: &Shared<D>, link: &PeerLink) {
+    let others = link.addresses.borrow().len().saturating_sub(1);
+    let running = link.loads.borrow_mut().of_others(others, shared.now());
     let mut core = shared.core.borrow_mut();
     core.dispatcher.set_peers_running(&running);
 }
--- a/crates/geranium_fleet/src/peer_load.rs
+++ b/crates/geranium_fleet/src/peer_load.rs
@@ -1,10 +1,15 @@
 //! Requests that other entry hosts run at backend servers, as far as they say so.
+//!
+//! Few entry hosts report to each other. Where there are many, all report to a few
+//! collectors, which tell the rest the sum: the cost of a report does not grow with the
+//! number of entry hosts, and nobody has to guess from a part of them.
 
 use std::hash::Hash;
 use std::time::Duration;
 
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
+use serde::{Deserialize, Serialize};
 
 use crate::host::HostId;
 
@@ -14,10 +19,20 @@
 /// Requests at each backend server.
 pub type Running = Vec<(HostId, u32)>;
 
+/// Requests of several entry hosts at each backend server.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadSum {
+    /// Entry hosts that the sum is of.
+    pub entry_hosts: usize,
+    /// Their requests.
+    pub running: Running,
+}
+
 /// What was heard of the load that others cause, by the senders `K`.
 #[derive(Debug)]
 pub struct PeerLoads<K> {
     reports: HashMap<K, Report>,
+    sum: Option<(Timestamp, LoadSum)>,
 }
 
 #[derive(Debug)]
@@ -30,6 +45,7 @@
     fn default() -> Self {
         Self {
             reports: HashMap::default(),
+            sum: None,
         }
     }
 }
@@ -40,13 +56,39 @@
         self.reports.insert(from, Report { at: now, running });
     }
 
+    /// Takes in the sum that a collector made of the reports of other entry hosts.
+    pub fn note_sum(&mut self, sum: LoadSum, now: Timestamp) {
+        self.sum = Some((now, sum));
+    }
+
+    /// Returns the sum of what was heard lately of all but one entry host, and of the
+    /// collector's own requests.
+    pub fn sum_without(&mut self, receiver: &K, own: &Running, now: Timestamp) -> LoadSum {
+        self.forget_old(now);
+        let others = self.reports.iter().filter(|(from, _)| *from != receiver);
+        let others: Vec<&Running> = others.map(|(_, r)| &r.running).collect();
+        let mut sums: HashMap<&HostId, u32> = HashMap::default();
+        for (id, running) in others.iter().copied().chain([own]).flatten() {
+            *sums.entry(id).or_default() += running;
+        }
+        LoadSum {
+            entry_hosts: others.len() + 1,
+            running: sums.into_iter().map(|(id, n)| (id.clone(), n)).collect(),
+        }
+    }
+
     /// Returns the requests of all `others` at each backend server; those that were not
     /// heard lately are taken to be like the rest.
     pub fn of_others(&mut self, others: usize, now: Timestamp) -> HashMap<HostId, f64> {
-        self.reports.retain(|_, r| now.since(r.at) < MAX_AGE);
-        let heard = self.reports.len();
+        self.forget_old(now);
+        let mut heard = self.reports.len();
+        let mut running: Vec<&Running> = self.reports.values().map(|r| &r.running).collect();
+        if let Some((_, sum)) = self.sum.as_ref().filter(|(_, s)| s.entry_hosts > heard) {
+            heard = sum.entry_hosts;
+            running = vec![&sum.running];
+        }
         let mut sums: HashMap<HostId, f64> = HashMap::default();
-        for (id, running) in self.reports.values().flat_map(|r| &r.running) {
+        for (id, running) in running.into_iter().flatten() {
             *sums.entry(id.clone()).or_default() += f64::from(*running);
         }
         let factor = others as f64 / heard.max(1) as f64;
@@ -55,4 +97,9 @@
         }
         sums
     }
+
+    fn forget_old(&mut self, now: Timestamp) {
+        self.reports.retain(|_, r| now.since(r.at) < MAX_AGE);
+        self.sum.take_if(|(at, _)| now.since(*at) >= MAX_AGE);
+    }
 }
--- a/crates/geranium_fleet/tests/load_spread.rs
+++ b/crates/geranium_fleet/tests/load_spread.rs
@@ -11,6 +11,7 @@
 use geranium_fleet::peer_load::{PeerLoads, Running};
 use geranium_fleet::prelude::*;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 
 const START: Timestamp = Timestamp::from_millis(1_000_000);
@@ -26,6 +27,10 @@
 const STEP: Duration = Duration::from_millis(10);
 /// Steps between two reports of an entry host.
 const REPORT_STEPS: usize = 15;
+/// Entry hosts that all others report to.
+const COLLECTORS: usize = 8;
+/// Entry hosts that a collector tells the sum of its reports each time.
+const RECEIVERS: usize = 16;
 /// Steps of a run.
 const STEPS: u32 = 3_000;
 
@@ -35,6 +40,13 @@
     loads: PeerLoads<usize>,
 }
 
+impl Entry {
+    fn apply_loads(&mut self, others: usize, now: Timestamp) {
+        let loads = self.loads.of_others(others, now);
+        self.dispatcher.set_peers_running(&loads);
+    }
+}
+
 /// Entry hosts, and the groups behind them.
 struct Load {
     rng: SmallRng,
@@ -114,20 +126,27 @@
         }
     }
 
-    /// Lets the entry hosts whose turn it is report to all others.
+    /// Lets the entry hosts whose turn it is report to the collectors, and these tell
+    /// the sum to some of the others.
     fn exchange(&mut self, step: usize, now: Timestamp) {
         let others = self.entries.len() - 1;
         for from in (0..=others).filter(|i| (step + i).is_multiple_of(REPORT_STEPS)) {
             let running = self.entries[from].dispatcher.running();
             let running: Running = running.map(|(id, n)| (id.clone(), n)).collect();
-            for (to, entry) in self.entries.iter_mut().enumerate() {
-                if to != from {
-                    entry.loads.note_report(from, running.clone(), now);
+            for to in (0..self.entries.len().min(COLLECTORS)).filter(|to| *to != from) {
+                self.entries[to]
+                    .loads
+                    .note_report(from, running.clone(), now);
+            }
+            if from < COLLECTORS {
+                let rest = (COLLECTORS..=others).choose_multiple(&mut self.rng, RECEIVERS);
+                for to in rest {
+                    let sum = self.entries[from].loads.sum_without(&to, &running, now);
+                    self.entries[to].loads.note_sum(sum, now);
+                    self.entries[to].apply_loads(others, now);
                 }
             }
-            let entry = &mut self.entries[from];
-            let loads = entry.loads.of_others(others, now);
-            entry.dispatcher.set_peers_running(&loads);
+            self.entries[from].apply_loads(others, now);
         }
     }
 
@@ -174,3 +193,32 @@
         );
     }
 }
+
+#[test]
+fn many_entry_hosts_spread_a_load_that_nearly_fills_the_groups() {
+    for part in [0.5, 0.7, 0.85] {
+        let refused = Load::new(72, 48).play(part);
+
+        assert!(
+            refused < 0.01,
+            "{refused:.3} refused at {part} of the places"
+        );
+    }
+}
+
+#[test]
+fn a_sum_counts_the_collector_and_leaves_the_receiver_out() {
+    let mut loads = PeerLoads::default();
+    let at = |n| vec![(HostId::from("g"), n)];
+    loads.note_report("first", at(1), START);
+    loads.note_report("second", at(2), START);
+    loads.note_report("long ago", at(64), START);
+    let now = START + Duration::from_millis(600);
+    loads.note_report("first", at(4), now);
+    loads.note_report("second", at(8), now);
+
+    let sum = loads.sum_without(&"second", &at(16), now + Duration::from_millis(200));
+
+    assert_eq!(sum.entry_hosts, 2);
+    assert_eq!(sum.running, at(20));
+}
