Count a silent group as an attempt of the route

Cause: a stream that fell silent before its first event moved on without using up an attempt, as a group that stands still has not begun it.

--- a/crates/geranium_entry/src/relay/retry.rs
+++ b/crates/geranium_entry/src/relay/retry.rs
@@ -29,17 +29,11 @@
         self.note_evidence(host, error);
         let repeat = match error {
             AttemptError::NotRun(_) => true,
-            AttemptError::MayHaveRun(_) => {
+            AttemptError::MayHaveRun(_) | AttemptError::Silent => {
                 self.runs += 1;
                 self.may_have_run = true;
                 self.route.kind.may_repeat()
             }
-            // A group that stands still before the first event has not begun the
-            // request, so that it does not use up an attempt; but it may begin it.
-            AttemptError::Silent => {
-                self.may_have_run = true;
-                self.route.kind.may_repeat()
-            }
             AttemptError::Deadline => {
                 self.may_have_run = true;
                 false
