Hold a host that was told to load until it answers

Cause: an order to load counted as reported at once, so that its host was not held: after a refusal the same order went out at each plan, every 10 ms.

--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -161,8 +161,10 @@
 
     /// Notes the answer to an order.
     pub fn note_answer(&mut self, order: &HostOrder, answer: OrderAnswer, now: Timestamp) {
+        let loads = matches!(order.kind, OrderKind::Stage { .. });
         if let Some(held) = self.held.get_mut(&order.host) {
             match answer {
+                OrderAnswer::Begun | OrderAnswer::Done if loads => held.until = now,
                 OrderAnswer::Begun | OrderAnswer::Done => {
                     held.until = now + ORDER_HOLD;
                     held.begun = true;
--- a/crates/geranium_fleet/src/planner/memory.rs
+++ b/crates/geranium_fleet/src/planner/memory.rs
@@ -65,7 +65,8 @@
             OrderKind::Open { group, .. } => state_in(group) != Some(GroupState::Ready),
             OrderKind::Close { group, .. } => state_in(group) != Some(GroupState::Open),
             OrderKind::Leave { group, .. } => state_in(group).is_none(),
-            OrderKind::Stage { .. } => true,
+            // A load goes on beside all other work; its hold ends with the answer.
+            OrderKind::Stage { .. } => false,
         }
     }
 }
--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -212,3 +212,29 @@
     let asked = planner.take_stale(formed_at + Duration::from_secs(20));
     assert_eq!(asked.len(), 2, "the hosts are asked how they stand");
 }
+
+#[test]
+fn a_host_that_refuses_to_load_is_not_told_again_at_once() {
+    let start = Timestamp::from_millis(1_000_000);
+    let cfg = PlannerSettings {
+        nonce: "new".into(),
+        load_window: Duration::from_secs(5),
+    };
+    let mut planner = GroupPlanner::new(cfg, start);
+    let mut directory = Directory::default();
+    let engine = profile(vec![model("small", 2, 1.0)]);
+    // It loads by an order of an earlier manager, which its entry does not show.
+    let mut loading = host("h1", None);
+    loading.model = None;
+    loading.staged = Vec::new();
+    directory.put(loading);
+    let told_at = start + Duration::from_secs(5);
+    let orders = planner.plan(&directory, SERVICE, &engine, &[1.0], true, told_at);
+    assert_eq!(orders.len(), 1);
+
+    planner.note_answer(&orders[0], OrderAnswer::Conflict, told_at);
+    let soon = told_at + Duration::from_millis(200);
+    let again = planner.plan(&directory, SERVICE, &engine, &[1.0], true, soon);
+
+    assert_eq!(again, []);
+}
