Count attempts, pauses, groups, budgets, store calls, ages, loop lag and lost lines

Cause: the metrics address answered with eight metrics; an operator could not see why requests were refused, how long groups stood still or whether the store was heard. Store calls are counted by the counter that the client of etcd's gateway uses.

At start each entry host logged one line for every other one (72 x 72 on the grown site); the first read now tells their number in its own line. The test that waited for such a line waits for the metric instead.

--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -1,6 +1,5 @@
 //! Follows the store: one read of everything, then one watch.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -80,18 +79,15 @@
 pub(crate) struct Follower<D: Dialect> {
     shared: Rc<Shared<D>>,
     peers: Rc<PeerLink>,
-    heard_at: Cell<Timestamp>,
     client: HttpClient,
 }
 
 impl<D: Dialect> Follower<D> {
     /// Makes a follower that knows nothing yet.
     pub(crate) fn new(shared: Rc<Shared<D>>, peers: Rc<PeerLink>) -> Self {
-        let heard_at = Cell::new(shared.now());
         Self {
             shared,
             peers,
-            heard_at,
             client: HttpClient::new(&ClientConfig::default()),
         }
     }
@@ -168,7 +164,8 @@
             self.apply(fact);
         }
         self.remove_unlisted(&hosts, &domains_out, &own);
-        log::info!(revision = read.revision.0, hosts = hosts.len(), values = read.values.len(); "store was read whole");
+        let entry_hosts = self.shared.core.borrow().entry_hosts.len();
+        log::info!(revision = read.revision.0, hosts = hosts.len(), entry_hosts = entry_hosts, values = read.values.len(); "store was read whole");
         self.shared.revision.set(Some(read.revision));
         self.shared.recent.restart(read.revision);
         self.shared.update_ready();
@@ -245,7 +242,7 @@
     fn note_heard(&self) {
         self.shared.recent.set_heard(true);
         let now = self.shared.now();
-        let away = now.since(self.heard_at.replace(now));
+        let away = now.since(self.shared.heard_at.replace(now));
         if self.shared.store_away.replace(false) && away > OUTAGE {
             self.shared.core.borrow_mut().directory.store_regained(now);
             log::info!(away_ms = away.as_millis() as u64; "store answers again");
@@ -255,7 +252,7 @@
     fn note_failure(&self, e: &StoreError) {
         self.shared.store_away.set(true);
         self.shared.recent.set_heard(false);
-        let silent = self.shared.now().since(self.heard_at.get());
+        let silent = self.shared.now().since(self.shared.heard_at.get());
         log::warn!(silent_ms = silent.as_millis() as u64; "store call failed: {e}");
     }
 
@@ -313,6 +310,7 @@
             .metrics
             .version
             .set(i64::try_from(deployment.version).unwrap_or(i64::MAX));
+        self.shared.in_force_since.set(Some(self.shared.now()));
         core.table = Some(Rc::new(RouteTable::new(deployment)));
     }
 
@@ -349,8 +347,11 @@
         let mut core = self.shared.core.borrow_mut();
         if let Some(entry) = name.strip_prefix(ENTRY_PREFIX) {
             let parsed = value.and_then(parse_entry);
-            core.note_entry_host(entry, parsed.is_some());
-            log::info!(entry_host:% = entry.escape_debug(), registered = parsed.is_some(); "registration of an entry host changed");
+            let changed = core.note_entry_host(entry, parsed.is_some());
+            // The first read tells of all at once, in one line.
+            if changed && core.listed {
+                log::info!(entry_host:% = entry.escape_debug(), registered = parsed.is_some(); "registration of an entry host changed");
+            }
             let mut addresses = self.peers.addresses.borrow_mut();
             match parsed {
                 Some(e) => addresses.insert(entry.to_owned(), e.peers),
--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `election`, `manager` | who manages the groups, and the orders to hosts |
 //! | `peers` | datagrams between entry hosts |
 //! | `watchdog` | silent groups |
+//! | `metrics` | what the process counts |
 
 mod crash_notes;
 pub mod dialect;
@@ -41,5 +42,6 @@
 pub use dialect::{Dialect, HeaderNames};
 pub use fact::Fact;
 pub use log_writer::LogWriter;
+pub use metrics::ProcessCounters;
 pub use node::{NodeError, run};
 pub use settings::{EntrySettings, SharedBounds};
--- a/crates/geranium_entry/src/log_writer.rs
+++ b/crates/geranium_entry/src/log_writer.rs
@@ -12,15 +12,18 @@
 /// Most bytes in one write, so that a reader with a small buffer gets whole lines.
 const MAX_WRITE: usize = 4 << 10;
 
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct Waiting {
     bytes: Vec<u8>,
+    /// Lines dropped since the last write.
     dropped: u64,
+    /// Lines dropped since the start.
+    dropped_in_all: u64,
 }
 
 /// Collects log lines for a thread that writes them out; drops and counts lines
 /// that do not fit.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct LogWriter {
     waiting: Arc<Mutex<Waiting>>,
 }
@@ -49,6 +52,13 @@
         Ok(writer)
     }
 
+    /// Returns the lines dropped since the start.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        let waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.dropped_in_all
+    }
+
     /// Returns the lines that wait and forgets them.
     #[must_use]
     pub fn take(&self) -> Vec<u8> {
@@ -87,6 +97,7 @@
         let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
         if waiting.bytes.len() + buf.len() > MAX_WAITING {
             waiting.dropped += 1;
+            waiting.dropped_in_all += 1;
         } else {
             waiting.bytes.extend_from_slice(buf);
         }
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -1,101 +1,131 @@
 //! Counters and histograms of the process.
 
+mod labels;
+mod observer;
+mod process;
+
 use std::sync::Arc;
 
-use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
-use prometheus_client::registry::Registry;
-
-/// How a request ended.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub(crate) struct EndLabels {
-    /// Kind of the route.
-    pub(crate) kind: &'static str,
-    /// Outcome.
-    pub(crate) outcome: &'static str,
-}
+use prometheus_client::registry::{Metric, Registry};
 
-/// A word that tells one count from another.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub(crate) struct CauseLabel {
-    /// The word.
-    pub(crate) cause: &'static str,
-}
+pub(crate) use labels::{CauseLabel, EndLabels, GroupLabels, ModelLabel, NameLabel};
+pub(crate) use observer::run;
+pub use process::ProcessCounters;
 
 /// Counters and histograms of the process.
 pub(crate) struct Metrics {
     registry: Arc<Registry>,
-    /// Requests by kind and outcome.
+    /// Requests by kind and outcome; what the entry host refused has its reason here.
     pub(crate) ends: Family<EndLabels, Counter>,
+    /// Attempts at backend servers by how they ended.
+    pub(crate) attempts: Family<CauseLabel, Counter>,
     /// Further attempts by cause.
     pub(crate) retries: Family<CauseLabel, Counter>,
+    /// Streams that went on at another backend server, by cause.
+    pub(crate) resumes: Family<CauseLabel, Counter>,
+    /// Requests sent to backend servers that are known to be cold.
+    pub(crate) cold_requests: Counter,
+    /// Retries that the shared budget still allows here, by service.
+    pub(crate) retry_budget: Family<NameLabel, Gauge>,
     /// Orders to hosts by what they ask for.
     pub(crate) orders: Family<CauseLabel, Counter>,
     /// Groups that fell silent.
     pub(crate) silences: Counter,
+    /// Time from the arrival of a request to its first attempt, in seconds.
+    pub(crate) dispatch_wait: Histogram,
     /// Time to the first event or the whole answer, in seconds.
     pub(crate) first_answer: Histogram,
+    /// Time between two pieces of a stream, in seconds.
+    pub(crate) event_pause: Histogram,
     /// Requests that run at backend servers.
     pub(crate) running: Gauge,
+    /// Groups by model and state of their heads.
+    pub(crate) groups: Family<GroupLabels, Gauge>,
+    /// Seconds for which groups that hosts report did not serve, by model.
+    pub(crate) group_down: Family<ModelLabel, Counter>,
+    /// Entry hosts that are known to be registered, this one among them.
+    pub(crate) entry_hosts: Gauge,
+    /// Backend servers that are known to be cold.
+    pub(crate) cold_hosts: Gauge,
     /// Hosts in no group, as the manager sees them.
     pub(crate) stranded: Gauge,
     /// Version of the configuration in force.
     pub(crate) version: Gauge,
+    /// Seconds since the configuration came into force.
+    pub(crate) configuration_age: Gauge,
+    /// Milliseconds since the list of backend servers was last heard of.
+    pub(crate) directory_age: Gauge,
+    /// Time by which a timer of the one thread was late, in seconds.
+    pub(crate) loop_lag: Histogram,
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
+impl Metrics {
+    /// Registers everything, with what the process counts outside the entry host.
+    pub(crate) fn new(process: &ProcessCounters) -> Self {
         let mut registry = Registry::with_prefix("geranium_entry");
-        let ends = Family::default();
-        let retries = Family::default();
-        let orders = Family::default();
-        let silences = Counter::default();
-        let first_answer = Histogram::new(exponential_buckets(0.01, 2.0, 11));
-        let running = Gauge::default();
-        let stranded = Gauge::default();
-        let version = Gauge::default();
-        registry.register("requests", "Requests by kind and outcome", ends.clone());
-        registry.register("retries", "Further attempts by cause", retries.clone());
-        registry.register("orders", "Orders to hosts", orders.clone());
-        registry.register("silences", "Groups that fell silent", silences.clone());
-        registry.register(
-            "first_answer_seconds",
-            "Time to the first event",
-            first_answer.clone(),
-        );
-        registry.register("running", "Requests at backend servers", running.clone());
-        registry.register("stranded_hosts", "Hosts in no group", stranded.clone());
-        registry.register("configuration_version", "Version in force", version.clone());
+        process.register(&mut registry);
+        let r = &mut registry;
         Self {
+            ends: add(r, "requests", "Requests by kind and outcome"),
+            attempts: add(r, "attempts", "Attempts by how they ended"),
+            retries: add(r, "retries", "Further attempts by cause"),
+            resumes: add(r, "resumes", "Streams that went on elsewhere"),
+            cold_requests: add(r, "cold_requests", "Requests to cold backend servers"),
+            retry_budget: add(r, "retry_budget", "Retries left here by service"),
+            orders: add(r, "orders", "Orders to hosts"),
+            silences: add(r, "silences", "Groups that fell silent"),
+            dispatch_wait: add_times(r, "dispatch_wait_seconds", "Arrival to first attempt"),
+            first_answer: add_times(r, "first_answer_seconds", "Time to the first event"),
+            event_pause: add_times(r, "event_pause_seconds", "Time between stream pieces"),
+            running: add(r, "running", "Requests at backend servers"),
+            groups: add(r, "groups", "Groups by model and state"),
+            group_down: add(r, "group_down_seconds", "Time of groups not serving"),
+            entry_hosts: add(r, "entry_hosts", "Entry hosts known"),
+            cold_hosts: add(r, "cold_hosts", "Backend servers known to be cold"),
+            stranded: add(r, "stranded_hosts", "Hosts in no group"),
+            version: add(r, "configuration_version", "Version in force"),
+            configuration_age: add(r, "configuration_age_seconds", "Age of the version"),
+            directory_age: add(r, "directory_age_milliseconds", "Time since the store"),
+            loop_lag: add_times(r, "loop_lag_seconds", "Lateness of timers"),
             registry: Arc::new(registry),
-            ends,
-            retries,
-            orders,
-            silences,
-            first_answer,
-            running,
-            stranded,
-            version,
         }
     }
-}
 
-impl Metrics {
     /// Counts the end of a request.
     pub(crate) fn note_end(&self, kind: &'static str, outcome: &'static str) {
         self.ends.get_or_create(&EndLabels { kind, outcome }).inc();
     }
 
+    /// Counts the end of an attempt.
+    pub(crate) fn note_attempt(&self, cause: &'static str) {
+        self.attempts.get_or_create(&CauseLabel { cause }).inc();
+    }
+
     /// Returns the registry, for the server that renders it.
     pub(crate) fn registry(&self) -> Arc<Registry> {
         self.registry.clone()
     }
 }
 
+/// Registers a metric that starts at zero.
+fn add<M: Metric + Clone + Default>(registry: &mut Registry, name: &str, help: &str) -> M {
+    let metric = M::default();
+    registry.register(name, help, metric.clone());
+    metric
+}
+
+/// Registers a histogram of times from a millisecond to eight seconds.
+fn add_times(registry: &mut Registry, name: &str, help: &str) -> Histogram {
+    let histogram = Histogram::new(exponential_buckets(0.001, 2.0, 14));
+    registry.register(name, help, histogram.clone());
+    histogram
+}
+
 /// Renders a registry as text.
 pub(crate) fn render(registry: &Registry) -> String {
     let mut text = String::new();
--- /dev/null
+++ b/crates/geranium_entry/src/metrics/observer.rs
@@ -0,0 +1,97 @@
+//! Looks at the beliefs of the process once a second.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use geranium_core::collections::HashMap;
+use geranium_core::time::Timestamp;
+use geranium_fleet::host::GroupState;
+
+use super::{GroupLabels, ModelLabel, NameLabel};
+use crate::dialect::Dialect;
+use crate::state::{Core, Shared};
+
+/// Pause between two looks.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Observes until the process ends.
+pub(crate) async fn run<D: Dialect>(shared: Rc<Shared<D>>) {
+    loop {
+        let due = shared.now() + INTERVAL;
+        tokio::time::sleep(INTERVAL).await;
+        let now = shared.now();
+        let metrics = &shared.metrics;
+        metrics.loop_lag.observe(now.since(due).as_secs_f64());
+        metrics.running.set(gauge(shared.running.count()));
+        let heard = now.since(shared.heard_at.get());
+        metrics.directory_age.set(gauge(heard.as_millis()));
+        let in_force = shared.in_force_since.get().map(|at| now.since(at));
+        metrics
+            .configuration_age
+            .set(gauge(in_force.unwrap_or_default().as_secs()));
+        observe_core(&shared, now);
+    }
+}
+
+fn observe_core<D: Dialect>(shared: &Shared<D>, now: Timestamp) {
+    let mut core = shared.core.borrow_mut();
+    let cold = core.directory.hosts();
+    let cold = cold.filter(|h| h.cold_until.is_some_and(|until| now < until));
+    shared.metrics.cold_hosts.set(gauge(cold.count()));
+    let entry_hosts = core.entry_hosts.len();
+    shared.metrics.entry_hosts.set(gauge(entry_hosts));
+    for (service, budget) in &mut core.budgets {
+        let label = NameLabel {
+            service: service.to_string(),
+        };
+        let left = budget.remaining(now);
+        shared
+            .metrics
+            .retry_budget
+            .get_or_create(&label)
+            .set(i64::from(left));
+    }
+    observe_groups(shared, &core);
+}
+
+/// Counts groups by model and state, and the time of those that do not serve.
+fn observe_groups<D: Dialect>(shared: &Shared<D>, core: &Core) {
+    let mut groups: HashMap<GroupLabels, i64> = HashMap::default();
+    for host in core.directory.hosts() {
+        let head = host.membership.as_ref().filter(|m| m.rank == 0);
+        let (Some(head), Some(model)) = (head, &host.model) else {
+            continue;
+        };
+        let labels = GroupLabels {
+            model: model.to_string(),
+            state: word(head.state),
+        };
+        *groups.entry(labels).or_default() += 1;
+        if head.state != GroupState::Open {
+            let model = model.to_string();
+            let down = shared
+                .metrics
+                .group_down
+                .get_or_create(&ModelLabel { model });
+            down.inc_by(INTERVAL.as_secs());
+        }
+    }
+    shared.metrics.groups.clear();
+    for (labels, count) in groups {
+        shared.metrics.groups.get_or_create(&labels).set(count);
+    }
+}
+
+const fn word(state: GroupState) -> &'static str {
+    match state {
+        GroupState::Joining => "joining",
+        GroupState::Ready => "ready",
+        GroupState::Open => "open",
+        GroupState::Closing => "closing",
+        GroupState::Broken => "broken",
+    }
+}
+
+fn gauge(n: impl TryInto<i64>) -> i64 {
+    n.try_into().unwrap_or(i64::MAX)
+}
--- a/crates/geranium_entry/src/node.rs
+++ b/crates/geranium_entry/src/node.rs
@@ -16,7 +16,10 @@
 use crate::peers::PeerLink;
 use crate::settings::EntrySettings;
 use crate::state::{Phase, Shared};
-use crate::{crash_notes, election, follow, peers, recent_changes, server, watchdog};
+use crate::{
+    ProcessCounters, crash_notes, election, follow, metrics, peers, recent_changes, server,
+    watchdog,
+};
 
 /// Time after the request to stop in which the balancer may still send callers
 /// here; it asks once a second and needs two answers.
@@ -54,7 +57,7 @@
 
 /// Runs an entry host until it is asked to stop.
 ///
-/// `read_settings` reads the settings again; their bounds take effect at once, all
+/// `counters` are served with the metrics. `read_settings` reads the settings again; their bounds take effect at once, all
 /// else at the next start.
 ///
 /// # Errors
@@ -64,6 +67,7 @@
     cfg: EntrySettings,
     dialect: D,
     store: S,
+    counters: &ProcessCounters,
     read_settings: impl Fn() -> Result<EntrySettings, E>,
 ) -> Result<(), NodeError>
 where
@@ -76,13 +80,17 @@
         .build()
         .map_err(NodeError::Runtime)?;
     let local = LocalSet::new();
-    local.block_on(&runtime, serve(cfg, dialect, store, read_settings))
+    local.block_on(
+        &runtime,
+        serve(cfg, dialect, store, counters, read_settings),
+    )
 }
 
 async fn serve<D, S, E>(
     cfg: EntrySettings,
     dialect: D,
     store: S,
+    counters: &ProcessCounters,
     read_settings: impl Fn() -> Result<EntrySettings, E>,
 ) -> Result<(), NodeError>
 where
@@ -100,7 +108,7 @@
         .map_err(|e| NodeError::Listen("peers", e))?;
     let link = Rc::new(link);
     let (crashed, crashes) = mpsc::unbounded_channel();
-    let shared = Rc::new(Shared::new(cfg, dialect, crashed));
+    let shared = Rc::new(Shared::new(cfg, dialect, crashed, counters));
     log::info!(callers:% = shared.cfg.callers, first_start = shared.cfg.first_start; "entry host starts");
 
     spawn_listeners(&shared);
@@ -114,6 +122,7 @@
     tokio::task::spawn_local(peers::run_sender(shared.clone(), link.clone()));
     tokio::task::spawn_local(peers::run_receiver(shared.clone(), link));
     tokio::task::spawn_local(sweep(shared.clone()));
+    tokio::task::spawn_local(metrics::run(shared.clone()));
 
     loop {
         tokio::select! {
@@ -161,10 +170,6 @@
         tokio::time::sleep(SWEEP_INTERVAL).await;
         let now = shared.now();
         shared.pool.sweep(now);
-        shared
-            .metrics
-            .running
-            .set(i64::try_from(shared.running.count()).unwrap_or(i64::MAX));
         let mut core = shared.core.borrow_mut();
         core.directory.expire(now);
         let core = &mut *core;
--- a/crates/geranium_entry/src/relay/job.rs
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -219,6 +219,14 @@
         let choice = core
             .dispatcher
             .choose(&core.directory, &wanted, now, &mut core.rng)?;
+        let metrics = &self.shared.metrics;
+        if self.tried.is_empty() {
+            let wait = now.since(self.arrived);
+            metrics.dispatch_wait.observe(wait.as_secs_f64());
+        }
+        if choice.host.cold_until.is_some_and(|until| now < until) {
+            metrics.cold_requests.inc();
+        }
         self.tried.push(choice.host.id.clone());
         Ok(choice)
     }
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -17,6 +17,7 @@
 use super::job::Job;
 use super::retry::SHORTEST_ATTEMPT;
 use crate::dialect::Dialect;
+use crate::metrics::CauseLabel;
 
 /// Chunks of events that wait for a caller that reads slowly.
 const CHANNEL: usize = 32;
@@ -66,6 +67,7 @@
         objective_ms = job.route.objective.as_millis() as u64;
         "stream begins"
     );
+    job.shared.metrics.note_attempt("answered");
     job.shared.metrics.first_answer.observe(took.as_secs_f64());
     let mut core = job.shared.core.borrow_mut();
     core.dispatcher.note_outcome(&choice.host.id, true, None);
@@ -199,6 +201,7 @@
     async fn pass(&mut self) -> &'static str {
         let deadline = tokio::time::sleep(self.job.left());
         let mut deadline = std::pin::pin!(deadline);
+        let mut passed_at = self.job.shared.now();
         loop {
             let moved = self.reader.moved.clone();
             let piece = tokio::select! {
@@ -213,6 +216,10 @@
             };
             match piece {
                 Piece::Events(events) => {
+                    let now = self.job.shared.now();
+                    let pause = now.since(std::mem::replace(&mut passed_at, now));
+                    let metrics = &self.job.shared.metrics;
+                    metrics.event_pause.observe(pause.as_secs_f64());
                     if self.tx.send(Ok(events)).await.is_err() {
                         return "caller_left";
                     }
@@ -276,6 +283,8 @@
                         from:% = self.reader.place.guard.host(), to:% = choice.host.id, after_event = last;
                         "stream goes on at another backend server"
                     );
+                    let resumes = &self.job.shared.metrics.resumes;
+                    resumes.get_or_create(&CauseLabel { cause }).inc();
                     let (_, reader) = EventReader::new(&self.job.shared, answer, last);
                     self.reader = reader;
                     return true;
--- a/crates/geranium_entry/src/relay/whole.rs
+++ b/crates/geranium_entry/src/relay/whole.rs
@@ -77,6 +77,7 @@
         core.crashes.answered(job.fingerprint);
     }
     job.shared.metrics.note_end(job.kind_word(), "answered");
+    job.shared.metrics.note_attempt("answered");
     job.shared.metrics.first_answer.observe(took.as_secs_f64());
     let mut res = Response::new(RelayBody::whole(body));
     *res.status_mut() = head.status;
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -23,6 +23,7 @@
 use rand::rngs::SmallRng;
 use tokio::sync::{Notify, mpsc, watch};
 
+use crate::ProcessCounters;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -56,7 +57,7 @@
     /// Work seen by service.
     pub(crate) demand: HashMap<Arc<str>, DemandMeter>,
     /// Retry budgets by service.
-    budgets: HashMap<Arc<str>, RetryBudget>,
+    pub(crate) budgets: HashMap<Arc<str>, RetryBudget>,
     /// Requests that crash backend servers.
     pub(crate) crashes: CrashLedger,
     /// Entry hosts that are registered.
@@ -78,16 +79,17 @@
         self.most_entry_hosts.max(self.entry_hosts.len()).max(1)
     }
 
-    /// Notes the registration of an entry host.
-    pub(crate) fn note_entry_host(&mut self, name: &str, present: bool) {
-        if present {
-            self.entry_hosts.insert(name.to_owned());
-            self.most_entry_hosts = self.most_entry_hosts.max(self.entry_hosts.len());
+    /// Notes the registration of an entry host; returns whether that is new.
+    pub(crate) fn note_entry_host(&mut self, name: &str, present: bool) -> bool {
+        let changed = if present {
+            self.entry_hosts.insert(name.to_owned())
         } else {
-            self.entry_hosts.remove(name);
-        }
+            self.entry_hosts.remove(name)
+        };
+        self.most_entry_hosts = self.most_entry_hosts.max(self.entry_hosts.len());
         let names = self.entry_hosts.iter().cloned();
         self.dispatcher.set_entry_hosts(names);
+        changed
     }
 
     /// Returns the retry budget of a service.
@@ -151,6 +153,10 @@
     pub(crate) is_manager: Cell<bool>,
     /// Whether the last call to the store failed.
     pub(crate) store_away: Cell<bool>,
+    /// When the store, or an entry host that hears it, was last heard.
+    pub(crate) heard_at: Cell<Timestamp>,
+    /// When the configuration came into force.
+    pub(crate) in_force_since: Cell<Option<Timestamp>>,
     /// Revision of the store up to which changes were taken in.
     pub(crate) revision: Cell<Option<StoreRevision>>,
     /// Recent changes of the store, for entry hosts that do not hear it.
@@ -161,7 +167,12 @@
 
 impl<D: Dialect> Shared<D> {
     /// Makes the state of a process that knows nothing yet.
-    pub(crate) fn new(cfg: EntrySettings, dialect: D, crashed: mpsc::UnboundedSender<u64>) -> Self {
+    pub(crate) fn new(
+        cfg: EntrySettings,
+        dialect: D,
+        crashed: mpsc::UnboundedSender<u64>,
+        counters: &ProcessCounters,
+    ) -> Self {
         let dispatcher = Dispatcher::new(cfg.name.clone(), cfg.failure_domain.clone());
         let core = Core {
             table: None,
@@ -176,15 +187,18 @@
             manager: None,
             rng: SmallRng::from_os_rng(),
         };
+        let clock = ProcessClock::start();
         Self {
             bounds: Cell::new(cfg.bounds),
             cfg,
             dialect,
-            clock: ProcessClock::start(),
+            heard_at: Cell::new(clock.now()),
+            in_force_since: Cell::new(None),
+            clock,
             core: RefCell::new(core),
             pool: Pool::default(),
             running: Rc::default(),
-            metrics: Metrics::default(),
+            metrics: Metrics::new(counters),
             changed: Notify::new(),
             suspects: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
