Register entry hosts under a lease of 6 s, apart from the manager's duty

The duty keeps its short lease, at the manager alone. An entry host that was not heard for 0.7 s counts nothing in the load now, where its part was extrapolated before; with the long lease a dead one would have raised the guess for 6 s.

--- a/crates/geranium_entry/src/election.rs
+++ b/crates/geranium_entry/src/election.rs
@@ -1,5 +1,6 @@
 //! Registration of entry hosts, and the election of the manager.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,8 +16,12 @@
 use crate::peers::PeerLink;
 use crate::state::{Phase, Shared};
 
-/// Lease of the registration and of the manager's duty, at least.
-const LEASE: Duration = Duration::from_millis(1_400);
+/// Lease of the manager's duty, at least; groups are repaired by nobody until it ends
+/// after the manager's death.
+const DUTY_LEASE: Duration = Duration::from_millis(1_400);
+/// Lease of the registration, at least. Others share bounds and reports with a dead entry
+/// host until it ends; renewals are priced for each entry host.
+const REGISTRATION_LEASE: Duration = Duration::from_secs(6);
 /// Pause after a failed registration, before jitter.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Renewals within one lease.
@@ -32,7 +37,6 @@
     store: S,
     peers: Rc<PeerLink>,
 ) {
-    let lease_time = LEASE.max(shared.cfg.shortest_lease);
     let (tx, rx) = watch::channel(None);
     let managing = manage(shared.clone(), rx, peers);
     tokio::task::spawn_local(managing);
@@ -44,8 +48,8 @@
         let member = Member {
             shared: shared.clone(),
             store: store.clone(),
-            lease_time,
             elected: tx.clone(),
+            duty: Cell::new(None),
         };
         if let Err(e) = member.live(&mut phase).await {
             log::warn!("registration of this entry host failed: {e}");
@@ -61,40 +65,76 @@
 struct Member<D: Dialect, S: KvStore> {
     shared: Rc<Shared<D>>,
     store: S,
-    lease_time: Duration,
     elected: watch::Sender<Option<Timestamp>>,
+    /// Lease of the manager's duty, while this entry host has it.
+    duty: Cell<Option<LeaseId>>,
 }
 
 impl<D: Dialect, S: KvStore> Member<D, S> {
     /// Registers and renews the lease until it is lost or the process leaves.
     async fn live(&self, phase: &mut watch::Receiver<Phase>) -> Result<(), StoreError> {
-        let lease = self.store.grant_lease(self.lease_time).await?;
+        let lease_time = self.lease_time(REGISTRATION_LEASE);
+        let lease = self.store.grant_lease(lease_time).await?;
         self.register(lease).await?;
+        let mut renewed_at = self.shared.now();
         loop {
-            self.stand(lease).await;
+            self.stand().await;
+            let renewal = renewed_at + lease_time / RENEWALS;
             tokio::select! {
-                () = tokio::time::sleep(self.lease_time / RENEWALS) => {}
+                () = tokio::time::sleep(self.pause_until(renewal)) => {}
                 () = self.wait_for_vacancy() => {
                     let pause = ELECTION_STEP * self.rank();
                     tokio::time::sleep(pause).await;
                     continue;
                 }
-                _ = phase.changed() => {
-                    self.elected.send_replace(None);
-                    return self.store.revoke_lease(lease).await;
-                }
+                _ = phase.changed() => return self.leave(lease).await,
+            }
+            if let Some(duty) = self.duty.get() {
+                self.renew(duty).await?;
             }
-            match self.store.keep_alive(lease).await {
-                Ok(_) => {}
-                Err(e @ StoreError::LeaseNotFound(_)) => return Err(e),
-                // The duty goes on: where the store is away for all, nobody else can
-                // take it, and orders name counts that keep two managers apart.
-                Err(e) => log::warn!("lease was not renewed: {e}"),
+            if self.shared.now() >= renewal {
+                self.renew(lease).await?;
+                renewed_at = self.shared.now();
             }
             self.yield_to_successor();
         }
     }
 
+    fn lease_time(&self, least: Duration) -> Duration {
+        least.max(self.shared.cfg.shortest_lease)
+    }
+
+    /// Returns the time until the next renewal is due.
+    fn pause_until(&self, renewal: Timestamp) -> Duration {
+        let pause = renewal.since(self.shared.now());
+        match self.duty.get() {
+            Some(_) => pause.min(self.lease_time(DUTY_LEASE) / RENEWALS),
+            None => pause,
+        }
+    }
+
+    async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
+        match self.store.keep_alive(lease).await {
+            Ok(_) => Ok(()),
+            Err(e @ StoreError::LeaseNotFound(_)) => Err(e),
+            // The duty goes on: where the store is away for all, nobody else can
+            // take it, and orders name counts that keep two managers apart.
+            Err(e) => {
+                log::warn!("lease was not renewed: {e}");
+                Ok(())
+            }
+        }
+    }
+
+    /// Gives the duty and the registration back.
+    async fn leave(&self, lease: LeaseId) -> Result<(), StoreError> {
+        self.elected.send_replace(None);
+        if let Some(duty) = self.duty.take() {
+            self.store.revoke_lease(duty).await?;
+        }
+        self.store.revoke_lease(lease).await
+    }
+
     fn entry_value(&self) -> Bytes {
         let entry = EntryValue {
             name: self.shared.cfg.name.to_string(),
@@ -151,6 +191,7 @@
             .as_ref()
             .is_some_and(|(name, _)| **name != *self.shared.cfg.name);
         if self.shared.is_manager.get() && other {
+            self.duty.set(None);
             self.elected.send_replace(None);
             self.shared.is_manager.set(false);
         }
@@ -166,10 +207,18 @@
     }
 
     /// Becomes manager if there is none.
-    async fn stand(&self, lease: LeaseId) {
+    async fn stand(&self) {
         if self.shared.is_manager.get() || !self.is_vacant() {
             return;
         }
+        let lease_time = self.lease_time(DUTY_LEASE);
+        let lease = match self.store.grant_lease(lease_time).await {
+            Ok(lease) => lease,
+            Err(e) => {
+                log::warn!("no lease for the manager's duty: {e}");
+                return;
+            }
+        };
         let swap = Swap {
             key: self.shared.dialect.own_key(MANAGER),
             expected: StoreRevision(0),
@@ -179,6 +228,7 @@
         match self.store.transact(vec![swap]).await {
             Ok(CasOutcome::Applied(_)) => {
                 log::info!("this entry host is the manager of the groups");
+                self.duty.set(Some(lease));
                 self.shared.is_manager.set(true);
                 self.elected.send_replace(Some(self.shared.now()));
             }
--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -197,8 +197,7 @@
 
 /// Works out the load of all other entry hosts from those that were heard.
 fn apply_loads<D: Dialect>(shared: &Shared<D>, link: &PeerLink) {
-    let others = link.addresses.borrow().len().saturating_sub(1);
-    let running = link.loads.borrow_mut().of_others(others, shared.now());
+    let running = link.loads.borrow_mut().of_others(shared.now());
     let mut core = shared.core.borrow_mut();
     core.dispatcher.set_peers_running(&running);
 }
--- a/crates/geranium_fleet/src/peer_load.rs
+++ b/crates/geranium_fleet/src/peer_load.rs
@@ -77,24 +77,19 @@
         }
     }
 
-    /// Returns the requests of all `others` at each backend server; those that were not
-    /// heard lately are taken to be like the rest.
-    pub fn of_others(&mut self, others: usize, now: Timestamp) -> HashMap<HostId, f64> {
+    /// Returns the requests of the others at each backend server. Who was not heard lately
+    /// has ended or is cut off, and counts nothing.
+    pub fn of_others(&mut self, now: Timestamp) -> HashMap<HostId, f64> {
         self.forget_old(now);
-        let mut heard = self.reports.len();
+        let heard = self.reports.len();
         let mut running: Vec<&Running> = self.reports.values().map(|r| &r.running).collect();
         if let Some((_, sum)) = self.sum.as_ref().filter(|(_, s)| s.entry_hosts > heard) {
-            heard = sum.entry_hosts;
             running = vec![&sum.running];
         }
         let mut sums: HashMap<HostId, f64> = HashMap::default();
         for (id, running) in running.into_iter().flatten() {
             *sums.entry(id.clone()).or_default() += f64::from(*running);
         }
-        let factor = others as f64 / heard.max(1) as f64;
-        if factor > 1.0 {
-            sums.values_mut().for_each(|sum| *sum *= factor);
-        }
         sums
     }
 
--- a/crates/geranium_fleet/tests/load_spread.rs
+++ b/crates/geranium_fleet/tests/load_spread.rs
@@ -41,8 +41,8 @@
 }
 
 impl Entry {
-    fn apply_loads(&mut self, others: usize, now: Timestamp) {
-        let loads = self.loads.of_others(others, now);
+    fn apply_loads(&mut self, now: Timestamp) {
+        let loads = self.loads.of_others(now);
         self.dispatcher.set_peers_running(&loads);
     }
 }
@@ -143,10 +143,10 @@
                 for to in rest {
                     let sum = self.entries[from].loads.sum_without(&to, &running, now);
                     self.entries[to].loads.note_sum(sum, now);
-                    self.entries[to].apply_loads(others, now);
+                    self.entries[to].apply_loads(now);
                 }
             }
-            self.entries[from].apply_loads(others, now);
+            self.entries[from].apply_loads(now);
         }
     }
 
