--- a/crates/geranium_entry/src/relay/job.rs
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -216,9 +216,22 @@
             cold_bound,
             most_running,
         };
-        let choice = core
+        let chosen = core
             .dispatcher
-            .choose(&core.directory, &wanted, now, &mut core.rng)?;
+            .choose(&core.directory, &wanted, now, &mut core.rng);
+        let choice = match chosen {
+            Ok(choice) => choice,
+            Err(why) => {
+                let survey = core.dispatcher.survey(&core.directory, &wanted, now);
+                log::info!(
+                    request = self.request_id.to_str().unwrap_or_default(), route:% = self.route.name,
+                    model = self.model.as_deref(), why = why.word(), left_out:? = survey, most_running = most_running,
+                    directory_age_ms = now.since(self.shared.heard_at.get()).as_millis() as u64;
+                    "no backend server takes the request"
+                );
+                return Err(why);
+            }
+        };
         let metrics = &self.shared.metrics;
         if self.tried.is_empty() {
             let wait = now.since(self.arrived);
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -91,6 +91,21 @@
     }
 }
 
+/// Why backend servers that serve what a request needs were left out, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Survey {
+    /// Backend servers that serve it.
+    pub serving: usize,
+    /// Those that had the request before.
+    pub tried: usize,
+    /// Those that failed or fell silent lately.
+    pub suspected: usize,
+    /// Those at this entry host's part of the bound on new work.
+    pub at_bound: usize,
+    /// Those that are full, by this entry host's requests and those it heard of.
+    pub full: usize,
+}
+
 /// The chosen backend server.
 #[derive(Clone, Debug)]
 pub struct Choice {
@@ -242,6 +257,28 @@
         Ok((host, open.len()))
     }
 
+    /// Counts why backend servers are left out of a choice.
+    pub fn survey(&mut self, directory: &Directory, wanted: &Wanted<'_>, now: Timestamp) -> Survey {
+        let mut survey = Survey::default();
+        for host in directory.hosts() {
+            if !serves(directory, host, wanted, now) {
+                continue;
+            }
+            let bound = wanted
+                .cold_bound
+                .map(|b| self.most_per_second(b, host, now));
+            let seen = self.seen.entry(host.id.clone()).or_default();
+            let running = f64::from(seen.running) + seen.peers_running;
+            let used = seen.cold.used(now);
+            survey.serving += 1;
+            survey.tried += usize::from(wanted.tried.contains(&host.id));
+            survey.suspected += usize::from(seen.is_suspected(now));
+            survey.at_bound += usize::from(bound.is_some_and(|most| used >= most));
+            survey.full += usize::from(running >= wanted.most_running);
+        }
+        survey
+    }
+
     /// Returns how many requests this entry host may send to a backend server in a
     /// second.
     fn most_per_second(&self, bound: ColdBound, host: &Host, now: Timestamp) -> usize {
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -4,7 +4,7 @@
 pub use crate::demand::DemandMeter;
 pub use crate::deployment::{Account, ClientLimits, Deployment};
 pub use crate::directory::Directory;
-pub use crate::dispatch::{Choice, ColdBound, Dispatcher, NoHost, Wanted};
+pub use crate::dispatch::{Choice, ColdBound, Dispatcher, NoHost, Survey, Wanted};
 pub use crate::engine_profile::{EngineProfile, ModelProfile};
 pub use crate::host::{GroupState, Host, HostId, HostReport, HostState, Membership};
 pub use crate::order::{HostOrder, OrderAnswer, OrderKind};
--- a/crates/geranium_fleet/tests/dispatch.rs
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -224,3 +224,30 @@
     assert_eq!((chosen.len(), tries), (6, 1));
     assert_eq!(after, Ok(dark));
 }
+
+#[test]
+fn a_survey_tells_why_servers_are_left_out() {
+    let directory = directory(vec![
+        host("free", "a"),
+        host("full", "a"),
+        host("suspected", "a"),
+        host("tried", "a"),
+    ]);
+    let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
+    dispatcher.set_peers_running(&[("full".into(), 17.0)].into_iter().collect());
+    dispatcher.suspect(&"suspected".into(), NOW);
+    let tried = [HostId::from("tried")];
+    let mut wanted = wanted(&tried);
+    wanted.most_running = 17.0;
+
+    let survey = dispatcher.survey(&directory, &wanted, NOW);
+
+    let expected = Survey {
+        serving: 4,
+        tried: 1,
+        suspected: 1,
+        at_bound: 0,
+        full: 1,
+    };
+    assert_eq!(survey, expected);
+}
