--- a/crates/geranium_telemetry/src/lib.rs
+++ b/crates/geranium_telemetry/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod event;
 mod event_filter;
+mod explain;
 mod json_logger;
 mod json_logger_error;
 mod process_clock;
@@ -13,6 +14,7 @@
 
 pub use event::{Event, EventId};
 pub use event_filter::EventFilter;
+pub use explain::explain;
 pub use json_logger::JsonLogger;
 pub use json_logger_error::JsonLoggerError;
 pub use process_clock::ProcessClock;
