Send a read once more if its connection closes before an answer began

Cause of the status call that failed once in a fixture beside busy processes (connection closed before message completed): the client keeps an unused connection for 4 s, the server closes it after 5 s; a process that is starved for a second uses it at the moment at which it is closed. The library repeats only requests that were not written at all.

Test a_read_is_sent_again_on_a_new_connection reproduces the message word for word and failed before; a write is still sent once (test beside it).

--- a/crates/geranium_net/src/client.rs
+++ b/crates/geranium_net/src/client.rs
@@ -165,8 +165,7 @@
         limit: Duration,
     ) -> Result<Response<Incoming>, ClientError> {
         let address = req.address;
-        let req = req.into_hyper()?;
-        match tokio::time::timeout(limit, self.inner.request(req)).await {
+        match tokio::time::timeout(limit, self.exchange(req.into_hyper()?)).await {
             Ok(Ok(res)) => Ok(res),
             Ok(Err(e)) if e.is_connect() => Err(ClientError::Connect(address, source_text(&e))),
             Ok(Err(e)) => Err(ClientError::NoAnswer(address, source_text(&e))),
@@ -174,6 +173,19 @@
         }
     }
 
+    /// Sends a request; a read whose connection closes before an answer began is sent
+    /// once more, as the server may have closed an unused connection just then.
+    async fn exchange(
+        &self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, hyper_util::client::legacy::Error> {
+        let again = (req.method() == Method::GET).then(|| req.clone());
+        match (self.inner.request(req).await, again) {
+            (Err(e), Some(again)) if was_closed(&e) => self.inner.request(again).await,
+            (outcome, _) => outcome,
+        }
+    }
+
     /// Sends a request and reads the whole answer.
     ///
     /// # Errors
@@ -216,6 +228,13 @@
     }
 }
 
+/// Returns whether the server closed the connection without beginning an answer.
+fn was_closed(e: &hyper_util::client::legacy::Error) -> bool {
+    let source = std::error::Error::source(e);
+    let source = source.and_then(|s| s.downcast_ref::<hyper::Error>());
+    source.is_some_and(hyper::Error::is_incomplete_message)
+}
+
 /// Renders an error with its sources, since hyper's own text names only the layer.
 fn source_text(e: &dyn std::error::Error) -> String {
     let mut text = e.to_string();
--- /dev/null
+++ b/crates/geranium_net/tests/reused_connection.rs
@@ -0,0 +1,82 @@
+//! A server that closes a kept connection at the moment at which it is used again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use geranium_net::{ClientConfig, HttpClient, HttpRequest};
+use hyper::{Method, StatusCode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const LIMIT: Duration = Duration::from_secs(5);
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// Starts a server that answers the first request of each connection and closes it
+/// when the second one has arrived; returns its address and the count of requests.
+async fn server() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port is free");
+    let address = listener.local_addr().expect("address is known");
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counted = requests.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(answer_once(stream, counted.clone()));
+        }
+    });
+    (address, requests)
+}
+
+async fn answer_once(mut stream: TcpStream, requests: Arc<AtomicUsize>) {
+    let mut buf = [0; 4_096];
+    for answered in [true, false] {
+        let read = stream.read(&mut buf).await;
+        if !read.is_ok_and(|n| n > 0) {
+            return;
+        }
+        requests.fetch_add(1, Ordering::Relaxed);
+        if answered {
+            stream.write_all(ANSWER).await.expect("the caller listens");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_read_is_sent_again_on_a_new_connection() {
+    let (address, requests) = server().await;
+    let client = HttpClient::new(&ClientConfig::default());
+    client
+        .send_whole(HttpRequest::get(address, "/"), LIMIT)
+        .await
+        .expect("the first is answered");
+
+    let second = client
+        .send_whole(HttpRequest::get(address, "/"), LIMIT)
+        .await;
+
+    assert_eq!(
+        second.expect("the second is answered too").0,
+        StatusCode::OK
+    );
+    assert_eq!(requests.load(Ordering::Relaxed), 3);
+}
+
+#[tokio::test]
+async fn a_write_is_not_sent_again() {
+    let (address, requests) = server().await;
+    let client = HttpClient::new(&ClientConfig::default());
+    client
+        .send_whole(HttpRequest::get(address, "/"), LIMIT)
+        .await
+        .expect("the first is answered");
+
+    let write = HttpRequest::new(address, Method::POST, "/");
+    let second = client.send_whole(write, LIMIT).await;
+
+    let error = second.expect_err("nobody knows whether it ran");
+    assert!(!error.is_not_sent());
+    assert_eq!(requests.load(Ordering::Relaxed), 2);
+}
