End an entry host that cannot answer the balancer or the other entry hosts

Traced by what the processes wrote: a port that the fixture had picked was taken by a connection before the entry host listened. (2) In one case only the balancer's address was taken: the program logged that and went on, unready for good.

--- a/crates/geranium_entry/src/node.rs
+++ b/crates/geranium_entry/src/node.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use geranium_net::ServerError;
 use geranium_platform::KvStore;
 use quick_error::quick_error;
 use tokio::net::TcpListener;
@@ -42,6 +43,11 @@
             display("address for {} cannot be listened on: {}", what, cause)
             source(cause)
         }
+        /// A listener that callers depend on has ended.
+        Listener(what: &'static str, cause: ServerError) {
+            display("{} cannot be answered: {}", what, cause)
+            source(cause)
+        }
         /// Signals cannot be received.
         Signals(cause: std::io::Error) {
             display("signals cannot be received: {}", cause)
@@ -111,7 +117,7 @@
     let shared = Rc::new(Shared::new(cfg, dialect, crashed, counters));
     log::info!(callers:% = shared.cfg.callers, first_start = shared.cfg.first_start; "entry host starts");
 
-    spawn_listeners(&shared);
+    let mut failures = spawn_listeners(&shared);
     tokio::task::spawn_local(server::run(shared.clone(), listener));
     let follower = Rc::new(Follower::new(shared.clone(), link.clone()));
     tokio::task::spawn_local(follow::run(follower.clone(), store.clone()));
@@ -127,6 +133,7 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
+            Some(e) = failures.recv() => return Err(e),
             _ = reload.recv() => log::info!("settings are read again"),
             () = tokio::time::sleep(SETTINGS_INTERVAL) => {}
         }
@@ -139,30 +146,36 @@
     Ok(())
 }
 
-fn spawn_listeners<D: Dialect>(shared: &Rc<Shared<D>>) {
+/// Starts to listen beside the callers' address; returns where failures arrive.
+fn spawn_listeners<D: Dialect>(shared: &Rc<Shared<D>>) -> mpsc::UnboundedReceiver<NodeError> {
+    let (failed, failures) = mpsc::unbounded_channel();
     let ready = shared.ready.clone();
     let address = shared.cfg.readiness;
     let path = shared.dialect.ready_path().to_owned();
+    let balancer = failed.clone();
     tokio::task::spawn_local(async move {
         if let Err(e) = server::run_readiness(address, &path, ready).await {
-            log::error!("balancer cannot be answered: {e}");
+            // The receiver lives as long as the process.
+            let _ = balancer.send(NodeError::Listener("balancer", e));
         }
     });
     let (address, recent) = (shared.cfg.peers, shared.recent.clone());
     tokio::task::spawn_local(async move {
         if let Err(e) = recent_changes::serve(address, recent).await {
-            log::error!("other entry hosts cannot be answered: {e}");
+            let _ = failed.send(NodeError::Listener("other entry hosts", e));
         }
     });
     let Some(address) = shared.cfg.metrics else {
-        return;
+        return failures;
     };
     let registry = shared.metrics.registry();
     tokio::task::spawn_local(async move {
         if let Err(e) = server::run_metrics(address, registry).await {
+            // Requests are served without metrics too.
             log::error!("metrics cannot be served: {e}");
         }
     });
+    failures
 }
 
 async fn sweep<D: Dialect>(shared: Rc<Shared<D>>) {
