Mend leftovers: crash ledger of hosts missing from a list, unused header, by_domain

A backend server that a whole read of the store no longer lists ended its life without a note in the ledger of crashing requests; directory.retain names these now (test). HeaderNames::at_fault had no reader. by_domain, which formation and reclaim use, stands with the views.

--- a/crates/geranium_entry/src/dialect.rs
+++ b/crates/geranium_entry/src/dialect.rs
@@ -38,8 +38,6 @@
     pub not_run: HeaderName,
     /// Signature of a backend server on its answer.
     pub signature: HeaderName,
-    /// Backend server that is at fault, in a refusal by a group's head.
-    pub at_fault: HeaderName,
 }
 
 /// Names, formats and calls of a platform; decides nothing.
--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -181,7 +181,7 @@
     ) {
         let now = self.shared.now();
         let mut core = self.shared.core.borrow_mut();
-        core.directory.retain(hosts, now);
+        let ended = core.directory.retain(hosts, now);
         core.directory.retain_domains_out(domains_out);
         let gone: Vec<String> = core
             .entry_hosts
@@ -197,6 +197,10 @@
             core.manager = None;
         }
         core.listed = true;
+        drop(core);
+        for (id, born) in ended {
+            self.shared.note_host_ended(&id, born);
+        }
     }
 
     /// Takes in changes until a call fails.
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -102,17 +102,15 @@
         self.regained_at = Some(now);
     }
 
-    /// Removes every host that is not in a complete list.
-    pub fn retain(&mut self, listed: &HashSet<HostId>, now: Timestamp) {
-        let missing: Vec<HostId> = self
-            .hosts
-            .keys()
-            .filter(|id| !listed.contains(*id))
-            .cloned()
-            .collect();
-        for id in missing {
-            self.remove(&id, now);
+    /// Removes every host that is not in a complete list; returns these with the starts of
+    /// their processes.
+    pub fn retain(&mut self, listed: &HashSet<HostId>, now: Timestamp) -> Vec<(HostId, u64)> {
+        let missing = self.hosts.values().filter(|h| !listed.contains(&h.id));
+        let missing: Vec<(HostId, u64)> = missing.map(|h| (h.id.clone(), h.born)).collect();
+        for (id, _) in &missing {
+            self.remove(id, now);
         }
+        missing
     }
 
     /// Notes the count of orders that a host has begun.
--- a/crates/geranium_fleet/src/planner/formation.rs
+++ b/crates/geranium_fleet/src/planner/formation.rs
@@ -5,8 +5,7 @@
 use geranium_core::time::Timestamp;
 
 use super::memory::Formed;
-use super::reclaim::by_domain;
-use super::view::GroupView;
+use super::view::{GroupView, by_domain};
 use super::{GroupPlanner, order_to};
 use crate::directory::Directory;
 use crate::engine_profile::{EngineProfile, ModelProfile};
--- a/crates/geranium_fleet/src/planner/reclaim.rs
+++ b/crates/geranium_fleet/src/planner/reclaim.rs
@@ -1,13 +1,12 @@
 //! Takes hosts back from groups of a model that has more than its share.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use geranium_core::time::Timestamp;
 
 use super::formation::{Formation, LOADS};
-use super::view::GroupView;
+use super::view::{GroupView, by_domain};
 use super::{GroupPlanner, order_to};
 use crate::directory::Directory;
 use crate::engine_profile::ModelProfile;
@@ -177,14 +176,3 @@
         (found >= missing).then_some(candidate)
     }
 }
-
-/// Groups hosts by their fabric domain.
-pub(super) fn by_domain<'a>(hosts: &[&'a Host]) -> BTreeMap<&'a Arc<str>, Vec<&'a Host>> {
-    let mut domains: BTreeMap<&Arc<str>, Vec<&Host>> = BTreeMap::new();
-    for host in hosts.iter().copied() {
-        if let Some(domain) = &host.fabric_domain {
-            domains.entry(domain).or_default().push(host);
-        }
-    }
-    domains
-}
--- a/crates/geranium_fleet/src/planner/view.rs
+++ b/crates/geranium_fleet/src/planner/view.rs
@@ -69,3 +69,14 @@
     }
     views.into_values().collect()
 }
+
+/// Groups hosts by their fabric domain.
+pub(super) fn by_domain<'a>(hosts: &[&'a Host]) -> BTreeMap<&'a Arc<str>, Vec<&'a Host>> {
+    let mut domains: BTreeMap<&Arc<str>, Vec<&Host>> = BTreeMap::new();
+    for host in hosts.iter().copied() {
+        if let Some(domain) = &host.fabric_domain {
+            domains.entry(domain).or_default().push(host);
+        }
+    }
+    domains
+}
--- a/crates/geranium_fleet/tests/dispatch.rs
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -251,3 +251,14 @@
     };
     assert_eq!(survey, expected);
 }
+
+#[test]
+fn servers_missing_from_a_complete_list_are_named() {
+    let mut directory = directory(vec![host("here", "a"), host("gone", "a")]);
+    let listed = [HostId::from("here")].into_iter().collect();
+
+    let gone = directory.retain(&listed, NOW);
+
+    assert_eq!(gone, [(HostId::from("gone"), 1)]);
+    assert!(directory.get("gone").is_none());
+}
