--- a/crates/geranium_ctl/src/cli.rs
+++ b/crates/geranium_ctl/src/cli.rs
@@ -72,7 +72,11 @@
         let reason = reader.optional(&REASON);
         let svg = reader.optional(&SVG);
         let command = read_command(&mut reader, filter);
-        let offline = matches!(command, Some(Command::HashKey | Command::ExplainLog(..)));
+        // These need no operator address.
+        let offline = matches!(
+            command,
+            Some(Command::HashKey | Command::ExplainLog(..) | Command::Beliefs(_))
+        );
         if !offline && hosts.is_empty() {
             reader.needed(&HOSTS);
         }
--- a/crates/geranium_ctl/src/cli/command.rs
+++ b/crates/geranium_ctl/src/cli/command.rs
@@ -59,6 +59,8 @@
     Explain(String, String),
     /// Explains a request, a host or a group from a file of log lines.
     ExplainLog(String, String),
+    /// Shows what an entry host of the users' platform believes.
+    Beliefs(String),
     /// Hashes an account key.
     HashKey,
 }
@@ -119,6 +121,7 @@
             let file = argument(reader, "FILE")?;
             Command::ExplainLog(file, argument(reader, "ID")?)
         }
+        "beliefs" => Command::Beliefs(argument(reader, "ADDRESS")?),
         "hash-key" => Command::HashKey,
         other => {
             reader.conflict(format!(
--- a/crates/geranium_ctl/src/cli/specs.rs
+++ b/crates/geranium_ctl/src/cli/specs.rs
@@ -73,6 +73,8 @@
   explain request|group|host|record ID
   explain-log FILE ID      the same for a request, a host or a group of geranium-entry,
                            from its log lines alone; FILE may be -
+  beliefs ADDRESS          shows routes, backend servers and groups that a geranium-entry
+                           knows; ADDRESS is that of its metrics
   hash-key                 reads an account key from standard input, prints its hash
 
 kinds of record: model, account, service, drain
--- /dev/null
+++ b/crates/geranium_ctl/src/command/beliefs.rs
@@ -0,0 +1,72 @@
+//! What an entry host of the users' platform believes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use geranium_fleet::beliefs::BeliefsView;
+use geranium_net::{ClientConfig, HttpClient, HttpRequest};
+
+use super::session::Session;
+use crate::ctl_error::CtlError;
+use crate::exit::Exit;
+use crate::output::{print_json, print_wrapped, table};
+
+/// Longest time for the answer.
+const LIMIT: Duration = Duration::from_secs(3);
+
+/// Shows the routes, groups and backend servers that the entry host with this metrics
+/// address knows.
+///
+/// # Errors
+///
+/// Returns an error if the address is malformed or nobody answers there.
+pub async fn run(session: &Session<'_>, address: &str) -> Result<Exit, CtlError> {
+    let address: SocketAddr = address
+        .parse()
+        .map_err(|e| CtlError::Usage(format!("address {address:?} is not valid: {e}")))?;
+    let client = HttpClient::new(&ClientConfig::default());
+    let req = HttpRequest::get(address, "/beliefs");
+    let answer = client.send_json::<BeliefsView>(req, LIMIT).await;
+    let (_, view) = answer.map_err(|e| CtlError::NoHost(e.to_string()))?;
+    if session.invocation.json {
+        print_json(&view)?;
+    } else {
+        print(&view);
+    }
+    Ok(Exit::Done)
+}
+
+fn print(view: &BeliefsView) {
+    let version = view.version.map_or("none".to_owned(), |v| v.to_string());
+    let manager = view.manager.as_deref().unwrap_or("none");
+    print_wrapped(
+        &view.entry_host,
+        &format!(
+            "version {version}, manager {manager}, list heard {} ms ago",
+            view.directory_age_ms
+        ),
+    );
+    let mut routes = table(&[
+        "route", "kind", "services", "timeout", "attempts", "rank", "key",
+    ]);
+    for r in &view.routes {
+        let key = if r.public { "no" } else { "yes" };
+        let timeout = format!("{} ms", r.timeout_ms);
+        let (attempts, rank) = (r.attempts.to_string(), r.priority.to_string());
+        routes.add_row([
+            &r.matches, &r.kind, &r.targets, &timeout, &attempts, &rank, key,
+        ]);
+    }
+    out!("{routes}");
+    let mut services = table(&["service", "ready", "leaving", "cold"]);
+    for s in &view.services {
+        let counts = [s.ready, s.leaving, s.cold].map(|n| n.to_string());
+        services.add_row([&s.service, &counts[0], &counts[1], &counts[2]]);
+    }
+    out!("{services}");
+    let mut groups = table(&["model", "group", "state", "head", "fabric domain"]);
+    for g in &view.groups {
+        groups.add_row([&g.model, &g.group, &g.state, &g.head, &g.fabric_domain]);
+    }
+    out!("{groups}");
+}
--- a/crates/geranium_ctl/src/command/mod.rs
+++ b/crates/geranium_ctl/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
 mod apply;
+mod beliefs;
 mod drain;
 mod explain;
 mod explain_log;
@@ -33,6 +34,7 @@
             Ok(Exit::Done)
         }
         Command::ExplainLog(path, id) => explain_log::run(path, id),
+        Command::Beliefs(address) => beliefs::run(&session, address).await,
         Command::HashKey => hash_key::run(),
         Command::Validate(path) => apply::validate(&session, path).await,
         Command::Apply(path) => apply::apply(&session, path).await,
--- a/crates/geranium_ctl/tests/ctl/offline.rs
+++ b/crates/geranium_ctl/tests/ctl/offline.rs
@@ -1,5 +1,6 @@
 //! What needs no entry host.
 
+use std::io::{Read, Write};
 use std::process::{Command, Stdio};
 
 use geranium_core::record::hash_key;
@@ -245,3 +246,48 @@
     unknown.exits(6);
     std::fs::remove_file(&file).expect("the log can be removed");
 }
+
+/// Answers one question for the beliefs of an entry host and returns the address.
+fn entry_host_that_answers_once() -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("address is known");
+    let view = json!({"entry_host": "front-1", "manager": "front-2", "directory_age_ms": 120, "version": 7,
+        "routes": [{"matches": "shop.example/chat/", "kind": "stream, resumable", "targets": "llm:1",
+                    "timeout_ms": 8000, "attempts": 2, "priority": 1, "public": false}],
+        "groups": [{"model": "m", "group": "g-1", "state": "open", "head": "i-1", "fabric_domain": "f"}],
+        "services": [{"service": "llm", "ready": 4, "leaving": 1, "cold": 0}]})
+    .to_string();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the tool connects");
+        let mut buf = [0; 4_096];
+        let read = stream.read(&mut buf).expect("a request arrives");
+        assert!(buf[..read].starts_with(b"GET /beliefs "));
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", view.len());
+        let answer = format!("{head}{view}");
+        stream.write_all(answer.as_bytes()).expect("the tool reads");
+    });
+    address
+}
+
+#[test]
+fn beliefs_of_an_entry_host_are_shown_on_one_screen() {
+    let address = entry_host_that_answers_once().to_string();
+    let tool = Tool::bare();
+
+    let shown = tool.run(&["beliefs", &address]).exits(0).to_owned();
+    let malformed = tool.run(&["beliefs", "front-1"]);
+
+    for part in [
+        "front-1: version 7, manager front-2",
+        "stream, resumable",
+        "8000 ms",
+        "g-1",
+        "open",
+    ] {
+        assert!(shown.contains(part), "{part:?} is missing in\n{shown}");
+    }
+    assert!(
+        malformed.err.contains("\"front-1\" is not valid"),
+        "{malformed:?}"
+    );
+}
--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -16,8 +16,9 @@
 //! | `election`, `manager` | who manages the groups, and the orders to hosts |
 //! | `peers` | datagrams between entry hosts |
 //! | `watchdog` | silent groups |
-//! | `metrics` | what the process counts |
+//! | `metrics`, `beliefs` | what the process counts, and what it believes |
 
+mod beliefs;
 mod crash_notes;
 pub mod dialect;
 mod election;
--- a/crates/geranium_entry/src/metrics/observer.rs
+++ b/crates/geranium_entry/src/metrics/observer.rs
@@ -64,7 +64,7 @@
         };
         let labels = GroupLabels {
             model: model.to_string(),
-            state: word(head.state),
+            state: head.state.word(),
         };
         *groups.entry(labels).or_default() += 1;
         if head.state != GroupState::Open {
@@ -82,16 +82,6 @@
     }
 }
 
-const fn word(state: GroupState) -> &'static str {
-    match state {
-        GroupState::Joining => "joining",
-        GroupState::Ready => "ready",
-        GroupState::Open => "open",
-        GroupState::Closing => "closing",
-        GroupState::Broken => "broken",
-    }
-}
-
 fn gauge(n: impl TryInto<i64>) -> i64 {
     n.try_into().unwrap_or(i64::MAX)
 }
--- a/crates/geranium_entry/src/node.rs
+++ b/crates/geranium_entry/src/node.rs
@@ -18,8 +18,8 @@
 use crate::settings::EntrySettings;
 use crate::state::{Phase, Shared};
 use crate::{
-    ProcessCounters, crash_notes, election, follow, metrics, peers, recent_changes, server,
-    watchdog,
+    ProcessCounters, beliefs, crash_notes, election, follow, metrics, peers, recent_changes,
+    server, watchdog,
 };
 
 /// Time after the request to stop in which the balancer may still send callers
@@ -169,8 +169,10 @@
         return failures;
     };
     let registry = shared.metrics.registry();
+    let (asker, questions) = beliefs::channel();
+    tokio::task::spawn_local(beliefs::answer(shared.clone(), questions));
     tokio::task::spawn_local(async move {
-        if let Err(e) = server::run_metrics(address, registry).await {
+        if let Err(e) = server::run_metrics(address, registry, asker).await {
             // Requests are served without metrics too.
             log::error!("metrics cannot be served: {e}");
         }
--- a/crates/geranium_entry/src/server.rs
+++ b/crates/geranium_entry/src/server.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 use viz::{IntoResponse, Router, StatusCode, get};
 
+use crate::beliefs::BeliefsAsker;
 use crate::dialect::Dialect;
 use crate::metrics;
 use crate::relay;
@@ -115,12 +116,25 @@
 pub(crate) async fn run_metrics(
     address: SocketAddr,
     registry: Arc<Registry>,
+    beliefs: BeliefsAsker,
 ) -> Result<(), ServerError> {
     let handler = move |_: viz::Request| {
         let text = metrics::render(&registry);
         async move { Ok::<_, viz::Error>(text.into_response()) }
     };
-    let router = Router::new().route("/metrics", get(handler));
+    let show = move |_: viz::Request| {
+        let asked = beliefs.ask();
+        async move {
+            let res = match asked.await {
+                Some(view) => viz::types::Json(view).into_response(),
+                None => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+            };
+            Ok::<_, viz::Error>(res)
+        }
+    };
+    let router = Router::new()
+        .route("/metrics", get(handler))
+        .route("/beliefs", get(show));
     let server = HttpServer::bind(address, ServerConfig::default()).await?;
     server.run(router, CancellationToken::new()).await;
     Ok(())
--- /dev/null
+++ b/crates/geranium_fleet/src/beliefs.rs
@@ -0,0 +1,158 @@
+//! What an entry host believes, as its operators see it.
+
+use geranium_core::time::Timestamp;
+use serde::{Deserialize, Serialize};
+
+use crate::deployment::Deployment;
+use crate::directory::Directory;
+use crate::host::{Host, HostState};
+use crate::route::{Route, RouteKind};
+
+/// Routes, groups and backend servers that one entry host knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeliefsView {
+    /// Name of the entry host.
+    pub entry_host: String,
+    /// Name of the entry host that manages the groups, if one is known.
+    pub manager: Option<String>,
+    /// Milliseconds since the list of backend servers was heard of.
+    pub directory_age_ms: u64,
+    /// Version of the configuration in force.
+    pub version: Option<u64>,
+    /// Routes, in the order of host and prefix.
+    pub routes: Vec<RouteView>,
+    /// Groups that their heads report, in the order of model and name.
+    pub groups: Vec<GroupRow>,
+    /// Backend servers by service, in its order.
+    pub services: Vec<ServiceRow>,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteView {
+    /// Host name and prefix.
+    pub matches: String,
+    /// What may be repeated.
+    pub kind: String,
+    /// Services with their weights.
+    pub targets: String,
+    /// Longest time of a request, in milliseconds.
+    pub timeout_ms: u64,
+    /// Backend servers that one attempt of a client may run on.
+    pub attempts: u32,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Whether no account key is needed.
+    pub public: bool,
+}
+
+/// A group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupRow {
+    /// Model.
+    pub model: String,
+    /// Name.
+    pub group: String,
+    /// State that the head reports.
+    pub state: String,
+    /// Head.
+    pub head: String,
+    /// Fabric domain of the head.
+    pub fabric_domain: String,
+}
+
+/// The backend servers of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRow {
+    /// Service.
+    pub service: String,
+    /// Those that take new work.
+    pub ready: usize,
+    /// Those that leave, or whose failure domain is out of service.
+    pub leaving: usize,
+    /// Those that are cold.
+    pub cold: usize,
+}
+
+impl RouteView {
+    /// Shows a route.
+    #[must_use]
+    pub fn new(route: &Route) -> Self {
+        let kind = match route.kind {
+            RouteKind::Idempotent => "idempotent",
+            RouteKind::NonIdempotent => "non_idempotent",
+            RouteKind::Stream { resumable: true } => "stream, resumable",
+            RouteKind::Stream { resumable: false } => "stream",
+        };
+        let targets = route.targets.iter();
+        let targets: Vec<String> = targets
+            .map(|t| format!("{}:{}", t.service, t.weight))
+            .collect();
+        Self {
+            matches: format!("{}{}", route.host, route.prefix),
+            kind: kind.to_owned(),
+            targets: targets.join(" "),
+            timeout_ms: u64::try_from(route.timeout.as_millis()).unwrap_or(u64::MAX),
+            attempts: route.max_attempts,
+            priority: route.priority,
+            public: route.public,
+        }
+    }
+
+    /// Shows all routes of a configuration.
+    #[must_use]
+    pub fn all(deployment: &Deployment) -> Vec<Self> {
+        let mut routes: Vec<Self> = deployment.routes.iter().map(|r| Self::new(r)).collect();
+        routes.sort_by(|a, b| a.matches.cmp(&b.matches));
+        routes
+    }
+}
+
+impl GroupRow {
+    /// Shows the groups whose heads a directory lists.
+    #[must_use]
+    pub fn all(directory: &Directory) -> Vec<Self> {
+        let mut groups: Vec<Self> = directory.hosts().filter_map(Self::of_head).collect();
+        groups.sort_by(|a, b| (&a.model, &a.group).cmp(&(&b.model, &b.group)));
+        groups
+    }
+
+    fn of_head(host: &Host) -> Option<Self> {
+        let head = host.membership.as_ref().filter(|m| m.rank == 0)?;
+        Some(Self {
+            model: host.model.as_deref().unwrap_or("unknown").to_owned(),
+            group: head.group.to_string(),
+            state: head.state.word().to_owned(),
+            head: host.id.to_string(),
+            fabric_domain: host.fabric_domain.as_deref().unwrap_or("none").to_owned(),
+        })
+    }
+}
+
+impl ServiceRow {
+    /// Counts the backend servers of each service.
+    #[must_use]
+    pub fn all(directory: &Directory, now: Timestamp) -> Vec<Self> {
+        let mut rows: Vec<Self> = Vec::new();
+        for host in directory.hosts() {
+            let known = rows.iter().position(|r| *r.service == *host.service);
+            let index = known.unwrap_or_else(|| {
+                rows.push(Self {
+                    service: host.service.to_string(),
+                    ..Self::default()
+                });
+                rows.len() - 1
+            });
+            let out = directory.is_domain_out(&host.failure_domain);
+            let row = &mut rows[index];
+            if host.state == HostState::Draining || out {
+                row.leaving += 1;
+            } else {
+                row.ready += 1;
+            }
+            row.cold += usize::from(host.cold_until.is_some_and(|until| now < until));
+        }
+        rows.sort_by(|a, b| a.service.cmp(&b.service));
+        rows
+    }
+}
--- a/crates/geranium_fleet/src/host.rs
+++ b/crates/geranium_fleet/src/host.rs
@@ -33,6 +33,20 @@
     Broken,
 }
 
+impl GroupState {
+    /// Returns a word for metrics and views.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Joining => "joining",
+            Self::Ready => "ready",
+            Self::Open => "open",
+            Self::Closing => "closing",
+            Self::Broken => "broken",
+        }
+    }
+}
+
 /// Membership of a host in a group, as the host reports it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -13,8 +13,10 @@
 //! | [`peer_load`] | the load that other entry hosts cause |
 //! | [`silence`] | groups that stopped answering while work waits there |
 //! | [`shared_rate`] | bounds that all entry hosts keep together |
+//! | [`beliefs`] | what an entry host believes, for operators |
 //! | [`demand`] | the work seen for each model |
 
+pub mod beliefs;
 pub mod crash;
 pub mod demand;
 pub mod deployment;
