Log account, load and age of the load with each chosen backend server

The users ask for the inputs of a choice and their age: the lines told among how many a backend server was chosen, not what load was known there nor how old that was, and no line named the account.

--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -197,7 +197,8 @@
 
 /// Works out the load of all other entry hosts from those that were heard.
 fn apply_loads<D: Dialect>(shared: &Shared<D>, link: &PeerLink) {
-    let running = link.loads.borrow_mut().of_others(shared.now());
+    let now = shared.now();
+    let running = link.loads.borrow_mut().of_others(now);
     let mut core = shared.core.borrow_mut();
-    core.dispatcher.set_peers_running(&running);
+    core.dispatcher.set_peers_running(&running, now);
 }
--- a/crates/geranium_entry/src/relay/job.rs
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -225,7 +225,7 @@
                 let survey = core.dispatcher.survey(&core.directory, &wanted, now);
                 log::info!(
                     request = self.request_id.to_str().unwrap_or_default(), route:% = self.route.name,
-                    model = self.model.as_deref(), why = why.word(), left_out:? = survey, most_running = most_running,
+                    account = self.account(), model = self.model.as_deref(), why = why.word(), left_out:? = survey, most_running = most_running,
                     directory_age_ms = now.since(self.shared.heard_at.get()).as_millis() as u64;
                     "no backend server takes the request"
                 );
@@ -259,6 +259,12 @@
         engine.most_at_group(pace, self.route.objective.mul_f64(QUEUE_PART))
     }
 
+    /// Returns the name of the account, if the request has one.
+    pub(super) fn account(&self) -> Option<&str> {
+        let name = self.headers.get(&self.shared.dialect.headers().account)?;
+        name.to_str().ok()
+    }
+
     /// Returns the time that is left.
     pub(super) fn left(&self) -> Duration {
         self.deadline.since(self.shared.now())
--- a/crates/geranium_entry/src/relay/whole.rs
+++ b/crates/geranium_entry/src/relay/whole.rs
@@ -66,7 +66,8 @@
 ) -> Response<RelayBody> {
     log::info!(
         request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
-        host:% = choice.host.id, among = choice.among, status = head.status.as_u16(),
+        account = job.account(), host:% = choice.host.id, among = choice.among, load = choice.load,
+        load_age_ms = choice.load_age.as_millis() as u64, status = head.status.as_u16(),
         took_ms = took.as_millis() as u64;
         "request is answered"
     );
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -113,6 +113,10 @@
     pub host: Host,
     /// Number of backend servers that could have been chosen.
     pub among: usize,
+    /// Requests that were known to run there.
+    pub load: f64,
+    /// Age of what was heard of the other entry hosts' part of that.
+    pub load_age: Duration,
 }
 
 /// Most requests that this entry host sends to one backend server in a second, so
@@ -171,6 +175,7 @@
     failure_domain: Arc<str>,
     entry_hosts: Vec<String>,
     seen: HashMap<HostId, Seen>,
+    peers_heard_at: Timestamp,
 }
 
 impl Dispatcher {
@@ -182,6 +187,7 @@
             failure_domain,
             entry_hosts: Vec::new(),
             seen: HashMap::default(),
+            peers_heard_at: Timestamp::default(),
         }
     }
 
@@ -208,10 +214,13 @@
         let (host, among) = picked?;
         let seen = self.seen.entry(host.id.clone()).or_default();
         seen.cold.try_take(usize::MAX, now);
+        let load = f64::from(seen.running) + seen.peers_running;
         seen.running += 1;
         Ok(Choice {
             host: host.clone(),
             among,
+            load,
+            load_age: now.since(self.peers_heard_at),
         })
     }
 
@@ -360,7 +369,8 @@
     }
 
     /// Notes the requests that the other entry hosts run at each backend server.
-    pub fn set_peers_running(&mut self, running: &HashMap<HostId, f64>) {
+    pub fn set_peers_running(&mut self, running: &HashMap<HostId, f64>, now: Timestamp) {
+        self.peers_heard_at = now;
         for seen in self.seen.values_mut() {
             seen.peers_running = 0.0;
         }
--- a/crates/geranium_fleet/tests/dispatch.rs
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -158,7 +158,7 @@
     let directory = directory(vec![host("h", "a")]);
     let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
     let id: HostId = Arc::from("h");
-    dispatcher.set_peers_running(&[(id.clone(), 17.0)].into_iter().collect());
+    dispatcher.set_peers_running(&[(id.clone(), 17.0)].into_iter().collect(), NOW);
     let mut wanted = wanted(&[]);
     wanted.most_running = 17.0;
 
@@ -234,7 +234,7 @@
         host("tried", "a"),
     ]);
     let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
-    dispatcher.set_peers_running(&[("full".into(), 17.0)].into_iter().collect());
+    dispatcher.set_peers_running(&[("full".into(), 17.0)].into_iter().collect(), NOW);
     dispatcher.suspect(&"suspected".into(), NOW);
     let tried = [HostId::from("tried")];
     let mut wanted = wanted(&tried);
--- a/crates/geranium_fleet/tests/load_spread.rs
+++ b/crates/geranium_fleet/tests/load_spread.rs
@@ -43,7 +43,7 @@
 impl Entry {
     fn apply_loads(&mut self, now: Timestamp) {
         let loads = self.loads.of_others(now);
-        self.dispatcher.set_peers_running(&loads);
+        self.dispatcher.set_peers_running(&loads, now);
     }
 }
 
