--- a/crates/geranium_entry/src/node.rs
+++ b/crates/geranium_entry/src/node.rs
@@ -63,12 +63,12 @@
 
 /// Runs an entry host until it is asked to stop.
 ///
-/// `counters` are served with the metrics. `read_settings` reads the settings again; their bounds take effect at once, all
-/// else at the next start.
+/// `counters` are served with the metrics. `read_settings` reads the settings again;
+/// their bounds take effect at once, all else at the next start.
 ///
 /// # Errors
 ///
-/// Returns an error if an address cannot be listened on.
+/// Returns an error if an address cannot be listened on, also later.
 pub fn run<D, S, E>(
     cfg: EntrySettings,
     dialect: D,
