Say once what two places worked out: looks, loads, hosts of a service, pauses

Dispatcher::choose and survey worked out the load and the bounds of a backend server separately, PeerLoads added up requests in two ways, the planner listed and sorted the hosts of a service twice, registration and watching paused after a failure by twins, and gauges and request ids were converted in several places. Each stands once now. stranded, group_of_head and of_service read the directory alone and are methods of Directory; the planner was no input to them. Entry hosts are sorted with their hash worked out once each. The backend server of the fleet tests, which stood in four places, is a fixture. Behaviour and assertions are the same.

--- a/crates/geranium_entry/src/election.rs
+++ b/crates/geranium_entry/src/election.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
-use crate::follow::{ENTRY_PREFIX, EntryValue, MANAGER};
+use crate::follow::{ENTRY_PREFIX, EntryValue, MANAGER, pause_after_failure};
 use crate::manager::manage;
 use crate::peers::PeerLink;
 use crate::state::{Phase, Shared};
@@ -22,8 +22,6 @@
 /// Lease of the registration, at least. Others share bounds and reports with a dead entry
 /// host until it ends; renewals are priced for each entry host.
 const REGISTRATION_LEASE: Duration = Duration::from_secs(6);
-/// Pause after a failed registration, before jitter.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Renewals within one lease.
 const RENEWALS: u32 = 4;
 /// Pause of each entry host by its order in the list, so that not all try at once
@@ -56,8 +54,7 @@
         }
         tx.send_replace(None);
         shared.is_manager.set(false);
-        let jitter = rand::random_range(0.5..1.5);
-        tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
+        pause_after_failure().await;
     }
 }
 
--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -18,6 +18,7 @@
 
 use crate::dialect::Dialect;
 use crate::fact::Fact;
+use crate::metrics::gauge;
 use crate::peers::{LEADING, PeerLink, place};
 use crate::recent_changes;
 use crate::state::Shared;
@@ -70,11 +71,16 @@
             follower.shared.revision.set(None);
             continue;
         }
-        let jitter = rand::random_range(0.5..1.5);
-        tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
+        pause_after_failure().await;
     }
 }
 
+/// Waits a moment after a failed call, so that entry hosts do not call again together.
+pub(crate) async fn pause_after_failure() {
+    let jitter = rand::random_range(0.5..1.5);
+    tokio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
+}
+
 /// Takes in what the store says.
 pub(crate) struct Follower<D: Dialect> {
     shared: Rc<Shared<D>>,
@@ -310,10 +316,7 @@
             return;
         }
         log::info!(version = deployment.version, before = in_force, routes = deployment.routes.len(); "configuration is in force");
-        self.shared
-            .metrics
-            .version
-            .set(i64::try_from(deployment.version).unwrap_or(i64::MAX));
+        self.shared.metrics.version.set(gauge(deployment.version));
         self.shared.in_force_since.set(Some(self.shared.now()));
         core.table = Some(Rc::new(RouteTable::new(deployment)));
     }
--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -14,7 +14,7 @@
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
-use crate::metrics::CauseLabel;
+use crate::metrics::{CauseLabel, gauge};
 use crate::peers::PeerLink;
 use crate::state::Shared;
 
@@ -171,11 +171,8 @@
                     traffic,
                     now,
                 );
-                let stranded = planner.stranded(&core.directory, &service.name);
-                self.shared
-                    .metrics
-                    .stranded
-                    .set(i64::try_from(stranded).unwrap_or(i64::MAX));
+                let stranded = core.directory.stranded(&service.name);
+                self.shared.metrics.stranded.set(gauge(stranded));
                 all.extend(orders.into_iter().map(|o| (service.name.clone(), o)));
                 for stale in planner.take_stale(now) {
                     self.ask_count(stale);
@@ -262,14 +259,11 @@
     async fn probe(self: Rc<Self>, head: &HostId) {
         let members: Vec<(Arc<str>, HostId, u64, SocketAddr)> = {
             let core = self.shared.core.borrow();
-            let planners = self.planners.borrow();
-            let Some(host) = core.directory.get(head) else {
-                return;
-            };
-            let Some(planner) = planners.get(&host.service) else {
+            let service = core.directory.get(head).map(|h| &h.service);
+            if !service.is_some_and(|s| self.planners.borrow().contains_key(s)) {
                 return;
-            };
-            let members = planner.members_of_head(&core.directory, head);
+            }
+            let members = core.directory.group_of_head(head);
             members
                 .into_iter()
                 .map(|h| (h.service.clone(), h.id.clone(), h.born, h.address))
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -126,6 +126,11 @@
     histogram
 }
 
+/// Returns a number as gauges hold it.
+pub(crate) fn gauge(n: impl TryInto<i64>) -> i64 {
+    n.try_into().unwrap_or(i64::MAX)
+}
+
 /// Renders a registry as text.
 pub(crate) fn render(registry: &Registry) -> String {
     let mut text = String::new();
--- a/crates/geranium_entry/src/metrics/observer.rs
+++ b/crates/geranium_entry/src/metrics/observer.rs
@@ -7,7 +7,7 @@
 use geranium_core::time::Timestamp;
 use geranium_fleet::host::GroupState;
 
-use super::{GroupLabels, ModelLabel, NameLabel};
+use super::{GroupLabels, ModelLabel, NameLabel, gauge};
 use crate::dialect::Dialect;
 use crate::state::{Core, Shared};
 
@@ -81,7 +81,3 @@
         shared.metrics.groups.get_or_create(&labels).set(count);
     }
 }
-
-fn gauge(n: impl TryInto<i64>) -> i64 {
-    n.try_into().unwrap_or(i64::MAX)
-}
--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -94,7 +94,7 @@
         let mut all: Vec<(String, SocketAddr)> =
             addresses.iter().map(|(n, a)| (n.clone(), *a)).collect();
         drop(addresses);
-        all.sort_by_key(|(name, _)| place(name));
+        all.sort_by_cached_key(|(name, _)| place(name));
         let rest = all.split_off(all.len().min(LEADING));
         (all, rest.into_iter().map(|(_, address)| address).collect())
     }
--- a/crates/geranium_entry/src/relay/job.rs
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -224,7 +224,7 @@
             Err(why) => {
                 let survey = core.dispatcher.survey(&core.directory, &wanted, now);
                 log::info!(
-                    request = self.request_id.to_str().unwrap_or_default(), route:% = self.route.name,
+                    request = self.id(), route:% = self.route.name,
                     account = self.account(), model = self.model.as_deref(), why = why.word(), left_out:? = survey, most_running = most_running,
                     directory_age_ms = now.since(self.shared.heard_at.get()).as_millis() as u64;
                     "no backend server takes the request"
@@ -259,6 +259,11 @@
         engine.most_at_group(pace, self.route.objective.mul_f64(QUEUE_PART))
     }
 
+    /// Returns the identifier for logs.
+    pub(super) fn id(&self) -> &str {
+        self.request_id.to_str().unwrap_or_default()
+    }
+
     /// Returns the name of the account, if the request has one.
     pub(super) fn account(&self) -> Option<&str> {
         let name = self.headers.get(&self.shared.dialect.headers().account)?;
--- a/crates/geranium_entry/src/relay/retry.rs
+++ b/crates/geranium_entry/src/relay/retry.rs
@@ -22,7 +22,7 @@
         error: AttemptError,
     ) -> Result<(), Refusal> {
         log::info!(
-            request = self.request_id.to_str().unwrap_or_default(), route:% = self.route.name,
+            request = self.id(), route:% = self.route.name,
             host:% = host.id, cause:? = error, left_ms = self.left().as_millis() as u64;
             "attempt failed"
         );
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -62,7 +62,7 @@
 fn note_start<D: Dialect>(job: &Job<D>, choice: &Choice) {
     let took = job.shared.now().since(job.arrived);
     log::info!(
-        request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
+        request = job.id(), route:% = job.route.name,
         account = job.account(), host:% = choice.host.id, among = choice.among, load = choice.load,
         load_age_ms = choice.load_age.as_millis() as u64, first_ms = took.as_millis() as u64,
         objective_ms = job.route.objective.as_millis() as u64;
@@ -81,7 +81,7 @@
     body: Bytes,
 ) -> Response<RelayBody> {
     log::info!(
-        request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
+        request = job.id(), route:% = job.route.name,
         host:% = choice.host.id, status = head.status.as_u16();
         "request is answered without a stream"
     );
@@ -187,7 +187,7 @@
 impl<D: Dialect> Pump<D> {
     async fn run(mut self) {
         let outcome = self.pass().await;
-        let request = self.job.request_id.to_str().unwrap_or_default();
+        let request = self.job.id();
         log::info!(
             request = request, outcome = outcome, host:% = self.reader.place.guard.host(), last_event = self.reader.passed,
             took_ms = self.job.shared.now().since(self.job.arrived).as_millis() as u64;
@@ -280,7 +280,7 @@
                 Ok(answer) if answer.res.status().is_success() => {
                     self.job.runs += 1;
                     log::info!(
-                        request = self.job.request_id.to_str().unwrap_or_default(), cause = cause,
+                        request = self.job.id(), cause = cause,
                         from:% = self.reader.place.guard.host(), to:% = choice.host.id, after_event = last;
                         "stream goes on at another backend server"
                     );
--- a/crates/geranium_entry/src/relay/whole.rs
+++ b/crates/geranium_entry/src/relay/whole.rs
@@ -65,7 +65,7 @@
     body: Bytes,
 ) -> Response<RelayBody> {
     log::info!(
-        request = job.request_id.to_str().unwrap_or_default(), route:% = job.route.name,
+        request = job.id(), route:% = job.route.name,
         account = job.account(), host:% = choice.host.id, among = choice.among, load = choice.load,
         load_age_ms = choice.load_age.as_millis() as u64, status = head.status.as_u16(),
         took_ms = took.as_millis() as u64;
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -6,7 +6,7 @@
 use geranium_core::collections::{HashMap, HashSet};
 use geranium_core::time::Timestamp;
 
-use crate::host::{Host, HostId, HostReport, HostState, Membership};
+use crate::host::{GroupState, Host, HostId, HostReport, HostState, Membership};
 
 /// Time for which an entry that lapsed during an outage of the store stays
 /// usable; below the time that a leaving host goes on serving.
@@ -185,6 +185,42 @@
         self.hosts.values()
     }
 
+    /// Returns the hosts of a service in the order of their ids.
+    #[must_use]
+    pub fn of_service(&self, service: &str) -> Vec<&Host> {
+        let hosts = self.hosts.values().filter(|h| *h.service == *service);
+        let mut hosts: Vec<&Host> = hosts.collect();
+        hosts.sort_by(|a, b| a.id.cmp(&b.id));
+        hosts
+    }
+
+    /// Returns the hosts that report the group of a head; the head alone if it reports
+    /// none.
+    #[must_use]
+    pub fn group_of_head(&self, head: &str) -> Vec<&Host> {
+        let Some(head) = self.hosts.get(head) else {
+            return Vec::new();
+        };
+        let Some(membership) = &head.membership else {
+            return vec![head];
+        };
+        let is_member = |m: &Membership| m.group == membership.group;
+        let hosts = self.hosts.values();
+        hosts
+            .filter(|h| h.membership.as_ref().is_some_and(is_member))
+            .collect()
+    }
+
+    /// Counts the hosts of a service in no group that serves or is being formed.
+    #[must_use]
+    pub fn stranded(&self, service: &str) -> usize {
+        let in_group = |m: &Membership| m.state != GroupState::Broken;
+        let hosts = self.hosts.values().filter(|h| *h.service == *service);
+        hosts
+            .filter(|h| !h.membership.as_ref().is_some_and(in_group))
+            .count()
+    }
+
     /// Returns whether new work may be sent to a host.
     #[must_use]
     pub fn takes_work(&self, host: &Host, now: Timestamp) -> bool {
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -63,6 +63,19 @@
     fn is_suspected(&self, now: Timestamp) -> bool {
         now < self.suspected_until || (self.on_trial && self.running > 0)
     }
+
+    /// Returns the requests that are known to run there.
+    fn known_running(&self) -> f64 {
+        f64::from(self.running) + self.peers_running
+    }
+}
+
+/// What may keep a request from a backend server.
+struct Look {
+    running: f64,
+    suspected: bool,
+    at_bound: bool,
+    full: bool,
 }
 
 /// Why no backend server can take a request now.
@@ -214,7 +227,7 @@
         let (host, among) = picked?;
         let seen = self.seen.entry(host.id.clone()).or_default();
         seen.cold.try_take(usize::MAX, now);
-        let load = f64::from(seen.running) + seen.peers_running;
+        let load = seen.known_running();
         seen.running += 1;
         Ok(Choice {
             host: host.clone(),
@@ -243,24 +256,19 @@
                 reason = rank(reason, NoHost::AllTried);
                 continue;
             }
-            let seen = self.seen.entry(host.id.clone()).or_default();
-            let running = f64::from(seen.running) + seen.peers_running;
-            if seen.is_suspected(now) != suspected {
+            let found = self.look(host, wanted, now);
+            if found.suspected != suspected {
                 continue;
             }
-            let used = seen.cold.used(now);
-            let bound = wanted
-                .cold_bound
-                .map(|b| self.most_per_second(b, host, now));
-            if bound.is_some_and(|most| used >= most) {
+            if found.at_bound {
                 reason = rank(reason, NoHost::AtBound);
                 continue;
             }
-            if running >= wanted.most_running {
+            if found.full {
                 reason = rank(reason, NoHost::Full);
                 continue;
             }
-            open.push((self.score(host, running, now), host));
+            open.push((self.score(host, found.running, now), host));
         }
         let host = lighter_of_two(&open, rng).ok_or(reason)?;
         Ok((host, open.len()))
@@ -273,21 +281,32 @@
             if !serves(directory, host, wanted, now) {
                 continue;
             }
-            let bound = wanted
-                .cold_bound
-                .map(|b| self.most_per_second(b, host, now));
-            let seen = self.seen.entry(host.id.clone()).or_default();
-            let running = f64::from(seen.running) + seen.peers_running;
-            let used = seen.cold.used(now);
+            let found = self.look(host, wanted, now);
             survey.serving += 1;
             survey.tried += usize::from(wanted.tried.contains(&host.id));
-            survey.suspected += usize::from(seen.is_suspected(now));
-            survey.at_bound += usize::from(bound.is_some_and(|most| used >= most));
-            survey.full += usize::from(running >= wanted.most_running);
+            survey.suspected += usize::from(found.suspected);
+            survey.at_bound += usize::from(found.at_bound);
+            survey.full += usize::from(found.full);
         }
         survey
     }
 
+    /// Looks at what may keep a request from a backend server.
+    fn look(&mut self, host: &Host, wanted: &Wanted<'_>, now: Timestamp) -> Look {
+        let bound = wanted
+            .cold_bound
+            .map(|b| self.most_per_second(b, host, now));
+        let seen = self.seen.entry(host.id.clone()).or_default();
+        let used = seen.cold.used(now);
+        let running = seen.known_running();
+        Look {
+            running,
+            suspected: seen.is_suspected(now),
+            at_bound: bound.is_some_and(|most| used >= most),
+            full: running >= wanted.most_running,
+        }
+    }
+
     /// Returns how many requests this entry host may send to a backend server in a
     /// second.
     fn most_per_second(&self, bound: ColdBound, host: &Host, now: Timestamp) -> usize {
--- a/crates/geranium_fleet/src/peer_load.rs
+++ b/crates/geranium_fleet/src/peer_load.rs
@@ -67,10 +67,7 @@
         self.forget_old(now);
         let others = self.reports.iter().filter(|(from, _)| *from != receiver);
         let others: Vec<&Running> = others.map(|(_, r)| &r.running).collect();
-        let mut sums: HashMap<&HostId, u32> = HashMap::default();
-        for (id, running) in others.iter().copied().chain([own]).flatten() {
-            *sums.entry(id).or_default() += running;
-        }
+        let sums = add_up(others.iter().copied().chain([own]));
         LoadSum {
             entry_hosts: others.len() + 1,
             running: sums.into_iter().map(|(id, n)| (id.clone(), n)).collect(),
@@ -82,15 +79,12 @@
     pub fn of_others(&mut self, now: Timestamp) -> HashMap<HostId, f64> {
         self.forget_old(now);
         let heard = self.reports.len();
-        let mut running: Vec<&Running> = self.reports.values().map(|r| &r.running).collect();
-        if let Some((_, sum)) = self.sum.as_ref().filter(|(_, s)| s.entry_hosts > heard) {
-            running = vec![&sum.running];
-        }
-        let mut sums: HashMap<HostId, f64> = HashMap::default();
-        for (id, running) in running.into_iter().flatten() {
-            *sums.entry(id.clone()).or_default() += f64::from(*running);
-        }
-        sums
+        let sums = match &self.sum {
+            Some((_, sum)) if sum.entry_hosts > heard => add_up([&sum.running]),
+            _ => add_up(self.reports.values().map(|r| &r.running)),
+        };
+        let sums = sums.into_iter();
+        sums.map(|(id, n)| (id.clone(), f64::from(n))).collect()
     }
 
     fn forget_old(&mut self, now: Timestamp) {
@@ -98,3 +92,12 @@
         self.sum.take_if(|(at, _)| now.since(*at) >= MAX_AGE);
     }
 }
+
+/// Adds up requests by backend server.
+fn add_up<'a>(loads: impl IntoIterator<Item = &'a Running>) -> HashMap<&'a HostId, u32> {
+    let mut sums = HashMap::default();
+    for (id, running) in loads.into_iter().flatten() {
+        *sums.entry(id).or_default() += running;
+    }
+    sums
+}
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -124,11 +124,7 @@
         traffic: bool,
         now: Timestamp,
     ) -> Vec<HostOrder> {
-        let mut hosts: Vec<&Host> = directory
-            .hosts()
-            .filter(|h| *h.service == *service)
-            .collect();
-        hosts.sort_by(|a, b| a.id.cmp(&b.id));
+        let hosts = directory.of_service(service);
         let views = view::collect(&hosts);
         self.remember(&hosts, &views, now);
         let mut orders = Vec::new();
@@ -214,20 +210,6 @@
         self.dead.insert(id.clone(), (born, now + DEAD_MEMORY));
     }
 
-    /// Returns the hosts of the group of a head, to be asked whether they live.
-    #[must_use]
-    pub fn members_of_head<'a>(&self, directory: &'a Directory, head: &str) -> Vec<&'a Host> {
-        let Some(membership) = directory.get(head).and_then(|h| h.membership.as_ref()) else {
-            return directory.get(head).into_iter().collect();
-        };
-        let same = |h: &&Host| {
-            h.membership
-                .as_ref()
-                .is_some_and(|m| m.group == membership.group)
-        };
-        directory.hosts().filter(same).collect()
-    }
-
     /// Returns the hosts that have an order to carry out or whose group is not open,
     /// to be asked while their entries cannot be read.
     #[must_use]
@@ -237,11 +219,7 @@
         service: &str,
         now: Timestamp,
     ) -> Vec<&'a Host> {
-        let mut hosts: Vec<&Host> = directory
-            .hosts()
-            .filter(|h| *h.service == *service)
-            .collect();
-        hosts.sort_by(|a, b| a.id.cmp(&b.id));
+        let mut hosts = directory.of_service(service);
         let views = view::collect(&hosts);
         let open: HashSet<Arc<str>> = views
             .iter()
@@ -271,19 +249,6 @@
             .max(self.heads.len())
     }
 
-    /// Returns the hosts that are in no group that serves or is being formed.
-    #[must_use]
-    pub fn stranded(&self, directory: &Directory, service: &str) -> usize {
-        let idle = |h: &&Host| {
-            *h.service == *service
-                && !h
-                    .membership
-                    .as_ref()
-                    .is_some_and(|m| m.state != GroupState::Broken)
-        };
-        directory.hosts().filter(idle).count()
-    }
-
     fn is_dead(&self, host: &Host, now: Timestamp) -> bool {
         let mark = self.dead.get(&host.id);
         mark.is_some_and(|(born, until)| *born == host.born && now < *until)
--- a/crates/geranium_fleet/tests/dispatch.rs
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -1,8 +1,11 @@
 //! Where requests go: load, cold backend servers, suspicion, full groups.
 
+mod fixture;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+use fixture::server;
 use geranium_core::time::Timestamp;
 use geranium_fleet::prelude::*;
 use rand::SeedableRng;
@@ -11,21 +14,7 @@
 const NOW: Timestamp = Timestamp::from_millis(100_000);
 
 fn host(id: &str, domain: &str) -> Host {
-    Host {
-        id: id.into(),
-        born: 1,
-        service: "app".into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        failure_domain: domain.into(),
-        slots: 4,
-        state: HostState::Ready,
-        cold_until: None,
-        orders_begun: None,
-        fabric_domain: None,
-        staged: Vec::new(),
-        model: None,
-        membership: None,
-    }
+    server(id, "app", domain)
 }
 
 fn directory(hosts: Vec<Host>) -> Directory {
--- a/crates/geranium_fleet/tests/evidence.rs
+++ b/crates/geranium_fleet/tests/evidence.rs
@@ -1,5 +1,6 @@
 //! Silent groups, crashing requests and the work seen.
 
+mod fixture;
 mod rig;
 
 use std::time::Duration;
--- a/crates/geranium_fleet/tests/load_spread.rs
+++ b/crates/geranium_fleet/tests/load_spread.rs
@@ -4,9 +4,12 @@
 //! the least loaded group that they know of, they fill it before they hear of each
 //! other, and it refuses while other groups have room.
 
+mod fixture;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use fixture::server;
 use geranium_core::time::Timestamp;
 use geranium_fleet::peer_load::{PeerLoads, Running};
 use geranium_fleet::prelude::*;
@@ -60,19 +63,8 @@
 
 fn group(i: usize) -> Host {
     Host {
-        id: format!("g{i:02}").into(),
-        born: 1,
-        service: "engines".into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        failure_domain: format!("d{}", i % 3).into(),
         slots: SLOTS,
-        state: HostState::Ready,
-        cold_until: None,
-        orders_begun: None,
-        fabric_domain: None,
-        staged: Vec::new(),
-        model: None,
-        membership: None,
+        ..server(&format!("g{i:02}"), "engines", &format!("d{}", i % 3))
     }
 }
 
--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -1,6 +1,7 @@
 //! How soon groups serve: at the start, after a member's death, after the death of
 //! the manager, and when one model has too few groups.
 
+mod fixture;
 mod rig;
 
 use std::time::Duration;
@@ -24,7 +25,7 @@
 
     assert_eq!(rig.open_groups("large"), 2);
     assert_eq!(rig.open_groups("small"), 6);
-    assert_eq!(rig.planner.stranded(&rig.directory, SERVICE), 0);
+    assert_eq!(rig.directory.stranded(SERVICE), 0);
 }
 
 #[test]
@@ -36,7 +37,7 @@
     // The entry goes after 3.6 s; joins from staged weights take 1.5 s.
     rig.run(Duration::from_secs(8), true);
 
-    assert!(rig.planner.stranded(&rig.directory, SERVICE) <= 1);
+    assert!(rig.directory.stranded(SERVICE) <= 1);
     assert!(rig.violations.is_empty(), "{:?}", rig.violations);
 }
 
@@ -58,7 +59,7 @@
         .hosts()
         .filter(|h| h.membership.as_ref().is_some_and(|m| m.group.is_empty()));
     assert_eq!(waiting.count(), 0);
-    assert!(rig.planner.stranded(&rig.directory, SERVICE) <= 1);
+    assert!(rig.directory.stranded(SERVICE) <= 1);
 }
 
 #[test]
@@ -93,7 +94,7 @@
     rig.add_host("new-2", "fabric-0");
     rig.run(Duration::from_secs(30), true);
 
-    assert_eq!(rig.planner.stranded(&rig.directory, SERVICE), 0);
+    assert_eq!(rig.directory.stranded(SERVICE), 0);
 }
 
 #[test]
@@ -152,7 +153,7 @@
     let mut stranded = 0;
     for _ in 0..60 {
         rig.run(Duration::from_secs(1), true);
-        stranded += rig.planner.stranded(&rig.directory, SERVICE);
+        stranded += rig.directory.stranded(SERVICE);
     }
     assert!(rig.violations.is_empty(), "{:?}", rig.violations);
     f64::from(u32::try_from(stranded).expect("few hosts")) / 60.0
--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -1,10 +1,12 @@
 //! What must always hold while groups form, break and are repaired, under dead
 //! and cut hosts, late orders and changes of the manager.
 
+mod fixture;
 mod rig;
 
 use std::time::Duration;
 
+use fixture::server;
 use geranium_core::time::Timestamp;
 use geranium_fleet::prelude::*;
 use rand::Rng;
@@ -95,19 +97,11 @@
 fn host(id: &str, membership: Option<Membership>) -> Host {
     let model: Option<std::sync::Arc<str>> = Some("small".into());
     Host {
-        id: id.into(),
-        born: 1,
-        service: SERVICE.into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        failure_domain: "a".into(),
-        slots: 16,
-        state: HostState::Ready,
-        cold_until: None,
-        orders_begun: None,
         fabric_domain: Some("f".into()),
         staged: model.iter().cloned().collect(),
         model,
         membership,
+        ..server(id, SERVICE, "a")
     }
 }
 
--- a/crates/geranium_fleet/tests/rig/mod.rs
+++ b/crates/geranium_fleet/tests/rig/mod.rs
@@ -9,6 +9,8 @@
 
 use geranium_core::time::Timestamp;
 use geranium_fleet::prelude::*;
+
+use crate::fixture::server;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -148,19 +150,9 @@
     /// Adds an empty host.
     pub fn add_host(&mut self, id: &str, domain: &str) {
         let host = Host {
-            id: id.into(),
             born: self.now.as_millis(),
-            service: SERVICE.into(),
-            address: ([127, 0, 0, 1], 1).into(),
-            failure_domain: "a".into(),
-            slots: 16,
-            state: HostState::Ready,
-            cold_until: None,
-            orders_begun: None,
             fabric_domain: Some(domain.into()),
-            staged: Vec::new(),
-            model: None,
-            membership: None,
+            ..server(id, SERVICE, "a")
         };
         let sim = SimHost {
             host,
