--- a/crates/geranium_net/tests/reused_connection.rs
+++ b/crates/geranium_net/tests/reused_connection.rs
@@ -44,14 +44,19 @@
     }
 }
 
-#[tokio::test]
-async fn a_read_is_sent_again_on_a_new_connection() {
+/// Returns a client that keeps a connection to such a server, with the server's address
+/// and the count of requests.
+async fn used_connection() -> (HttpClient, SocketAddr, Arc<AtomicUsize>) {
     let (address, requests) = server().await;
     let client = HttpClient::new(&ClientConfig::default());
-    client
-        .send_whole(HttpRequest::get(address, "/"), LIMIT)
-        .await
-        .expect("the first is answered");
+    let first = client.send_whole(HttpRequest::get(address, "/"), LIMIT);
+    first.await.expect("the first is answered");
+    (client, address, requests)
+}
+
+#[tokio::test]
+async fn a_read_is_sent_again_on_a_new_connection() {
+    let (client, address, requests) = used_connection().await;
 
     let second = client
         .send_whole(HttpRequest::get(address, "/"), LIMIT)
@@ -66,12 +71,7 @@
 
 #[tokio::test]
 async fn a_write_is_not_sent_again() {
-    let (address, requests) = server().await;
-    let client = HttpClient::new(&ClientConfig::default());
-    client
-        .send_whole(HttpRequest::get(address, "/"), LIMIT)
-        .await
-        .expect("the first is answered");
+    let (client, address, requests) = used_connection().await;
 
     let write = HttpRequest::new(address, Method::POST, "/");
     let second = client.send_whole(write, LIMIT).await;
