--- a/crates/geranium_entry/src/dialect.rs
+++ b/crates/geranium_entry/src/dialect.rs
@@ -6,8 +6,10 @@
 
 use bytes::Bytes;
 use geranium_fleet::host::HostReport;
-use geranium_fleet::order::{HostOrder, OrderAnswer};
-use hyper::header::HeaderName;
+use geranium_fleet::notice::{ServerNotice, pause_of};
+use geranium_fleet::order::{HostOrder, OrderReply};
+use hyper::header::{HeaderName, RETRY_AFTER};
+use hyper::{Response, StatusCode};
 
 use crate::fact::Fact;
 
@@ -38,6 +40,26 @@
     pub not_run: HeaderName,
     /// Signature of a backend server on its answer.
     pub signature: HeaderName,
+    /// Set to 1 in answers of a backend server that is about to end.
+    pub leaving: HeaderName,
+}
+
+impl HeaderNames {
+    /// Reads what a backend server says of itself in the head of an answer.
+    #[must_use]
+    pub fn notice<B>(&self, res: &Response<B>) -> ServerNotice {
+        let headers = res.headers();
+        let leaving = headers.get_all(&self.leaving);
+        ServerNotice {
+            leaving: leaving
+                .into_iter()
+                .any(|v| v.as_bytes().trim_ascii() == b"1"),
+            pause: (res.status() == StatusCode::SERVICE_UNAVAILABLE)
+                .then(|| headers.get(RETRY_AFTER))
+                .flatten()
+                .map(|v| pause_of(v.to_str().unwrap_or_default())),
+        }
+    }
 }
 
 /// Names, formats and calls of a platform; decides nothing.
@@ -62,7 +84,7 @@
         &self,
         order: &HostOrder,
         limit: Duration,
-    ) -> impl Future<Output = OrderAnswer> + Send;
+    ) -> impl Future<Output = OrderReply> + Send;
 
     /// Asks a host for its state; `None` if it did not answer in time.
     fn ask_host(
--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -112,8 +112,11 @@
         let manager = self.clone();
         tokio::task::spawn_local(async move {
             let asks = hosts.into_iter().map(|(id, address)| {
-                let dialect = &manager.shared.dialect;
-                async move { (id, dialect.ask_host(address, PROBE_LIMIT).await) }
+                let manager = manager.clone();
+                async move {
+                    let report = manager.ask_host(&id, address).await;
+                    (id, report)
+                }
             });
             let answers = futures::future::join_all(asks).await;
             let reports: Vec<(HostId, HostReport)> = answers
@@ -190,7 +193,10 @@
             cause: order.kind.word(),
         };
         self.shared.metrics.orders.get_or_create(&cause).inc();
-        let answer = self.shared.dialect.send_order(&order, ORDER_LIMIT).await;
+        let reply = self.shared.dialect.send_order(&order, ORDER_LIMIT).await;
+        self.shared
+            .take_notice(&order.host, order.born, reply.notice, None);
+        let answer = reply.answer;
         let now = self.shared.now();
         log::info!(host:% = order.host, order = order.kind.word(), detail:? = order.kind, expected_count = order.expected_count, answer:? = answer; "order sent");
         if matches!(answer, OrderAnswer::Begun | OrderAnswer::Done) {
@@ -199,11 +205,21 @@
                 .note_orders(&order.host, order.born, order.expected_count + 1);
         }
         if let Some(planner) = self.planners.borrow_mut().get_mut(&service) {
-            planner.note_answer(&order, answer, now);
+            planner.note_answer(&order, reply, now);
         }
         self.shared.changed.notify_waiters();
     }
 
+    /// Asks a host for its state; `None` if it did not answer in time.
+    async fn ask_host(&self, id: &HostId, address: SocketAddr) -> Option<HostReport> {
+        let shared = &self.shared;
+        let report = shared.dialect.ask_host(address, PROBE_LIMIT).await?;
+        if report.leaving && shared.note_leaving(id, report.born) {
+            log::info!(host:% = id, born = report.born; "backend server says that it leaves");
+        }
+        Some(report)
+    }
+
     /// Asks a host that refused an order for its count of orders.
     fn ask_count(self: &Rc<Self>, id: HostId) {
         let manager = self.clone();
@@ -215,7 +231,7 @@
             let Some(address) = known else {
                 return;
             };
-            let Some(report) = manager.shared.dialect.ask_host(address, PROBE_LIMIT).await else {
+            let Some(report) = manager.ask_host(&id, address).await else {
                 return;
             };
             if manager.shared.store_away.get() {
@@ -273,13 +289,7 @@
             let manager = self.clone();
             async move {
                 for _ in 0..PROBES {
-                    if manager
-                        .shared
-                        .dialect
-                        .ask_host(address, PROBE_LIMIT)
-                        .await
-                        .is_some()
-                    {
+                    if manager.ask_host(&id, address).await.is_some() {
                         return;
                     }
                 }
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -28,6 +28,8 @@
     pub(crate) retries: Family<CauseLabel, Counter>,
     /// Streams that went on at another backend server, by cause.
     pub(crate) resumes: Family<CauseLabel, Counter>,
+    /// What backend servers said of themselves in answers.
+    pub(crate) server_notices: Family<CauseLabel, Counter>,
     /// Requests sent to backend servers that are known to be cold.
     pub(crate) cold_requests: Counter,
     /// Retries that the shared budget still allows here, by service.
@@ -75,6 +77,7 @@
             attempts: add(r, "attempts", "Attempts by how they ended"),
             retries: add(r, "retries", "Further attempts by cause"),
             resumes: add(r, "resumes", "Streams that went on elsewhere"),
+            server_notices: add(r, "server_notices", "What servers said of themselves"),
             cold_requests: add(r, "cold_requests", "Requests to cold backend servers"),
             retry_budget: add(r, "retry_budget", "Retries left here by service"),
             orders: add(r, "orders", "Orders to hosts"),
@@ -106,6 +109,12 @@
         self.attempts.get_or_create(&CauseLabel { cause }).inc();
     }
 
+    /// Counts what a backend server said of itself.
+    pub(crate) fn note_server_notice(&self, cause: &'static str) {
+        let label = CauseLabel { cause };
+        self.server_notices.get_or_create(&label).inc();
+    }
+
     /// Returns the registry, for the server that renders it.
     pub(crate) fn registry(&self) -> Arc<Registry> {
         self.registry.clone()
--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -40,6 +40,9 @@
     Reports(Vec<(HostId, HostReport)>),
     /// A group whose head the sender takes to have stopped.
     Suspect(Arc<str>),
+    /// Lives of backend servers that said that they leave, with the starts of their
+    /// processes.
+    Leaving(Vec<(HostId, u64)>),
 }
 
 /// The socket for datagrams, and where the other entry hosts listen.
@@ -132,6 +135,7 @@
             running.map(|(id, n)| (id.clone(), n)).collect()
         };
         let now = shared.now();
+        tell_leaving(&shared, &link);
         let (collectors, rest) = link.collectors_and_rest();
         let is_collector = collectors.iter().any(|(name, _)| *name == *shared.cfg.name);
         if is_collector {
@@ -145,6 +149,19 @@
     }
 }
 
+/// Tells the manager of backend servers that said that they leave, so that it replaces
+/// their groups although their entries may not say so yet.
+fn tell_leaving<D: Dialect>(shared: &Shared<D>, link: &PeerLink) {
+    let leaving = shared.leaving_news.take();
+    if leaving.is_empty() || shared.is_manager.get() {
+        return;
+    }
+    let core = shared.core.borrow();
+    if let Some((_, address)) = &core.manager {
+        link.send(*address, &Datagram::Leaving(leaving));
+    }
+}
+
 /// Takes datagrams in.
 pub(crate) async fn run_receiver<D: Dialect>(shared: Rc<Shared<D>>, link: Rc<PeerLink>) {
     let mut buf = vec![0; MAX_DATAGRAM];
@@ -182,6 +199,13 @@
                     .suspect(&head, shared.now());
                 shared.changed.notify_waiters();
             }
+            Ok(Datagram::Leaving(leaving)) => {
+                for (id, born) in leaving {
+                    if shared.note_leaving(&id, born) {
+                        log::info!(host:% = id, from:% = from; "another entry host heard that a backend server leaves");
+                    }
+                }
+            }
             Err(e) => log::warn!(from:% = from; "datagram is malformed: {e}"),
         }
     }
--- a/crates/geranium_entry/src/relay/answer.rs
+++ b/crates/geranium_entry/src/relay/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use geranium_fleet::dispatch::NoHost;
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
@@ -26,7 +27,9 @@
     Malformed,
     /// The request crashed backend servers before and must not run again.
     Crashes,
-    /// No backend server takes the request now; it has not run.
+    /// No backend server can be chosen now; the request has not run.
+    NoHost(NoHost),
+    /// Backend servers turned the request away; it has not run.
     NoCapacity(&'static str),
     /// The process stops before the request could end.
     Leaving,
@@ -47,6 +50,7 @@
             Self::BodyBroken => "body_broken",
             Self::Malformed => "malformed",
             Self::Crashes => "crashes_servers",
+            Self::NoHost(why) => why.word(),
             Self::NoCapacity(word) => word,
             Self::Leaving => "leaving",
             Self::Late => "late",
@@ -61,9 +65,11 @@
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::REQUEST_TIMEOUT,
             Self::Malformed => StatusCode::BAD_REQUEST,
-            Self::NoConfiguration | Self::Crashes | Self::NoCapacity(_) | Self::Leaving => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::Crashes
+            | Self::NoHost(_)
+            | Self::NoCapacity(_)
+            | Self::Leaving => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
             Self::Lost => StatusCode::BAD_GATEWAY,
         }
--- a/crates/geranium_entry/src/relay/attempt.rs
+++ b/crates/geranium_entry/src/relay/attempt.rs
@@ -1,12 +1,13 @@
 //! One attempt at one backend server.
 
 use std::cell::Cell;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use geranium_core::time::Timestamp;
+use geranium_fleet::attempts::Failure;
 use geranium_fleet::host::Host;
+use geranium_fleet::notice::ServerNotice;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -14,14 +15,16 @@
 use hyper::{Request, Response, StatusCode};
 
 use super::job::Job;
+use super::place::Place;
 use crate::dialect::Dialect;
 use crate::pool::{Connection, Pool, idle_time};
-use crate::running::AttemptGuard;
-use crate::state::Shared;
 
 /// Longest time to open a connection to a backend server.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 
+/// Cause of an attempt that a backend server turned away with a time to come back.
+pub(super) const PAUSED: &str = "paused";
+
 /// How an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AttemptError {
@@ -36,6 +39,15 @@
 }
 
 impl AttemptError {
+    /// Returns what the failure says of the request.
+    pub(super) const fn failure(self) -> Failure {
+        match self {
+            Self::NotRun(_) => Failure::NotRun,
+            Self::MayHaveRun(_) | Self::Silent => Failure::MayHaveRun,
+            Self::Deadline => Failure::Deadline,
+        }
+    }
+
     /// Returns a word for metrics.
     pub(super) const fn word(self) -> &'static str {
         match self {
@@ -46,20 +58,6 @@
     }
 }
 
-/// Counts a request at its backend server until this is dropped.
-pub(super) struct Place<D: Dialect> {
-    shared: Rc<Shared<D>>,
-    /// The attempt among those of the backend server.
-    pub(super) guard: AttemptGuard,
-}
-
-impl<D: Dialect> Drop for Place<D> {
-    fn drop(&mut self) {
-        let mut core = self.shared.core.borrow_mut();
-        core.dispatcher.done(self.guard.host());
-    }
-}
-
 /// An answer whose head has arrived.
 pub(super) struct Answer<D: Dialect> {
     /// Head and unread body.
@@ -104,22 +102,13 @@
     }
 }
 
-/// Takes a place at a backend server for a request.
-pub(super) fn take_place<D: Dialect>(job: &Job<D>, host: &Host) -> Place<D> {
-    let now = job.shared.now();
-    Place {
-        shared: job.shared.clone(),
-        guard: job.shared.running.start(&host.id, job.prompt_tokens, now),
-    }
-}
-
 /// Sends a request to a backend server and waits for the head of its answer.
 pub(super) async fn send<D: Dialect>(
     job: &Job<D>,
     host: &Host,
+    place: Place<D>,
     last_event_id: Option<u64>,
 ) -> Result<Answer<D>, AttemptError> {
-    let place = take_place(job, host);
     let moved = place.guard.moved();
     let written = Cell::new(false);
     let sending = send_on_connection(job, host, last_event_id, &written);
@@ -129,7 +118,10 @@
         () = tokio::time::sleep(job.left()) => return Err(ended_early(&written, AttemptError::Deadline)),
     };
     place.guard.heard(false, job.shared.now());
-    check(job, &res)?;
+    let notice = job.shared.dialect.headers().notice(&res);
+    job.shared
+        .take_notice(&host.id, host.born, notice, Some(job.id()));
+    check(job, &res, notice)?;
     let idle_for = idle_time(res.headers());
     Ok(Answer {
         res,
@@ -233,14 +225,23 @@
 }
 
 /// Checks that an answer belongs to the request and says what may be passed on.
-fn check<D: Dialect>(job: &Job<D>, res: &Response<Incoming>) -> Result<(), AttemptError> {
+fn check<D: Dialect>(
+    job: &Job<D>,
+    res: &Response<Incoming>,
+    notice: ServerNotice,
+) -> Result<(), AttemptError> {
     let names = job.shared.dialect.headers();
     let headers = res.headers();
     if headers.get(&names.request_id) != Some(&job.request_id) {
         return Err(AttemptError::MayHaveRun("foreign_answer"));
     }
     if headers.contains_key(&names.not_run) {
-        return Err(AttemptError::NotRun("shed"));
+        let cause = if notice.pause.is_some() {
+            PAUSED
+        } else {
+            "shed"
+        };
+        return Err(AttemptError::NotRun(cause));
     }
     if res.status() == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptError::NotRun("misdirected"));
--- /dev/null
+++ b/crates/geranium_entry/src/relay/choosing.rs
@@ -0,0 +1,107 @@
+//! The backend server for the next attempt of a request.
+
+use std::time::Duration;
+
+use geranium_core::time::Timestamp;
+use geranium_fleet::dispatch::{NoHost, Survey, Wanted};
+
+use super::job::Job;
+use super::place::{Chosen, Place};
+use crate::dialect::Dialect;
+use crate::metrics::CauseLabel;
+use crate::state::Core;
+
+/// Part of the connections that a backend server takes from all callers together.
+const CONNECTIONS_PART: f64 = 0.9;
+/// Part of the objective that a request may wait in the queue of a group.
+const QUEUE_PART: f64 = 0.5;
+
+impl<D: Dialect> Job<D> {
+    /// Chooses the backend server for the next attempt; one that follows a failure takes
+    /// a retry of the shared budget.
+    pub(super) fn choose(&mut self) -> Result<Chosen<D>, NoHost> {
+        let now = self.shared.now();
+        let choice = {
+            let mut core = self.shared.core.borrow_mut();
+            let core = &mut *core;
+            let wanted = self.wanted(core);
+            core.dispatcher
+                .choose(&core.directory, &wanted, now, &mut core.rng)?
+        };
+        if let Some(cause) = self.retry_cause.take() {
+            self.spend_retry(cause, now);
+        }
+        let metrics = &self.shared.metrics;
+        if self.tried.is_empty() {
+            let wait = now.since(self.arrived);
+            metrics.dispatch_wait.observe(wait.as_secs_f64());
+        }
+        if choice.host.cold_until.is_some_and(|until| now < until) {
+            metrics.cold_requests.inc();
+        }
+        self.tried.push(choice.host.id.clone());
+        let place = Place::new(&self.shared, &choice.host, self.prompt_tokens);
+        Ok(Chosen { choice, place })
+    }
+
+    /// Returns the retries that the shared budget allows now.
+    pub(super) fn retries_left(&self) -> u32 {
+        let now = self.shared.now();
+        let mut core = self.shared.core.borrow_mut();
+        core.budget(&self.service.name, &self.shared.bounds.get())
+            .remaining(now)
+    }
+
+    fn spend_retry(&self, cause: &'static str, now: Timestamp) {
+        let mut core = self.shared.core.borrow_mut();
+        let budget = core.budget(&self.service.name, &self.shared.bounds.get());
+        if !budget.try_retry(now) {
+            log::error!(request = self.id(), cause = cause; "retry goes beyond the shared budget");
+        }
+        let retries = &self.shared.metrics.retries;
+        retries.get_or_create(&CauseLabel { cause }).inc();
+    }
+
+    /// Logs why no backend server takes the request.
+    pub(super) fn log_no_host(&self, why: NoHost) {
+        let now = self.shared.now();
+        let (survey, most_running) = self.survey(now);
+        log::info!(
+            request = self.id(), route:% = self.route.name,
+            account = self.account(), model = self.model.as_deref(), why = why.word(), left_out:? = survey, most_running = most_running,
+            directory_age_ms = now.since(self.shared.heard_at.get()).as_millis() as u64;
+            "no backend server takes the request"
+        );
+    }
+
+    fn survey(&self, now: Timestamp) -> (Survey, f64) {
+        let mut core = self.shared.core.borrow_mut();
+        let core = &mut *core;
+        let wanted = self.wanted(core);
+        let survey = core.dispatcher.survey(&core.directory, &wanted, now);
+        (survey, wanted.most_running)
+    }
+
+    fn wanted(&self, core: &Core) -> Wanted<'_> {
+        Wanted {
+            service: &self.service.name,
+            model: self.service.engine.as_ref().and(self.model.as_deref()),
+            tried: &self.tried,
+            cold_bound: core.cold_bound(&self.service, &self.shared.bounds.get()),
+            most_running: self.most_running(),
+        }
+    }
+
+    /// Returns how many requests may be at one backend server so that the objective
+    /// still holds.
+    fn most_running(&self) -> f64 {
+        let Some(engine) = &self.service.engine else {
+            // Connections beyond the cap are reset by the backend server.
+            return f64::from(self.service.max_connections) * CONNECTIONS_PART;
+        };
+        let model = self.model.as_deref().and_then(|m| engine.model(m));
+        let pace = model.map_or(1.0, |m| m.pace);
+        let wait: Duration = self.route.objective.mul_f64(QUEUE_PART);
+        engine.most_at_group(pace, wait)
+    }
+}
--- a/crates/geranium_entry/src/relay/event_reader.rs
+++ b/crates/geranium_entry/src/relay/event_reader.rs
@@ -9,7 +9,8 @@
 use hyper::http::response::Parts;
 use tokio::sync::Notify;
 
-use super::attempt::{Answer, Place, Return};
+use super::attempt::{Answer, Return};
+use super::place::Place;
 use crate::dialect::Dialect;
 use crate::sse::EventSplitter;
 use crate::state::Shared;
--- a/crates/geranium_entry/src/relay/job.rs
+++ b/crates/geranium_entry/src/relay/job.rs
@@ -7,7 +7,8 @@
 
 use bytes::Bytes;
 use geranium_core::time::Timestamp;
-use geranium_fleet::dispatch::{Choice, NoHost, Wanted};
+use geranium_fleet::attempts::Attempts;
+use geranium_fleet::dispatch::NoHost;
 use geranium_fleet::host::HostId;
 use geranium_fleet::route::{Route, RouteKind};
 use geranium_fleet::service::Service;
@@ -31,12 +32,8 @@
 const STREAM_TIME: Duration = Duration::from_millis(4_500);
 /// Time that a process about to stop allows for a request with a whole answer.
 const WHOLE_TIME: Duration = Duration::from_millis(1_000);
-/// Part of the connections that a backend server takes from all callers together.
-const CONNECTIONS_PART: f64 = 0.9;
 /// Lowest rank that a model engine knows.
 const LOWEST_RANK: u8 = 9;
-/// Part of the objective that a request may wait in the queue of a group.
-const QUEUE_PART: f64 = 0.5;
 /// When a caller may come back to another entry host.
 const RETURN_ELSEWHERE: Duration = Duration::from_millis(10);
 /// When a caller may come back while a group is being formed.
@@ -74,10 +71,10 @@
     pub(super) deadline: Timestamp,
     /// Backend servers that had it.
     pub(super) tried: Vec<HostId>,
-    /// Backend servers that may have run it.
-    pub(super) runs: u32,
-    /// Whether a backend server may have run it without an answer.
-    pub(super) may_have_run: bool,
+    /// Attempts so far.
+    pub(super) attempts: Attempts,
+    /// Failure that the next attempt follows.
+    pub(super) retry_cause: Option<&'static str>,
     /// Tells requests of the same content apart from others.
     pub(super) fingerprint: u64,
 }
@@ -154,11 +151,11 @@
             prompt_tokens,
             arrived,
             deadline: arrived + patience.min(resolved.route.timeout),
+            attempts: Attempts::new(resolved.route.kind, resolved.route.max_attempts),
+            retry_cause: None,
             route: resolved.route,
             service: resolved.service,
             tried: Vec::new(),
-            runs: 0,
-            may_have_run: false,
             fingerprint: 0,
         };
         if job.service.engine.is_some() {
@@ -202,63 +199,6 @@
         }
     }
 
-    /// Chooses the backend server for the next attempt.
-    pub(super) fn choose(&mut self) -> Result<Choice, NoHost> {
-        let now = self.shared.now();
-        let mut core = self.shared.core.borrow_mut();
-        let cold_bound = core.cold_bound(&self.service, &self.shared.bounds.get());
-        let most_running = self.most_running();
-        let core = &mut *core;
-        let wanted = Wanted {
-            service: &self.service.name,
-            model: self.service.engine.as_ref().and(self.model.as_deref()),
-            tried: &self.tried,
-            cold_bound,
-            most_running,
-        };
-        let chosen = core
-            .dispatcher
-            .choose(&core.directory, &wanted, now, &mut core.rng);
-        let choice = match chosen {
-            Ok(choice) => choice,
-            Err(why) => {
-                let survey = core.dispatcher.survey(&core.directory, &wanted, now);
-                log::info!(
-                    request = self.id(), route:% = self.route.name,
-                    account = self.account(), model = self.model.as_deref(), why = why.word(), left_out:? = survey, most_running = most_running,
-                    directory_age_ms = now.since(self.shared.heard_at.get()).as_millis() as u64;
-                    "no backend server takes the request"
-                );
-                return Err(why);
-            }
-        };
-        let metrics = &self.shared.metrics;
-        if self.tried.is_empty() {
-            let wait = now.since(self.arrived);
-            metrics.dispatch_wait.observe(wait.as_secs_f64());
-        }
-        if choice.host.cold_until.is_some_and(|until| now < until) {
-            metrics.cold_requests.inc();
-        }
-        self.tried.push(choice.host.id.clone());
-        Ok(choice)
-    }
-
-    /// Returns how many requests may be at one backend server so that the objective
-    /// still holds.
-    fn most_running(&self) -> f64 {
-        let Some(engine) = &self.service.engine else {
-            // Connections beyond the cap are reset by the backend server.
-            return f64::from(self.service.max_connections) * CONNECTIONS_PART;
-        };
-        let pace = self
-            .model
-            .as_deref()
-            .and_then(|m| engine.model(m))
-            .map_or(1.0, |m| m.pace);
-        engine.most_at_group(pace, self.route.objective.mul_f64(QUEUE_PART))
-    }
-
     /// Returns the identifier for logs.
     pub(super) fn id(&self) -> &str {
         self.request_id.to_str().unwrap_or_default()
@@ -278,7 +218,7 @@
     /// Makes a refusal with the time at which the caller may come back.
     pub(super) fn refusal(&self, reason: Reason) -> Refusal {
         let retry_after = match reason {
-            Reason::NoCapacity("none_serves" | "all_tried") => Some(RETURN_FOR_GROUP),
+            Reason::NoHost(why) => Some(self.return_time(why)),
             Reason::NoCapacity(_) => Some(RETURN_FOR_ROOM),
             Reason::Leaving => Some(RETURN_ELSEWHERE),
             Reason::Crashes => Some(DEFAULT_DEADLINE),
@@ -292,6 +232,15 @@
         }
     }
 
+    /// Returns when there may be a backend server for the request.
+    fn return_time(&self, why: NoHost) -> Duration {
+        match why {
+            NoHost::None | NoHost::AllTried => RETURN_FOR_GROUP,
+            NoHost::Paused(until) => until.since(self.shared.now()),
+            NoHost::AtBound | NoHost::Full => RETURN_FOR_ROOM,
+        }
+    }
+
     /// Returns a word for the kind of the route.
     pub(super) fn kind_word(&self) -> &'static str {
         match self.route.kind {
--- a/crates/geranium_entry/src/relay/mod.rs
+++ b/crates/geranium_entry/src/relay/mod.rs
@@ -3,9 +3,11 @@
 mod answer;
 mod attempt;
 mod body;
+mod choosing;
 mod event_reader;
 mod headers;
 mod job;
+mod place;
 mod retry;
 mod stream;
 mod whole;
--- a/crates/geranium_entry/src/relay/retry.rs
+++ b/crates/geranium_entry/src/relay/retry.rs
@@ -1,18 +1,13 @@
 //! What follows a failed attempt.
 
-use std::time::Duration;
-
+use geranium_fleet::dispatch::NoHost;
 use geranium_fleet::host::Host;
 use geranium_fleet::route::RouteKind;
 
 use super::answer::{Reason, Refusal};
-use super::attempt::AttemptError;
+use super::attempt::{AttemptError, PAUSED};
 use super::job::Job;
 use crate::dialect::Dialect;
-use crate::metrics::CauseLabel;
-
-/// Shortest time that is worth another attempt.
-pub(super) const SHORTEST_ATTEMPT: Duration = Duration::from_millis(50);
 
 impl<D: Dialect> Job<D> {
     /// Notes a failed attempt; another may follow unless a refusal is returned.
@@ -21,6 +16,16 @@
         host: &Host,
         error: AttemptError,
     ) -> Result<(), Refusal> {
+        self.note_failure(host, error);
+        self.attempts.note_failure(error.failure());
+        if self.may_follow(error) {
+            return Ok(());
+        }
+        Err(self.refusal(self.reason_after(error)))
+    }
+
+    /// Logs and counts a failed attempt and what it says of the backend server.
+    pub(super) fn note_failure(&self, host: &Host, error: AttemptError) {
         log::info!(
             request = self.id(), route:% = self.route.name,
             host:% = host.id, cause:? = error, left_ms = self.left().as_millis() as u64;
@@ -28,39 +33,34 @@
         );
         self.shared.metrics.note_attempt(error.word());
         self.note_evidence(host, error);
-        let repeat = match error {
-            AttemptError::NotRun(_) => true,
-            AttemptError::MayHaveRun(_) | AttemptError::Silent => {
-                self.runs += 1;
-                self.may_have_run = true;
-                self.route.kind.may_repeat()
-            }
-            AttemptError::Deadline => {
-                self.may_have_run = true;
-                false
-            }
-        };
-        if repeat && self.left() > SHORTEST_ATTEMPT && self.may_retry(error.word()) {
-            return Ok(());
-        }
-        Err(self.refusal(self.reason_after(error)))
+    }
+
+    /// Returns whether another attempt may follow a failure; the next choice is then one
+    /// that takes a retry of the shared budget.
+    pub(super) fn may_follow(&mut self, error: AttemptError) -> bool {
+        let retries = self.retries_left();
+        let may = self
+            .attempts
+            .may_follow(error.failure(), self.left(), retries);
+        self.retry_cause = may.then_some(error.word());
+        may
     }
 
     /// Returns whether a request may be sent elsewhere after a server answered that
     /// it failed.
     pub(super) fn may_try_after_error(&mut self) -> bool {
-        self.runs += 1;
-        self.may_have_run = true;
+        self.attempts.note_run();
         let repeatable = self.route.kind == RouteKind::Idempotent;
-        repeatable && self.left() > SHORTEST_ATTEMPT && self.may_retry("server_error")
+        repeatable && self.may_follow(AttemptError::MayHaveRun("server_error"))
     }
 
     /// Returns the refusal for a request that no backend server takes.
-    pub(super) fn no_host(&self, word: &'static str) -> Refusal {
-        let reason = if self.may_have_run {
+    pub(super) fn no_host(&self, why: NoHost) -> Refusal {
+        self.log_no_host(why);
+        let reason = if self.attempts.may_have_run() {
             Reason::Lost
         } else {
-            Reason::NoCapacity(word)
+            Reason::NoHost(why)
         };
         self.refusal(reason)
     }
@@ -69,7 +69,7 @@
     fn reason_after(&self, error: AttemptError) -> Reason {
         match error {
             AttemptError::Deadline => Reason::Late,
-            _ if self.may_have_run => Reason::Lost,
+            _ if self.attempts.may_have_run() => Reason::Lost,
             AttemptError::NotRun(cause) => Reason::NoCapacity(cause),
             AttemptError::MayHaveRun(_) | AttemptError::Silent => Reason::Lost,
         }
@@ -79,7 +79,8 @@
         if error == AttemptError::MayHaveRun("reset") {
             self.note_broken_off(host);
         }
-        if error == AttemptError::Deadline {
+        // A backend server that is full or wants a pause has not failed.
+        if matches!(error, AttemptError::Deadline | AttemptError::NotRun(PAUSED)) {
             return;
         }
         let now = self.shared.now();
@@ -97,23 +98,4 @@
         core.crashes
             .broke_off(&host.id, host.born, self.fingerprint, now);
     }
-
-    /// Spends a retry of the shared budget if one is left.
-    pub(super) fn may_retry(&self, cause: &'static str) -> bool {
-        if self.runs >= self.route.max_attempts.max(1) {
-            return false;
-        }
-        let now = self.shared.now();
-        let mut core = self.shared.core.borrow_mut();
-        let budget = core.budget(&self.service.name, &self.shared.bounds.get());
-        let allowed = budget.try_retry(now);
-        if allowed {
-            self.shared
-                .metrics
-                .retries
-                .get_or_create(&CauseLabel { cause })
-                .inc();
-        }
-        allowed
-    }
 }
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -3,19 +3,18 @@
 use bytes::Bytes;
 use geranium_fleet::dispatch::Choice;
 use geranium_fleet::host::Host;
-use geranium_fleet::route::RouteKind;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::http::response::Parts;
 use tokio::sync::mpsc;
 
-use super::attempt::{self, AttemptError};
+use super::attempt::{self, Answer, AttemptError};
 use super::body::{RelayBody, StreamCut};
 use super::event_reader::{EventReader, Piece};
 use super::headers::end_to_end;
 use super::job::Job;
-use super::retry::SHORTEST_ATTEMPT;
+use super::place::{Chosen, Place};
 use crate::dialect::Dialect;
 use crate::metrics::CauseLabel;
 
@@ -39,14 +38,14 @@
 pub(super) async fn run<D: Dialect>(mut job: Job<D>) -> Response<RelayBody> {
     let last = client_last_event(&job);
     loop {
-        let choice = match job.choose() {
-            Ok(choice) => choice,
-            Err(why) => return job.no_host(why.word()).into_response(&job.shared),
+        let Chosen { choice, place } = match job.choose() {
+            Ok(chosen) => chosen,
+            Err(why) => return job.no_host(why).into_response(&job.shared),
         };
-        match start(&job, &choice.host, last).await {
+        match start(&job, &choice.host, place, last).await {
             Ok(Start::Stream(started)) => {
                 note_start(&job, &choice);
-                job.runs += 1;
+                job.attempts.note_run();
                 return pass_on(job, *started);
             }
             Ok(Start::Whole(head, body)) => return answer_whole(&job, &choice, &head, body),
@@ -101,9 +100,10 @@
 async fn start<D: Dialect>(
     job: &Job<D>,
     host: &Host,
+    place: Place<D>,
     last: Option<u64>,
 ) -> Result<Start<D>, AttemptError> {
-    let answer = attempt::send(job, host, last).await?;
+    let answer = attempt::send(job, host, place, last).await?;
     let is_stream = answer.res.status().is_success();
     let (head, mut reader) = EventReader::new(&job.shared, answer, last);
     if !is_stream {
@@ -170,6 +170,7 @@
     }
     let pump = Pump {
         job,
+        waits: false,
         reader: started.reader,
         tx,
     };
@@ -180,6 +181,8 @@
 /// Passes the events of a stream on until it ends.
 struct Pump<D: Dialect> {
     job: Job<D>,
+    /// Whether the present backend server was found silent, so that another is looked for.
+    waits: bool,
     reader: EventReader<D>,
     tx: mpsc::Sender<Result<Bytes, StreamCut>>,
 }
@@ -210,7 +213,8 @@
                 () = self.tx.closed() => return "caller_left",
                 piece = self.reader.next() => piece,
                 () = moved.notified() => {
-                    self.resume("silent").await;
+                    // It may only be late: unless another takes over, it is heard further.
+                    self.resume(AttemptError::Silent).await;
                     continue;
                 }
                 () = &mut deadline => return self.cut(StreamCut::Deadline).await,
@@ -231,10 +235,8 @@
                     return "answered";
                 }
                 Piece::Cut(cause) => {
-                    if cause == "reset" {
-                        self.job.note_broken_off(&self.reader.host);
-                    }
-                    if !self.resume(cause).await {
+                    let error = AttemptError::MayHaveRun(cause);
+                    if !self.resume(error).await {
                         return self.cut(StreamCut::Lost).await;
                     }
                 }
@@ -251,49 +253,62 @@
         }
     }
 
-    /// Goes on at another backend server; returns whether one does.
-    async fn resume(&mut self, cause: &'static str) -> bool {
-        let resumable = matches!(self.job.route.kind, RouteKind::Stream { resumable: true });
+    /// Goes on at another backend server after the present one failed; returns whether
+    /// one does.
+    async fn resume(&mut self, error: AttemptError) -> bool {
         let last = self.reader.passed;
-        if !resumable || last.is_none() || self.job.left() < SHORTEST_ATTEMPT {
+        let waited = std::mem::replace(&mut self.waits, true);
+        let first_look = error != AttemptError::Silent || !waited;
+        if first_look {
+            self.job.note_failure(&self.reader.host, error);
+        }
+        if last.is_none() || !self.job.may_follow(error) {
             return false;
         }
+        let mut error = error;
         loop {
-            let Ok(choice) = self.job.choose() else {
-                return false;
+            let Chosen { choice, place } = match self.job.choose() {
+                Ok(chosen) => chosen,
+                Err(why) => {
+                    if first_look {
+                        self.job.log_no_host(why);
+                    }
+                    return false;
+                }
             };
-            if !self.job.may_retry(cause) {
-                self.job
-                    .shared
-                    .core
-                    .borrow_mut()
-                    .dispatcher
-                    .done(&choice.host.id);
-                return false;
-            }
-            let sending = attempt::send(&self.job, &choice.host, last);
+            let sending = attempt::send(&self.job, &choice.host, place, last);
             let answer = tokio::select! {
                 answer = sending => answer,
                 () = self.tx.closed() => return false,
             };
-            match answer {
+            error = match answer {
                 Ok(answer) if answer.res.status().is_success() => {
-                    self.job.runs += 1;
-                    log::info!(
-                        request = self.job.id(), cause = cause,
-                        from:% = self.reader.place.guard.host(), to:% = choice.host.id, after_event = last;
-                        "stream goes on at another backend server"
-                    );
-                    let resumes = &self.job.shared.metrics.resumes;
-                    resumes.get_or_create(&CauseLabel { cause }).inc();
-                    let (_, reader) = EventReader::new(&self.job.shared, answer, last);
-                    self.reader = reader;
+                    self.go_on(answer, error);
                     return true;
                 }
-                Ok(_) => self.job.runs += 1,
-                Err(AttemptError::NotRun(_)) => {}
-                Err(_) => self.job.runs += 1,
+                Ok(_) => AttemptError::MayHaveRun("refused_resume"),
+                Err(e) => e,
+            };
+            if self.job.after_failure(&choice.host, error).is_err() {
+                return false;
             }
         }
     }
+
+    /// Reads on from another backend server's answer.
+    fn go_on(&mut self, answer: Answer<D>, error: AttemptError) {
+        let last = self.reader.passed;
+        let cause = error.word();
+        self.job.attempts.note_run();
+        log::info!(
+            request = self.job.id(), cause = cause,
+            from:% = self.reader.place.guard.host(), to:% = answer.host.id, after_event = last;
+            "stream goes on at another backend server"
+        );
+        let resumes = &self.job.shared.metrics.resumes;
+        resumes.get_or_create(&CauseLabel { cause }).inc();
+        let (_, reader) = EventReader::new(&self.job.shared, answer, last);
+        self.reader = reader;
+        self.waits = false;
+    }
 }
--- a/crates/geranium_entry/src/relay/whole.rs
+++ b/crates/geranium_entry/src/relay/whole.rs
@@ -15,20 +15,22 @@
 use super::body::RelayBody;
 use super::headers::end_to_end;
 use super::job::Job;
+use super::place::{Chosen, Place};
 use crate::dialect::Dialect;
 
 /// Largest answer that is held until it is whole, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
+
 /// Runs the attempts of a request and returns the answer.
 pub(super) async fn run<D: Dialect>(mut job: Job<D>) -> Response<RelayBody> {
     let mut failure: Option<Response<RelayBody>> = None;
     loop {
-        let choice = match job.choose() {
-            Ok(choice) => choice,
-            Err(why) => return or_refusal(&job, failure, job.no_host(why.word())),
+        let Chosen { choice, place } = match job.choose() {
+            Ok(chosen) => chosen,
+            Err(why) => return or_refusal(&job, failure, job.no_host(why)),
         };
         let sent = job.shared.now();
-        let outcome = attempt_whole(&job, &choice.host).await;
+        let outcome = attempt_whole(&job, &choice.host, place).await;
         let took = job.shared.now().since(sent);
         match outcome {
             Ok((head, body)) => {
@@ -90,8 +92,9 @@
 async fn attempt_whole<D: Dialect>(
     job: &Job<D>,
     host: &Host,
+    place: Place<D>,
 ) -> Result<(Parts, Bytes), AttemptError> {
-    let answer = attempt::send(job, host, None).await?;
+    let answer = attempt::send(job, host, place, None).await?;
     let (res, place, back) = answer.into_parts();
     let (head, body) = res.into_parts();
     let whole = Limited::new(body, MAX_ANSWER).collect();
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -15,6 +15,7 @@
 use geranium_fleet::directory::Directory;
 use geranium_fleet::dispatch::{ColdBound, Dispatcher};
 use geranium_fleet::host::{HostId, HostReport};
+use geranium_fleet::notice::ServerNotice;
 use geranium_fleet::route_table::RouteTable;
 use geranium_fleet::service::Service;
 use geranium_fleet::shared_rate::part_of;
@@ -143,6 +144,8 @@
     pub(crate) changed: Notify,
     /// Suspected heads for the manager to look into.
     pub(crate) suspects: RefCell<HashMap<Arc<str>, Timestamp>>,
+    /// Lives of backend servers that said that they leave, to be told to the manager.
+    pub(crate) leaving_news: RefCell<Vec<(HostId, u64)>>,
     /// Phase of the process.
     pub(crate) phase: watch::Sender<Phase>,
     /// Whether the balancer may send callers here.
@@ -201,6 +204,7 @@
             metrics: Metrics::new(counters),
             changed: Notify::new(),
             suspects: RefCell::default(),
+            leaving_news: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
             ready: Arc::default(),
             crashed,
@@ -234,6 +238,9 @@
     /// Takes in what hosts answered themselves; returns the ids of those that changed.
     pub(crate) fn take_reports(&self, reports: &[(HostId, HostReport)]) -> Vec<HostId> {
         let mut changed = Vec::new();
+        for (id, report) in reports.iter().filter(|(_, r)| r.leaving) {
+            self.note_leaving(id, report.born);
+        }
         let mut core = self.core.borrow_mut();
         for (id, report) in reports {
             if core.directory.put_report(id, report) {
@@ -248,6 +255,41 @@
         changed
     }
 
+    /// Takes in what a life of a backend server said of itself in an answer.
+    pub(crate) fn take_notice(
+        &self,
+        id: &HostId,
+        born: u64,
+        notice: ServerNotice,
+        request: Option<&str>,
+    ) {
+        if notice == ServerNotice::default() {
+            return;
+        }
+        let now = self.now();
+        if let Some(pause) = notice.pause {
+            log::info!(host:% = id, request = request, pause_ms = pause.as_millis() as u64; "backend server wants nothing for a time");
+            self.metrics.note_server_notice("pause");
+            let mut core = self.core.borrow_mut();
+            core.dispatcher.pause(id, born, pause, now);
+        }
+        if notice.leaving && self.note_leaving(id, born) {
+            log::info!(host:% = id, request = request, born = born; "backend server says that it leaves");
+            self.metrics.note_server_notice("leaving");
+            self.leaving_news.borrow_mut().push((id.clone(), born));
+        }
+    }
+
+    /// Notes that a life of a backend server leaves; returns whether that is new.
+    pub(crate) fn note_leaving(&self, id: &HostId, born: u64) -> bool {
+        let now = self.now();
+        let is_new = self.core.borrow_mut().directory.note_leaving(id, born, now);
+        if is_new {
+            self.changed.notify_waiters();
+        }
+        is_new
+    }
+
     /// Notes that a life of a backend server has ended, and tells the others of the
     /// requests that crashed it.
     pub(crate) fn note_host_ended(&self, id: &str, born: u64) {
--- /dev/null
+++ b/crates/geranium_fleet/src/attempts.rs
@@ -0,0 +1,92 @@
+//! What may follow a failed attempt of a request.
+
+use std::time::Duration;
+
+use crate::route::RouteKind;
+
+/// Shortest time that is worth another attempt.
+const SHORTEST_ATTEMPT: Duration = Duration::from_millis(50);
+
+/// How an attempt ended without a good answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The request certainly has not run there.
+    NotRun,
+    /// The request may have run there.
+    MayHaveRun,
+    /// The time ran out after the request was sent.
+    Deadline,
+}
+
+/// The attempts of one request at backend servers.
+///
+/// Whether another one may follow is asked before a backend server is chosen, so that a
+/// request that has to wait or to be refused takes no place and no retry of the budget.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use geranium_fleet::attempts::{Attempts, Failure};
+/// use geranium_fleet::route::RouteKind;
+///
+/// let mut attempts = Attempts::new(RouteKind::Idempotent, 2);
+/// let left = Duration::from_secs(1);
+/// attempts.note_failure(Failure::MayHaveRun);
+/// assert!(attempts.may_follow(Failure::MayHaveRun, left, 1));
+/// attempts.note_failure(Failure::MayHaveRun);
+/// assert!(!attempts.may_follow(Failure::MayHaveRun, left, 1));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempts {
+    kind: RouteKind,
+    most: u32,
+    runs: u32,
+    may_have_run: bool,
+}
+
+impl Attempts {
+    /// Starts the count for a request of a route that allows `most` attempts.
+    #[must_use]
+    pub fn new(kind: RouteKind, most: u32) -> Self {
+        Self {
+            kind,
+            most: most.max(1),
+            runs: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// Notes an attempt that runs at a backend server.
+    pub const fn note_run(&mut self) {
+        self.runs += 1;
+        self.may_have_run = true;
+    }
+
+    /// Notes an attempt that failed before an answer began.
+    pub const fn note_failure(&mut self, failure: Failure) {
+        match failure {
+            Failure::NotRun => {}
+            Failure::MayHaveRun => self.note_run(),
+            Failure::Deadline => self.may_have_run = true,
+        }
+    }
+
+    /// Returns whether the request may have run at a backend server.
+    #[must_use]
+    pub const fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Returns whether another attempt may follow a failure, with the time that is left
+    /// and the retries that the shared budget still allows.
+    #[must_use]
+    pub fn may_follow(&self, failure: Failure, left: Duration, retries_left: u32) -> bool {
+        let repeatable = match failure {
+            Failure::NotRun => true,
+            Failure::MayHaveRun => self.kind.may_repeat(),
+            Failure::Deadline => false,
+        };
+        repeatable && self.runs < self.most && left > SHORTEST_ATTEMPT && retries_left > 0
+    }
+}
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -13,12 +13,23 @@
 const LAPSE_GRACE: Duration = Duration::from_millis(1_600);
 /// Time after an outage of the store in which removed entries may come back.
 const RETURN_WINDOW: Duration = Duration::from_millis(2_500);
+/// Time for which a life of a host that said that it leaves is remembered; its entry may
+/// lapse and come back meanwhile.
+const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+
+/// A life of a host that said that it leaves.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    born: u64,
+    at: Timestamp,
+}
 
 /// All known backend servers.
 #[derive(Debug, Default)]
 pub struct Directory {
     hosts: HashMap<HostId, Host>,
     lapsed: HashMap<HostId, Timestamp>,
+    leaving: HashMap<HostId, Leaving>,
     domains_out: HashSet<Arc<str>>,
     regained_at: Option<Timestamp>,
 }
@@ -27,6 +38,9 @@
     /// Takes in what a host says of itself and returns whether it is a new life.
     pub fn put(&mut self, mut host: Host) -> bool {
         self.lapsed.remove(&host.id);
+        if self.is_leaving(&host.id, host.born) {
+            host.state = HostState::Draining;
+        }
         let known = self.hosts.get(&host.id);
         let same_life = known.is_some_and(|k| k.born == host.born);
         if let Some(known) = known.filter(|_| same_life) {
@@ -61,6 +75,21 @@
         true
     }
 
+    /// Notes that a host said itself that it leaves, whatever its entry says; returns
+    /// whether that is new. It holds for this life of the host.
+    pub fn note_leaving(&mut self, id: &HostId, born: u64, now: Timestamp) -> bool {
+        let known = self.is_leaving(id, born);
+        self.leaving.insert(id.clone(), Leaving { born, at: now });
+        if let Some(host) = self.hosts.get_mut(id).filter(|h| h.born == born) {
+            host.state = HostState::Draining;
+        }
+        !known
+    }
+
+    fn is_leaving(&self, id: &str, born: u64) -> bool {
+        self.leaving.get(id).is_some_and(|l| l.born == born)
+    }
+
     /// Notes that the entry of a host has gone.
     ///
     /// Shortly after an outage of the store the host stays usable for a moment,
@@ -80,6 +109,7 @@
 
     /// Drops hosts whose entry lapsed and did not come back; returns their ids.
     pub fn expire(&mut self, now: Timestamp) -> Vec<HostId> {
+        self.leaving.retain(|_, l| now.since(l.at) < LEAVING_MEMORY);
         if self.lapsed.is_empty() {
             return Vec::new();
         }
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -30,6 +30,14 @@
 /// Load that a share of failures of 1 adds, in requests.
 const FAILURE_LOAD: f64 = 12.0;
 
+/// A pause that a backend server asked for.
+#[derive(Clone, Copy, Debug)]
+struct Paused {
+    /// Life of the backend server; the next one takes work.
+    born: u64,
+    until: Timestamp,
+}
+
 /// Load and evidence of one backend server, as this entry host sees it.
 #[derive(Debug)]
 struct Seen {
@@ -38,6 +46,8 @@
     failures: f64,
     mean_ms: f64,
     suspected_until: Timestamp,
+    /// End of the pause that a life of it asked for.
+    paused: Option<Paused>,
     /// Whether it has not answered well since it was suspected.
     on_trial: bool,
     cold: SharedRate,
@@ -51,6 +61,7 @@
             failures: 0.0,
             mean_ms: 0.0,
             suspected_until: Timestamp::default(),
+            paused: None,
             on_trial: false,
             cold: SharedRate::new(COLD_WINDOW),
         }
@@ -64,6 +75,12 @@
         now < self.suspected_until || (self.on_trial && self.running > 0)
     }
 
+    /// Returns the end of a pause that still holds for a life of the backend server.
+    fn paused_until(&self, born: u64, now: Timestamp) -> Option<Timestamp> {
+        let paused = self.paused.filter(|p| p.born == born && now < p.until);
+        paused.map(|p| p.until)
+    }
+
     /// Returns the requests that are known to run there.
     fn known_running(&self) -> f64 {
         f64::from(self.running) + self.peers_running
@@ -74,6 +91,7 @@
 struct Look {
     running: f64,
     suspected: bool,
+    paused_until: Option<Timestamp>,
     at_bound: bool,
     full: bool,
 }
@@ -85,6 +103,8 @@
     None,
     /// All that serve this were tried before.
     AllTried,
+    /// All asked for a pause; the first of these ends at this time.
+    Paused(Timestamp),
     /// All are at a bound on new work.
     AtBound,
     /// All are full, so that the request would wait too long.
@@ -98,6 +118,7 @@
         match self {
             Self::None => "none_serves",
             Self::AllTried => "all_tried",
+            Self::Paused(_) => "all_paused",
             Self::AtBound => "at_cold_bound",
             Self::Full => "full",
         }
@@ -113,6 +134,8 @@
     pub tried: usize,
     /// Those that failed or fell silent lately.
     pub suspected: usize,
+    /// Those that asked for a pause that still holds.
+    pub paused: usize,
     /// Those at this entry host's part of the bound on new work.
     pub at_bound: usize,
     /// Those that are full, by this entry host's requests and those it heard of.
@@ -260,6 +283,10 @@
             if found.suspected != suspected {
                 continue;
             }
+            if let Some(until) = found.paused_until {
+                reason = rank(reason, NoHost::Paused(until));
+                continue;
+            }
             if found.at_bound {
                 reason = rank(reason, NoHost::AtBound);
                 continue;
@@ -285,6 +312,7 @@
             survey.serving += 1;
             survey.tried += usize::from(wanted.tried.contains(&host.id));
             survey.suspected += usize::from(found.suspected);
+            survey.paused += usize::from(found.paused_until.is_some());
             survey.at_bound += usize::from(found.at_bound);
             survey.full += usize::from(found.full);
         }
@@ -302,6 +330,7 @@
         Look {
             running,
             suspected: seen.is_suspected(now),
+            paused_until: seen.paused_until(host.born, now),
             at_bound: bound.is_some_and(|most| used >= most),
             full: running >= wanted.most_running,
         }
@@ -387,6 +416,14 @@
         seen.on_trial = true;
     }
 
+    /// Sends a life of a backend server nothing for the time that it asked for.
+    pub fn pause(&mut self, id: &HostId, born: u64, pause: Duration, now: Timestamp) {
+        let seen = self.seen.entry(id.clone()).or_default();
+        let before = seen.paused_until(born, now).unwrap_or_default();
+        let until = before.max(now + pause);
+        seen.paused = Some(Paused { born, until });
+    }
+
     /// Notes the requests that the other entry hosts run at each backend server.
     pub fn set_peers_running(&mut self, running: &HashMap<HostId, f64>, now: Timestamp) {
         self.peers_heard_at = now;
@@ -404,10 +441,13 @@
         running.filter(|(_, n)| *n > 0)
     }
 
-    /// Forgets backend servers that are gone and have no work of ours.
-    pub fn forget_gone(&mut self, directory: &Directory) {
-        self.seen
-            .retain(|id, s| s.running > 0 || directory.get(id).is_some());
+    /// Forgets backend servers that are gone, have no work of ours and asked for no pause
+    /// that would still hold if their entry came back.
+    pub fn forget_gone(&mut self, directory: &Directory, now: Timestamp) {
+        self.seen.retain(|id, s| {
+            let is_paused = s.paused.is_some_and(|p| now < p.until);
+            s.running > 0 || is_paused || directory.get(id).is_some()
+        });
     }
 }
 
@@ -440,11 +480,15 @@
 
 /// Returns the reason that tells a caller more.
 fn rank(old: NoHost, new: NoHost) -> NoHost {
+    if let (NoHost::Paused(a), NoHost::Paused(b)) = (old, new) {
+        return NoHost::Paused(a.min(b));
+    }
     let order = |r: NoHost| match r {
         NoHost::None => 0,
         NoHost::AllTried => 1,
-        NoHost::AtBound => 2,
-        NoHost::Full => 3,
+        NoHost::Paused(_) => 2,
+        NoHost::AtBound => 3,
+        NoHost::Full => 4,
     };
     if order(new) > order(old) { new } else { old }
 }
--- a/crates/geranium_fleet/src/host.rs
+++ b/crates/geranium_fleet/src/host.rs
@@ -73,6 +73,9 @@
     pub model: Option<Arc<str>>,
     /// Models whose weights lie on the host.
     pub staged: Vec<Arc<str>>,
+    /// Whether it says that it is about to end.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// A backend server as it last described itself.
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -11,11 +11,14 @@
 //! | [`planner`] | which groups are formed, opened, dissolved, and by which orders |
 //! | [`dispatch`] | the backend server that gets a request |
 //! | [`peer_load`] | the load that other entry hosts cause |
+//! | [`attempts`] | what may follow a failed attempt |
+//! | [`notice`] | what a backend server says of itself in an answer |
 //! | [`silence`] | groups that stopped answering while work waits there |
 //! | [`shared_rate`] | bounds that all entry hosts keep together |
 //! | [`beliefs`] | what an entry host believes, for operators |
 //! | [`demand`] | the work seen for each model |
 
+pub mod attempts;
 pub mod beliefs;
 pub mod crash;
 pub mod demand;
@@ -24,6 +27,7 @@
 pub mod dispatch;
 pub mod engine_profile;
 pub mod host;
+pub mod notice;
 pub mod order;
 pub mod peer_load;
 pub mod planner;
--- a/crates/geranium_fleet/src/order.rs
+++ b/crates/geranium_fleet/src/order.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::host::HostId;
+use crate::notice::ServerNotice;
 
 /// What a host is told to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -76,6 +77,24 @@
     pub kind: OrderKind,
 }
 
+/// Answer of a host to an order, with what the host says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrderReply {
+    /// The answer.
+    pub answer: OrderAnswer,
+    /// What the host says of itself.
+    pub notice: ServerNotice,
+}
+
+impl From<OrderAnswer> for OrderReply {
+    fn from(answer: OrderAnswer) -> Self {
+        Self {
+            answer,
+            notice: ServerNotice::default(),
+        }
+    }
+}
+
 /// Answer of a host to an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderAnswer {
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -22,7 +22,7 @@
 use crate::directory::Directory;
 use crate::engine_profile::EngineProfile;
 use crate::host::{GroupState, Host, HostId, HostState};
-use crate::order::{HostOrder, OrderAnswer, OrderKind};
+use crate::order::{HostOrder, OrderAnswer, OrderKind, OrderReply};
 use crate::shared_rate::SharedRate;
 
 use memory::{Formed, Held, LastGroup, Staging};
@@ -156,7 +156,10 @@
     }
 
     /// Notes the answer to an order.
-    pub fn note_answer(&mut self, order: &HostOrder, answer: OrderAnswer, now: Timestamp) {
+    ///
+    /// A host that wants a pause gets no order until it ends.
+    pub fn note_answer(&mut self, order: &HostOrder, reply: OrderReply, now: Timestamp) {
+        let answer = reply.answer;
         let loads = matches!(order.kind, OrderKind::Stage { .. });
         if let Some(held) = self.held.get_mut(&order.host) {
             match answer {
@@ -167,7 +170,7 @@
                 }
                 OrderAnswer::Unknown => held.until = now + ORDER_HOLD,
                 OrderAnswer::Conflict => held.until = now + CONFLICT_HOLD,
-                _ => held.until = now,
+                _ => held.until = now + reply.notice.pause.unwrap_or_default(),
             }
         }
         match (&order.kind, answer) {
--- a/crates/geranium_fleet/tests/dispatch.rs
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -232,6 +232,7 @@
     let survey = dispatcher.survey(&directory, &wanted, NOW);
 
     let expected = Survey {
+        paused: 0,
         serving: 4,
         tried: 1,
         suspected: 1,
--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -41,6 +41,26 @@
     assert!(rig.violations.is_empty(), "{:?}", rig.violations);
 }
 
+#[test]
+fn a_group_whose_head_says_that_it_leaves_is_formed_anew_before_it_ends() {
+    let mut rig = settled(2);
+    let head = rig
+        .directory
+        .hosts()
+        .find(|h| h.is_open_head() && h.model.as_deref() == Some("small"))
+        .cloned()
+        .expect("a small group serves");
+
+    rig.directory.note_leaving(&head.id, head.born, rig.now);
+    rig.run(Duration::from_secs(8), true);
+
+    // The host still runs, and its entry still says that it takes work.
+    let left = rig.directory.get(&head.id).expect("its entry is there");
+    assert!(!left.is_open_head());
+    assert!(rig.directory.stranded(SERVICE) <= 2);
+    assert!(rig.violations.is_empty(), "{:?}", rig.violations);
+}
+
 #[test]
 fn members_of_a_dead_head_do_not_wait_for_its_stall() {
     let mut rig = settled(3);
--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -162,6 +162,7 @@
         membership: member_of("earlier", 1, GroupState::Ready),
         model: None,
         staged: Vec::new(),
+        leaving: false,
     };
 
     let before = directory.note_reported_orders("h1", &report);
@@ -194,7 +195,7 @@
     // Both begin; another manager may open the group, which this one does not see.
     for order in &joins {
         directory.note_orders(&order.host, order.born, order.expected_count + 1);
-        planner.note_answer(order, OrderAnswer::Begun, formed_at);
+        planner.note_answer(order, OrderAnswer::Begun.into(), formed_at);
     }
 
     for after_ms in (200..20_000).step_by(200) {
@@ -226,7 +227,7 @@
     let orders = planner.plan(&directory, SERVICE, &engine, &[1.0], true, told_at);
     assert_eq!(orders.len(), 1);
 
-    planner.note_answer(&orders[0], OrderAnswer::Conflict, told_at);
+    planner.note_answer(&orders[0], OrderAnswer::Conflict.into(), told_at);
     let soon = told_at + Duration::from_millis(200);
     let again = planner.plan(&directory, SERVICE, &engine, &[1.0], true, soon);
 
--- a/crates/geranium_fleet/tests/rig/mod.rs
+++ b/crates/geranium_fleet/tests/rig/mod.rs
@@ -255,7 +255,7 @@
                 self.directory
                     .note_orders(&order.host, order.born, order.expected_count + 1);
             }
-            self.planner.note_answer(&order, answer, self.now);
+            self.planner.note_answer(&order, answer.into(), self.now);
         }
         for id in self.planner.take_stale(self.now) {
             let Some(sim) = self.hosts.get(&id).filter(|s| s.alive) else {
@@ -267,6 +267,7 @@
                 membership: sim.membership(),
                 model: sim.last_model.clone(),
                 staged: sim.host.staged.clone(),
+                leaving: false,
             };
             if self.directory.note_reported_orders(&id, &report) {
                 self.planner.note_told(&id, self.now);
--- a/crates/geranium_net/src/client.rs
+++ b/crates/geranium_net/src/client.rs
@@ -16,6 +16,10 @@
 
 use crate::{ClientError, read_incoming};
 
+/// Largest buffer of a connection, in bytes; it bounds the head of an answer, and with it
+/// what a server that sends a head without end can make this process hold.
+const MAX_BUFFER: usize = 64 << 10;
+
 /// Limits of a client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClientConfig {
@@ -146,6 +150,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(cfg.idle_timeout)
             .pool_max_idle_per_host(cfg.max_idle_per_host)
+            .http1_max_buf_size(MAX_BUFFER)
             .build(connector);
         Self {
             inner,
@@ -196,12 +201,25 @@
         req: HttpRequest,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), ClientError> {
+        let res = self.send_with_head(req, limit).await?;
+        Ok((res.status(), res.into_body()))
+    }
+
+    /// Sends a request and reads the whole answer with its headers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the whole answer did not arrive within `limit`.
+    pub async fn send_with_head(
+        &self,
+        req: HttpRequest,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, ClientError> {
         let address = req.address;
         let whole = async {
-            let res = self.send(req, limit).await?;
-            let status = res.status();
-            let body = read_incoming(address, res.into_body(), self.max_body).await?;
-            Ok((status, body))
+            let (head, body) = self.send(req, limit).await?.into_parts();
+            let body = read_incoming(address, body, self.max_body).await?;
+            Ok(Response::from_parts(head, body))
         };
         match tokio::time::timeout(limit, whole).await {
             Ok(outcome) => outcome,
