Bound what backend servers can make an entry host hold, however long they send

Cause: bodies of failures on stream routes were read without any bound, an unfinished event was held up to 4 MiB and a whole answer up to 16 MiB each, and heads up to 400 KB, so that a few dozen servers that send without end could end a process with 160 MB.

Now: all unfinished answers share a quarter of the process's memory; each may hold at most what none holds (dynamic thresholds, Choudhury and Hahne 1998), so that those that grow are cut off and ordinary ones still pass. The request counts as one that may have run.

Ruled out: a fixed lower bound for each answer (hundreds at a time still add up), and first come first served (three endless answers would starve all others).

--- a/crates/geranium_entry/src/pool.rs
+++ b/crates/geranium_entry/src/pool.rs
@@ -20,6 +20,9 @@
 /// Part of the idle time that a server names that is used, so that a request does
 /// not cross the server's close.
 const IDLE_PART: f64 = 0.6;
+/// Largest buffer of a connection, in bytes; it bounds the head of an answer, and with it
+/// what a server that sends a head without end can make this process hold.
+const MAX_BUFFER: usize = 64 << 10;
 
 quick_error! {
     /// Failure to open a connection; no byte of a request was sent.
@@ -94,7 +97,9 @@
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!(address:% = address; "cannot send small segments at once: {e}");
         }
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|e| ConnectError::Handshake(address, e))?;
         tokio::task::spawn_local(async move {
--- a/crates/geranium_entry/src/relay/event_reader.rs
+++ b/crates/geranium_entry/src/relay/event_reader.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use super::attempt::{Answer, Return};
+use super::held_bytes::HeldBytes;
 use super::place::Place;
 use crate::dialect::Dialect;
 use crate::sse::EventSplitter;
@@ -27,6 +28,7 @@
     /// The backend server.
     pub(super) host: Host,
     splitter: EventSplitter,
+    held: HeldBytes<D>,
     /// Signal to move to another backend server.
     pub(super) moved: Rc<Notify>,
     /// Events up to this id were passed on already.
@@ -61,6 +63,7 @@
             back: Some(back),
             host,
             splitter: EventSplitter::default(),
+            held: HeldBytes::new(shared),
             moved,
             passed,
         };
@@ -78,12 +81,14 @@
                         continue;
                     };
                     self.splitter.push(data);
-                    if let Some(events) = self.whole_events() {
+                    let events = self.whole_events();
+                    let may_hold = self.held.set(self.splitter.held());
+                    if let Some(events) = events {
                         self.place.guard.heard(true, self.shared.now());
                         return Piece::Events(events);
                     }
-                    if self.splitter.is_oversize() {
-                        return Piece::Cut("oversize");
+                    if !may_hold {
+                        return Piece::Cut("too_long");
                     }
                 }
             }
--- /dev/null
+++ b/crates/geranium_entry/src/relay/held_bytes.rs
@@ -0,0 +1,82 @@
+//! Bytes of one unfinished answer.
+
+use std::rc::Rc;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::attempt::AttemptError;
+use crate::dialect::Dialect;
+use crate::state::Shared;
+
+/// Largest answer that is held until it is whole, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// Bytes of one unfinished answer among those of the process; given back when this is
+/// dropped.
+pub(super) struct HeldBytes<D: Dialect> {
+    shared: Rc<Shared<D>>,
+    own: usize,
+}
+
+impl<D: Dialect> HeldBytes<D> {
+    /// Holds nothing yet.
+    pub(super) fn new(shared: &Rc<Shared<D>>) -> Self {
+        Self {
+            shared: shared.clone(),
+            own: 0,
+        }
+    }
+
+    /// Sets the number of bytes that the answer holds; returns whether it may hold them.
+    pub(super) fn set(&mut self, bytes: usize) -> bool {
+        let mut budget = self.shared.unfinished.get();
+        let may = match bytes.checked_sub(self.own) {
+            Some(more) => bytes <= MAX_ANSWER && budget.try_grow(self.own, more),
+            None => {
+                budget.give_back(self.own - bytes);
+                true
+            }
+        };
+        if may {
+            self.own = bytes;
+            self.shared.unfinished.set(budget);
+        }
+        may
+    }
+
+    /// Reads a body to its end.
+    pub(super) async fn read_whole(&mut self, mut body: Incoming) -> Result<Bytes, AttemptError> {
+        let mut first = Bytes::new();
+        let mut rest = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| AttemptError::MayHaveRun("cut"))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            if !self.set(self.own + data.len()) {
+                return Err(AttemptError::MayHaveRun("too_long"));
+            }
+            if first.is_empty() && rest.is_empty() {
+                first = data;
+                continue;
+            }
+            if rest.is_empty() {
+                rest.extend_from_slice(&std::mem::take(&mut first));
+            }
+            rest.extend_from_slice(&data);
+        }
+        Ok(if rest.is_empty() {
+            first
+        } else {
+            rest.freeze()
+        })
+    }
+}
+
+impl<D: Dialect> Drop for HeldBytes<D> {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
--- a/crates/geranium_entry/src/relay/mod.rs
+++ b/crates/geranium_entry/src/relay/mod.rs
@@ -6,6 +6,7 @@
 mod choosing;
 mod event_reader;
 mod headers;
+mod held_bytes;
 mod job;
 mod place;
 mod retry;
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -3,7 +3,6 @@
 use bytes::Bytes;
 use geranium_fleet::dispatch::Choice;
 use geranium_fleet::host::Host;
-use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::http::response::Parts;
@@ -13,6 +12,7 @@
 use super::body::{RelayBody, StreamCut};
 use super::event_reader::{EventReader, Piece};
 use super::headers::end_to_end;
+use super::held_bytes::HeldBytes;
 use super::job::Job;
 use super::place::{Chosen, Place};
 use crate::dialect::Dialect;
@@ -130,19 +130,18 @@
 async fn read_whole<D: Dialect>(
     job: &Job<D>,
     head: Parts,
-    mut reader: EventReader<D>,
+    reader: EventReader<D>,
 ) -> Result<Start<D>, AttemptError> {
-    let collected = (&mut reader.body).collect();
-    match tokio::time::timeout(job.left(), collected).await {
-        Ok(Ok(body)) => {
-            if let Some(back) = reader.back.take() {
-                back.put(&job.shared.pool, job.shared.now());
-            }
-            Ok(Start::Whole(head, body.to_bytes()))
-        }
-        Ok(Err(_)) => Err(AttemptError::MayHaveRun("cut")),
-        Err(_) => Err(AttemptError::Deadline),
+    let mut held = HeldBytes::new(&job.shared);
+    let read = held.read_whole(reader.body);
+    let body = match tokio::time::timeout(job.left(), read).await {
+        Ok(body) => body?,
+        Err(_) => return Err(AttemptError::Deadline),
+    };
+    if let Some(back) = reader.back {
+        back.put(&job.shared.pool, job.shared.now());
     }
+    Ok(Start::Whole(head, body))
 }
 
 fn passed_headers(headers: &HeaderMap) -> HeaderMap {
--- a/crates/geranium_entry/src/relay/whole.rs
+++ b/crates/geranium_entry/src/relay/whole.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use geranium_fleet::dispatch::Choice;
 use geranium_fleet::host::Host;
-use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
@@ -14,13 +13,11 @@
 use super::attempt::{self, AttemptError};
 use super::body::RelayBody;
 use super::headers::end_to_end;
+use super::held_bytes::HeldBytes;
 use super::job::Job;
 use super::place::{Chosen, Place};
 use crate::dialect::Dialect;
 
-/// Largest answer that is held until it is whole, in bytes.
-const MAX_ANSWER: usize = 16 << 20;
-
 /// Runs the attempts of a request and returns the answer.
 pub(super) async fn run<D: Dialect>(mut job: Job<D>) -> Response<RelayBody> {
     let mut failure: Option<Response<RelayBody>> = None;
@@ -97,10 +94,9 @@
     let answer = attempt::send(job, host, place, None).await?;
     let (res, place, back) = answer.into_parts();
     let (head, body) = res.into_parts();
-    let whole = Limited::new(body, MAX_ANSWER).collect();
-    let body = match tokio::time::timeout(job.left(), whole).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => return Err(AttemptError::MayHaveRun("cut")),
+    let mut held = HeldBytes::new(&job.shared);
+    let body = match tokio::time::timeout(job.left(), held.read_whole(body)).await {
+        Ok(body) => body?,
         Err(_) => return Err(AttemptError::Deadline),
     };
     back.put(&job.shared.pool, job.shared.now());
--- a/crates/geranium_entry/src/settings.rs
+++ b/crates/geranium_entry/src/settings.rs
@@ -40,6 +40,8 @@
     pub metrics: Option<SocketAddr>,
     /// Whether the whole system starts for the first time.
     pub first_start: bool,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: u64,
     /// Shortest lease that the store grants.
     pub shortest_lease: Duration,
     /// Bounds that hold over all entry hosts together.
--- a/crates/geranium_entry/src/sse.rs
+++ b/crates/geranium_entry/src/sse.rs
@@ -2,9 +2,6 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Longest event that is held back until it is whole, in bytes.
-const MAX_EVENT: usize = 4 << 20;
-
 /// Splits an event stream into whole events without changing a byte.
 ///
 /// # Examples
@@ -58,10 +55,10 @@
         self.buf.iter().any(|b| !matches!(b, b'\n' | b'\r'))
     }
 
-    /// Returns whether the event that has begun is too long.
+    /// Returns the bytes of the event that is not whole yet.
     #[must_use]
-    pub fn is_oversize(&self) -> bool {
-        self.buf.len() > MAX_EVENT
+    pub fn held(&self) -> usize {
+        self.buf.len()
     }
 
     fn find_end(&mut self) -> Option<usize> {
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -10,6 +10,7 @@
 use geranium_core::id::StoreRevision;
 use geranium_core::limit::{RetryBudget, RetryBudgetSettings};
 use geranium_core::time::Timestamp;
+use geranium_fleet::byte_budget::ByteBudget;
 use geranium_fleet::crash::CrashLedger;
 use geranium_fleet::demand::DemandMeter;
 use geranium_fleet::directory::Directory;
@@ -36,6 +37,10 @@
 /// windows that are not aligned.
 const BUDGET_PART: f64 = 0.85;
 
+/// Part of the process's memory that answers of backend servers may take before they
+/// are whole.
+const UNFINISHED_PART: f64 = 0.25;
+
 /// Phase of the process's life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -136,6 +141,8 @@
     pub(crate) core: RefCell<Core>,
     /// Connections to backend servers.
     pub(crate) pool: Pool,
+    /// Memory for answers that are not whole yet.
+    pub(crate) unfinished: Cell<ByteBudget>,
     /// Requests that run at backend servers.
     pub(crate) running: Rc<Running>,
     /// Counters.
@@ -191,7 +198,9 @@
             rng: SmallRng::from_os_rng(),
         };
         let clock = ProcessClock::start();
+        let unfinished = cfg.memory_bytes as f64 * UNFINISHED_PART;
         Self {
+            unfinished: Cell::new(ByteBudget::new(unfinished as usize)),
             bounds: Cell::new(cfg.bounds),
             cfg,
             dialect,
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`dispatch`] | the backend server that gets a request |
 //! | [`peer_load`] | the load that other entry hosts cause |
 //! | [`attempts`] | what may follow a failed attempt |
+//! | [`byte_budget`] | memory for answers that are not whole yet |
 //! | [`notice`] | what a backend server says of itself in an answer |
 //! | [`silence`] | groups that stopped answering while work waits there |
 //! | [`shared_rate`] | bounds that all entry hosts keep together |
@@ -20,6 +21,7 @@
 
 pub mod attempts;
 pub mod beliefs;
+pub mod byte_budget;
 pub mod crash;
 pub mod demand;
 pub mod deployment;
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The types that most users of this crate need.
 
+pub use crate::byte_budget::ByteBudget;
 pub use crate::crash::CrashLedger;
 pub use crate::demand::DemandMeter;
 pub use crate::deployment::{Account, ClientLimits, Deployment};
--- /dev/null
+++ b/crates/geranium_fleet/tests/byte_budget.rs
@@ -0,0 +1,62 @@
+//! Memory for unfinished answers when many of them grow without end.
+
+use geranium_fleet::prelude::ByteBudget;
+use proptest::prelude::*;
+
+/// Bytes of the budget.
+const TOTAL: usize = 40_000_000;
+/// Bytes that arrive at a time.
+const FRAME: usize = 64_000;
+/// An ordinary answer.
+const SMALL: usize = 5_000;
+
+#[test]
+fn answers_that_grow_without_end_leave_room_for_ordinary_ones() {
+    for growing in [1, 10, 300] {
+        let mut budget = ByteBudget::new(TOTAL);
+        let mut own = vec![0; growing];
+        // Each grows as far as it may, in turns.
+        let mut grew = true;
+        while grew {
+            grew = false;
+            for held in &mut own {
+                if budget.try_grow(*held, FRAME) {
+                    *held += FRAME;
+                    grew = true;
+                }
+            }
+        }
+        assert!(budget.held() <= TOTAL);
+        assert!(budget.try_grow(0, SMALL), "{growing} answers took it all");
+    }
+}
+
+#[test]
+fn what_is_given_back_can_be_taken_again() {
+    let mut budget = ByteBudget::new(TOTAL);
+    for _ in 0..10_000 {
+        assert!(budget.try_grow(0, FRAME));
+        budget.give_back(FRAME);
+    }
+    assert_eq!(budget.held(), 0);
+}
+
+proptest! {
+    #[test]
+    fn no_order_of_growth_goes_beyond_the_total(
+        steps in prop::collection::vec((0_usize..8, 0_usize..30_000, any::<bool>()), 0..200),
+    ) {
+        let mut budget = ByteBudget::new(100_000);
+        let mut own = [0_usize; 8];
+        for (i, bytes, ends) in steps {
+            if ends {
+                budget.give_back(own[i]);
+                own[i] = 0;
+            } else if budget.try_grow(own[i], bytes) {
+                own[i] += bytes;
+            }
+            prop_assert_eq!(budget.held(), own.iter().sum::<usize>());
+            prop_assert!(budget.held() <= 100_000);
+        }
+    }
+}
