Directory: keep the model of a host's last group, so that a new manager can use it

Cause: a host without a group does not report which model it ran last, and only the manager that saw its group knew.

Now: every entry host notes it from the entries, with the life. Test a_new_manager_uses_survivors_of_a_group_that_it_has_never_seen failed before (two hosts stranded).

Ruled out: a hold of their orders (each had told its count at 12.6 s), a reclaim.

--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -45,7 +45,9 @@
         let same_life = known.is_some_and(|k| k.born == host.born);
         if let Some(known) = known.filter(|_| same_life) {
             host.cold_until = host.cold_until.max(known.cold_until);
+            host.last_model.clone_from(&known.last_model);
         }
+        host.note_last_model();
         host.orders_begun = match known.filter(|_| same_life) {
             Some(known) => known.orders_begun,
             // A host that begins a life has begun no order. If the guess is wrong it
@@ -72,6 +74,7 @@
         host.membership.clone_from(&report.membership);
         host.model.clone_from(&report.model);
         host.staged.clone_from(&report.staged);
+        host.note_last_model();
         true
     }
 
--- a/crates/geranium_fleet/src/host.rs
+++ b/crates/geranium_fleet/src/host.rs
@@ -108,9 +108,20 @@
     pub model: Option<Arc<str>>,
     /// Group that it belongs to.
     pub membership: Option<Membership>,
+    /// Model of the last group that it was seen ready in, in this life; it joins that
+    /// model again at once. Its entry does not tell.
+    pub last_model: Option<Arc<str>>,
 }
 
 impl Host {
+    /// Notes the model of the group that the host is in, if it has finished joining.
+    pub(crate) fn note_last_model(&mut self) {
+        let joined = self.membership.as_ref();
+        if joined.is_some_and(|m| m.state != GroupState::Joining) && self.model.is_some() {
+            self.last_model.clone_from(&self.model);
+        }
+    }
+
     /// Returns whether the host is the head of a group that serves.
     #[must_use]
     pub fn is_open_head(&self) -> bool {
--- a/crates/geranium_fleet/src/planner/memory.rs
+++ b/crates/geranium_fleet/src/planner/memory.rs
@@ -180,9 +180,11 @@
     }
 
     /// Returns the model that a host joins again at once.
-    pub(super) fn last_model(&self, host: &Host) -> Option<&Arc<str>> {
+    pub(super) fn last_model<'a>(&'a self, host: &'a Host) -> Option<&'a Arc<str>> {
         let last = self.last_groups.get(&host.id);
-        last.filter(|l| l.born == host.born)?.model.as_ref()
+        let ordered = last.filter(|l| l.born == host.born)?.model.as_ref();
+        // A group that another manager formed and dissolved is known from its reports.
+        ordered.or(host.last_model.as_ref())
     }
 
     /// Returns the model that a host is loading beside its work.
--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use geranium_fleet::prelude::Host;
 use rig::{Rig, SERVICE, model};
 
 fn two_models() -> Vec<geranium_fleet::prelude::ModelProfile> {
@@ -94,6 +95,33 @@
     assert_eq!(rig.orders, before);
 }
 
+/// Pattern: a member dies, its group is dissolved, and then the manager dies too. Hosts
+/// without a group do not say which model they ran last.
+#[test]
+fn a_new_manager_uses_survivors_of_a_group_that_it_has_never_seen() {
+    let mut rig = settled(4);
+    let small_heads: Vec<Host> = rig
+        .directory
+        .hosts()
+        .filter(|h| h.is_open_head() && h.model.as_deref() == Some("small"))
+        .cloned()
+        .collect();
+    let domain = small_heads[0].fabric_domain.clone();
+    let in_domain = |h: &&Host| h.fabric_domain == domain;
+    let heads: Vec<&Host> = small_heads.iter().filter(in_domain).take(2).collect();
+
+    // The members of the heads live on, each without a partner.
+    rig.kill(&heads[0].id);
+    rig.run(Duration::from_secs(8), true);
+    rig.change_manager();
+    rig.run(Duration::from_secs(3), true);
+    rig.kill(&heads[1].id);
+    rig.run(Duration::from_secs(7), true);
+
+    assert_eq!(rig.directory.stranded(SERVICE), 0);
+    assert!(rig.violations.is_empty(), "{:?}", rig.violations);
+}
+
 #[test]
 fn groups_move_to_the_model_with_more_work() {
     let mut rig = settled(5);
--- a/crates/geranium_fleet/tests/rig/mod.rs
+++ b/crates/geranium_fleet/tests/rig/mod.rs
@@ -52,6 +52,13 @@
 }
 
 impl SimHost {
+    /// Returns the model that the host reports; without a group it reports none.
+    fn running_model(&self) -> Option<Arc<str>> {
+        let joined = self.joined.as_ref();
+        let joined = joined.filter(|j| j.state != GroupState::Joining);
+        joined.map(|j| j.model.clone())
+    }
+
     fn membership(&self) -> Option<Membership> {
         let position = |j: &Joined| j.members.iter().position(|m| *m == self.host.id);
         self.joined.as_ref().map(|j| Membership {
@@ -265,7 +272,7 @@
                 born: sim.host.born,
                 orders_begun: sim.orders,
                 membership: sim.membership(),
-                model: sim.last_model.clone(),
+                model: sim.running_model(),
                 staged: sim.host.staged.clone(),
                 leaving: false,
             };
@@ -530,7 +537,7 @@
                 continue;
             }
             let mut host = sim.host.clone();
-            host.model = sim.last_model.clone();
+            host.model = sim.running_model();
             host.membership = sim.membership();
             self.directory.put(host);
         }
