Planner: apportion the weights of hosts without a group to the groups beside them

Cause: in fabric domains of 27 hosts with groups of 12 and 6, three hosts are left over; all held the small model's weights, also where only large groups ran. And a fabric domain that came back with weights that complete no group kept them.

Now: hosts left over hold the weights of the groups of their fabric domain, by the hosts that these may lose (D'Hondt), settled before the first request, when loads are quick; later a host without a use loads what completes a group.

Both new tests failed before.

--- a/crates/geranium_fleet/src/engine_profile.rs
+++ b/crates/geranium_fleet/src/engine_profile.rs
@@ -56,6 +56,12 @@
         self.models.iter().find(|m| &*m.name == name)
     }
 
+    /// Returns the place of a model in the operator's order.
+    #[must_use]
+    pub fn model_index(&self, name: &str) -> Option<usize> {
+        self.models.iter().position(|m| &*m.name == name)
+    }
+
     /// Returns the longest time of one pass in milliseconds: all slots write
     /// while each step also reads a full chunk of prompts.
     #[must_use]
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -11,6 +11,7 @@
 mod memory;
 mod reclaim;
 mod staging;
+mod supply;
 mod view;
 
 use std::sync::Arc;
--- a/crates/geranium_fleet/src/planner/formation.rs
+++ b/crates/geranium_fleet/src/planner/formation.rs
@@ -140,11 +140,7 @@
     ) -> Option<usize> {
         let formed = self.formed.get(&view.group).map(|f| &f.model);
         let model = formed.or_else(|| view.model())?;
-        formation
-            .profile
-            .models
-            .iter()
-            .position(|p| p.name == *model)
+        formation.profile.model_index(model)
     }
 
     /// Takes the members of one group from the free hosts and orders them to join.
--- a/crates/geranium_fleet/src/planner/staging.rs
+++ b/crates/geranium_fleet/src/planner/staging.rs
@@ -2,73 +2,23 @@
 
 use std::sync::Arc;
 
-use geranium_core::collections::HashMap;
-
 use super::formation::{Formation, LOADS, best_model};
 use super::memory::Staging;
+use super::supply::Supply;
 use super::{GroupPlanner, order_to};
 use crate::directory::Directory;
-use crate::engine_profile::ModelProfile;
+use crate::engine_profile::{EngineProfile, ModelProfile};
 use crate::host::{GroupState, Host};
 use crate::order::{HostOrder, OrderKind};
 
-/// Hosts that never ran a model, and those that they can make up groups with.
-#[derive(Debug, Default)]
-struct Newcomers {
-    /// Hosts without a group that have or load a model's weights, by fabric domain.
-    usable: HashMap<(Arc<str>, usize), usize>,
-    /// Newcomers that no load was chosen for yet, by fabric domain.
-    undecided: HashMap<Arc<str>, usize>,
-}
-
-impl Newcomers {
-    /// Returns how many more hosts a fabric domain needs to make up a group of hosts
-    /// without one.
-    fn missing(&self, domain: &Arc<str>, formation: &Formation<'_>) -> usize {
-        let models = formation.profile.models.iter().enumerate();
-        let missing = models.map(|(i, m)| {
-            let usable = self.usable.get(&(domain.clone(), i)).copied().unwrap_or(0);
-            m.size - usable % m.size
-        });
-        missing.min().unwrap_or(usize::MAX)
-    }
-
-    /// Chooses the first model of a newcomer: one whose group its fabric domain can
-    /// complete, or else the one that lacks fewest hosts for a group.
-    fn choose(&mut self, host: &Host, formation: &Formation<'_>) -> Option<usize> {
-        let domain = host.fabric_domain.clone()?;
-        let undecided = self.undecided.get(&domain).copied().unwrap_or(1);
-        let missing = |i: usize, m: &ModelProfile| {
-            let usable = self.usable.get(&(domain.clone(), i)).copied().unwrap_or(0);
-            m.size - usable % m.size
-        };
-        let models = formation.profile.models.iter().enumerate();
-        let missing: Vec<usize> = models.map(|(i, m)| missing(i, m)).collect();
-        let index = |m: &ModelProfile| {
-            formation
-                .profile
-                .models
-                .iter()
-                .position(|p| p.name == m.name)
-        };
-        let completes = |m: &ModelProfile| index(m).is_some_and(|i| missing[i] <= undecided);
-        let fewest = || (0..missing.len()).min_by_key(|i| missing[*i]);
-        let chosen = best_model(formation, completes).or_else(fewest)?;
-        *self.usable.entry((domain.clone(), chosen)).or_default() += 1;
-        if let Some(undecided) = self.undecided.get_mut(&domain) {
-            *undecided -= 1;
-        }
-        Some(chosen)
-    }
-}
-
 impl GroupPlanner {
     /// Orders loads for hosts whose one staged place holds nothing of use.
     ///
     /// Hosts that never ran a model come first, then hosts without a group, among these
     /// first those of fabric domains that lack fewest for a group: loads are few, and
-    /// scattered over fabric domains they make up no group. While requests are served, no
-    /// more loads run than the weight store bears at once.
+    /// scattered over fabric domains they make up no group. A host that never ran a model
+    /// may get other weights than it holds if it has no use with these. While requests are
+    /// served, no more loads run than the weight store bears at once.
     pub(super) fn stage(
         &mut self,
         hosts: &[&Host],
@@ -82,37 +32,30 @@
         for host in hosts.iter().copied() {
             if self.staging_model(host, formation.profile, now).is_some() {
                 under_way += 1;
-            } else if self.wants_weights(host, formation)
+            } else if self.wants_weights(host, directory, formation)
                 && !orders.iter().any(|o| o.host == host.id)
             {
                 wanting.push((self.urgency(host, directory), host));
             }
         }
-        let mut newcomers = self.newcomers(hosts, &wanting, formation);
+        let mut supply = self.supply(hosts, &wanting, formation);
         wanting.sort_by_cached_key(|(urgency, host)| {
             let domain = host.fabric_domain.clone();
-            let missing = domain.as_ref().map(|d| newcomers.missing(d, formation));
+            let missing = domain.as_ref().map(|d| supply.missing(d, formation));
             (*urgency, missing, domain, host.id.clone())
         });
         for (_, host) in wanting {
             if formation.traffic && under_way >= formation.profile.loads_at_once {
                 return;
             }
-            let last = self.last_model(host).cloned();
-            let other = |m: &ModelProfile| Some(&m.name) != last.as_ref();
-            let first = if last.is_none() {
-                newcomers.choose(host, formation)
-            } else {
-                None
-            };
-            let Some(i) = first.or_else(|| best_model(formation, other)) else {
+            let Some(i) = self.next_weights(host, &mut supply, formation) else {
                 continue;
             };
             if formation.traffic && !self.may_load(formation) {
                 return;
             }
             let model = formation.profile.models[i].name.clone();
-            if last.is_none() {
+            if self.last_model(host).is_none() {
                 formation.lacks[i] -= 1.0;
             }
             under_way += 1;
@@ -120,6 +63,20 @@
         }
     }
 
+    /// Returns the model whose weights a host is to load next.
+    fn next_weights(
+        &self,
+        host: &Host,
+        supply: &mut Supply,
+        formation: &Formation<'_>,
+    ) -> Option<usize> {
+        if let Some(last) = self.last_model(host) {
+            return best_model(formation, |m| m.name != *last);
+        }
+        let domain = host.fabric_domain.as_ref()?;
+        supply.choose(domain, held_model(host, formation.profile), formation)
+    }
+
     fn order_stage(
         &mut self,
         host: &Host,
@@ -136,39 +93,47 @@
         orders.push(order_to(host, OrderKind::Stage { model }));
     }
 
-    /// Counts the hosts without a group that could make up groups with newcomers.
-    fn newcomers(
+    /// Counts hosts by fabric domain and the models that they run, hold or could load.
+    fn supply(
         &self,
         hosts: &[&Host],
         wanting: &[(u8, &Host)],
         formation: &Formation<'_>,
-    ) -> Newcomers {
-        let mut newcomers = Newcomers::default();
-        let is_new = |h: &Host| self.last_model(h).is_none();
-        for (_, host) in wanting.iter().filter(|(_, h)| is_new(h)) {
-            if let Some(domain) = &host.fabric_domain {
-                *newcomers.undecided.entry(domain.clone()).or_default() += 1;
+    ) -> Supply {
+        let profile = formation.profile;
+        let models = profile.models.len();
+        let mut supply = Supply::default();
+        for (_, host) in wanting {
+            if let Some(domain) = &host.fabric_domain
+                && self.last_model(host).is_none()
+            {
+                supply.add_loader(domain, held_model(host, profile), models);
             }
         }
-        for host in hosts
-            .iter()
-            .filter(|h| h.membership.is_none() && self.is_alive(h, formation.now))
-        {
+        for host in hosts.iter().filter(|h| self.is_alive(h, formation.now)) {
             let Some(domain) = &host.fabric_domain else {
                 continue;
             };
-            let coming = self.staging_model(host, formation.profile, formation.now);
-            for (i, model) in formation.profile.models.iter().enumerate() {
-                if coming == Some(&model.name) || self.readiness(host, model) < LOADS {
-                    *newcomers.usable.entry((domain.clone(), i)).or_default() += 1;
+            if host.membership.is_some() {
+                let model = self.last_model(host).or(host.model.as_ref());
+                if let Some(i) = model.and_then(|m| profile.model_index(m)) {
+                    supply.add_member(domain, i, models);
                 }
+                continue;
             }
+            let coming = self.staging_model(host, profile, formation.now);
+            let usable: Vec<bool> = profile
+                .models
+                .iter()
+                .map(|m| coming == Some(&m.name) || self.readiness(host, m) < LOADS)
+                .collect();
+            supply.add_free(domain, &usable);
         }
-        newcomers
+        supply
     }
 
     /// Returns whether a host could use other weights and may be told to load.
-    fn wants_weights(&self, host: &Host, formation: &Formation<'_>) -> bool {
+    fn wants_weights(&self, host: &Host, directory: &Directory, formation: &Formation<'_>) -> bool {
         let now = formation.now;
         let state = host.membership.as_ref().map(|m| m.state);
         if state == Some(GroupState::Joining)
@@ -178,6 +143,10 @@
             return false;
         }
         let last = self.last_model(host);
+        if last.is_none() && host.membership.is_none() && !host.staged.is_empty() {
+            // It holds weights and still has no group.
+            return !directory.is_domain_out(&host.failure_domain);
+        }
         let other = |m: &&ModelProfile| Some(&m.name) != last;
         let mut others = formation.profile.models.iter().filter(other);
         !others.any(|m| host.has_staged(&m.name))
@@ -187,7 +156,7 @@
     fn urgency(&self, host: &Host, directory: &Directory) -> u8 {
         if directory.is_domain_out(&host.failure_domain) {
             3
-        } else if self.last_model(host).is_none() {
+        } else if self.last_model(host).is_none() && host.staged.is_empty() {
             0
         } else if host.membership.is_none() {
             1
@@ -201,3 +170,9 @@
         self.loads.try_take(most as usize, formation.now)
     }
 }
+
+/// Returns the model whose weights lie on a host.
+fn held_model(host: &Host, profile: &EngineProfile) -> Option<usize> {
+    let held = |m: &ModelProfile| host.has_staged(&m.name);
+    profile.models.iter().position(held)
+}
--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -122,6 +122,69 @@
     assert!(rig.violations.is_empty(), "{:?}", rig.violations);
 }
 
+/// Makes a system whose fabric domains have room for two large groups and three hosts.
+fn settled_with_three_over(seed: u64) -> Rig {
+    let models = vec![model("large", 12, 0.5), model("small", 6, 0.5)];
+    let mut rig = Rig::new(seed, 6, 27, models);
+    rig.run(Duration::from_secs(40), false);
+    rig
+}
+
+/// Pattern: single members die one after the other, each in another group.
+#[test]
+fn a_host_without_a_group_replaces_a_member_of_a_large_group_without_a_load() {
+    let mut rig = settled_with_three_over(9);
+    let (large, small) = (rig.open_groups("large"), rig.open_groups("small"));
+    let heads: Vec<Host> = rig
+        .directory
+        .hosts()
+        .filter(|h| h.is_open_head() && h.model.as_deref() == Some("large"))
+        .cloned()
+        .collect();
+    assert!(heads.len() >= 4);
+
+    for head in heads.iter().take(4) {
+        rig.kill(&head.id);
+        // The entry goes after 3.6 s; a join with staged weights takes 1.5 s.
+        rig.run(Duration::from_millis(6_500), true);
+
+        assert_eq!(rig.open_groups("large"), large);
+        assert_eq!(rig.open_groups("small"), small, "no other group gave hosts");
+    }
+    assert!(rig.violations.is_empty(), "{:?}", rig.violations);
+}
+
+/// Pattern: a fabric domain comes back with weights that do not make up groups.
+#[test]
+fn hosts_with_weights_of_no_use_load_those_that_complete_a_group() {
+    let mut rig = Rig::new(
+        10,
+        1,
+        12,
+        vec![model("large", 8, 0.5), model("small", 4, 0.5)],
+    );
+    rig.run(Duration::from_secs(40), false);
+    let lost: Vec<_> = rig
+        .directory
+        .hosts()
+        .filter(|h| h.model.as_deref() == Some("large"))
+        .map(|h| h.id.clone())
+        .collect();
+    // Two are lost for good; the six others start anew with the weights they had.
+    for id in &lost {
+        rig.kill(id);
+    }
+    rig.run(Duration::from_secs(5), true);
+    for id in &lost[2..] {
+        rig.revive(id);
+    }
+
+    rig.run(Duration::from_secs(25), true);
+
+    assert!(rig.directory.stranded(SERVICE) <= 2);
+    assert_eq!(rig.open_groups("small"), 2);
+}
+
 #[test]
 fn groups_move_to_the_model_with_more_work() {
     let mut rig = settled(5);
