--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -154,35 +154,32 @@
     assert!(rig.violations.is_empty(), "{:?}", rig.violations);
 }
 
-/// Pattern: a fabric domain comes back with weights that do not make up groups.
+/// Pattern: hosts come back with weights that do not make up a group.
 #[test]
 fn hosts_with_weights_of_no_use_load_those_that_complete_a_group() {
-    let mut rig = Rig::new(
-        10,
-        1,
-        12,
-        vec![model("large", 8, 0.5), model("small", 4, 0.5)],
-    );
+    let models = vec![model("large", 8, 0.6), model("small", 4, 0.4)];
+    let mut rig = Rig::new(10, 1, 12, models);
     rig.run(Duration::from_secs(40), false);
-    let lost: Vec<_> = rig
+    let members: Vec<_> = rig
         .directory
         .hosts()
-        .filter(|h| h.model.as_deref() == Some("large"))
+        .filter(|h| h.model.as_deref() == Some("small"))
         .map(|h| h.id.clone())
         .collect();
-    // Two are lost for good; the six others start anew with the weights they had.
-    for id in &lost {
+    assert_eq!(members.len(), 4);
+    // They start anew with the large model's weights, which they held beside their group.
+    for id in &members {
         rig.kill(id);
     }
     rig.run(Duration::from_secs(5), true);
-    for id in &lost[2..] {
+    for id in &members {
         rig.revive(id);
     }
 
     rig.run(Duration::from_secs(25), true);
 
-    assert!(rig.directory.stranded(SERVICE) <= 2);
-    assert_eq!(rig.open_groups("small"), 2);
+    assert_eq!(rig.open_groups("small"), 1);
+    assert_eq!(rig.directory.stranded(SERVICE), 0);
 }
 
 #[test]
