Manager: tell all entry hosts of a group that lost a member

Cause: a group whose head is dark keeps its open entry for three heartbeats, and each of 63 entry hosts found out by itself, by a request that it lost there.

Now: the manager, which asks the members of a silent group, says which group has lost one; the others move their work away and give it no more for a while. A request that was somewhere goes to another fabric domain first.

Ruled out: telling everyone of each suspicion (entry hosts times entry hosts, and a false alarm would stop a sound group everywhere).

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 use geranium_fleet::host::{HostId, HostReport};
@@ -290,7 +292,7 @@
             async move {
                 for _ in 0..PROBES {
                     if manager.ask_host(&id, address).await.is_some() {
-                        return;
+                        return false;
                     }
                 }
                 log::warn!(host:% = id; "backend server does not answer and is taken to be dead");
@@ -298,8 +300,18 @@
                     planner.mark_dead(&id, born, manager.shared.now());
                 }
                 manager.shared.changed.notify_waiters();
+                true
             }
         });
-        futures::future::join_all(probes).await;
+        let mut probes: FuturesUnordered<_> = probes.collect();
+        while let Some(dead) = probes.next().await {
+            if dead {
+                self.shared.move_away(head);
+                self.peers.send_stopped(&self.shared.cfg.name, head);
+                break;
+            }
+        }
+        // The other members are asked to the end, as more of them may be dead.
+        while probes.next().await.is_some() {}
     }
 }
--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -40,6 +40,8 @@
     Reports(Vec<(HostId, HostReport)>),
     /// A group whose head the sender takes to have stopped.
     Suspect(Arc<str>),
+    /// Head of a group in which the manager found a member that does not answer.
+    Stopped(HostId),
     /// Lives of backend servers that said that they leave, with the starts of their
     /// processes.
     Leaving(Vec<(HostId, u64)>),
@@ -80,6 +82,15 @@
         }
     }
 
+    /// Tells the other entry hosts of a group that has lost a member: each of them sends
+    /// it few requests, so that by itself it would notice late.
+    pub(crate) fn send_stopped(&self, own_name: &str, head: &HostId) {
+        let datagram = Datagram::Stopped(head.clone());
+        for address in self.others(own_name) {
+            self.send(address, &datagram);
+        }
+    }
+
     /// Returns the addresses of the other entry hosts.
     fn others(&self, own_name: &str) -> Vec<SocketAddr> {
         let addresses = self.addresses.borrow();
@@ -199,6 +210,10 @@
                     .suspect(&head, shared.now());
                 shared.changed.notify_waiters();
             }
+            Ok(Datagram::Stopped(head)) => {
+                log::info!(head:% = head, from:% = from; "group has lost a member, its work moves away");
+                shared.move_away(&head);
+            }
             Ok(Datagram::Leaving(leaving)) => {
                 for (id, born) in leaving {
                     if shared.note_leaving(&id, born) {
--- a/crates/geranium_entry/src/running.rs
+++ b/crates/geranium_entry/src/running.rs
@@ -41,11 +41,6 @@
                 .unwrap_or_default(),
         }
     }
-
-    /// Tells all attempts to move to another backend server.
-    pub(crate) fn move_away(&self) {
-        self.moved.notify_waiters();
-    }
 }
 
 /// The attempts of this entry host at all backend servers.
@@ -88,6 +83,18 @@
         }
     }
 
+    /// Sums up the activity of a backend server, if it has work.
+    pub(crate) fn activity(&self, host: &HostId) -> Option<GroupActivity> {
+        self.hosts.borrow().get(host).map(HostWork::activity)
+    }
+
+    /// Tells all attempts at a backend server to move to another one.
+    pub(crate) fn move_away(&self, host: &HostId) {
+        if let Some(work) = self.hosts.borrow().get(host) {
+            work.moved.notify_waiters();
+        }
+    }
+
     /// Returns the number of attempts.
     pub(crate) fn count(&self) -> usize {
         self.hosts.borrow().values().map(|w| w.attempts.len()).sum()
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -264,6 +264,13 @@
         changed
     }
 
+    /// Sends the work at a head elsewhere and gives it no more for a while.
+    pub(crate) fn move_away(&self, head: &HostId) {
+        let now = self.now();
+        self.core.borrow_mut().dispatcher.suspect(head, now);
+        self.running.move_away(head);
+    }
+
     /// Takes in what a life of a backend server said of itself in an answer.
     pub(crate) fn take_notice(
         &self,
--- a/crates/geranium_entry/src/watchdog.rs
+++ b/crates/geranium_entry/src/watchdog.rs
@@ -55,16 +55,12 @@
 fn suspect<D: Dialect>(shared: &Shared<D>, peers: &PeerLink, head: &HostId) {
     let now = shared.now();
     let first = shared.suspects.borrow_mut().insert(head.clone(), now);
-    shared.core.borrow_mut().dispatcher.suspect(head, now);
-    shared.running.for_each(|id, work| {
-        if id == head {
-            if first.is_none_or(|at| now.since(at) > NOTE_PAUSE) {
-                shared.metrics.silences.inc();
-                log::warn!(head:% = head, activity:? = work.activity(); "group is silent, its work moves away");
-            }
-            work.move_away();
-        }
-    });
+    if first.is_none_or(|at| now.since(at) > NOTE_PAUSE) {
+        shared.metrics.silences.inc();
+        let activity = shared.running.activity(head);
+        log::warn!(head:% = head, activity:? = activity; "group is silent, its work moves away");
+    }
+    shared.move_away(head);
     let manager = shared
         .core
         .borrow()
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -21,6 +21,9 @@
 const SUSPICION: Duration = Duration::from_millis(2_500);
 /// Added load of a backend server in another failure domain, in requests.
 const REMOTE_LOAD: f64 = 0.35;
+/// Added load of a backend server in the fabric domain of one that had the request
+/// before, in requests, as a fabric domain may go dark as a whole.
+const SHARED_FABRIC_LOAD: f64 = 12.0;
 /// Added load of a cold backend server, in requests.
 const COLD_LOAD: f64 = 6.0;
 /// Load beyond the least loaded backend server at which another one is no candidate.
@@ -270,6 +273,9 @@
         rng: &mut impl Rng,
     ) -> Result<(&'a Host, usize), NoHost> {
         let mut open: Vec<(f64, &Host)> = Vec::new();
+        let tried = wanted.tried.iter().filter_map(|id| directory.get(id));
+        let tried_fabrics: Vec<&Arc<str>> =
+            tried.filter_map(|h| h.fabric_domain.as_ref()).collect();
         let mut reason = NoHost::None;
         for host in directory.hosts() {
             if !serves(directory, host, wanted, now) {
@@ -295,7 +301,10 @@
                 reason = rank(reason, NoHost::Full);
                 continue;
             }
-            open.push((self.score(host, found.running, now), host));
+            let fabric = host.fabric_domain.as_ref();
+            let shared = fabric.is_some_and(|f| tried_fabrics.contains(&f));
+            let shared_load = if shared { SHARED_FABRIC_LOAD } else { 0.0 };
+            open.push((self.score(host, found.running, now) + shared_load, host));
         }
         let host = lighter_of_two(&open, rng).ok_or(reason)?;
         Ok((host, open.len()))
--- a/crates/geranium_fleet/tests/dispatch.rs
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -252,3 +252,26 @@
     assert_eq!(gone, [(HostId::from("gone"), 1)]);
     assert!(directory.get("gone").is_none());
 }
+
+/// Pattern: a whole fabric domain goes dark, and the streams of its groups move.
+#[test]
+fn a_request_that_moves_goes_to_another_fabric_domain() {
+    let in_fabric = |id: &str, fabric: &str| Host {
+        fabric_domain: Some(fabric.into()),
+        ..host(id, "a")
+    };
+    let directory = directory(vec![
+        in_fabric("dark-1", "f1"),
+        in_fabric("dark-2", "f1"),
+        in_fabric("dark-3", "f1"),
+        in_fabric("lit", "f2"),
+    ]);
+    let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
+    let tried = [HostId::from("dark-1")];
+
+    for _ in 0..5 {
+        let chosen = choose(&mut dispatcher, &directory, &wanted(&tried), NOW);
+        assert_eq!(chosen, Ok("lit".into()));
+        dispatcher.done("lit");
+    }
+}
