--- a/crates/geranium_entry/src/settings.rs
+++ b/crates/geranium_entry/src/settings.rs
@@ -15,8 +15,6 @@
     pub cold_factor: f64,
     /// Requests in a second at a cold backend server beyond the factor.
     pub cold_slack: f64,
-    /// Time after which a group's head that lost a member stops for good.
-    pub stall: Duration,
     /// Window of the bound on loads from the weight store.
     pub load_window: Duration,
     /// Time from the request to stop until the process is killed.
--- a/crates/geranium_settings/src/spec.rs
+++ b/crates/geranium_settings/src/spec.rs
@@ -16,6 +16,8 @@
     pub default: Option<&'static str>,
     /// Whether the value must not be shown.
     pub secret: bool,
+    /// Name of the environment variable, if it does not follow from the flag.
+    pub named_variable: Option<&'static str>,
 }
 
 impl SettingSpec {
@@ -28,6 +30,7 @@
             help,
             default: None,
             secret: false,
+            named_variable: None,
         }
     }
 
@@ -45,9 +48,19 @@
         self
     }
 
+    /// Names the environment variable, where somebody else has chosen it.
+    #[must_use]
+    pub const fn from_variable(mut self, name: &'static str) -> Self {
+        self.named_variable = Some(name);
+        self
+    }
+
     /// Returns the name of the environment variable.
     #[must_use]
     pub fn variable(&self) -> String {
+        if let Some(name) = self.named_variable {
+            return name.to_owned();
+        }
         format!(
             "{ENV_PREFIX}{}",
             self.flag
