--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -245,7 +245,7 @@
         // A suspected backend server is a candidate only where there is no other.
         let sound = self.pick(directory, wanted, false, now, rng);
         let picked = match sound {
-            Err(NoHost::None | NoHost::AllTried) => {
+            Err(NoHost::None | NoHost::AllTried | NoHost::Paused(_)) => {
                 self.pick(directory, wanted, true, now, rng).or(sound)
             }
             sound => sound,
@@ -281,18 +281,19 @@
             if !serves(directory, host, wanted, now) {
                 continue;
             }
+            let found = self.look(host, wanted, now);
+            // A pause tells a caller more than that the server was tried.
+            if let Some(until) = found.paused_until {
+                reason = rank(reason, NoHost::Paused(until));
+                continue;
+            }
             if wanted.tried.contains(&host.id) {
                 reason = rank(reason, NoHost::AllTried);
                 continue;
             }
-            let found = self.look(host, wanted, now);
             if found.suspected != suspected {
                 continue;
             }
-            if let Some(until) = found.paused_until {
-                reason = rank(reason, NoHost::Paused(until));
-                continue;
-            }
             if found.at_bound {
                 reason = rank(reason, NoHost::AtBound);
                 continue;
--- a/crates/geranium_fleet/tests/notices.rs
+++ b/crates/geranium_fleet/tests/notices.rs
@@ -115,6 +115,27 @@
     assert_eq!(choose(&mut dispatcher, &directory, NOW), refused);
 }
 
+#[test]
+fn a_request_that_met_pauses_everywhere_is_told_when_the_first_ends() {
+    let directory = directory(&["h", "i"]);
+    let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
+    dispatcher.pause(&"h".into(), 1, PAUSE * 2, NOW);
+    dispatcher.pause(&"i".into(), 1, PAUSE, NOW);
+    let tried: Vec<HostId> = vec!["h".into(), "i".into()];
+    let wanted = Wanted {
+        service: "app",
+        model: None,
+        tried: &tried,
+        cold_bound: None,
+        most_running: f64::MAX,
+    };
+
+    let mut rng = SmallRng::seed_from_u64(1);
+    let refused = dispatcher.choose(&directory, &wanted, NOW, &mut rng);
+
+    assert_eq!(refused.err(), Some(NoHost::Paused(NOW + PAUSE)));
+}
+
 #[test]
 fn a_pause_outlives_an_entry_that_lapses() {
     let mut directory = directory(&["h"]);
