Planner: hosts without a group keep the weights of the model that lacks more

Now a load must serve a model that lacks hosts, and a host that holds weights changes them only for a model that lacks no less. Test hosts_keep_weights_of_the_model_that_lacks_more failed before.

--- a/crates/geranium_fleet/src/planner/supply.rs
+++ b/crates/geranium_fleet/src/planner/supply.rs
@@ -109,9 +109,10 @@
 
     /// Chooses the weights that a host without a use is to load, if it gains by any.
     ///
-    /// A model whose group the fabric domain can complete comes first, then the one whose
-    /// groups have fewest replacements. A host that holds a model's weights keeps them
-    /// while requests are served, unless no group of its fabric domain runs that model.
+    /// A model that lacks hosts and whose group the fabric domain can complete comes first,
+    /// then the one whose groups have fewest replacements. While requests are served, a
+    /// host that holds a model's weights keeps them if a group of its fabric domain runs
+    /// that model, or if that model lacks more of its share than the other.
     pub(super) fn choose(
         &mut self,
         domain: &Arc<str>,
@@ -120,8 +121,12 @@
     ) -> Option<usize> {
         let supply = self.domains.get_mut(domain)?;
         let models = &formation.profile.models;
-        let completes =
-            |i: usize| held != Some(i) && supply.loaders[i] >= supply.missing(i, formation);
+        let lack = |i: usize| formation.relative_lack(i, 0.0);
+        let gains = |i: usize| held.is_none_or(|h| lack(i) >= lack(h));
+        let completes = |i: usize| {
+            let lacks = formation.lacks[i] > 0.0 && gains(i);
+            lacks && held != Some(i) && supply.loaders[i] >= supply.missing(i, formation)
+        };
         let completed = best_model(formation, |m| {
             formation
                 .profile
@@ -131,8 +136,9 @@
         let fewest = || (0..models.len()).min_by_key(|i| supply.missing(*i, formation));
         let chosen = completed.or_else(|| match held {
             None => supply.least_covered(None).or_else(fewest),
-            Some(h) if formation.traffic && supply.in_groups[h] > 0 => None,
-            Some(_) => supply.least_covered(held),
+            Some(_) if !formation.traffic => supply.least_covered(held),
+            Some(h) if supply.in_groups[h] > 0 => None,
+            Some(_) => supply.least_covered(held).filter(|i| gains(*i)),
         });
         let chosen = chosen.filter(|i| held != Some(*i))?;
         supply.take(chosen, held);
--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -182,6 +182,38 @@
     assert_eq!(rig.directory.stranded(SERVICE), 0);
 }
 
+/// Pattern: hosts come back with the weights of the model that lacks groups, too few for
+/// one of them.
+#[test]
+fn hosts_keep_weights_of_the_model_that_lacks_more() {
+    let models = vec![model("large", 6, 0.7), model("small", 3, 0.3)];
+    let mut rig = Rig::new(12, 1, 10, models);
+    rig.run(Duration::from_secs(40), false);
+    let members: Vec<_> = rig
+        .directory
+        .hosts()
+        .filter(|h| h.model.as_deref() == Some("small"))
+        .map(|h| h.id.clone())
+        .collect();
+    assert_eq!(members.len(), 3);
+    rig.shares = vec![1.0, 0.0];
+    for id in &members {
+        rig.kill(id);
+    }
+    rig.run(Duration::from_secs(5), true);
+    for id in &members {
+        rig.revive(id);
+    }
+
+    rig.run(Duration::from_secs(25), true);
+
+    for id in &members {
+        let host = rig.directory.get(id).expect("it is back");
+        assert!(host.has_staged("large"), "{:?}", host.staged);
+    }
+    assert_eq!(rig.open_groups("small"), 0);
+}
+
 #[test]
 fn groups_move_to_the_model_with_more_work() {
     let mut rig = settled(5);
