Manager: 40 ms between two watches

Cause: with one watcher the manager's watch, a call each 15 ms while changes come, is the largest part of the calls to the store.

--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -47,7 +47,7 @@
 /// Pause between two watches, so that changes come in batches; calls are counted.
 const BATCH_PAUSE: Duration = Duration::from_millis(150);
 /// The same for the manager, whose orders wait for what hosts report.
-const MANAGER_PAUSE: Duration = Duration::from_millis(15);
+const MANAGER_PAUSE: Duration = Duration::from_millis(40);
 
 /// How an entry host shows itself to the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
