Planner: share the hosts left over between the models beside them

And hosts kept weights of a model that their fabric domain could not complete while the other lacked groups too: 25 of 68 without a group for 20 s.

The new test failed before ((12, 0) hosts for (6, 6)).

--- a/crates/geranium_fleet/src/planner/reclaim.rs
+++ b/crates/geranium_fleet/src/planner/reclaim.rs
@@ -13,8 +13,9 @@
 use crate::host::{GroupState, Host};
 use crate::order::HostOrder;
 
-/// Part of a group that a model must lack before hosts are taken back for it.
-const LACKING_PART: f64 = 0.6;
+/// Part of a group that a model must lack before hosts are taken back for it, or change
+/// their weights.
+pub(super) const LACKING_PART: f64 = 0.6;
 /// Part of its share that a model must lack before hosts are taken back for it, as
 /// each move takes its hosts out of service for seconds.
 const LACKING_SHARE: f64 = 0.15;
--- a/crates/geranium_fleet/src/planner/staging.rs
+++ b/crates/geranium_fleet/src/planner/staging.rs
@@ -122,11 +122,12 @@
                 continue;
             }
             let coming = self.staging_model(host, profile, formation.now);
-            let usable: Vec<bool> = profile
-                .models
-                .iter()
-                .map(|m| coming == Some(&m.name) || self.readiness(host, m) < LOADS)
-                .collect();
+            let is_usable = |m: &ModelProfile| match coming {
+                // The load takes the place of the weights that lie there.
+                Some(model) => *model == m.name || self.last_model(host) == Some(&m.name),
+                None => self.readiness(host, m) < LOADS,
+            };
+            let usable: Vec<bool> = profile.models.iter().map(is_usable).collect();
             supply.add_free(domain, &usable);
         }
         supply
--- a/crates/geranium_fleet/src/planner/supply.rs
+++ b/crates/geranium_fleet/src/planner/supply.rs
@@ -9,6 +9,7 @@
 use geranium_core::collections::HashMap;
 
 use super::formation::{Formation, best_model};
+use super::reclaim::LACKING_PART;
 
 /// Hosts of one fabric domain; the lists are in the order of the engine's models.
 #[derive(Clone, Debug)]
@@ -111,8 +112,8 @@
     ///
     /// A model that lacks hosts and whose group the fabric domain can complete comes first,
     /// then the one whose groups have fewest replacements. While requests are served, a
-    /// host that holds a model's weights keeps them if a group of its fabric domain runs
-    /// that model, or if that model lacks more of its share than the other.
+    /// host that holds a model's weights changes them only for a model that lacks most of a
+    /// group, and to replace members only if no group of its fabric domain runs its own.
     pub(super) fn choose(
         &mut self,
         domain: &Arc<str>,
@@ -121,8 +122,8 @@
     ) -> Option<usize> {
         let supply = self.domains.get_mut(domain)?;
         let models = &formation.profile.models;
-        let lack = |i: usize| formation.relative_lack(i, 0.0);
-        let gains = |i: usize| held.is_none_or(|h| lack(i) >= lack(h));
+        let most_of_group = |i: usize| LACKING_PART * models[i].size as f64;
+        let gains = |i: usize| held.is_none() || formation.lacks[i] >= most_of_group(i);
         let completes = |i: usize| {
             let lacks = formation.lacks[i] > 0.0 && gains(i);
             lacks && held != Some(i) && supply.loaders[i] >= supply.missing(i, formation)
--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -185,7 +185,7 @@
 /// Pattern: hosts come back with the weights of the model that lacks groups, too few for
 /// one of them.
 #[test]
-fn hosts_keep_weights_of_the_model_that_lacks_more() {
+fn hosts_keep_weights_while_the_other_model_lacks_no_group() {
     let models = vec![model("large", 6, 0.7), model("small", 3, 0.3)];
     let mut rig = Rig::new(12, 1, 10, models);
     rig.run(Duration::from_secs(40), false);
@@ -214,6 +214,20 @@
     assert_eq!(rig.open_groups("small"), 0);
 }
 
+/// Pattern: a large and a small group in each fabric domain, and two hosts left over.
+#[test]
+fn hosts_left_over_are_shared_between_the_models_beside_them() {
+    let models = vec![model("large", 6, 0.65), model("small", 3, 0.35)];
+    let mut rig = Rig::new(13, 6, 11, models);
+    rig.run(Duration::from_secs(40), false);
+
+    let left_over = |model: &str| {
+        let free = rig.directory.hosts().filter(|h| h.membership.is_none());
+        free.filter(|h| h.has_staged(model)).count()
+    };
+    assert_eq!((left_over("large"), left_over("small")), (6, 6));
+}
+
 #[test]
 fn groups_move_to_the_model_with_more_work() {
     let mut rig = settled(5);
