Do not believe a manager that is itself cut off from a group

Cause, found by reading the change through: a manager that cannot reach a failure domain takes its groups to have stopped and tells all entry hosts, those that reach it among them. Now who heard the group within 0.5 s keeps its work there (a manager looks into a group for longer), and a group is told of once in 8 s, so that a trial request shows that it serves.

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -32,6 +32,9 @@
 const PROBES: u32 = 2;
 /// Time for which a suspicion is not looked into again.
 const PROBE_PAUSE: Duration = Duration::from_millis(1_500);
+/// Time for which the other entry hosts are not told again that a group has stopped, so
+/// that they can find out by a request whether it serves after all.
+const STOPPED_PAUSE: Duration = Duration::from_secs(8);
 /// Pause between two questions to hosts while the store is away.
 const ASK_INTERVAL: Duration = Duration::from_millis(300);
 /// Hosts asked at a time; each answer is counted like a health check.
@@ -74,6 +77,8 @@
     shared: Rc<Shared<D>>,
     planners: RefCell<HashMap<Arc<str>, GroupPlanner>>,
     probed: RefCell<HashMap<HostId, Timestamp>>,
+    /// Heads that the other entry hosts were told of.
+    told: RefCell<HashMap<HostId, Timestamp>>,
     asked_at: Cell<Timestamp>,
     peers: Rc<PeerLink>,
     since: Timestamp,
@@ -85,6 +90,7 @@
             shared,
             planners: RefCell::default(),
             probed: RefCell::default(),
+            told: RefCell::default(),
             asked_at: Cell::new(since),
             peers,
             since,
@@ -274,6 +280,19 @@
         }
     }
 
+    /// Tells all entry hosts of a group that has lost a member.
+    fn tell_stopped(&self, head: &HostId) {
+        let now = self.shared.now();
+        let mut told = self.told.borrow_mut();
+        told.retain(|_, at| now.since(*at) < STOPPED_PAUSE);
+        if told.contains_key(head) {
+            return;
+        }
+        told.insert(head.clone(), now);
+        self.shared.move_away(head);
+        self.peers.send_stopped(&self.shared.cfg.name, head);
+    }
+
     async fn probe(self: Rc<Self>, head: &HostId) {
         let members: Vec<(Arc<str>, HostId, u64, SocketAddr)> = {
             let core = self.shared.core.borrow();
@@ -306,8 +325,7 @@
         let mut probes: FuturesUnordered<_> = probes.collect();
         while let Some(dead) = probes.next().await {
             if dead {
-                self.shared.move_away(head);
-                self.peers.send_stopped(&self.shared.cfg.name, head);
+                self.tell_stopped(head);
                 break;
             }
         }
--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -229,8 +229,7 @@
                 shared.changed.notify_waiters();
             }
             Ok(Datagram::Stopped(head)) => {
-                log::info!(head:% = head, from:% = from; "group has lost a member, its work moves away");
-                shared.move_away(&head);
+                take_stop(&shared, &head, from);
             }
             Ok(Datagram::Leaving(leaving)) => {
                 for (id, born) in leaving {
@@ -244,6 +243,18 @@
     }
 }
 
+/// Sends the work of a group elsewhere that the manager found to have lost a member, unless
+/// the group was heard lately.
+fn take_stop<D: Dialect>(shared: &Shared<D>, head: &HostId, from: SocketAddr) {
+    let activity = shared.running.activity(head);
+    if activity.is_some_and(|a| a.contradicts_stop(shared.now())) {
+        log::info!(head:% = head, from:% = from; "group is said to have lost a member, but was heard lately");
+        return;
+    }
+    log::info!(head:% = head, from:% = from; "group has lost a member, its work moves away");
+    shared.move_away(head);
+}
+
 /// Works out the load of all other entry hosts from those that were heard.
 fn apply_loads<D: Dialect>(shared: &Shared<D>, link: &PeerLink) {
     let now = shared.now();
--- a/crates/geranium_fleet/src/silence.rs
+++ b/crates/geranium_fleet/src/silence.rs
@@ -15,6 +15,10 @@
 /// Factor on the time that the reading of prompts takes.
 const READING_FACTOR: f64 = 2.0;
 
+/// Time within which a sign of life speaks against another entry host's word; below the
+/// time that such a host takes to look into a group.
+const LATELY: Duration = Duration::from_millis(500);
+
 /// Silence after which a group is taken to have stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SilenceThresholds {
@@ -39,6 +43,15 @@
     pub oldest_sent: Timestamp,
 }
 
+impl GroupActivity {
+    /// Returns whether the group sent something so lately that it cannot have stopped when
+    /// another entry host began to look into it, which may itself be cut off from the group.
+    #[must_use]
+    pub fn contradicts_stop(&self, now: Timestamp) -> bool {
+        now.since(self.last_heard) < LATELY
+    }
+}
+
 impl SilenceThresholds {
     /// Derives thresholds from the engine's figures for a model's pace.
     #[must_use]
--- a/crates/geranium_fleet/tests/evidence.rs
+++ b/crates/geranium_fleet/tests/evidence.rs
@@ -36,6 +36,15 @@
     assert!(!silent(&activity(0, 0, 60_000)));
 }
 
+/// Pattern: the manager cannot reach a failure domain that others reach, and takes its
+/// groups to have stopped.
+#[test]
+fn a_group_that_was_heard_lately_has_not_stopped() {
+    assert!(activity(3, 0, 100).contradicts_stop(NOW));
+    assert!(activity(0, 3, 100).contradicts_stop(NOW));
+    assert!(!activity(3, 0, 900).contradicts_stop(NOW));
+}
+
 #[test]
 fn long_prompts_are_waited_for() {
     let engine = profile(vec![model("m", 2, 1.0)]);
