--- a/crates/geranium_entry/src/follow.rs
+++ b/crates/geranium_entry/src/follow.rs
@@ -22,8 +22,8 @@
 use crate::dialect::Dialect;
 use crate::fact::Fact;
 use crate::metrics::gauge;
+use crate::passed_changes::{self, PassedOn};
 use crate::peers::PeerLink;
-use crate::recent_changes::{self, PassedOn};
 use crate::state::Shared;
 
 /// Name of the values by which entry hosts find each other.
@@ -182,7 +182,7 @@
     }
 
     async fn follow_other(&self, source: SocketAddr, after: StoreRevision) -> bool {
-        match recent_changes::ask(&self.client, source, after).await {
+        match passed_changes::ask(&self.client, source, after).await {
             Ok(Some(PassedOn { batch, age })) => {
                 self.note_heard(age);
                 if !batch.changes.is_empty() {
--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -12,7 +12,8 @@
 //! | [`node`] | starts and stops everything |
 //! | `relay` | one request from its head to its answer |
 //! | `pool` | connections to backend servers |
-//! | `follow` | what the store says |
+//! | `follow`, `cut_off` | what the store says, from itself or from other entry hosts |
+//! | `recent_changes`, `passed_changes` | changes kept for others, and asked of others |
 //! | `election`, `manager` | who manages the groups, and the orders to hosts |
 //! | `peers` | datagrams between entry hosts |
 //! | `watchdog` | silent groups |
@@ -20,6 +21,7 @@
 
 mod beliefs;
 mod crash_notes;
+mod cut_off;
 pub mod dialect;
 mod election;
 pub mod fact;
@@ -28,6 +30,7 @@
 mod manager;
 mod metrics;
 pub mod node;
+mod passed_changes;
 mod peers;
 mod pool;
 pub mod prelude;
--- a/crates/geranium_entry/src/node.rs
+++ b/crates/geranium_entry/src/node.rs
@@ -18,8 +18,8 @@
 use crate::settings::EntrySettings;
 use crate::state::{Phase, Shared};
 use crate::{
-    ProcessCounters, beliefs, crash_notes, election, follow, metrics, peers, recent_changes,
-    server, watchdog,
+    ProcessCounters, beliefs, crash_notes, cut_off, election, follow, metrics, peers,
+    recent_changes, server, watchdog,
 };
 
 /// Time after the request to stop in which the balancer may still send callers
@@ -121,7 +121,7 @@
     tokio::task::spawn_local(server::run(shared.clone(), listener));
     let follower = Rc::new(Follower::new(shared.clone(), link.clone()));
     tokio::task::spawn_local(follow::run(follower.clone(), store.clone()));
-    tokio::task::spawn_local(recent_changes::run_client(follower));
+    tokio::task::spawn_local(cut_off::run(follower));
     tokio::task::spawn_local(crash_notes::run(shared.clone(), store.clone(), crashes));
     tokio::task::spawn_local(election::run(shared.clone(), store, link.clone()));
     tokio::task::spawn_local(watchdog::run(shared.clone(), link.clone()));
--- a/crates/geranium_entry/src/recent_changes.rs
+++ b/crates/geranium_entry/src/recent_changes.rs
@@ -1,31 +1,24 @@
-//! Recent changes of the store, passed on to entry hosts that do not hear it.
+//! Recent changes of the store, kept for entry hosts that do not hear it.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use bytes::Bytes;
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
-use geranium_net::{ClientError, HttpClient, HttpRequest, HttpServer, ServerConfig, ServerError};
-use geranium_platform::{StoredValue, WatchBatch, WatchChange};
+use geranium_net::{HttpServer, ServerConfig, ServerError};
+use geranium_platform::{WatchBatch, WatchChange};
 use geranium_telemetry::ProcessClock;
 use hyper::StatusCode;
-use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use viz::{IntoResponse, RequestExt, Router, get};
 
-use crate::dialect::Dialect;
-use crate::follow::Follower;
-use crate::state::Shared;
-
 /// Changes kept.
 const MAX_CHANGES: usize = 4_096;
 /// Time for which a question waits for a change.
@@ -33,38 +26,29 @@
 /// Time since the store was heard after which changes are not passed on any more, so that
 /// entry hosts that hear only each other notice it.
 const MAX_AGE: Duration = Duration::from_secs(2);
-/// Longest time for the answer of another entry host.
-const LIMIT: Duration = Duration::from_millis(700);
-/// Pause between two looks whether the store is heard.
-const PAUSE: Duration = Duration::from_millis(100);
 /// Path of the changes after a revision.
 const PATH: &str = "/changes/:after";
 
 /// A change as entry hosts pass it on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Change {
-    key: String,
-    revision: u64,
+pub(crate) struct Change {
+    /// Key of the value.
+    pub(crate) key: String,
+    /// Revision of the change.
+    pub(crate) revision: u64,
     /// Base64 text, or `None` for a deletion.
-    value: Option<String>,
+    pub(crate) value: Option<String>,
 }
 
 /// Changes up to a revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-struct Changes {
-    changes: Vec<Change>,
-    revision: u64,
+pub(crate) struct Changes {
+    /// The changes in the order of their revisions.
+    pub(crate) changes: Vec<Change>,
+    /// Revision up to which they reach.
+    pub(crate) revision: u64,
     /// Milliseconds since the store was heard by the entry host that hears it itself.
-    age_ms: u64,
-}
-
-/// Changes that another entry host passed on.
-#[derive(Debug)]
-pub(crate) struct PassedOn {
-    /// The changes.
-    pub(crate) batch: WatchBatch,
-    /// Time since the store was heard, on the whole way.
-    pub(crate) age: Duration,
+    pub(crate) age_ms: u64,
 }
 
 #[derive(Debug, Default)]
@@ -172,27 +156,6 @@
     }
 }
 
-fn decode(change: Change) -> Option<WatchChange> {
-    let revision = StoreRevision(change.revision);
-    let Some(text) = change.value else {
-        return Some(WatchChange::Deleted {
-            key: change.key,
-            revision,
-        });
-    };
-    match STANDARD.decode(text) {
-        Ok(bytes) => Some(WatchChange::Put(StoredValue {
-            key: change.key,
-            value: Bytes::from(bytes),
-            revision,
-        })),
-        Err(e) => {
-            log::warn!("change of another entry host is malformed: {e}");
-            None
-        }
-    }
-}
-
 /// Answers other entry hosts until the process ends.
 ///
 /// # Errors
@@ -219,54 +182,3 @@
     server.run(router, CancellationToken::new()).await;
     Ok(())
 }
-
-/// Takes in changes from other entry hosts while the store is not heard.
-pub(crate) async fn run_client<D: Dialect>(follower: Rc<Follower<D>>) {
-    loop {
-        tokio::time::sleep(PAUSE).await;
-        let shared = follower.shared();
-        let revision = shared.revision.get().filter(|_| shared.store_away.get());
-        let (Some(revision), Some(peer)) = (revision, other_host(shared, &follower)) else {
-            continue;
-        };
-        match ask(follower.client(), peer, revision).await {
-            Ok(Some(PassedOn { batch, .. })) if !batch.changes.is_empty() => {
-                log::info!(peer:% = peer, changes = batch.changes.len(), revision = batch.revision.0; "changes come from another entry host");
-                follower.take_in(batch);
-            }
-            Ok(_) => {}
-            Err(e) => log::debug!(peer:% = peer; "no changes from another entry host: {e}"),
-        }
-    }
-}
-
-fn other_host<D: Dialect>(shared: &Shared<D>, follower: &Follower<D>) -> Option<SocketAddr> {
-    let others = follower.peers().others(&shared.cfg.name);
-    others.choose(&mut rand::rng()).copied()
-}
-
-/// Asks another entry host for the changes after a revision; `None` if it does not
-/// have them all.
-///
-/// # Errors
-///
-/// Returns an error if it did not answer in time.
-pub(crate) async fn ask(
-    client: &HttpClient,
-    peer: SocketAddr,
-    after: StoreRevision,
-) -> Result<Option<PassedOn>, ClientError> {
-    let req = HttpRequest::get(peer, format!("/changes/{}", after.0));
-    let (status, body) = client.send_whole(req, LIMIT).await?;
-    if status != StatusCode::OK {
-        return Ok(None);
-    }
-    let changes: Changes =
-        serde_json::from_slice(&body).map_err(|e| ClientError::Malformed(peer, e.to_string()))?;
-    let batch = WatchBatch {
-        revision: StoreRevision(changes.revision),
-        changes: changes.changes.into_iter().filter_map(decode).collect(),
-    };
-    let age = Duration::from_millis(changes.age_ms);
-    Ok(Some(PassedOn { batch, age }))
-}
--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -6,13 +6,20 @@
 
 use std::time::Duration;
 
-use geranium_fleet::prelude::Host;
+use geranium_fleet::prelude::{Host, HostId};
 use rig::{Rig, SERVICE, model};
 
 fn two_models() -> Vec<geranium_fleet::prelude::ModelProfile> {
     vec![model("large", 4, 0.4), model("small", 2, 0.6)]
 }
 
+/// Returns the hosts in groups of a model.
+fn members_of(rig: &Rig, model: &str) -> Vec<HostId> {
+    let hosts = rig.directory.hosts();
+    let members = hosts.filter(|h| h.model.as_deref() == Some(model));
+    members.map(|h| h.id.clone()).collect()
+}
+
 /// Makes a system that has formed its groups and staged second models.
 fn settled(seed: u64) -> Rig {
     let mut rig = Rig::new(seed, 2, 10, two_models());
@@ -160,12 +167,7 @@
     let models = vec![model("large", 8, 0.6), model("small", 4, 0.4)];
     let mut rig = Rig::new(10, 1, 12, models);
     rig.run(Duration::from_secs(40), false);
-    let members: Vec<_> = rig
-        .directory
-        .hosts()
-        .filter(|h| h.model.as_deref() == Some("small"))
-        .map(|h| h.id.clone())
-        .collect();
+    let members = members_of(&rig, "small");
     assert_eq!(members.len(), 4);
     // They start anew with the large model's weights, which they held beside their group.
     for id in &members {
@@ -189,12 +191,7 @@
     let models = vec![model("large", 6, 0.7), model("small", 3, 0.3)];
     let mut rig = Rig::new(12, 1, 10, models);
     rig.run(Duration::from_secs(40), false);
-    let members: Vec<_> = rig
-        .directory
-        .hosts()
-        .filter(|h| h.model.as_deref() == Some("small"))
-        .map(|h| h.id.clone())
-        .collect();
+    let members = members_of(&rig, "small");
     assert_eq!(members.len(), 3);
     rig.shares = vec![1.0, 0.0];
     for id in &members {
