Take no notice from a server that has taken over another's address

Cause, by reading: an answer 421 comes from another server at the address, whose word that it leaves would have been taken for the one that was meant.

--- a/crates/geranium_entry/src/dialect.rs
+++ b/crates/geranium_entry/src/dialect.rs
@@ -45,9 +45,13 @@
 }
 
 impl HeaderNames {
-    /// Reads what a backend server says of itself in the head of an answer.
+    /// Reads what a backend server says of itself in the head of an answer. Another server
+    /// that has taken over its address says nothing of it.
     #[must_use]
     pub fn notice<B>(&self, res: &Response<B>) -> ServerNotice {
+        if res.status() == StatusCode::MISDIRECTED_REQUEST {
+            return ServerNotice::default();
+        }
         let headers = res.headers();
         let leaving = headers.get_all(&self.leaving);
         ServerNotice {
