--- /dev/null
+++ b/crates/geranium_core/tests/cold_budget/fixture.rs
@@ -0,0 +1,74 @@
+//! Groups, holders and users of credits.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use geranium_core::group::{ServingGroup, Temperature};
+use geranium_core::limit::{
+    ColdBudgetHolder, ColdCreditUser, ColdSettings,
+};
+use geranium_core::prelude::*;
+
+/// Start of every test.
+pub const START: Timestamp = Timestamp::from_millis(1_000_000);
+/// Entry hosts.
+pub const HOSTS: usize = 3;
+/// Requests that a cold group bears.
+pub const BUDGET: u32 = 3;
+/// Time for which a holder has its authority.
+pub const LEASE: Duration = Duration::from_secs(4);
+
+/// Makes a group that is cold.
+pub fn cold_group() -> ServingGroup {
+    ServingGroup {
+        group: GroupId::new("g1"),
+        record: RecordName::new("chat"),
+        served_model: ModelId::new("m"),
+        failure_domain: FailureDomainId::new("d1"),
+        fabric_domain: FabricDomainId::new("d1.f0"),
+        head: HostId::new("h0"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        fencing: FencingNumber(1),
+        generation: 1,
+        temperature: Temperature::Cold,
+        running: 0,
+        waiting: 0,
+        kv_free_tokens: 1_000,
+        cold_concurrency: BUDGET,
+        warm_concurrency: 24,
+    }
+}
+
+/// Makes the settings of all holders.
+pub fn settings() -> ColdSettings {
+    ColdSettings {
+        run_limit: Duration::from_hours(24),
+        report_lag: Duration::ZERO,
+        ..ColdSettings::default()
+    }
+}
+
+/// Makes a user of credits on an entry host.
+pub fn user(host: usize, incarnation: u64) -> ColdCreditUser {
+    let name = HostId::new(format!("e{host}"));
+    ColdCreditUser::new(name, Incarnation(incarnation), settings())
+}
+
+/// Returns a holder that has waited and knows that nothing runs.
+pub fn ready_holder(now: Timestamp) -> ColdBudgetHolder {
+    let mut holder = ColdBudgetHolder::new(settings());
+    let gained = now - Duration::from_secs(10);
+    holder.extend_authority(gained, now + Duration::from_secs(1_000));
+    holder.update_groups(gained, &[cold_group()]);
+    holder.observe_load(&cold_group().group, now, 0);
+    holder
+}
+
+/// Exchanges one request and its answer between a user and a holder.
+pub fn exchange(now: Timestamp, user: &mut ColdCreditUser, holder: &mut ColdBudgetHolder) {
+    for req in user.requests_due(now) {
+        if let Ok(grant) = holder.request(now, &req) {
+            user.granted(now, &grant);
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_core/tests/cold_budget/main.rs
@@ -0,0 +1,5 @@
+//! The cold-start budget over several entry hosts, under faults.
+
+mod credits;
+mod fixture;
+mod schedules;
