--- a/crates/geranium_core/tests/cold_budget/credits.rs
+++ b/crates/geranium_core/tests/cold_budget/credits.rs
@@ -3,15 +3,11 @@
 use std::time::Duration;
 
 use geranium_core::group::{ServingGroup, Temperature};
-use geranium_core::limit::{
-    ColdBudgetHolder, ColdOutcome, ColdSettings, CreditRefusal,
-};
+use geranium_core::limit::{ColdBudgetHolder, ColdOutcome, ColdSettings, CreditRefusal};
 use geranium_core::prelude::*;
 use geranium_core::route::ColdCredits;
 
-use crate::fixture::{
-    BUDGET, HOSTS, START, cold_group, exchange, ready_holder, settings, user,
-};
+use crate::fixture::{BUDGET, HOSTS, START, cold_group, exchange, ready_holder, settings, user};
 
 #[test]
 fn group_seen_for_the_first_time_gets_credits_for_what_is_free_at_once() {
--- a/crates/geranium_core/tests/cold_budget/fixture.rs
+++ b/crates/geranium_core/tests/cold_budget/fixture.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use geranium_core::group::{ServingGroup, Temperature};
-use geranium_core::limit::{
-    ColdBudgetHolder, ColdCreditUser, ColdSettings,
-};
+use geranium_core::limit::{ColdBudgetHolder, ColdCreditUser, ColdSettings};
 use geranium_core::prelude::*;
 
 /// Start of every test.
--- a/crates/geranium_core/tests/cold_budget/schedules.rs
+++ b/crates/geranium_core/tests/cold_budget/schedules.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 use geranium_core::limit::{
-    ColdBudgetHolder, ColdCreditUser, ColdOutcome, CreditGrant,
-    CreditRequest,
+    ColdBudgetHolder, ColdCreditUser, ColdOutcome, CreditGrant, CreditRequest,
 };
 use geranium_core::prelude::*;
 use proptest::prelude::*;
