--- /dev/null
+++ b/crates/geranium_core/tests/entry_hosts/fleet/effects.rs
@@ -0,0 +1,218 @@
+//! What arrives at a host, and what follows from it.
+
+use super::*;
+
+impl Fleet {
+    pub(super) fn deliver(&mut self, to: SocketAddr, message: Message) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(&to) else {
+            return;
+        };
+        if host.is_paused {
+            host.waiting.push(message);
+            return;
+        }
+        match message {
+            Message::Tick => self.tick(to),
+            Message::Heartbeat(from, heartbeat) => self.take_in(to, &heartbeat, Some(from)),
+            Message::Answer(heartbeat) => self.take_in(to, &heartbeat, None),
+            Message::HeartbeatFailed(target) => {
+                let effects = host.membership.fail(target, now);
+                self.carry_out_members(to, effects);
+            }
+            Message::Pull(from, index) => {
+                let answer = host.replica.answer_pull(&index);
+                let own = host.info.clone();
+                self.send(
+                    from.peer_address,
+                    self.latency,
+                    Message::PullAnswer(own, answer),
+                );
+            }
+            Message::PullAnswer(from, answer) => {
+                let effects = host.replica.take_in_pull(&from, answer, now);
+                self.carry_out_config(to, effects);
+            }
+            Message::PullFailed(from) => host.replica.fail_pull(&from, now),
+            Message::Push(from, records) => {
+                let effects = host.replica.take_in_push(&from, records, now);
+                self.carry_out_config(to, effects);
+            }
+            Message::Read(Some(read)) => {
+                let effects = host.replica.take_in_read(read, now);
+                self.carry_out_config(to, effects);
+            }
+            Message::Read(None) => {
+                let effects = host.replica.fail_read("unreachable", now);
+                self.carry_out_config(to, effects);
+            }
+            Message::Watch(watch, changes) if host.watch == Some(watch) => {
+                let effects = host.replica.take_in_watch(changes, now);
+                self.carry_out_config(to, effects);
+            }
+            Message::WatchFailed(watch) if host.watch == Some(watch) => {
+                host.watch = None;
+                let effects = host.replica.fail_watch("reset", now);
+                self.carry_out_config(to, effects);
+            }
+            Message::Watch(..) | Message::WatchFailed(_) => {}
+            Message::WriteBack(record, outcome) => {
+                let effects = host.replica.take_in_write_back(&record, outcome, now);
+                self.carry_out_config(to, effects);
+            }
+        }
+    }
+
+    pub(super) fn tick(&mut self, to: SocketAddr) {
+        let now = self.now;
+        self.send(to, TICK, Message::Tick);
+        let host = self.hosts.get_mut(&to).expect("delivered to it");
+        host.membership.set_config_status(host.replica.status(now));
+        let time = host.clock.tick(now);
+        let effects = host.membership.tick(now, time);
+        self.carry_out_members(to, effects);
+        let host = self.hosts.get_mut(&to).expect("delivered to it");
+        let effects = host.replica.tick(now);
+        self.carry_out_config(to, effects);
+    }
+
+    pub(super) fn take_in(
+        &mut self,
+        to: SocketAddr,
+        heartbeat: &Heartbeat,
+        caller: Option<SocketAddr>,
+    ) {
+        let now = self.now;
+        let host = self.hosts.get_mut(&to).expect("delivered to it");
+        let time = host.clock.observe(now, heartbeat.time);
+        let effects = host.membership.take_in(heartbeat, now);
+        let vouched_at = host.membership.vouched_at(heartbeat);
+        let (sender, config) = (&heartbeat.sender, heartbeat.config);
+        host.replica.hear_peer(sender, config, vouched_at, now);
+        host.membership.set_config_status(host.replica.status(now));
+        if let Some(caller) = caller {
+            let answer = host.membership.answer(&heartbeat.sender, now, time);
+            self.send(caller, self.latency, Message::Answer(Box::new(answer)));
+        }
+        self.carry_out_members(to, effects);
+    }
+
+    pub(super) fn carry_out_members(&mut self, at: SocketAddr, effects: Vec<MemberEffect>) {
+        for effect in effects {
+            match effect {
+                MemberEffect::SendHeartbeat { to, heartbeat } => {
+                    self.counts.heartbeats += 1;
+                    let arrives = self.arrives(at, to);
+                    if arrives {
+                        self.send(to, self.latency, Message::Heartbeat(at, heartbeat));
+                    }
+                    if !arrives || self.hosts[&to].is_paused {
+                        self.send(at, CALL_TIMEOUT, Message::HeartbeatFailed(to));
+                    }
+                }
+                MemberEffect::MembersChanged => self.renew_duties(at),
+                MemberEffect::Emit(event) => self.record_event(at, event),
+                MemberEffect::CrashesLearned(digest) => {
+                    let host = self.hosts[&at].info.host.clone();
+                    self.crashes.push((host, digest));
+                }
+                MemberEffect::Paused(_) => {}
+            }
+        }
+    }
+
+    pub(super) fn renew_duties(&mut self, at: SocketAddr) {
+        let now = self.now;
+        let host = self.hosts.get_mut(&at).expect("acts");
+        let members = host.membership.active_members();
+        let position = watchers(&members)
+            .iter()
+            .position(|id| **id == host.info.host);
+        let peers = host.membership.live_peers().cloned().collect();
+        let effects = host.replica.set_members(peers, position, now);
+        self.carry_out_config(at, effects);
+    }
+
+    pub(super) fn carry_out_config(&mut self, at: SocketAddr, effects: Vec<ConfigEffect>) {
+        for effect in effects {
+            match effect {
+                ConfigEffect::ReadStore => self.read_store(at),
+                ConfigEffect::StartWatch { after } => self.start_watch(at, after),
+                ConfigEffect::StopWatch => self.hosts.get_mut(&at).expect("acts").watch = None,
+                ConfigEffect::PullFromPeer { peer, index } => self.pull(at, peer, index),
+                ConfigEffect::PushToPeers { peers, records } => {
+                    let own = self.hosts[&at].info.clone();
+                    let records: Vec<_> = records.iter().map(|r| (**r).clone()).collect();
+                    for peer in peers {
+                        self.counts.pushed_records += records.len() as u64;
+                        if self.arrives(at, peer.peer_address) {
+                            let push = Message::Push(own.clone(), records.clone());
+                            self.send(peer.peer_address, self.latency, push);
+                        }
+                    }
+                }
+                ConfigEffect::WriteBack { record, expected } => {
+                    self.write_back(at, &record, expected);
+                }
+                ConfigEffect::RecordsChanged => {}
+                ConfigEffect::Emit(event) => self.record_event(at, event),
+            }
+        }
+    }
+
+    pub(super) fn pull(&mut self, at: SocketAddr, peer: MemberInfo, index: RecordIndex) {
+        self.counts.pulls += 1;
+        let arrives = self.arrives(at, peer.peer_address);
+        if arrives {
+            let own = self.hosts[&at].info.clone();
+            self.send(peer.peer_address, self.latency, Message::Pull(own, index));
+        }
+        if !arrives || self.hosts[&peer.peer_address].is_paused {
+            self.send(at, CALL_TIMEOUT, Message::PullFailed(peer));
+        }
+    }
+
+    pub(super) fn read_store(&mut self, at: SocketAddr) {
+        self.store.calls += 1;
+        if self.reaches_store(at) {
+            let read = self.store.read();
+            self.send(at, STORE_LATENCY, Message::Read(Some(read)));
+        } else {
+            self.send(at, CALL_TIMEOUT, Message::Read(None));
+        }
+    }
+
+    pub(super) fn start_watch(&mut self, at: SocketAddr, after: StoreRevision) {
+        self.store.calls += 1;
+        self.sequence += 1;
+        let watch = self.sequence;
+        self.hosts.get_mut(&at).expect("acts").watch = Some(watch);
+        let changed = self.store.values.values().filter(|(_, r)| *r > after);
+        let changes = changed.map(|(record, r)| StoreChange::Put(record.clone(), *r));
+        let changes = changes.collect();
+        self.send(at, STORE_LATENCY, Message::Watch(watch, changes));
+    }
+
+    pub(super) fn write_back(
+        &mut self,
+        at: SocketAddr,
+        record: &StoredRecord,
+        expected: StoreRevision,
+    ) {
+        self.counts.write_backs += 1;
+        self.store.calls += 1;
+        let outcome = if !self.reaches_store(at) {
+            WriteBackOutcome::Failed
+        } else {
+            match self.write(record, expected) {
+                Some(revision) => WriteBackOutcome::Applied(revision),
+                None => WriteBackOutcome::Conflict(self.store.values.get(&record.key).cloned()),
+            }
+        };
+        self.send(
+            at,
+            STORE_LATENCY,
+            Message::WriteBack(record.clone(), outcome),
+        );
+    }
+}
