--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -74,18 +74,18 @@
 
     /// Passes on what hosts answered themselves.
     pub(crate) fn send_reports(&self, own_name: &str, reports: Vec<(HostId, HostReport)>) {
-        let datagram = Datagram::Reports(reports);
-        for address in self.others(own_name) {
-            self.send(address, &datagram);
-        }
+        self.send_to_others(own_name, &Datagram::Reports(reports));
     }
 
     /// Tells the other entry hosts of a group that has lost a member: each of them sends
     /// it few requests, so that by itself it would notice late.
     pub(crate) fn send_stopped(&self, own_name: &str, head: &HostId) {
-        let datagram = Datagram::Stopped(head.clone());
+        self.send_to_others(own_name, &Datagram::Stopped(head.clone()));
+    }
+
+    fn send_to_others(&self, own_name: &str, datagram: &Datagram) {
         for address in self.others(own_name) {
-            self.send(address, &datagram);
+            self.send(address, datagram);
         }
     }
 
--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -20,6 +20,17 @@
     members.map(|h| h.id.clone()).collect()
 }
 
+/// Lets hosts go dark until their entries have gone, and start anew.
+fn restart(rig: &mut Rig, ids: &[HostId]) {
+    for id in ids {
+        rig.kill(id);
+    }
+    rig.run(Duration::from_secs(5), true);
+    for id in ids {
+        rig.revive(id);
+    }
+}
+
 /// Makes a system that has formed its groups and staged second models.
 fn settled(seed: u64) -> Rig {
     let mut rig = Rig::new(seed, 2, 10, two_models());
@@ -170,13 +181,7 @@
     let members = members_of(&rig, "small");
     assert_eq!(members.len(), 4);
     // They start anew with the large model's weights, which they held beside their group.
-    for id in &members {
-        rig.kill(id);
-    }
-    rig.run(Duration::from_secs(5), true);
-    for id in &members {
-        rig.revive(id);
-    }
+    restart(&mut rig, &members);
 
     rig.run(Duration::from_secs(25), true);
 
@@ -194,13 +199,7 @@
     let members = members_of(&rig, "small");
     assert_eq!(members.len(), 3);
     rig.shares = vec![1.0, 0.0];
-    for id in &members {
-        rig.kill(id);
-    }
-    rig.run(Duration::from_secs(5), true);
-    for id in &members {
-        rig.revive(id);
-    }
+    restart(&mut rig, &members);
 
     rig.run(Duration::from_secs(25), true);
 
