--- a/crates/geranium_entry/src/dialect.rs
+++ b/crates/geranium_entry/src/dialect.rs
@@ -8,7 +8,8 @@
 use geranium_fleet::host::HostReport;
 use geranium_fleet::notice::{ServerNotice, parse_pause};
 use geranium_fleet::order::{HostOrder, OrderReply};
-use hyper::header::{HeaderName, RETRY_AFTER};
+use geranium_fleet::prompt_parts::PromptParts;
+use hyper::header::{HeaderMap, HeaderName, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 use crate::store_update::StoreUpdate;
@@ -75,6 +76,9 @@
     /// Returns the path of the load balancer's readiness check.
     fn ready_path(&self) -> &str;
 
+    /// Decodes the parts of a request's prompt from its headers; empty if it states none.
+    fn prompt_parts(&self, headers: &HeaderMap) -> PromptParts;
+
     /// Decodes a value of the store.
     fn decode(&self, key: &str, value: &Bytes) -> StoreUpdate;
 
--- a/crates/geranium_entry/src/relay/active_request.rs
+++ b/crates/geranium_entry/src/relay/active_request.rs
@@ -10,6 +10,7 @@
 use geranium_fleet::attempts::Attempts;
 use geranium_fleet::dispatch::NoHost;
 use geranium_fleet::host::HostId;
+use geranium_fleet::prompt_parts::PromptParts;
 use geranium_fleet::route::{Route, RouteKind};
 use geranium_fleet::service::Service;
 use http_body_util::{BodyExt, Limited};
@@ -59,6 +60,7 @@
     pub(super) body: Bytes,
     pub(super) model: Option<String>,
     pub(super) prompt_tokens: f64,
+    pub(super) prompt_parts: PromptParts,
     /// Time at which the request headers arrived.
     pub(super) arrived: Timestamp,
     /// The earlier of the caller's deadline and the timeout of the route.
@@ -147,6 +149,7 @@
             uri: head.uri,
             body,
             prompt_tokens,
+            prompt_parts: shared.dialect.prompt_parts(&head.headers),
             arrived,
             deadline: arrived + timeout.min(resolved.route.timeout),
             attempts: Attempts::new(resolved.route.kind, resolved.route.max_attempts),
--- a/crates/geranium_entry/src/relay/retry.rs
+++ b/crates/geranium_entry/src/relay/retry.rs
@@ -1,5 +1,7 @@
 //! Handling of failed attempts: bookkeeping, retries and refusals.
 
+use std::time::Duration;
+
 use geranium_fleet::dispatch::NoHost;
 use geranium_fleet::host::Host;
 use geranium_fleet::route::RouteKind;
@@ -16,7 +18,7 @@
         host: &Host,
         error: AttemptError,
     ) -> Result<(), Refusal> {
-        self.record_failure(host, error);
+        self.record_failure(host, error, None);
         self.attempts.record_failure(error.failure());
         if self.may_retry(error) {
             return Ok(());
@@ -25,10 +27,17 @@
     }
 
     /// Logs and counts a failed attempt and updates the health of the backend server.
-    pub(super) fn record_failure(&self, host: &Host, error: AttemptError) {
+    /// `writing_for` is the time since the first event, if one had arrived.
+    pub(super) fn record_failure(
+        &self,
+        host: &Host,
+        error: AttemptError,
+        writing_for: Option<Duration>,
+    ) {
         log::info!(
             request = self.id(), route:% = self.route.name,
-            host:% = host.id, cause:? = error, left_ms = self.remaining_time().as_millis() as u64;
+            host:% = host.id, cause:? = error, left_ms = self.remaining_time().as_millis() as u64,
+            writing_ms = writing_for.map(|d| d.as_millis() as u64), prompt_parts:% = self.prompt_parts;
             "attempt failed"
         );
         self.shared.metrics.record_attempt(error.as_str());
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -281,7 +281,13 @@
         let already_reported = std::mem::replace(&mut self.silence_reported, true);
         let first_report = error != AttemptError::Silent || !already_reported;
         if first_report {
-            self.request.record_failure(&self.reader.host, error);
+            let writing_for = self
+                .reader
+                .slot
+                .guard
+                .writing_for(self.request.shared.now());
+            self.request
+                .record_failure(&self.reader.host, error, writing_for);
         }
         if last.is_none() || !self.request.may_retry(error) {
             return false;
--- a/crates/geranium_entry/src/running_attempts.rs
+++ b/crates/geranium_entry/src/running_attempts.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
@@ -13,7 +14,8 @@
 struct Attempt {
     sent: Timestamp,
     prompt_tokens: f64,
-    streaming: bool,
+    /// Time of the first data of its stream.
+    writing_since: Option<Timestamp>,
 }
 
 /// The attempts in progress at one backend server.
@@ -27,9 +29,9 @@
 impl HostAttempts {
     /// Summarizes the activity of the backend server.
     pub(crate) fn activity(&self) -> GroupActivity {
-        let waiting = self.attempts.values().filter(|a| !a.streaming);
+        let waiting = self.attempts.values().filter(|a| a.writing_since.is_none());
         GroupActivity {
-            writing: self.attempts.values().filter(|a| a.streaming).count(),
+            writing: self.attempts.len() - waiting.clone().count(),
             waiting: waiting.clone().count(),
             waiting_tokens: waiting.map(|a| a.prompt_tokens).sum(),
             last_heard: self.last_heard,
@@ -65,7 +67,7 @@
         let attempt = Attempt {
             sent: now,
             prompt_tokens,
-            streaming: false,
+            writing_since: None,
         };
         work.attempts.insert(attempt_id, attempt);
         AttemptGuard {
@@ -120,6 +122,13 @@
         &self.host
     }
 
+    /// Returns the time since the first data of the stream, if any has arrived.
+    pub(crate) fn writing_for(&self, now: Timestamp) -> Option<Duration> {
+        let hosts = self.running.hosts.borrow();
+        let attempt = hosts.get(&self.host)?.attempts.get(&self.attempt_id)?;
+        attempt.writing_since.map(|since| now.since(since))
+    }
+
     /// Records that the backend server sent data; `streaming` means part of a stream's body.
     pub(crate) fn record_activity(&self, streaming: bool, now: Timestamp) {
         let mut hosts = self.running.hosts.borrow_mut();
@@ -128,7 +137,8 @@
         };
         work.last_heard = now;
         if let Some(attempt) = work.attempts.get_mut(&self.attempt_id) {
-            attempt.streaming |= streaming;
+            let first = streaming.then_some(now);
+            attempt.writing_since = attempt.writing_since.or(first);
         }
     }
 }
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`attempts`] | whether a failed attempt may be retried |
 //! | [`byte_budget`] | memory limit for incomplete answers |
 //! | [`notice`] | what a backend server announces about itself in an answer |
+//! | [`prompt_parts`] | the parts that prompts of different requests share |
 //! | [`silence`] | detection of groups that stopped answering while work waits there |
 //! | [`rate_limiter`] | limits shared by all entry hosts |
 //! | [`entry_host_view`] | the state of an entry host as shown to operators |
@@ -36,6 +37,7 @@
 pub mod peer_load;
 pub mod planner;
 pub mod prelude;
+pub mod prompt_parts;
 pub mod rate_limiter;
 pub mod route;
 pub mod route_table;
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -13,6 +13,7 @@
 pub use crate::notice::ServerNotice;
 pub use crate::order::{HostOrder, OrderAnswer, OrderKind, OrderReply};
 pub use crate::planner::{GroupPlanner, PlannerSettings};
+pub use crate::prompt_parts::{PartId, PromptParts};
 pub use crate::rate_limiter::RateLimiter;
 pub use crate::route::{Route, RouteKind, Target};
 pub use crate::route_table::RouteTable;
