Count a crash once, however often its record is read

A sound request that was running at two servers that crashed could be refused for ten minutes at the entry host that had published the second crash.

Cause: a record of a crash was counted on each reading. Class: evidence that is counted by message, not by what it says.

Why this works: a record names the incarnation that ended, and a request keeps the set of them. The value of the records changes; records of an older process are set aside with a log line.

--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -11,7 +11,7 @@
 use geranium_core::limit::{RetryBudget, RetryBudgetSettings};
 use geranium_core::time::Timestamp;
 use geranium_fleet::byte_budget::ByteBudget;
-use geranium_fleet::crash::CrashTracker;
+use geranium_fleet::crash::{CrashId, CrashTracker};
 use geranium_fleet::demand::DemandMeter;
 use geranium_fleet::directory::Directory;
 use geranium_fleet::dispatch::{ColdLimit, Dispatcher};
@@ -158,7 +158,7 @@
     pub(crate) ready: Arc<AtomicBool>,
     /// Sends fingerprints of requests that crashed a backend server to the task that
     /// publishes them.
-    pub(crate) crash_sender: mpsc::UnboundedSender<u64>,
+    pub(crate) crash_sender: mpsc::UnboundedSender<(u64, CrashId)>,
     /// Whether this process is the manager.
     pub(crate) is_manager: Cell<bool>,
     /// Whether the last call to the store failed.
@@ -180,7 +180,7 @@
     pub(crate) fn new(
         cfg: EntrySettings,
         dialect: D,
-        crash_sender: mpsc::UnboundedSender<u64>,
+        crash_sender: mpsc::UnboundedSender<(u64, CrashId)>,
         counters: &ProcessCounters,
     ) -> Self {
         let dispatcher = Dispatcher::new(cfg.name.clone(), cfg.failure_domain.clone());
@@ -322,9 +322,17 @@
             .borrow_mut()
             .crashes
             .confirm_crashes(id, incarnation, now);
+        let crash = CrashId {
+            host: id.into(),
+            incarnation,
+        };
         for fingerprint in crashed {
             log::info!(host:% = id, fingerprint:% = format_args!("{fingerprint:x}"); "request was running at a backend server that crashed");
-            if self.crash_sender.send(fingerprint).is_err() {
+            if self
+                .crash_sender
+                .send((fingerprint, crash.clone()))
+                .is_err()
+            {
                 log::error!(
                     "failed to queue a crash report: the task that publishes them has ended"
                 );
--- a/crates/geranium_entry/src/store_watcher.rs
+++ b/crates/geranium_entry/src/store_watcher.rs
@@ -10,6 +10,7 @@
 use geranium_core::collections::{HashMap, HashSet};
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
+use geranium_fleet::crash::CrashId;
 use geranium_fleet::deployment::Deployment;
 use geranium_fleet::exchange::Peer;
 use geranium_fleet::host::{Host, HostId};
@@ -435,8 +436,9 @@
             log::info!(manager = manager; "manager of the groups changed");
         } else if let Some(fingerprint) = name.strip_prefix(CRASH_PREFIX) {
             let text = fingerprint.split('/').next().unwrap_or_default();
-            if let (Ok(fingerprint), Some(_)) = (u64::from_str_radix(text, 16), value) {
-                core.crashes.record_crash(fingerprint, now);
+            let crash = value.and_then(parse_crash);
+            if let (Ok(fingerprint), Some(crash)) = (u64::from_str_radix(text, 16), crash) {
+                core.crashes.record_crash(fingerprint, crash, now);
             }
         }
     }
@@ -449,6 +451,16 @@
     }
 }
 
+fn parse_crash(value: &[u8]) -> Option<CrashId> {
+    match serde_json::from_slice(value) {
+        Ok(crash) => Some(crash),
+        Err(e) => {
+            log::warn!("crash record is malformed: {e}");
+            None
+        }
+    }
+}
+
 fn parse_registration(value: &[u8]) -> Option<EntryRegistration> {
     match serde_json::from_slice(value) {
         Ok(entry) => Some(entry),
--- a/crates/geranium_fleet/src/crash.rs
+++ b/crates/geranium_fleet/src/crash.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
-use geranium_core::collections::HashMap;
+use geranium_core::collections::{HashMap, HashSet};
 use geranium_core::time::Timestamp;
+use serde::{Deserialize, Serialize};
 
 use crate::host::HostId;
 
 /// Number of crashes, over all entry hosts, after which a request is refused.
-const REFUSAL_THRESHOLD: u32 = 3;
+const REFUSAL_THRESHOLD: usize = 3;
 /// How long a crash counts.
 const CRASH_RETENTION: Duration = Duration::from_secs(600);
 /// Time within which a backend server must be seen to have stopped after it dropped a
@@ -17,9 +18,18 @@
 /// Maximum number of tracked requests.
 const MAX_RECORDS: usize = 4_096;
 
-#[derive(Clone, Copy, Debug)]
+/// Identifies a crash: the incarnation of a backend server that ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct CrashId {
+    /// The backend server.
+    pub host: HostId,
+    /// Its incarnation.
+    pub incarnation: u64,
+}
+
+#[derive(Clone, Debug)]
 struct CrashRecord {
-    crashes: u32,
+    crashes: HashSet<CrashId>,
     last: Timestamp,
 }
 
@@ -81,23 +91,29 @@
         let confirmed: Vec<u64> = confirmed.map(|s| s.fingerprint).collect();
         self.pending.retain(|s| !ended(s));
         for fingerprint in &confirmed {
-            self.record_crash(*fingerprint, now);
+            let crash = CrashId {
+                host: host.into(),
+                incarnation,
+            };
+            self.record_crash(*fingerprint, crash, now);
         }
         confirmed
     }
 
-    /// Records a crash caused by a request, here or at another entry host.
-    pub fn record_crash(&mut self, fingerprint: u64, now: Timestamp) {
+    /// Records a crash caused by a request, here or at another entry host. Each crash counts
+    /// once, however often it is reported.
+    pub fn record_crash(&mut self, fingerprint: u64, crash: CrashId, now: Timestamp) {
         if self.records.len() >= MAX_RECORDS {
             self.records
                 .retain(|_, e| now.since(e.last) < CRASH_RETENTION / 2);
         }
         let record = self.records.entry(fingerprint).or_insert(CrashRecord {
-            crashes: 0,
+            crashes: HashSet::default(),
             last: now,
         });
-        record.crashes += 1;
-        record.last = now;
+        if record.crashes.insert(crash) {
+            record.last = now;
+        }
     }
 
     /// Clears the crashes of a request that was answered, so that it did not cause them.
@@ -109,7 +125,8 @@
     #[must_use]
     pub fn is_refused(&self, fingerprint: u64, now: Timestamp) -> bool {
         let record = self.records.get(&fingerprint);
-        record
-            .is_some_and(|e| e.crashes >= REFUSAL_THRESHOLD && now.since(e.last) < CRASH_RETENTION)
+        record.is_some_and(|e| {
+            e.crashes.len() >= REFUSAL_THRESHOLD && now.since(e.last) < CRASH_RETENTION
+        })
     }
 }
