Count crashes by prompt part too, and refuse a part with what comes with it

Cause: a crash was counted for the whole request (path, account, body). Requests that share one part of their prompts are all different, so that none reached three. Class of fault: evidence kept by a key that the cause does not have.

Why this works: each part that requests may share has a count of successive crashes, which an answer that was sent after them disproves; counts are merged by maximum, so that all entry hosts come to the same. Three crashes refuse the part together with what all its crashed requests had in common, so that sound requests with the same beginning run. Servers that end at the same moment count once; a part that was answered before needs six. After 15 s one request of all entry hosts, agreed through the store, tries the part again; an answer ends the refusal, a crash prolongs it four times. Crash records are one write for all requests of an entry host at a crash, under one lease, where there were two calls for each request.

--- a/crates/geranium_entry/src/crash_reports.rs
+++ b/crates/geranium_entry/src/crash_reports.rs
@@ -1,53 +1,168 @@
-//! Publishes requests that crash backend servers to the other entry hosts.
+//! Publishes crashes of backend servers to the other entry hosts through the store.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use geranium_core::id::StoreRevision;
-use geranium_fleet::crash::CrashId;
-use geranium_platform::{KvStore, StoreError, Swap};
-use tokio::sync::mpsc;
+use geranium_core::time::Timestamp;
+use geranium_fleet::crash::Trial;
+use geranium_platform::{CasOutcome, KvStore, LeaseId, StoreError, Swap};
+use tokio::sync::{mpsc, oneshot};
 
+use crate::crash_record::CrashRecord;
 use crate::dialect::Dialect;
 use crate::state::SharedState;
-use crate::store_watcher::CRASH_PREFIX;
 
-/// Time for which a crash record is kept in the store.
-const CRASH_TTL: Duration = Duration::from_secs(300);
+/// Time for which crash records are kept in the store.
+const RECORD_TTL: Duration = Duration::from_secs(600);
+/// Age at which the lease of the records is replaced, so that each record lasts long enough.
+const MAX_LEASE_AGE: Duration = Duration::from_secs(300);
+/// Longest delay before other entry hosts are told of an answer. Many entry hosts see such
+/// answers at the same time, and the record of the first spares the others theirs.
+const MAX_TELL_DELAY: Duration = Duration::from_millis(250);
+/// Time that a request waits for the decision on its trial.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Writes the fingerprint of each request that crashed a backend server to the store.
+/// Request to the task that publishes crash records.
+pub(crate) enum CrashMessage {
+    /// Publishes a record.
+    Publish(CrashRecord),
+    /// Publishes which suspected subjects were answered.
+    TellDisproved,
+    /// Tries to win a trial.
+    Claim(Trial, oneshot::Sender<bool>),
+}
+
+/// Sender of requests to the task that publishes crash records.
+#[derive(Clone)]
+pub(crate) struct CrashOutbox {
+    tx: mpsc::UnboundedSender<CrashMessage>,
+}
+
+impl CrashOutbox {
+    /// Creates the two ends of the channel to the task.
+    pub(crate) fn channel() -> (Self, mpsc::UnboundedReceiver<CrashMessage>) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        (Self { tx }, rx)
+    }
+
+    /// Queues a request.
+    pub(crate) fn send(&self, message: CrashMessage) {
+        if self.tx.send(message).is_err() {
+            log::error!("failed to queue a crash record: the task that publishes them has ended");
+        }
+    }
+
+    /// Returns whether this entry host has won a trial; false if that can't be found out soon.
+    pub(crate) async fn claim(&self, trial: Trial) -> bool {
+        let (tx, rx) = oneshot::channel();
+        self.send(CrashMessage::Claim(trial, tx));
+        matches!(tokio::time::timeout(TRIAL_TIMEOUT, rx).await, Ok(Ok(true)))
+    }
+}
+
+/// Publishes crash records until the process ends.
 pub(crate) async fn run<D: Dialect, S: KvStore>(
     shared: Rc<SharedState<D>>,
     store: S,
-    mut rx: mpsc::UnboundedReceiver<(u64, CrashId)>,
+    mut rx: mpsc::UnboundedReceiver<CrashMessage>,
 ) {
-    while let Some((fingerprint, crash)) = rx.recv().await {
-        if let Err(e) = write_crash(&shared, &store, fingerprint, &crash).await {
-            log::warn!("failed to publish the crash record of a request: {e}");
+    let (queue, records) = mpsc::unbounded_channel();
+    let publisher = Rc::new(CrashPublisher {
+        shared,
+        store,
+        lease: Cell::new(None),
+    });
+    tokio::task::spawn_local(publisher.clone().publish_all(records));
+    while let Some(message) = rx.recv().await {
+        match message {
+            CrashMessage::Publish(record) => {
+                // Fails only if the other task has ended, which lives as long as this one.
+                let _ = queue.send(record);
+            }
+            CrashMessage::TellDisproved => {
+                tokio::task::spawn_local(publisher.clone().tell_disproved(queue.clone()));
+            }
+            CrashMessage::Claim(trial, reply) => {
+                tokio::task::spawn_local(publisher.clone().claim(trial, reply));
+            }
         }
     }
 }
 
-async fn write_crash<D: Dialect, S: KvStore>(
-    shared: &SharedState<D>,
-    store: &S,
-    fingerprint: u64,
-    crash: &CrashId,
-) -> Result<(), StoreError> {
-    let Ok(value) = serde_json::to_vec(crash) else {
-        log::error!(host:% = crash.host; "failed to serialize a crash record");
-        return Ok(());
-    };
-    let lease = store.grant_lease(CRASH_TTL).await?;
-    let at = shared.now().as_millis();
-    let name = format!("{CRASH_PREFIX}{fingerprint:x}/{}-{at}", shared.cfg.name);
-    let swap = Swap {
-        key: shared.dialect.internal_key(&name),
-        expected: StoreRevision(0),
-        value: Some(Bytes::from(value)),
-        lease: Some(lease),
-    };
-    store.transact(vec![swap]).await?;
-    Ok(())
+struct CrashPublisher<D: Dialect, S: KvStore> {
+    shared: Rc<SharedState<D>>,
+    store: S,
+    /// Lease of the records, with the time at which it was granted.
+    lease: Cell<Option<(LeaseId, Timestamp)>>,
+}
+
+impl<D: Dialect, S: KvStore> CrashPublisher<D, S> {
+    /// Writes records one after the other.
+    async fn publish_all(self: Rc<Self>, mut records: mpsc::UnboundedReceiver<CrashRecord>) {
+        while let Some(record) = records.recv().await {
+            if let Err(e) = self.write(&record).await {
+                log::warn!("failed to publish a crash record: {e}");
+            }
+        }
+    }
+
+    /// Queues what the other entry hosts do not know yet, unless one of them was faster.
+    async fn tell_disproved(self: Rc<Self>, queue: mpsc::UnboundedSender<CrashRecord>) {
+        tokio::time::sleep(MAX_TELL_DELAY.mul_f64(rand::random())).await;
+        let counts = self.shared.core.borrow_mut().crashes.take_disproved();
+        for count in counts {
+            log::info!(subject:% = count.subject, disproved = count.disproved; "suspected subject was answered");
+            let _ = queue.send(CrashRecord::Disproved(count));
+        }
+    }
+
+    async fn claim(self: Rc<Self>, trial: Trial, reply: oneshot::Sender<bool>) {
+        let won = match self.write(&CrashRecord::Trial(trial)).await {
+            Ok(outcome) => matches!(outcome, CasOutcome::Applied(_)),
+            Err(e) => {
+                log::warn!(subject:% = trial.subject; "failed to claim a trial: {e}");
+                return;
+            }
+        };
+        self.shared.core.borrow_mut().crashes.record_trial(&trial);
+        log::info!(subject:% = trial.subject, crashes = trial.crashes, number = trial.number, won = won; "trial of a refused subject");
+        // The request may have given up waiting.
+        let _ = reply.send(won);
+    }
+
+    /// Writes a record. A conflict means that another entry host has written the same.
+    async fn write(&self, record: &CrashRecord) -> Result<CasOutcome, StoreError> {
+        let Ok(value) = serde_json::to_vec(record) else {
+            log::error!(record:? = record; "failed to serialize a crash record");
+            return Ok(CasOutcome::Conflict(Vec::new()));
+        };
+        let name = record.name(&self.shared.cfg.name, rand::random());
+        let swap = Swap {
+            key: self.shared.dialect.internal_key(&name),
+            expected: StoreRevision(0),
+            value: Some(Bytes::from(value)),
+            lease: Some(self.lease().await?),
+        };
+        let written = self.store.transact(vec![swap]).await;
+        if written.is_err() {
+            // The lease may be the cause.
+            self.lease.set(None);
+        }
+        written
+    }
+
+    async fn lease(&self) -> Result<LeaseId, StoreError> {
+        let now = self.shared.now();
+        if let Some((lease, granted_at)) = self.lease.get()
+            && now.since(granted_at) < MAX_LEASE_AGE
+        {
+            return Ok(lease);
+        }
+        let lease = self.store.grant_lease(RECORD_TTL).await?;
+        self.lease.set(Some((lease, now)));
+        Ok(lease)
+    }
 }
--- a/crates/geranium_entry/src/entry_host.rs
+++ b/crates/geranium_entry/src/entry_host.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
+use crate::crash_reports::CrashOutbox;
 use crate::dialect::Dialect;
 use crate::peers::PeerLink;
 use crate::settings::EntrySettings;
@@ -115,8 +116,8 @@
         .await
         .map_err(|e| EntryHostError::Bind("peers", e))?;
     let link = Rc::new(link);
-    let (crash_sender, crashes) = mpsc::unbounded_channel();
-    let shared = Rc::new(SharedState::new(cfg, dialect, crash_sender, counters));
+    let (crash_outbox, crashes) = CrashOutbox::channel();
+    let shared = Rc::new(SharedState::new(cfg, dialect, crash_outbox, counters));
     log::info!(callers:% = shared.cfg.caller_address, first_start = shared.cfg.first_start; "entry host starts");
 
     let mut failures = spawn_listeners(&shared);
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -36,6 +36,10 @@
     pub(crate) retry_budget: Family<ServiceLabel, Gauge>,
     /// Orders to hosts by kind.
     pub(crate) orders: Family<CauseLabel, Counter>,
+    /// Backend servers that ended under requests of this entry host.
+    pub(crate) crashes: Counter,
+    /// Requests and prompt parts that are refused because they crash backend servers.
+    pub(crate) refused_subjects: Gauge,
     /// Number of times that a group became silent.
     pub(crate) silences: Counter,
     /// Time from the arrival of a request to its first attempt, in seconds.
@@ -81,6 +85,12 @@
             cold_requests: register_metric(r, "cold_requests", "Requests to cold backend servers"),
             retry_budget: register_metric(r, "retry_budget", "Retries left here by service"),
             orders: register_metric(r, "orders", "Orders to hosts"),
+            crashes: register_metric(r, "crashes", "Servers that ended under requests"),
+            refused_subjects: register_metric(
+                r,
+                "refused_subjects",
+                "Requests and prompt parts refused because they crash servers",
+            ),
             silences: register_metric(r, "silences", "Groups that fell silent"),
             dispatch_wait: register_duration(
                 r,
--- a/crates/geranium_entry/src/relay/active_request.rs
+++ b/crates/geranium_entry/src/relay/active_request.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use geranium_core::time::Timestamp;
 use geranium_fleet::attempts::Attempts;
+use geranium_fleet::crash::{CrashCount, CrashSubject, CrashVerdict};
 use geranium_fleet::dispatch::NoHost;
 use geranium_fleet::host::HostId;
 use geranium_fleet::prompt_parts::PromptParts;
@@ -43,6 +44,8 @@
 const RETRY_AFTER_NO_GROUP: Duration = Duration::from_millis(1_200);
 /// `Retry-After` while all backend servers are at capacity.
 const RETRY_AFTER_FULL: Duration = Duration::from_millis(500);
+/// `Retry-After` while a trial of another request with the same refused prompt part runs.
+const RETRY_AFTER_TRIAL: Duration = Duration::from_secs(3);
 /// `Retry-After` while no configuration is known.
 const RETRY_AFTER_NO_CONFIGURATION: Duration = Duration::from_millis(1_000);
 
@@ -71,9 +74,11 @@
     pub(super) attempts: Attempts,
     /// Cause of the next attempt, if it is a retry.
     pub(super) retry_cause: Option<&'static str>,
-    /// Hash of the path, account and body, by which requests that crash backend servers are
-    /// recognized.
-    pub(super) fingerprint: u64,
+    /// What may crash a backend server: the request as a whole, and the parts of its prompt
+    /// that others may share.
+    pub(super) crash_subjects: Vec<CrashSubject>,
+    /// Crash counts of its suspected subjects when it was last sent.
+    pub(super) sent_counts: Vec<CrashCount>,
 }
 
 /// What the configuration determines for a request.
@@ -114,14 +119,7 @@
         if !request.can_finish_before_exit() {
             return Err(request.refusal(RefusalReason::Leaving));
         }
-        if shared
-            .core
-            .borrow()
-            .crashes
-            .is_refused(request.fingerprint, arrived)
-        {
-            return Err(request.refusal(RefusalReason::CrashesServers));
-        }
+        request.check_crashes().await?;
         Ok(request)
     }
 
@@ -157,13 +155,18 @@
             route: resolved.route,
             service: resolved.service,
             tried: Vec::new(),
-            fingerprint: 0,
+            crash_subjects: Vec::new(),
+            sent_counts: Vec::new(),
         };
         if request.service.engine.is_some() {
             let priority = HeaderValue::from(u16::from(resolved.priority.min(LOWEST_PRIORITY)));
             request.headers.insert(names.priority.clone(), priority);
         }
-        request.fingerprint = request.content_hash(resolved.account.as_deref());
+        let fingerprint = request.content_hash(resolved.account.as_deref());
+        let parts = request.prompt_parts.shared.iter().copied();
+        request.crash_subjects = std::iter::once(CrashSubject::Request(fingerprint))
+            .chain(parts.map(CrashSubject::Part))
+            .collect();
         request.record_demand(estimate.unwrap_or(answer_tokens));
         request
     }
@@ -193,6 +196,32 @@
         hasher.finish()
     }
 
+    /// Refuses the request if it would crash a backend server.
+    async fn check_crashes(&self) -> Result<(), Refusal> {
+        let trial = match self.crash_verdict() {
+            CrashVerdict::Allowed => return Ok(()),
+            CrashVerdict::Refused {
+                subject,
+                retry_after,
+            } => {
+                log::info!(request = self.id(), subject:% = subject; "request would crash a backend server");
+                return Err(self.refusal(RefusalReason::CrashesServers(retry_after)));
+            }
+            CrashVerdict::Trial(trial) => trial,
+        };
+        if self.shared.crash_outbox.claim(trial).await {
+            log::info!(request = self.id(), subject:% = trial.subject, crashes = trial.crashes; "request runs as a trial");
+            return Ok(());
+        }
+        Err(self.refusal(RefusalReason::CrashesServers(RETRY_AFTER_TRIAL)))
+    }
+
+    /// Returns whether the request may run as far as crashes of backend servers are concerned.
+    pub(super) fn crash_verdict(&self) -> CrashVerdict {
+        let crashes = &self.shared.core.borrow().crashes;
+        crashes.verdict(&self.crash_subjects, self.shared.now())
+    }
+
     fn record_demand(&self, answer_tokens: f64) {
         let now = self.arrived;
         let mut core = self.shared.core.borrow_mut();
@@ -226,7 +255,7 @@
             RefusalReason::NoHost(why) => Some(self.retry_after_no_host(why)),
             RefusalReason::NoCapacity(_) => Some(RETRY_AFTER_FULL),
             RefusalReason::Leaving => Some(RETRY_AFTER_SHUTDOWN),
-            RefusalReason::CrashesServers => Some(DEFAULT_DEADLINE),
+            RefusalReason::CrashesServers(retry_after) => Some(retry_after),
             _ => None,
         };
         Refusal {
--- a/crates/geranium_entry/src/relay/attempt.rs
+++ b/crates/geranium_entry/src/relay/attempt.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Returns whether the connection broke while the request may have been executed.
+    pub(super) fn is_disconnect(self) -> bool {
+        matches!(self, Self::MayHaveRun("reset" | "cut" | "partial_event"))
+    }
+
     /// Returns the cause for logs and metrics.
     pub(super) const fn as_str(self) -> &'static str {
         match self {
--- a/crates/geranium_entry/src/relay/buffered.rs
+++ b/crates/geranium_entry/src/relay/buffered.rs
@@ -74,8 +74,8 @@
         let mut core = request.shared.core.borrow_mut();
         core.dispatcher
             .record_outcome(&choice.host.id, true, Some(took));
-        core.crashes.clear(request.fingerprint);
     }
+    request.record_answer();
     request
         .shared
         .metrics
--- a/crates/geranium_entry/src/relay/host_selection.rs
+++ b/crates/geranium_entry/src/relay/host_selection.rs
@@ -41,6 +41,10 @@
             metrics.cold_requests.inc();
         }
         self.tried.push(choice.host.id.clone());
+        self.sent_counts = {
+            let crashes = &self.shared.core.borrow().crashes;
+            crashes.counts(&self.crash_subjects)
+        };
         let slot = HostSlot::new(&self.shared, &choice.host, self.prompt_tokens);
         Ok(SelectedHost { choice, slot })
     }
--- a/crates/geranium_entry/src/relay/refusal.rs
+++ b/crates/geranium_entry/src/relay/refusal.rs
@@ -25,8 +25,9 @@
     BodyBroken,
     /// The request has no identifier.
     Malformed,
-    /// The request crashed backend servers before and must not be executed again.
-    CrashesServers,
+    /// The request, or others with a part of its prompt, crashed backend servers; it is not
+    /// executed, and requests like it are not for the given time.
+    CrashesServers(Duration),
     /// No backend server can be selected now; the request was not executed.
     NoHost(NoHost),
     /// Backend servers rejected the request; it was not executed.
@@ -49,7 +50,7 @@
             Self::BodyTooLong => "body_too_long",
             Self::BodyBroken => "body_broken",
             Self::Malformed => "malformed",
-            Self::CrashesServers => "crashes_servers",
+            Self::CrashesServers(_) => "crashes_servers",
             Self::NoHost(why) => why.as_str(),
             Self::NoCapacity(word) => word,
             Self::Leaving => "leaving",
@@ -66,7 +67,7 @@
             Self::BodyBroken => StatusCode::REQUEST_TIMEOUT,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::NoConfiguration
-            | Self::CrashesServers
+            | Self::CrashesServers(_)
             | Self::NoHost(_)
             | Self::NoCapacity(_)
             | Self::Leaving => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/geranium_entry/src/relay/retry.rs
+++ b/crates/geranium_entry/src/relay/retry.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use geranium_fleet::crash::{CrashId, HARMLESS_AFTER};
 use geranium_fleet::dispatch::NoHost;
 use geranium_fleet::host::Host;
 use geranium_fleet::route::RouteKind;
@@ -19,6 +20,7 @@
         error: AttemptError,
     ) -> Result<(), Refusal> {
         self.record_failure(host, error, None);
+        self.record_possible_crash(host, error, None);
         self.attempts.record_failure(error.failure());
         if self.may_retry(error) {
             return Ok(());
@@ -84,9 +86,6 @@
     }
 
     fn update_host_health(&self, host: &Host, error: AttemptError) {
-        if error == AttemptError::MayHaveRun("reset") {
-            self.record_possible_crash(host);
-        }
         // A backend server that is at capacity or asked for a pause has not failed.
         if matches!(error, AttemptError::Deadline | AttemptError::NotRun(PAUSED)) {
             return;
@@ -99,12 +98,33 @@
         }
     }
 
-    /// Records that a backend server disconnected while it may have been executing the
-    /// request, which may thus have crashed it.
-    pub(super) fn record_possible_crash(&self, host: &Host) {
+    /// Records that the request may have crashed its backend server, if that dropped it
+    /// without having written an answer for long.
+    pub(super) fn record_possible_crash(
+        &self,
+        host: &Host,
+        error: AttemptError,
+        writing_for: Option<Duration>,
+    ) {
+        if !error.is_disconnect() || writing_for >= Some(HARMLESS_AFTER) {
+            return;
+        }
         let now = self.shared.now();
-        let mut core = self.shared.core.borrow_mut();
-        core.crashes
-            .record_disconnect(&host.id, host.incarnation, self.fingerprint, now);
+        let from = CrashId {
+            host: host.id.clone(),
+            incarnation: host.incarnation,
+        };
+        self.shared.core.borrow_mut().crashes.record_disconnect(
+            from,
+            &self.crash_subjects,
+            &self.sent_counts,
+            now,
+        );
+    }
+
+    /// Records that the request was answered.
+    pub(super) fn record_answer(&self) {
+        self.shared
+            .record_answer(&self.crash_subjects, &self.sent_counts);
     }
 }
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -1,6 +1,8 @@
 //! Event streams, resumed at another backend server within the same response.
 
 use bytes::Bytes;
+use geranium_core::time::Timestamp;
+use geranium_fleet::crash::HARMLESS_AFTER;
 use geranium_fleet::dispatch::Choice;
 use geranium_fleet::host::Host;
 use hyper::Response;
@@ -246,13 +248,13 @@
                     let pause = now.since(std::mem::replace(&mut last_forwarded_at, now));
                     let metrics = &self.request.shared.metrics;
                     metrics.event_pause.observe(pause.as_secs_f64());
+                    self.check_harmless(now);
                     if self.tx.send(Ok(events)).await.is_err() {
                         return "caller_left";
                     }
                 }
                 StreamRead::End => {
-                    let mut core = self.request.shared.core.borrow_mut();
-                    core.crashes.clear(self.request.fingerprint);
+                    self.request.record_answer();
                     return "answered";
                 }
                 StreamRead::Aborted(cause) => {
@@ -265,6 +267,18 @@
         }
     }
 
+    /// Counts the request as answered once its backend server has been writing long enough.
+    fn check_harmless(&mut self, now: Timestamp) {
+        if self.request.sent_counts.is_empty() {
+            return;
+        }
+        let writing_for = self.reader.slot.guard.writing_for(now);
+        if writing_for >= Some(HARMLESS_AFTER) {
+            self.request.record_answer();
+            self.request.sent_counts.clear();
+        }
+    }
+
     async fn abort(&self, cause: StreamAborted) -> &'static str {
         // Fails if the caller has disconnected; then there is nobody to inform.
         let _ = self.tx.send(Err(cause)).await;
@@ -288,6 +302,8 @@
                 .writing_for(self.request.shared.now());
             self.request
                 .record_failure(&self.reader.host, error, writing_for);
+            self.request
+                .record_possible_crash(&self.reader.host, error, writing_for);
         }
         if last.is_none() || !self.request.may_retry(error) {
             return false;
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -11,7 +11,7 @@
 use geranium_core::limit::{RetryBudget, RetryBudgetSettings};
 use geranium_core::time::Timestamp;
 use geranium_fleet::byte_budget::ByteBudget;
-use geranium_fleet::crash::{CrashId, CrashTracker};
+use geranium_fleet::crash::{CrashCount, CrashId, CrashSubject, CrashTracker};
 use geranium_fleet::demand::DemandMeter;
 use geranium_fleet::directory::Directory;
 use geranium_fleet::dispatch::{ColdLimit, Dispatcher};
@@ -23,11 +23,13 @@
 use geranium_telemetry::ProcessClock;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, watch};
 
 use crate::ProcessCounters;
+use crate::crash_record::CrashRecord;
+use crate::crash_reports::{CrashMessage, CrashOutbox};
 use crate::dialect::Dialect;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, gauge};
 use crate::pool::ConnectionPool;
 use crate::recent_changes::RecentChanges;
 use crate::running_attempts::RunningAttempts;
@@ -63,7 +65,7 @@
     pub(crate) demand: HashMap<Arc<str>, DemandMeter>,
     /// Retry budgets by service.
     pub(crate) budgets: HashMap<Arc<str>, RetryBudget>,
-    /// Tracks requests that crash backend servers.
+    /// Tracks requests and prompt parts that crash backend servers.
     pub(crate) crashes: CrashTracker,
     /// Names of the registered entry hosts.
     pub(crate) entry_hosts: HashSet<String>,
@@ -156,9 +158,8 @@
     pub(crate) phase: watch::Sender<Phase>,
     /// Result of the load balancer's readiness check.
     pub(crate) ready: Arc<AtomicBool>,
-    /// Sends fingerprints of requests that crashed a backend server to the task that
-    /// publishes them.
-    pub(crate) crash_sender: mpsc::UnboundedSender<(u64, CrashId)>,
+    /// Queue of the task that publishes crashes of backend servers.
+    pub(crate) crash_outbox: CrashOutbox,
     /// Whether this process is the manager.
     pub(crate) is_manager: Cell<bool>,
     /// Whether the last call to the store failed.
@@ -180,7 +181,7 @@
     pub(crate) fn new(
         cfg: EntrySettings,
         dialect: D,
-        crash_sender: mpsc::UnboundedSender<(u64, CrashId)>,
+        crash_outbox: CrashOutbox,
         counters: &ProcessCounters,
     ) -> Self {
         let dispatcher = Dispatcher::new(cfg.name.clone(), cfg.failure_domain.clone());
@@ -216,7 +217,7 @@
             unreported_leaving: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
             ready: Arc::default(),
-            crash_sender,
+            crash_outbox,
             is_manager: Cell::new(false),
             store_unreachable: Cell::new(false),
             revision: Cell::new(None),
@@ -313,31 +314,69 @@
         is_new
     }
 
-    /// Records that a backend server incarnation has ended, and publishes the fingerprints
-    /// of the requests that crashed it to the other entry hosts.
+    /// Records that a backend server incarnation has ended, and tells the other entry hosts
+    /// which requests it had dropped.
     pub(crate) fn record_host_ended(&self, id: &str, incarnation: u64) {
         let now = self.now();
-        let crashed = self
-            .core
-            .borrow_mut()
-            .crashes
-            .confirm_crashes(id, incarnation, now);
         let crash = CrashId {
             host: id.into(),
             incarnation,
         };
-        for fingerprint in crashed {
-            log::info!(host:% = id, fingerprint:% = format_args!("{fingerprint:x}"); "request was running at a backend server that crashed");
-            if self
-                .crash_sender
-                .send((fingerprint, crash.clone()))
-                .is_err()
-            {
-                log::error!(
-                    "failed to queue a crash report: the task that publishes them has ended"
-                );
+        let report = self.core.borrow_mut().crashes.confirm_crash(&crash, now);
+        let Some(report) = report else {
+            return;
+        };
+        log::info!(host:% = id, born = incarnation, requests = report.requests.len(); "backend server crashed under requests");
+        self.metrics.crashes.inc();
+        self.update_refusals();
+        let record = CrashRecord::Crashed(report);
+        self.crash_outbox.send(CrashMessage::Publish(record));
+    }
+
+    /// Applies what another entry host tells about crashes.
+    pub(crate) fn apply_crash_record(&self, record: &CrashRecord) {
+        let now = self.now();
+        {
+            let crashes = &mut self.core.borrow_mut().crashes;
+            match record {
+                CrashRecord::Crashed(report) => crashes.apply_report(report, now),
+                CrashRecord::Disproved(count) => crashes.apply_disproved(count, now),
+                CrashRecord::Trial(trial) => crashes.record_trial(trial),
             }
         }
+        self.update_refusals();
+    }
+
+    /// Records that a request was answered, which shows that its subjects did not cause the
+    /// crashes that were known when it was sent.
+    pub(crate) fn record_answer(&self, subjects: &[CrashSubject], sent: &[CrashCount]) {
+        let now = self.now();
+        let tell = self
+            .core
+            .borrow_mut()
+            .crashes
+            .record_answer(subjects, sent, now);
+        if !sent.is_empty() {
+            self.update_refusals();
+        }
+        if tell {
+            self.crash_outbox.send(CrashMessage::TellDisproved);
+        }
+    }
+
+    /// Decides anew what is refused because it crashes backend servers.
+    fn update_refusals(&self) {
+        let now = self.now();
+        let mut core = self.core.borrow_mut();
+        for change in core.crashes.update_refusals(now) {
+            let count = change.count;
+            log::info!(
+                subject:% = count.subject, refused = change.refused, crashes = count.crashes, disproved = count.disproved;
+                "what crashes backend servers is judged anew"
+            );
+        }
+        let refused = core.crashes.refused_count();
+        self.metrics.refused_subjects.set(gauge(refused as u64));
     }
 
     /// Recomputes the result of the readiness check.
--- a/crates/geranium_entry/src/store_watcher.rs
+++ b/crates/geranium_entry/src/store_watcher.rs
@@ -10,7 +10,6 @@
 use geranium_core::collections::{HashMap, HashSet};
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
-use geranium_fleet::crash::CrashId;
 use geranium_fleet::deployment::Deployment;
 use geranium_fleet::exchange::Peer;
 use geranium_fleet::host::{Host, HostId};
@@ -20,6 +19,7 @@
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 
+use crate::crash_record::{CRASH_PREFIX, CrashRecord};
 use crate::dialect::Dialect;
 use crate::metrics::gauge;
 use crate::peer_changes::{self, PeerChanges};
@@ -31,8 +31,6 @@
 pub(crate) const ENTRY_PREFIX: &str = "entry/";
 /// Name of the value that holds the registration of the manager.
 pub(crate) const MANAGER_KEY: &str = "manager";
-/// Prefix of the values that record requests which crashed a backend server.
-pub(crate) const CRASH_PREFIX: &str = "crash/";
 /// Delay after the first failed call, before jitter; it doubles with each further failure.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Longest delay after a failed call, before jitter; kept short so that the store is
@@ -367,7 +365,7 @@
                 core.directory.set_domain_out(&domain, false);
                 core.directory.set_domain_cold(&domain, cold_until);
             }
-            StoreUpdate::Internal { name, value } => self.on_internal(&name, value.as_deref(), now),
+            StoreUpdate::Internal { name, value } => self.on_internal(&name, value.as_deref()),
             StoreUpdate::Invalid { key, detail } => {
                 log::warn!(key:% = key.escape_debug(); "value of the store is set aside: {detail}");
             }
@@ -417,7 +415,7 @@
         }
     }
 
-    fn on_internal(&self, name: &str, value: Option<&[u8]>, now: Timestamp) {
+    fn on_internal(&self, name: &str, value: Option<&[u8]>) {
         let mut core = self.shared.core.borrow_mut();
         if let Some(entry) = name.strip_prefix(ENTRY_PREFIX) {
             let parsed = value.and_then(parse_registration);
@@ -434,12 +432,11 @@
                 .map(|e| (e.name, e.peers));
             let manager = core.manager.as_ref().map(|(name, _)| name.as_str());
             log::info!(manager = manager; "manager of the groups changed");
-        } else if let Some(fingerprint) = name.strip_prefix(CRASH_PREFIX) {
-            let text = fingerprint.split('/').next().unwrap_or_default();
-            let crash = value.and_then(parse_crash);
-            if let (Ok(fingerprint), Some(crash)) = (u64::from_str_radix(text, 16), crash) {
-                core.crashes.record_crash(fingerprint, crash, now);
-            }
+        } else if name.starts_with(CRASH_PREFIX)
+            && let Some(record) = value.and_then(parse_crash_record)
+        {
+            drop(core);
+            self.shared.apply_crash_record(&record);
         }
     }
 }
@@ -451,9 +448,9 @@
     }
 }
 
-fn parse_crash(value: &[u8]) -> Option<CrashId> {
+fn parse_crash_record(value: &[u8]) -> Option<CrashRecord> {
     match serde_json::from_slice(value) {
-        Ok(crash) => Some(crash),
+        Ok(record) => Some(record),
         Err(e) => {
             log::warn!("crash record is malformed: {e}");
             None
--- /dev/null
+++ b/crates/geranium_fleet/src/crash/report.rs
@@ -0,0 +1,25 @@
+//! What entry hosts tell each other about a crash.
+
+use serde::{Deserialize, Serialize};
+
+use super::CrashCount;
+use crate::host::HostId;
+
+/// Identifies a crash: the incarnation of a backend server that ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct CrashId {
+    /// The backend server.
+    pub host: HostId,
+    /// Its incarnation.
+    pub incarnation: u64,
+}
+
+/// A crash, and the requests and prompt parts of one entry host that may have caused it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The incarnation that ended.
+    pub crash: CrashId,
+    /// The requests that may have caused it: for each the counts of its subjects, this crash
+    /// included.
+    pub requests: Vec<Vec<CrashCount>>,
+}
--- /dev/null
+++ b/crates/geranium_fleet/src/crash/tracker.rs
@@ -0,0 +1,416 @@
+//! Counts crashes and refuses what causes them.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use geranium_core::collections::{HashMap, HashSet};
+use geranium_core::time::Timestamp;
+
+use super::answered_parts::AnsweredParts;
+use super::disconnects::Disconnects;
+use super::evidence::Evidence;
+use super::{
+    CRASHES_TO_REFUSE, CrashCount, CrashId, CrashReport, CrashSubject, CrashVerdict, Trial,
+};
+
+/// Number of crashes after which a prompt part is refused that was answered before. It hardly crashes backend servers
+/// and is there at many crashes, as many prompts contain it.
+const CRASHES_TO_REFUSE_ANSWERED: usize = 6;
+/// Crashes without any refused combination with another subject that show that the subject
+/// alone is the cause.
+const CRASHES_WITHOUT_COMBINATION: usize = 2;
+/// Time from the last crash to the first trial of a refused prompt part.
+const FIRST_TRIAL_AFTER: Duration = Duration::from_secs(15);
+/// Factor by which each further crash prolongs the time to the next trial.
+const TRIAL_BACKOFF: u32 = 4;
+/// Longest time between two trials. A request as a whole is refused for this time.
+const MAX_REFUSAL: Duration = Duration::from_secs(600);
+/// Time for which a subject is remembered after its last change.
+const RETENTION: Duration = MAX_REFUSAL;
+/// Maximum number of subjects. Beyond it, those without a second crash are forgotten first.
+const MAX_SUBJECTS: usize = 4_096;
+/// Maximum number of crashes whose possible causes are remembered.
+const MAX_CRASHES: usize = 512;
+
+/// A refused subject.
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    /// Time of the last crash, or of the refusal if that was later.
+    since: Timestamp,
+    /// Crashes so far.
+    crashes: u32,
+    /// Time from one trial to the next.
+    period: Duration,
+    /// Trials since the last crash.
+    trials: u32,
+}
+
+impl Refusal {
+    fn next_trial_at(&self) -> Timestamp {
+        self.since + self.period * self.trials.saturating_add(1)
+    }
+}
+
+/// A subject that is refused from now on or no longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RefusalChange {
+    /// What is known of the subject.
+    pub count: CrashCount,
+    /// Whether it is refused now.
+    pub refused: bool,
+}
+
+/// Counts the crashes of requests and prompt parts, and refuses those that cause them.
+///
+/// # Examples
+///
+/// ```
+/// use geranium_core::time::Timestamp;
+/// use geranium_fleet::crash::{CrashId, CrashSubject, CrashTracker, CrashVerdict};
+///
+/// let mut tracker = CrashTracker::default();
+/// let now = Timestamp::from_millis(1_000);
+/// let subjects = [CrashSubject::Request(99)];
+/// for incarnation in 0..3 {
+///     assert_eq!(tracker.verdict(&subjects, now), CrashVerdict::Allowed);
+///     let sent = tracker.counts(&subjects);
+///     let crash = CrashId { host: "h1".into(), incarnation };
+///     tracker.record_disconnect(crash.clone(), &subjects, &sent, now);
+///     assert!(tracker.confirm_crash(&crash, now).is_some());
+/// }
+/// assert_ne!(tracker.verdict(&subjects, now), CrashVerdict::Allowed);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct CrashTracker {
+    disconnects: Disconnects,
+    subjects: HashMap<CrashSubject, Evidence>,
+    /// Possible causes of each crash.
+    causes: HashMap<CrashId, HashSet<CrashSubject>>,
+    refused: HashMap<CrashSubject, Refusal>,
+    answered: AnsweredParts,
+}
+
+impl CrashTracker {
+    /// Returns the counts of those subjects that may have caused a crash, for a request that
+    /// is about to be sent.
+    #[must_use]
+    pub fn counts(&self, subjects: &[CrashSubject]) -> Vec<CrashCount> {
+        if self.subjects.is_empty() {
+            return Vec::new();
+        }
+        let known = subjects.iter().filter_map(|s| self.subjects.get(s));
+        known
+            .map(|e| e.count)
+            .filter(|c| c.suspicion() > 0)
+            .collect()
+    }
+
+    /// Records that a backend server dropped a request that it had hardly begun to answer.
+    /// `sent` are the [`counts`](Self::counts) of the request's subjects when it was sent.
+    pub fn record_disconnect(
+        &mut self,
+        from: CrashId,
+        subjects: &[CrashSubject],
+        sent: &[CrashCount],
+        now: Timestamp,
+    ) {
+        let count_when_sent = |subject: &CrashSubject| {
+            let known = sent.iter().find(|c| c.subject == *subject).copied();
+            known.unwrap_or_else(|| self.count_without_suspicion(*subject))
+        };
+        let counts = subjects.iter().map(count_when_sent).collect();
+        self.disconnects.add(from, counts, now);
+    }
+
+    /// Returns the count of a subject that was not suspected when its request was sent: all
+    /// crashes that were disproved by now are known to be others.
+    fn count_without_suspicion(&self, subject: CrashSubject) -> CrashCount {
+        let disproved = self.subjects.get(&subject).map_or(0, |e| e.count.disproved);
+        let answered_before = match subject {
+            CrashSubject::Part(part) => self.answered.contains(part),
+            CrashSubject::Request(_) => false,
+        };
+        CrashCount {
+            subject,
+            crashes: disproved,
+            disproved,
+            answered_before,
+        }
+    }
+
+    /// Records that an incarnation of a backend server has ended. Returns the report for the
+    /// other entry hosts if it had dropped requests shortly before.
+    pub fn confirm_crash(&mut self, crash: &CrashId, now: Timestamp) -> Option<CrashReport> {
+        let report = self.disconnects.confirm(crash, now)?;
+        self.apply_report(&report, now);
+        Some(report)
+    }
+
+    /// Takes over a report of this or another entry host.
+    pub fn apply_report(&mut self, report: &CrashReport, now: Timestamp) {
+        self.forget_old(now);
+        let causes = self.causes.entry(report.crash.clone()).or_default();
+        causes.extend(report.requests.iter().flatten().map(|c| c.subject));
+        for request in &report.requests {
+            for count in request {
+                let evidence = self.evidence(count.subject, now);
+                let raised = evidence.add_crash(&report.crash, count, request, now);
+                if let Some(refusal) = self.refused.get_mut(&count.subject).filter(|_| raised) {
+                    refusal.since = now;
+                    refusal.trials = 0;
+                }
+            }
+        }
+    }
+
+    /// Records that a request was answered, by the [`counts`](Self::counts) of its subjects
+    /// when it was sent. Returns whether the other entry hosts should be told
+    /// ([`take_disproved`](Self::take_disproved)).
+    pub fn record_answer(
+        &mut self,
+        subjects: &[CrashSubject],
+        sent: &[CrashCount],
+        now: Timestamp,
+    ) -> bool {
+        for subject in subjects {
+            if let CrashSubject::Part(part) = subject {
+                self.answered.insert(*part);
+            }
+        }
+        let mut tell = false;
+        for count in sent {
+            let evidence = self.evidence(count.subject, now);
+            let disproved = count.crashes;
+            let answered = CrashCount {
+                disproved,
+                ..*count
+            };
+            if evidence.count.merge(&answered) {
+                evidence.changed_at = now;
+            }
+            tell |= evidence.is_worth_telling();
+        }
+        tell
+    }
+
+    /// Returns the counts that other entry hosts do not know to be disproved and should be
+    /// told of; from now on they count as told.
+    pub fn take_disproved(&mut self) -> Vec<CrashCount> {
+        let worth = self.subjects.values_mut().filter(|e| e.is_worth_telling());
+        worth
+            .map(|e| {
+                e.disproved_for_all = e.count.disproved;
+                e.count
+            })
+            .collect()
+    }
+
+    /// Takes over an answer that another entry host has seen.
+    pub fn apply_disproved(&mut self, count: &CrashCount, now: Timestamp) {
+        let evidence = self.evidence(count.subject, now);
+        evidence.disproved_for_all = evidence.disproved_for_all.max(count.disproved);
+        if evidence.count.merge(count) {
+            evidence.changed_at = now;
+        }
+    }
+
+    /// Returns whether a request with the subjects may run.
+    #[must_use]
+    pub fn verdict(&self, subjects: &[CrashSubject], now: Timestamp) -> CrashVerdict {
+        let mut verdict = CrashVerdict::Allowed;
+        if self.refused.is_empty() {
+            return verdict;
+        }
+        for subject in subjects {
+            let Some(refusal) = self.refused.get(subject) else {
+                continue;
+            };
+            let in_common = self.subjects.get(subject).map(|e| &e.in_common);
+            let differs = in_common.is_some_and(|c| c.iter().any(|s| !subjects.contains(s)));
+            if differs {
+                continue;
+            }
+            let next = refusal.next_trial_at();
+            if now < next {
+                return CrashVerdict::Refused {
+                    subject: *subject,
+                    retry_after: next.since(now),
+                };
+            }
+            let periods = now.since(refusal.since).as_millis() / refusal.period.as_millis().max(1);
+            verdict = CrashVerdict::Trial(Trial {
+                subject: *subject,
+                crashes: refusal.crashes,
+                number: u32::try_from(periods).unwrap_or(u32::MAX),
+            });
+        }
+        verdict
+    }
+
+    /// Records that a trial was won by this or another entry host.
+    pub fn record_trial(&mut self, trial: &Trial) {
+        let refusal = self.refused.get_mut(&trial.subject);
+        if let Some(refusal) = refusal.filter(|r| r.crashes == trial.crashes) {
+            refusal.trials = refusal.trials.max(trial.number);
+        }
+    }
+
+    /// Decides anew which subjects are refused, after the counts have changed. Returns those
+    /// for which that is different.
+    pub fn update_refusals(&mut self, now: Timestamp) -> Vec<RefusalChange> {
+        let mut refused: HashMap<CrashSubject, Refusal> = HashMap::default();
+        for subject in self.suspects() {
+            let Some(evidence) = self.subjects.get(&subject) else {
+                continue;
+            };
+            let Some(period) = self.refusal_period(evidence, &refused) else {
+                continue;
+            };
+            let (crashes, trials) = (evidence.count.crashes, 0);
+            let before = self.refused.get(&subject).copied();
+            let before = before.unwrap_or(Refusal {
+                since: now,
+                crashes,
+                period,
+                trials,
+            });
+            let refusal = Refusal {
+                crashes,
+                period,
+                ..before
+            };
+            refused.insert(subject, refusal);
+        }
+        let before = std::mem::replace(&mut self.refused, refused);
+        self.changes_since(&before)
+    }
+
+    /// Returns the subjects with enough crashes, those first that are more specific: whose
+    /// crashed requests have more in common.
+    fn suspects(&self) -> Vec<CrashSubject> {
+        let evidence = self.subjects.values();
+        let mut suspects: Vec<&Evidence> = evidence
+            .filter(|e| e.count.suspicion() as usize >= CRASHES_TO_REFUSE)
+            .collect();
+        suspects.sort_unstable_by_key(|e| (Reverse(e.in_common.len()), e.count.subject));
+        suspects.iter().map(|e| e.count.subject).collect()
+    }
+
+    fn changes_since(&self, before: &HashMap<CrashSubject, Refusal>) -> Vec<RefusalChange> {
+        let added = self.refused.keys().filter(|s| !before.contains_key(s));
+        let removed = before.keys().filter(|s| !self.refused.contains_key(s));
+        let mut changes: Vec<RefusalChange> = added
+            .chain(removed)
+            .map(|subject| RefusalChange {
+                count: self.known_count(*subject),
+                refused: self.refused.contains_key(subject),
+            })
+            .collect();
+        changes.sort_unstable_by_key(|c| c.count.subject);
+        changes
+    }
+
+    fn known_count(&self, subject: CrashSubject) -> CrashCount {
+        let evidence = self.subjects.get(&subject);
+        evidence.map_or(CrashCount::new(subject), |e| e.count)
+    }
+
+    /// Returns the number of refused subjects.
+    #[must_use]
+    pub fn refused_count(&self) -> usize {
+        self.refused.len()
+    }
+
+    /// Returns the time between trials of a subject, or `None` if it is not refused, given
+    /// the more specific subjects that are.
+    fn refusal_period(
+        &self,
+        evidence: &Evidence,
+        refused: &HashMap<CrashSubject, Refusal>,
+    ) -> Option<Duration> {
+        let count_crashes = |is_explained: &dyn Fn(&CrashId) -> bool| {
+            let numbers = evidence.open_numbers();
+            let caused = |n: &u32| evidence.crashes_of(*n).any(|crash| !is_explained(crash));
+            numbers.filter(caused).count()
+        };
+        let caused = count_crashes(&|crash| self.has_likelier_cause(crash, evidence));
+        let caused_alone = count_crashes(&|crash| {
+            self.has_likelier_cause(crash, evidence)
+                || self.has_refused_combination(crash, evidence, refused)
+        });
+        let further = if evidence.count.answered_before {
+            caused_alone.checked_sub(CRASHES_TO_REFUSE_ANSWERED)?
+        } else {
+            caused_alone.checked_sub(CRASHES_WITHOUT_COMBINATION)?;
+            caused.checked_sub(CRASHES_TO_REFUSE)?
+        };
+        if let CrashSubject::Request(_) = evidence.count.subject {
+            return Some(MAX_REFUSAL);
+        }
+        let factor = TRIAL_BACKOFF.saturating_pow(u32::try_from(further).unwrap_or(u32::MAX));
+        Some(FIRST_TRIAL_AFTER.saturating_mul(factor).min(MAX_REFUSAL))
+    }
+
+    /// Returns whether a crash has a likelier cause in another request. It counts as having
+    /// one if its causes are not remembered.
+    fn has_likelier_cause(&self, crash: &CrashId, than: &Evidence) -> bool {
+        let is_likelier = |other: &CrashSubject| {
+            let other = self.subjects.get(other);
+            other.is_some_and(|o| o.count.is_likelier_than(&than.count))
+        };
+        let causes = self.causes.get(crash);
+        causes.is_none_or(|causes| {
+            let mut others = causes.iter().filter(|c| !than.in_common.contains(c));
+            others.any(is_likelier)
+        })
+    }
+
+    /// Returns whether a crash had a request with the subject and another one that are
+    /// refused together.
+    fn has_refused_combination(
+        &self,
+        crash: &CrashId,
+        with: &Evidence,
+        refused: &HashMap<CrashSubject, Refusal>,
+    ) -> bool {
+        let subject = with.count.subject;
+        let contains_subject = |other: &CrashSubject| {
+            let other = self.subjects.get(other);
+            other.is_some_and(|o| o.in_common.contains(&subject))
+        };
+        let causes = self.causes.get(crash).into_iter().flatten();
+        let mut refused = causes.filter(|c| **c != subject && refused.contains_key(c));
+        refused.any(contains_subject)
+    }
+
+    fn evidence(&mut self, subject: CrashSubject, now: Timestamp) -> &mut Evidence {
+        let subjects = self.subjects.entry(subject);
+        subjects.or_insert_with(|| Evidence::new(subject, now))
+    }
+
+    /// Limits what is remembered.
+    fn forget_old(&mut self, now: Timestamp) {
+        if self.subjects.len() >= MAX_SUBJECTS {
+            let recent = |e: &Evidence| now.since(e.changed_at) < RETENTION;
+            self.subjects.retain(|_, e| recent(e));
+            if self.subjects.len() >= MAX_SUBJECTS {
+                self.subjects.retain(|_, e| e.count.suspicion() > 1);
+            }
+            if self.subjects.len() >= MAX_SUBJECTS {
+                let refused = &self.refused;
+                self.subjects.retain(|s, _| refused.contains_key(s));
+            }
+            let subjects = &self.subjects;
+            self.refused.retain(|s, _| subjects.contains_key(s));
+        }
+        if self.causes.len() >= MAX_CRASHES {
+            let subjects = &self.subjects;
+            let is_suspected = |s: &CrashSubject| {
+                let evidence = subjects.get(s);
+                evidence.is_some_and(|e| e.count.suspicion() > 1)
+            };
+            self.causes
+                .retain(|_, causes| causes.iter().any(is_suspected));
+        }
+    }
+}
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`attempts`] | whether a failed attempt may be retried |
 //! | [`byte_budget`] | memory limit for incomplete answers |
 //! | [`notice`] | what a backend server announces about itself in an answer |
+//! | [`crash`] | requests and prompt parts that crash backend servers |
 //! | [`prompt_parts`] | the parts that prompts of different requests share |
 //! | [`silence`] | detection of groups that stopped answering while work waits there |
 //! | [`rate_limiter`] | limits shared by all entry hosts |
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -1,7 +1,7 @@
 //! The most commonly used types of this crate.
 
 pub use crate::byte_budget::ByteBudget;
-pub use crate::crash::CrashTracker;
+pub use crate::crash::{CrashSubject, CrashTracker};
 pub use crate::demand::DemandMeter;
 pub use crate::deployment::{Account, ClientLimits, Deployment};
 pub use crate::directory::Directory;
