Know a crash by the refused connection, not by the missing entry

Cause: a crash counted when the store showed that the incarnation had ended: when the server registered again or three heartbeats were missing, 3 s later. Class of fault: a decision that waits for the slowest of the ways in which a fact can be known.

Why this works: an attempt that is dropped before it was answered for 250 ms is followed by one connection to that server, for all dropped requests of this entry host. A server that ended refuses it at once; one that lives accepts it, and the connection goes to the pool. A host that is dark neither refuses nor accepts: then the store decides as before. The retry of the request waits for the probe, one round trip. A server that refuses is avoided like one that refused a request.

--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -20,6 +20,7 @@
 //! | `metrics`, `beliefs` | metrics, and a snapshot of the local state for operators |
 
 mod beliefs;
+mod crash_probe;
 mod crash_record;
 mod crash_reports;
 pub mod dialect;
--- a/crates/geranium_entry/src/pool.rs
+++ b/crates/geranium_entry/src/pool.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 
 /// Idle timeout of a connection if the server does not announce one.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(crate) const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Fraction of the announced idle timeout after which a connection is no longer reused, so
 /// that a request does not race with the server closing it.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
--- a/crates/geranium_entry/src/relay/buffered.rs
+++ b/crates/geranium_entry/src/relay/buffered.rs
@@ -39,7 +39,7 @@
                 failure = Some(res);
             }
             Err(e) => {
-                if let Err(refusal) = request.handle_failure(&choice.host, e) {
+                if let Err(refusal) = request.handle_failure(&choice.host, e).await {
                     return failure_or_refusal(&request, failure, refusal);
                 }
             }
--- a/crates/geranium_entry/src/relay/retry.rs
+++ b/crates/geranium_entry/src/relay/retry.rs
@@ -10,17 +10,18 @@
 use super::active_request::ActiveRequest;
 use super::attempt::{AttemptError, PAUSED};
 use super::refusal::{Refusal, RefusalReason};
+use crate::crash_probe;
 use crate::dialect::Dialect;
 
 impl<D: Dialect> ActiveRequest<D> {
     /// Records a failed attempt. Another attempt may follow unless a refusal is returned.
-    pub(super) fn handle_failure(
+    pub(super) async fn handle_failure(
         &mut self,
         host: &Host,
         error: AttemptError,
     ) -> Result<(), Refusal> {
         self.record_failure(host, error, None);
-        self.record_possible_crash(host, error, None);
+        self.check_crash(host, error, None).await;
         self.attempts.record_failure(error.failure());
         if self.may_retry(error) {
             return Ok(());
@@ -98,9 +99,9 @@
         }
     }
 
-    /// Records that the request may have crashed its backend server, if that dropped it
+    /// Finds out whether the request may have crashed its backend server, if that dropped it
     /// without having written an answer for long.
-    pub(super) fn record_possible_crash(
+    pub(super) async fn check_crash(
         &self,
         host: &Host,
         error: AttemptError,
@@ -120,6 +121,7 @@
             &self.sent_counts,
             now,
         );
+        crash_probe::probe(&self.shared, host).await;
     }
 
     /// Records that the request was answered.
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -52,7 +52,7 @@
             }
             Ok(FirstRead::Buffered(head, body)) => return respond(&request, &choice, &head, body),
             Err(e) => {
-                if let Err(refusal) = request.handle_failure(&choice.host, e) {
+                if let Err(refusal) = request.handle_failure(&choice.host, e).await {
                     return refusal.into_response(&request.shared);
                 }
             }
@@ -303,7 +303,8 @@
             self.request
                 .record_failure(&self.reader.host, error, writing_for);
             self.request
-                .record_possible_crash(&self.reader.host, error, writing_for);
+                .check_crash(&self.reader.host, error, writing_for)
+                .await;
         }
         if last.is_none() || !self.request.may_retry(error) {
             return false;
@@ -332,7 +333,12 @@
                 Ok(_) => AttemptError::MayHaveRun("refused_resume"),
                 Err(e) => e,
             };
-            if self.request.handle_failure(&choice.host, error).is_err() {
+            if self
+                .request
+                .handle_failure(&choice.host, error)
+                .await
+                .is_err()
+            {
                 return false;
             }
         }
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -26,6 +26,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::ProcessCounters;
+use crate::crash_probe::CrashProbes;
 use crate::crash_record::CrashRecord;
 use crate::crash_reports::{CrashMessage, CrashOutbox};
 use crate::dialect::Dialect;
@@ -160,6 +161,8 @@
     pub(crate) ready: Arc<AtomicBool>,
     /// Queue of the task that publishes crashes of backend servers.
     pub(crate) crash_outbox: CrashOutbox,
+    /// Probes of backend servers that may have crashed.
+    pub(crate) crash_probes: CrashProbes,
     /// Whether this process is the manager.
     pub(crate) is_manager: Cell<bool>,
     /// Whether the last call to the store failed.
@@ -218,6 +221,7 @@
             phase: watch::Sender::new(Phase::Serving),
             ready: Arc::default(),
             crash_outbox,
+            crash_probes: CrashProbes::default(),
             is_manager: Cell::new(false),
             store_unreachable: Cell::new(false),
             revision: Cell::new(None),
--- a/crates/geranium_fleet/src/crash/tracker.rs
+++ b/crates/geranium_fleet/src/crash/tracker.rs
@@ -77,6 +77,7 @@
 ///     let crash = CrashId { host: "h1".into(), incarnation };
 ///     tracker.record_disconnect(crash.clone(), &subjects, &sent, now);
 ///     assert!(tracker.confirm_crash(&crash, now).is_some());
+///     tracker.update_refusals(now);
 /// }
 /// assert_ne!(tracker.verdict(&subjects, now), CrashVerdict::Allowed);
 /// ```
