Don't retry a request that has become a refused one

Cause: whether a request would crash a server was only asked when it was admitted; its retry, or the resumption of its stream, went out although the crash of its own first attempt had just refused its part.

Evidence: a_request_is_not_retried_once_it_is_refused, 4 servers reached before, 3 with the change.

Why this works: each retry asks the same question again.

--- a/crates/geranium_entry/src/relay/retry.rs
+++ b/crates/geranium_entry/src/relay/retry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geranium_fleet::crash::{CrashId, HARMLESS_AFTER};
+use geranium_fleet::crash::{CrashId, CrashVerdict, HARMLESS_AFTER};
 use geranium_fleet::dispatch::NoHost;
 use geranium_fleet::host::Host;
 use geranium_fleet::route::RouteKind;
@@ -53,7 +53,8 @@
         let retries = self.retries_left();
         let may = self
             .attempts
-            .may_retry(error.failure(), self.remaining_time(), retries);
+            .may_retry(error.failure(), self.remaining_time(), retries)
+            && self.crash_verdict() == CrashVerdict::Allowed;
         self.retry_cause = may.then_some(error.as_str());
         may
     }
