Keep crash records that the store does not take, and tell the others at once

Cause: a crash record that could not be written was dropped with a warning. Class of fault: a failed write of what only this process knows.

Evidence: crashes_during_an_outage_of_the_store_are_known_to_all_entry_hosts times out on the code before, and passes.

Why this works: such records go to the other entry hosts by datagram at once, and are written when the store answers again, up to 256 of them.

--- a/crates/geranium_entry/src/crash_reports.rs
+++ b/crates/geranium_entry/src/crash_reports.rs
@@ -1,6 +1,8 @@
-//! Publishes crashes of backend servers to the other entry hosts through the store.
+//! Publishes crashes of backend servers to the other entry hosts, through the store and, while
+//! it does not answer, by datagrams.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,12 +15,16 @@
 
 use crate::crash_record::CrashRecord;
 use crate::dialect::Dialect;
+use crate::peers::PeerLink;
 use crate::state::SharedState;
+use crate::store_watcher::back_off;
 
 /// Time for which crash records are kept in the store.
 const RECORD_TTL: Duration = Duration::from_secs(600);
 /// Age at which the lease of the records is replaced, so that each record lasts long enough.
 const MAX_LEASE_AGE: Duration = Duration::from_secs(300);
+/// Maximum number of records that wait until the store takes them.
+const MAX_UNWRITTEN: usize = 256;
 /// Longest delay before other entry hosts are told of an answer. Many entry hosts see such
 /// answers at the same time, and the record of the first spares the others theirs.
 const MAX_TELL_DELAY: Duration = Duration::from_millis(250);
@@ -67,12 +73,14 @@
 pub(crate) async fn run<D: Dialect, S: KvStore>(
     shared: Rc<SharedState<D>>,
     store: S,
+    peers: Rc<PeerLink>,
     mut rx: mpsc::UnboundedReceiver<CrashMessage>,
 ) {
     let (queue, records) = mpsc::unbounded_channel();
     let publisher = Rc::new(CrashPublisher {
         shared,
         store,
+        peers,
         lease: Cell::new(None),
     });
     tokio::task::spawn_local(publisher.clone().publish_all(records));
@@ -95,20 +103,52 @@
 struct CrashPublisher<D: Dialect, S: KvStore> {
     shared: Rc<SharedState<D>>,
     store: S,
+    peers: Rc<PeerLink>,
     /// Lease of the records, with the time at which it was granted.
     lease: Cell<Option<(LeaseId, Timestamp)>>,
 }
 
 impl<D: Dialect, S: KvStore> CrashPublisher<D, S> {
-    /// Writes records one after the other.
+    /// Writes records. Those that the store does not take are sent to the other entry hosts
+    /// and written later.
     async fn publish_all(self: Rc<Self>, mut records: mpsc::UnboundedReceiver<CrashRecord>) {
-        while let Some(record) = records.recv().await {
-            if let Err(e) = self.write(&record).await {
-                log::warn!("failed to publish a crash record: {e}");
+        let mut unwritten: VecDeque<CrashRecord> = VecDeque::new();
+        let mut failures = 0;
+        loop {
+            tokio::select! {
+                record = records.recv() => {
+                    let Some(record) = record else {
+                        return;
+                    };
+                    if unwritten.is_empty() && self.write_or_warn(&record).await {
+                        continue;
+                    }
+                    self.peers.send_crash_record(&self.shared.cfg.name, &record);
+                    unwritten.truncate(MAX_UNWRITTEN - 1);
+                    unwritten.push_back(record);
+                }
+                () = back_off(failures), if !unwritten.is_empty() => {
+                    failures += 1;
+                    while let Some(record) = unwritten.front()
+                        && self.write_or_warn(record).await
+                    {
+                        unwritten.pop_front();
+                        failures = 0;
+                    }
+                }
             }
         }
     }
 
+    /// Writes a record; returns whether the store has taken it.
+    async fn write_or_warn(&self, record: &CrashRecord) -> bool {
+        let written = self.write(record).await;
+        if let Err(e) = &written {
+            log::warn!("failed to publish a crash record: {e}");
+        }
+        written.is_ok()
+    }
+
     /// Queues what the other entry hosts do not know yet, unless one of them was faster.
     async fn tell_disproved(self: Rc<Self>, queue: mpsc::UnboundedSender<CrashRecord>) {
         tokio::time::sleep(MAX_TELL_DELAY.mul_f64(rand::random())).await;
--- a/crates/geranium_entry/src/entry_host.rs
+++ b/crates/geranium_entry/src/entry_host.rs
@@ -125,7 +125,12 @@
     let watcher = Rc::new(StoreWatcher::new(shared.clone(), link.clone()));
     tokio::task::spawn_local(store_watcher::run(watcher.clone(), store.clone()));
     tokio::task::spawn_local(peer_fallback::run(watcher));
-    tokio::task::spawn_local(crash_reports::run(shared.clone(), store.clone(), crashes));
+    tokio::task::spawn_local(crash_reports::run(
+        shared.clone(),
+        store.clone(),
+        link.clone(),
+        crashes,
+    ));
     tokio::task::spawn_local(election::run(shared.clone(), store, link.clone()));
     tokio::task::spawn_local(watchdog::run(shared.clone(), link.clone()));
     tokio::task::spawn_local(peers::run_sender(shared.clone(), link.clone()));
--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::crash_record::CrashRecord;
 use crate::dialect::Dialect;
 use crate::state::SharedState;
 
@@ -39,6 +40,8 @@
     Stopped(HostId),
     /// Backend servers that announced their shutdown, with their incarnations.
     Leaving(Vec<(HostId, u64)>),
+    /// What is known of a crash, while it can't be written to the store.
+    Crash(CrashRecord),
 }
 
 /// The datagram socket, and what is known of the other entry hosts.
@@ -82,6 +85,11 @@
         self.send_to_others(own_name, &Datagram::Stopped(head.clone()));
     }
 
+    /// Tells the other entry hosts of a crash.
+    pub(crate) fn send_crash_record(&self, own_name: &str, record: &CrashRecord) {
+        self.send_to_others(own_name, &Datagram::Crash(record.clone()));
+    }
+
     fn send_to_others(&self, own_name: &str, datagram: &Datagram) {
         for address in self.other_addresses(own_name) {
             self.send(address, datagram);
@@ -239,6 +247,7 @@
                     }
                 }
             }
+            Ok(Datagram::Crash(record)) => shared.apply_crash_record(&record),
             Err(e) => log::warn!(from:% = from; "datagram is malformed: {e}"),
         }
     }
