A report from before a known order no longer undoes what is known of a host

What callers saw: nothing.

Cause: i-84eff2afc5 joined group 12 of manager a-3, which the store had turned away; the change reached a-3 through another entry host. Then a direct report arrived that lagged: orders_begun 3, no group, though a-3 knew of 4. It replaced the membership, a-3 took both hosts to be free and sent joins of group 13 with the count 4, unanswered. The new manager a-1 opened group 12; a member's count does not change by that, and the late join was carried out at 20.55 s.

Ruled out: the changes for crashes (the old code does it too).

Why this works: a report states the number of orders that the host had begun. One with fewer than known is older than what is known.

--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -70,6 +70,11 @@
         else {
             return false;
         };
+        // A report lags behind the host. One from before an order that the host is known to
+        // have begun would undo the effect of that order here.
+        if host.orders_begun.is_some_and(|n| report.orders_begun < n) {
+            return false;
+        }
         let unchanged = host.membership == report.membership
             && host.model == report.model
             && host.staged == report.staged;
--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -177,6 +177,34 @@
     assert_eq!(directory.get("h1").and_then(|h| h.orders_begun), Some(4));
 }
 
+/// Guards against a second join while the first is carried out: a report that lags behind
+/// hides the group that the host has joined, and the manager takes the host to be free.
+#[test]
+fn a_report_from_before_the_last_order_does_not_undo_what_is_known() {
+    let mut directory = Directory::default();
+    directory.put(host("h1", member_of("formed", 0, GroupState::Joining)));
+    directory.set_orders_begun("h1", 1, 4);
+    let report = |orders_begun, membership| HostReport {
+        born: 1,
+        orders_begun,
+        membership,
+        model: Some("small".into()),
+        staged: vec!["small".into()],
+        leaving: false,
+    };
+    let membership = |directory: &Directory| directory.get("h1").and_then(|h| h.membership.clone());
+
+    let older = directory.apply_report("h1", &report(3, None));
+    let after_older = membership(&directory);
+    let ready = member_of("formed", 0, GroupState::Ready);
+    let newer = directory.apply_report("h1", &report(4, ready.clone()));
+
+    assert!(!older);
+    assert_eq!(after_older, member_of("formed", 0, GroupState::Joining));
+    assert!(newer);
+    assert_eq!(membership(&directory), ready);
+}
+
 #[test]
 fn a_host_whose_entry_lags_behind_its_order_gets_no_further_order() {
     let start = Timestamp::from_millis(1_000_000);
