Form a group of an earlier manager anew instead of opening it

Cause: a manager opened a group that another one had formed as soon as all its members were ready. Orders of that one, sent when it knew the same counts, may still be on their way, and a member's count does not change when its head is told to open. Class: an order that fits although the state it was made for is gone.

Groups that are open stay as they are.

--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -356,6 +356,12 @@
         }
         let members = view.members.values().filter_map(|h| h.membership.as_ref());
         if guard::may_open(view.members.len(), members) {
+            if !self.formed_groups.contains_key(&view.group) {
+                // Orders of the manager that formed it may be on their way to its members and
+                // would still fit: opening the group changes the order count of the head only.
+                orders.push(order_to(head, view.leave_order()));
+                return;
+            }
             let kind = OrderKind::Open {
                 group: view.group.clone(),
                 epoch: view.epoch,
--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -263,3 +263,33 @@
 
     assert_eq!(again, []);
 }
+
+/// Guards against a delayed order of an earlier manager that takes a member out of a group
+/// which a later manager has opened: opening it does not change the member's order count.
+#[test]
+fn a_group_that_an_earlier_manager_left_ready_is_formed_anew() {
+    let start = Timestamp::from_millis(1_000_000);
+    let settings = PlannerSettings {
+        nonce: "later".into(),
+        load_window: Duration::from_secs(5),
+    };
+    let mut planner = GroupPlanner::new(settings, start);
+    let mut directory = Directory::default();
+    let engine = profile(vec![model("small", 2, 1.0)]);
+    for (rank, id) in ["h1", "h2"].into_iter().enumerate() {
+        directory.put(host(id, member_of("earlier", rank, GroupState::Ready)));
+        directory.set_orders_begun(id, 1, 1);
+    }
+
+    let now = start + Duration::from_secs(5);
+    let orders = planner.plan(&directory, SERVICE, &engine, &[1.0], true, now);
+    directory.put(host("h1", None));
+    directory.set_orders_begun("h1", 1, 2);
+    let later = now + Duration::from_secs(1);
+    let joins = planner.plan(&directory, SERVICE, &engine, &[1.0], true, later);
+
+    let kinds: Vec<&str> = orders.iter().map(|o| o.kind.as_str()).collect();
+    assert_eq!(kinds, ["leave"]);
+    let kinds: Vec<&str> = joins.iter().map(|o| o.kind.as_str()).collect();
+    assert_eq!(kinds, ["join", "join"]);
+}
