Notice a store that has returned from an older copy (geranium-entry)

Cause: an entry host trusted that a revision, a lease and a record last. With a store restored from an older copy it missed changes under revisions that were given out again, renewed the lease of another entry host and so stayed manager beside it and unregistered for good, and sent requests to servers that leave and to failure domains that are out of service. Class: whatever trusts that an acknowledged write lasts or that a number is given out once.

Why this works: the client of the store compares the era of each answer with that in which the call was sent, discards answers of other eras and hands one typed event on.

--- a/crates/geranium_entry/src/crash_reports.rs
+++ b/crates/geranium_entry/src/crash_reports.rs
@@ -23,8 +23,9 @@
 const RECORD_TTL: Duration = Duration::from_secs(600);
 /// Age at which the lease of the records is replaced, so that each record lasts long enough.
 const MAX_LEASE_AGE: Duration = Duration::from_secs(300);
-/// Maximum number of records that wait until the store takes them.
-const MAX_UNWRITTEN: usize = 256;
+/// Maximum number of records that wait until the store takes them, and of those that are
+/// written again if the store returns from an older copy.
+const MAX_RECORDS: usize = 256;
 /// Longest delay before other entry hosts are told of an answer. Many entry hosts see such
 /// answers at the same time, and the record of the first spares the others theirs.
 const MAX_TELL_DELAY: Duration = Duration::from_millis(250);
@@ -113,18 +114,26 @@
     /// and written later.
     async fn publish_all(self: Rc<Self>, mut records: mpsc::UnboundedReceiver<CrashRecord>) {
         let mut unwritten: VecDeque<CrashRecord> = VecDeque::new();
+        let mut written: VecDeque<CrashRecord> = VecDeque::new();
+        let mut restores = self.shared.store_restores.subscribe();
         let mut failures = 0;
         loop {
             tokio::select! {
+                _ = restores.changed() => {
+                    // The copy may lack what was written, and the lease.
+                    self.lease.set(None);
+                    unwritten.extend(written.drain(..));
+                }
                 record = records.recv() => {
                     let Some(record) = record else {
                         return;
                     };
                     if unwritten.is_empty() && self.write_or_warn(&record).await {
+                        remember(&mut written, record);
                         continue;
                     }
                     self.peers.send_crash_record(&self.shared.cfg.name, &record);
-                    unwritten.truncate(MAX_UNWRITTEN - 1);
+                    unwritten.truncate(MAX_RECORDS - 1);
                     unwritten.push_back(record);
                 }
                 () = back_off(failures), if !unwritten.is_empty() => {
@@ -132,7 +141,9 @@
                     while let Some(record) = unwritten.front()
                         && self.write_or_warn(record).await
                     {
-                        unwritten.pop_front();
+                        if let Some(record) = unwritten.pop_front() {
+                            remember(&mut written, record);
+                        }
                         failures = 0;
                     }
                 }
@@ -206,3 +217,11 @@
         Ok(lease)
     }
 }
+
+/// Keeps a written record, and drops the oldest one beyond the limit.
+fn remember(written: &mut VecDeque<CrashRecord>, record: CrashRecord) {
+    if written.len() >= MAX_RECORDS {
+        written.pop_front();
+    }
+    written.push_back(record);
+}
--- a/crates/geranium_entry/src/election.rs
+++ b/crates/geranium_entry/src/election.rs
@@ -75,6 +75,7 @@
 impl<D: Dialect, S: KvStore> Candidate<D, S> {
     /// Registers and renews the lease until it is lost or the process shuts down.
     async fn keep_registered(&self, phase: &mut watch::Receiver<Phase>) -> Result<(), StoreError> {
+        let mut restores = self.shared.store_restores.subscribe();
         let lease_time = self.lease_time(REGISTRATION_LEASE);
         let lease = self.store.grant_lease(lease_time).await?;
         self.register(lease).await?;
@@ -90,6 +91,8 @@
                     continue;
                 }
                 _ = phase.changed() => return self.resign(lease).await,
+                // The leases may be gone and their numbers given to others.
+                _ = restores.changed() => return Err(StoreError::LeaseNotFound(lease.0)),
             }
             if let Some(manager_lease) = self.manager_lease.get() {
                 self.renew(manager_lease).await?;
--- a/crates/geranium_entry/src/entry_host.rs
+++ b/crates/geranium_entry/src/entry_host.rs
@@ -20,7 +20,7 @@
 use crate::store_watcher::StoreWatcher;
 use crate::{
     ProcessCounters, beliefs, crash_reports, election, metrics, peer_fallback, peers,
-    recent_changes, server, store_watcher, watchdog,
+    recent_changes, server, store_restore, store_watcher, watchdog,
 };
 
 /// Time after the request to stop during which the load balancer may still send callers
@@ -125,6 +125,7 @@
     let watcher = Rc::new(StoreWatcher::new(shared.clone(), link.clone()));
     tokio::task::spawn_local(store_watcher::run(watcher.clone(), store.clone()));
     tokio::task::spawn_local(peer_fallback::run(watcher));
+    tokio::task::spawn_local(store_restore::run(shared.clone(), store.clone()));
     tokio::task::spawn_local(crash_reports::run(
         shared.clone(),
         store.clone(),
--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod settings;
 pub mod sse;
 mod state;
+mod store_restore;
 pub mod store_update;
 mod store_watcher;
 mod watchdog;
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -40,6 +40,8 @@
     pub(crate) crashes: Counter,
     /// Requests and prompt parts that are refused because they crash backend servers.
     pub(crate) refused_subjects: Gauge,
+    /// Returns of the store from an older copy of its data.
+    pub(crate) store_restores: Counter,
     /// Number of times that a group became silent.
     pub(crate) silences: Counter,
     /// Time from the arrival of a request to its first attempt, in seconds.
@@ -91,6 +93,7 @@
                 "refused_subjects",
                 "Requests and prompt parts refused because they crash servers",
             ),
+            store_restores: register_metric(r, "store_restores", "Returns from an older copy"),
             silences: register_metric(r, "silences", "Groups that fell silent"),
             dispatch_wait: register_duration(
                 r,
--- a/crates/geranium_entry/src/peer_changes.rs
+++ b/crates/geranium_entry/src/peer_changes.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use geranium_core::id::StoreRevision;
 use geranium_net::{ClientError, HttpClient, HttpRequest};
-use geranium_platform::{StoredValue, WatchBatch, WatchChange};
+use geranium_platform::{StoreEra, StoredValue, WatchBatch, WatchChange};
 use hyper::StatusCode;
 
 use crate::recent_changes::{Change, ChangesResponse};
@@ -20,6 +20,8 @@
 #[derive(Debug)]
 pub(crate) struct PeerChanges {
     pub(crate) batch: WatchBatch,
+    /// Era of the store that they are from, if it states eras.
+    pub(crate) era: Option<StoreEra>,
     /// Time since the last contact with the store of the entry host that watches it.
     pub(crate) age: Duration,
 }
@@ -47,7 +49,8 @@
         changes: changes.changes.into_iter().filter_map(decode).collect(),
     };
     let age = Duration::from_millis(changes.age_ms);
-    Ok(Some(PeerChanges { batch, age }))
+    let era = changes.era.map(StoreEra);
+    Ok(Some(PeerChanges { batch, era, age }))
 }
 
 fn decode(change: Change) -> Option<WatchChange> {
--- a/crates/geranium_entry/src/recent_changes.rs
+++ b/crates/geranium_entry/src/recent_changes.rs
@@ -11,7 +11,7 @@
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
 use geranium_net::{HttpServer, ServerConfig, ServerError};
-use geranium_platform::{WatchBatch, WatchChange};
+use geranium_platform::{StoreEra, WatchBatch, WatchChange};
 use geranium_telemetry::ProcessClock;
 use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
@@ -49,6 +49,9 @@
     pub(crate) revision: u64,
     /// Milliseconds since the last contact with the store of the entry host that watches it.
     pub(crate) age_ms: u64,
+    /// Era of the store that they are from, if it states eras.
+    #[serde(default)]
+    pub(crate) era: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -56,6 +59,7 @@
     /// Every change after this revision is in the buffer.
     base_revision: u64,
     last_revision: u64,
+    era: Option<StoreEra>,
     changes: VecDeque<Change>,
 }
 
@@ -84,12 +88,18 @@
         (age < MAX_CONTACT_AGE).then_some(age)
     }
 
-    /// Discards all changes and restarts from a revision.
-    pub(crate) fn reset(&self, revision: StoreRevision) {
+    /// Discards all changes; until the next start none are passed on.
+    pub(crate) fn clear(&self) {
+        self.start(StoreRevision(0), None);
+    }
+
+    /// Discards all changes and starts anew from a revision of an era.
+    pub(crate) fn start(&self, revision: StoreRevision, era: Option<StoreEra>) {
         let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
         *log = ChangeLog {
             base_revision: revision.0,
             last_revision: revision.0,
+            era,
             changes: VecDeque::new(),
         };
     }
@@ -126,6 +136,7 @@
             changes: newer.cloned().collect(),
             revision: log.last_revision.max(revision),
             age_ms: age.as_millis() as u64,
+            era: log.era.map(|e| e.0),
         })
     }
 
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -20,6 +20,7 @@
 use geranium_fleet::rate_limiter::limit_per_entry_host;
 use geranium_fleet::route_table::RouteTable;
 use geranium_fleet::service::Service;
+use geranium_platform::StoreEra;
 use geranium_telemetry::ProcessClock;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -35,6 +36,7 @@
 use crate::recent_changes::RecentChanges;
 use crate::running_attempts::RunningAttempts;
 use crate::settings::{EntrySettings, SharedBounds};
+use crate::store_restore::RESTORE_GRACE;
 
 /// Fraction of the shared retry budget that is used. The remainder is a margin, as the
 /// counting windows of the entry hosts are not aligned.
@@ -173,6 +175,14 @@
     pub(crate) configured_at: Cell<Option<Timestamp>>,
     /// Store revision up to which changes were applied.
     pub(crate) revision: Cell<Option<StoreRevision>>,
+    /// Whether the store has to be read completely before changes are followed again.
+    pub(crate) snapshot_due: Cell<bool>,
+    /// Number of times that the store has returned from an older copy.
+    pub(crate) store_restores: watch::Sender<u32>,
+    /// Time of the last such return.
+    pub(crate) restored_at: Cell<Option<Timestamp>>,
+    /// Era of the store that the local view is from, if the store states eras.
+    pub(crate) store_era: Cell<Option<StoreEra>>,
     /// Recent store changes, for entry hosts that do not watch the store themselves.
     pub(crate) recent_changes: Arc<RecentChanges>,
     /// Time at which the process exits, once it was asked to stop.
@@ -225,6 +235,10 @@
             is_manager: Cell::new(false),
             store_unreachable: Cell::new(false),
             revision: Cell::new(None),
+            snapshot_due: Cell::new(false),
+            store_restores: watch::Sender::new(0),
+            restored_at: Cell::new(None),
+            store_era: Cell::new(None),
             recent_changes: Arc::default(),
             exit_deadline: Cell::new(None),
         }
@@ -383,6 +397,32 @@
         self.metrics.refused_subjects.set(gauge(refused as u64));
     }
 
+    /// Records that the store has returned from an older copy of its data. Revisions and
+    /// leases from before mean nothing any more, and what the copy lacks is kept until
+    /// its owners had the time to write it again.
+    pub(crate) fn record_store_restored(&self, before: StoreEra, era: StoreEra) {
+        let now = self.now();
+        log::warn!(before = before.0, era = era.0, revision = self.revision.get().map(|r| r.0); "store has returned from an older copy");
+        self.metrics.store_restores.inc();
+        self.restored_at.set(Some(now));
+        self.snapshot_due.set(true);
+        self.recent_changes.clear();
+        {
+            let directory = &mut self.core.borrow_mut().directory;
+            directory.mark_store_recovered(now);
+            directory.keep_draining(now);
+            directory.clear_order_counts();
+        }
+        self.store_restores.send_modify(|n| *n += 1);
+    }
+
+    /// Returns whether the store returned from an older copy so lately that what it lacks may
+    /// be written again.
+    pub(crate) fn is_restore_recent(&self) -> bool {
+        let restored_at = self.restored_at.get();
+        restored_at.is_some_and(|at| self.now().since(at) < RESTORE_GRACE)
+    }
+
     /// Recomputes the result of the readiness check.
     pub(crate) fn update_readiness(&self) {
         let core = self.core.borrow();
--- a/crates/geranium_entry/src/store_watcher.rs
+++ b/crates/geranium_entry/src/store_watcher.rs
@@ -79,7 +79,9 @@
 pub(crate) async fn run<D: Dialect, S: KvStore>(watcher: Rc<StoreWatcher<D>>, store: S) {
     let mut failures = 0;
     loop {
-        let outcome = match watcher.shared.revision.get() {
+        let known = watcher.shared.revision.get();
+        let followed = known.filter(|_| !watcher.shared.snapshot_due.get());
+        let outcome = match followed {
             None => watcher.read_all(&store).await,
             Some(after) if watcher.poll_sources(after).await => Ok(()),
             Some(after) => watcher.watch(&store, after).await,
@@ -89,8 +91,8 @@
             continue;
         };
         watcher.record_store_failure(&e);
-        if matches!(e, StoreError::Compacted(_)) {
-            watcher.shared.revision.set(None);
+        if matches!(e, StoreError::Compacted(_) | StoreError::Restored(..)) {
+            watcher.shared.snapshot_due.set(true);
             continue;
         }
         failures += 1;
@@ -183,7 +185,11 @@
 
     async fn poll_source(&self, source: SocketAddr, after: StoreRevision) -> bool {
         match peer_changes::fetch(&self.client, source, after).await {
-            Ok(Some(PeerChanges { batch, age })) => {
+            Ok(Some(changes)) if self.is_from_another_era(&changes) => {
+                log::info!(source:% = source, era = changes.era.map(|e| e.0); "changes of another entry host are from another era of the store");
+                false
+            }
+            Ok(Some(PeerChanges { batch, age, .. })) => {
                 self.record_store_contact(age);
                 if !batch.changes.is_empty() {
                     self.apply_batch(batch);
@@ -199,9 +205,20 @@
         }
     }
 
+    fn is_from_another_era(&self, changes: &PeerChanges) -> bool {
+        let own = self.shared.store_era.get();
+        own.is_some() && changes.era.is_some() && own != changes.era
+    }
+
     /// Reads a full snapshot and removes everything that it does not contain.
     async fn read_all<S: KvStore>(&self, store: &S) -> Result<(), StoreError> {
-        let read = store.range("").await?;
+        // A restore during the read makes another one due.
+        self.shared.snapshot_due.set(false);
+        let read = store.range("").await.inspect_err(|_| {
+            self.shared.snapshot_due.set(true);
+        })?;
+        let era = *store.era().borrow();
+        self.shared.store_era.set(era);
         self.record_store_contact(Duration::ZERO);
         let mut hosts = HashSet::default();
         let mut domains_out = HashSet::default();
@@ -226,7 +243,7 @@
         let entry_hosts = self.shared.core.borrow().entry_hosts.len();
         log::info!(revision = read.revision.0, hosts = hosts.len(), entry_hosts = entry_hosts, values = read.values.len(); "read a full snapshot of the store");
         self.shared.revision.set(Some(read.revision));
-        self.shared.recent_changes.reset(read.revision);
+        self.shared.recent_changes.start(read.revision, era);
         self.shared.update_readiness();
         self.shared.state_changed.notify_waiters();
         Ok(())
@@ -241,7 +258,9 @@
         let now = self.shared.now();
         let mut core = self.shared.core.borrow_mut();
         let ended = core.directory.retain_listed(hosts, now);
-        core.directory.retain_domains_out(domains_out);
+        if !self.shared.is_restore_recent() {
+            core.directory.retain_domains_out(domains_out);
+        }
         let gone: Vec<String> = core
             .entry_hosts
             .iter()
@@ -257,6 +276,10 @@
         }
         core.snapshot_loaded = true;
         drop(core);
+        if self.shared.is_restore_recent() {
+            // The entries may be written again: the hosts have not ended.
+            return;
+        }
         for (id, incarnation) in ended {
             self.shared.record_host_ended(&id, incarnation);
         }
@@ -272,7 +295,7 @@
             if changed {
                 self.apply_batch(batch);
             }
-            if !self.sources().is_empty() {
+            if !self.sources().is_empty() || self.shared.snapshot_due.get() {
                 return Ok(());
             }
             if !changed {
@@ -396,6 +419,10 @@
         );
         let (id, incarnation) = (host.id.clone(), host.incarnation);
         let before = self.incarnation_of(&id);
+        if before.is_some_and(|b| incarnation < b) && self.shared.is_restore_recent() {
+            log::info!(host:% = id, born = incarnation; "ignoring an entry from before the restored store was copied");
+            return;
+        }
         self.shared.core.borrow_mut().directory.put(host);
         if let Some(before) = before.filter(|b| *b != incarnation) {
             self.shared.record_host_ended(&id, before);
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -158,6 +158,19 @@
         self.store_recovered_at = Some(now);
     }
 
+    /// Keeps all draining incarnations draining, whatever their entries say from now on.
+    pub fn keep_draining(&mut self, now: Timestamp) {
+        let draining = self
+            .hosts
+            .values()
+            .filter(|h| h.state == HostState::Draining);
+        let draining: Vec<(HostId, u64)> =
+            draining.map(|h| (h.id.clone(), h.incarnation)).collect();
+        for (id, incarnation) in draining {
+            self.mark_leaving(&id, incarnation, now);
+        }
+    }
+
     /// Removes every host that is not in a complete list; returns their ids and
     /// incarnations.
     pub fn retain_listed(
--- a/crates/geranium_platform/src/counter.rs
+++ b/crates/geranium_platform/src/counter.rs
@@ -61,17 +61,20 @@
     Malformed,
     /// The client's own rate limit held the call back; it was not sent.
     RateLimited,
+    /// The service has returned from an older copy of its data, or the answer is from before.
+    Restored,
 }
 
 impl StoreCallResult {
     /// Every result.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Answered,
         Self::Unreachable,
         Self::Ambiguous,
         Self::Refused,
         Self::Malformed,
         Self::RateLimited,
+        Self::Restored,
     ];
 
     /// Returns the name used in metrics.
@@ -84,6 +87,7 @@
             Self::Refused => "refused",
             Self::Malformed => "malformed",
             Self::RateLimited => "rate_limited",
+            Self::Restored => "restored",
         }
     }
 
@@ -96,6 +100,7 @@
             Err(StoreError::Ambiguous(..)) => Self::Ambiguous,
             Err(StoreError::Malformed(..)) => Self::Malformed,
             Err(StoreError::RateLimited(..)) => Self::RateLimited,
+            Err(StoreError::Restored(..) | StoreError::Outdated(..)) => Self::Restored,
             Err(
                 StoreError::Refused(..) | StoreError::LeaseNotFound(_) | StoreError::Compacted(_),
             ) => Self::Refused,
--- a/crates/geranium_platform/src/error.rs
+++ b/crates/geranium_platform/src/error.rs
@@ -33,6 +33,15 @@
         LeaseNotFound(lease: u64) {
             display("lease {} does not exist", lease)
         }
+        /// The service has returned from an older copy since the call was sent. A write may
+        /// have taken effect before or after that.
+        Restored(sent: u64, seen: u64) {
+            display("platform service has returned from an older copy: era {} before, {} now", sent, seen)
+        }
+        /// The answer states an era that is not the present one and was discarded.
+        Outdated(seen: u64, current: u64) {
+            display("answer of the platform service states era {}, but the present one is {}", seen, current)
+        }
         /// Changes before the wanted revision are gone; a full read is needed.
         Compacted(revision: u64) {
             display("changes since revision {} are compacted", revision)
@@ -45,6 +54,9 @@
     /// that it has to be read back.
     #[must_use]
     pub const fn may_have_taken_effect(&self) -> bool {
-        matches!(self, Self::Ambiguous(..) | Self::Malformed(..))
+        matches!(
+            self,
+            Self::Ambiguous(..) | Self::Malformed(..) | Self::Restored(..) | Self::Outdated(..)
+        )
     }
 }
--- a/crates/geranium_platform/src/lib.rs
+++ b/crates/geranium_platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! implements it over the JSON gateway of etcd 3.
 
 mod counter;
+mod era;
 mod error;
 pub mod etcd;
 mod rate;
@@ -13,6 +14,7 @@
 pub mod prelude;
 
 pub use counter::{StoreCallCounter, StoreCallKind, StoreCallResult};
+pub use era::{EraTracker, StoreEra};
 pub use error::StoreError;
 pub use etcd::{EtcdClient, EtcdConfig};
 pub use rate::TokenBucket;
--- a/crates/geranium_platform/src/store.rs
+++ b/crates/geranium_platform/src/store.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 use futures::Stream;
 use geranium_core::id::StoreRevision;
+use tokio::sync::watch;
 
-use crate::StoreError;
+use crate::{StoreEra, StoreError};
 
 /// Identifier of a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -82,6 +83,12 @@
 ///
 /// Each call is bounded by a timeout of the implementation.
 pub trait KvStore: Clone + Send + Sync + 'static {
+    /// Returns a receiver of the newest era that any answer has stated. A service that does not
+    /// state eras never sends one.
+    fn era(&self) -> watch::Receiver<Option<StoreEra>> {
+        watch::Sender::new(None).subscribe()
+    }
+
     /// Reads one value.
     ///
     /// # Errors
--- a/crates/geranium_telemetry/src/explain.rs
+++ b/crates/geranium_telemetry/src/explain.rs
@@ -25,7 +25,10 @@
     "readiness changed",
     "store answers again",
     "store call failed",
+    "store has returned from an older copy",
 ];
+/// Log field that holds what a decision of any age was about, such as a refused prompt part.
+const SUBJECT_FIELD: &str = "subject";
 
 /// A parsed log line.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
@@ -51,6 +54,10 @@
         values.any(|v| hosts.contains(v.as_str()))
     }
 
+    fn subject(&self) -> Option<&str> {
+        self.fields.get(SUBJECT_FIELD).map(String::as_str)
+    }
+
     fn is_process_wide(&self) -> bool {
         PROCESS_WIDE_MESSAGES
             .iter()
@@ -77,8 +84,8 @@
 /// of processes, sorted by time.
 ///
 /// The result also includes what the processes involved logged about their own state and
-/// about the backend servers involved around that time. It is empty if no line contains
-/// `id`.
+/// about the backend servers involved around that time, and what they decided at any time
+/// about a subject that a line with `id` names. It is empty if no line contains `id`.
 ///
 /// Input that is not a log line is ignored, as is any prefix that a log collector added
 /// to a line.
@@ -101,6 +108,7 @@
         })
         .map(String::as_str)
         .collect();
+    let subjects: BTreeSet<&str> = matching.iter().filter_map(|l| l.subject()).collect();
     let is_request_line = |l: &LogLine| l.fields.contains_key("request");
     let is_relevant = |l: &LogLine| {
         let process_state =
@@ -108,9 +116,13 @@
         let order_to_host = l.message == "order sent" && l.mentions_any(&hosts);
         l.has_value(id) || (!is_request_line(l) && (process_state || order_to_host))
     };
+    let decided_earlier = |l: &LogLine| {
+        let same_subject = l.subject().is_some_and(|s| subjects.contains(s));
+        same_subject && !is_request_line(l) && processes.contains(l.host.as_str())
+    };
     let relevant = lines
         .iter()
-        .filter(|l| window.contains(&l.time_us) && is_relevant(l));
+        .filter(|l| (window.contains(&l.time_us) && is_relevant(l)) || decided_earlier(l));
     relevant.map(LogLine::render).collect()
 }
 
