Split the dispatcher, the shared state and the store watcher: one type a file

Moves only: dispatch.rs (533 lines) into its types, the crash part of state.rs and the registrations of store_watcher.rs into files of their own; parsers of stored values become functions of their types. No behaviour changes; tests as before.

--- a/crates/geranium_entry/src/crash_record.rs
+++ b/crates/geranium_entry/src/crash_record.rs
@@ -18,6 +18,17 @@
 }
 
 impl CrashRecord {
+    /// Parses a stored record; one that is malformed is ignored.
+    pub(crate) fn parse(value: &[u8]) -> Option<Self> {
+        match serde_json::from_slice(value) {
+            Ok(record) => Some(record),
+            Err(e) => {
+                log::warn!("crash record is malformed: {e}");
+                None
+            }
+        }
+    }
+
     /// Returns the name of the record in the store. Two entry hosts that have the same to say
     /// use the same name, except for crashes, of which each knows other requests: these names
     /// contain the `sender` and a number that it does not use twice.
--- a/crates/geranium_entry/src/election.rs
+++ b/crates/geranium_entry/src/election.rs
@@ -11,10 +11,11 @@
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
+use crate::entry_registration::{ENTRY_PREFIX, EntryRegistration, MANAGER_KEY};
 use crate::manager::run_manager;
 use crate::peers::PeerLink;
 use crate::state::{Phase, SharedState};
-use crate::store_watcher::{ENTRY_PREFIX, EntryRegistration, MANAGER_KEY, back_off};
+use crate::store_watcher::back_off;
 
 /// Shortest lease of the manager role. After the manager has failed, groups are not
 /// repaired until the lease expires.
--- /dev/null
+++ b/crates/geranium_entry/src/entry_registration.rs
@@ -0,0 +1,49 @@
+//! Registrations by which entry hosts discover each other.
+
+use std::net::SocketAddr;
+
+use geranium_fleet::exchange::Peer;
+use serde::{Deserialize, Serialize};
+
+/// Prefix of the values by which entry hosts discover each other.
+pub(crate) const ENTRY_PREFIX: &str = "entry/";
+/// Name of the value that holds the registration of the manager.
+pub(crate) const MANAGER_KEY: &str = "manager";
+
+/// Registration of an entry host in the store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct EntryRegistration {
+    /// Name of the host.
+    pub(crate) name: String,
+    /// Failure domain of the host.
+    #[serde(default)]
+    pub(crate) failure_domain: String,
+    /// Address of its datagrams and of the changes that it passes on.
+    pub(crate) peers: SocketAddr,
+    /// Number of processor cores that it may use; may be a fraction.
+    #[serde(default)]
+    pub(crate) processor_share: f64,
+}
+
+impl EntryRegistration {
+    /// Returns the entry host as a peer.
+    pub(crate) fn into_peer(self) -> Peer {
+        Peer {
+            name: self.name.into(),
+            failure_domain: self.failure_domain.into(),
+            address: self.peers,
+            processor_share: self.processor_share,
+        }
+    }
+
+    /// Parses a stored registration; one that is malformed counts as missing.
+    pub(crate) fn parse(value: &[u8]) -> Option<Self> {
+        match serde_json::from_slice(value) {
+            Ok(entry) => Some(entry),
+            Err(e) => {
+                log::warn!("registration of an entry host is malformed: {e}");
+                None
+            }
+        }
+    }
+}
--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -15,6 +15,9 @@
 //! | `store_watcher`, `peer_fallback` | store changes, received directly or from other entry hosts |
 //! | `recent_changes`, `peer_changes` | server and client for passing on store changes |
 //! | `election`, `manager` | manager election, group planning and orders to hosts |
+//! | `entry_registration` | registrations by which entry hosts discover each other |
+//! | `store_restore` | returns of the store from an older copy of its data |
+//! | `crash_probe`, `crash_record`, `crash_reports`, `crash_state` | which requests crash backend servers, found out, exchanged and refused |
 //! | `peers` | UDP datagrams between entry hosts |
 //! | `watchdog` | detection of unresponsive groups |
 //! | `metrics`, `beliefs` | metrics, and a snapshot of the local state for operators |
@@ -23,9 +26,11 @@
 mod crash_probe;
 mod crash_record;
 mod crash_reports;
+mod crash_state;
 pub mod dialect;
 mod election;
 pub mod entry_host;
+mod entry_registration;
 mod log_writer;
 mod manager;
 mod metrics;
--- a/crates/geranium_entry/src/store_watcher.rs
+++ b/crates/geranium_entry/src/store_watcher.rs
@@ -11,26 +11,21 @@
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
 use geranium_fleet::deployment::Deployment;
-use geranium_fleet::exchange::Peer;
 use geranium_fleet::host::{Host, HostId};
 use geranium_fleet::route_table::RouteTable;
 use geranium_net::{ClientConfig, HttpClient};
 use geranium_platform::{KvStore, StoreError, StoredValue, WatchBatch, WatchChange};
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
 
 use crate::crash_record::{CRASH_PREFIX, CrashRecord};
 use crate::dialect::Dialect;
+use crate::entry_registration::{ENTRY_PREFIX, EntryRegistration, MANAGER_KEY};
 use crate::metrics::gauge;
 use crate::peer_changes::{self, PeerChanges};
 use crate::peers::PeerLink;
 use crate::state::SharedState;
 use crate::store_update::StoreUpdate;
 
-/// Prefix of the values by which entry hosts discover each other.
-pub(crate) const ENTRY_PREFIX: &str = "entry/";
-/// Name of the value that holds the registration of the manager.
-pub(crate) const MANAGER_KEY: &str = "manager";
 /// Delay after the first failed call, before jitter; it doubles with each further failure.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Longest delay after a failed call, before jitter; kept short so that the store is
@@ -49,32 +44,6 @@
 /// Same delay for the manager; shorter, as its orders wait for the reports of hosts.
 const MANAGER_BATCH_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Registration of an entry host in the store.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct EntryRegistration {
-    /// Name of the host.
-    pub(crate) name: String,
-    /// Failure domain of the host.
-    #[serde(default)]
-    pub(crate) failure_domain: String,
-    /// Address of its datagrams and of the changes that it passes on.
-    pub(crate) peers: SocketAddr,
-    /// Number of processor cores that it may use; may be a fraction.
-    #[serde(default)]
-    pub(crate) processor_share: f64,
-}
-
-impl EntryRegistration {
-    fn into_peer(self) -> Peer {
-        Peer {
-            name: self.name.into(),
-            failure_domain: self.failure_domain.into(),
-            address: self.peers,
-            processor_share: self.processor_share,
-        }
-    }
-}
-
 /// Watches the store until the process ends.
 pub(crate) async fn run<D: Dialect, S: KvStore>(watcher: Rc<StoreWatcher<D>>, store: S) {
     let mut failures = 0;
@@ -445,7 +414,7 @@
     fn on_internal(&self, name: &str, value: Option<&[u8]>) {
         let mut core = self.shared.core.borrow_mut();
         if let Some(entry) = name.strip_prefix(ENTRY_PREFIX) {
-            let parsed = value.and_then(parse_registration);
+            let parsed = value.and_then(EntryRegistration::parse);
             let changed = core.record_entry_host(entry, parsed.is_some());
             // The initial snapshot logs a single line for all registrations.
             if changed && core.snapshot_loaded {
@@ -455,12 +424,12 @@
                 .set_peer(entry, parsed.map(EntryRegistration::into_peer));
         } else if name == MANAGER_KEY {
             core.manager = value
-                .and_then(parse_registration)
+                .and_then(EntryRegistration::parse)
                 .map(|e| (e.name, e.peers));
             let manager = core.manager.as_ref().map(|(name, _)| name.as_str());
             log::info!(manager = manager; "manager of the groups changed");
         } else if name.starts_with(CRASH_PREFIX)
-            && let Some(record) = value.and_then(parse_crash_record)
+            && let Some(record) = value.and_then(CrashRecord::parse)
         {
             drop(core);
             self.shared.apply_crash_record(&record);
@@ -474,23 +443,3 @@
         WatchChange::Deleted { revision, .. } => *revision,
     }
 }
-
-fn parse_crash_record(value: &[u8]) -> Option<CrashRecord> {
-    match serde_json::from_slice(value) {
-        Ok(record) => Some(record),
-        Err(e) => {
-            log::warn!("crash record is malformed: {e}");
-            None
-        }
-    }
-}
-
-fn parse_registration(value: &[u8]) -> Option<EntryRegistration> {
-    match serde_json::from_slice(value) {
-        Ok(entry) => Some(entry),
-        Err(e) => {
-            log::warn!("registration of an entry host is malformed: {e}");
-            None
-        }
-    }
-}
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -1,5 +1,14 @@
 //! Selects the backend server for a request.
 
+mod candidate_counts;
+mod choice;
+mod cold_limit;
+mod criteria;
+mod host_check;
+mod host_stats;
+mod no_host;
+mod pause;
+
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,10 +21,17 @@
 
 use crate::directory::Directory;
 use crate::host::{Host, HostId};
-use crate::rate_limiter::{RateLimiter, limit_per_entry_host};
 
-/// Window of the rate limit for cold backend servers.
-const COLD_WINDOW: Duration = Duration::from_secs(1);
+use host_check::HostCheck;
+use host_stats::HostStats;
+use pause::Pause;
+
+pub use candidate_counts::CandidateCounts;
+pub use choice::Choice;
+pub use cold_limit::ColdLimit;
+pub use criteria::DispatchCriteria;
+pub use no_host::NoHost;
+
 /// How long a backend server that failed or stopped responding gets no new work while
 /// others can take it.
 const SUSPICION_PERIOD: Duration = Duration::from_millis(2_500);
@@ -33,183 +49,6 @@
 /// Extra load, in requests, at a failure rate of 1.
 const FAILURE_PENALTY: f64 = 12.0;
 
-/// A pause requested by a backend server.
-#[derive(Clone, Copy, Debug)]
-struct Pause {
-    /// Incarnation that asked for the pause; the next one takes work.
-    incarnation: u64,
-    until: Timestamp,
-}
-
-/// Load and recent outcomes of one backend server, as seen by this entry host.
-#[derive(Debug)]
-struct HostStats {
-    running: u32,
-    peer_requests: f64,
-    failure_rate: f64,
-    mean_latency_ms: f64,
-    suspected_until: Timestamp,
-    /// Pause requested by an incarnation of the backend server.
-    pause: Option<Pause>,
-    /// Whether it has not answered successfully since it was suspected.
-    is_probing: bool,
-    recent_requests: RateLimiter,
-}
-
-impl Default for HostStats {
-    fn default() -> Self {
-        Self {
-            running: 0,
-            peer_requests: 0.0,
-            failure_rate: 0.0,
-            mean_latency_ms: 0.0,
-            suspected_until: Timestamp::default(),
-            pause: None,
-            is_probing: false,
-            recent_requests: RateLimiter::new(COLD_WINDOW),
-        }
-    }
-}
-
-impl HostStats {
-    /// Returns whether new work goes to other servers if possible. After the suspicion
-    /// period, one request at a time probes whether the backend server answers again.
-    fn is_suspected(&self, now: Timestamp) -> bool {
-        now < self.suspected_until || (self.is_probing && self.running > 0)
-    }
-
-    /// Returns the end of the pause that still applies to an incarnation.
-    fn paused_until(&self, incarnation: u64, now: Timestamp) -> Option<Timestamp> {
-        let pause = self
-            .pause
-            .filter(|p| p.incarnation == incarnation && now < p.until);
-        pause.map(|p| p.until)
-    }
-
-    /// Returns the known number of running requests, including those of other entry hosts.
-    fn total_running(&self) -> f64 {
-        f64::from(self.running) + self.peer_requests
-    }
-}
-
-/// Reasons that may rule out a backend server for a request.
-struct HostCheck {
-    running: f64,
-    suspected: bool,
-    paused_until: Option<Timestamp>,
-    at_limit: bool,
-    full: bool,
-}
-
-/// Why no backend server can take a request now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NoHost {
-    /// No known backend server serves the request.
-    None,
-    /// All that serve the request were tried before.
-    AllTried,
-    /// All asked for a pause; the first pause ends at this time.
-    Paused(Timestamp),
-    /// All have reached their limit on new work.
-    AtColdLimit,
-    /// All are full, so that the request would wait too long.
-    Full,
-}
-
-impl NoHost {
-    /// Returns the reason as it appears in logs.
-    #[must_use]
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::None => "none_serves",
-            Self::AllTried => "all_tried",
-            Self::Paused(_) => "all_paused",
-            Self::AtColdLimit => "at_cold_bound",
-            Self::Full => "full",
-        }
-    }
-}
-
-/// Number of backend servers that serve a request, and why they are not candidates, for
-/// logs.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct CandidateCounts {
-    /// Backend servers that serve the request.
-    pub serving: usize,
-    /// Those that the request was sent to before.
-    pub tried: usize,
-    /// Those that failed or stopped responding recently.
-    pub suspected: usize,
-    /// Those that asked for a pause that still applies.
-    pub paused: usize,
-    /// Those at this entry host's share of the limit on new work.
-    pub at_bound: usize,
-    /// Those that are full, counting the requests of this and other entry hosts.
-    pub full: usize,
-}
-
-/// The selected backend server.
-#[derive(Clone, Debug)]
-pub struct Choice {
-    /// The backend server.
-    pub host: Host,
-    /// Number of backend servers that could have been selected.
-    pub candidates: usize,
-    /// Known number of requests running there.
-    pub load: f64,
-    /// Age of the other entry hosts' part of the load.
-    pub load_age: Duration,
-}
-
-/// Maximum number of requests that this entry host sends to one backend server per second,
-/// so that all entry hosts together stay below what a cold one can take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ColdLimit {
-    /// Limit for a backend server that is known to be cold: this entry host's share.
-    pub cold: usize,
-    /// Limit for any other backend server, as it may have turned cold a moment ago. It is
-    /// above the share, as not all entry hosts send that much to the same server.
-    pub warm: usize,
-    /// Number of entry hosts that may send to a cold backend server at all, if there are
-    /// more entry hosts than requests that it can take.
-    pub max_senders: Option<usize>,
-}
-
-impl ColdLimit {
-    /// Number of entry hosts' shares that one entry host may use at a warm backend server.
-    const WARM_SHARES: usize = 2;
-    /// Minimum limit of an entry host for a warm backend server.
-    const MIN_WARM_LIMIT: usize = 3;
-
-    /// Divides a limit by the number of entry hosts.
-    #[must_use]
-    pub fn new(limit: f64, entry_hosts: usize) -> Self {
-        let share = limit_per_entry_host(limit, entry_hosts);
-        let cold = share.max(1);
-        let warm = limit_per_entry_host(limit * Self::WARM_SHARES as f64, entry_hosts);
-        Self {
-            cold,
-            warm: warm.max(cold).max(Self::MIN_WARM_LIMIT),
-            max_senders: (share == 0).then_some(limit as usize),
-        }
-    }
-}
-
-/// Requirements of a request on its backend server.
-#[derive(Clone, Copy, Debug)]
-pub struct DispatchCriteria<'a> {
-    /// Service.
-    pub service: &'a str,
-    /// Model, for services with model engines.
-    pub model: Option<&'a str>,
-    /// Backend servers that the request was sent to before.
-    pub tried: &'a [HostId],
-    /// Limits on the requests per second of this entry host.
-    pub cold_limit: Option<ColdLimit>,
-    /// Number of requests, over all entry hosts, at which a backend server is full.
-    pub max_running: f64,
-}
-
 /// Selects backend servers by load, distance and recent outcomes.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -288,22 +127,22 @@
             let check = self.check_host(host, criteria, now);
             // A pause is more informative to a caller than that the server was tried.
             if let Some(until) = check.paused_until {
-                reason = more_specific(reason, NoHost::Paused(until));
+                reason = reason.or_more_specific(NoHost::Paused(until));
                 continue;
             }
             if criteria.tried.contains(&host.id) {
-                reason = more_specific(reason, NoHost::AllTried);
+                reason = reason.or_more_specific(NoHost::AllTried);
                 continue;
             }
             if check.suspected != suspected {
                 continue;
             }
             if check.at_limit {
-                reason = more_specific(reason, NoHost::AtColdLimit);
+                reason = reason.or_more_specific(NoHost::AtColdLimit);
                 continue;
             }
             if check.full {
-                reason = more_specific(reason, NoHost::Full);
+                reason = reason.or_more_specific(NoHost::Full);
                 continue;
             }
             let fabric_domain = host.fabric_domain.as_ref();
@@ -516,18 +355,3 @@
         .min_by(|a, b| a.0.total_cmp(&b.0))
         .map(|(_, host)| *host)
 }
-
-/// Returns the reason that is more informative to a caller.
-fn more_specific(old: NoHost, new: NoHost) -> NoHost {
-    if let (NoHost::Paused(a), NoHost::Paused(b)) = (old, new) {
-        return NoHost::Paused(a.min(b));
-    }
-    let order = |r: NoHost| match r {
-        NoHost::None => 0,
-        NoHost::AllTried => 1,
-        NoHost::Paused(_) => 2,
-        NoHost::AtColdLimit => 3,
-        NoHost::Full => 4,
-    };
-    if order(new) > order(old) { new } else { old }
-}
--- /dev/null
+++ b/crates/geranium_fleet/src/dispatch/host_check.rs
@@ -0,0 +1,12 @@
+//! What may rule out a backend server for a request.
+
+use geranium_core::time::Timestamp;
+
+/// Reasons that may rule out a backend server for a request.
+pub(super) struct HostCheck {
+    pub(super) running: f64,
+    pub(super) suspected: bool,
+    pub(super) paused_until: Option<Timestamp>,
+    pub(super) at_limit: bool,
+    pub(super) full: bool,
+}
