--- a/crates/geranium_entry/src/crash_state.rs
+++ b/crates/geranium_entry/src/crash_state.rs
@@ -67,7 +67,7 @@
             let count = change.count;
             log::info!(
                 subject:% = count.subject, refused = change.refused, crashes = count.crashes, disproved = count.disproved;
-                "what crashes backend servers is judged anew"
+                "refusal of a crash subject changed"
             );
         }
         let refused = core.crashes.refused_count();
--- a/crates/geranium_fleet/src/crash/disconnects.rs
+++ b/crates/geranium_fleet/src/crash/disconnects.rs
@@ -12,7 +12,7 @@
 /// Maximum number of requests that wait for a confirmation.
 const MAX_DISCONNECTS: usize = 4_096;
 /// Maximum number of requests in one report.
-const MAX_REPORTED: usize = 256;
+const MAX_REPORTED: usize = 64;
 
 #[derive(Clone, Debug)]
 struct Disconnect {
--- a/crates/geranium_telemetry/tests/explain.rs
+++ b/crates/geranium_telemetry/tests/explain.rs
@@ -19,24 +19,24 @@
 
 #[test]
 fn a_refused_request_is_explained_by_the_earlier_judgement_of_its_prompt_part() {
-    let judged = "what crashes backend servers is judged anew";
+    let changed = "refusal of a crash subject changed";
     let logs = [
         line(
             Duration::from_secs(10),
             "e1",
-            judged,
+            changed,
             &[("subject", "part-7")],
         ),
         line(
             Duration::from_secs(11),
             "e1",
-            judged,
+            changed,
             &[("subject", "part-8")],
         ),
         line(
             Duration::from_secs(11),
             "e2",
-            judged,
+            changed,
             &[("subject", "part-7")],
         ),
         line(
@@ -50,7 +50,7 @@
     let lines = explain(&logs.join("\n"), "r1");
 
     assert_eq!(lines.len(), 2, "{lines:?}");
-    assert!(lines[0].contains(judged));
+    assert!(lines[0].contains(changed));
     assert!(lines[0].contains("e1"));
 }
 
