--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -10,7 +10,7 @@
 use geranium_core::time::Timestamp;
 use geranium_fleet::prelude::*;
 use rand::Rng;
-use simulation::{SERVICE, Simulation, model, profile};
+use simulation::{SERVICE, Simulation, model, planner, profile};
 
 /// Runs a random schedule of failures and returns the simulation after it.
 fn random_schedule(seed: u64, delayed_share: f64) -> Simulation {
@@ -36,16 +36,17 @@
     simulation
 }
 
+fn assert_no_violations(simulation: &Simulation, seed: u64) {
+    let violations = &simulation.violations;
+    assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+}
+
 #[test]
 fn no_group_is_partial_and_no_host_serves_two_groups() {
     for seed in 0..60 {
         let simulation = random_schedule(seed, 0.0);
 
-        assert!(
-            simulation.violations.is_empty(),
-            "seed {seed}: {:?}",
-            simulation.violations
-        );
+        assert_no_violations(&simulation, seed);
     }
 }
 
@@ -54,11 +55,7 @@
     for seed in 0..60 {
         let simulation = random_schedule(seed, 0.35);
 
-        assert!(
-            simulation.violations.is_empty(),
-            "seed {seed}: {:?}",
-            simulation.violations
-        );
+        assert_no_violations(&simulation, seed);
     }
 }
 
@@ -85,11 +82,7 @@
             simulation.run(Duration::from_millis(pause), true);
         }
 
-        assert!(
-            simulation.violations.is_empty(),
-            "seed {seed}: {:?}",
-            simulation.violations
-        );
+        assert_no_violations(&simulation, seed);
     }
 }
 
@@ -117,11 +110,7 @@
 #[test]
 fn a_member_of_an_earlier_managers_group_gets_no_second_join() {
     let start = Timestamp::from_millis(1_000_000);
-    let settings = PlannerSettings {
-        nonce: "later".into(),
-        load_window: Duration::from_secs(5),
-    };
-    let mut planner = GroupPlanner::new(settings, start);
+    let mut planner = planner("later", start);
     let mut directory = Directory::default();
     let engine = profile(vec![model("small", 2, 1.0)]);
     let mut plan =
@@ -208,11 +197,7 @@
 #[test]
 fn a_host_whose_entry_lags_behind_its_order_gets_no_further_order() {
     let start = Timestamp::from_millis(1_000_000);
-    let settings = PlannerSettings {
-        nonce: "cut-off".into(),
-        load_window: Duration::from_secs(5),
-    };
-    let mut planner = GroupPlanner::new(settings, start);
+    let mut planner = planner("cut-off", start);
     let mut directory = Directory::default();
     let engine = profile(vec![model("small", 2, 1.0)]);
     for id in ["h1", "h2"] {
@@ -241,11 +226,7 @@
 #[test]
 fn a_host_that_refuses_a_load_gets_no_immediate_retry() {
     let start = Timestamp::from_millis(1_000_000);
-    let settings = PlannerSettings {
-        nonce: "new".into(),
-        load_window: Duration::from_secs(5),
-    };
-    let mut planner = GroupPlanner::new(settings, start);
+    let mut planner = planner("new", start);
     let mut directory = Directory::default();
     let engine = profile(vec![model("small", 2, 1.0)]);
     // The host is loading by an order of an earlier manager, which its entry does not show.
@@ -269,11 +250,7 @@
 #[test]
 fn a_group_that_an_earlier_manager_left_ready_is_formed_anew() {
     let start = Timestamp::from_millis(1_000_000);
-    let settings = PlannerSettings {
-        nonce: "later".into(),
-        load_window: Duration::from_secs(5),
-    };
-    let mut planner = GroupPlanner::new(settings, start);
+    let mut planner = planner("later", start);
     let mut directory = Directory::default();
     let engine = profile(vec![model("small", 2, 1.0)]);
     for (rank, id) in ["h1", "h2"].into_iter().enumerate() {
--- a/crates/geranium_fleet/tests/simulation/mod.rs
+++ b/crates/geranium_fleet/tests/simulation/mod.rs
@@ -133,7 +133,7 @@
             now,
             hosts: BTreeMap::new(),
             directory: Directory::default(),
-            planner: manager(0, now),
+            planner: planner("m0", now),
             profile: profile(models),
             shares,
             rng: SmallRng::seed_from_u64(seed),
@@ -188,7 +188,7 @@
     /// Replaces the manager by one that knows only what hosts report.
     pub fn replace_manager(&mut self) {
         self.managers += 1;
-        self.planner = manager(self.managers, self.now);
+        self.planner = planner(&format!("m{}", self.managers), self.now);
         self.directory.clear_order_counts();
     }
 
@@ -554,9 +554,10 @@
     }
 }
 
-fn manager(number: u32, now: Timestamp) -> GroupPlanner {
+/// Creates the planner of a manager, which puts `nonce` into the names of its groups.
+pub fn planner(nonce: &str, now: Timestamp) -> GroupPlanner {
     let settings = PlannerSettings {
-        nonce: format!("m{number}"),
+        nonce: nonce.into(),
         load_window: Duration::from_secs(5),
     };
     GroupPlanner::new(settings, now)
