Judge crashes by those that are known, not by the stored count

Cause: the judgement walked through all numbers from the disproved crashes to the count, and the count comes from a record. Found on reading the change once more.

The dyn closure on this path is gone.

--- a/crates/geranium_fleet/src/crash/evidence.rs
+++ b/crates/geranium_fleet/src/crash/evidence.rs
@@ -59,17 +59,16 @@
         raised
     }
 
-    /// Returns the crashes with a number.
-    pub(super) fn crashes_of(&self, number: u32) -> impl Iterator<Item = &CrashId> {
-        let crashes = self.crashes.iter();
-        crashes
-            .filter(move |(n, _)| *n == number)
-            .map(|(_, crash)| crash)
-    }
-
-    /// Returns the numbers of the crashes that no answer has disproved.
-    pub(super) const fn open_numbers(&self) -> std::ops::RangeInclusive<u32> {
-        self.count.disproved.saturating_add(1)..=self.count.crashes
+    /// Counts the crashes that no answer has disproved and that nothing else explains. Those
+    /// with the same number count once, and one of them that is not explained suffices.
+    pub(super) fn count_unexplained(&self, is_explained: impl Fn(&CrashId) -> bool) -> usize {
+        let open = self
+            .crashes
+            .iter()
+            .filter(|(n, _)| *n > self.count.disproved);
+        let unexplained = open.filter(|(_, crash)| !is_explained(crash));
+        let numbers: HashSet<u32> = unexplained.map(|(n, _)| *n).collect();
+        numbers.len()
     }
 
     /// Returns whether the other entry hosts suspect the subject and this one knows better.
--- a/crates/geranium_fleet/src/crash/tracker.rs
+++ b/crates/geranium_fleet/src/crash/tracker.rs
@@ -329,13 +329,8 @@
         evidence: &Evidence,
         refused: &HashMap<CrashSubject, Refusal>,
     ) -> Option<Duration> {
-        let count_crashes = |is_explained: &dyn Fn(&CrashId) -> bool| {
-            let numbers = evidence.open_numbers();
-            let caused = |n: &u32| evidence.crashes_of(*n).any(|crash| !is_explained(crash));
-            numbers.filter(caused).count()
-        };
-        let caused = count_crashes(&|crash| self.has_likelier_cause(crash, evidence));
-        let caused_alone = count_crashes(&|crash| {
+        let caused = evidence.count_unexplained(|crash| self.has_likelier_cause(crash, evidence));
+        let caused_alone = evidence.count_unexplained(|crash| {
             self.has_likelier_cause(crash, evidence)
                 || self.has_refused_combination(crash, evidence, refused)
         });
--- a/crates/geranium_fleet/tests/crashes.rs
+++ b/crates/geranium_fleet/tests/crashes.rs
@@ -385,3 +385,23 @@
     assert!(is_refused(&tracker, &[DEADLY], NOW));
     assert!(!is_refused(&tracker, &[request(90)], NOW));
 }
+
+/// Guards against an entry host that stands still because a stored count is absurd.
+#[test]
+fn an_absurd_count_is_judged_by_the_crashes_that_are_known() {
+    let mut tracker = CrashTracker::default();
+    let report = CrashReport {
+        crash: crash_id(1),
+        requests: vec![vec![CrashCount {
+            subject: DEADLY,
+            crashes: u32::MAX,
+            disproved: 0,
+            answered_before: false,
+        }]],
+    };
+
+    tracker.apply_report(&report, NOW);
+
+    assert_eq!(tracker.update_refusals(NOW), []);
+    assert!(!is_refused(&tracker, &[DEADLY], NOW));
+}
