--- a/crates/geranium_fleet/src/crash/tracker.rs
+++ b/crates/geranium_fleet/src/crash/tracker.rs
@@ -267,18 +267,12 @@
             let Some(period) = self.refusal_period(evidence, &refused) else {
                 continue;
             };
-            let (crashes, trials) = (evidence.count.crashes, 0);
-            let before = self.refused.get(&subject).copied();
-            let before = before.unwrap_or(Refusal {
-                since: now,
-                crashes,
-                period,
-                trials,
-            });
+            let before = self.refused.get(&subject);
             let refusal = Refusal {
-                crashes,
+                since: before.map_or(now, |r| r.since),
+                crashes: evidence.count.crashes,
                 period,
-                ..before
+                trials: before.map_or(0, |r| r.trials),
             };
             refused.insert(subject, refusal);
         }
