--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo build --release --locked -p geranium_adapter
-for file in review/standins.py review/*/case.py; do
+for file in review/*.py review/*/case.py; do
   python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
