--- a/review/engine.py
+++ b/review/engine.py
@@ -15,6 +15,7 @@
     carried out, or None for an order that is answered."""
 
     HEARTBEAT_S = 1.2
+    domain = "lima-a-d1"
 
     def __init__(self, store, ident, service, model, load_s, warm_s, form_s, fleet, late, record):
         self.store, self.id, self.service, self.record = store, ident, service, record
@@ -58,7 +59,7 @@
         entry = {
             "service": self.service, "address": self.address, "zone": "lima-a", "version": "v1",
             "slots": 17, "state": "ready", "coldLeftMs": 0, "phase": "colocated",
-            "models": self._models(), "domain": "lima-a-d1", "staged": list(self.staged),
+            "models": self._models(), "domain": self.domain, "staged": list(self.staged),
             "born": self.born, "seq": self.beats,
         }
         if self.group:
@@ -67,7 +68,7 @@
 
     def _report(self):
         report = {
-            "phase": "colocated", "models": self._models(), "domain": "lima-a-d1",
+            "phase": "colocated", "models": self._models(), "domain": self.domain,
             "staged": list(self.staged), "born": self.born, "busy": False, "seq": self.seq,
             "queued": 0, "active": 0, "kvUsed": 0, "kvTotal": 1860000, "handles": 0,
         }
