--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,120 +1,105 @@
-"""A worker's late write to the store makes a member of an open group look free (TWO)."""
+"""Machines are stopped and started in turn while workers load weights; then workers leave orders
+unanswered and carry them out late."""
 
 import asyncio
-import json
 import os
-import random
+import signal
 import sys
-
-FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.dirname(FOLDER))
-from engine import Engine  # noqa: E402
-from standins import (  # noqa: E402
-    BOUNDS_GROWN, BROKEN, HELD, TROUBLE, CannotRun, Entry, Store, configuration, loopback_address, route,
-    run_case, service)
-
-MODEL = "m1"
-GROUP_SIZE = 2
-DOMAINS = 4
-WORKERS_PER_DOMAIN = 5
-# loadS is 12; before the first request a load takes a tenth of that.
-LOAD_FACTOR = 0.1
-LOAD_S, WARM_S, FORM_S = 12.0, 1.1, 0.3
-# platform_lost with `late`: for 4.5 s, a share of 0.35 of the writes gets no answer and is done
-# 1 to 6 s later.
-LOST_SHARE = 0.35
-LOST_FOR_S = 4.5
-LATE_S = (1.0, 6.0)
-# scale_out: empty workers are added, up to the 18 workers of a domain.
-ROUNDS = 6
-ADDED = 2
-ADDED_GAP_S = 2.0
-LOST_BEFORE_S = 1.0
-ROUND_S = 12.0
-
-
-class Worker(Engine):
-    """A worker whose writes to the store may be lost and done late."""
-
-    losing = False
-
-    def _write_entry(self):
-        if Worker.losing and random.random() < LOST_SHARE:
-            asyncio.create_task(self._write_late(random.uniform(*LATE_S)))
-            return
-        super()._write_entry()
-
-    async def _write_late(self, delay):
-        """A write that gets no answer and is done seconds later."""
-        self.beats += 1
-        store, self.store = self.store, Captured()
-        super()._write_entry()
-        captured, self.store = self.store, store
-        await asyncio.sleep(delay)
-        group = captured.entry.get("group")
-        entered, group = captured.entry.get("group"), self.group
-        self.record(f"store: a write of {self.id} is done {delay:.1f} s late, with group "
-                    f"{entered and entered['name']}; its group is now "
-                    f"{group and (group['name'], group['state'])}")
-        self.store.put(captured.key, captured.entry)
-
-
-class Captured:
-    def put(self, key, entry):
-        self.key, self.entry = key, json.loads(json.dumps(entry))
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
+from standins import *
+from engine import Engine
+
+MODEL = {"name": "cuxa100000", "size": 2, "share": 1.0, "pace": 1.0, "loadS": 12.0, "warmS": 1.1}
+ENGINE = {
+    "slots": 17, "kvCapacity": 1860000, "stride": 5, "models": [MODEL], "step_ms": 7.8,
+    "per_seq_ms": 0.0947, "context_per_k": 0.0096, "read_per_s": 45900.0, "pairs_per_m": 0.433,
+    "chunk": 2048, "report_lag_ms": 200.0, "loadsPerS": 5.0, "loads_at_once": 7,
+    "usual": {"prompt": 979, "answer": 154}, "keeps": 1, "far_x": 4.0, "formMs": 300.0,
+}
+WORKERS = [f"i-{n}" for n in range(1, 9)]
+LATE_S = 9.0
+FIRST_STOP_S = 4.0
+LATE_FROM_S = 9.0
+SECOND_STOP_AFTER_S = 0.2
+LENGTH_S = 28.0
 
 
 async def case(record):
     ip = loopback_address()
     store = await Store().start(ip)
-    fleet = {}
-
-    async def start(domain):
-        ident = f"i-{domain}-{len(fleet)}"
-        worker = Worker(store, ident, "llm-pool", MODEL, LOAD_S * LOAD_FACTOR, WARM_S, FORM_S, fleet,
-                        lambda worker, order: None, record)
-        worker.domain = f"lima-a-d{domain}"
-        return await worker.start(ip)
-
-    for domain in range(DOMAINS):
-        for _ in range(WORKERS_PER_DOMAIN):
-            await start(domain)
-    pool = dict(service("llm-pool"), engine={
-        "slots": 17, "kvCapacity": 1860000, "stride": 6,
-        "models": [{"name": MODEL, "size": GROUP_SIZE, "share": 1.0, "pace": 1.0,
-                    "loadS": LOAD_S, "warmS": WARM_S}],
-        "step_ms": 7.8, "per_seq_ms": 0.1, "context_per_k": 0.003, "read_per_s": 45900.0,
-        "pairs_per_m": 0.3, "chunk": 2048, "report_lag_ms": 200.0, "loadsPerS": 5.5,
-        "loads_at_once": 8, "delays": [], "usual": {"prompt": 1115, "answer": 152}, "keeps": 1,
-        "far_x": 3.0, "formMs": FORM_S * 1000})
-    routes = [route("reply-draft", "/draft/", "streaming", "llm-pool", 6000, resumable=True,
-                    maxAttempts=2, sticky=True, gapAimMs=200)]
+    fleet, orders = {}, {"late": False, "seen": 0}
+
+    def late(worker, order):
+        """Half of the workers, and so half of the orders, leave joins unanswered for a while."""
+        if not orders["late"] or order["op"] != "join":
+            return None
+        orders["seen"] += 1
+        return LATE_S if WORKERS.index(worker.id) % 2 == 1 else None
+
+    engines = [
+        await Engine(store, ident, "llm-pool", MODEL["name"], MODEL["loadS"], MODEL["warmS"],
+                     ENGINE["formMs"] / 1000, fleet, late, record).start(ip)
+        for ident in WORKERS
+    ]
+    routes = [route("thread-summary", "/summary/", "streaming", "llm-pool", 8000, resumable=True,
+                    sticky=True, maxAttempts=2, gapAimMs=300)]
+    pool = dict(service("llm-pool"), engine=ENGINE, coldStartS=3.0, coldPerS=26.0)
     store.put("op/config", configuration(routes, [pool]))
-    entry = await Entry(store, "front-lima-a-1", record, bounds=BOUNDS_GROWN).start()
+    entries = [Entry(store, f"front-lima-a-{n}", record) for n in (1, 2, 3)]
+    for entry in entries:
+        # Workers are added to a system that has been running.
+        entry.settings["firstStart"] = False
+    began = time.monotonic()
     try:
-        await entry.wait_ready()
-        await asyncio.sleep(12)
-        if sum(bool(w.group and w.group["state"] == "open") for w in fleet.values()) != 2 * DOMAINS:
-            raise CannotRun("the groups did not form")
-        for number in range(ROUNDS):
-            if TROUBLE:
-                Worker.losing = True
-                asyncio.get_running_loop().call_later(LOST_FOR_S, setattr, Worker, "losing", False)
-                record(f"round {number + 1}: the store loses answers for {LOST_FOR_S} s")
-            await asyncio.sleep(LOST_BEFORE_S)
-            for _ in range(ADDED):
-                record("a worker is added to each domain")
-                for domain in range(DOMAINS):
-                    await start(domain)
-                await asyncio.sleep(ADDED_GAP_S)
-            await asyncio.sleep(ROUND_S - LOST_BEFORE_S - ADDED * ADDED_GAP_S)
-            broken = [t for w in fleet.values() for t in w.joined_elsewhere]
-            if broken:
-                record(f"TWO: {broken[0]}")
-                return BROKEN
-        return HELD
+        for entry in entries:
+            await entry.start()
+        for entry in entries:
+            await entry.wait_ready()
+        stopping = []
+        if TROUBLE:
+            await asyncio.sleep(FIRST_STOP_S)
+            stopping.append(asyncio.create_task(restart(manager(store, entries), record)))
+            await asyncio.sleep(max(0, LATE_FROM_S - (time.monotonic() - began)))
+            orders["late"] = True
+            record("half of the workers leave joins unanswered from now on")
+            while not orders["seen"]:
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(SECOND_STOP_AFTER_S)
+            orders["late"] = False
+            record("all workers answer again")
+            stopping.append(asyncio.create_task(restart(manager(store, entries), record)))
+        await asyncio.sleep(max(0, LENGTH_S - (time.monotonic() - began)))
+        await asyncio.gather(*stopping)
+        broken = [text for e in engines for text in e.joined_elsewhere]
+        heads = [e.id for e in engines if e.group and e.group["state"] == "open"]
+        record(f"open heads at the end: {heads}; joins while the head of the group was open: {len(broken)}")
+        return BROKEN if broken else HELD
     finally:
-        await entry.clean()
+        for entry in entries:
+            await entry.clean()
+
+
+def manager(store, entries):
+    """Returns the machine that gives orders now, as the store names it."""
+    value = store.items.get("geranium/manager")
+    if not value:
+        raise CannotRun("no machine gives orders")
+    name = json.loads(base64.b64decode(value["value"]))["name"]
+    return next(e for e in entries if e.name == name)
+
+
+async def restart(entry, record):
+    """Stops and starts a machine as the platform does."""
+    entry.signal(signal.SIGTERM)
+    try:
+        await asyncio.wait_for(entry.process.wait(), entry.grace_s)
+    except asyncio.TimeoutError:
+        entry.signal(signal.SIGKILL)
+        await entry.process.wait()
+    await asyncio.sleep(0.5)
+    await entry.start()
 
 
-run_case(FOLDER, case)
+run_case(os.path.dirname(os.path.abspath(__file__)), case)
