--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -15,7 +15,7 @@
 //! | `relay` | handling of one request, from its headers to its response |
 //! | `pool` | connection pool for backend servers |
 //! | `store_watcher`, `peer_fallback` | store changes, received directly or from other entry hosts |
-//! | `recent_changes`, `peer_changes` | server and client for passing on store changes |
+//! | [`change_history`], `recent_changes`, `peer_changes` | recent store changes; server and client for passing them on |
 //! | `election`, `manager` | manager election, group planning and orders to hosts |
 //! | `entry_registration` | registrations by which entry hosts discover each other |
 //! | `store_restore` | returns of the store from an older copy of its data |
@@ -26,6 +26,7 @@
 //! | `metrics`, `beliefs` | metrics, and a snapshot of the local state for operators |
 
 mod beliefs;
+pub mod change_history;
 mod crash_probe;
 mod crash_record;
 mod crash_reports;
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -73,6 +73,8 @@
     pub(crate) configuration_age: Gauge,
     /// Milliseconds since the last contact with the store.
     pub(crate) directory_age: Gauge,
+    /// Memory of the store changes kept for other entry hosts, in bytes.
+    pub(crate) recent_change_bytes: Gauge,
     /// Delay of a timer in the single thread of the event loop, in seconds.
     pub(crate) loop_lag: Histogram,
 }
@@ -128,6 +130,11 @@
                 "Age of the version",
             ),
             directory_age: register_metric(r, "directory_age_milliseconds", "Time since the store"),
+            recent_change_bytes: register_metric(
+                r,
+                "recent_change_bytes",
+                "Memory of changes kept for other entry hosts",
+            ),
             loop_lag: register_duration(r, "loop_lag_seconds", "Lateness of timers"),
             registry: Arc::new(registry),
         }
--- a/crates/geranium_entry/src/metrics/observer.rs
+++ b/crates/geranium_entry/src/metrics/observer.rs
@@ -25,6 +25,8 @@
         metrics.running.set(gauge(shared.running.count()));
         let heard = now.since(shared.last_store_contact.get());
         metrics.directory_age.set(gauge(heard.as_millis()));
+        let held = shared.recent_changes.held_bytes();
+        metrics.recent_change_bytes.set(gauge(held));
         let in_force = shared.configured_at.get().map(|at| now.since(at));
         metrics
             .configuration_age
--- a/crates/geranium_entry/src/peer_changes.rs
+++ b/crates/geranium_entry/src/peer_changes.rs
@@ -11,7 +11,8 @@
 use geranium_platform::{StoreEra, StoredValue, WatchBatch, WatchChange};
 use hyper::StatusCode;
 
-use crate::recent_changes::{Change, ChangesResponse};
+use crate::change_history::Change;
+use crate::recent_changes::ChangesResponse;
 
 /// Timeout of a request to another entry host.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(700);
@@ -57,13 +58,13 @@
     let revision = StoreRevision(change.revision);
     let Some(text) = change.value else {
         return Some(WatchChange::Deleted {
-            key: change.key,
+            key: change.key.to_string(),
             revision,
         });
     };
-    match STANDARD.decode(text) {
+    match STANDARD.decode(&*text) {
         Ok(bytes) => Some(WatchChange::Put(StoredValue {
-            key: change.key,
+            key: change.key.to_string(),
             value: Bytes::from(bytes),
             revision,
         })),
--- a/crates/geranium_entry/src/recent_changes.rs
+++ b/crates/geranium_entry/src/recent_changes.rs
@@ -1,17 +1,14 @@
-//! Buffer of recent store changes, served to entry hosts that do not watch the store.
+//! Recent store changes, served to entry hosts that do not watch the store.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
 use geranium_net::{HttpServer, ServerConfig, ServerError};
-use geranium_platform::{StoreEra, WatchBatch, WatchChange};
+use geranium_platform::{StoreEra, WatchBatch};
 use geranium_telemetry::ProcessClock;
 use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
@@ -19,8 +16,13 @@
 use tokio_util::sync::CancellationToken;
 use viz::{IntoResponse, RequestExt, Router, get};
 
-/// Maximum number of buffered changes.
-const MAX_CHANGES: usize = 4_096;
+use crate::change_history::{Change, ChangeHistory};
+
+/// Fraction of the process memory that recent changes may hold.
+const MEMORY_FRACTION: f64 = 0.05;
+/// Size from which a response is cut short, in bytes: many entry hosts may ask at once, each
+/// response is built for one of them, and those that are left ask again.
+const MAX_RESPONSE_BYTES: usize = 1 << 20;
 /// Time for which a request waits for a change (long polling).
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time since the last contact with the store after which changes are no longer passed
@@ -29,17 +31,6 @@
 /// Path that returns the changes after a revision.
 const CHANGES_PATH: &str = "/changes/:after";
 
-/// A store change as entry hosts exchange it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Change {
-    /// Key of the value.
-    pub(crate) key: String,
-    /// Revision of the change.
-    pub(crate) revision: u64,
-    /// The new value in Base64, or `None` for a deletion.
-    pub(crate) value: Option<String>,
-}
-
 /// The changes up to a revision, as sent in a response.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ChangesResponse {
@@ -54,19 +45,18 @@
     pub(crate) era: Option<u64>,
 }
 
-#[derive(Debug, Default)]
-struct ChangeLog {
-    /// Every change after this revision is in the buffer.
-    base_revision: u64,
-    last_revision: u64,
+/// Changes of one era of the store.
+#[derive(Debug)]
+struct EraHistory {
+    history: ChangeHistory,
+    /// Era of the store that the changes are from, if it states eras.
     era: Option<StoreEra>,
-    changes: VecDeque<Change>,
 }
 
 /// The store changes that this entry host applied recently.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct RecentChanges {
-    log: Mutex<ChangeLog>,
+    current: Mutex<EraHistory>,
     appended: Notify,
     /// Time in milliseconds of the last contact with the store, directly or through the entry
     /// hosts that this one gets its changes from; 0 while the store cannot be reached.
@@ -74,6 +64,28 @@
 }
 
 impl RecentChanges {
+    /// Creates an empty buffer for a process that may use `memory_bytes`.
+    pub(crate) fn new(memory_bytes: u64) -> Self {
+        let max_bytes = memory_bytes as f64 * MEMORY_FRACTION;
+        Self {
+            current: Mutex::new(EraHistory {
+                history: ChangeHistory::new(max_bytes as usize),
+                era: None,
+            }),
+            appended: Notify::new(),
+            last_store_contact_ms: AtomicU64::new(0),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EraHistory> {
+        self.current.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the estimated memory of the changes, in bytes.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.lock().history.held_bytes()
+    }
+
     /// Sets the time of the last contact with the store; `None` if it cannot be reached.
     pub(crate) fn set_last_contact(&self, at: Option<Timestamp>) {
         let ms = at.map_or(0, Timestamp::as_millis);
@@ -88,55 +100,39 @@
         (age < MAX_CONTACT_AGE).then_some(age)
     }
 
-    /// Discards all changes; until the next start none are passed on.
+    /// Discards all changes; until the next start none are taken or passed on.
     pub(crate) fn clear(&self) {
-        self.start(StoreRevision(0), None);
+        let mut current = self.lock();
+        current.history.stop();
+        current.era = None;
     }
 
     /// Discards all changes and starts anew from a revision of an era.
     pub(crate) fn start(&self, revision: StoreRevision, era: Option<StoreEra>) {
-        let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
-        *log = ChangeLog {
-            base_revision: revision.0,
-            last_revision: revision.0,
-            era,
-            changes: VecDeque::new(),
-        };
+        let mut current = self.lock();
+        current.history.start(revision);
+        current.era = era;
     }
 
     /// Appends the changes of a batch that are newer than those in the buffer.
     pub(crate) fn append(&self, batch: &WatchBatch) {
-        let mut log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
-        for change in &batch.changes {
-            let change = encode(change);
-            if change.revision > log.last_revision {
-                log.changes.push_back(change);
-            }
-        }
-        log.last_revision = log.last_revision.max(batch.revision.0);
-        while log.changes.len() > MAX_CHANGES {
-            if let Some(oldest) = log.changes.pop_front() {
-                log.base_revision = oldest.revision;
-            }
-        }
-        drop(log);
+        self.lock().history.append(batch);
         self.appended.notify_waiters();
     }
 
-    /// Returns the changes after a revision, or `None` if some of them were already dropped
-    /// or the last contact with the store is too long ago.
+    /// Returns the next changes after a revision, or `None` if some of them were already
+    /// dropped or the last contact with the store is too long ago.
     fn changes_after(&self, revision: u64, now: Timestamp) -> Option<ChangesResponse> {
         let age = self.contact_age(now)?;
-        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
-        if revision < log.base_revision || log.last_revision == 0 {
-            return None;
-        }
-        let newer = log.changes.iter().filter(|c| c.revision > revision);
+        let current = self.lock();
+        let page = current
+            .history
+            .page_after(StoreRevision(revision), MAX_RESPONSE_BYTES)?;
         Some(ChangesResponse {
-            changes: newer.cloned().collect(),
-            revision: log.last_revision.max(revision),
+            changes: page.changes,
+            revision: page.revision,
             age_ms: age.as_millis() as u64,
-            era: log.era.map(|e| e.0),
+            era: current.era.map(|e| e.0),
         })
     }
 
@@ -157,21 +153,6 @@
     }
 }
 
-fn encode(change: &WatchChange) -> Change {
-    match change {
-        WatchChange::Put(v) => Change {
-            key: v.key.clone(),
-            revision: v.revision.0,
-            value: Some(STANDARD.encode(&v.value)),
-        },
-        WatchChange::Deleted { key, revision } => Change {
-            key: key.clone(),
-            revision: revision.0,
-            value: None,
-        },
-    }
-}
-
 /// Serves changes to other entry hosts until the process ends.
 ///
 /// # Errors
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -222,6 +222,7 @@
             rng: SmallRng::from_os_rng(),
         };
         let clock = ProcessClock::start();
+        let recent_changes = Arc::new(RecentChanges::new(cfg.memory_bytes));
         let response_memory = cfg.memory_bytes as f64 * RESPONSE_MEMORY_FRACTION;
         Self {
             response_budget: Cell::new(ByteBudget::new(response_memory as usize)),
@@ -249,7 +250,7 @@
             snapshot_due: Cell::new(false),
             restored_at: watch::Sender::new(None),
             store_era: Cell::new(None),
-            recent_changes: Arc::default(),
+            recent_changes,
             exit_deadline: Cell::new(None),
         }
     }
