--- a/crates/geranium_entry/src/relay/event_reader.rs
+++ b/crates/geranium_entry/src/relay/event_reader.rs
@@ -13,7 +13,7 @@
 use super::host_slot::HostSlot;
 use super::next_hop::NextHop;
 use crate::dialect::Dialect;
-use crate::sse::EventSplitter;
+use crate::sse::{EventSplitter, MalformedEvent};
 use crate::state::SharedState;
 
 /// Reads complete events from the response of a backend server.
@@ -33,6 +33,8 @@
     pub(super) reroute_signal: Rc<Notify>,
     /// Id of the last forwarded event; events up to it are skipped.
     pub(super) last_forwarded_id: Option<u64>,
+    /// What follows the events that were returned last, if it is known already.
+    follows: Option<StreamRead>,
 }
 
 /// Result of reading from a stream.
@@ -66,12 +68,16 @@
             reservation: BufferReservation::new(shared),
             reroute_signal,
             last_forwarded_id,
+            follows: None,
         };
         (head, reader)
     }
 
     /// Returns the next events. Cancel safe: dropping the future loses no events.
     pub(super) async fn next(&mut self) -> StreamRead {
+        if let Some(follows) = self.follows.take() {
+            return follows;
+        }
         loop {
             match self.body.frame().await {
                 None => return self.end(),
@@ -81,12 +87,17 @@
                         continue;
                     };
                     self.splitter.push(data);
-                    let events = self.complete_events();
+                    let (events, malformed) = self.complete_events();
                     let within_limit = self.reservation.resize(self.splitter.buffered_len());
-                    if let Some(events) = events {
+                    let aborted = malformed.map(|e| self.abort_malformed(e));
+                    if !events.is_empty() {
                         self.slot.guard.record_activity(true, self.shared.now());
+                        self.follows = aborted;
                         return StreamRead::Events(events);
                     }
+                    if let Some(aborted) = aborted {
+                        return aborted;
+                    }
                     if !within_limit {
                         return StreamRead::Aborted("too_long");
                     }
@@ -102,20 +113,34 @@
         if let Some(connection) = self.connection.take() {
             connection.return_to(&self.shared.pool, self.shared.now());
         }
-        StreamRead::End
+        let rest = self.splitter.take_rest();
+        if rest.is_empty() {
+            return StreamRead::End;
+        }
+        self.follows = Some(StreamRead::End);
+        StreamRead::Events(rest)
     }
 
-    fn complete_events(&mut self) -> Option<Bytes> {
+    fn abort_malformed(&self, e: MalformedEvent) -> StreamRead {
+        log::warn!(host:% = self.hop.id(), after_event = self.last_forwarded_id; "stream of a backend server is broken off, its bytes are no event: {e}");
+        StreamRead::Aborted("malformed")
+    }
+
+    /// Returns the complete events that were not forwarded before, and what is wrong with the
+    /// bytes after them, if anything is.
+    fn complete_events(&mut self) -> (Bytes, Option<MalformedEvent>) {
         let mut out = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
-            if let (Some(id), Some(last_forwarded_id)) = (event.id, self.last_forwarded_id)
-                && id <= last_forwarded_id
-            {
+        loop {
+            let event = match self.splitter.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => return (out.freeze(), None),
+                Err(e) => return (out.freeze(), Some(e)),
+            };
+            if Some(event.id) <= self.last_forwarded_id {
                 continue;
             }
-            self.last_forwarded_id = event.id.or(self.last_forwarded_id);
+            self.last_forwarded_id = Some(event.id);
             out.extend_from_slice(&event.bytes);
         }
-        (!out.is_empty()).then(|| out.freeze())
     }
 }
