--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -211,16 +211,9 @@
         }
         let now = self.shared.now();
         log::info!(host:% = order.host, order = order.kind.as_str(), detail:? = order.kind, expected_count = order.expected_count, answer:? = answer; "order sent");
-        if matches!(answer, OrderAnswer::Begun | OrderAnswer::Done) {
-            let mut core = self.shared.core.borrow_mut();
-            core.directory.set_orders_begun(
-                &order.host,
-                order.incarnation,
-                order.expected_count + 1,
-            );
-        }
         if let Some(planner) = self.planners.borrow_mut().get_mut(&service) {
-            planner.record_answer(&order, reply, now);
+            let directory = &mut self.shared.core.borrow_mut().directory;
+            planner.record_answer(&order, reply, directory, now);
         }
         self.shared.state_changed.notify_waiters();
     }
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -6,7 +6,9 @@
 use geranium_core::collections::{HashMap, HashSet};
 use geranium_core::time::Timestamp;
 
+use crate::hidden_work::HiddenWork;
 use crate::host::{GroupState, Host, HostId, HostReport, HostState, Membership};
+use crate::order::{HostOrder, OrderAnswer};
 
 /// How long an entry that expired during a store outage stays usable; shorter than the time
 /// for which a leaving host keeps serving.
@@ -47,6 +49,8 @@
         if let Some(known) = known.filter(|_| same_incarnation) {
             host.cold_until = host.cold_until.max(known.cold_until);
             host.last_model.clone_from(&known.last_model);
+            host.hidden_work = known.hidden_work.clone();
+            host.hidden_work.observe_staged(&host.staged);
         }
         host.update_last_model();
         host.orders_begun = match known.filter(|_| same_incarnation) {
@@ -186,15 +190,24 @@
         missing
     }
 
-    /// Sets the number of orders that a host has begun.
-    pub fn set_orders_begun(&mut self, id: &str, incarnation: u64, count: u64) {
-        if let Some(host) = self
+    /// Updates the order count of a host that accepted an order; returns whether it is known.
+    ///
+    /// The count rises only if the order certainly began something. If it may have, the count
+    /// is unknown from then on.
+    pub fn record_accepted_order(&mut self, order: &HostOrder, answer: OrderAnswer) -> bool {
+        let Some(host) = self
             .hosts
-            .get_mut(id)
-            .filter(|h| h.incarnation == incarnation)
-        {
-            host.orders_begun = Some(count);
+            .get_mut(&order.host)
+            .filter(|h| h.incarnation == order.incarnation)
+        else {
+            return false;
+        };
+        // Otherwise the count was cleared or read anew since the order was sent.
+        if host.orders_begun == Some(order.expected_count) {
+            let has_begun = host.hidden_work.has_begun(&order.kind, answer);
+            host.orders_begun = has_begun.then_some(order.expected_count + 1);
         }
+        host.orders_begun.is_some()
     }
 
     /// Sets the number of orders that a host reports, if it reports the same group as its
@@ -215,6 +228,7 @@
             return false;
         }
         host.orders_begun = Some(report.orders_begun);
+        host.hidden_work = HiddenWork::at_count(report.orders_begun);
         true
     }
 
@@ -224,6 +238,7 @@
         for host in self.hosts.values_mut() {
             let untouched = host.membership.is_none() && host.staged.is_empty();
             host.orders_begun = untouched.then_some(0);
+            host.hidden_work = HiddenWork::default();
         }
     }
 
--- a/crates/geranium_fleet/src/host.rs
+++ b/crates/geranium_fleet/src/host.rs
@@ -6,6 +6,8 @@
 use geranium_core::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
+use crate::hidden_work::HiddenWork;
+
 /// Identifier of a backend server.
 pub type HostId = Arc<str>;
 
@@ -98,9 +100,12 @@
     pub state: HostState,
     /// End of the cold start, if the host is cold.
     pub cold_until: Option<Timestamp>,
-    /// Number of orders that this incarnation has begun, as known from its answers. The
-    /// entry does not contain it, so `None` means that the host has to be queried.
+    /// Number of orders that this incarnation has certainly begun, as known from its answers
+    /// and reports; never more than it has. The entry does not contain it, so `None` means that
+    /// the host has to be queried.
     pub orders_begun: Option<u64>,
+    /// What the host may have begun unseen by then. The entry does not contain it.
+    pub hidden_work: HiddenWork,
     /// Fabric domain, for hosts of model engines.
     pub fabric_domain: Option<Arc<str>>,
     /// Models whose weights are staged on the host.
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -7,7 +7,7 @@
 //! | --- | --- |
 //! | [`deployment`] | one version of the operator's configuration |
 //! | [`route_table`] | lookup of a request's route by host and longest prefix |
-//! | [`host`], [`directory`] | the backend servers and the state that they report |
+//! | [`host`], [`hidden_work`], [`directory`] | the backend servers and the state that they report |
 //! | [`planner`] | forming, opening and dissolving groups, and the orders for it |
 //! | [`dispatch`] | selection of the backend server for a request |
 //! | [`exchange`] | which entry hosts report to which others |
@@ -36,6 +36,7 @@
 pub mod entry_host_view;
 pub mod exchange;
 pub mod forward_targets;
+pub mod hidden_work;
 pub mod host;
 pub mod notice;
 pub mod order;
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -32,8 +32,9 @@
 
 /// How long a host gets no further order while its last one has no visible effect.
 const PENDING_ORDER_TIMEOUT: Duration = Duration::from_millis(900);
-/// How long a host gets no order after it refused one, as its reported order count lags.
-const CONFLICT_BACKOFF: Duration = Duration::from_millis(300);
+/// Time after which a host's report shows what an order began. For so long a host gets no
+/// order after it refused one, and its order count is not queried.
+const REPORT_DELAY: Duration = Duration::from_millis(300);
 /// Interval at which a host that did not report its order count is queried again.
 const QUERY_RETRY_INTERVAL: Duration = Duration::from_millis(600);
 /// Time during which joins are resent to the missing members of a new group.
@@ -160,11 +161,23 @@
         orders
     }
 
-    /// Records the answer to an order.
+    /// Records the answer to an order, also in the directory.
     ///
     /// A host that asked for a pause gets no order until the pause ends.
-    pub fn record_answer(&mut self, order: &HostOrder, reply: OrderReply, now: Timestamp) {
+    pub fn record_answer(
+        &mut self,
+        order: &HostOrder,
+        reply: OrderReply,
+        directory: &mut Directory,
+        now: Timestamp,
+    ) {
         let answer = reply.answer;
+        if matches!(answer, OrderAnswer::Begun | OrderAnswer::Done)
+            && !directory.record_accepted_order(order, answer)
+        {
+            self.hosts_to_query
+                .insert(order.host.clone(), now + REPORT_DELAY);
+        }
         let is_load = matches!(order.kind, OrderKind::Stage { .. });
         if let Some(pending) = self.pending_orders.get_mut(&order.host) {
             match answer {
@@ -174,7 +187,7 @@
                     pending.begun = true;
                 }
                 OrderAnswer::Unknown => pending.until = now + PENDING_ORDER_TIMEOUT,
-                OrderAnswer::Conflict => pending.until = now + CONFLICT_BACKOFF,
+                OrderAnswer::Conflict => pending.until = now + REPORT_DELAY,
                 _ => pending.until = now + reply.notice.pause.unwrap_or_default(),
             }
         }
@@ -182,7 +195,7 @@
             (_, OrderAnswer::Conflict) => {
                 self.staging.remove(&order.host);
                 self.hosts_to_query
-                    .insert(order.host.clone(), now + CONFLICT_BACKOFF);
+                    .insert(order.host.clone(), now + REPORT_DELAY);
             }
             (OrderKind::Join { group, .. }, OrderAnswer::Outdated) => {
                 self.epoch += EPOCH_STEP;
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -10,6 +10,7 @@
 };
 pub use crate::engine_profile::{EngineProfile, ModelProfile};
 pub use crate::forward_targets::{ForwardTarget, ForwardTargets};
+pub use crate::hidden_work::HiddenWork;
 pub use crate::host::{GroupState, Host, HostId, HostReport, HostState, Membership};
 pub use crate::notice::{LimitNotice, ServerNotice};
 pub use crate::order::{HostOrder, OrderAnswer, OrderKind, OrderReply};
--- /dev/null
+++ b/crates/geranium_fleet/tests/order_counts.rs
@@ -0,0 +1,168 @@
+//! The known order count of a host is never higher than the number of orders it has begun.
+
+mod fixture;
+
+use fixture::server;
+use geranium_fleet::prelude::*;
+
+/// Id of the host of these tests.
+const HOST: &str = "h1";
+
+fn membership(state: GroupState) -> Option<Membership> {
+    Some(Membership {
+        group: "g".into(),
+        epoch: 1,
+        rank: 0,
+        state,
+    })
+}
+
+/// Returns a directory with a host that has the count, read from its report.
+fn directory_with(count: u64, membership: Option<Membership>) -> Directory {
+    let mut directory = Directory::default();
+    directory.put(Host {
+        membership: membership.clone(),
+        ..server(HOST, "engines", "a")
+    });
+    let report = HostReport {
+        born: 1,
+        orders_begun: count,
+        membership,
+        model: None,
+        staged: Vec::new(),
+        leaving: false,
+    };
+    assert!(directory.apply_reported_orders(HOST, &report));
+    directory
+}
+
+fn order(expected_count: u64, kind: OrderKind) -> HostOrder {
+    HostOrder {
+        host: HOST.into(),
+        incarnation: 1,
+        address: ([127, 0, 0, 1], 1).into(),
+        expected_count,
+        kind,
+    }
+}
+
+fn load(model: &str) -> OrderKind {
+    OrderKind::Stage {
+        model: model.into(),
+    }
+}
+
+fn join() -> OrderKind {
+    OrderKind::Join {
+        group: "g".into(),
+        epoch: 1,
+        model: "m".into(),
+        members: vec![HOST.into()],
+    }
+}
+
+fn open() -> OrderKind {
+    OrderKind::Open {
+        group: "g".into(),
+        epoch: 1,
+    }
+}
+
+fn close() -> OrderKind {
+    OrderKind::Close {
+        group: "g".into(),
+        epoch: 1,
+    }
+}
+
+fn leave() -> OrderKind {
+    OrderKind::Leave {
+        group: "g".into(),
+        epoch: 1,
+    }
+}
+
+fn count(directory: &Directory) -> Option<u64> {
+    directory.get(HOST).and_then(|h| h.orders_begun)
+}
+
+/// Guards against TWO: the load of an earlier manager may be under way, so that the order began
+/// nothing.
+#[test]
+fn an_accepted_load_leaves_a_count_from_a_report_unknown() {
+    for answer in [OrderAnswer::Begun, OrderAnswer::Done] {
+        let mut directory = directory_with(1, None);
+
+        let known = directory.record_accepted_order(&order(1, load("m")), answer);
+
+        assert!(!known, "{answer:?}");
+        assert_eq!(count(&directory), None, "{answer:?}");
+    }
+}
+
+/// Guards against TWO: a load that takes longer than expected is ordered once more.
+#[test]
+fn only_the_first_load_of_a_host_is_counted_until_its_weights_are_seen() {
+    let mut directory = directory_with(0, None);
+
+    let first = directory.record_accepted_order(&order(0, load("m")), OrderAnswer::Begun);
+    let second = directory.record_accepted_order(&order(1, load("m")), OrderAnswer::Begun);
+
+    assert!(first);
+    assert!(!second);
+    assert_eq!(count(&directory), None);
+}
+
+#[test]
+fn a_load_is_counted_after_the_one_before_it_has_ended() {
+    let mut directory = directory_with(0, None);
+    directory.record_accepted_order(&order(0, load("m")), OrderAnswer::Begun);
+
+    directory.put(Host {
+        staged: vec!["m".into()],
+        ..server(HOST, "engines", "a")
+    });
+    directory.record_accepted_order(&order(1, load("n")), OrderAnswer::Begun);
+
+    assert_eq!(count(&directory), Some(2));
+}
+
+#[test]
+fn joins_and_leaves_are_counted_and_what_the_manager_ordered_after_them() {
+    let mut directory = directory_with(5, None);
+
+    let kinds = [join(), open(), close(), leave()];
+    let counts = kinds.into_iter().zip(5..).map(|(kind, expected)| {
+        let answer = OrderAnswer::Begun;
+        directory.record_accepted_order(&order(expected, kind), answer);
+        count(&directory)
+    });
+
+    let counts: Vec<Option<u64>> = counts.collect();
+    assert_eq!(counts, [Some(6), Some(7), Some(8), Some(9)]);
+}
+
+/// Guards against TWO: the group opens or closes already by an order that got no answer.
+#[test]
+fn an_accepted_open_or_close_leaves_a_count_from_a_report_unknown() {
+    for (kind, state) in [(open(), GroupState::Ready), (close(), GroupState::Open)] {
+        let mut directory = directory_with(3, membership(state));
+
+        let known = directory.record_accepted_order(&order(3, kind.clone()), OrderAnswer::Begun);
+
+        assert!(!known, "{kind:?}");
+    }
+}
+
+/// Guards against TWO: the answer to an order of an earlier term as manager.
+#[test]
+fn an_answer_to_an_order_with_another_count_raises_none() {
+    let mut directory = directory_with(3, membership(GroupState::Ready));
+    let late = order(3, leave());
+    directory.clear_order_counts();
+
+    let known = directory.record_accepted_order(&late, OrderAnswer::Begun);
+
+    assert!(!known);
+    assert_eq!(count(&directory), None);
+}
--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -86,6 +86,28 @@
     }
 }
 
+/// Guards against TWO: an order count that an accepted order raised although it began nothing
+/// makes a delayed join of a stopped manager valid in an open group.
+#[test]
+fn a_delayed_join_after_a_repeated_load_takes_no_member_of_an_open_group() {
+    for seed in 2_000..2_040 {
+        let mut simulation = Simulation::new(seed, 1, 8, vec![model("small", 2, 1.0)]);
+        simulation.run(Duration::from_secs(4), true);
+        // The second manager orders the loads of the first once more.
+        simulation.replace_manager();
+        simulation.run(Duration::from_millis(9_500), true);
+        // Half of its joins are delayed.
+        simulation.delayed_share = 0.5;
+        simulation.run(Duration::from_millis(1_500), true);
+        simulation.delayed_share = 0.0;
+        simulation.replace_manager();
+        simulation.run(Duration::from_secs(15), true);
+
+        assert_no_violations(&simulation, seed);
+        assert!(simulation.open_groups("small") > 0, "seed {seed}");
+    }
+}
+
 /// Creates a host of a fabric domain that reports a membership.
 fn host(id: &str, membership: Option<Membership>) -> Host {
     let model: Option<std::sync::Arc<str>> = Some("small".into());
@@ -98,6 +120,20 @@
     }
 }
 
+/// Sets the order count of a host, as read from a report that agrees with its entry.
+fn set_order_count(directory: &mut Directory, id: &str, count: u64) {
+    let host = directory.get(id).expect("the host is known");
+    let report = HostReport {
+        born: host.incarnation,
+        orders_begun: count,
+        membership: host.membership.clone(),
+        model: host.model.clone(),
+        staged: host.staged.clone(),
+        leaving: false,
+    };
+    assert!(directory.apply_reported_orders(id, &report));
+}
+
 fn member_of(group: &str, rank: usize, state: GroupState) -> Option<Membership> {
     Some(Membership {
         group: group.into(),
@@ -130,7 +166,7 @@
     directory.put(host("h0", member_of("earlier", 0, GroupState::Open)));
     directory.put(host("h2", member_of("earlier", 1, GroupState::Ready)));
     for id in ["h0", "h1", "h2"] {
-        directory.set_orders_begun(id, 1, 1);
+        set_order_count(&mut directory, id, 1);
     }
 
     for after_ms in (1_000..6_000).step_by(200) {
@@ -145,7 +181,7 @@
 fn an_order_count_newer_than_the_known_group_is_ignored() {
     let mut directory = Directory::default();
     directory.put(host("h1", None));
-    directory.set_orders_begun("h1", 1, 3);
+    set_order_count(&mut directory, "h1", 3);
     let report = HostReport {
         born: 1,
         orders_begun: 4,
@@ -172,7 +208,7 @@
 fn a_report_from_before_the_last_order_does_not_undo_what_is_known() {
     let mut directory = Directory::default();
     directory.put(host("h1", member_of("formed", 0, GroupState::Joining)));
-    directory.set_orders_begun("h1", 1, 4);
+    set_order_count(&mut directory, "h1", 4);
     let report = |orders_begun, membership| HostReport {
         born: 1,
         orders_begun,
@@ -209,8 +245,7 @@
     // Both begin their orders; another manager may open the group, which this one does not
     // see.
     for order in &joins {
-        directory.set_orders_begun(&order.host, order.incarnation, order.expected_count + 1);
-        planner.record_answer(order, OrderAnswer::Begun.into(), formed_at);
+        planner.record_answer(order, OrderAnswer::Begun.into(), &mut directory, formed_at);
     }
 
     for after_ms in (200..20_000).step_by(200) {
@@ -238,7 +273,12 @@
     let orders = planner.plan(&directory, SERVICE, &engine, &[1.0], true, told_at);
     assert_eq!(orders.len(), 1);
 
-    planner.record_answer(&orders[0], OrderAnswer::Conflict.into(), told_at);
+    planner.record_answer(
+        &orders[0],
+        OrderAnswer::Conflict.into(),
+        &mut directory,
+        told_at,
+    );
     let soon = told_at + Duration::from_millis(200);
     let again = planner.plan(&directory, SERVICE, &engine, &[1.0], true, soon);
 
@@ -255,13 +295,13 @@
     let engine = profile(vec![model("small", 2, 1.0)]);
     for (rank, id) in ["h1", "h2"].into_iter().enumerate() {
         directory.put(host(id, member_of("earlier", rank, GroupState::Ready)));
-        directory.set_orders_begun(id, 1, 1);
+        set_order_count(&mut directory, id, 1);
     }
 
     let now = start + Duration::from_secs(5);
     let orders = planner.plan(&directory, SERVICE, &engine, &[1.0], true, now);
     directory.put(host("h1", None));
-    directory.set_orders_begun("h1", 1, 2);
+    set_order_count(&mut directory, "h1", 2);
     let later = now + Duration::from_secs(1);
     let joins = planner.plan(&directory, SERVICE, &engine, &[1.0], true, later);
 
--- a/crates/geranium_fleet/tests/simulation/mod.rs
+++ b/crates/geranium_fleet/tests/simulation/mod.rs
@@ -33,6 +33,8 @@
     model: Arc<str>,
     members: Vec<HostId>,
     ready_at: Timestamp,
+    /// When the head serves, once it was ordered to.
+    opens_at: Option<Timestamp>,
     state: GroupState,
     stalled_since: Option<Timestamp>,
 }
@@ -231,6 +233,23 @@
             self.advance_hosts();
             self.report();
             self.plan(traffic);
+            self.check_order_counts();
+        }
+    }
+
+    /// Checks that no host is taken to have begun more orders than it has.
+    fn check_order_counts(&mut self) {
+        for sim in self.hosts.values().filter(|s| s.alive) {
+            let known = self.directory.get(&sim.host.id);
+            let known = known.filter(|h| h.incarnation == sim.host.incarnation);
+            let count = known.and_then(|h| h.orders_begun);
+            if count > Some(sim.orders) {
+                let text = format!(
+                    "host {} has begun {} orders, {count:?} are known",
+                    sim.host.id, sim.orders
+                );
+                self.violations.push(text);
+            }
         }
     }
 
@@ -262,14 +281,9 @@
         for order in orders {
             self.orders += 1;
             let answer = self.send(order.clone());
-            if matches!(answer, OrderAnswer::Begun | OrderAnswer::Done) {
-                self.directory.set_orders_begun(
-                    &order.host,
-                    order.incarnation,
-                    order.expected_count + 1,
-                );
-            }
-            self.planner.record_answer(&order, answer.into(), self.now);
+            let (directory, now) = (&mut self.directory, self.now);
+            self.planner
+                .record_answer(&order, answer.into(), directory, now);
         }
         for id in self.planner.take_hosts_to_query(self.now) {
             let Some(sim) = self.hosts.get(&id).filter(|s| s.alive) else {
@@ -316,7 +330,8 @@
         }
     }
 
-    /// Executes an order as a host does.
+    /// Executes an order as a host does: one that finds its state there already, or under way,
+    /// is accepted and begins nothing.
     fn execute(&mut self, order: &HostOrder) -> OrderAnswer {
         let now = self.now;
         let Some(sim) = self.hosts.get(&order.host).filter(|s| s.alive) else {
@@ -340,6 +355,12 @@
                 OrderAnswer::Begun
             }
             OrderKind::Open { group, epoch } => {
+                let is_under_way = sim.joined.as_ref().is_some_and(|j| {
+                    j.group == *group && j.epoch == *epoch && j.opens_at.is_some()
+                });
+                if is_under_way {
+                    return OrderAnswer::Begun;
+                }
                 let fits = sim.joined.as_ref().is_some_and(|j| {
                     j.group == *group && j.epoch == *epoch && j.state == GroupState::Ready
                 });
@@ -347,7 +368,8 @@
                     return OrderAnswer::Conflict;
                 }
                 self.check_all_members_ready(&order.host);
-                self.update_joined(&order.host, |j| j.state = GroupState::Open);
+                let opens_at = now + self.profile.open_time;
+                self.update_joined(&order.host, |j| j.opens_at = Some(opens_at));
                 OrderAnswer::Begun
             }
             OrderKind::Close { group, epoch } => {
@@ -357,7 +379,10 @@
                 if !fits {
                     return OrderAnswer::Conflict;
                 }
-                self.update_joined(&order.host, |j| j.state = GroupState::Ready);
+                self.update_joined(&order.host, |j| {
+                    j.state = GroupState::Ready;
+                    j.opens_at = None;
+                });
                 OrderAnswer::Begun
             }
             OrderKind::Leave { group, epoch } => {
@@ -366,7 +391,7 @@
                     .as_ref()
                     .is_some_and(|j| j.group == *group && j.epoch == *epoch)
                 {
-                    return OrderAnswer::Conflict;
+                    return OrderAnswer::Done;
                 }
                 if let Some(sim) = self.hosts.get_mut(&order.host) {
                     sim.joined = None;
@@ -375,6 +400,12 @@
                 OrderAnswer::Done
             }
             OrderKind::Stage { model } => {
+                if sim.host.staged.contains(model) {
+                    return OrderAnswer::Done;
+                }
+                if sim.staging.as_ref().is_some_and(|(m, _)| m == model) {
+                    return OrderAnswer::Begun;
+                }
                 let load = self
                     .profile
                     .model(model)
@@ -428,6 +459,7 @@
             model: model.clone(),
             members: members.to_vec(),
             ready_at: now + join_time,
+            opens_at: None,
             state: GroupState::Joining,
             stalled_since: None,
         });
@@ -490,6 +522,12 @@
                 self.ready
                     .insert((joined.group.clone(), joined.epoch, sim.host.id.clone()));
             }
+            if let Some(joined) = sim.joined.as_mut()
+                && joined.opens_at.is_some_and(|at| at <= now)
+            {
+                joined.opens_at = None;
+                joined.state = GroupState::Open;
+            }
         }
         self.break_groups();
     }
