--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -55,6 +55,9 @@
 const PRUNE_INTERVAL: Duration = Duration::from_secs(10);
 /// Increment of the epoch after a host rejected one as too low.
 const EPOCH_STEP: u64 = 1_000_000;
+/// Highest epoch that is taken over from a group that hosts report. An odd one must not end the
+/// supply: up to the largest number that JSON holds exactly there are as many again.
+const MAX_ADOPTED_EPOCH: u64 = 1 << 52;
 
 /// Settings of a [`GroupPlanner`].
 #[derive(Clone, Debug)]
--- a/crates/geranium_fleet/src/planner/state.rs
+++ b/crates/geranium_fleet/src/planner/state.rs
@@ -6,7 +6,9 @@
 use geranium_core::time::Timestamp;
 
 use super::view::GroupView;
-use super::{GROUP_RETENTION, GroupPlanner, PRUNE_INTERVAL, STAGING_TIMEOUT_FACTOR, guard};
+use super::{
+    GROUP_RETENTION, GroupPlanner, MAX_ADOPTED_EPOCH, PRUNE_INTERVAL, STAGING_TIMEOUT_FACTOR, guard,
+};
 use crate::directory::Directory;
 use crate::engine_profile::EngineProfile;
 use crate::host::{GroupState, Host, HostId};
@@ -90,7 +92,7 @@
     /// Updates the state from the reports of the hosts.
     pub(super) fn observe(&mut self, hosts: &[&Host], views: &[GroupView<'_>], now: Timestamp) {
         for view in views {
-            self.epoch = self.epoch.max(view.epoch);
+            self.epoch = self.epoch.max(view.epoch.min(MAX_ADOPTED_EPOCH));
             self.first_seen.entry(view.group.clone()).or_insert(now);
             if let Some(head) = view.head() {
                 self.group_heads.insert(view.group.clone(), head.id.clone());
--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -108,6 +108,29 @@
     }
 }
 
+/// Guards against a manager that stands still, or ends, after an entry with the highest epoch:
+/// hosts refuse each epoch that is lower than one they have seen.
+#[test]
+fn groups_are_formed_anew_beside_an_entry_with_the_highest_epoch() {
+    for epoch in [u64::MAX, u64::MAX - 1, 1 << 53] {
+        let mut simulation = Simulation::new(5, 1, 4, vec![model("small", 2, 1.0)]);
+        simulation.run(Duration::from_secs(20), false);
+        let before = simulation.open_groups("small");
+        let odd = member_of("odd", 0, GroupState::Open).map(|m| Membership { epoch, ..m });
+        simulation.directory.put(host("odd", odd));
+        simulation.run(Duration::from_secs(1), true);
+
+        simulation.kill("h0-00");
+        simulation.run(Duration::from_millis(700), true);
+        simulation.revive("h0-00");
+        simulation.run(Duration::from_secs(20), true);
+
+        assert_no_violations(&simulation, epoch);
+        assert_eq!(before, 2);
+        assert_eq!(simulation.open_groups("small"), 2, "epoch {epoch}");
+    }
+}
+
 /// Creates a host of a fabric domain that reports a membership.
 fn host(id: &str, membership: Option<Membership>) -> Host {
     let model: Option<std::sync::Arc<str>> = Some("small".into());
