--- a/crates/geranium_entry/src/relay/event_reader.rs
+++ b/crates/geranium_entry/src/relay/event_reader.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use tokio::sync::Notify;
 
@@ -28,6 +29,8 @@
     /// The sender of the response.
     pub(super) hop: NextHop,
     splitter: EventSplitter,
+    /// Whether the response says by itself where it ends, and not by the end of its connection.
+    is_framed: bool,
     reservation: BufferReservation<D>,
     /// Signal to move to another backend server.
     pub(super) reroute_signal: Rc<Notify>,
@@ -58,6 +61,9 @@
         let (res, slot, connection) = response.into_parts();
         let (head, body) = res.into_parts();
         let reroute_signal = slot.guard.reroute_signal();
+        let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
+            .iter()
+            .any(|name| head.headers.contains_key(name));
         let reader = Self {
             shared: shared.clone(),
             body,
@@ -65,6 +71,7 @@
             connection: Some(connection),
             hop,
             splitter: EventSplitter::default(),
+            is_framed,
             reservation: BufferReservation::new(shared),
             reroute_signal,
             last_forwarded_id,
@@ -110,6 +117,10 @@
         if self.splitter.has_partial_event() {
             return StreamRead::Aborted("partial_event");
         }
+        // A server that ended right after the head looks the same.
+        if !self.is_framed && self.splitter.last_id().is_none() {
+            return StreamRead::Aborted("cut");
+        }
         if let Some(connection) = self.connection.take() {
             connection.return_to(&self.shared.pool, self.shared.now());
         }
--- a/crates/geranium_entry/src/relay/mod.rs
+++ b/crates/geranium_entry/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod retry;
 mod retry_after;
 mod stream;
+mod stream_format;
 
 use std::rc::Rc;
 
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -15,6 +15,7 @@
 use super::headers::caller_response;
 use super::host_slot::{HostSlot, SelectedHop};
 use super::next_hop::NextHop;
+use super::stream_format::StreamFormat;
 use crate::dialect::Dialect;
 use crate::metrics::CauseLabel;
 
@@ -173,6 +174,7 @@
     }
     let forwarder = StreamForwarder {
         request,
+        format: StreamFormat::new(started.head.status, &started.head.headers),
         silence_reported: false,
         reader: started.reader,
         tx,
@@ -184,6 +186,8 @@
 /// Forwards the events of a stream until it ends.
 struct StreamForwarder<D: Dialect> {
     request: ActiveRequest<D>,
+    /// Format of the stream, as the caller knows it.
+    format: StreamFormat,
     /// Whether the current backend server was already reported as silent, so that a
     /// replacement is being looked for.
     silence_reported: bool,
@@ -308,7 +312,7 @@
                 () = self.tx.closed() => return false,
             };
             error = match response {
-                Ok(response) if response.res.status().is_success() => {
+                Ok(response) if self.format.is_continued_by(&response.res) => {
                     self.switch_to(response, error);
                     return true;
                 }
--- a/crates/geranium_entry/src/sse.rs
+++ b/crates/geranium_entry/src/sse.rs
@@ -106,6 +106,12 @@
         Ok(None)
     }
 
+    /// Returns the id of the last event that was returned.
+    #[must_use]
+    pub const fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
     /// Returns whether the buffer contains an incomplete event.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
