--- a/crates/geranium_entry/src/store_watcher.rs
+++ b/crates/geranium_entry/src/store_watcher.rs
@@ -1,5 +1,7 @@
 //! Watches the store: reads a full snapshot, then follows changes.
 
+mod apply;
+
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,17 +12,13 @@
 use geranium_core::collections::{HashMap, HashSet};
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
-use geranium_fleet::deployment::Deployment;
-use geranium_fleet::host::{Host, HostId};
-use geranium_fleet::route_table::RouteTable;
+use geranium_fleet::host::HostId;
 use geranium_net::{ClientConfig, HttpClient};
-use geranium_platform::{KvStore, StoreError, StoredValue, WatchBatch, WatchChange};
+use geranium_platform::{KvStore, StoreError, WatchBatch, WatchChange};
 use rand::seq::IndexedRandom;
 
-use crate::crash_record::{CRASH_PREFIX, CrashRecord};
 use crate::dialect::Dialect;
-use crate::entry_registration::{ENTRY_PREFIX, EntryRegistration, MANAGER_KEY};
-use crate::metrics::gauge;
+use crate::entry_registration::{ENTRY_PREFIX, MANAGER_KEY};
 use crate::peer_changes::{self, PeerChanges};
 use crate::peers::PeerLink;
 use crate::state::SharedState;
@@ -35,9 +33,6 @@
 const SOURCE_COOLDOWN: Duration = Duration::from_secs(2);
 /// Shortest time without a response that counts as an outage of the store.
 const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
-/// Margin added to the cold start of backend servers that return to service with their
-/// failure domain, as they may have turned cold unnoticed.
-const COLD_MARGIN: Duration = Duration::from_millis(1_500);
 /// Delay between two reads of changes, so that changes arrive in batches, as calls to the
 /// store are counted.
 const BATCH_INTERVAL: Duration = Duration::from_millis(150);
@@ -322,119 +317,6 @@
             .since(self.shared.last_store_contact.get());
         log::warn!(silent_ms = silent.as_millis() as u64; "store call failed: {e}");
     }
-
-    fn apply_change(&self, change: WatchChange) {
-        let update = match change {
-            WatchChange::Put(StoredValue { key, value, .. }) => {
-                self.shared.dialect.decode(&key, &value)
-            }
-            WatchChange::Deleted { key, .. } => self.shared.dialect.decode_deletion(&key),
-        };
-        self.apply(update);
-    }
-
-    fn apply(&self, update: StoreUpdate) {
-        let now = self.shared.now();
-        match update {
-            StoreUpdate::Deployment(deployment) => self.apply_deployment(*deployment),
-            StoreUpdate::Host(host, cold_ms) => self.apply_host(*host, cold_ms, now),
-            StoreUpdate::HostRemoved(id) => {
-                log::info!(host:% = id; "entry of a backend server has gone");
-                self.remove_host(&id, now);
-            }
-            StoreUpdate::DomainOutOfService(domain) => {
-                log::info!(failure_domain:% = domain; "failure domain is out of service");
-                self.shared
-                    .core
-                    .borrow_mut()
-                    .directory
-                    .set_domain_out(&domain, true);
-            }
-            StoreUpdate::DomainInService(domain) => {
-                log::info!(failure_domain:% = domain; "failure domain is back in service");
-                let mut core = self.shared.core.borrow_mut();
-                let cold_until = now + core.longest_cold_start() + COLD_MARGIN;
-                core.directory.set_domain_out(&domain, false);
-                core.directory.set_domain_cold(&domain, cold_until);
-            }
-            StoreUpdate::Internal { name, value } => self.on_internal(&name, value.as_deref()),
-            StoreUpdate::Invalid { key, detail } => {
-                log::warn!(key:% = key.escape_debug(); "value of the store is set aside: {detail}");
-            }
-            StoreUpdate::Unrelated => {}
-        }
-    }
-
-    fn apply_deployment(&self, deployment: Deployment) {
-        let mut core = self.shared.core.borrow_mut();
-        let in_force = core.route_table.as_ref().map(|t| t.deployment().version);
-        if in_force.is_some_and(|v| deployment.version <= v) {
-            log::debug!(version = deployment.version, in_force = in_force; "ignoring a configuration that is not newer");
-            return;
-        }
-        log::info!(version = deployment.version, before = in_force, routes = deployment.routes.len(); "configuration is in force");
-        self.shared.metrics.version.set(gauge(deployment.version));
-        self.shared.configured_at.set(Some(self.shared.now()));
-        core.route_table = Some(Rc::new(RouteTable::new(deployment)));
-    }
-
-    fn apply_host(&self, mut host: Host, cold_ms: u64, now: Timestamp) {
-        host.cold_until = (cold_ms > 0).then(|| now + Duration::from_millis(cold_ms));
-        log::info!(
-            host:% = host.id, state:? = host.state, cold_ms = cold_ms, born = host.incarnation,
-            fabric_domain = host.fabric_domain.as_deref(), model = host.model.as_deref(), staged = host.staged.join(","),
-            group = host.membership.as_ref().map(|m| format!("{}/{}/{}/{:?}", m.group, m.epoch, m.rank, m.state));
-            "backend server reports"
-        );
-        let (id, incarnation) = (host.id.clone(), host.incarnation);
-        let before = self.incarnation_of(&id);
-        if before.is_some_and(|b| incarnation < b) && self.shared.is_restore_recent() {
-            log::info!(host:% = id, born = incarnation; "ignoring an entry from before the restored store was copied");
-            return;
-        }
-        self.shared.core.borrow_mut().directory.put(host);
-        if let Some(before) = before.filter(|b| *b != incarnation) {
-            self.shared.record_host_ended(&id, before);
-        }
-    }
-
-    fn incarnation_of(&self, id: &str) -> Option<u64> {
-        let core = self.shared.core.borrow();
-        core.directory.get(id).map(|h| h.incarnation)
-    }
-
-    fn remove_host(&self, id: &str, now: Timestamp) {
-        let incarnation = self.incarnation_of(id);
-        self.shared.core.borrow_mut().directory.remove(id, now);
-        if let Some(incarnation) = incarnation {
-            self.shared.record_host_ended(id, incarnation);
-        }
-    }
-
-    fn on_internal(&self, name: &str, value: Option<&[u8]>) {
-        let mut core = self.shared.core.borrow_mut();
-        if let Some(entry) = name.strip_prefix(ENTRY_PREFIX) {
-            let parsed = value.and_then(EntryRegistration::parse);
-            let peer = parsed.map(EntryRegistration::into_peer);
-            let changed = core.record_entry_host(entry, peer.as_ref());
-            // The initial snapshot logs a single line for all registrations.
-            if changed && core.snapshot_loaded {
-                log::info!(entry_host:% = entry.escape_debug(), registered = peer.is_some(); "registration of an entry host changed");
-            }
-            self.peers.set_peer(entry, peer);
-        } else if name == MANAGER_KEY {
-            core.manager = value
-                .and_then(EntryRegistration::parse)
-                .map(|e| (e.name, e.peers));
-            let manager = core.manager.as_ref().map(|(name, _)| name.as_str());
-            log::info!(manager = manager; "manager of the groups changed");
-        } else if name.starts_with(CRASH_PREFIX)
-            && let Some(record) = value.and_then(CrashRecord::parse)
-        {
-            drop(core);
-            self.shared.apply_crash_record(&record);
-        }
-    }
 }
 
 const fn revision_of(change: &WatchChange) -> StoreRevision {
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -67,11 +67,7 @@
     /// Applies the answer of a host that was queried directly while its entry could not be
     /// read; returns whether anything changed.
     pub fn apply_report(&mut self, id: &str, report: &HostReport) -> bool {
-        let Some(host) = self
-            .hosts
-            .get_mut(id)
-            .filter(|h| h.incarnation == report.born)
-        else {
+        let Some(host) = self.get_incarnation_mut(id, report.born) else {
             return false;
         };
         // A report lags behind the host. One from before an order that the host is known to
@@ -103,11 +99,7 @@
                 at: now,
             },
         );
-        if let Some(host) = self
-            .hosts
-            .get_mut(id)
-            .filter(|h| h.incarnation == incarnation)
-        {
+        if let Some(host) = self.get_incarnation_mut(id, incarnation) {
             host.state = HostState::Draining;
         }
         !known
@@ -195,11 +187,7 @@
     /// The count rises only if the order certainly began something. If it may have, the count
     /// is unknown from then on.
     pub fn record_accepted_order(&mut self, order: &HostOrder, answer: OrderAnswer) -> bool {
-        let Some(host) = self
-            .hosts
-            .get_mut(&order.host)
-            .filter(|h| h.incarnation == order.incarnation)
-        else {
+        let Some(host) = self.get_incarnation_mut(&order.host, order.incarnation) else {
             return false;
         };
         // Otherwise the count was cleared or read anew since the order was sent.
@@ -216,11 +204,7 @@
     /// An order count newer than the known group would let the host accept an order that
     /// was based on an outdated state.
     pub fn apply_reported_orders(&mut self, id: &str, report: &HostReport) -> bool {
-        let Some(host) = self
-            .hosts
-            .get_mut(id)
-            .filter(|h| h.incarnation == report.born)
-        else {
+        let Some(host) = self.get_incarnation_mut(id, report.born) else {
             return false;
         };
         let group = |m: &Option<Membership>| m.as_ref().map(|m| (m.group.clone(), m.epoch));
@@ -276,6 +260,12 @@
         self.hosts.get(id)
     }
 
+    /// Returns the host with the given id, if the given incarnation of it is the known one.
+    fn get_incarnation_mut(&mut self, id: &str, incarnation: u64) -> Option<&mut Host> {
+        let host = self.hosts.get_mut(id);
+        host.filter(|h| h.incarnation == incarnation)
+    }
+
     /// Returns all hosts.
     pub fn hosts(&self) -> impl Iterator<Item = &Host> {
         self.hosts.values()
