--- a/crates/geranium_entry/src/change_history.rs
+++ b/crates/geranium_entry/src/change_history.rs
@@ -154,8 +154,8 @@
             revision: self.last_revision.max(revision.0),
         };
         let mut bytes = 0;
-        let newer = self.changes.range((revision.0 + 1, Arc::from(""))..);
-        for ((at, _), change) in newer {
+        let newer = (revision.0.saturating_add(1), Arc::from(""));
+        for ((at, _), change) in self.changes.range(newer..) {
             bytes += change.size();
             let last = page.changes.last().map(|c| c.revision);
             if let Some(last) = last.filter(|last| bytes > max_bytes && last != at) {
@@ -175,8 +175,10 @@
 
     fn insert(&mut self, change: Change) {
         let superseded = self.revisions.insert(change.key.clone(), change.revision);
-        if let Some(revision) = superseded {
-            self.remove(&(revision, change.key.clone()));
+        if let Some(revision) = superseded
+            && let Some(old) = self.changes.remove(&(revision, change.key.clone()))
+        {
+            self.held_bytes -= old.size();
         }
         self.held_bytes += change.size();
         let at = (change.revision, change.key.clone());
@@ -191,10 +193,4 @@
         self.revisions.remove(&key);
         self.base_revision = Some(revision);
     }
-
-    fn remove(&mut self, at: &(u64, Arc<str>)) {
-        if let Some(change) = self.changes.remove(at) {
-            self.held_bytes -= change.size();
-        }
-    }
 }
--- a/crates/geranium_entry/tests/change_history.rs
+++ b/crates/geranium_entry/tests/change_history.rs
@@ -193,3 +193,16 @@
     assert_eq!(history.page_after(StoreRevision(6), UNLIMITED), None);
     assert_eq!(history.held_bytes(), 0);
 }
+
+/// Guards against a process that ends, or sends all that it holds, for an odd revision.
+#[test]
+fn nothing_follows_the_highest_revision() {
+    let mut history = history(UNLIMITED);
+    history.append(&batch(vec![put("a", vec![0; 9], 2)], 2));
+
+    let page = history.page_after(StoreRevision(u64::MAX), UNLIMITED);
+
+    let page = page.expect("nothing was dropped");
+    assert_eq!(page.changes, []);
+    assert_eq!(page.revision, u64::MAX);
+}
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -182,13 +182,14 @@
         missing
     }
 
-    /// Updates the order count of a host that accepted an order; returns whether it is known.
+    /// Updates the order count of a host that accepted an order; returns whether the host need
+    /// not be queried for it, which one that is gone or started anew need not.
     ///
     /// The count rises only if the order certainly began something. If it may have, the count
     /// is unknown from then on.
     pub fn record_accepted_order(&mut self, order: &HostOrder, answer: OrderAnswer) -> bool {
         let Some(host) = self.get_incarnation_mut(&order.host, order.incarnation) else {
-            return false;
+            return true;
         };
         // Otherwise the count was cleared or read anew since the order was sent.
         if host.orders_begun == Some(order.expected_count) {
--- a/crates/geranium_fleet/src/hidden_work.rs
+++ b/crates/geranium_fleet/src/hidden_work.rs
@@ -74,7 +74,14 @@
                 *self = Self::possible();
                 false
             }
-            OrderKind::Join { .. } | OrderKind::Leave { .. } => {
+            OrderKind::Join { model, .. } => {
+                self.opening = false;
+                self.closing = false;
+                // The host loads what it lacks, also after it has left.
+                self.add_load(model);
+                true
+            }
+            OrderKind::Leave { .. } => {
                 self.opening = false;
                 self.closing = false;
                 true
@@ -89,16 +96,21 @@
             }
             OrderKind::Stage { model } => {
                 let is_first = self.load == HiddenLoad::None && answer == OrderAnswer::Begun;
-                self.load = if is_first {
-                    HiddenLoad::Ordered(model.clone())
-                } else {
-                    HiddenLoad::Possible
-                };
+                self.add_load(model);
                 is_first
             }
         }
     }
 
+    /// Takes note of a load that an order may have begun.
+    fn add_load(&mut self, model: &Arc<str>) {
+        self.load = match &self.load {
+            HiddenLoad::None => HiddenLoad::Ordered(model.clone()),
+            HiddenLoad::Ordered(ordered) if ordered == model => return,
+            _ => HiddenLoad::Possible,
+        };
+    }
+
     /// Takes note of the weights that a host shows: the load of them has ended.
     pub fn observe_staged(&mut self, staged: &[Arc<str>]) {
         if let HiddenLoad::Ordered(model) = &self.load
--- a/crates/geranium_fleet/tests/order_counts.rs
+++ b/crates/geranium_fleet/tests/order_counts.rs
@@ -2,7 +2,10 @@
 
 mod fixture;
 
+use std::time::Duration;
+
 use fixture::server;
+use geranium_core::time::Timestamp;
 use geranium_fleet::prelude::*;
 
 /// Id of the host of these tests.
@@ -166,3 +169,60 @@
     assert!(!known);
     assert_eq!(count(&directory), None);
 }
+
+/// Guards against TWO: a join loads weights that the host lacks, and goes on with that after it
+/// was ordered to leave.
+#[test]
+fn a_load_is_not_counted_while_one_that_a_join_began_may_be_under_way() {
+    let mut directory = directory_with(0, None);
+    for (expected, kind) in [join(), leave()].into_iter().enumerate() {
+        let kind = order(expected as u64, kind);
+        directory.record_accepted_order(&kind, OrderAnswer::Begun);
+    }
+    let before = count(&directory);
+
+    let known = directory.record_accepted_order(&order(2, load("m")), OrderAnswer::Begun);
+
+    assert_eq!(before, Some(2));
+    assert!(!known);
+    assert_eq!(count(&directory), None);
+}
+
+#[test]
+fn a_load_is_counted_after_the_weights_of_a_join_were_seen() {
+    let mut directory = directory_with(0, None);
+    directory.record_accepted_order(&order(0, join()), OrderAnswer::Begun);
+
+    directory.put(Host {
+        staged: vec!["m".into()],
+        ..server(HOST, "engines", "a")
+    });
+    directory.record_accepted_order(&order(1, load("n")), OrderAnswer::Begun);
+
+    assert_eq!(count(&directory), Some(2));
+}
+
+/// Guards against status requests to hosts that are gone, which are priced and answer nothing.
+#[test]
+fn a_host_that_is_gone_is_not_queried_for_its_count() {
+    let start = Timestamp::from_millis(1_000_000);
+    let mut planner = GroupPlanner::new(
+        PlannerSettings {
+            nonce: "m".into(),
+            load_window: Duration::from_secs(5),
+        },
+        start,
+    );
+    let mut directory = directory_with(1, None);
+    directory.remove(HOST, start);
+
+    planner.record_answer(
+        &order(1, load("m")),
+        OrderAnswer::Begun.into(),
+        &mut directory,
+        start,
+    );
+
+    let queried = planner.take_hosts_to_query(start + Duration::from_secs(5));
+    assert_eq!(queried, Vec::<HostId>::new());
+}
