Spread requests by the part of the load that no report shows yet

Cause: with many entry hosts, loads pass through leaders and are up to two report intervals old. A group that has just opened looks idle to all of them at once, gets a multiple of its part and answers late; after losses two at a time every three seconds, most late replies come from this.

Ruled out: the groups are not slow (180 to 200 ms at the same load before), nor is a tie to their hosts; the known load of the late requests was 0 to 3 while 40 were there.

Conclusion: water-filling over the unreported requests, where loads pass through leaders. The prediction of the first token comes with it.

--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -4,11 +4,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
-use geranium_fleet::exchange::{ExchangeTopology, Peer};
+use geranium_fleet::exchange::{ExchangeTopology, Peer, REPORT_INTERVAL};
 use geranium_fleet::host::{HostId, HostReport};
 use geranium_fleet::peer_load::{LoadSum, PeerLoads, RunningRequests};
 use geranium_fleet::server_limit::LimitReport;
@@ -19,8 +18,6 @@
 use crate::dialect::Dialect;
 use crate::state::SharedState;
 
-/// Interval at which this entry host reports its load.
-const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// Size of the largest datagram, in bytes.
 const MAX_DATAGRAM: usize = 60_000;
 
--- a/crates/geranium_entry/src/relay/host_selection.rs
+++ b/crates/geranium_entry/src/relay/host_selection.rs
@@ -4,6 +4,7 @@
 
 use geranium_core::time::Timestamp;
 use geranium_fleet::dispatch::{CandidateCounts, DispatchCriteria, NoHost};
+use geranium_fleet::first_token::FirstTokenEstimate;
 
 use super::active_request::ActiveRequest;
 use super::host_slot::{HostSlot, SelectedHop};
@@ -125,9 +126,19 @@
             cold_limit: core.cold_limit(&self.service, &self.shared.bounds.get()),
             entry_hosts: core.limit_divisor(),
             max_running: self.max_running(),
+            request_time: self.request_time(),
         }
     }
 
+    /// Returns the mean time that a request for the model stays at a group with a half-full
+    /// batch.
+    fn request_time(&self) -> Option<Duration> {
+        let engine = self.service.engine.as_ref()?;
+        let model = engine.model(self.model.as_deref()?)?;
+        let half_full = f64::from(engine.slots) / 2.0;
+        Some(FirstTokenEstimate::new(engine, model).request_time(half_full))
+    }
+
     /// Returns the number of requests at one backend server up to which the latency objective
     /// can still be met.
     fn max_running(&self) -> f64 {
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -9,6 +9,7 @@
 mod no_host;
 mod pause;
 mod sender_ranking;
+mod spreading;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +27,7 @@
 use host_stats::HostStats;
 use pause::Pause;
 use sender_ranking::SenderRanking;
+use spreading::pick_below_level;
 
 pub use candidate_counts::CandidateCounts;
 pub use choice::Choice;
@@ -160,8 +162,14 @@
             };
             candidates.push((self.score(host, check.running, now) + fabric_penalty, host));
         }
-        let host = less_loaded_of_two(&candidates, rng).ok_or(reason)?;
-        Ok((host, candidates.len()))
+        let host = match criteria.unreported_fraction() {
+            Some(fraction) => {
+                let loads: Vec<f64> = candidates.iter().map(|(load, _)| *load).collect();
+                pick_below_level(&loads, fraction, rng).map(|i| candidates[i].1)
+            }
+            None => less_loaded_of_two(&candidates, rng),
+        };
+        Ok((host.ok_or(reason)?, candidates.len()))
     }
 
     /// Counts the backend servers that serve a request, and why they are not candidates.
--- a/crates/geranium_fleet/src/dispatch/criteria.rs
+++ b/crates/geranium_fleet/src/dispatch/criteria.rs
@@ -1,6 +1,9 @@
 //! What a request needs.
 
+use std::time::Duration;
+
 use super::ColdLimit;
+use crate::exchange::{FULL_MESH_LIMIT, REPORT_DELAY};
 use crate::host::HostId;
 
 /// Requirements of a request on its backend server.
@@ -18,4 +21,19 @@
     pub entry_hosts: usize,
     /// Number of requests, over all entry hosts, at which a backend server is full.
     pub max_running: f64,
+    /// Mean time that a request stays at a backend server, if it is known.
+    pub request_time: Option<Duration>,
+}
+
+impl DispatchCriteria<'_> {
+    /// Returns the number of requests that no report shows yet, relative to those known, if
+    /// the reports take the way through leaders and the mean time of a request is known.
+    ///
+    /// In a full mesh the reports are recent enough for a choice of the lighter of two.
+    pub(super) fn unreported_fraction(&self) -> Option<f64> {
+        let request_time = self
+            .request_time
+            .filter(|_| self.entry_hosts > FULL_MESH_LIMIT)?;
+        Some(REPORT_DELAY.as_secs_f64() / request_time.max(REPORT_DELAY).as_secs_f64())
+    }
 }
--- a/crates/geranium_fleet/src/exchange.rs
+++ b/crates/geranium_fleet/src/exchange.rs
@@ -10,12 +10,18 @@
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use geranium_core::collections::HashMap;
 use rustc_hash::FxHasher;
 
 /// Maximum number of entry hosts that form a full mesh: all lead and report to each other.
 pub const FULL_MESH_LIMIT: usize = 9;
+/// Interval at which an entry host reports its load.
+pub const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// Time until a request shows in the loads that the followers of a leader know: it waits for
+/// the report to the leader and for the sum of the leader.
+pub const REPORT_DELAY: Duration = REPORT_INTERVAL.saturating_mul(2);
 /// Number of leaders in each failure domain, so that one may fail.
 const LEADERS_PER_DOMAIN: usize = 2;
 
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`host`], [`hidden_work`], [`directory`] | the backend servers and the state that they report |
 //! | [`planner`] | forming, opening and dissolving groups, and the orders for it |
 //! | [`dispatch`] | selection of the backend server for a request |
+//! | [`first_token`] | the time to the first token at a group, by its load |
 //! | [`exchange`] | which entry hosts report to which others |
 //! | [`peer_load`] | the load caused by other entry hosts |
 //! | [`attempts`] | whether a failed attempt may be retried |
@@ -35,6 +36,7 @@
 pub mod engine_profile;
 pub mod entry_host_view;
 pub mod exchange;
+pub mod first_token;
 pub mod forward_targets;
 pub mod hidden_work;
 pub mod host;
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -9,6 +9,7 @@
     CandidateCounts, Choice, ColdLimit, DispatchCriteria, Dispatcher, NoHost,
 };
 pub use crate::engine_profile::{EngineProfile, ModelProfile};
+pub use crate::first_token::FirstTokenEstimate;
 pub use crate::forward_targets::{ForwardTarget, ForwardTargets};
 pub use crate::hidden_work::HiddenWork;
 pub use crate::host::{GroupState, Host, HostId, HostReport, HostState, Membership};
--- a/crates/geranium_fleet/tests/load_balancing.rs
+++ b/crates/geranium_fleet/tests/load_balancing.rs
@@ -2,7 +2,8 @@
 //!
 //! Guards against herding: each entry host learns with a delay what the others run. If all
 //! send to the group that they believe is least loaded, they fill it before they hear of
-//! each other, and it refuses requests while other groups have room.
+//! each other, and it refuses requests while other groups have room. A group that has just
+//! opened would get a multiple of its part, and all these requests would be late.
 
 mod fixture;
 
@@ -117,9 +118,14 @@
     /// Runs requests that use a fraction of all slots, and returns the fraction of the
     /// arrivals that groups refuse.
     fn run(&mut self, utilization: f64) -> f64 {
+        self.run_steps(utilization, 0..STEPS);
+        f64::from(self.refused) / f64::from(self.arrivals)
+    }
+
+    fn run_steps(&mut self, utilization: f64, steps: std::ops::Range<u32>) {
         let slots = self.directory.hosts().count() as f64 * f64::from(SLOTS);
         let per_step = utilization * slots / MEAN_DURATION_S * STEP.as_secs_f64();
-        for step in 0..STEPS {
+        for step in steps {
             let now = START + STEP * step;
             self.end_requests(now);
             self.exchange(step as usize, now);
@@ -129,7 +135,6 @@
                 self.request(now);
             }
         }
-        f64::from(self.refused) / f64::from(self.arrivals)
     }
 
     fn end_requests(&mut self, now: Timestamp) {
@@ -187,8 +192,9 @@
                 model: None,
                 tried: &tried,
                 cold_limit: None,
-                entry_hosts: 1,
+                entry_hosts: self.entry_hosts.len(),
                 max_running: f64::from(SLOTS + QUEUE_LIMIT),
+                request_time: Some(Duration::from_secs_f64(MEAN_DURATION_S)),
             };
             let dispatcher = &mut self.entry_hosts[entry].dispatcher;
             let Ok(choice) = dispatcher.choose(&self.directory, &criteria, now, &mut self.rng)
@@ -243,6 +249,28 @@
     assert!(refused < 0.01, "{refused:.3} refused");
 }
 
+/// Covers the repair of a group: it opens without load while the others are half full.
+#[test]
+fn a_group_that_opens_gets_no_more_than_its_part() {
+    let mut cluster = Cluster::new(72, 20);
+    let utilization = 0.5;
+    cluster.run_steps(utilization, 0..500);
+    let opened = group(20);
+    cluster.directory.put(opened.clone());
+
+    let mut peak = 0;
+    for step in 500..700 {
+        cluster.run_steps(utilization, step..step + 1);
+        peak = peak.max(cluster.running.get(&opened.id).copied().unwrap_or(0));
+    }
+
+    let part = f64::from(SLOTS) * utilization;
+    assert!(
+        f64::from(peak) < 2.0 * part,
+        "{peak} requests at the new group, {part} at the others"
+    );
+}
+
 #[test]
 fn a_sum_counts_the_collector_and_leaves_the_receiver_out() {
     let mut loads = PeerLoads::default();
--- a/crates/geranium_fleet/tests/notices.rs
+++ b/crates/geranium_fleet/tests/notices.rs
@@ -35,6 +35,7 @@
         cold_limit: None,
         entry_hosts: 1,
         max_running: f64::MAX,
+        request_time: None,
     };
     let mut rng = SmallRng::seed_from_u64(1);
     let choice = dispatcher.choose(directory, &criteria, now, &mut rng)?;
@@ -130,6 +131,7 @@
         cold_limit: None,
         entry_hosts: 1,
         max_running: f64::MAX,
+        request_time: None,
     };
 
     let mut rng = SmallRng::seed_from_u64(1);
--- a/crates/geranium_fleet/tests/planner_repair.rs
+++ b/crates/geranium_fleet/tests/planner_repair.rs
@@ -1,13 +1,15 @@
 //! Tests of how soon groups serve: at the start, after a member or the manager has failed,
 //! and when one model has too few groups.
 
+mod engine;
 mod fixture;
 mod simulation;
 
 use std::time::Duration;
 
+use engine::model;
 use geranium_fleet::prelude::{Host, HostId};
-use simulation::{SERVICE, Simulation, model};
+use simulation::{SERVICE, Simulation};
 
 fn two_models() -> Vec<geranium_fleet::prelude::ModelProfile> {
     vec![model("large", 4, 0.4), model("small", 2, 0.6)]
--- a/crates/geranium_fleet/tests/planner_safety.rs
+++ b/crates/geranium_fleet/tests/planner_safety.rs
@@ -1,16 +1,18 @@
 //! Safety invariants while groups form, break and are repaired, with failed and cut-off
 //! hosts, delayed orders and changes of the manager.
 
+mod engine;
 mod fixture;
 mod simulation;
 
 use std::time::Duration;
 
+use engine::{model, profile};
 use fixture::server;
 use geranium_core::time::Timestamp;
 use geranium_fleet::prelude::*;
 use rand::Rng;
-use simulation::{SERVICE, Simulation, model, planner, profile};
+use simulation::{SERVICE, Simulation, planner};
 
 /// Runs a random schedule of failures and returns the simulation after it.
 fn random_schedule(seed: u64, delayed_share: f64) -> Simulation {
--- a/crates/geranium_fleet/tests/server_limit_simulation.rs
+++ b/crates/geranium_fleet/tests/server_limit_simulation.rs
@@ -117,6 +117,7 @@
             cold_limit: None,
             entry_hosts,
             max_running: f64::MAX,
+            request_time: None,
         };
         let dispatcher = &mut self.dispatchers[entry];
         let chosen = dispatcher.choose(&self.directory, &criteria, self.now, &mut self.rng);
--- a/crates/geranium_fleet/tests/signals.rs
+++ b/crates/geranium_fleet/tests/signals.rs
@@ -1,14 +1,13 @@
 //! Tests of silent groups and observed demand.
 
-mod fixture;
-mod simulation;
+mod engine;
 
 use std::time::Duration;
 
+use engine::{model, profile};
 use geranium_core::time::Timestamp;
 use geranium_fleet::prelude::*;
 use geranium_fleet::silence::GroupActivity;
-use simulation::{model, profile};
 
 const NOW: Timestamp = Timestamp::from_millis(100_000);
 
