--- a/crates/geranium_fleet/src/exchange.rs
+++ b/crates/geranium_fleet/src/exchange.rs
@@ -19,9 +19,10 @@
 pub const FULL_MESH_LIMIT: usize = 9;
 /// Interval at which an entry host reports its load.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(150);
-/// Time until a request shows in the loads that the followers of a leader know: it waits for
-/// the report to the leader and for the sum of the leader.
-pub const REPORT_DELAY: Duration = REPORT_INTERVAL.saturating_mul(2);
+/// Time until a request shows in the loads that all entry hosts know: it waits for the report
+/// to a leader, for the sum to the leaders of other failure domains and for the sum to their
+/// followers.
+pub const REPORT_DELAY: Duration = REPORT_INTERVAL.saturating_mul(3);
 /// Number of leaders in each failure domain, so that one may fail.
 const LEADERS_PER_DOMAIN: usize = 2;
 
