--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -17,7 +17,7 @@
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
-use crate::metrics::{CauseLabel, gauge};
+use crate::metrics::{CauseLabel, ModelLabel, gauge};
 use crate::peers::PeerLink;
 use crate::state::SharedState;
 
@@ -191,6 +191,14 @@
                 );
                 let stranded = core.directory.stranded(&service.name);
                 self.shared.metrics.stranded.set(gauge(stranded));
+                for model in &engine.models {
+                    let standby = core.directory.standby(&service.name, &model.name);
+                    let label = ModelLabel {
+                        model: model.name.to_string(),
+                    };
+                    let hosts = self.shared.metrics.standby.get_or_create(&label);
+                    hosts.set(gauge(standby));
+                }
                 pending_orders.extend(orders.into_iter().map(|o| (service.name.clone(), o)));
                 for stale in planner.take_hosts_to_query(now) {
                     self.query_order_count(stale);
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -67,6 +67,9 @@
     pub(crate) cold_hosts: Gauge,
     /// Hosts that belong to no group, as seen by the manager.
     pub(crate) stranded: Gauge,
+    /// Hosts that belong to no group and can join one of a model at once, as seen by the
+    /// manager.
+    pub(crate) standby: Family<ModelLabel, Gauge>,
     /// Version of the current configuration.
     pub(crate) version: Gauge,
     /// Seconds since the current configuration took effect.
@@ -123,6 +126,7 @@
             entry_hosts: register_metric(r, "entry_hosts", "Entry hosts known"),
             cold_hosts: register_metric(r, "cold_hosts", "Backend servers known to be cold"),
             stranded: register_metric(r, "stranded_hosts", "Hosts in no group"),
+            standby: register_metric(r, "standby_hosts", "Hosts in no group that join at once"),
             version: register_metric(r, "configuration_version", "Version in force"),
             configuration_age: register_metric(
                 r,
