Keep the limit of cold servers while lists of entry hosts differ

Cause: each entry host divides or ranks by its own list. One that is cut off from the store goes on sending beside a replacement that it does not know, and the others move up into places of entry hosts that still send.

Ruled out: a margin below the limit, as the number of differing lists is not bounded; renewals alone as the sign of an up-to-date list, as a watch can hang while renewals arrive (test with a third of the entry hosts in that state).

A new entry host waits for the lease and 2 s, one whose registration or list is older than the lease sends nothing, and one that is gone counts for the lease and 2 s. Server limits use the same ranking, without the waits. At the first start nobody is excepted. REGISTRATION_LEASE moves to geranium_fleet.

The dispatcher tests with cold servers now begin with a registered entry host; their assertions are unchanged.

--- a/crates/geranium_entry/src/election.rs
+++ b/crates/geranium_entry/src/election.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
+use geranium_fleet::dispatch::REGISTRATION_LEASE;
 use geranium_platform::{CasOutcome, KvStore, LeaseId, StoreError, Swap};
 use tokio::sync::watch;
 
@@ -20,10 +21,6 @@
 /// Shortest lease of the manager role. After the manager has failed, groups are not
 /// repaired until the lease expires.
 const MANAGER_LEASE: Duration = Duration::from_millis(1_400);
-/// Shortest lease of a registration. Until it expires, other entry hosts share limits with
-/// a failed entry host and send reports to it. A shorter lease needs more renewals, which
-/// are priced for each entry host.
-const REGISTRATION_LEASE: Duration = Duration::from_secs(6);
 /// Number of renewals within the time of one lease.
 const RENEWALS_PER_LEASE: u32 = 4;
 /// Delay per position in the sorted list of entry hosts, so that they do not all try to
@@ -58,6 +55,7 @@
         }
         tx.send_replace(None);
         shared.is_manager.set(false);
+        candidate.end_registration();
         let lasted = shared.now().since(began) > REGISTRATION_LEASE;
         failures = if lasted { 1 } else { failures + 1 };
         back_off(failures).await;
@@ -78,9 +76,16 @@
     async fn keep_registered(&self, phase: &mut watch::Receiver<Phase>) -> Result<(), StoreError> {
         let mut restores = self.shared.restored_at.subscribe();
         let lease_time = self.lease_time(REGISTRATION_LEASE);
+        let requested_at = self.shared.now();
         let lease = self.store.grant_lease(lease_time).await?;
         self.register(lease).await?;
         let mut renewed_at = self.shared.now();
+        self.shared
+            .core
+            .borrow_mut()
+            .dispatcher
+            .senders_mut()
+            .record_registered(lease_time, requested_at, renewed_at);
         loop {
             self.try_become_manager().await;
             let renewal = renewed_at + lease_time / RENEWALS_PER_LEASE;
@@ -99,7 +104,7 @@
                 self.renew(manager_lease).await?;
             }
             if self.shared.now() >= renewal {
-                self.renew(lease).await?;
+                self.renew_registration(lease).await?;
                 renewed_at = self.shared.now();
             }
             self.step_down_if_replaced();
@@ -120,16 +125,27 @@
         }
     }
 
-    async fn renew(&self, lease: LeaseId) -> Result<(), StoreError> {
+    /// Renews the lease of the registration.
+    async fn renew_registration(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let requested_at = self.shared.now();
+        if self.renew(lease).await? {
+            let mut core = self.shared.core.borrow_mut();
+            core.dispatcher.senders_mut().record_renewed(requested_at);
+        }
+        Ok(())
+    }
+
+    /// Renews a lease; returns whether the store confirmed it.
+    async fn renew(&self, lease: LeaseId) -> Result<bool, StoreError> {
         match self.store.keep_alive(lease).await {
-            Ok(_) => Ok(()),
+            Ok(_) => Ok(true),
             Err(e @ StoreError::LeaseNotFound(_)) => Err(e),
             // Keep the role: if the store is unavailable to all entry hosts, no other one
             // can be elected, and the expected counts in orders prevent conflicts between
             // two managers.
             Err(e) => {
                 log::warn!("failed to renew a lease: {e}");
-                Ok(())
+                Ok(false)
             }
         }
     }
@@ -137,12 +153,19 @@
     /// Revokes the leases of the manager role and of the registration.
     async fn resign(&self, lease: LeaseId) -> Result<(), StoreError> {
         self.elected.send_replace(None);
+        self.end_registration();
         if let Some(manager_lease) = self.manager_lease.take() {
             self.store.revoke_lease(manager_lease).await?;
         }
         self.store.revoke_lease(lease).await
     }
 
+    /// Stops sending to cold backend servers, as others may take this entry host's place.
+    fn end_registration(&self) {
+        let mut core = self.shared.core.borrow_mut();
+        core.dispatcher.senders_mut().end_registration();
+    }
+
     fn registration_value(&self) -> Bytes {
         let registration = EntryRegistration {
             name: self.shared.cfg.name.to_string(),
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -96,7 +96,12 @@
 
     /// Records the registration of an entry host, or with `None` its end; returns whether the
     /// entry host is new or gone.
-    pub(crate) fn record_entry_host(&mut self, name: &str, peer: Option<&Peer>) -> bool {
+    pub(crate) fn record_entry_host(
+        &mut self,
+        name: &str,
+        peer: Option<&Peer>,
+        now: Timestamp,
+    ) -> bool {
         self.forward_targets.set(name, peer);
         let changed = if peer.is_some() {
             self.entry_hosts.insert(name.to_owned())
@@ -105,7 +110,7 @@
         };
         self.max_entry_hosts = self.max_entry_hosts.max(self.entry_hosts.len());
         let names = self.entry_hosts.iter().cloned();
-        self.dispatcher.set_entry_hosts(names);
+        self.dispatcher.senders_mut().set_entry_hosts(names, now);
         changed
     }
 
--- a/crates/geranium_entry/src/store_watcher.rs
+++ b/crates/geranium_entry/src/store_watcher.rs
@@ -232,7 +232,7 @@
             .cloned()
             .collect();
         for name in gone {
-            core.record_entry_host(&name, None);
+            core.record_entry_host(&name, None, now);
             self.peers.set_peer(&name, None);
         }
         if !internal_names.contains(MANAGER_KEY) {
@@ -297,6 +297,12 @@
         self.shared
             .recent_changes
             .set_last_contact(Some(last_store_contact));
+        self.shared
+            .core
+            .borrow_mut()
+            .dispatcher
+            .senders_mut()
+            .confirm_list(last_store_contact);
         let outage = now.since(self.shared.last_store_contact.replace(last_store_contact));
         if self.shared.store_unreachable.replace(false) && outage > MIN_OUTAGE {
             self.shared
--- a/crates/geranium_entry/src/store_watcher/apply.rs
+++ b/crates/geranium_entry/src/store_watcher/apply.rs
@@ -55,7 +55,9 @@
                 core.directory.set_domain_out(&domain, false);
                 core.directory.set_domain_cold(&domain, cold_until);
             }
-            StoreUpdate::Internal { name, value } => self.on_internal(&name, value.as_deref()),
+            StoreUpdate::Internal { name, value } => {
+                self.on_internal(&name, value.as_deref(), now);
+            }
             StoreUpdate::Invalid { key, detail } => {
                 log::warn!(key:% = key.escape_debug(); "value of the store is set aside: {detail}");
             }
@@ -109,12 +111,12 @@
         }
     }
 
-    fn on_internal(&self, name: &str, value: Option<&[u8]>) {
+    fn on_internal(&self, name: &str, value: Option<&[u8]>, now: Timestamp) {
         let mut core = self.shared.core.borrow_mut();
         if let Some(entry) = name.strip_prefix(ENTRY_PREFIX) {
             let parsed = value.and_then(EntryRegistration::parse);
             let peer = parsed.map(EntryRegistration::into_peer);
-            let changed = core.record_entry_host(entry, peer.as_ref());
+            let changed = core.record_entry_host(entry, peer.as_ref(), now);
             // The initial snapshot logs a single line for all registrations.
             if changed && core.snapshot_loaded {
                 log::info!(entry_host:% = entry.escape_debug(), registered = peer.is_some(); "registration of an entry host changed");
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -7,6 +7,7 @@
 mod host_check;
 mod host_stats;
 mod no_host;
+mod own_registration;
 mod pause;
 mod sender_ranking;
 mod spreading;
@@ -26,7 +27,6 @@
 use host_check::HostCheck;
 use host_stats::HostStats;
 use pause::Pause;
-use sender_ranking::SenderRanking;
 use spreading::pick_below_level;
 
 pub use candidate_counts::CandidateCounts;
@@ -34,6 +34,7 @@
 pub use cold_limit::ColdLimit;
 pub use criteria::DispatchCriteria;
 pub use no_host::NoHost;
+pub use sender_ranking::{REGISTRATION_LEASE, SenderRanking};
 
 /// How long a backend server that failed or stopped responding gets no new work while
 /// others can take it.
@@ -211,7 +212,7 @@
             &host.id,
             host.incarnation,
             criteria.entry_hosts,
-            |max_senders| senders.is_sender(&host.id, max_senders),
+            |max_senders| senders.is_sender(&host.id, max_senders, now),
             now,
         );
         let stats = self.stats.entry(host.id.clone()).or_default();
@@ -243,15 +244,14 @@
         if host.cold_until.is_none_or(|until| now >= until) {
             return limit.warm;
         }
-        match limit.max_senders {
-            Some(max_senders) if !self.senders.is_sender(&host.id, max_senders) => 0,
-            _ => limit.cold,
-        }
+        let max_senders = limit.max_senders;
+        let is_sender = self.senders.is_cold_sender(&host.id, max_senders, now);
+        if is_sender { limit.cold } else { 0 }
     }
 
-    /// Sets the names of all entry hosts.
-    pub fn set_entry_hosts(&mut self, names: impl IntoIterator<Item = String>) {
-        self.senders.set_entry_hosts(names);
+    /// Returns the ranking of the entry hosts, to record registrations.
+    pub const fn senders_mut(&mut self) -> &mut SenderRanking {
+        &mut self.senders
     }
 
     fn score(&self, host: &Host, running: f64, now: Timestamp) -> f64 {
--- a/crates/geranium_fleet/src/dispatch/sender_ranking.rs
+++ b/crates/geranium_fleet/src/dispatch/sender_ranking.rs
@@ -1,41 +1,146 @@
-//! Which entry hosts may send to a backend server that takes less than one request of each.
+//! Which entry hosts may send to a backend server that takes few requests.
 
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
+use std::time::Duration;
 
+use geranium_core::collections::HashMap;
+use geranium_core::time::Timestamp;
 use rustc_hash::FxHasher;
 
+use super::own_registration::OwnRegistration;
+
+/// Shortest lease of a registration. Until it expires, other entry hosts share limits with
+/// a failed entry host and send reports to it. A shorter lease needs more renewals, which
+/// are priced for each entry host.
+pub const REGISTRATION_LEASE: Duration = Duration::from_secs(6);
+/// Time beyond the lease before an entry host takes the place of another one. It covers the
+/// second in which requests are counted, their way to the server and differing clock rates.
+const SETTLING_MARGIN: Duration = Duration::from_secs(2);
+
 /// Ranks the entry hosts for each backend server by rendezvous hashing, so that all of them
 /// agree on the order without communication.
+///
+/// Lists of entry hosts differ for up to one lease. An entry host therefore sends to cold
+/// servers only while its registration and its list are younger than that, and only after
+/// it has been registered for longer than that; one that is gone counts for as long.
 #[derive(Debug)]
-pub(super) struct SenderRanking {
+pub struct SenderRanking {
     own_name: Arc<str>,
-    entry_hosts: Vec<String>,
+    /// Names of the entry hosts, with the time at which the registration of one that is gone
+    /// was missing first.
+    entry_hosts: HashMap<String, Option<Timestamp>>,
+    lease_time: Duration,
+    registration: Option<OwnRegistration>,
+    /// Since when the list has contained this entry host without interruption.
+    listed_since: Option<Timestamp>,
+    /// Time as of which the list is known to be complete.
+    list_confirmed_at: Timestamp,
 }
 
 impl SenderRanking {
     /// Creates the ranking from the point of view of an entry host.
-    pub(super) const fn new(own_name: Arc<str>) -> Self {
+    pub(super) fn new(own_name: Arc<str>) -> Self {
         Self {
             own_name,
-            entry_hosts: Vec::new(),
+            entry_hosts: HashMap::default(),
+            lease_time: REGISTRATION_LEASE,
+            registration: None,
+            listed_since: None,
+            list_confirmed_at: Timestamp::default(),
+        }
+    }
+
+    /// Sets the names of all registered entry hosts. Those that are missing still count for
+    /// the lease time and a margin.
+    pub fn set_entry_hosts(&mut self, names: impl IntoIterator<Item = String>, now: Timestamp) {
+        for gone_at in self.entry_hosts.values_mut() {
+            gone_at.get_or_insert(now);
+        }
+        for name in names {
+            self.entry_hosts.insert(name, None);
+        }
+        let settling_time = self.settling_time();
+        self.entry_hosts
+            .retain(|_, gone_at| gone_at.is_none_or(|at| now.since(at) < settling_time));
+        let is_listed = self.entry_hosts.get(&*self.own_name) == Some(&None);
+        self.listed_since = is_listed.then(|| self.listed_since.unwrap_or(now));
+    }
+
+    /// Records that the list contained all changes of the store at a time.
+    pub fn confirm_list(&mut self, at: Timestamp) {
+        self.list_confirmed_at = self.list_confirmed_at.max(at);
+    }
+
+    /// Records that this entry host has registered with a lease that was requested at
+    /// `lease_requested_at`.
+    pub fn record_registered(
+        &mut self,
+        lease_time: Duration,
+        lease_requested_at: Timestamp,
+        now: Timestamp,
+    ) {
+        self.lease_time = lease_time;
+        self.registration = Some(OwnRegistration {
+            registered_at: now,
+            renewed_at: lease_requested_at,
+        });
+    }
+
+    /// Records that the store confirmed a renewal of the registration that was requested at
+    /// a time.
+    pub const fn record_renewed(&mut self, requested_at: Timestamp) {
+        if let Some(registration) = &mut self.registration {
+            registration.renewed_at = requested_at;
         }
     }
 
-    /// Sets the names of all entry hosts.
-    pub(super) fn set_entry_hosts(&mut self, names: impl IntoIterator<Item = String>) {
-        self.entry_hosts = names.into_iter().collect();
+    /// Records that this entry host gives up its registration or has lost it.
+    pub const fn end_registration(&mut self) {
+        self.registration = None;
     }
 
     /// Returns whether this entry host is one of the first `max_senders` for a backend server.
-    pub(super) fn is_sender(&self, id: &str, max_senders: usize) -> bool {
+    pub(super) fn is_sender(&self, id: &str, max_senders: usize, now: Timestamp) -> bool {
         let weight = |name: &str| {
             let mut hasher = FxHasher::default();
             (name, id).hash(&mut hasher);
             hasher.finish()
         };
         let own = weight(&self.own_name);
-        let ranked_before = self.entry_hosts.iter().filter(|n| weight(n) > own);
+        let settling_time = self.settling_time();
+        let counts =
+            |gone_at: &Option<Timestamp>| gone_at.is_none_or(|at| now.since(at) < settling_time);
+        let counted = self.entry_hosts.iter().filter(|(_, gone)| counts(gone));
+        let ranked_before = counted.filter(|(name, _)| weight(name) > own);
         ranked_before.count() < max_senders
     }
+
+    /// Returns whether this entry host may send to a backend server that is cold; without
+    /// `max_senders` there is a share for each entry host.
+    pub(super) fn is_cold_sender(
+        &self,
+        id: &str,
+        max_senders: Option<usize>,
+        now: Timestamp,
+    ) -> bool {
+        self.is_settled(now) && max_senders.is_none_or(|max| self.is_sender(id, max, now))
+    }
+
+    /// Returns whether all other entry hosts that may send know of this one, and it of them.
+    fn is_settled(&self, now: Timestamp) -> bool {
+        let (Some(registration), Some(listed_since)) = (&self.registration, self.listed_since)
+        else {
+            return false;
+        };
+        // The list may hold the registration of a previous process of the same name.
+        let known_since = registration.registered_at.max(listed_since);
+        now.since(known_since) >= self.settling_time()
+            && now.since(registration.renewed_at) < self.lease_time
+            && now.since(self.list_confirmed_at) < self.lease_time
+    }
+
+    fn settling_time(&self) -> Duration {
+        self.lease_time + SETTLING_MARGIN
+    }
 }
--- a/crates/geranium_fleet/tests/dispatch.rs
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -1,6 +1,8 @@
 //! Tests of the dispatcher: load, cold and suspected backend servers, full groups.
 
 mod fixture;
+#[path = "fixture/settled.rs"]
+mod settled;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +12,7 @@
 use geranium_fleet::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use settled::settled_dispatcher;
 
 const NOW: Timestamp = Timestamp::from_millis(100_000);
 
@@ -65,7 +68,7 @@
     let mut cold = host("cold", "a");
     cold.cold_until = Some(NOW + Duration::from_secs(3));
     let directory = directory(vec![cold]);
-    let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
+    let mut dispatcher = settled_dispatcher("e0", &["e0".to_owned()], NOW);
     let bound = ColdLimit::new(26.0 * 1.5 + 5.0, 8);
     let mut criteria = criteria(&[]);
     criteria.cold_limit = Some(bound);
@@ -90,8 +93,7 @@
         criteria.cold_limit = Some(ColdLimit::new(44.0, entry_hosts));
         let mut arrived = 0;
         for name in &names {
-            let mut dispatcher = Dispatcher::new(name.as_str().into(), "a".into());
-            dispatcher.set_entry_hosts(names.clone());
+            let mut dispatcher = settled_dispatcher(name, &names, NOW);
             let taken =
                 (0..50).filter(|_| choose(&mut dispatcher, &directory, &criteria, NOW).is_ok());
             arrived += taken.count();
@@ -107,7 +109,7 @@
 #[test]
 fn a_domain_that_comes_back_is_treated_as_cold() {
     let mut directory = directory(vec![host("h", "a")]);
-    let mut dispatcher = Dispatcher::new("e0".into(), "a".into());
+    let mut dispatcher = settled_dispatcher("e0", &["e0".to_owned()], NOW);
     let mut criteria = criteria(&[]);
     criteria.cold_limit = Some(ColdLimit {
         cold: 1,
--- a/crates/geranium_fleet/tests/server_limit_simulation.rs
+++ b/crates/geranium_fleet/tests/server_limit_simulation.rs
@@ -68,7 +68,8 @@
         let names: Vec<String> = (0..entry_hosts).map(|i| format!("e{i}")).collect();
         let dispatcher = |name: &String| {
             let mut dispatcher = Dispatcher::new(name.as_str().into(), "a".into());
-            dispatcher.set_entry_hosts(names.iter().cloned());
+            let senders = dispatcher.senders_mut();
+            senders.set_entry_hosts(names.iter().cloned(), START);
             dispatcher
         };
         Self {
