Compute shares of the models from the requests of all entry hosts

Cause: the manager weighs only its own requests, one of over a hundred entry hosts, against the operator's initial shares, so that these never change.

The requests at the open groups, which every entry host knows from the load reports, give the arrivals of a model, and the tightest objective of its routes the requests that one group may run. Ruled out: exchanging arrivals between entry hosts, as the loads already tell them.

The types are not used by the manager yet.

--- a/crates/geranium_entry/src/relay/active_request.rs
+++ b/crates/geranium_entry/src/relay/active_request.rs
@@ -247,7 +247,11 @@
             .request(now);
         if let (Some(engine), Some(model)) = (&self.service.engine, &self.model) {
             let meter = core.demand.entry(self.service.name.clone()).or_default();
-            meter.record(engine, model, self.prompt_tokens, answer_tokens, now);
+            let objective = self.route.objective;
+            let prompt_tokens = self.prompt_tokens;
+            if !meter.record(engine, model, prompt_tokens, answer_tokens, objective, now) {
+                log::info!(request = self.id(), prompt_tokens = prompt_tokens, answer_tokens = answer_tokens; "ignoring absurd sizes in the mix of requests");
+            }
         }
     }
 
--- /dev/null
+++ b/crates/geranium_fleet/src/capacity/request_mix.rs
@@ -0,0 +1,98 @@
+//! Sizes and objectives of the recent requests for a model.
+
+use std::time::Duration;
+
+use geranium_core::time::Timestamp;
+
+use crate::engine_profile::EngineProfile;
+
+/// Time after which a past request counts half. One of many entry hosts sees a request for a
+/// model only every few seconds.
+const HALF_LIFE: Duration = Duration::from_secs(60);
+/// Number of requests as which the published means count.
+const PUBLISHED_WEIGHT: f64 = 4.0;
+/// Time after which the objective of a route without requests no longer counts.
+const OBJECTIVE_RETENTION: Duration = Duration::from_secs(120);
+/// Maximum number of distinct objectives that are kept.
+const MAX_OBJECTIVES: usize = 16;
+/// Number of tokens above which the size of a request is absurd.
+const MAX_TOKENS: f64 = 10_000_000.0;
+
+/// Means of the requests for one model that an entry host received, with exponential decay.
+#[derive(Clone, Debug, Default)]
+pub struct RequestMix {
+    requests: f64,
+    prompt_tokens: f64,
+    output_tokens: f64,
+    objectives: Vec<(Duration, Timestamp)>,
+    decayed_at: Timestamp,
+}
+
+impl RequestMix {
+    /// Records a request with its tokens and the objective of its route; a zero objective stands
+    /// for none.
+    ///
+    /// Returns `false` and records nothing if a number of tokens is absurd.
+    pub fn record(
+        &mut self,
+        prompt_tokens: f64,
+        output_tokens: f64,
+        objective: Duration,
+        now: Timestamp,
+    ) -> bool {
+        let plausible = 0.0..=MAX_TOKENS;
+        if !plausible.contains(&prompt_tokens) || !plausible.contains(&output_tokens) {
+            return false;
+        }
+        self.decay(now);
+        self.requests += 1.0;
+        self.prompt_tokens += prompt_tokens;
+        self.output_tokens += output_tokens;
+        self.record_objective(objective, now);
+        true
+    }
+
+    fn record_objective(&mut self, objective: Duration, now: Timestamp) {
+        if objective.is_zero() {
+            return;
+        }
+        self.objectives
+            .retain(|(o, at)| *o != objective && now.since(*at) < OBJECTIVE_RETENTION);
+        self.objectives.push((objective, now));
+        if self.objectives.len() > MAX_OBJECTIVES {
+            // Only the tightest one matters.
+            self.objectives.sort();
+            self.objectives.truncate(MAX_OBJECTIVES);
+        }
+    }
+
+    fn decay(&mut self, now: Timestamp) {
+        let elapsed = now.since(self.decayed_at);
+        let factor = 0.5_f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        self.requests *= factor;
+        self.prompt_tokens *= factor;
+        self.output_tokens *= factor;
+        self.decayed_at = self.decayed_at.max(now);
+    }
+
+    /// Returns the tightest objective of the routes that were seen recently.
+    #[must_use]
+    pub fn objective(&self, now: Timestamp) -> Option<Duration> {
+        let recent = self.objectives.iter();
+        let recent = recent.filter(|(_, at)| now.since(*at) < OBJECTIVE_RETENTION);
+        recent.map(|(objective, _)| *objective).min()
+    }
+
+    /// Returns the engine's profile with the means of these requests.
+    #[must_use]
+    pub fn apply(&self, profile: &EngineProfile) -> EngineProfile {
+        let mean = |sum: f64, published: f64| {
+            (sum + published * PUBLISHED_WEIGHT) / (self.requests + PUBLISHED_WEIGHT)
+        };
+        EngineProfile {
+            mean_prompt_tokens: mean(self.prompt_tokens, profile.mean_prompt_tokens),
+            mean_output_tokens: mean(self.output_tokens, profile.mean_output_tokens),
+            ..profile.clone()
+        }
+    }
+}
--- /dev/null
+++ b/crates/geranium_fleet/src/capacity/shares.rs
@@ -0,0 +1,129 @@
+//! Smoothed shares of the models.
+
+use std::time::Duration;
+
+use geranium_core::time::Timestamp;
+
+use super::ModelDemand;
+use crate::engine_profile::EngineProfile;
+
+/// Time constant of the smoothing. It is of the order of the time for which the requests at a group
+/// that has stopped still count, and groups would follow waves of few seconds if it were shorter.
+const SMOOTHING_TIME: Duration = Duration::from_secs(6);
+/// Maximum change of a share per second, as a fraction of the whole.
+const MAX_CHANGE_PER_S: f64 = 0.1;
+/// Longest time between two updates that counts, so that a manager that was suspended does not
+/// change the shares at once.
+const MAX_INTERVAL: Duration = Duration::from_secs(1);
+/// Fraction of the hosts that follows the operator's initial shares always, so that the shares of
+/// an idle system do not follow single requests.
+const INITIAL_SHARES_FRACTION: f64 = 0.05;
+
+/// Shares of the models of a service; lists are in the order of the profile's models.
+///
+/// The shares begin at the operator's initial ones and follow the hosts that the models need.
+#[derive(Clone, Debug)]
+pub struct DemandShares {
+    hosts_needed: Vec<f64>,
+    shares: Vec<f64>,
+    updated_at: Timestamp,
+}
+
+impl DemandShares {
+    /// Creates the initial shares for a service with a number of hosts.
+    #[must_use]
+    pub fn new(profile: &EngineProfile, hosts: usize, now: Timestamp) -> Self {
+        let shares = initial_shares(profile);
+        Self {
+            hosts_needed: shares.iter().map(|s| s * hosts as f64).collect(),
+            shares,
+            updated_at: now,
+        }
+    }
+
+    /// Updates the shares by the demand for each model; `None` keeps what the model needed last.
+    ///
+    /// Starts again from the initial shares if the number of models has changed.
+    pub fn update(
+        &mut self,
+        profile: &EngineProfile,
+        demands: &[Option<ModelDemand>],
+        hosts: usize,
+        now: Timestamp,
+    ) {
+        if self.shares.len() != profile.models.len() {
+            *self = Self::new(profile, hosts, now);
+        }
+        let elapsed = now.since(self.updated_at).min(MAX_INTERVAL).as_secs_f64();
+        self.updated_at = self.updated_at.max(now);
+        let weight = 1.0 - (-elapsed / SMOOTHING_TIME.as_secs_f64()).exp();
+        for (needed, demand) in self.hosts_needed.iter_mut().zip(demands) {
+            let observed = demand.map(|d| d.hosts_needed).filter(|n| n.is_finite());
+            *needed += (observed.unwrap_or(*needed) - *needed) * weight;
+        }
+        let wanted = self.wanted_shares(profile, hosts);
+        self.approach(&wanted, MAX_CHANGE_PER_S * elapsed);
+    }
+
+    /// Returns the shares that the needed hosts would give, without the limit on changes.
+    fn wanted_shares(&self, profile: &EngineProfile, hosts: usize) -> Vec<f64> {
+        let reserve = hosts as f64 * INITIAL_SHARES_FRACTION;
+        let initial = initial_shares(profile);
+        let weights = self.hosts_needed.iter().zip(&initial);
+        let weights = weights.map(|(needed, share)| needed + reserve * share);
+        let shares = normalize(weights.collect());
+        // A model without a group shows no demand, so each keeps at least one.
+        let sizes = profile.models.iter().map(|m| m.group_size);
+        let hosts = hosts.max(sizes.clone().sum()).max(1) as f64;
+        let shares = shares.into_iter().zip(sizes);
+        normalize(shares.map(|(s, size)| s.max(size as f64 / hosts)).collect())
+    }
+
+    /// Moves all shares towards `wanted`, each by `limit` at most; their sum stays 1.
+    fn approach(&mut self, wanted: &[f64], limit: f64) {
+        let changes = self.shares.iter().zip(wanted).map(|(s, w)| (w - s).abs());
+        let largest = changes.fold(0.0, f64::max);
+        let fraction = if largest > limit {
+            limit / largest
+        } else {
+            1.0
+        };
+        for (share, wanted) in self.shares.iter_mut().zip(wanted) {
+            *share += (wanted - *share) * fraction;
+        }
+    }
+
+    /// Returns each model's share of the hosts; their sum is 1.
+    #[must_use]
+    pub fn shares(&self) -> &[f64] {
+        &self.shares
+    }
+
+    /// Returns the number of hosts that each model needs, smoothed.
+    #[must_use]
+    pub fn hosts_needed(&self) -> &[f64] {
+        &self.hosts_needed
+    }
+}
+
+fn initial_shares(profile: &EngineProfile) -> Vec<f64> {
+    normalize(profile.models.iter().map(|m| m.initial_share).collect())
+}
+
+/// Scales weights to a sum of 1; equal ones if they have no usable sum.
+fn normalize(weights: Vec<f64>) -> Vec<f64> {
+    let usable = |w: &f64| w.is_finite() && *w >= 0.0;
+    let total: f64 = weights.iter().filter(|w| usable(w)).sum();
+    let equal = 1.0 / weights.len().max(1) as f64;
+    let scale = |w: f64| if usable(&w) { w / total } else { 0.0 };
+    let shares = weights.into_iter();
+    shares
+        .map(|w| {
+            if total > 0.0 && total.is_finite() {
+                scale(w)
+            } else {
+                equal
+            }
+        })
+        .collect()
+}
--- a/crates/geranium_fleet/src/demand.rs
+++ b/crates/geranium_fleet/src/demand.rs
@@ -6,6 +6,7 @@
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 
+use crate::capacity::RequestMix;
 use crate::engine_profile::EngineProfile;
 
 /// Time after which past work counts half.
@@ -18,22 +19,28 @@
 #[derive(Clone, Debug, Default)]
 pub struct DemandMeter {
     work: HashMap<Arc<str>, f64>,
+    mixes: HashMap<Arc<str>, RequestMix>,
     decayed_at: Timestamp,
     requests: u64,
 }
 
 impl DemandMeter {
-    /// Records a request for a model with its prompt and output tokens.
+    /// Records a request for a model with its prompt and output tokens and the objective of its
+    /// route.
+    ///
+    /// Returns `false` if a number of tokens is absurd; the request then has no part in the mix
+    /// of requests.
     pub fn record(
         &mut self,
         profile: &EngineProfile,
         model: &str,
         prompt_tokens: f64,
         output_tokens: f64,
+        objective: Duration,
         now: Timestamp,
-    ) {
+    ) -> bool {
         let Some(model) = profile.model(model) else {
-            return;
+            return true;
         };
         self.decay(now);
         self.requests += 1;
@@ -41,6 +48,14 @@
             * model.time_factor
             * model.group_size as f64;
         *self.work.entry(model.name.clone()).or_default() += work;
+        let mix = self.mixes.entry(model.name.clone()).or_default();
+        mix.record(prompt_tokens, output_tokens, objective, now)
+    }
+
+    /// Returns the mix of recent requests for a model, if there were any.
+    #[must_use]
+    pub fn mix(&self, model: &str) -> Option<&RequestMix> {
+        self.mixes.get(model)
     }
 
     /// Returns the number of requests recorded since the start.
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -334,6 +334,13 @@
         running.filter(|(_, n)| *n > 0)
     }
 
+    /// Returns the number of requests that all entry hosts run at a backend server, as far as
+    /// their reports are known.
+    #[must_use]
+    pub fn total_running(&self, id: &str) -> f64 {
+        self.stats.get(id).map_or(0.0, HostStats::total_running)
+    }
+
     /// Removes backend servers that are gone, run none of our requests and asked for no
     /// pause that would still apply if their entry came back.
     pub fn prune_removed(&mut self, directory: &Directory, now: Timestamp) {
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -25,9 +25,11 @@
 //! | [`rate_limiter`] | limits shared by all entry hosts |
 //! | [`entry_host_view`] | the state of an entry host as shown to operators |
 //! | [`demand`] | the observed work of each model |
+//! | [`capacity`] | the shares of the models, by the demand over all entry hosts |
 
 pub mod attempts;
 pub mod byte_budget;
+pub mod capacity;
 pub mod crash;
 pub mod demand;
 pub mod deployment;
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -1,6 +1,7 @@
 //! The most commonly used types of this crate.
 
 pub use crate::byte_budget::ByteBudget;
+pub use crate::capacity::{DemandShares, ModelDemand, ModelLoad, RequestMix};
 pub use crate::crash::{CrashSubject, CrashTracker};
 pub use crate::demand::DemandMeter;
 pub use crate::deployment::{Account, ClientLimits, Deployment};
--- a/crates/geranium_fleet/tests/signals.rs
+++ b/crates/geranium_fleet/tests/signals.rs
@@ -63,7 +63,7 @@
     let before = meter.shares(&engine, 60_000.0);
 
     for _ in 0..5_000 {
-        meter.record(&engine, "small", 1_000.0, 150.0, NOW);
+        meter.record(&engine, "small", 1_000.0, 150.0, Duration::ZERO, NOW);
     }
     let after = meter.shares(&engine, 60_000.0);
 
