Favour models below their share with loads and freed hosts

Cause: after a loss, all loads stage the small model on members of the large model's groups, and the survivors of a large group join a small one at once, so the large model gets no host back.

Under a flag, members of a model above its share load first, members of a model below it last, and free hosts of a fabric domain wait up to 6 s for the model far below its share if hosts that are about to be ready complete its group. Ruled out: keeping them without a bound, as they would serve nothing.

--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -8,6 +8,7 @@
 
 mod formation;
 pub mod guard;
+mod hold;
 mod reclaim;
 mod reconcile;
 mod spares;
@@ -85,6 +86,9 @@
     pending_orders: HashMap<HostId, PendingOrder>,
     staging: HashMap<HostId, Staging>,
     reclaims: HashMap<Arc<str>, Reclaim>,
+    /// Fabric domains whose free hosts are kept for one model, and since when.
+    holds: HashMap<Arc<str>, Timestamp>,
+    favours_deficits: bool,
     dead_hosts: HashMap<HostId, (u64, Timestamp)>,
     hosts_to_query: HashMap<HostId, Timestamp>,
     load_limiter: RateLimiter,
@@ -109,12 +113,19 @@
             pending_orders: HashMap::default(),
             staging: HashMap::default(),
             reclaims: HashMap::default(),
+            holds: HashMap::default(),
+            favours_deficits: false,
             dead_hosts: HashMap::default(),
             hosts_to_query: HashMap::default(),
             load_limiter,
         }
     }
 
+    /// Sets whether scarce loads and free hosts go first to models below their share.
+    pub const fn set_favours_deficits(&mut self, favours_deficits: bool) {
+        self.favours_deficits = favours_deficits;
+    }
+
     /// Returns the orders that are due now.
     ///
     /// `shares` holds each model's share of the work, in the order of the profile;
@@ -145,7 +156,8 @@
                 now,
             );
             self.reclaim(&hosts, &views, directory, &formation, &mut orders);
-            self.form_groups(&hosts, directory, &mut formation, &mut orders);
+            let held = self.hold_domains(&hosts, &views, directory, &formation);
+            self.form_groups(&hosts, directory, &held, &mut formation, &mut orders);
             self.stage(&hosts, directory, &mut formation, &mut orders);
         }
         orders.retain(|o| {
--- a/crates/geranium_fleet/src/planner/formation.rs
+++ b/crates/geranium_fleet/src/planner/formation.rs
@@ -4,6 +4,7 @@
 
 use geranium_core::time::Timestamp;
 
+use super::hold::HeldDomains;
 use super::state::FormedGroup;
 use super::view::{GroupView, by_domain};
 use super::{GroupPlanner, order_to};
@@ -43,6 +44,7 @@
         &mut self,
         hosts: &[&Host],
         directory: &Directory,
+        held: &HeldDomains,
         formation: &mut Formation<'_>,
         orders: &mut Vec<HostOrder>,
     ) {
@@ -55,9 +57,14 @@
         for (domain, free) in &mut domains {
             loop {
                 let reserved = self.reclaims.get(*domain).map(|r| &r.model);
+                let is_allowed = |m: &ModelProfile| {
+                    let model = formation.profile.model_index(&m.name);
+                    model.is_some_and(|i| held.allow(domain, i, formation))
+                };
                 let prepared = |m: &ModelProfile| {
                     self.count_prepared(free, m) >= m.group_size
                         && reserved.is_none_or(|r| *r == m.name)
+                        && is_allowed(m)
                 };
                 let any = |m: &ModelProfile| !formation.has_traffic && free.len() >= m.group_size;
                 let model = best_model(formation, prepared).or_else(|| best_model(formation, any));
--- a/crates/geranium_fleet/src/planner/reclaim.rs
+++ b/crates/geranium_fleet/src/planner/reclaim.rs
@@ -21,7 +21,7 @@
 const MIN_RELATIVE_DEFICIT: f64 = 0.15;
 /// Maximum relative deficit of the donor model after the move, as a fraction of the
 /// relative deficit of the receiving model before it.
-const MAX_DONOR_DEFICIT_RATIO: f64 = 0.5;
+pub(super) const MAX_DONOR_DEFICIT_RATIO: f64 = 0.5;
 /// Time after which a fabric domain whose reclaim yielded no group becomes available again.
 const RECLAIM_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of fabric domains that are rearranged at the same time.
@@ -39,7 +39,7 @@
 }
 
 /// A fabric domain that could make up a group, with the groups to close for it.
-struct Candidate {
+pub(super) struct Candidate {
     domain: Arc<str>,
     groups: Vec<Arc<str>>,
     hosts_taken: f64,
@@ -113,7 +113,7 @@
     }
 
     /// Returns the model with the largest relative deficit, and that deficit.
-    fn largest_deficit(&self, formation: &Formation<'_>) -> Option<(usize, f64)> {
+    pub(super) fn largest_deficit(&self, formation: &Formation<'_>) -> Option<(usize, f64)> {
         let models = formation.profile.models.iter().enumerate();
         let in_deficit = models
             .filter(|(i, m)| formation.deficits[*i] >= MIN_DEFICIT_OF_GROUP * m.group_size as f64);
@@ -129,7 +129,7 @@
     }
 
     /// Returns the groups of a fabric domain that can give up the missing hosts.
-    fn find_donors(
+    pub(super) fn find_donors(
         &self,
         domain: &Arc<str>,
         views: &[GroupView<'_>],
--- a/crates/geranium_fleet/src/planner/staging.rs
+++ b/crates/geranium_fleet/src/planner/staging.rs
@@ -11,6 +11,18 @@
 use crate::host::{GroupState, Host};
 use crate::order::{HostOrder, OrderKind};
 
+/// Rank of a member of a group whose model is above its share and that would load the weights
+/// of a model below its share.
+const DONOR: u8 = 2;
+/// Rank of the other members of groups.
+const MEMBER: u8 = 3;
+/// Rank of a member of a group whose model is below its share.
+const BELOW_SHARE: u8 = 4;
+/// Rank of a host in a failure domain that is out of service.
+const OUT_OF_SERVICE: u8 = 5;
+/// Members of a model below its share leave this part of the concurrent loads to others.
+const RESERVED_LOADS_DIVISOR: usize = 4;
+
 impl GroupPlanner {
     /// Orders loads for hosts whose only staging slot holds no useful weights.
     ///
@@ -19,6 +31,10 @@
     /// scarce and loads scattered over fabric domains complete no group. A host that never
     /// ran a model may replace the weights it holds if they are of no use. While requests
     /// are served, no more loads run than the weight store can sustain at once.
+    ///
+    /// If models below their share are favoured, members of groups follow in this order: those
+    /// that load weights of a model below its share beside one above it, then the others.
+    /// Members of a model below its share leave part of the concurrent loads to all others.
     pub(super) fn stage(
         &mut self,
         hosts: &[&Host],
@@ -35,7 +51,7 @@
             } else if self.can_load_other_weights(host, directory, formation)
                 && !orders.iter().any(|o| o.host == host.id)
             {
-                candidates.push((self.load_priority(host, directory), host));
+                candidates.push((self.load_priority(host, directory, formation), host));
             }
         }
         let mut spares = self.count_spares(hosts, &candidates, formation);
@@ -44,8 +60,13 @@
             let missing = domain.as_ref().map(|d| spares.missing(d, formation));
             (*priority, missing, domain, host.id.clone())
         });
-        for (_, host) in candidates {
-            if formation.has_traffic && running_loads >= formation.profile.max_concurrent_loads {
+        let max_loads = formation.profile.max_concurrent_loads;
+        let reserved_loads = max_loads.div_ceil(RESERVED_LOADS_DIVISOR);
+        for (priority, host) in candidates {
+            if priority == BELOW_SHARE && running_loads + reserved_loads >= max_loads {
+                continue;
+            }
+            if formation.has_traffic && running_loads >= max_loads {
                 return;
             }
             let Some(i) = self.next_model(host, &mut spares, formation) else {
@@ -159,15 +180,34 @@
     }
 
     /// Returns the rank in which hosts load; lower is sooner.
-    fn load_priority(&self, host: &Host, directory: &Directory) -> u8 {
+    fn load_priority(&self, host: &Host, directory: &Directory, formation: &Formation<'_>) -> u8 {
         if directory.is_domain_out(&host.failure_domain) {
-            3
+            OUT_OF_SERVICE
         } else if self.last_model(host).is_none() && host.staged.is_empty() {
             0
         } else if host.membership.is_none() {
             1
         } else {
-            2
+            self.member_load_priority(host, formation)
+        }
+    }
+
+    /// Returns the rank of a member of a group.
+    fn member_load_priority(&self, host: &Host, formation: &Formation<'_>) -> u8 {
+        let own = self.last_model(host).or(host.model.as_ref());
+        let own = own.and_then(|m| formation.profile.model_index(m));
+        let Some(own) = own.filter(|_| self.favours_deficits && formation.has_traffic) else {
+            return MEMBER;
+        };
+        if formation.deficits[own] > 0.0 {
+            return BELOW_SHARE;
+        }
+        let name = &formation.profile.models[own].name;
+        let other = best_model(formation, |m| m.name != *name);
+        if other.is_some_and(|i| formation.deficits[i] > 0.0) {
+            DONOR
+        } else {
+            MEMBER
         }
     }
 
