Plan by the demand over all entry hosts where they are many

With more entry hosts than a full mesh, the manager takes the shares from geranium_fleet::capacity and favours models below their share; with fewer, the shares stay those of its own requests. The state is the manager's, so that the next one starts from the initial shares.

Ruled out: a flag in the planner's settings, which are fixed when the planner is created, while entry hosts may still register.

--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -39,6 +39,7 @@
 mod log_writer;
 mod manager;
 mod metrics;
+mod model_shares;
 mod peer_changes;
 mod peer_fallback;
 mod peers;
--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -10,6 +10,7 @@
 use futures::stream::FuturesUnordered;
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
+use geranium_fleet::exchange::FULL_MESH_LIMIT;
 use geranium_fleet::host::{HostId, HostReport};
 use geranium_fleet::order::{HostOrder, OrderAnswer};
 use geranium_fleet::planner::{GroupPlanner, PlannerSettings};
@@ -17,6 +18,7 @@
 
 use crate::dialect::Dialect;
 use crate::metrics::{CauseLabel, gauge};
+use crate::model_shares::ModelShares;
 use crate::peers::PeerLink;
 use crate::state::SharedState;
 
@@ -39,9 +41,6 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum number of hosts polled at a time, as each poll is counted like a health check.
 const MAX_POLLED_HOSTS: usize = 32;
-/// Weight of the published demand shares of models relative to the observed demand, in
-/// host milliseconds of work.
-const PRIOR_WORK_MS: f64 = 60_000.0;
 
 /// Plans after each change and at regular intervals while this process is the manager.
 pub(crate) async fn run_manager<D: Dialect>(
@@ -69,6 +68,8 @@
                 _ = elected.changed() => break,
             }
         }
+        shared.metrics.model_share.clear();
+        shared.metrics.model_hosts_needed.clear();
         log::info!("this entry host is no longer the manager of the groups");
     }
 }
@@ -77,6 +78,7 @@
 struct Manager<D: Dialect> {
     shared: Rc<SharedState<D>>,
     planners: RefCell<HashMap<Arc<str>, GroupPlanner>>,
+    model_shares: RefCell<ModelShares>,
     last_probed: RefCell<HashMap<HostId, Timestamp>>,
     /// Head hosts of stopped groups that were announced to the other entry hosts.
     announced_stops: RefCell<HashMap<HostId, Timestamp>>,
@@ -90,6 +92,7 @@
         Self {
             shared,
             planners: RefCell::default(),
+            model_shares: RefCell::default(),
             last_probed: RefCell::default(),
             announced_stops: RefCell::default(),
             last_polled: Cell::new(elected_at),
@@ -171,10 +174,18 @@
                 };
                 let meter = core.demand.entry(service.name.clone()).or_default();
                 let traffic = meter.requests() > 0 || !self.shared.cfg.first_start;
-                let shares = meter.shares(engine, PRIOR_WORK_MS);
+                let has_many_entry_hosts = core.limit_divisor() > FULL_MESH_LIMIT;
+                let shares = self.model_shares.borrow_mut().update(
+                    &mut core,
+                    service,
+                    engine,
+                    &self.shared.metrics,
+                    now,
+                );
                 let planner = planners
                     .entry(service.name.clone())
                     .or_insert_with(|| GroupPlanner::new(self.settings(i), now));
+                planner.set_favours_deficits(has_many_entry_hosts);
                 let orders = planner.plan(
                     &core.directory,
                     &service.name,
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -61,6 +61,10 @@
     pub(crate) groups: Family<GroupLabels, Gauge>,
     /// Time for which reported groups did not serve, in seconds, by model.
     pub(crate) group_down: Family<ModelLabel, Counter>,
+    /// Wanted share of the hosts by model, per mille, as planned by the manager.
+    pub(crate) model_share: Family<ModelLabel, Gauge>,
+    /// Hosts that a model needs to answer in time, as planned by the manager.
+    pub(crate) model_hosts_needed: Family<ModelLabel, Gauge>,
     /// Entry hosts known to be registered, including this one.
     pub(crate) entry_hosts: Gauge,
     /// Backend servers known to be cold.
@@ -120,6 +124,8 @@
             running: register_metric(r, "running", "Requests at backend servers"),
             groups: register_metric(r, "groups", "Groups by model and state"),
             group_down: register_metric(r, "group_down_seconds", "Time of groups not serving"),
+            model_share: register_metric(r, "model_share", "Wanted share per mille"),
+            model_hosts_needed: register_metric(r, "model_hosts_needed", "Hosts needed by model"),
             entry_hosts: register_metric(r, "entry_hosts", "Entry hosts known"),
             cold_hosts: register_metric(r, "cold_hosts", "Backend servers known to be cold"),
             stranded: register_metric(r, "stranded_hosts", "Hosts in no group"),
