Compute up to which load of a group a request counts as in time

Cause: while a model has less capacity than demand, requests are spread evenly over its groups, so that all of them miss their objectives.

The bound follows from the objective, the learned fixed delay, the prompt size, the priorities seen for the model and the account's share. The dispatcher spreads over the groups below the bound, and else selects the fullest one that takes requests. Without a bound the selection is as before.

Ruled out: `geranium_core::limit::Admission`, a queue for one model on one host, as nothing is queued here; the bound from the request's own objective alone, as a low priority with a generous objective would then fill all groups beyond what higher priorities can bear; late first tokens at groups with a queue as samples of the fixed delay, as the prediction does not cover them.

--- a/crates/geranium_entry/src/relay/host_selection.rs
+++ b/crates/geranium_entry/src/relay/host_selection.rs
@@ -126,6 +126,7 @@
             cold_limit: core.cold_limit(&self.service, &self.shared.bounds.get()),
             entry_hosts: core.limit_divisor(),
             max_running: self.max_running(),
+            in_time_limit: None,
             request_time: self.request_time(),
         }
     }
--- /dev/null
+++ b/crates/geranium_fleet/src/admission/model_admission.rs
@@ -0,0 +1,119 @@
+//! Admission to the groups of one model.
+
+use std::time::Duration;
+
+use geranium_core::time::Timestamp;
+
+use super::{AccountShare, BoundQuery, LOWEST_PRIORITY, RecentRequests, SeenPriorities};
+use crate::first_token_delay::FirstTokenDelay;
+use crate::rate_limiter::RateLimiter;
+
+/// Fraction of the objective less the fixed delay that the expected wait may take, as the
+/// time to the first token varies around its expectation.
+const WAIT_FRACTION: f64 = 0.75;
+/// Percentage of the bound that a request leaves free for each higher priority.
+const PRIORITY_RESERVE_PERCENT: u32 = 10;
+/// Percentage of the bound that an account above its share leaves free for the others.
+const ACCOUNT_RESERVE_PERCENT: u32 = 20;
+/// Time for which a model counts as contended after a request found no group in time.
+const CONTENTION_PERIOD: Duration = Duration::from_secs(1);
+/// Maximum number of prompt tokens that is taken as stated.
+const MAX_PROMPT_TOKENS: f64 = 1e7;
+
+/// What an entry host knows of the recent requests for one model of a service.
+#[derive(Clone, Debug)]
+pub struct ModelAdmission {
+    recent: RecentRequests,
+    priorities: SeenPriorities,
+    delay: FirstTokenDelay,
+    contended_at: Option<Timestamp>,
+    refusals: RateLimiter,
+}
+
+impl Default for ModelAdmission {
+    fn default() -> Self {
+        Self {
+            recent: RecentRequests::default(),
+            priorities: SeenPriorities::default(),
+            delay: FirstTokenDelay::default(),
+            contended_at: None,
+            refusals: RateLimiter::new(CONTENTION_PERIOD),
+        }
+    }
+}
+
+impl ModelAdmission {
+    /// Records the arrival of a request.
+    pub fn record_request(&mut self, query: &BoundQuery<'_>, now: Timestamp) {
+        self.recent.record(query.account, now);
+        let priority = query.priority.min(LOWEST_PRIORITY);
+        self.priorities.record(priority, query.objective, now);
+    }
+
+    /// Returns the number of requests at a group below which a request counts as in time; at
+    /// least 1.
+    #[must_use]
+    pub fn in_time_limit(&self, query: &BoundQuery<'_>, now: Timestamp) -> f64 {
+        let priority = query.priority.min(LOWEST_PRIORITY);
+        let urgent = self.priorities.urgent(priority, query.objective, now);
+        let wait = urgent.objective.saturating_sub(self.delay.get());
+        let prompt_tokens = known_prompt_tokens(query);
+        let whole = query
+            .estimate
+            .max_running(prompt_tokens, wait.mul_f64(WAIT_FRACTION));
+        let for_urgent = urgent.priorities * PRIORITY_RESERVE_PERCENT;
+        let reserve = match self.recent.share(query.account) {
+            AccountShare::Low => 0,
+            AccountShare::Excess if self.is_contended(now) => for_urgent + ACCOUNT_RESERVE_PERCENT,
+            AccountShare::Fair | AccountShare::Excess => for_urgent,
+        };
+        let percent = f64::from(100_u32.saturating_sub(reserve));
+        // Rounded down, so that a small bound leaves a whole place free as well.
+        (whole * percent / 100.0).floor().max(1.0)
+    }
+
+    /// Returns the part of the time to the first token that does not depend on the load.
+    #[must_use]
+    pub fn first_token_delay(&self) -> Duration {
+        self.delay.get()
+    }
+
+    /// Records the time to the first token of a request that was sent to a group with a known
+    /// load of `running` requests.
+    ///
+    /// Times at a group with a queue are left out, as the prediction does not cover it.
+    pub fn record_first_token(&mut self, query: &BoundQuery<'_>, running: f64, took: Duration) {
+        if query.estimate.has_slot(running) {
+            let predicted = query.estimate.wait(running, known_prompt_tokens(query));
+            self.delay.record(took, predicted);
+        }
+    }
+
+    /// Records that a request found no group in time.
+    pub fn record_contention(&mut self, now: Timestamp) {
+        self.contended_at = Some(now);
+    }
+
+    /// Records a refusal because all groups were full; returns the number of refusals of the
+    /// last second, including this one.
+    pub fn record_refusal(&mut self, now: Timestamp) -> usize {
+        self.record_contention(now);
+        self.refusals.try_acquire(usize::MAX, now);
+        self.refusals.used(now)
+    }
+
+    fn is_contended(&self, now: Timestamp) -> bool {
+        let is_recent = |at| now.since(at) <= CONTENTION_PERIOD;
+        self.contended_at.is_some_and(is_recent)
+    }
+}
+
+/// Returns the stated number of prompt tokens, or the mean if it is unknown or impossible.
+fn known_prompt_tokens(query: &BoundQuery<'_>) -> f64 {
+    let stated = query.prompt_tokens;
+    if stated > 0.0 && stated.is_finite() {
+        stated.min(MAX_PROMPT_TOKENS)
+    } else {
+        query.estimate.mean_prompt_tokens()
+    }
+}
--- a/crates/geranium_fleet/src/demand.rs
+++ b/crates/geranium_fleet/src/demand.rs
@@ -6,22 +6,30 @@
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 
+use crate::decay::Decay;
 use crate::engine_profile::EngineProfile;
 
 /// Time after which past work counts half.
 const HALF_LIFE: Duration = Duration::from_secs(8);
 
-/// Minimum interval between two decays.
-const DECAY_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Work of the models of one service, in host milliseconds, with exponential decay.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct DemandMeter {
     work: HashMap<Arc<str>, f64>,
-    decayed_at: Timestamp,
+    decay: Decay,
     requests: u64,
 }
 
+impl Default for DemandMeter {
+    fn default() -> Self {
+        Self {
+            work: HashMap::default(),
+            decay: Decay::new(HALF_LIFE),
+            requests: 0,
+        }
+    }
+}
+
 impl DemandMeter {
     /// Records a request for a model with its prompt and output tokens.
     pub fn record(
@@ -71,14 +79,11 @@
     }
 
     fn decay(&mut self, now: Timestamp) {
-        let elapsed = now.since(self.decayed_at);
-        if elapsed < DECAY_INTERVAL {
+        let Some(factor) = self.decay.factor(now) else {
             return;
-        }
-        let factor = 0.5_f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        };
         for work in self.work.values_mut() {
             *work *= factor;
         }
-        self.decayed_at = now;
     }
 }
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Selects the backend server for a request.
 
+mod candidate;
 mod candidate_counts;
 mod choice;
 mod cold_limit;
@@ -8,6 +9,8 @@
 mod host_stats;
 mod no_host;
 mod pause;
+mod placement;
+mod selection;
 mod sender_ranking;
 mod spreading;
 
@@ -17,23 +20,24 @@
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 use rand::Rng;
-use rand::seq::IteratorRandom;
 
 use crate::directory::Directory;
 use crate::host::{Host, HostId};
 use crate::server_limit::ServerLimits;
 
+use candidate::Candidate;
 use host_check::HostCheck;
 use host_stats::HostStats;
 use pause::Pause;
+use selection::{Selection, select};
 use sender_ranking::SenderRanking;
-use spreading::pick_below_level;
 
 pub use candidate_counts::CandidateCounts;
 pub use choice::Choice;
 pub use cold_limit::ColdLimit;
 pub use criteria::DispatchCriteria;
 pub use no_host::NoHost;
+pub use placement::Placement;
 
 /// How long a backend server that failed or stopped responding gets no new work while
 /// others can take it.
@@ -45,8 +49,6 @@
 const SHARED_FABRIC_PENALTY: f64 = 12.0;
 /// Extra load, in requests, of a cold backend server.
 const COLD_PENALTY: f64 = 6.0;
-/// Maximum load above the least loaded backend server at which another one is a candidate.
-const CANDIDATE_MARGIN: f64 = 9.0;
 /// Weight of a new sample in the moving averages of failures and times.
 const SAMPLE_WEIGHT: f64 = 0.15;
 /// Extra load, in requests, at a failure rate of 1.
@@ -95,7 +97,11 @@
                 .or(preferred),
             preferred => preferred,
         };
-        let (host, candidates) = picked?;
+        let Selection {
+            host,
+            candidates,
+            placement,
+        } = picked?;
         self.limits.record_request(&host.id);
         let stats = self.stats.entry(host.id.clone()).or_default();
         stats.recent_requests.try_acquire(usize::MAX, now);
@@ -105,6 +111,8 @@
             host: host.clone(),
             candidates,
             load,
+            in_time_limit: criteria.in_time_limit,
+            placement,
             load_age: now.since(self.peers_updated_at),
         })
     }
@@ -118,8 +126,8 @@
         suspected: bool,
         now: Timestamp,
         rng: &mut impl Rng,
-    ) -> Result<(&'a Host, usize), NoHost> {
-        let mut candidates: Vec<(f64, &Host)> = Vec::new();
+    ) -> Result<Selection<'a>, NoHost> {
+        let mut candidates: Vec<Candidate<'a>> = Vec::new();
         let tried = criteria.tried.iter().filter_map(|id| directory.get(id));
         let tried_fabric_domains: Vec<&Arc<str>> =
             tried.filter_map(|h| h.fabric_domain.as_ref()).collect();
@@ -160,16 +168,13 @@
             } else {
                 0.0
             };
-            candidates.push((self.score(host, check.running, now) + fabric_penalty, host));
+            candidates.push(Candidate {
+                score: self.score(host, check.running, now) + fabric_penalty,
+                running: check.running,
+                host,
+            });
         }
-        let host = match criteria.unreported_fraction() {
-            Some(fraction) => {
-                let loads: Vec<f64> = candidates.iter().map(|(load, _)| *load).collect();
-                pick_below_level(&loads, fraction, rng).map(|i| candidates[i].1)
-            }
-            None => less_loaded_of_two(&candidates, rng),
-        };
-        Ok((host.ok_or(reason)?, candidates.len()))
+        select(candidates, criteria, rng).ok_or(reason)
     }
 
     /// Counts the backend servers that serve a request, and why they are not candidates.
@@ -317,14 +322,17 @@
         stats.pause = Some(Pause { incarnation, until });
     }
 
-    /// Sets the number of requests that the other entry hosts run at each backend server.
+    /// Sets the number of requests that the other entry hosts run at each backend server;
+    /// impossible numbers count as 0.
     pub fn set_peer_requests(&mut self, running: &HashMap<HostId, f64>, now: Timestamp) {
         self.peers_updated_at = now;
         for stats in self.stats.values_mut() {
             stats.peer_requests = 0.0;
         }
         for (id, running) in running {
-            self.stats.entry(id.clone()).or_default().peer_requests = *running;
+            let is_possible = running.is_finite() && *running >= 0.0;
+            let running = if is_possible { *running } else { 0.0 };
+            self.stats.entry(id.clone()).or_default().peer_requests = running;
         }
     }
 
@@ -359,22 +367,3 @@
         Some(model) => host.is_open_head() && host.model.as_deref() == Some(model),
     }
 }
-
-/// Returns the less loaded of two random backend servers whose load is close to the lowest.
-///
-/// The loads of other entry hosts are known with a delay, so that all entry hosts would
-/// otherwise send to the same least loaded server until they hear of it (M. Mitzenmacher,
-/// "The Power of Two Choices in Randomized Load Balancing", 2001).
-fn less_loaded_of_two<'a>(candidates: &[(f64, &'a Host)], rng: &mut impl Rng) -> Option<&'a Host> {
-    let least = candidates
-        .iter()
-        .map(|(load, _)| *load)
-        .fold(f64::MAX, f64::min);
-    let near = candidates
-        .iter()
-        .filter(|(load, _)| *load <= least + CANDIDATE_MARGIN);
-    let two = near.choose_multiple(rng, 2);
-    two.into_iter()
-        .min_by(|a, b| a.0.total_cmp(&b.0))
-        .map(|(_, host)| *host)
-}
--- a/crates/geranium_fleet/src/dispatch/choice.rs
+++ b/crates/geranium_fleet/src/dispatch/choice.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::Placement;
 use crate::host::Host;
 
 /// The selected backend server.
@@ -13,6 +14,10 @@
     pub candidates: usize,
     /// Known number of requests running there.
     pub load: f64,
+    /// Bound that the request had, if any.
+    pub in_time_limit: Option<f64>,
+    /// How the request was placed, if it had a bound.
+    pub placement: Option<Placement>,
     /// Age of the other entry hosts' part of the load.
     pub load_age: Duration,
 }
--- a/crates/geranium_fleet/src/dispatch/criteria.rs
+++ b/crates/geranium_fleet/src/dispatch/criteria.rs
@@ -21,6 +21,9 @@
     pub entry_hosts: usize,
     /// Number of requests, over all entry hosts, at which a backend server is full.
     pub max_running: f64,
+    /// Number of requests, over all entry hosts, below which the request counts as in time at
+    /// a backend server; `None` if there is no such bound.
+    pub in_time_limit: Option<f64>,
     /// Mean time that a request stays at a backend server, if it is known.
     pub request_time: Option<Duration>,
 }
--- a/crates/geranium_fleet/src/engine_profile.rs
+++ b/crates/geranium_fleet/src/engine_profile.rs
@@ -75,11 +75,18 @@
     /// last one starts within `wait`.
     #[must_use]
     pub fn max_requests_per_group(&self, time_factor: f64, wait: Duration) -> f64 {
+        let completion_interval_ms = self.completion_interval_ms(time_factor);
+        let queued = wait.as_secs_f64() * 1_000.0 / completion_interval_ms;
+        f64::from(self.slots) + queued.floor()
+    }
+
+    /// Returns the mean time between two completions at a group with a full batch, in
+    /// milliseconds; at least 1.
+    #[must_use]
+    pub fn completion_interval_ms(&self, time_factor: f64) -> f64 {
         let slots = f64::from(self.slots);
         let step_ms = (self.step_ms + slots * self.per_request_ms) * time_factor;
-        let completion_interval_ms = (self.mean_output_tokens * step_ms / slots).max(1.0);
-        let queued = wait.as_secs_f64() * 1_000.0 / completion_interval_ms;
-        slots + queued.floor()
+        (self.mean_output_tokens * step_ms / slots).max(1.0)
     }
 
     /// Returns the time that a group with a full batch spends on one request, in
--- a/crates/geranium_fleet/src/first_token.rs
+++ b/crates/geranium_fleet/src/first_token.rs
@@ -64,6 +64,18 @@
         most.map_or(0.0, f64::from)
     }
 
+    /// Returns whether a group that runs `running` requests has a slot for another one.
+    #[must_use]
+    pub fn has_slot(&self, running: f64) -> bool {
+        running < f64::from(self.profile.slots)
+    }
+
+    /// Returns the mean number of prompt tokens of a request.
+    #[must_use]
+    pub const fn mean_prompt_tokens(&self) -> f64 {
+        self.profile.mean_prompt_tokens
+    }
+
     /// Returns the mean time that a request stays at a group that runs `running` requests.
     #[must_use]
     pub fn request_time(&self, running: f64) -> Duration {
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -11,6 +11,8 @@
 //! | [`planner`] | forming, opening and dissolving groups, and the orders for it |
 //! | [`dispatch`] | selection of the backend server for a request |
 //! | [`first_token`] | the time to the first token at a group, by its load |
+//! | [`first_token_delay`] | the part of that time that does not depend on the load |
+//! | [`admission`] | up to which load of a group a request counts as in time |
 //! | [`exchange`] | which entry hosts report to which others |
 //! | [`peer_load`] | the load caused by other entry hosts |
 //! | [`attempts`] | whether a failed attempt may be retried |
@@ -26,9 +28,11 @@
 //! | [`entry_host_view`] | the state of an entry host as shown to operators |
 //! | [`demand`] | the observed work of each model |
 
+pub mod admission;
 pub mod attempts;
 pub mod byte_budget;
 pub mod crash;
+mod decay;
 pub mod demand;
 pub mod deployment;
 pub mod directory;
@@ -37,6 +41,7 @@
 pub mod entry_host_view;
 pub mod exchange;
 pub mod first_token;
+pub mod first_token_delay;
 pub mod forward_targets;
 pub mod hidden_work;
 pub mod host;
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -1,15 +1,17 @@
 //! The most commonly used types of this crate.
 
+pub use crate::admission::{Admissions, BoundQuery, ModelAdmission};
 pub use crate::byte_budget::ByteBudget;
 pub use crate::crash::{CrashSubject, CrashTracker};
 pub use crate::demand::DemandMeter;
 pub use crate::deployment::{Account, ClientLimits, Deployment};
 pub use crate::directory::Directory;
 pub use crate::dispatch::{
-    CandidateCounts, Choice, ColdLimit, DispatchCriteria, Dispatcher, NoHost,
+    CandidateCounts, Choice, ColdLimit, DispatchCriteria, Dispatcher, NoHost, Placement,
 };
 pub use crate::engine_profile::{EngineProfile, ModelProfile};
 pub use crate::first_token::FirstTokenEstimate;
+pub use crate::first_token_delay::FirstTokenDelay;
 pub use crate::forward_targets::{ForwardTarget, ForwardTargets};
 pub use crate::hidden_work::HiddenWork;
 pub use crate::host::{GroupState, Host, HostId, HostReport, HostState, Membership};
--- a/crates/geranium_fleet/src/route_table.rs
+++ b/crates/geranium_fleet/src/route_table.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use geranium_core::collections::HashMap;
+use geranium_core::collections::{HashMap, HashSet};
 
 use crate::deployment::{Account, Deployment};
 use crate::route::Route;
@@ -13,6 +13,7 @@
     deployment: Deployment,
     by_host: HashMap<String, Vec<Arc<Route>>>,
     by_key: HashMap<String, usize>,
+    prioritized: HashSet<Arc<str>>,
 }
 
 impl RouteTable {
@@ -34,6 +35,7 @@
             }
         }
         Self {
+            prioritized: prioritized_services(&deployment),
             deployment,
             by_host,
             by_key,
@@ -71,4 +73,24 @@
     pub fn needs_key(&self, route: &Route) -> bool {
         self.deployment.accounts.is_some() && !route.public
     }
+
+    /// Returns whether the routes of a service have differing priorities.
+    #[must_use]
+    pub fn has_differing_priorities(&self, service: &str) -> bool {
+        self.prioritized.contains(service)
+    }
+}
+
+fn prioritized_services(deployment: &Deployment) -> HashSet<Arc<str>> {
+    let mut first: HashMap<&Arc<str>, u8> = HashMap::default();
+    let mut prioritized = HashSet::default();
+    for route in &deployment.routes {
+        for target in &route.targets {
+            let priority = first.entry(&target.service).or_insert(route.priority);
+            if *priority != route.priority {
+                prioritized.insert(target.service.clone());
+            }
+        }
+    }
+    prioritized
 }
--- /dev/null
+++ b/crates/geranium_fleet/tests/admission.rs
@@ -0,0 +1,262 @@
+//! Tests of the order among requests when a model has less capacity than demand.
+
+mod engine;
+mod fixture;
+
+use std::time::Duration;
+
+use engine::{model, profile};
+use fixture::server;
+use geranium_core::collections::HashMap;
+use geranium_core::time::Timestamp;
+use geranium_fleet::admission::PlaceWait;
+use geranium_fleet::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const NOW: Timestamp = Timestamp::from_millis(1_000_000);
+/// Objective that a group of the test engine meets at part of its slots.
+const OBJECTIVE: Duration = Duration::from_millis(205);
+/// Number of requests at which a group is full.
+const MAX_RUNNING: u32 = 20;
+
+fn query<'a>(profile: &'a EngineProfile, account: &'a str, priority: u8) -> BoundQuery<'a> {
+    BoundQuery {
+        estimate: FirstTokenEstimate::new(profile, &profile.models[0]),
+        account,
+        priority,
+        objective: OBJECTIVE,
+        prompt_tokens: 1_000.0,
+    }
+}
+
+fn engine_profile() -> EngineProfile {
+    profile(vec![model("m", 4, 1.0)])
+}
+
+/// Groups behind an entry host, with the number of requests that each runs.
+struct Groups {
+    directory: Directory,
+    dispatcher: Dispatcher,
+    rng: SmallRng,
+    running: Vec<u32>,
+}
+
+impl Groups {
+    fn new(running: &[u32]) -> Self {
+        let mut groups = Self {
+            directory: Directory::default(),
+            dispatcher: Dispatcher::new("e0".into(), "a".into()),
+            rng: SmallRng::seed_from_u64(5),
+            running: running.to_vec(),
+        };
+        let mut loads = HashMap::default();
+        for (i, n) in running.iter().enumerate() {
+            groups.directory.put(server(&id(i), "engines", "a"));
+            loads.insert(id(i).as_str().into(), f64::from(*n));
+        }
+        groups.dispatcher.set_peer_requests(&loads, NOW);
+        groups
+    }
+
+    fn choose(&mut self, limit: f64) -> Result<Placement, NoHost> {
+        let criteria = DispatchCriteria {
+            service: "engines",
+            model: None,
+            tried: &[],
+            cold_limit: None,
+            entry_hosts: 20,
+            max_running: f64::from(MAX_RUNNING),
+            in_time_limit: Some(limit),
+            request_time: Some(Duration::from_secs(1)),
+        };
+        let choice = (self.dispatcher).choose(&self.directory, &criteria, NOW, &mut self.rng)?;
+        let chosen = (0..self.running.len()).find(|i| *id(*i) == *choice.host.id);
+        self.running[chosen.expect("the group is known")] += 1;
+        Ok(choice.placement.expect("the request has a bound"))
+    }
+}
+
+fn id(i: usize) -> String {
+    format!("g{i:02}")
+}
+
+/// Guards against a burst that makes the requests of all groups late.
+#[test]
+fn one_group_takes_the_overflow_of_a_burst() {
+    let mut groups = Groups::new(&[0; 6]);
+
+    let placed: Vec<_> = (0..58).map(|_| groups.choose(8.0)).collect();
+
+    let in_time = placed.iter().filter(|p| **p == Ok(Placement::InTime));
+    assert_eq!(in_time.count(), 48);
+    assert_eq!(groups.running, [18, 8, 8, 8, 8, 8]);
+}
+
+/// Guards against refusals while a slot is free, and against requests beyond the engine's
+/// limit, in a wave above the capacity of all groups.
+#[test]
+fn a_wave_fills_every_group_before_the_first_refusal() {
+    let mut groups = Groups::new(&[3, 0, 12]);
+
+    let placed: Vec<_> = (0..60).map(|_| groups.choose(5.0)).collect();
+
+    assert!(placed[..45].iter().all(Result::is_ok));
+    assert!(placed[45..].iter().all(|p| *p == Err(NoHost::Full)));
+    assert_eq!(groups.running, [MAX_RUNNING; 3]);
+}
+
+/// Guards against an impossible reported load that would make a group full or attractive.
+#[test]
+fn impossible_loads_count_as_zero() {
+    for load in [f64::NAN, f64::INFINITY, -5.0] {
+        let mut groups = Groups::new(&[0]);
+        let loads = std::iter::once((id(0).as_str().into(), load)).collect();
+        groups.dispatcher.set_peer_requests(&loads, NOW);
+
+        assert_eq!(groups.choose(1.0), Ok(Placement::InTime));
+        assert_eq!(groups.choose(1.0), Ok(Placement::Overflow));
+    }
+}
+
+/// Guards against a burst of one account that displaces the others, and against capacity held
+/// back from it while there is enough.
+#[test]
+fn an_account_above_its_share_leaves_capacity_free_only_under_contention() {
+    let profile = engine_profile();
+    let mut admission = ModelAdmission::default();
+    for (account, requests) in [("burst", 200), ("b", 20), ("c", 20), ("rare", 1)] {
+        for _ in 0..requests {
+            admission.record_request(&query(&profile, account, 1), NOW);
+        }
+    }
+    admission.record_request(&query(&profile, "b", 0), NOW);
+    let bound =
+        |a: &ModelAdmission, account, now| a.in_time_limit(&query(&profile, account, 1), now);
+    let whole = admission.in_time_limit(&query(&profile, "b", 0), NOW);
+    let usual = bound(&admission, "burst", NOW);
+
+    admission.record_contention(NOW);
+
+    assert!(usual < whole, "a lower priority leaves capacity free");
+    assert!(bound(&admission, "burst", NOW) < usual);
+    assert_eq!(bound(&admission, "b", NOW), usual);
+    assert_eq!(bound(&admission, "rare", NOW), whole);
+    assert_eq!(
+        bound(&admission, "burst", NOW + Duration::from_secs(2)),
+        usual
+    );
+}
+
+/// Guards against a size for which no group ever counts as in time, and against sizes that
+/// callers state wrongly.
+#[test]
+fn a_long_prompt_lowers_the_bound_and_impossible_sizes_count_as_usual() {
+    let profile = engine_profile();
+    let bound = |prompt_tokens| {
+        let query = BoundQuery {
+            prompt_tokens,
+            ..query(&profile, "", 1)
+        };
+        ModelAdmission::default().in_time_limit(&query, NOW)
+    };
+    let usual = bound(1_000.0);
+
+    assert!(bound(1_500.0) < usual);
+    assert_eq!(bound(1e300), 1.0);
+    for impossible in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+        assert_eq!(bound(impossible), usual);
+    }
+}
+
+/// Guards against one late answer that lowers the bound of all later requests to 1.
+#[test]
+fn the_fixed_delay_is_never_negative_and_ignores_the_extent_of_outliers() {
+    let mut delay = FirstTokenDelay::default();
+    delay.record(Duration::from_millis(80), Duration::from_millis(110));
+    let negative = delay.get();
+    for _ in 0..20 {
+        delay.record(Duration::from_millis(140), Duration::from_millis(110));
+    }
+    let usual = delay.get();
+
+    delay.record(Duration::from_secs(30), Duration::from_millis(110));
+
+    assert_eq!(negative, Duration::ZERO);
+    assert!(delay.get() < usual + Duration::from_millis(21));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against an order that a tighter objective or an unusual size turns round.
+    #[test]
+    fn a_more_urgent_request_never_has_the_lower_bound(
+        seen in prop::collection::vec((any::<u8>(), 1_u64..2_000), 0..20),
+        requests in prop::array::uniform2((any::<u8>(), 1_u64..2_000)),
+        prompt_tokens in prop::num::f64::ANY,
+        contended in any::<bool>(),
+    ) {
+        let profile = engine_profile();
+        let mut admission = ModelAdmission::default();
+        let of = |(priority, ms): (u8, u64)| BoundQuery {
+            priority,
+            objective: Duration::from_millis(ms),
+            prompt_tokens,
+            ..query(&profile, "a", 0)
+        };
+        for request in seen.into_iter().chain(requests) {
+            admission.record_request(&of(request), NOW);
+        }
+        if contended {
+            admission.record_contention(NOW);
+        }
+
+        let [a, b] = requests.map(|r| (r.0.min(9), admission.in_time_limit(&of(r), NOW)));
+
+        prop_assert!(a.1 >= 1.0 && b.1 >= 1.0);
+        prop_assert!(a.0 >= b.0 || a.1 >= b.1);
+        prop_assert!(b.0 >= a.0 || b.1 >= a.1);
+    }
+
+    /// Guards against starvation: whatever the bound, a request with a free place is placed.
+    #[test]
+    fn every_request_with_a_free_place_is_placed_below_the_limit(
+        running in prop::collection::vec(0..=MAX_RUNNING + 2, 1..12),
+        limit in 1.0..30.0,
+    ) {
+        let mut groups = Groups::new(&running);
+        let is_free = running.iter().any(|n| *n < MAX_RUNNING);
+
+        let placed = groups.choose(limit);
+
+        prop_assert_eq!(placed.is_ok(), is_free);
+        let chosen = groups.running.iter().zip(&running).find(|(after, before)| after != before);
+        prop_assert!(chosen.is_none_or(|(_, before)| *before < MAX_RUNNING));
+    }
+
+    /// Guards against callers that come back all at once, too late or without a pause.
+    #[test]
+    fn retry_after_stays_within_what_a_caller_honours(
+        groups in 0..200_usize,
+        refusals in 0..100_000_usize,
+        left_ms in 0..10_000_u64,
+        seed in any::<u64>(),
+    ) {
+        let profile = engine_profile();
+        let wait = PlaceWait { groups, entry_hosts: 134, refusals };
+        let left = Duration::from_millis(left_ms);
+        let mut rng = SmallRng::seed_from_u64(seed);
+
+        let after = wait.retry_after(&profile, &profile.models[0], left, &mut rng);
+
+        prop_assert!(after <= left / 3);
+        prop_assert!(after >= Duration::from_millis(100).min(left / 3));
+    }
+}
--- a/crates/geranium_fleet/tests/dispatch.rs
+++ b/crates/geranium_fleet/tests/dispatch.rs
@@ -33,6 +33,7 @@
         cold_limit: None,
         entry_hosts: 1,
         max_running: f64::MAX,
+        in_time_limit: None,
         request_time: None,
     }
 }
--- a/crates/geranium_fleet/tests/load_balancing.rs
+++ b/crates/geranium_fleet/tests/load_balancing.rs
@@ -194,6 +194,7 @@
                 cold_limit: None,
                 entry_hosts: self.entry_hosts.len(),
                 max_running: f64::from(SLOTS + QUEUE_LIMIT),
+                in_time_limit: None,
                 request_time: Some(Duration::from_secs_f64(MEAN_DURATION_S)),
             };
             let dispatcher = &mut self.entry_hosts[entry].dispatcher;
--- a/crates/geranium_fleet/tests/notices.rs
+++ b/crates/geranium_fleet/tests/notices.rs
@@ -35,6 +35,7 @@
         cold_limit: None,
         entry_hosts: 1,
         max_running: f64::MAX,
+        in_time_limit: None,
         request_time: None,
     };
     let mut rng = SmallRng::seed_from_u64(1);
@@ -131,6 +132,7 @@
         cold_limit: None,
         entry_hosts: 1,
         max_running: f64::MAX,
+        in_time_limit: None,
         request_time: None,
     };
 
--- a/crates/geranium_fleet/tests/routes.rs
+++ b/crates/geranium_fleet/tests/routes.rs
@@ -84,6 +84,22 @@
     assert_eq!(service(1.0), Some("one".into()));
 }
 
+/// Guards against an order among requests where the configuration asks for none.
+#[test]
+fn only_services_of_routes_with_unequal_priorities_have_differing_ones() {
+    let mut urgent = Route::clone(&route("urgent", "h", "/u/"));
+    urgent.priority = 0;
+    urgent.targets = vec![target("t", 1)];
+    let mut usual = urgent.clone();
+    usual.priority = 1;
+    usual.targets.push(target("s", 1));
+
+    let table = table(vec![route("a", "h", "/a/"), urgent.into(), usual.into()]);
+
+    assert!(table.has_differing_priorities("t"));
+    assert!(!table.has_differing_priorities("s"));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/geranium_fleet/tests/server_limit_simulation.rs
+++ b/crates/geranium_fleet/tests/server_limit_simulation.rs
@@ -117,6 +117,7 @@
             cold_limit: None,
             entry_hosts,
             max_running: f64::MAX,
+            in_time_limit: None,
             request_time: None,
         };
         let dispatcher = &mut self.dispatchers[entry];
