Order requests for a model by objective, priority and account

Cause: the entry hosts had the bound of a request but did not use it, and sent all refused callers away for the same 500 ms, so that they came back together.

Each attempt gets its bound where the service has a model engine, the route an objective, priorities differ or the configuration has accounts, and reports pass through leaders. Streams whose first attempt succeeded teach the fixed delay. `Retry-After` of reason `full` follows from the completion rate there. Metric `admissions_total`, fields `in_time` and `in_time_limit` in `stream begins`.

Ruled out: an account label in the metric (cardinality); another `Retry-After` for refusals by backend servers, whose reason stays as it was.

Conclusion: tests of geranium_fleet and geranium_entry pass; no run has exercised the request path with the order enabled, which needs ten entry hosts.

--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -14,7 +14,9 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Metric, Registry};
 
-pub(crate) use labels::{CauseLabel, GroupLabels, ModelLabel, OutcomeLabels, ServiceLabel};
+pub(crate) use labels::{
+    AdmissionLabels, CauseLabel, GroupLabels, ModelLabel, OutcomeLabels, ServiceLabel,
+};
 pub(crate) use observer::run;
 pub use process::ProcessCounters;
 
@@ -23,6 +25,8 @@
     registry: Arc<Registry>,
     /// Requests by kind and outcome; the outcome of a refused request is the refusal reason.
     pub(crate) outcomes: Family<OutcomeLabels, Counter>,
+    /// Requests for models that are ordered by priority or account, by decision and priority.
+    pub(crate) admissions: Family<AdmissionLabels, Counter>,
     /// Attempts at backend servers by outcome.
     pub(crate) attempts: Family<CauseLabel, Counter>,
     /// Retries by cause.
@@ -93,6 +97,7 @@
         let r = &mut registry;
         Self {
             outcomes: register_metric(r, "requests", "Requests by kind and outcome"),
+            admissions: register_metric(r, "admissions", "Requests by admission and priority"),
             attempts: register_metric(r, "attempts", "Attempts by how they ended"),
             retries: register_metric(r, "retries", "Further attempts by cause"),
             resumes: register_metric(r, "resumes", "Streams that went on elsewhere"),
--- a/crates/geranium_entry/src/metrics/labels.rs
+++ b/crates/geranium_entry/src/metrics/labels.rs
@@ -17,6 +17,15 @@
     pub(crate) cause: &'static str,
 }
 
+/// Decision about a request for a model and the priority of the request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AdmissionLabels {
+    /// `in_time`, `overflow` or `refused`.
+    pub(crate) decision: &'static str,
+    /// Priority; 0 is the highest.
+    pub(crate) priority: u32,
+}
+
 /// A configured service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct ServiceLabel {
--- a/crates/geranium_entry/src/relay/active_request.rs
+++ b/crates/geranium_entry/src/relay/active_request.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use geranium_core::time::Timestamp;
+use geranium_fleet::admission::LOWEST_PRIORITY;
 use geranium_fleet::attempts::Attempts;
 use geranium_fleet::crash::{CrashCount, CrashSubject, CrashVerdict};
 use geranium_fleet::dispatch::NoHost;
@@ -37,8 +38,6 @@
 const STREAM_TIME_AT_SHUTDOWN: Duration = Duration::from_millis(4_500);
 /// The same for a request with a buffered response.
 const BUFFERED_TIME_AT_SHUTDOWN: Duration = Duration::from_millis(1_000);
-/// Lowest priority that model engines support; a larger number is a lower priority.
-const LOWEST_PRIORITY: u8 = 9;
 
 /// An admitted request, with everything that its attempts need.
 pub(super) struct ActiveRequest<D: Dialect> {
@@ -53,6 +52,8 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) model: Option<String>,
+    /// Priority of the account or the route; 0 is the highest.
+    pub(super) priority: u8,
     pub(super) prompt_tokens: f64,
     pub(super) prompt_parts: PromptParts,
     /// Time at which the request headers arrived.
@@ -159,6 +160,7 @@
             method: head.method,
             uri: head.uri,
             body,
+            priority: resolved.priority.min(LOWEST_PRIORITY),
             prompt_tokens,
             prompt_parts: shared.dialect.prompt_parts(&head.headers),
             arrived,
@@ -177,7 +179,7 @@
             sent_counts: Vec::new(),
         };
         if request.service.engine.is_some() {
-            let priority = HeaderValue::from(u16::from(resolved.priority.min(LOWEST_PRIORITY)));
+            let priority = HeaderValue::from(u16::from(request.priority));
             request.headers.insert(names.priority.clone(), priority);
         }
         let fingerprint = request.content_hash(resolved.account.as_deref());
@@ -272,7 +274,7 @@
         Refusal {
             reason,
             request_id: Some(self.request_id.clone()),
-            retry_after: reason.retry_after(self.shared.now()),
+            retry_after: self.retry_after(reason),
             kind: self.kind_name(),
         }
     }
--- a/crates/geranium_entry/src/relay/host_selection.rs
+++ b/crates/geranium_entry/src/relay/host_selection.rs
@@ -53,13 +53,19 @@
         let choice = {
             let mut core = self.shared.core.borrow_mut();
             let core = &mut *core;
-            let criteria = self.dispatch_criteria(core);
+            let criteria = DispatchCriteria {
+                in_time_limit: self.in_time_limit(core, now),
+                ..self.dispatch_criteria(core)
+            };
             core.dispatcher
                 .choose(&core.directory, &criteria, now, &mut core.rng)?
         };
         if let Some(cause) = self.retry_cause.take() {
             self.spend_retry(cause, now);
         }
+        if let Some(placement) = choice.placement {
+            self.record_placement(placement, now);
+        }
         let metrics = &self.shared.metrics;
         if self.tried.is_empty() {
             let wait = now.since(self.arrived);
@@ -108,7 +114,9 @@
         );
     }
 
-    fn count_candidates(&self, now: Timestamp) -> (CandidateCounts, f64) {
+    /// Counts the backend servers that serve the request and why they are not candidates;
+    /// also returns the number of requests at which one is full.
+    pub(super) fn count_candidates(&self, now: Timestamp) -> (CandidateCounts, f64) {
         let mut core = self.shared.core.borrow_mut();
         let core = &mut *core;
         let criteria = self.dispatch_criteria(core);
@@ -118,6 +126,7 @@
         (counts, criteria.max_running)
     }
 
+    /// Returns the requirements of the request, without a bound.
     fn dispatch_criteria(&self, core: &Core) -> DispatchCriteria<'_> {
         DispatchCriteria {
             service: &self.service.name,
--- a/crates/geranium_entry/src/relay/mod.rs
+++ b/crates/geranium_entry/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Handling of one request, from its headers to its response.
 
 mod active_request;
+mod admission;
 mod attempt;
 mod body;
 mod buffer_reservation;
--- a/crates/geranium_entry/src/relay/next_hop.rs
+++ b/crates/geranium_entry/src/relay/next_hop.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use geranium_fleet::dispatch::Choice;
+use geranium_fleet::dispatch::{Choice, Placement};
 use geranium_fleet::forward_targets::ForwardTarget;
 use geranium_fleet::host::{Host, HostId};
 
@@ -61,6 +61,17 @@
         self.choice().map(|c| c.load)
     }
 
+    /// Returns whether the request counted as in time, if it had a bound.
+    pub(super) fn is_in_time(&self) -> Option<bool> {
+        let placement = self.choice().and_then(|c| c.placement);
+        placement.map(|p| p == Placement::InTime)
+    }
+
+    /// Returns the bound of the request, if it had one.
+    pub(super) fn in_time_limit(&self) -> Option<f64> {
+        self.choice().and_then(|c| c.in_time_limit)
+    }
+
     /// Returns the age of what other entry hosts reported of the load.
     pub(super) fn load_age(&self) -> Option<Duration> {
         self.choice().map(|c| c.load_age)
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -65,10 +65,12 @@
         request = request.id(), route:% = request.route.name,
         account = request.account(), host:% = hop.id(), among = hop.candidates(), load = hop.load(),
         load_age_ms = hop.load_age().map(|d| d.as_millis() as u64), first_ms = took.as_millis() as u64,
+        in_time = hop.is_in_time(), in_time_limit = hop.in_time_limit(),
         objective_ms = request.route.objective.as_millis() as u64;
         "stream begins"
     );
     request.shared.metrics.record_first_answer(took);
+    request.record_first_token(hop, took);
     let mut core = request.shared.core.borrow_mut();
     core.dispatcher.record_outcome(hop.id(), true, None);
 }
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -11,6 +11,7 @@
 use geranium_core::id::StoreRevision;
 use geranium_core::limit::{RetryBudget, RetryBudgetSettings};
 use geranium_core::time::Timestamp;
+use geranium_fleet::admission::Admissions;
 use geranium_fleet::byte_budget::ByteBudget;
 use geranium_fleet::crash::{CrashId, CrashTracker};
 use geranium_fleet::demand::DemandMeter;
@@ -66,6 +67,8 @@
     pub(crate) directory: Directory,
     /// Selects backend servers.
     pub(crate) dispatcher: Dispatcher,
+    /// Recent requests by service and model, for the order among them.
+    pub(crate) admissions: Admissions,
     /// Observed demand by service.
     pub(crate) demand: HashMap<Arc<str>, DemandMeter>,
     /// Retry budgets by service.
@@ -210,6 +213,7 @@
             route_table: None,
             directory: Directory::default(),
             dispatcher,
+            admissions: Admissions::default(),
             demand: HashMap::default(),
             budgets: HashMap::default(),
             crashes: CrashTracker::default(),
