--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -10,13 +10,14 @@
 use futures::stream::FuturesUnordered;
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
+use geranium_fleet::exchange::FULL_MESH_LIMIT;
 use geranium_fleet::host::{HostId, HostReport};
 use geranium_fleet::order::{HostOrder, OrderAnswer};
 use geranium_fleet::planner::{GroupPlanner, PlannerSettings};
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
-use crate::metrics::{CauseLabel, gauge};
+use crate::metrics::{CauseLabel, ModelLabel, gauge};
 use crate::peers::PeerLink;
 use crate::state::SharedState;
 
@@ -141,7 +142,7 @@
         });
     }
 
-    fn settings(&self, index: usize) -> PlannerSettings {
+    fn settings(&self, index: usize, standby: bool) -> PlannerSettings {
         PlannerSettings {
             nonce: format!(
                 "{}-{:x}-{index}",
@@ -149,6 +150,7 @@
                 self.elected_at.as_millis()
             ),
             load_window: self.shared.bounds.get().load_window,
+            standby,
         }
     }
 
@@ -172,9 +174,13 @@
                 let meter = core.demand.entry(service.name.clone()).or_default();
                 let traffic = meter.requests() > 0 || !self.shared.cfg.first_start;
                 let shares = meter.shares(engine, PRIOR_WORK_MS);
+                let standby = core.limit_divisor() > FULL_MESH_LIMIT;
                 let planner = planners
                     .entry(service.name.clone())
-                    .or_insert_with(|| GroupPlanner::new(self.settings(i), now));
+                    .or_insert_with(|| GroupPlanner::new(self.settings(i, standby), now));
+                // Entry hosts may register after the planner was created.
+                planner.set_standby(standby);
+                planner.pause_standby(self.shared.store_unreachable.get());
                 let orders = planner.plan(
                     &core.directory,
                     &service.name,
@@ -185,6 +191,14 @@
                 );
                 let stranded = core.directory.stranded(&service.name);
                 self.shared.metrics.stranded.set(gauge(stranded));
+                for model in &engine.models {
+                    let standby = core.directory.standby(&service.name, &model.name);
+                    let label = ModelLabel {
+                        model: model.name.to_string(),
+                    };
+                    let hosts = self.shared.metrics.standby.get_or_create(&label);
+                    hosts.set(gauge(standby));
+                }
                 pending_orders.extend(orders.into_iter().map(|o| (service.name.clone(), o)));
                 for stale in planner.take_hosts_to_query(now) {
                     self.query_order_count(stale);
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -8,6 +8,7 @@
 mod host_check;
 mod host_stats;
 mod no_host;
+mod own_registration;
 mod pause;
 mod placement;
 mod selection;
@@ -30,7 +31,6 @@
 use host_stats::HostStats;
 use pause::Pause;
 use selection::{Selection, select};
-use sender_ranking::SenderRanking;
 
 pub use candidate_counts::CandidateCounts;
 pub use choice::Choice;
@@ -38,6 +38,7 @@
 pub use criteria::DispatchCriteria;
 pub use no_host::NoHost;
 pub use placement::Placement;
+pub use sender_ranking::{REGISTRATION_LEASE, SenderRanking};
 
 /// How long a backend server that failed or stopped responding gets no new work while
 /// others can take it.
@@ -216,7 +217,7 @@
             &host.id,
             host.incarnation,
             criteria.entry_hosts,
-            |max_senders| senders.is_sender(&host.id, max_senders),
+            |max_senders| senders.is_sender(&host.id, max_senders, now),
             now,
         );
         let stats = self.stats.entry(host.id.clone()).or_default();
@@ -248,15 +249,14 @@
         if host.cold_until.is_none_or(|until| now >= until) {
             return limit.warm;
         }
-        match limit.max_senders {
-            Some(max_senders) if !self.senders.is_sender(&host.id, max_senders) => 0,
-            _ => limit.cold,
-        }
+        let max_senders = limit.max_senders;
+        let is_sender = self.senders.is_cold_sender(&host.id, max_senders, now);
+        if is_sender { limit.cold } else { 0 }
     }
 
-    /// Sets the names of all entry hosts.
-    pub fn set_entry_hosts(&mut self, names: impl IntoIterator<Item = String>) {
-        self.senders.set_entry_hosts(names);
+    /// Returns the ranking of the entry hosts, to record registrations.
+    pub const fn senders_mut(&mut self) -> &mut SenderRanking {
+        &mut self.senders
     }
 
     fn score(&self, host: &Host, running: f64, now: Timestamp) -> f64 {
