--- a/crates/geranium_entry/src/metrics/labels.rs
+++ b/crates/geranium_entry/src/metrics/labels.rs
@@ -20,7 +20,7 @@
 /// Decision about a request for a model and the priority of the request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct AdmissionLabels {
-    /// `in_time`, `overflow` or `refused`.
+    /// `in_time`, `late` or `refused`.
     pub(crate) decision: &'static str,
     /// Priority; 0 is the highest.
     pub(crate) priority: u32,
--- a/crates/geranium_entry/src/relay/active_request.rs
+++ b/crates/geranium_entry/src/relay/active_request.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use geranium_core::time::Timestamp;
+use geranium_fleet::admission::AdmissionLimits;
 use geranium_fleet::admission::LOWEST_PRIORITY;
 use geranium_fleet::attempts::Attempts;
 use geranium_fleet::crash::{CrashCount, CrashSubject, CrashVerdict};
@@ -72,6 +73,8 @@
     pub(super) origin: Origin,
     /// Key of the client account, if it has one.
     pub(super) account_key: Option<HeaderValue>,
+    /// Limits at the groups of its model when it was last sent, if requests for it are ordered.
+    pub(super) admission: Option<AdmissionLimits>,
     /// State of the attempts so far.
     pub(super) attempts: Attempts,
     /// Cause of the next attempt, if it is a retry.
@@ -175,6 +178,7 @@
             forward_next: false,
             origin,
             account_key: head.headers.get(&names.account_key).cloned(),
+            admission: None,
             crash_subjects: Vec::new(),
             sent_counts: Vec::new(),
         };
@@ -249,7 +253,11 @@
             .request(now);
         if let (Some(engine), Some(model)) = (&self.service.engine, &self.model) {
             let meter = core.demand.entry(self.service.name.clone()).or_default();
-            meter.record(engine, model, self.prompt_tokens, answer_tokens, now);
+            let objective = self.route.objective;
+            let prompt_tokens = self.prompt_tokens;
+            if !meter.record(engine, model, prompt_tokens, answer_tokens, objective, now) {
+                log::info!(request = self.id(), prompt_tokens = prompt_tokens, answer_tokens = answer_tokens; "ignoring absurd sizes in the mix of requests");
+            }
         }
     }
 
--- a/crates/geranium_entry/src/relay/admission.rs
+++ b/crates/geranium_entry/src/relay/admission.rs
@@ -1,10 +1,10 @@
-//! The bound of a request at the groups of its model, and what is learned from its outcome.
+//! The limits of a request at the groups of its model, and what is learned from its outcome.
 
 use std::time::Duration;
 
 use geranium_core::time::Timestamp;
-use geranium_fleet::admission::{BoundQuery, ModelAdmission, PlaceWait};
-use geranium_fleet::dispatch::{NoHost, Placement};
+use geranium_fleet::admission::{AdmissionLimits, BoundQuery, ModelAdmission, PlaceWait};
+use geranium_fleet::dispatch::{Choice, NoHost};
 use geranium_fleet::engine_profile::{EngineProfile, ModelProfile};
 use geranium_fleet::exchange::FULL_MESH_LIMIT;
 use geranium_fleet::first_token::FirstTokenEstimate;
@@ -17,21 +17,32 @@
 use crate::state::Core;
 
 impl<D: Dialect> ActiveRequest<D> {
-    /// Returns the number of requests at a group below which the request counts as in time,
-    /// or `None` if the configuration orders no requests for its model.
-    pub(super) fn in_time_limit(&self, core: &mut Core, now: Timestamp) -> Option<f64> {
+    /// Returns the limits of the request at the groups of its model, or `None` if the
+    /// configuration orders no requests for the model.
+    pub(super) fn admission_limits(
+        &self,
+        core: &mut Core,
+        max_running: f64,
+        now: Timestamp,
+    ) -> Option<AdmissionLimits> {
         let (engine, model) = self.ordered_model(core)?;
         let query = self.bound_query(engine, model);
         let admission = self.model_admission(core, model);
         if self.tried.is_empty() {
             admission.record_request(&query, now);
         }
-        Some(admission.in_time_limit(&query, now))
+        Some(admission.limits(&query, max_running, now))
     }
 
-    /// Records how an attempt was placed.
-    pub(super) fn record_placement(&self, placement: Placement, now: Timestamp) {
-        if placement == Placement::Overflow {
+    /// Records at which load an attempt was admitted.
+    pub(super) fn record_admission(
+        &self,
+        limits: AdmissionLimits,
+        choice: &Choice,
+        now: Timestamp,
+    ) {
+        let is_in_time = choice.load < limits.in_time;
+        if !is_in_time {
             let mut core = self.shared.core.borrow_mut();
             if let Some((_, model)) = self.ordered_model(&core) {
                 self.model_admission(&mut core, model)
@@ -39,10 +50,7 @@
             }
         }
         if self.tried.is_empty() {
-            self.count_admission(match placement {
-                Placement::InTime => "in_time",
-                Placement::Overflow => "overflow",
-            });
+            self.count_admission(if is_in_time { "in_time" } else { "late" });
         }
     }
 
--- a/crates/geranium_entry/src/relay/host_selection.rs
+++ b/crates/geranium_entry/src/relay/host_selection.rs
@@ -53,18 +53,23 @@
         let choice = {
             let mut core = self.shared.core.borrow_mut();
             let core = &mut *core;
+            let max_running = self.max_running();
+            let limits = self.admission_limits(core, max_running, now);
             let criteria = DispatchCriteria {
-                in_time_limit: self.in_time_limit(core, now),
+                max_running: limits.map_or(max_running, |l| l.max_running),
                 ..self.dispatch_criteria(core)
             };
-            core.dispatcher
-                .choose(&core.directory, &criteria, now, &mut core.rng)?
+            let choice = core
+                .dispatcher
+                .choose(&core.directory, &criteria, now, &mut core.rng)?;
+            self.admission = limits;
+            choice
         };
         if let Some(cause) = self.retry_cause.take() {
             self.spend_retry(cause, now);
         }
-        if let Some(placement) = choice.placement {
-            self.record_placement(placement, now);
+        if let Some(limits) = self.admission {
+            self.record_admission(limits, &choice, now);
         }
         let metrics = &self.shared.metrics;
         if self.tried.is_empty() {
@@ -135,7 +140,6 @@
             cold_limit: core.cold_limit(&self.service, &self.shared.bounds.get()),
             entry_hosts: core.limit_divisor(),
             max_running: self.max_running(),
-            in_time_limit: None,
             request_time: self.request_time(),
         }
     }
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -65,7 +65,7 @@
         request = request.id(), route:% = request.route.name,
         account = request.account(), host:% = hop.id(), among = hop.candidates(), load = hop.load(),
         load_age_ms = hop.load_age().map(|d| d.as_millis() as u64), first_ms = took.as_millis() as u64,
-        in_time = hop.is_in_time(), in_time_limit = hop.in_time_limit(),
+        in_time_limit = request.admission.map(|l| l.in_time), priority = request.priority,
         objective_ms = request.route.objective.as_millis() as u64;
         "stream begins"
     );
--- a/crates/geranium_fleet/src/admission.rs
+++ b/crates/geranium_fleet/src/admission.rs
@@ -1,16 +1,15 @@
-//! Up to which load of a group a request counts as in time.
+//! Which requests are refused first when a model has less capacity than demand.
 //!
-//! When a model has less capacity than demand, not all requests can meet their objectives.
-//! Each entry host computes a bound for each request: the number of requests at a group below
-//! which this request still counts as in time. Requests below the bound are spread over the
-//! groups; the others share the group with the most requests, where they delay none that can
-//! be in time (see [`DispatchCriteria::in_time_limit`]).
+//! Requests are spread over all groups that are not full. A group is full for a request at a
+//! number of requests that depends on its priority and on the share of its client account, so
+//! that requests of lower priority and accounts above their share leave places free for the
+//! others. Apart from that, each request has a number of requests at a group below which it is
+//! expected to meet its objective; a model is contended while requests are sent above it.
 //!
 //! The state is local to an entry host and follows from its own requests within seconds.
-//!
-//! [`DispatchCriteria::in_time_limit`]: crate::dispatch::DispatchCriteria::in_time_limit
 
 mod account_share;
+mod admission_limits;
 mod admissions;
 mod bound_query;
 mod model_admission;
@@ -22,6 +21,7 @@
 use recent_requests::RecentRequests;
 use seen_priorities::SeenPriorities;
 
+pub use admission_limits::AdmissionLimits;
 pub use admissions::Admissions;
 pub use bound_query::BoundQuery;
 pub use model_admission::ModelAdmission;
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -1,6 +1,5 @@
 //! Selects the backend server for a request.
 
-mod candidate;
 mod candidate_counts;
 mod choice;
 mod cold_limit;
@@ -10,8 +9,6 @@
 mod no_host;
 mod own_registration;
 mod pause;
-mod placement;
-mod selection;
 mod sender_ranking;
 mod spreading;
 
@@ -21,23 +18,22 @@
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 use rand::Rng;
+use rand::seq::IteratorRandom;
 
 use crate::directory::Directory;
 use crate::host::{Host, HostId};
 use crate::server_limit::ServerLimits;
 
-use candidate::Candidate;
 use host_check::HostCheck;
 use host_stats::HostStats;
 use pause::Pause;
-use selection::{Selection, select};
+use spreading::pick_below_level;
 
 pub use candidate_counts::CandidateCounts;
 pub use choice::Choice;
 pub use cold_limit::ColdLimit;
 pub use criteria::DispatchCriteria;
 pub use no_host::NoHost;
-pub use placement::Placement;
 pub use sender_ranking::{REGISTRATION_LEASE, SenderRanking};
 
 /// How long a backend server that failed or stopped responding gets no new work while
@@ -50,6 +46,8 @@
 const SHARED_FABRIC_PENALTY: f64 = 12.0;
 /// Extra load, in requests, of a cold backend server.
 const COLD_PENALTY: f64 = 6.0;
+/// Maximum load above the least loaded backend server at which another one is a candidate.
+const CANDIDATE_MARGIN: f64 = 9.0;
 /// Weight of a new sample in the moving averages of failures and times.
 const SAMPLE_WEIGHT: f64 = 0.15;
 /// Extra load, in requests, at a failure rate of 1.
@@ -98,11 +96,7 @@
                 .or(preferred),
             preferred => preferred,
         };
-        let Selection {
-            host,
-            candidates,
-            placement,
-        } = picked?;
+        let (host, candidates) = picked?;
         self.limits.record_request(&host.id);
         let stats = self.stats.entry(host.id.clone()).or_default();
         stats.recent_requests.try_acquire(usize::MAX, now);
@@ -112,8 +106,6 @@
             host: host.clone(),
             candidates,
             load,
-            in_time_limit: criteria.in_time_limit,
-            placement,
             load_age: now.since(self.peers_updated_at),
         })
     }
@@ -127,8 +119,8 @@
         suspected: bool,
         now: Timestamp,
         rng: &mut impl Rng,
-    ) -> Result<Selection<'a>, NoHost> {
-        let mut candidates: Vec<Candidate<'a>> = Vec::new();
+    ) -> Result<(&'a Host, usize), NoHost> {
+        let mut candidates: Vec<(f64, &Host)> = Vec::new();
         let tried = criteria.tried.iter().filter_map(|id| directory.get(id));
         let tried_fabric_domains: Vec<&Arc<str>> =
             tried.filter_map(|h| h.fabric_domain.as_ref()).collect();
@@ -169,13 +161,16 @@
             } else {
                 0.0
             };
-            candidates.push(Candidate {
-                score: self.score(host, check.running, now) + fabric_penalty,
-                running: check.running,
-                host,
-            });
+            candidates.push((self.score(host, check.running, now) + fabric_penalty, host));
         }
-        select(candidates, criteria, rng).ok_or(reason)
+        let host = match criteria.unreported_fraction() {
+            Some(fraction) => {
+                let loads: Vec<f64> = candidates.iter().map(|(load, _)| *load).collect();
+                pick_below_level(&loads, fraction, rng).map(|i| candidates[i].1)
+            }
+            None => less_loaded_of_two(&candidates, rng),
+        };
+        Ok((host.ok_or(reason)?, candidates.len()))
     }
 
     /// Counts the backend servers that serve a request, and why they are not candidates.
@@ -342,6 +337,13 @@
         running.filter(|(_, n)| *n > 0)
     }
 
+    /// Returns the number of requests that all entry hosts run at a backend server, as far as
+    /// their reports are known.
+    #[must_use]
+    pub fn total_running(&self, id: &str) -> f64 {
+        self.stats.get(id).map_or(0.0, HostStats::total_running)
+    }
+
     /// Removes backend servers that are gone, run none of our requests and asked for no
     /// pause that would still apply if their entry came back.
     pub fn prune_removed(&mut self, directory: &Directory, now: Timestamp) {
@@ -367,3 +369,22 @@
         Some(model) => host.is_open_head() && host.model.as_deref() == Some(model),
     }
 }
+
+/// Returns the less loaded of two random backend servers whose load is close to the lowest.
+///
+/// The loads of other entry hosts are known with a delay, so that all entry hosts would
+/// otherwise send to the same least loaded server until they hear of it (M. Mitzenmacher,
+/// "The Power of Two Choices in Randomized Load Balancing", 2001).
+fn less_loaded_of_two<'a>(candidates: &[(f64, &'a Host)], rng: &mut impl Rng) -> Option<&'a Host> {
+    let least = candidates
+        .iter()
+        .map(|(load, _)| *load)
+        .fold(f64::MAX, f64::min);
+    let near = candidates
+        .iter()
+        .filter(|(load, _)| *load <= least + CANDIDATE_MARGIN);
+    let two = near.choose_multiple(rng, 2);
+    two.into_iter()
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, host)| *host)
+}
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -27,10 +27,12 @@
 //! | [`rate_limiter`] | limits shared by all entry hosts |
 //! | [`entry_host_view`] | the state of an entry host as shown to operators |
 //! | [`demand`] | the observed work of each model |
+//! | [`capacity`] | the shares of the models, by the demand over all entry hosts |
 
 pub mod admission;
 pub mod attempts;
 pub mod byte_budget;
+pub mod capacity;
 pub mod crash;
 mod decay;
 pub mod demand;
--- a/crates/geranium_fleet/src/planner/formation.rs
+++ b/crates/geranium_fleet/src/planner/formation.rs
@@ -4,6 +4,7 @@
 
 use geranium_core::time::Timestamp;
 
+use super::hold::HeldDomains;
 use super::state::FormedGroup;
 use super::view::{GroupView, by_domain};
 use super::{GroupPlanner, order_to};
@@ -43,6 +44,7 @@
         &mut self,
         hosts: &[&Host],
         directory: &Directory,
+        held: &HeldDomains,
         formation: &mut Formation<'_>,
         orders: &mut Vec<HostOrder>,
     ) {
@@ -59,11 +61,16 @@
             let awaited = awaited.get(*domain).map_or(&[][..], |a| a);
             loop {
                 let reserved = self.reclaims.get(*domain).map(|r| &r.model);
+                let is_allowed = |m: &ModelProfile| {
+                    let model = formation.profile.model_index(&m.name);
+                    let is_reserved = reserved.is_some_and(|r| *r != m.name);
+                    !is_reserved && model.is_some_and(|i| held.allow(domain, i, formation))
+                };
                 let best_with = |others: &[&Host]| {
                     best_model(formation, |m| {
                         let prepared =
                             self.count_prepared(free, m) + self.count_prepared(others, m);
-                        prepared >= m.group_size && reserved.is_none_or(|r| *r == m.name)
+                        prepared >= m.group_size && is_allowed(m)
                     })
                 };
                 let any = |m: &ModelProfile| !formation.has_traffic && free.len() >= m.group_size;
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -1,13 +1,14 @@
 //! The most commonly used types of this crate.
 
-pub use crate::admission::{Admissions, BoundQuery, ModelAdmission};
+pub use crate::admission::{AdmissionLimits, Admissions, BoundQuery, ModelAdmission};
 pub use crate::byte_budget::ByteBudget;
+pub use crate::capacity::{DemandShares, ModelDemand, ModelLoad, RequestMix};
 pub use crate::crash::{CrashSubject, CrashTracker};
 pub use crate::demand::DemandMeter;
 pub use crate::deployment::{Account, ClientLimits, Deployment};
 pub use crate::directory::Directory;
 pub use crate::dispatch::{
-    CandidateCounts, Choice, ColdLimit, DispatchCriteria, Dispatcher, NoHost, Placement,
+    CandidateCounts, Choice, ColdLimit, DispatchCriteria, Dispatcher, NoHost,
 };
 pub use crate::engine_profile::{EngineProfile, ModelProfile};
 pub use crate::first_token::FirstTokenEstimate;
