--- a/crates/geranium_entry/src/model_shares.rs
+++ b/crates/geranium_entry/src/model_shares.rs
@@ -1,7 +1,6 @@
 //! Shares of the models of each service, as the manager plans by them.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
@@ -144,14 +143,15 @@
     loads: &[ModelLoad],
     now: Timestamp,
 ) -> Vec<Option<ModelDemand>> {
-    // The part of the time to the first token that no load changes is not learned yet.
-    let fixed_delay = Duration::ZERO;
     let meter = core.demand.get(&service.name);
     let unknown = RequestMix::default();
     let models = engine.models.iter().zip(loads);
     models
         .map(|(model, load)| {
             let mix = meter.and_then(|m| m.mix(&model.name)).unwrap_or(&unknown);
+            let fixed_delay = core
+                .admissions
+                .first_token_delay(&service.name, &model.name);
             ModelDemand::estimate(engine, model, load, mix, fixed_delay, now)
         })
         .collect()
--- a/crates/geranium_fleet/src/admission/admissions.rs
+++ b/crates/geranium_fleet/src/admission/admissions.rs
@@ -1,6 +1,7 @@
 //! Admission to the groups of all models.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use geranium_core::collections::HashMap;
 
@@ -18,4 +19,13 @@
         let by_model = self.by_service.entry(service.clone()).or_default();
         by_model.entry(model.clone()).or_default()
     }
+
+    /// Returns the part of the time to a model's first token that does not depend on the load;
+    /// zero until it is learned.
+    #[must_use]
+    pub fn first_token_delay(&self, service: &str, model: &str) -> Duration {
+        let by_model = self.by_service.get(service);
+        let admission = by_model.and_then(|m| m.get(model));
+        admission.map_or(Duration::ZERO, ModelAdmission::first_token_delay)
+    }
 }
