--- a/crates/geranium_entry/src/relay/host_selection.rs
+++ b/crates/geranium_entry/src/relay/host_selection.rs
@@ -53,13 +53,24 @@
         let choice = {
             let mut core = self.shared.core.borrow_mut();
             let core = &mut *core;
-            let criteria = self.dispatch_criteria(core);
-            core.dispatcher
-                .choose(&core.directory, &criteria, now, &mut core.rng)?
+            let max_running = self.max_running();
+            let limits = self.admission_limits(core, max_running, now);
+            let criteria = DispatchCriteria {
+                max_running: limits.map_or(max_running, |l| l.max_running),
+                ..self.dispatch_criteria(core)
+            };
+            let choice = core
+                .dispatcher
+                .choose(&core.directory, &criteria, now, &mut core.rng)?;
+            self.admission = limits;
+            choice
         };
         if let Some(cause) = self.retry_cause.take() {
             self.spend_retry(cause, now);
         }
+        if let Some(limits) = self.admission {
+            self.record_admission(limits, &choice, now);
+        }
         let metrics = &self.shared.metrics;
         if self.tried.is_empty() {
             let wait = now.since(self.arrived);
@@ -108,7 +119,9 @@
         );
     }
 
-    fn count_candidates(&self, now: Timestamp) -> (CandidateCounts, f64) {
+    /// Counts the backend servers that serve the request and why they are not candidates;
+    /// also returns the number of requests at which one is full.
+    pub(super) fn count_candidates(&self, now: Timestamp) -> (CandidateCounts, f64) {
         let mut core = self.shared.core.borrow_mut();
         let core = &mut *core;
         let criteria = self.dispatch_criteria(core);
@@ -118,6 +131,7 @@
         (counts, criteria.max_running)
     }
 
+    /// Returns the requirements of the request, without a bound.
     fn dispatch_criteria(&self, core: &Core) -> DispatchCriteria<'_> {
         DispatchCriteria {
             service: &self.service.name,
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -317,14 +317,17 @@
         stats.pause = Some(Pause { incarnation, until });
     }
 
-    /// Sets the number of requests that the other entry hosts run at each backend server.
+    /// Sets the number of requests that the other entry hosts run at each backend server;
+    /// impossible numbers count as 0.
     pub fn set_peer_requests(&mut self, running: &HashMap<HostId, f64>, now: Timestamp) {
         self.peers_updated_at = now;
         for stats in self.stats.values_mut() {
             stats.peer_requests = 0.0;
         }
         for (id, running) in running {
-            self.stats.entry(id.clone()).or_default().peer_requests = *running;
+            let is_possible = running.is_finite() && *running >= 0.0;
+            let running = if is_possible { *running } else { 0.0 };
+            self.stats.entry(id.clone()).or_default().peer_requests = running;
         }
     }
 
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -1,5 +1,6 @@
 //! The most commonly used types of this crate.
 
+pub use crate::admission::{AdmissionLimits, Admissions, BoundQuery, ModelAdmission};
 pub use crate::byte_budget::ByteBudget;
 pub use crate::capacity::{DemandShares, ModelDemand, ModelLoad, RequestMix};
 pub use crate::crash::{CrashSubject, CrashTracker};
@@ -11,6 +12,7 @@
 };
 pub use crate::engine_profile::{EngineProfile, ModelProfile};
 pub use crate::first_token::FirstTokenEstimate;
+pub use crate::first_token_delay::FirstTokenDelay;
 pub use crate::forward_targets::{ForwardTarget, ForwardTargets};
 pub use crate::hidden_work::HiddenWork;
 pub use crate::host::{GroupState, Host, HostId, HostReport, HostState, Membership};
