--- a/crates/geranium_ctl/src/cli.rs
+++ b/crates/geranium_ctl/src/cli.rs
@@ -75,7 +75,9 @@
         // These commands don't call the operator interface, so they need no address or token.
         let offline = matches!(
             command,
-            Some(Command::HashKey | Command::ExplainLog(..) | Command::Beliefs(_))
+            Some(
+                Command::HashKey | Command::ExplainLog(..) | Command::Beliefs(_) | Command::Room(_)
+            )
         );
         if !offline && hosts.is_empty() {
             reader.record_missing(&HOSTS);
--- a/crates/geranium_ctl/src/cli/command.rs
+++ b/crates/geranium_ctl/src/cli/command.rs
@@ -61,6 +61,8 @@
     ExplainLog(String, String),
     /// Shows the routes, services and groups known to an entry host of the users' platform.
     Beliefs(String),
+    /// Shows the room at the groups of each model, known to an entry host of the users' platform.
+    Room(String),
     /// Hashes an account key.
     HashKey,
 }
@@ -124,6 +126,7 @@
             Command::ExplainLog(file, argument(reader, "ID")?)
         }
         "beliefs" => Command::Beliefs(argument(reader, "ADDRESS")?),
+        "room" => Command::Room(argument(reader, "ADDRESS")?),
         "hash-key" => Command::HashKey,
         other => {
             reader.record_conflict(format!(
--- a/crates/geranium_ctl/src/cli/specs.rs
+++ b/crates/geranium_ctl/src/cli/specs.rs
@@ -78,6 +78,8 @@
                            its log lines alone; FILE may be - for standard input
   beliefs ADDRESS          shows the routes, backend servers and groups known to a
                            geranium-entry; ADDRESS is its metrics address
+  room ADDRESS             shows the requests and slots of each model by failure domain,
+                           known to a geranium-entry; ADDRESS is its metrics address
   hash-key                 reads an account key from standard input and prints its hash
 
 record kinds: model, account, service, drain
--- a/crates/geranium_ctl/src/command/beliefs.rs
+++ b/crates/geranium_ctl/src/command/beliefs.rs
@@ -21,6 +21,21 @@
 ///
 /// Returns an error if the address is malformed or the call fails.
 pub async fn run(session: &Session<'_>, address: &str) -> Result<Exit, CtlError> {
+    let view = fetch(address).await?;
+    if session.invocation.json {
+        print_json(&view)?;
+    } else {
+        print(&view);
+    }
+    Ok(Exit::Done)
+}
+
+/// Fetches the view of the entry host with this metrics address.
+///
+/// # Errors
+///
+/// Returns an error if the address is malformed or the call fails.
+pub(super) async fn fetch(address: &str) -> Result<EntryHostView, CtlError> {
     let address: SocketAddr = address
         .parse()
         .map_err(|e| CtlError::Usage(format!("address {address:?} is not valid: {e}")))?;
@@ -28,12 +43,7 @@
     let req = HttpRequest::get(address, "/beliefs");
     let answer = client.send_json::<EntryHostView>(req, CALL_TIMEOUT).await;
     let (_, view) = answer.map_err(|e| CtlError::NoHost(e.to_string()))?;
-    if session.invocation.json {
-        print_json(&view)?;
-    } else {
-        print(&view);
-    }
-    Ok(Exit::Done)
+    Ok(view)
 }
 
 fn print(view: &EntryHostView) {
--- a/crates/geranium_ctl/src/command/mod.rs
+++ b/crates/geranium_ctl/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod explain_log;
 mod hash_key;
 mod records;
+mod room;
 mod session;
 mod status;
 mod timeline;
@@ -35,6 +36,7 @@
         }
         Command::ExplainLog(path, id) => explain_log::run(path, id),
         Command::Beliefs(address) => beliefs::run(&session, address).await,
+        Command::Room(address) => room::run(&session, address).await,
         Command::HashKey => hash_key::run(),
         Command::Validate(path) => apply::validate(&session, path).await,
         Command::Apply(path) => apply::apply(&session, path).await,
--- a/crates/geranium_ctl/tests/ctl/offline.rs
+++ b/crates/geranium_ctl/tests/ctl/offline.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Stdio};
 
 use geranium_core::record::hash_key;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::fixture::Tool;
 
@@ -250,17 +250,21 @@
     std::fs::remove_file(&file).expect("the log can be removed");
 }
 
-/// Starts a server that answers one `/beliefs` request and returns its address.
-fn start_entry_host_for_one_request() -> std::net::SocketAddr {
+/// Starts a server that answers one `/beliefs` request and returns its address. Without
+/// `room` it answers as older versions do.
+fn start_entry_host_for_one_request(room: Option<Value>) -> std::net::SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = listener.local_addr().expect("address is known");
-    let view = json!({"entry_host": "front-1", "manager": "front-2", "directory_age_ms": 120, "version": 7,
+    let mut view = json!({"entry_host": "front-1", "manager": "front-2", "directory_age_ms": 120, "version": 7,
         "cut_off_ms": 1500, "limited_servers": 2,
         "routes": [{"matches": "shop.example/chat/", "kind": "stream, resumable", "targets": "llm:1",
                     "timeout_ms": 8000, "attempts": 2, "priority": 1, "public": false}],
         "groups": [{"model": "m", "group": "g-1", "state": "open", "head": "i-1", "fabric_domain": "f"}],
-        "services": [{"service": "llm", "ready": 4, "leaving": 1, "cold": 0}]})
-    .to_string();
+        "services": [{"service": "llm", "ready": 4, "leaving": 1, "cold": 0}]});
+    if let Some(room) = room {
+        view["room"] = room;
+    }
+    let view = view.to_string();
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("the tool connects");
         let mut buf = [0; 4_096];
@@ -275,7 +279,7 @@
 
 #[test]
 fn beliefs_command_prints_routes_groups_and_services() {
-    let address = start_entry_host_for_one_request().to_string();
+    let address = start_entry_host_for_one_request(None).to_string();
     let tool = Tool::without_settings();
 
     let shown = tool.run(&["beliefs", &address]).expect_exit(0).to_owned();
@@ -297,3 +301,17 @@
         "{malformed:?}"
     );
 }
+
+#[test]
+fn room_command_prints_requests_and_slots_by_model() {
+    let room = json!([{"service": "llm", "model": "m", "failure_domain": "zone-a", "groups": 3,
+        "running": 77, "slots": 102, "full_groups": 1}]);
+    let address = start_entry_host_for_one_request(Some(room)).to_string();
+    let tool = Tool::without_settings();
+
+    let shown = tool.run(&["room", &address]).expect_exit(0).to_owned();
+
+    for part in ["zone-a", "77", "102"] {
+        assert!(shown.contains(part), "{part:?} is missing in\n{shown}");
+    }
+}
--- a/crates/geranium_entry/src/beliefs.rs
+++ b/crates/geranium_entry/src/beliefs.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use geranium_fleet::entry_host_view::{EntryHostView, GroupRow, RouteView, ServiceRow};
+use geranium_fleet::room::RoomRow;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::dialect::Dialect;
@@ -65,5 +66,6 @@
         routes: deployment.map(RouteView::all).unwrap_or_default(),
         groups: GroupRow::all(&core.directory),
         services: ServiceRow::all(&core.directory, now),
+        room: RoomRow::all(&core.directory, |id| core.dispatcher.total_running(id)),
     }
 }
--- a/crates/geranium_fleet/src/entry_host_view.rs
+++ b/crates/geranium_fleet/src/entry_host_view.rs
@@ -6,6 +6,7 @@
 use crate::deployment::Deployment;
 use crate::directory::Directory;
 use crate::host::{Host, HostState};
+use crate::room::RoomRow;
 use crate::route::{Route, RouteKind};
 
 /// Routes, groups and backend servers known to one entry host.
@@ -32,6 +33,9 @@
     pub groups: Vec<GroupRow>,
     /// Numbers of backend servers by service, ordered by service.
     pub services: Vec<ServiceRow>,
+    /// Room at the groups by model and failure domain; older versions do not state it.
+    #[serde(default)]
+    pub room: Vec<RoomRow>,
 }
 
 /// A route.
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -25,6 +25,7 @@
 //! | [`prompt_parts`] | the parts that prompts of different requests share |
 //! | [`silence`] | detection of groups that stopped answering while work waits there |
 //! | [`rate_limiter`] | limits shared by all entry hosts |
+//! | [`room`] | the room at the groups of a model as shown to operators |
 //! | [`entry_host_view`] | the state of an entry host as shown to operators |
 //! | [`demand`] | the observed work of each model |
 //! | [`capacity`] | the shares of the models, by the demand over all entry hosts |
@@ -55,6 +56,7 @@
 pub mod prompt_parts;
 pub mod rate_limiter;
 pub mod reach;
+pub mod room;
 pub mod route;
 pub mod route_table;
 pub mod server_limit;
