Wait longer for requests that find no slot before their group counts as silent

Cause: an entry host whose requests at a group all wait takes it for stopped after 0.7 s. At a group with a full batch the wait for a slot alone takes longer, so requests are moved from one full group to the next, their prompts are read again, and each move takes a group out of the choice for 2.5 s.

Ruled out: stopped groups.

Conclusion: while a group is known to have no slot, the predicted wait counts too. A group that stopped while full is still found by the streams that it had begun.

--- a/crates/geranium_entry/src/watchdog.rs
+++ b/crates/geranium_entry/src/watchdog.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use geranium_fleet::exchange::FULL_MESH_LIMIT;
+use geranium_fleet::first_token::FirstTokenEstimate;
 use geranium_fleet::host::HostId;
 use geranium_fleet::silence::SilenceThresholds;
 
@@ -32,6 +34,8 @@
         return Vec::new();
     };
     let services = &table.deployment().services;
+    // Each of many entry hosts has few requests at a group and often none that is being answered.
+    let has_many_entry_hosts = core.limit_divisor() > FULL_MESH_LIMIT;
     let mut silent = Vec::new();
     shared.running.for_each(|id, work| {
         let Some(host) = core.directory.get(id) else {
@@ -43,7 +47,12 @@
         };
         let model = host.model.as_deref().and_then(|m| engine.model(m));
         let time_factor = model.map_or(1.0, |m| m.time_factor);
-        let thresholds = SilenceThresholds::new(engine, time_factor);
+        let load = core.dispatcher.total_running(id);
+        let queue_wait = model
+            .filter(|_| has_many_entry_hosts)
+            .map(|m| FirstTokenEstimate::new(engine, m).queue_wait(load));
+        let thresholds = SilenceThresholds::new(engine, time_factor)
+            .with_queue_wait(queue_wait.unwrap_or_default());
         if thresholds.is_silent(
             &work.activity(),
             engine.prefill_tokens_per_s / time_factor,
--- a/crates/geranium_fleet/src/first_token.rs
+++ b/crates/geranium_fleet/src/first_token.rs
@@ -70,6 +70,19 @@
         running < f64::from(self.profile.slots)
     }
 
+    /// Returns the expected wait for the first event of a usual request that finds no slot at a
+    /// group that runs or queues `running` requests; zero while a slot is free.
+    #[must_use]
+    pub fn queue_wait(&self, running: f64) -> Duration {
+        if self.has_slot(running) {
+            return Duration::ZERO;
+        }
+        let slots = f64::from(self.profile.slots.max(1));
+        let queued = running - slots + 1.0;
+        let until_slot = self.request_time(slots).mul_f64(queued / slots);
+        until_slot + self.wait(slots, self.profile.mean_prompt_tokens)
+    }
+
     /// Returns the mean number of prompt tokens of a request.
     #[must_use]
     pub const fn mean_prompt_tokens(&self) -> f64 {
--- a/crates/geranium_fleet/src/silence.rs
+++ b/crates/geranium_fleet/src/silence.rs
@@ -13,6 +13,9 @@
 const MIN_SILENCE_MS: f64 = 350.0;
 /// Number of passes that a request may wait until its prefill starts.
 const MAX_WAITING_PASSES: f64 = 3.0;
+/// Safety factor on the predicted wait for a slot, as the known load of the group is older
+/// than the request.
+const QUEUE_WAIT_FACTOR: u32 = 2;
 /// Safety factor on the prefill time.
 const PREFILL_FACTOR: f64 = 2.0;
 
@@ -68,6 +71,17 @@
         }
     }
 
+    /// Adds the predicted wait of requests that find no slot. A group that runs as many requests
+    /// as it can leaves others without an event for longer, and moving them elsewhere would
+    /// only add to the load.
+    #[must_use]
+    pub fn with_queue_wait(self, wait: Duration) -> Self {
+        Self {
+            waiting: self.waiting + wait * QUEUE_WAIT_FACTOR,
+            ..self
+        }
+    }
+
     /// Returns whether a group has been silent for too long.
     #[must_use]
     pub fn is_silent(
--- a/crates/geranium_fleet/tests/signals.rs
+++ b/crates/geranium_fleet/tests/signals.rs
@@ -56,6 +56,30 @@
     assert!(!thresholds.is_silent(&waiting, engine.prefill_tokens_per_s, NOW));
 }
 
+/// Guards against requests that are moved from one full group to the next, which reads their
+/// prompts again everywhere and never lets the groups recover.
+#[test]
+fn requests_that_find_no_slot_wait_longer_before_the_group_counts_as_silent() {
+    let engine = profile(vec![model("m", 2, 1.0)]);
+    let estimate = FirstTokenEstimate::new(&engine, &engine.models[0]);
+    let slots = f64::from(engine.slots);
+    let is_silent = |load, activity: &GroupActivity| {
+        SilenceThresholds::new(&engine, 1.0)
+            .with_queue_wait(estimate.queue_wait(load))
+            .is_silent(activity, engine.prefill_tokens_per_s, NOW)
+    };
+
+    let waiting = activity(0, 1, 1_500);
+    let writing = activity(1, 0, 1_500);
+
+    assert!(is_silent(slots - 1.0, &waiting));
+    assert!(!is_silent(slots + 4.0, &waiting));
+    assert!(
+        is_silent(slots + 4.0, &writing),
+        "an answer was begun there"
+    );
+}
+
 #[test]
 fn shares_move_from_published_to_observed() {
     let engine = profile(vec![model("large", 4, 0.5), model("small", 2, 0.5)]);
