--- a/crates/geranium_ctl/tests/ctl/offline.rs
+++ b/crates/geranium_ctl/tests/ctl/offline.rs
@@ -148,7 +148,7 @@
 }
 
 /// Returns a log line of an entry host with a prefix added by a log collector.
-fn log_line(ms: u64, host: &str, message: &str, fields: serde_json::Value) -> String {
+fn log_line(ms: u64, host: &str, message: &str, fields: Value) -> String {
     let line = json!({"time_us": ms * 1_000, "level": "INFO", "target": "t", "host": host,
         "failure_domain": "a", "incarnation": 1, "message": message, "fields": fields});
     format!("  1.234 {host} {line}\n")
