--- a/crates/geranium_fleet/src/admission/model_admission.rs
+++ b/crates/geranium_fleet/src/admission/model_admission.rs
@@ -10,9 +10,6 @@
 use crate::first_token_delay::FirstTokenDelay;
 use crate::rate_limiter::RateLimiter;
 
-/// Fraction of the objective less the fixed delay that the expected wait may take, as the
-/// time to the first token varies around its expectation.
-const WAIT_FRACTION: f64 = 0.75;
 /// Percentage of the places that a request leaves free for each higher priority.
 const PRIORITY_RESERVE_PERCENT: u32 = 10;
 /// Percentage of the places that an account above its share leaves free for the others.
@@ -62,11 +59,11 @@
         max_running: f64,
         now: Timestamp,
     ) -> AdmissionLimits {
-        let wait = query.objective.saturating_sub(self.delay.get());
-        let prompt_tokens = known_prompt_tokens(query);
-        let in_time = query
-            .estimate
-            .max_running(prompt_tokens, wait.mul_f64(WAIT_FRACTION));
+        let in_time = query.estimate.max_running_in_time(
+            known_prompt_tokens(query),
+            query.objective,
+            self.delay.get(),
+        );
         let left = f64::from(100 - self.reserve_percent(query, now));
         AdmissionLimits {
             in_time: in_time.max(1.0),
--- a/crates/geranium_fleet/src/capacity/model_demand.rs
+++ b/crates/geranium_fleet/src/capacity/model_demand.rs
@@ -8,10 +8,6 @@
 use crate::engine_profile::{EngineProfile, ModelProfile};
 use crate::first_token::FirstTokenEstimate;
 
-/// Fraction of the objective, less the fixed delay, that a request may wait at its group. The
-/// rest is a margin for requests that come together.
-const WAIT_FRACTION: f64 = 0.75;
-
 /// Demand for one model and the capacity that serves it in time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ModelDemand {
@@ -43,8 +39,8 @@
         let max_running = mix.objective(now).map_or_else(
             || f64::from(profile.slots),
             |objective| {
-                let limit = objective.saturating_sub(fixed_delay).mul_f64(WAIT_FRACTION);
-                estimate.max_running(profile.mean_prompt_tokens, limit)
+                let prompt_tokens = profile.mean_prompt_tokens;
+                estimate.max_running_in_time(prompt_tokens, objective, fixed_delay)
             },
         );
         let max_running = max_running.max(1.0);
--- a/crates/geranium_fleet/src/capacity/request_mix.rs
+++ b/crates/geranium_fleet/src/capacity/request_mix.rs
@@ -4,6 +4,7 @@
 
 use geranium_core::time::Timestamp;
 
+use crate::decay::Decay;
 use crate::engine_profile::EngineProfile;
 
 /// Time after which a past request counts half. One of many entry hosts sees a request for a
@@ -19,13 +20,25 @@
 const MAX_TOKENS: f64 = 10_000_000.0;
 
 /// Means of the requests for one model that an entry host received, with exponential decay.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RequestMix {
     requests: f64,
     prompt_tokens: f64,
     output_tokens: f64,
     objectives: Vec<(Duration, Timestamp)>,
-    decayed_at: Timestamp,
+    decay: Decay,
+}
+
+impl Default for RequestMix {
+    fn default() -> Self {
+        Self {
+            requests: 0.0,
+            prompt_tokens: 0.0,
+            output_tokens: 0.0,
+            objectives: Vec::new(),
+            decay: Decay::new(HALF_LIFE),
+        }
+    }
 }
 
 impl RequestMix {
@@ -67,12 +80,12 @@
     }
 
     fn decay(&mut self, now: Timestamp) {
-        let elapsed = now.since(self.decayed_at);
-        let factor = 0.5_f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        let Some(factor) = self.decay.factor(now) else {
+            return;
+        };
         self.requests *= factor;
         self.prompt_tokens *= factor;
         self.output_tokens *= factor;
-        self.decayed_at = self.decayed_at.max(now);
     }
 
     /// Returns the tightest objective of the routes that were seen recently.
--- a/crates/geranium_fleet/src/first_token.rs
+++ b/crates/geranium_fleet/src/first_token.rs
@@ -7,6 +7,9 @@
 /// Passes from the arrival of a request to its first event: the rest of the running pass and
 /// the one that reads its prompt, with the steps of the first event.
 const PASSES_TO_FIRST_EVENT: f64 = 2.4;
+/// Fraction of the objective less the fixed delay that the expected wait may take. The rest is a
+/// margin for requests that come together and for prompts of unequal sizes.
+const IN_TIME_FRACTION: f64 = 0.75;
 /// Maximum fraction of the time that prefill is assumed to take. The waits grow without bound
 /// towards 1, where the estimate means nothing any more.
 const MAX_PREFILL_FRACTION: f64 = 0.9;
@@ -64,6 +67,21 @@
         most.map_or(0.0, f64::from)
     }
 
+    /// Returns the number of requests at a group up to which a request with `prompt_tokens` is
+    /// expected to meet its objective; 0 if even an idle group takes longer.
+    ///
+    /// `fixed_delay` is the part of the time to the first token that no load changes.
+    #[must_use]
+    pub fn max_running_in_time(
+        &self,
+        prompt_tokens: f64,
+        objective: Duration,
+        fixed_delay: Duration,
+    ) -> f64 {
+        let limit = objective.saturating_sub(fixed_delay);
+        self.max_running(prompt_tokens, limit.mul_f64(IN_TIME_FRACTION))
+    }
+
     /// Returns whether a group that runs `running` requests has a slot for another one.
     #[must_use]
     pub fn has_slot(&self, running: f64) -> bool {
