Admission: count full groups as the request sees them, rank before shares

Cause (found in review): a refused request counted groups against the whole limit instead of its own, so that Retry-After was too long by the number of groups and the log line showed no full group; a burst of one account made all others count as small and lifted their priority reserve; resumed streams left places free as well; the penalties of the choice counted as requests when the unreported part was estimated.

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -10,7 +10,6 @@
 use futures::stream::FuturesUnordered;
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
-use geranium_fleet::exchange::FULL_MESH_LIMIT;
 use geranium_fleet::host::{HostId, HostReport};
 use geranium_fleet::order::{HostOrder, OrderAnswer};
 use geranium_fleet::planner::{GroupPlanner, PlannerSettings};
@@ -175,7 +174,7 @@
                 };
                 let meter = core.demand.entry(service.name.clone()).or_default();
                 let traffic = meter.requests() > 0 || !self.shared.cfg.first_start;
-                let has_many_entry_hosts = core.limit_divisor() > FULL_MESH_LIMIT;
+                let has_many_entry_hosts = core.has_many_entry_hosts();
                 let shares = self.model_shares.borrow_mut().update(
                     &mut core,
                     service,
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -25,7 +25,7 @@
     registry: Arc<Registry>,
     /// Requests by kind and outcome; the outcome of a refused request is the refusal reason.
     pub(crate) outcomes: Family<OutcomeLabels, Counter>,
-    /// Requests for models that are ordered by priority or account, by decision and priority.
+    /// Requests for models with admission by priority or account, by decision and priority.
     pub(crate) admissions: Family<AdmissionLabels, Counter>,
     /// Attempts at backend servers by outcome.
     pub(crate) attempts: Family<CauseLabel, Counter>,
--- a/crates/geranium_entry/src/relay/active_request.rs
+++ b/crates/geranium_entry/src/relay/active_request.rs
@@ -73,7 +73,7 @@
     pub(super) origin: Origin,
     /// Key of the client account, if it has one.
     pub(super) account_key: Option<HeaderValue>,
-    /// Limits at the groups of its model when it was last sent, if requests for it are ordered.
+    /// Limits at the groups of its model at the last attempt, if admission is enabled.
     pub(super) admission: Option<AdmissionLimits>,
     /// State of the attempts so far.
     pub(super) attempts: Attempts,
@@ -282,7 +282,7 @@
         Refusal {
             reason,
             request_id: Some(self.request_id.clone()),
-            retry_after: self.retry_after(reason),
+            retry_after: reason.retry_after(self.shared.now()),
             kind: self.kind_name(),
         }
     }
--- a/crates/geranium_entry/src/relay/admission.rs
+++ b/crates/geranium_entry/src/relay/admission.rs
@@ -3,51 +3,49 @@
 use std::time::Duration;
 
 use geranium_core::time::Timestamp;
-use geranium_fleet::admission::{AdmissionLimits, BoundQuery, ModelAdmission, PlaceWait};
-use geranium_fleet::dispatch::{Choice, NoHost};
+use geranium_fleet::admission::{AdmissionLimits, AdmissionQuery, ModelAdmission, PlaceWait};
+use geranium_fleet::dispatch::{CandidateCounts, Choice};
 use geranium_fleet::engine_profile::{EngineProfile, ModelProfile};
-use geranium_fleet::exchange::FULL_MESH_LIMIT;
 use geranium_fleet::first_token::FirstTokenEstimate;
 
 use super::active_request::ActiveRequest;
 use super::next_hop::NextHop;
-use super::refusal::RefusalReason;
 use crate::dialect::Dialect;
 use crate::metrics::AdmissionLabels;
 use crate::state::Core;
 
 impl<D: Dialect> ActiveRequest<D> {
-    /// Returns the limits of the request at the groups of its model, or `None` if the
-    /// configuration orders no requests for the model.
+    /// Returns the limits of the request at the groups of its model, or `None` if admission is
+    /// not enabled for the model.
     pub(super) fn admission_limits(
         &self,
         core: &mut Core,
-        max_running: f64,
         now: Timestamp,
     ) -> Option<AdmissionLimits> {
-        let (engine, model) = self.ordered_model(core)?;
-        let query = self.bound_query(engine, model);
+        let (engine, model) = self.admission_model(core)?;
+        let query = self.admission_query(engine, model);
         let admission = self.model_admission(core, model);
         if self.tried.is_empty() {
             admission.record_request(&query, now);
         }
-        Some(admission.limits(&query, max_running, now))
+        let max_running = self.max_running();
+        let mut limits = admission.limits(&query, max_running, now);
+        if self.attempts.may_have_run() {
+            // An answer that was begun is not given up for requests that may come.
+            limits.max_running = max_running;
+        }
+        Some(limits)
     }
 
     /// Records at which load an attempt was admitted.
-    pub(super) fn record_admission(
-        &self,
-        limits: AdmissionLimits,
-        choice: &Choice,
-        now: Timestamp,
-    ) {
+    pub(super) fn record_admission(&self, core: &mut Core, choice: &Choice, now: Timestamp) {
+        let model = self.admission_model(core).map(|(_, model)| model);
+        let (Some(limits), Some(model)) = (self.admission, model) else {
+            return;
+        };
         let is_in_time = choice.load < limits.in_time;
         if !is_in_time {
-            let mut core = self.shared.core.borrow_mut();
-            if let Some((_, model)) = self.ordered_model(&core) {
-                self.model_admission(&mut core, model)
-                    .record_contention(now);
-            }
+            self.model_admission(core, model).record_contention(now);
         }
         if self.tried.is_empty() {
             self.count_admission(if is_in_time { "in_time" } else { "late" });
@@ -61,28 +59,21 @@
             return;
         };
         let mut core = self.shared.core.borrow_mut();
-        if let Some((engine, model)) = self.ordered_model(&core) {
-            let query = self.bound_query(engine, model);
+        if let Some((engine, model)) = self.admission_model(&core) {
+            let query = self.admission_query(engine, model);
             self.model_admission(&mut core, model)
                 .record_first_token(&query, running, took);
         }
     }
 
-    /// Returns the time after which a retry by the caller may succeed, if ever.
-    pub(super) fn retry_after(&self, reason: RefusalReason) -> Option<Duration> {
+    /// Records a refusal because all groups are full, and returns when to come back if admission
+    /// is enabled for the model.
+    pub(super) fn record_full(&self, counts: CandidateCounts) -> Option<Duration> {
         let now = self.shared.now();
-        let full = reason == RefusalReason::NoHost(NoHost::Full);
-        let until_place = if full { self.place_wait(now) } else { None };
-        until_place.or_else(|| reason.retry_after(now))
-    }
-
-    /// Records a refusal because all groups are full, and returns when to come back.
-    fn place_wait(&self, now: Timestamp) -> Option<Duration> {
         let time_left = self.remaining_time();
-        let (counts, _) = self.count_candidates(now);
         let mut core = self.shared.core.borrow_mut();
         let core = &mut *core;
-        let (engine, model) = self.ordered_model(core)?;
+        let (engine, model) = self.admission_model(core)?;
         let wait = PlaceWait {
             groups: counts.full,
             entry_hosts: core.limit_divisor(),
@@ -92,16 +83,16 @@
         Some(wait.retry_after(engine, model, time_left, &mut core.rng))
     }
 
-    /// Returns the engine and the model of the request, if requests for it are ordered by
-    /// priority or account and the loads of its groups take the way through leaders.
-    fn ordered_model(&self, core: &Core) -> Option<(&EngineProfile, &ModelProfile)> {
+    /// Returns the engine and the model of the request, if the configuration has priorities or
+    /// accounts to admit its requests by and reports of loads pass through leaders.
+    fn admission_model(&self, core: &Core) -> Option<(&EngineProfile, &ModelProfile)> {
         let engine = self.service.engine.as_ref()?;
         let model = engine.model(self.model.as_deref()?)?;
         let table = core.route_table.as_ref()?;
-        let is_ordered = table.deployment().accounts.is_some()
+        let has_classes = table.deployment().accounts.is_some()
             || table.has_differing_priorities(&self.service.name);
         let is_enabled =
-            is_ordered && !self.route.objective.is_zero() && core.limit_divisor() > FULL_MESH_LIMIT;
+            has_classes && !self.route.objective.is_zero() && core.has_many_entry_hosts();
         is_enabled.then_some((engine, model))
     }
 
@@ -113,12 +104,12 @@
         core.admissions.model(&self.service.name, &model.name)
     }
 
-    fn bound_query<'a>(
+    fn admission_query<'a>(
         &'a self,
         engine: &'a EngineProfile,
         model: &'a ModelProfile,
-    ) -> BoundQuery<'a> {
-        BoundQuery {
+    ) -> AdmissionQuery<'a> {
+        AdmissionQuery {
             estimate: FirstTokenEstimate::new(engine, model),
             account: self.account().unwrap_or_default(),
             priority: self.priority,
--- a/crates/geranium_entry/src/relay/host_selection.rs
+++ b/crates/geranium_entry/src/relay/host_selection.rs
@@ -51,26 +51,19 @@
     fn select_host(&mut self) -> Result<SelectedHop<D>, NoHost> {
         let now = self.shared.now();
         let choice = {
-            let mut core = self.shared.core.borrow_mut();
-            let core = &mut *core;
-            let max_running = self.max_running();
-            let limits = self.admission_limits(core, max_running, now);
-            let criteria = DispatchCriteria {
-                max_running: limits.map_or(max_running, |l| l.max_running),
-                ..self.dispatch_criteria(core)
-            };
+            let shared = self.shared.clone();
+            let core = &mut *shared.core.borrow_mut();
+            self.admission = self.admission_limits(core, now);
+            let criteria = self.dispatch_criteria(core);
             let choice = core
                 .dispatcher
                 .choose(&core.directory, &criteria, now, &mut core.rng)?;
-            self.admission = limits;
+            self.record_admission(core, &choice, now);
             choice
         };
         if let Some(cause) = self.retry_cause.take() {
             self.spend_retry(cause, now);
         }
-        if let Some(limits) = self.admission {
-            self.record_admission(limits, &choice, now);
-        }
         let metrics = &self.shared.metrics;
         if self.tried.is_empty() {
             let wait = now.since(self.arrived);
@@ -108,30 +101,26 @@
     }
 
     /// Logs why no backend server was selected.
-    pub(super) fn log_no_host(&self, why: NoHost) {
+    pub(super) fn log_no_host(&self, why: NoHost, counts: CandidateCounts) {
         let now = self.shared.now();
-        let (counts, most_running) = self.count_candidates(now);
         log::info!(
             request = self.id(), route:% = self.route.name,
-            account = self.account(), model = self.model.as_deref(), why = why.as_str(), left_out:? = counts, most_running = most_running,
+            account = self.account(), model = self.model.as_deref(), why = why.as_str(), left_out:? = counts, most_running = self.full_at(),
             directory_age_ms = now.since(self.shared.last_store_contact.get()).as_millis() as u64;
             "no backend server takes the request"
         );
     }
 
-    /// Counts the backend servers that serve the request and why they are not candidates;
-    /// also returns the number of requests at which one is full.
-    pub(super) fn count_candidates(&self, now: Timestamp) -> (CandidateCounts, f64) {
+    /// Counts the backend servers that serve the request and why they are not candidates.
+    pub(super) fn count_candidates(&self) -> CandidateCounts {
+        let now = self.shared.now();
         let mut core = self.shared.core.borrow_mut();
         let core = &mut *core;
         let criteria = self.dispatch_criteria(core);
-        let counts = core
-            .dispatcher
-            .count_candidates(&core.directory, &criteria, now);
-        (counts, criteria.max_running)
+        core.dispatcher
+            .count_candidates(&core.directory, &criteria, now)
     }
 
-    /// Returns the requirements of the request, without a bound.
     fn dispatch_criteria(&self, core: &Core) -> DispatchCriteria<'_> {
         DispatchCriteria {
             service: &self.service.name,
@@ -139,7 +128,7 @@
             tried: &self.tried,
             cold_limit: core.cold_limit(&self.service, &self.shared.bounds.get()),
             entry_hosts: core.limit_divisor(),
-            max_running: self.max_running(),
+            max_running: self.full_at(),
             request_time: self.request_time(),
         }
     }
@@ -153,9 +142,15 @@
         Some(FirstTokenEstimate::new(engine, model).request_time(half_full))
     }
 
+    /// Returns the number of requests at which a backend server is full for this request.
+    fn full_at(&self) -> f64 {
+        self.admission
+            .map_or_else(|| self.max_running(), |l| l.max_running)
+    }
+
     /// Returns the number of requests at one backend server up to which the latency objective
     /// can still be met.
-    fn max_running(&self) -> f64 {
+    pub(super) fn max_running(&self) -> f64 {
         let Some(engine) = &self.service.engine else {
             // The backend server resets connections above its limit.
             return f64::from(self.service.max_connections) * MAX_CONNECTIONS_FRACTION;
--- a/crates/geranium_entry/src/relay/retry.rs
+++ b/crates/geranium_entry/src/relay/retry.rs
@@ -77,13 +77,18 @@
 
     /// Returns the refusal of a request for which no backend server can be selected.
     pub(super) fn no_host_refusal(&self, why: NoHost) -> Refusal {
-        self.log_no_host(why);
+        let counts = self.count_candidates();
+        self.log_no_host(why, counts);
         let reason = if self.attempts.may_have_run() {
             RefusalReason::BackendFailed
         } else {
             RefusalReason::NoHost(why)
         };
-        self.refusal(reason)
+        let mut refusal = self.refusal(reason);
+        if reason == RefusalReason::NoHost(NoHost::Full) {
+            refusal.retry_after = self.record_full(counts).or(refusal.retry_after);
+        }
+        refusal
     }
 
     /// Returns the refusal reason after a failure that is not retried.
--- a/crates/geranium_entry/src/relay/stream.rs
+++ b/crates/geranium_entry/src/relay/stream.rs
@@ -303,7 +303,8 @@
                 Ok(chosen) => chosen,
                 Err(why) => {
                     if first_report {
-                        self.request.log_no_host(why);
+                        let counts = self.request.count_candidates();
+                        self.request.log_no_host(why, counts);
                     }
                     return false;
                 }
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -17,7 +17,7 @@
 use geranium_fleet::demand::DemandMeter;
 use geranium_fleet::directory::Directory;
 use geranium_fleet::dispatch::{ColdLimit, Dispatcher};
-use geranium_fleet::exchange::Peer;
+use geranium_fleet::exchange::{FULL_MESH_LIMIT, Peer};
 use geranium_fleet::forward_targets::ForwardTargets;
 use geranium_fleet::host::{HostId, HostReport};
 use geranium_fleet::rate_limiter::limit_per_entry_host;
@@ -67,7 +67,7 @@
     pub(crate) directory: Directory,
     /// Selects backend servers.
     pub(crate) dispatcher: Dispatcher,
-    /// Recent requests by service and model, for the order among them.
+    /// Recent requests by service and model, for admission.
     pub(crate) admissions: Admissions,
     /// Observed demand by service.
     pub(crate) demand: HashMap<Arc<str>, DemandMeter>,
@@ -97,6 +97,12 @@
         self.max_entry_hosts.max(self.entry_hosts.len()).max(1)
     }
 
+    /// Returns whether there are more entry hosts than a full mesh has, so that reports of loads
+    /// pass through leaders. As the limits, this does not change back while some are gone.
+    pub(crate) fn has_many_entry_hosts(&self) -> bool {
+        self.limit_divisor() > FULL_MESH_LIMIT
+    }
+
     /// Records the registration of an entry host, or with `None` its end; returns whether the
     /// entry host is new or gone.
     pub(crate) fn record_entry_host(
--- a/crates/geranium_entry/src/watchdog.rs
+++ b/crates/geranium_entry/src/watchdog.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use geranium_fleet::exchange::FULL_MESH_LIMIT;
 use geranium_fleet::first_token::FirstTokenEstimate;
 use geranium_fleet::host::HostId;
 use geranium_fleet::silence::SilenceThresholds;
@@ -34,8 +33,9 @@
         return Vec::new();
     };
     let services = &table.deployment().services;
-    // Each of many entry hosts has few requests at a group and often none that is being answered.
-    let has_many_entry_hosts = core.limit_divisor() > FULL_MESH_LIMIT;
+    // Each of many entry hosts often has only waiting requests at a group, and these may be
+    // queued.
+    let has_many_entry_hosts = core.has_many_entry_hosts();
     let mut silent = Vec::new();
     shared.running.for_each(|id, work| {
         let Some(host) = core.directory.get(id) else {
--- a/crates/geranium_fleet/examples/admission_time.rs
+++ b/crates/geranium_fleet/examples/admission_time.rs
@@ -78,7 +78,7 @@
     let mut rng = SmallRng::seed_from_u64(1);
     let began = Instant::now();
     for account in accounts.iter().cycle().take(DECISIONS as usize) {
-        let query = BoundQuery {
+        let query = AdmissionQuery {
             estimate: FirstTokenEstimate::new(&profile, &profile.models[0]),
             account,
             priority: 1,
--- a/crates/geranium_fleet/src/admission.rs
+++ b/crates/geranium_fleet/src/admission.rs
@@ -1,4 +1,4 @@
-//! Which requests are refused first when a model has less capacity than demand.
+//! Limits on the load of a group for a request, by its priority and client account.
 //!
 //! Requests are spread over all groups that are not full. A group is full for a request at a
 //! number of requests that depends on its priority and on the share of its client account, so
@@ -8,22 +8,20 @@
 //!
 //! The state is local to an entry host and follows from its own requests within seconds.
 
-mod account_share;
 mod admission_limits;
+mod admission_query;
 mod admissions;
-mod bound_query;
 mod model_admission;
 mod place_wait;
 mod recent_requests;
 mod seen_priorities;
 
-use account_share::AccountShare;
 use recent_requests::RecentRequests;
 use seen_priorities::SeenPriorities;
 
 pub use admission_limits::AdmissionLimits;
+pub use admission_query::AdmissionQuery;
 pub use admissions::Admissions;
-pub use bound_query::BoundQuery;
 pub use model_admission::ModelAdmission;
 pub use place_wait::PlaceWait;
 
--- a/crates/geranium_fleet/src/admission/admission_limits.rs
+++ b/crates/geranium_fleet/src/admission/admission_limits.rs
@@ -1,4 +1,4 @@
-//! Loads of a group up to which a request is in time and is taken at all.
+//! Numbers of requests at a group at which a further one is late or finds the group full.
 
 /// Numbers of requests at a group, over all entry hosts, that limit a further request.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/geranium_fleet/src/admission/bound_query.rs
+++ b/crates/geranium_fleet/src/admission/admission_query.rs
@@ -1,12 +1,12 @@
-//! What the bound of a request follows from.
+//! The properties of a request that its limits depend on.
 
 use std::time::Duration;
 
 use crate::first_token::FirstTokenEstimate;
 
-/// A request whose bound is computed.
+/// A request whose limits at the groups of its model are computed.
 #[derive(Clone, Copy, Debug)]
-pub struct BoundQuery<'a> {
+pub struct AdmissionQuery<'a> {
     /// Prediction of waits at the groups of the model.
     pub estimate: FirstTokenEstimate<'a>,
     /// Client account; empty for callers without one.
--- a/crates/geranium_fleet/src/admission/place_wait.rs
+++ b/crates/geranium_fleet/src/admission/place_wait.rs
@@ -1,4 +1,4 @@
-//! When a caller should come back after all groups were full.
+//! The time to wait after a refusal because all groups are full.
 
 use std::ops::Range;
 use std::time::Duration;
--- a/crates/geranium_fleet/src/admission/recent_requests.rs
+++ b/crates/geranium_fleet/src/admission/recent_requests.rs
@@ -6,7 +6,6 @@
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
 
-use super::AccountShare;
 use crate::decay::Decay;
 
 /// Time after which past requests count half.
@@ -17,8 +16,6 @@
 const MIN_ACTIVE_REQUESTS: f64 = 0.25;
 /// Multiple of the mean of the active accounts above which an account exceeds its share.
 const EXCESS_FACTOR: f64 = 2.0;
-/// Fraction of the mean below which an account is never put behind others.
-const LOW_FACTOR: f64 = 0.25;
 
 /// Decaying counts of the requests for one model, by client account.
 #[derive(Clone, Debug)]
@@ -50,18 +47,13 @@
         self.counts.insert(account.into(), 1.0);
     }
 
-    /// Returns how an account's requests compare to the mean of the active accounts.
-    pub(super) fn share(&self, account: &str) -> AccountShare {
+    /// Returns whether an account has so many more requests than the mean of the active accounts
+    /// that it exceeds its share.
+    pub(super) fn exceeds_share(&self, account: &str) -> bool {
         let total: f64 = self.counts.values().sum();
         let mean = total / self.counts.len().max(1) as f64;
         let own = self.counts.get(account).copied().unwrap_or(0.0);
-        if own > mean * EXCESS_FACTOR {
-            AccountShare::Excess
-        } else if own < mean * LOW_FACTOR {
-            AccountShare::Low
-        } else {
-            AccountShare::Fair
-        }
+        own > mean * EXCESS_FACTOR
     }
 
     fn decay(&mut self, now: Timestamp) {
--- a/crates/geranium_fleet/src/dispatch.rs
+++ b/crates/geranium_fleet/src/dispatch.rs
@@ -125,6 +125,7 @@
         let tried_fabric_domains: Vec<&Arc<str>> =
             tried.filter_map(|h| h.fabric_domain.as_ref()).collect();
         let mut reason = NoHost::None;
+        let mut running = 0.0;
         for host in directory.hosts() {
             if !serves(directory, host, criteria, now) {
                 continue;
@@ -161,12 +162,13 @@
             } else {
                 0.0
             };
+            running += check.running;
             candidates.push((self.score(host, check.running, now) + fabric_penalty, host));
         }
         let host = match criteria.unreported_fraction() {
             Some(fraction) => {
                 let loads: Vec<f64> = candidates.iter().map(|(load, _)| *load).collect();
-                pick_below_level(&loads, fraction, rng).map(|i| candidates[i].1)
+                pick_below_level(&loads, running * fraction, rng).map(|i| candidates[i].1)
             }
             None => less_loaded_of_two(&candidates, rng),
         };
--- a/crates/geranium_fleet/src/dispatch/criteria.rs
+++ b/crates/geranium_fleet/src/dispatch/criteria.rs
@@ -17,7 +17,8 @@
     pub tried: &'a [HostId],
     /// Limits on the requests per second of this entry host.
     pub cold_limit: Option<ColdLimit>,
-    /// Number of entry hosts that share a limit that a backend server names.
+    /// Number of entry hosts, which share limits that backend servers name; loads of more than
+    /// a full mesh are spread by their unreported part.
     pub entry_hosts: usize,
     /// Number of requests, over all entry hosts, at which a backend server is full.
     pub max_running: f64,
@@ -27,9 +28,9 @@
 
 impl DispatchCriteria<'_> {
     /// Returns the number of requests that no report shows yet, relative to those known, if
-    /// the reports take the way through leaders and the mean time of a request is known.
+    /// reports pass through leaders and the mean time of a request is known.
     ///
-    /// In a full mesh the reports are recent enough for a choice of the lighter of two.
+    /// In a full mesh, reports are recent enough to choose the less loaded of two.
     pub(super) fn unreported_fraction(&self) -> Option<f64> {
         let request_time = self
             .request_time
--- a/crates/geranium_fleet/src/dispatch/spreading.rs
+++ b/crates/geranium_fleet/src/dispatch/spreading.rs
@@ -10,18 +10,16 @@
 ///
 /// All entry hosts see the same loads and send during the same report delay. A server that
 /// looks idle would get the requests of all of them until the first report, so each candidate
-/// gets only its part of the unreported requests: the one that lifts it to a level common to
-/// all (water-filling). `unreported_fraction` is the number of unreported requests relative
-/// to the known load.
+/// gets only its part of the `unreported` requests: the one that lifts it to a level common to
+/// all (water-filling).
 ///
 /// Returns the index of the candidate, or `None` if there is none.
 pub(super) fn pick_below_level(
     loads: &[f64],
-    unreported_fraction: f64,
+    unreported: f64,
     rng: &mut impl Rng,
 ) -> Option<usize> {
-    let known: f64 = loads.iter().sum();
-    let unreported = (known * unreported_fraction).max(MIN_UNREPORTED);
+    let unreported = unreported.max(MIN_UNREPORTED);
     let level = common_level(loads, unreported);
     let mut point = rng.random::<f64>() * unreported;
     for (i, load) in loads.iter().enumerate() {
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -12,7 +12,7 @@
 //! | [`dispatch`] | selection of the backend server for a request |
 //! | [`first_token`] | the time to the first token at a group, by its load |
 //! | [`first_token_delay`] | the part of that time that does not depend on the load |
-//! | [`admission`] | up to which load of a group a request counts as in time |
+//! | [`admission`] | at which load a group is full for a request, by priority and account |
 //! | [`exchange`] | which entry hosts report to which others |
 //! | [`peer_load`] | the load caused by other entry hosts |
 //! | [`attempts`] | whether a failed attempt may be retried |
