Demand: record no impossible token counts

A NaN, infinite, negative or far too large number of tokens was left out of the mix of requests but entered the work of the model. A NaN never decays, so the shares of the service were lost for good. The numbers are now checked before anything is counted.

The new test failed before the change (the requests were counted) and passes with it.

--- a/crates/geranium_entry/src/relay/active_request.rs
+++ b/crates/geranium_entry/src/relay/active_request.rs
@@ -256,7 +256,7 @@
             let objective = self.route.objective;
             let prompt_tokens = self.prompt_tokens;
             if !meter.record(engine, model, prompt_tokens, answer_tokens, objective, now) {
-                log::info!(request = self.id(), prompt_tokens = prompt_tokens, answer_tokens = answer_tokens; "ignoring absurd sizes in the mix of requests");
+                log::debug!("impossible token counts of a request are ignored");
             }
         }
     }
--- a/crates/geranium_fleet/src/capacity/request_mix.rs
+++ b/crates/geranium_fleet/src/capacity/request_mix.rs
@@ -16,7 +16,7 @@
 const OBJECTIVE_RETENTION: Duration = Duration::from_secs(120);
 /// Maximum number of distinct objectives that are kept.
 const MAX_OBJECTIVES: usize = 16;
-/// Number of tokens above which the size of a request is absurd.
+/// Number of tokens above which the size of a request is impossible.
 const MAX_TOKENS: f64 = 10_000_000.0;
 
 /// Means of the requests for one model that an entry host received, with exponential decay.
@@ -45,7 +45,7 @@
     /// Records a request with its tokens and the objective of its route; a zero objective stands
     /// for none.
     ///
-    /// Returns `false` and records nothing if a number of tokens is absurd.
+    /// Returns `false` and records nothing if a number of tokens is impossible.
     pub fn record(
         &mut self,
         prompt_tokens: f64,
@@ -53,8 +53,7 @@
         objective: Duration,
         now: Timestamp,
     ) -> bool {
-        let plausible = 0.0..=MAX_TOKENS;
-        if !plausible.contains(&prompt_tokens) || !plausible.contains(&output_tokens) {
+        if !Self::are_possible(prompt_tokens, output_tokens) {
             return false;
         }
         self.decay(now);
@@ -65,6 +64,12 @@
         true
     }
 
+    /// Returns whether a request may have these numbers of tokens.
+    pub(crate) fn are_possible(prompt_tokens: f64, output_tokens: f64) -> bool {
+        let possible = 0.0..=MAX_TOKENS;
+        possible.contains(&prompt_tokens) && possible.contains(&output_tokens)
+    }
+
     fn record_objective(&mut self, objective: Duration, now: Timestamp) {
         if objective.is_zero() {
             return;
--- a/crates/geranium_fleet/src/demand.rs
+++ b/crates/geranium_fleet/src/demand.rs
@@ -37,8 +37,8 @@
     /// Records a request for a model with its prompt and output tokens and the objective of its
     /// route.
     ///
-    /// Returns `false` if a number of tokens is absurd; the request then has no part in the mix
-    /// of requests.
+    /// Returns `false` and records nothing if a number of tokens is impossible. A request for a
+    /// model that is not in the profile is not recorded either, but returns `true`.
     pub fn record(
         &mut self,
         profile: &EngineProfile,
@@ -51,6 +51,9 @@
         let Some(model) = profile.model(model) else {
             return true;
         };
+        if !RequestMix::are_possible(prompt_tokens, output_tokens) {
+            return false;
+        }
         self.decay(now);
         self.requests += 1;
         let work = profile.work_ms(prompt_tokens, output_tokens)
--- a/crates/geranium_fleet/tests/signals.rs
+++ b/crates/geranium_fleet/tests/signals.rs
@@ -95,3 +95,19 @@
     assert!(after[1] > 0.9, "{after:?}");
     assert!((after[0] + after[1] - 1.0).abs() < 1e-9);
 }
+
+/// Guards against a request with an impossible number of tokens that spoils the shares for good:
+/// a NaN never decays.
+#[test]
+fn impossible_token_counts_are_not_recorded() {
+    let engine = profile(vec![model("large", 4, 0.5), model("small", 2, 0.5)]);
+    let mut meter = DemandMeter::default();
+
+    for tokens in [f64::NAN, f64::INFINITY, -1.0, 1e9] {
+        assert!(!meter.record(&engine, "small", tokens, 150.0, Duration::ZERO, NOW));
+        assert!(!meter.record(&engine, "small", 1_000.0, tokens, Duration::ZERO, NOW));
+    }
+
+    assert_eq!(meter.requests(), 0);
+    assert_eq!(meter.shares(&engine, 60_000.0), [0.5, 0.5]);
+}
