Peer loads: add reports without overflow

The sums of u32 reports of other entry hosts overflowed on impossible numbers: a panic in debug builds, a small load in release builds. Saturating addition keeps the server full. The new test panicked with an overflow before the change.

--- a/crates/geranium_fleet/src/peer_load.rs
+++ b/crates/geranium_fleet/src/peer_load.rs
@@ -139,13 +139,14 @@
     }
 }
 
-/// Adds up requests by backend server.
+/// Adds up requests by backend server; a sum too large for the type becomes its maximum.
 fn sum_by_host<'a>(
     loads: impl IntoIterator<Item = &'a RunningRequests>,
 ) -> HashMap<&'a HostId, u32> {
     let mut sums = HashMap::default();
     for (id, running) in loads.into_iter().flatten() {
-        *sums.entry(id).or_default() += running;
+        let sum: &mut u32 = sums.entry(id).or_default();
+        *sum = sum.saturating_add(*running);
     }
     sums
 }
--- /dev/null
+++ b/crates/geranium_fleet/tests/peer_load.rs
@@ -0,0 +1,20 @@
+//! Tests of the sums of load reports.
+
+use geranium_core::time::Timestamp;
+use geranium_fleet::peer_load::{PeerLoads, RunningRequests};
+
+const NOW: Timestamp = Timestamp::from_millis(1_000_000);
+
+/// Guards against a report with an impossible number of requests that stops an entry host by
+/// an overflow, or that makes a full server look empty.
+#[test]
+fn the_sum_of_impossible_loads_does_not_overflow() {
+    let impossible: RunningRequests = vec![("a".into(), u32::MAX)];
+    let mut loads = PeerLoads::default();
+    loads.record_report(1, impossible.clone(), NOW);
+    loads.record_report(2, vec![("a".into(), 5)], NOW);
+
+    let sum = loads.domain_sum(&vec![("a".into(), 1)], NOW);
+
+    assert_eq!(sum.running, impossible);
+}
