Planner: reserve loads only for hosts that load before

A quarter of the concurrent loads was kept from members of models below their share also when no other host was waiting for a load, so that it stayed unused. The reserve now applies while a host of a lower rank is a candidate; hosts in a failure domain that is out of service load last and reserve nothing. The ranks are an ordered enum instead of numbers.

The planner tests (repair, safety, standby) pass.

--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -9,6 +9,7 @@
 mod formation;
 pub mod guard;
 mod hold;
+mod load_rank;
 mod reclaim;
 mod reconcile;
 mod spares;
--- /dev/null
+++ b/crates/geranium_fleet/src/planner/load_rank.rs
@@ -0,0 +1,19 @@
+//! Order in which hosts load weights.
+
+/// Rank of a host that could load weights; a lower one loads sooner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum LoadRank {
+    /// Never ran a model and holds no weights.
+    Unused,
+    /// Another host without a group.
+    Spare,
+    /// Member of a group whose model is above its share; would load the weights of a model
+    /// below its share.
+    Donor,
+    /// Another member of a group.
+    Member,
+    /// Member of a group whose model is below its share.
+    BelowShare,
+    /// In a failure domain that is out of service.
+    OutOfService,
+}
--- a/crates/geranium_fleet/src/planner/staging.rs
+++ b/crates/geranium_fleet/src/planner/staging.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::formation::{Formation, MUST_LOAD, best_model};
+use super::load_rank::LoadRank;
 use super::spares::SpareHosts;
 use super::state::Staging;
 use super::{GroupPlanner, order_to};
@@ -11,15 +12,6 @@
 use crate::host::{GroupState, Host};
 use crate::order::{HostOrder, OrderKind};
 
-/// Rank of a member of a group whose model is above its share and that would load the weights
-/// of a model below its share.
-const DONOR: u8 = 2;
-/// Rank of the other members of groups.
-const MEMBER: u8 = 3;
-/// Rank of a member of a group whose model is below its share.
-const BELOW_SHARE: u8 = 4;
-/// Rank of a host in a failure domain that is out of service.
-const OUT_OF_SERVICE: u8 = 5;
 /// Members of a model below its share leave this part of the concurrent loads to others.
 const RESERVED_LOADS_DIVISOR: usize = 4;
 
@@ -34,7 +26,8 @@
     ///
     /// If models below their share are favoured, members of groups follow in this order: those
     /// that load weights of a model below its share beside one above it, then the others.
-    /// Members of a model below its share leave part of the concurrent loads to all others.
+    /// Members of a model below its share leave part of the concurrent loads to those before
+    /// them, if there are any.
     pub(super) fn stage(
         &mut self,
         hosts: &[&Host],
@@ -44,26 +37,31 @@
     ) {
         let now = formation.now;
         let mut running_loads = 0;
-        let mut candidates: Vec<(u8, &Host)> = Vec::new();
+        let mut candidates: Vec<(LoadRank, &Host)> = Vec::new();
         for host in hosts.iter().copied() {
             if self.staging_model(host, formation.profile, now).is_some() {
                 running_loads += 1;
             } else if self.can_load_other_weights(host, directory, formation)
                 && !orders.iter().any(|o| o.host == host.id)
             {
-                candidates.push((self.load_priority(host, directory, formation), host));
+                candidates.push((self.load_rank(host, directory, formation), host));
             }
         }
         let mut spares = self.count_spares(hosts, &candidates, formation);
-        candidates.sort_by_cached_key(|(priority, host)| {
+        candidates.sort_by_cached_key(|(rank, host)| {
             let domain = host.fabric_domain.clone();
             let missing = domain.as_ref().map(|d| spares.missing(d, formation));
-            (*priority, missing, domain, host.id.clone())
+            (*rank, missing, domain, host.id.clone())
         });
         let max_loads = formation.profile.max_concurrent_loads;
-        let reserved_loads = max_loads.div_ceil(RESERVED_LOADS_DIVISOR);
-        for (priority, host) in candidates {
-            if priority == BELOW_SHARE && running_loads + reserved_loads >= max_loads {
+        let has_others = candidates.iter().any(|(r, _)| *r < LoadRank::BelowShare);
+        let reserved_loads = if has_others {
+            max_loads.div_ceil(RESERVED_LOADS_DIVISOR)
+        } else {
+            0
+        };
+        for (rank, host) in candidates {
+            if rank == LoadRank::BelowShare && running_loads + reserved_loads >= max_loads {
                 continue;
             }
             if formation.has_traffic && running_loads >= max_loads {
@@ -118,7 +116,7 @@
     fn count_spares(
         &self,
         hosts: &[&Host],
-        candidates: &[(u8, &Host)],
+        candidates: &[(LoadRank, &Host)],
         formation: &Formation<'_>,
     ) -> SpareHosts {
         let profile = formation.profile;
@@ -179,35 +177,35 @@
         !others.any(|m| host.has_staged(&m.name))
     }
 
-    /// Returns the rank in which hosts load; lower is sooner.
-    fn load_priority(&self, host: &Host, directory: &Directory, formation: &Formation<'_>) -> u8 {
+    /// Returns the rank of a host that could load weights.
+    fn load_rank(&self, host: &Host, directory: &Directory, formation: &Formation<'_>) -> LoadRank {
         if directory.is_domain_out(&host.failure_domain) {
-            OUT_OF_SERVICE
+            LoadRank::OutOfService
         } else if self.last_model(host).is_none() && host.staged.is_empty() {
-            0
+            LoadRank::Unused
         } else if host.membership.is_none() {
-            1
+            LoadRank::Spare
         } else {
-            self.member_load_priority(host, formation)
+            self.member_load_rank(host, formation)
         }
     }
 
     /// Returns the rank of a member of a group.
-    fn member_load_priority(&self, host: &Host, formation: &Formation<'_>) -> u8 {
+    fn member_load_rank(&self, host: &Host, formation: &Formation<'_>) -> LoadRank {
         let own = self.last_model(host).or(host.model.as_ref());
         let own = own.and_then(|m| formation.profile.model_index(m));
         let Some(own) = own.filter(|_| self.favours_deficits && formation.has_traffic) else {
-            return MEMBER;
+            return LoadRank::Member;
         };
         if formation.deficits[own] > 0.0 {
-            return BELOW_SHARE;
+            return LoadRank::BelowShare;
         }
         let name = &formation.profile.models[own].name;
         let other = best_model(formation, |m| m.name != *name);
         if other.is_some_and(|i| formation.deficits[i] > 0.0) {
-            DONOR
+            LoadRank::Donor
         } else {
-            MEMBER
+            LoadRank::Member
         }
     }
 
