Planner: shorter hold functions and clearer comments

hold_domains computed candidates, limits and state in one body of about 60 lines. It is split into functions for one step each; decisions stay the same. Comments of standby groups and of the wait for a standby host say what the code does.

The planner tests (repair, safety, standby) pass.

--- a/crates/geranium_fleet/src/planner/formation.rs
+++ b/crates/geranium_fleet/src/planner/formation.rs
@@ -74,12 +74,14 @@
                     })
                 };
                 let any = |m: &ModelProfile| !formation.has_traffic && free.len() >= m.group_size;
-                let model = best_with(&[]);
-                // Another model would take the hosts that a standby host is about to complete.
-                if best_with(awaited) != model {
+                let best_now = best_with(&[]);
+                let best_soon = best_with(awaited);
+                // A standby host will soon allow a group of a model with a larger deficit, so
+                // the hosts are kept for it.
+                if best_soon != best_now {
                     break;
                 }
-                let model = model.or_else(|| best_model(formation, any));
+                let model = best_now.or_else(|| best_model(formation, any));
                 let Some(i) = model else {
                     break;
                 };
--- a/crates/geranium_fleet/src/planner/hold.rs
+++ b/crates/geranium_fleet/src/planner/hold.rs
@@ -19,7 +19,8 @@
 use crate::host::{GroupState, Host};
 use crate::order::OrderKind;
 
-/// Maximum time for which the free hosts of a fabric domain are kept.
+/// Maximum time for which the free hosts of a fabric domain are kept. An expected host may be
+/// lost, and the others must not stay idle for it.
 const HOLD_TIMEOUT: Duration = Duration::from_secs(6);
 
 /// Fabric domains whose free hosts go only to a model far below its share.
@@ -51,7 +52,6 @@
         directory: &Directory,
         formation: &Formation<'_>,
     ) -> HeldDomains {
-        let now = formation.now;
         let largest = self.largest_deficit(formation);
         let Some((receiver, relative_deficit)) =
             largest.filter(|_| self.favours_deficits && formation.has_traffic)
@@ -59,51 +59,88 @@
             self.holds.clear();
             return HeldDomains::default();
         };
+        let mut waiting: Vec<(usize, &Arc<str>)> = by_domain(hosts)
+            .into_iter()
+            .filter(|(_, members)| !members.iter().any(|h| is_out(h, directory)))
+            .filter_map(|(domain, members)| {
+                let missing = self.awaited_hosts(
+                    (domain, &members),
+                    views,
+                    directory,
+                    (receiver, relative_deficit),
+                    formation,
+                )?;
+                Some((missing, domain))
+            })
+            .collect();
+        waiting.sort();
+        waiting.truncate(self.lacking_groups(receiver, formation));
+        self.update_holds(&waiting, formation.now);
+        HeldDomains {
+            domains: self.current_holds(formation.now),
+            min_relative_deficit: relative_deficit * MAX_DONOR_DEFICIT_RATIO,
+        }
+    }
+
+    /// Returns how many hosts a fabric domain lacks for a group of the receiving model, if they
+    /// are expected to become available soon.
+    fn awaited_hosts(
+        &self,
+        (domain, members): (&Arc<str>, &[&Host]),
+        views: &[GroupView<'_>],
+        directory: &Directory,
+        (receiver, relative_deficit): (usize, f64),
+        formation: &Formation<'_>,
+    ) -> Option<usize> {
+        if self.reclaims.contains_key(domain) {
+            return None;
+        }
         let model = &formation.profile.models[receiver];
-        let mut waiting: Vec<(usize, &Arc<str>)> = Vec::new();
-        for (domain, members) in by_domain(hosts) {
-            let is_out = |h: &&Host| directory.is_domain_out(&h.failure_domain);
-            if self.reclaims.contains_key(domain) || members.iter().any(is_out) {
-                continue;
-            }
-            let (free, others): (Vec<&Host>, Vec<&Host>) = members
-                .iter()
-                .partition(|h| self.is_free(h, directory, now));
-            let missing = model
-                .group_size
-                .saturating_sub(self.count_prepared(&free, model));
-            if missing == 0 || missing == model.group_size {
-                continue;
-            }
-            let expected = self.count_expected(&free, &others, directory, model, formation);
-            // Only the limit on concurrent reclaims keeps these donors from giving up hosts now.
-            let has_donors = || {
-                self.find_donors(domain, views, missing, model, relative_deficit, formation)
-                    .is_some()
-            };
-            if expected >= missing || has_donors() {
-                waiting.push((missing, domain));
-            }
+        let (free, others): (Vec<&Host>, Vec<&Host>) = members
+            .iter()
+            .partition(|h| self.is_free(h, directory, formation.now));
+        let prepared = self.count_prepared(&free, model);
+        let missing = model.group_size.saturating_sub(prepared);
+        if missing == 0 || missing == model.group_size {
+            return None;
         }
-        waiting.sort();
-        let lacking = formation.deficits[receiver] / model.group_size as f64;
-        let reclaimed = self.reclaims.values().filter(|r| r.model == model.name);
-        let lacking = (lacking.ceil().max(0.0) as usize).saturating_sub(reclaimed.count());
-        waiting.truncate(lacking);
+        let expected = self.count_expected(&free, &others, directory, model, formation);
+        // Only the limit on concurrent reclaims keeps these donors from giving up hosts now.
+        let has_donors = || {
+            self.find_donors(domain, views, missing, model, relative_deficit, formation)
+                .is_some()
+        };
+        (expected >= missing || has_donors()).then_some(missing)
+    }
+
+    /// Returns how many groups a model lacks besides those that reclaims in progress complete.
+    fn lacking_groups(&self, model: usize, formation: &Formation<'_>) -> usize {
+        let profile = &formation.profile.models[model];
+        let lacking = formation.deficits[model] / profile.group_size as f64;
+        let reclaims = self.reclaims.values();
+        let reclaimed = reclaims.filter(|r| r.model == profile.name).count();
+        (lacking.ceil().max(0.0) as usize).saturating_sub(reclaimed)
+    }
+
+    /// Records since when the fabric domains have been waiting for hosts.
+    fn update_holds(&mut self, waiting: &[(usize, &Arc<str>)], now: Timestamp) {
         // A reclaim does not restart the time for which hosts are kept.
         let reclaims = &self.reclaims;
         self.holds
             .retain(|d, _| reclaims.contains_key(d) || waiting.iter().any(|(_, w)| *w == d));
-        for (_, domain) in &waiting {
+        for (_, domain) in waiting {
             self.holds.entry((*domain).clone()).or_insert(now);
         }
+    }
+
+    /// Returns the fabric domains whose free hosts are kept now.
+    fn current_holds(&self, now: Timestamp) -> HashSet<Arc<str>> {
         let is_recent = |at: &Timestamp| now.since(*at) < HOLD_TIMEOUT;
-        let held = self.holds.iter();
-        let held = held.filter(|(d, at)| is_recent(at) && !self.reclaims.contains_key(*d));
-        HeldDomains {
-            domains: held.map(|(domain, _)| domain.clone()).collect(),
-            min_relative_deficit: relative_deficit * MAX_DONOR_DEFICIT_RATIO,
-        }
+        let held = self
+            .holds
+            .iter()
+            .filter(|(d, at)| is_recent(at) && !self.reclaims.contains_key(*d));
+        held.map(|(domain, _)| domain.clone()).collect()
     }
 
     /// Counts the hosts that will soon be able to join a group of a model: free ones that load
@@ -149,3 +186,7 @@
             || guard::is_group_over(&membership.group, head.membership.as_ref())
     }
 }
+
+fn is_out(host: &Host, directory: &Directory) -> bool {
+    directory.is_domain_out(&host.failure_domain)
+}
--- a/crates/geranium_fleet/src/planner/standby.rs
+++ b/crates/geranium_fleet/src/planner/standby.rs
@@ -1,4 +1,4 @@
-//! Lets hosts without a group join once in advance, so that a later join takes 0.2 s.
+//! Lets hosts without a group join once in advance, so that a later join needs no warm-up.
 //!
 //! Such a host joins a group with itself as the only member and leaves it as soon as it is
 //! ready. The planner keeps nothing about these standby groups: it recognises them, also
@@ -21,7 +21,7 @@
 /// Maximum number of hosts of a fabric domain that are in standby groups at the same time.
 const MAX_CONCURRENT_PER_DOMAIN: usize = 2;
 /// Time after which a host that is still joining a standby group is ordered to leave it. A
-/// join from staged weights takes less, so the host loads them.
+/// host that takes longer is loading weights.
 const STANDBY_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Models of the groups of one fabric domain, as indexes into the profile.
@@ -125,8 +125,8 @@
         }
     }
 
-    /// Returns whether a group has a single member that does not serve although the model
-    /// needs more, and was not formed here to serve.
+    /// Returns whether a group is a standby group: its only member is the head, joining or
+    /// ready, its model has larger groups, and this manager did not form it to serve.
     fn is_standby_group(&self, view: &GroupView<'_>, profile: &EngineProfile) -> bool {
         let head = view.head().filter(|_| view.members.len() == 1);
         let state = head.and_then(|h| h.membership.as_ref()).map(|m| m.state);
