Planner: keep the standby switch in one place

PlannerSettings held a value that was overwritten before each plan, as entry hosts may register after the planner was created. Only the setter remains.

The tests of the planner (safety, standby) and of order counts pass.

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -144,7 +144,7 @@
         });
     }
 
-    fn settings(&self, index: usize, standby: bool) -> PlannerSettings {
+    fn settings(&self, index: usize) -> PlannerSettings {
         PlannerSettings {
             nonce: format!(
                 "{}-{:x}-{index}",
@@ -152,7 +152,6 @@
                 self.elected_at.as_millis()
             ),
             load_window: self.shared.bounds.get().load_window,
-            standby,
         }
     }
 
@@ -183,9 +182,9 @@
                     &self.shared.metrics,
                     now,
                 );
-                let planner = planners.entry(service.name.clone()).or_insert_with(|| {
-                    GroupPlanner::new(self.settings(i, has_many_entry_hosts), now)
-                });
+                let planner = planners
+                    .entry(service.name.clone())
+                    .or_insert_with(|| GroupPlanner::new(self.settings(i), now));
                 // Entry hosts may register after the planner was created.
                 planner.set_favours_deficits(has_many_entry_hosts);
                 planner.set_standby(has_many_entry_hosts);
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -70,8 +70,6 @@
     pub nonce: String,
     /// Window of the rate limit on loads from the weight store.
     pub load_window: Duration,
-    /// Whether hosts without a group join once in advance, so that a later join is faster.
-    pub standby: bool,
 }
 
 /// Forms, opens and dissolves the groups of one service.
@@ -98,6 +96,7 @@
     load_limiter: RateLimiter,
     /// Standby groups that hosts reported in the last plan.
     standby_groups: HashSet<Arc<str>>,
+    standby: bool,
     standby_paused: bool,
 }
 
@@ -126,6 +125,7 @@
             hosts_to_query: HashMap::default(),
             load_limiter,
             standby_groups: HashSet::default(),
+            standby: false,
             standby_paused: false,
         }
     }
--- a/crates/geranium_fleet/src/planner/standby.rs
+++ b/crates/geranium_fleet/src/planner/standby.rs
@@ -35,8 +35,8 @@
 
 impl GroupPlanner {
     /// Sets whether hosts without a group are prepared by standby joins.
-    pub fn set_standby(&mut self, standby: bool) {
-        self.settings.standby = standby;
+    pub const fn set_standby(&mut self, standby: bool) {
+        self.standby = standby;
     }
 
     /// Stops or resumes new standby joins. They have to pause while the store cannot be
@@ -98,7 +98,7 @@
         formation: &Formation<'_>,
         orders: &mut Vec<HostOrder>,
     ) {
-        if !self.settings.standby || self.standby_paused {
+        if !self.standby || self.standby_paused {
             return;
         }
         let models = self.models_by_domain(views, formation);
@@ -132,7 +132,7 @@
         let state = head.and_then(|h| h.membership.as_ref()).map(|m| m.state);
         let is_closed = matches!(state, Some(GroupState::Joining | GroupState::Ready));
         let model = view.model().and_then(|m| profile.model(m));
-        self.settings.standby
+        self.standby
             && is_closed
             && !self.formed_groups.contains_key(&view.group)
             && model.is_none_or(|m| m.group_size > 1)
--- a/crates/geranium_fleet/tests/order_counts.rs
+++ b/crates/geranium_fleet/tests/order_counts.rs
@@ -210,7 +210,6 @@
         PlannerSettings {
             nonce: "m".into(),
             load_window: Duration::from_secs(5),
-            standby: false,
         },
         start,
     );
--- a/crates/geranium_fleet/tests/simulation/mod.rs
+++ b/crates/geranium_fleet/tests/simulation/mod.rs
@@ -496,7 +496,6 @@
     let settings = PlannerSettings {
         nonce: nonce.into(),
         load_window: Duration::from_secs(5),
-        standby: false,
     };
     GroupPlanner::new(settings, now)
 }
