Manager: reset the gauges of hosts without a group when the role ends

The numbers of standby and stranded hosts stayed at their last value on an entry host that was no longer the manager. They are now cleared with the shares; setting and clearing moved to the metrics.

No test covers the end of the role; clippy passes.

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -17,7 +17,7 @@
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
-use crate::metrics::{CauseLabel, ModelLabel, gauge};
+use crate::metrics::CauseLabel;
 use crate::model_shares::ModelShares;
 use crate::peers::PeerLink;
 use crate::state::SharedState;
@@ -68,8 +68,7 @@
                 _ = elected.changed() => break,
             }
         }
-        shared.metrics.model_share.clear();
-        shared.metrics.model_hosts_needed.clear();
+        shared.metrics.clear_manager_gauges();
         log::info!("this entry host is no longer the manager of the groups");
     }
 }
@@ -197,16 +196,8 @@
                     traffic,
                     now,
                 );
-                let stranded = core.directory.stranded(&service.name);
-                self.shared.metrics.stranded.set(gauge(stranded));
-                for model in &engine.models {
-                    let standby = core.directory.standby(&service.name, &model.name);
-                    let label = ModelLabel {
-                        model: model.name.to_string(),
-                    };
-                    let hosts = self.shared.metrics.standby.get_or_create(&label);
-                    hosts.set(gauge(standby));
-                }
+                let metrics = &self.shared.metrics;
+                metrics.set_hosts_without_group(&core.directory, &service.name, engine);
                 pending_orders.extend(orders.into_iter().map(|o| (service.name.clone(), o)));
                 for stale in planner.take_hosts_to_query(now) {
                     self.query_order_count(stale);
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use geranium_fleet::directory::Directory;
+use geranium_fleet::engine_profile::EngineProfile;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -91,6 +93,31 @@
 }
 
 impl Metrics {
+    /// Sets the numbers of hosts of a service that are in no group.
+    pub(crate) fn set_hosts_without_group(
+        &self,
+        directory: &Directory,
+        service: &str,
+        engine: &EngineProfile,
+    ) {
+        self.stranded.set(gauge(directory.stranded(service)));
+        for model in &engine.models {
+            let label = ModelLabel {
+                model: model.name.to_string(),
+            };
+            let hosts = directory.standby(service, &model.name);
+            self.standby.get_or_create(&label).set(gauge(hosts));
+        }
+    }
+
+    /// Removes the values that only the manager of the groups knows.
+    pub(crate) fn clear_manager_gauges(&self) {
+        self.model_share.clear();
+        self.model_hosts_needed.clear();
+        self.standby.clear();
+        self.stranded.set(0);
+    }
+
     /// Counts an attempt that was answered, `took` after its request arrived or was sent.
     pub(crate) fn record_first_answer(&self, took: Duration) {
         self.record_attempt("answered");
