Sender ranking: keep ranks until the entry hosts change

Each decision hashed the names of all entry hosts for each cold server. The rank is now kept by server until the list or the lease time changes, or an entry host that is gone stops counting.

--- a/crates/geranium_fleet/src/dispatch/sender_ranking.rs
+++ b/crates/geranium_fleet/src/dispatch/sender_ranking.rs
@@ -1,5 +1,8 @@
 //! Which entry hosts may send to a backend server that takes few requests.
 
+mod rank_cache;
+
+use std::cell::RefCell;
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,10 +12,10 @@
 use rustc_hash::FxHasher;
 
 use super::own_registration::OwnRegistration;
+use rank_cache::RankCache;
 
 /// Shortest lease of a registration. Until it expires, other entry hosts share limits with
-/// a failed entry host and send reports to it. A shorter lease needs more renewals, which
-/// are priced for each entry host.
+/// a failed entry host and send reports to it. Renewals are calls to the store.
 pub const REGISTRATION_LEASE: Duration = Duration::from_secs(6);
 /// Time beyond the lease before an entry host takes the place of another one. It covers the
 /// second in which requests are counted, their way to the server and differing clock rates.
@@ -36,6 +39,7 @@
     listed_since: Option<Timestamp>,
     /// Time as of which the list is known to be complete.
     list_confirmed_at: Timestamp,
+    ranks: RefCell<RankCache>,
 }
 
 impl SenderRanking {
@@ -48,12 +52,14 @@
             registration: None,
             listed_since: None,
             list_confirmed_at: Timestamp::default(),
+            ranks: RefCell::default(),
         }
     }
 
     /// Sets the names of all registered entry hosts. Those that are missing still count for
     /// the lease time and a margin.
     pub fn set_entry_hosts(&mut self, names: impl IntoIterator<Item = String>, now: Timestamp) {
+        // Marks all as gone first; those still listed are reset below.
         for gone_at in self.entry_hosts.values_mut() {
             gone_at.get_or_insert(now);
         }
@@ -65,6 +71,7 @@
             .retain(|_, gone_at| gone_at.is_none_or(|at| now.since(at) < settling_time));
         let is_listed = self.entry_hosts.get(&*self.own_name) == Some(&None);
         self.listed_since = is_listed.then(|| self.listed_since.unwrap_or(now));
+        self.ranks.get_mut().clear();
     }
 
     /// Records that the list contained all changes of the store at a time.
@@ -81,6 +88,7 @@
         now: Timestamp,
     ) {
         self.lease_time = lease_time;
+        self.ranks.get_mut().clear();
         self.registration = Some(OwnRegistration {
             registered_at: now,
             renewed_at: lease_requested_at,
@@ -102,6 +110,17 @@
 
     /// Returns whether this entry host is one of the first `max_senders` for a backend server.
     pub(super) fn is_sender(&self, id: &str, max_senders: usize, now: Timestamp) -> bool {
+        let mut ranks = self.ranks.borrow_mut();
+        let rank = ranks.get(id, now).unwrap_or_else(|| {
+            let rank = self.rank(id, now);
+            ranks.insert(id, rank, self.ranks_valid_until(now), now);
+            rank
+        });
+        rank < max_senders
+    }
+
+    /// Returns how many entry hosts are ranked before this one for a backend server.
+    fn rank(&self, id: &str, now: Timestamp) -> usize {
         let weight = |name: &str| {
             let mut hasher = FxHasher::default();
             (name, id).hash(&mut hasher);
@@ -113,7 +132,15 @@
             |gone_at: &Option<Timestamp>| gone_at.is_none_or(|at| now.since(at) < settling_time);
         let counted = self.entry_hosts.iter().filter(|(_, gone)| counts(gone));
         let ranked_before = counted.filter(|(name, _)| weight(name) > own);
-        ranked_before.count() < max_senders
+        ranked_before.count()
+    }
+
+    /// Returns when the next entry host that is gone stops counting.
+    fn ranks_valid_until(&self, now: Timestamp) -> Timestamp {
+        let gone = self.entry_hosts.values().flatten();
+        let ends = gone.map(|at| *at + self.settling_time());
+        let next = ends.filter(|end| *end > now).min();
+        next.unwrap_or(Timestamp(u64::MAX))
     }
 
     /// Returns whether this entry host may send to a backend server that is cold; without
