geraniumctl room: fail if the entry host does not state its room

An older entry host sends no room, which was shown as an empty table, as if no model had a group. The field is now optional, and its absence is an error.

The offline tests of the tool pass, among them the new one.

--- a/crates/geranium_ctl/src/command/room.rs
+++ b/crates/geranium_ctl/src/command/room.rs
@@ -13,13 +13,14 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the address is malformed or the call fails.
+/// Returns an error if the address is malformed, the call fails or the entry host is too old.
 pub async fn run(session: &Session<'_>, address: &str) -> Result<Exit, CtlError> {
     let view = beliefs::fetch(address).await?;
+    let room = view.room.ok_or(CtlError::RoomNotStated)?;
     if session.invocation.json {
-        print_json(&view.room)?;
+        print_json(&room)?;
     } else {
-        print(&view.room);
+        print(&room);
     }
     Ok(Exit::Done)
 }
--- a/crates/geranium_ctl/src/ctl_error.rs
+++ b/crates/geranium_ctl/src/ctl_error.rs
@@ -37,6 +37,10 @@
         NoHost(tried: String) {
             display("no entry host answered: {}", tried)
         }
+        /// The entry host is of a version that does not state its room.
+        RoomNotStated {
+            display("the entry host is too old to state its room")
+        }
         /// The output could not be rendered.
         Output(detail: String) {
             display("cannot render the output: {}", detail)
--- a/crates/geranium_ctl/tests/ctl/offline.rs
+++ b/crates/geranium_ctl/tests/ctl/offline.rs
@@ -302,6 +302,7 @@
     );
 }
 
+/// Guards against a table that lacks the load or mixes it up with the number of slots.
 #[test]
 fn room_command_prints_requests_and_slots_by_model() {
     let room = json!([{"service": "llm", "model": "m", "failure_domain": "zone-a", "groups": 3,
@@ -315,3 +316,20 @@
         assert!(shown.contains(part), "{part:?} is missing in\n{shown}");
     }
 }
+
+/// Guards against an empty table that looks as if no model had a group, while the entry host
+/// merely does not state its room.
+#[test]
+fn room_command_fails_if_the_entry_host_is_too_old() {
+    let address = start_entry_host_for_one_request(None).to_string();
+    let tool = Tool::without_settings();
+
+    let run = tool.run(&["room", &address]);
+
+    run.expect_exit(1);
+    assert!(
+        run.err
+            .contains("the entry host is too old to state its room"),
+        "{run:?}"
+    );
+}
--- a/crates/geranium_entry/src/beliefs.rs
+++ b/crates/geranium_entry/src/beliefs.rs
@@ -66,6 +66,8 @@
         routes: deployment.map(RouteView::all).unwrap_or_default(),
         groups: GroupRow::all(&core.directory),
         services: ServiceRow::all(&core.directory, now),
-        room: RoomRow::all(&core.directory, |id| core.dispatcher.total_running(id)),
+        room: Some(RoomRow::all(&core.directory, |id| {
+            core.dispatcher.total_running(id)
+        })),
     }
 }
--- a/crates/geranium_fleet/src/entry_host_view.rs
+++ b/crates/geranium_fleet/src/entry_host_view.rs
@@ -35,7 +35,7 @@
     pub services: Vec<ServiceRow>,
     /// Room at the groups by model and failure domain; older versions do not state it.
     #[serde(default)]
-    pub room: Vec<RoomRow>,
+    pub room: Option<Vec<RoomRow>>,
 }
 
 /// A route.
