--- a/crates/geranium_fleet/tests/first_token.rs
+++ b/crates/geranium_fleet/tests/first_token.rs
@@ -25,6 +25,8 @@
     assert!(waits.is_sorted());
 }
 
+/// Guards against a bound that admits a long prompt where its first token is already too late,
+/// or that refuses requests with time to spare.
 #[test]
 fn a_long_prompt_lowers_the_bound_and_a_generous_objective_raises_it() {
     let profile = profile(vec![model("m", 4, 1.0)]);
--- a/crates/geranium_fleet/tests/load_balancing.rs
+++ b/crates/geranium_fleet/tests/load_balancing.rs
@@ -249,7 +249,8 @@
     assert!(refused < 0.01, "{refused:.3} refused");
 }
 
-/// Covers the repair of a group: it opens without load while the others are loaded.
+/// Guards against a new group that gets the requests of all entry hosts before its load is
+/// reported.
 #[test]
 fn a_group_that_opens_is_not_filled_before_its_load_is_reported() {
     let mut cluster = Cluster::new(72, 20);
