Tests: members of a model below its share use all loads

The tests of the planner did not enable the favour for models below their share, so that none ran the reserve of loads.

--- a/crates/geranium_fleet/tests/simulation/mod.rs
+++ b/crates/geranium_fleet/tests/simulation/mod.rs
@@ -194,6 +194,13 @@
             .count()
     }
 
+    /// Returns the number of members of groups that load weights after they have joined.
+    pub fn loading_members(&self) -> usize {
+        let loading = self.hosts.values().filter(|s| s.staging.is_some());
+        let joined = loading.filter_map(|s| s.joined.as_ref());
+        joined.filter(|j| j.state != GroupState::Joining).count()
+    }
+
     fn plan(&mut self, traffic: bool) {
         let orders = self.planner.plan(
             &self.directory,
