--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -16,7 +16,7 @@
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
-use crate::metrics::{CauseLabel, ModelLabel, gauge};
+use crate::metrics::CauseLabel;
 use crate::model_shares::ModelShares;
 use crate::peers::PeerLink;
 use crate::state::SharedState;
@@ -67,8 +67,7 @@
                 _ = elected.changed() => break,
             }
         }
-        shared.metrics.model_share.clear();
-        shared.metrics.model_hosts_needed.clear();
+        shared.metrics.clear_manager_gauges();
         log::info!("this entry host is no longer the manager of the groups");
     }
 }
@@ -143,7 +142,7 @@
         });
     }
 
-    fn settings(&self, index: usize, standby: bool) -> PlannerSettings {
+    fn settings(&self, index: usize) -> PlannerSettings {
         PlannerSettings {
             nonce: format!(
                 "{}-{:x}-{index}",
@@ -151,7 +150,6 @@
                 self.elected_at.as_millis()
             ),
             load_window: self.shared.bounds.get().load_window,
-            standby,
         }
     }
 
@@ -182,9 +180,9 @@
                     &self.shared.metrics,
                     now,
                 );
-                let planner = planners.entry(service.name.clone()).or_insert_with(|| {
-                    GroupPlanner::new(self.settings(i, has_many_entry_hosts), now)
-                });
+                let planner = planners
+                    .entry(service.name.clone())
+                    .or_insert_with(|| GroupPlanner::new(self.settings(i), now));
                 // Entry hosts may register after the planner was created.
                 planner.set_favours_deficits(has_many_entry_hosts);
                 planner.set_standby(has_many_entry_hosts);
@@ -197,16 +195,8 @@
                     traffic,
                     now,
                 );
-                let stranded = core.directory.stranded(&service.name);
-                self.shared.metrics.stranded.set(gauge(stranded));
-                for model in &engine.models {
-                    let standby = core.directory.standby(&service.name, &model.name);
-                    let label = ModelLabel {
-                        model: model.name.to_string(),
-                    };
-                    let hosts = self.shared.metrics.standby.get_or_create(&label);
-                    hosts.set(gauge(standby));
-                }
+                let metrics = &self.shared.metrics;
+                metrics.set_hosts_without_group(&core.directory, &service.name, engine);
                 pending_orders.extend(orders.into_iter().map(|o| (service.name.clone(), o)));
                 for stale in planner.take_hosts_to_query(now) {
                     self.query_order_count(stale);
