--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -8,7 +8,7 @@
 
 use crate::hidden_work::HiddenWork;
 use crate::host::{GroupState, Host, HostId, HostReport, HostState, Membership};
-use crate::order::{HostOrder, OrderAnswer};
+use crate::order::{HostOrder, OrderAnswer, OrderKind};
 
 /// How long an entry that expired during a store outage stays usable; shorter than the time
 /// for which a leaving host keeps serving.
@@ -34,6 +34,8 @@
     leaving: HashMap<HostId, Leaving>,
     domains_out: HashSet<Arc<str>>,
     store_recovered_at: Option<Timestamp>,
+    /// Hosts that accepted an order to leave and have not reported a group since.
+    ordered_to_leave: HashSet<HostId>,
 }
 
 impl Directory {
@@ -53,7 +55,11 @@
             host.hidden_work.observe_staged(&host.staged);
         }
         host.update_last_model();
+        if host.membership.is_some() || !same_incarnation {
+            self.ordered_to_leave.remove(&host.id);
+        }
         host.orders_begun = match known.filter(|_| same_incarnation) {
+            Some(known) if self.may_be_outdated(&host, known) => None,
             Some(known) => known.orders_begun,
             // A newly started host has begun no order. If this guess is wrong, the host
             // refuses its first order and is queried.
@@ -64,6 +70,21 @@
         !same_incarnation
     }
 
+    /// Returns whether an entry may be older than the known state of the host: a host leaves its
+    /// group only by an order, and never joins one of a lower epoch.
+    ///
+    /// Such a host is queried before its next order. Otherwise the head of an open group would
+    /// look free while the store carries out a delayed write.
+    fn may_be_outdated(&self, host: &Host, known: &Host) -> bool {
+        let Some(before) = &known.membership else {
+            return false;
+        };
+        match &host.membership {
+            Some(membership) => membership.epoch < before.epoch,
+            None => !self.ordered_to_leave.contains(&host.id),
+        }
+    }
+
     /// Applies the answer of a host that was queried directly while its entry could not be
     /// read; returns whether anything changed.
     pub fn apply_report(&mut self, id: &str, report: &HostReport) -> bool {
@@ -125,6 +146,7 @@
             return;
         }
         self.hosts.remove(id);
+        self.ordered_to_leave.remove(id);
         self.expiring.remove(id);
     }
 
@@ -145,6 +167,7 @@
         });
         for id in &expired {
             self.hosts.remove(id);
+            self.ordered_to_leave.remove(id);
         }
         expired
     }
@@ -188,6 +211,9 @@
     /// The count rises only if the order certainly began something. If it may have, the count
     /// is unknown from then on.
     pub fn record_accepted_order(&mut self, order: &HostOrder, answer: OrderAnswer) -> bool {
+        if matches!(order.kind, OrderKind::Leave { .. }) {
+            self.ordered_to_leave.insert(order.host.clone());
+        }
         let Some(host) = self.get_incarnation_mut(&order.host, order.incarnation) else {
             return true;
         };
--- a/crates/geranium_fleet/tests/order_counts.rs
+++ b/crates/geranium_fleet/tests/order_counts.rs
@@ -226,3 +226,32 @@
     let queried = planner.take_hosts_to_query(start + Duration::from_secs(5));
     assert_eq!(queried, Vec::<HostId>::new());
 }
+
+/// Guards against a delayed write of the store that makes the head of an open group look free,
+/// so that it is joined to another group.
+#[test]
+fn an_entry_without_the_group_that_was_not_left_makes_the_count_unknown() {
+    let mut directory = directory_with(4, membership(GroupState::Open));
+    let left = HostOrder {
+        host: "h2".into(),
+        ..order(4, leave())
+    };
+    directory.record_accepted_order(&left, OrderAnswer::Done);
+
+    directory.put(server(HOST, "engines", "a"));
+
+    let host = directory.get(HOST).expect("the host is known");
+    assert_eq!(host.orders_begun, None);
+}
+
+/// Guards against a query, and its delay, of each host that left its group by an order.
+#[test]
+fn an_entry_without_the_group_that_was_left_keeps_the_count() {
+    let mut directory = directory_with(4, membership(GroupState::Open));
+    directory.record_accepted_order(&order(4, leave()), OrderAnswer::Done);
+
+    directory.put(server(HOST, "engines", "a"));
+
+    let host = directory.get(HOST).expect("the host is known");
+    assert_eq!(host.orders_begun, Some(5));
+}
