--- a/crates/geranium_ctl/tests/ctl/offline.rs
+++ b/crates/geranium_ctl/tests/ctl/offline.rs
@@ -305,14 +305,14 @@
 /// Guards against a table that lacks the load or mixes it up with the number of slots.
 #[test]
 fn room_command_prints_requests_and_slots_by_model() {
-    let room = json!([{"service": "llm", "model": "m", "failure_domain": "zone-a", "groups": 3,
+    let room = json!([{"service": "llm", "model": "m", "failure_domain": "domain-a", "groups": 3,
         "running": 77, "slots": 102, "full_groups": 1}]);
     let address = start_entry_host_for_one_request(Some(room)).to_string();
     let tool = Tool::without_settings();
 
     let shown = tool.run(&["room", &address]).expect_exit(0).to_owned();
 
-    for part in ["zone-a", "77", "102"] {
+    for part in ["domain-a", "77", "102"] {
         assert!(shown.contains(part), "{part:?} is missing in\n{shown}");
     }
 }
