--- a/crates/geranium_entry/src/relay/active_request.rs
+++ b/crates/geranium_entry/src/relay/active_request.rs
@@ -7,8 +7,7 @@
 
 use bytes::Bytes;
 use geranium_core::time::Timestamp;
-use geranium_fleet::admission::AdmissionLimits;
-use geranium_fleet::admission::LOWEST_PRIORITY;
+use geranium_fleet::admission::{AdmissionLimits, LOWEST_PRIORITY};
 use geranium_fleet::attempts::Attempts;
 use geranium_fleet::crash::{CrashCount, CrashSubject, CrashVerdict};
 use geranium_fleet::dispatch::NoHost;
--- a/crates/geranium_entry/src/relay/headers.rs
+++ b/crates/geranium_entry/src/relay/headers.rs
@@ -71,11 +71,13 @@
 
 /// Parses a header that contains a non-negative number.
 pub(super) fn parse_number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
-    let text = headers.get(name)?.to_str().ok()?;
-    text.trim()
-        .parse::<f64>()
-        .ok()
-        .filter(|n| n.is_finite() && *n >= 0.0)
+    finite(headers.get(name)?.to_str().ok()?)
+}
+
+/// Parses a number that is finite and not negative.
+fn finite(text: &str) -> Option<f64> {
+    let n: f64 = text.trim().parse().ok()?;
+    (n.is_finite() && n >= 0.0).then_some(n)
 }
 
 /// Parses the number of prompt tokens and the maximum number of output tokens of a request;
@@ -85,7 +87,7 @@
         .get(name)
         .and_then(|v| v.to_str().ok())
         .unwrap_or_default();
-    let mut parts = text.split(',').map(|p| p.trim().parse().unwrap_or(0.0));
+    let mut parts = text.split(',').map(|p| finite(p).unwrap_or(0.0));
     let prompt = parts.next().unwrap_or(0.0);
     (prompt, parts.next().unwrap_or(0.0))
 }
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -36,6 +36,8 @@
     store_recovered_at: Option<Timestamp>,
     /// Hosts that accepted an order to leave and have not reported a group since.
     ordered_to_leave: HashSet<HostId>,
+    /// Hosts whose entry may be outdated, with the highest epoch that they showed.
+    outdated: HashMap<HostId, u64>,
 }
 
 impl Directory {
@@ -58,31 +60,44 @@
         if host.membership.is_some() || !same_incarnation {
             self.ordered_to_leave.remove(&host.id);
         }
+        let newer_epoch = known
+            .filter(|_| same_incarnation)
+            .and_then(|k| self.newer_epoch(&host, k));
         host.orders_begun = match known.filter(|_| same_incarnation) {
-            Some(known) if self.may_be_outdated(&host, known) => None,
+            Some(_) if newer_epoch.is_some() => None,
             Some(known) => known.orders_begun,
             // A newly started host has begun no order. If this guess is wrong, the host
             // refuses its first order and is queried.
             None if host.membership.is_none() => Some(0),
             None => None,
         };
+        match newer_epoch {
+            Some(epoch) => self.outdated.insert(host.id.clone(), epoch),
+            None => self.outdated.remove(&host.id),
+        };
         self.hosts.insert(host.id.clone(), host);
         !same_incarnation
     }
 
-    /// Returns whether an entry may be older than the known state of the host: a host leaves its
-    /// group only by an order, and never joins one of a lower epoch.
+    /// Returns the highest epoch that a host showed if its entry may be older than that: a host
+    /// leaves its group only by an order, and never joins one of a lower epoch.
     ///
-    /// Such a host is queried before its next order. Otherwise the head of an open group would
-    /// look free while the store carries out a delayed write.
-    fn may_be_outdated(&self, host: &Host, known: &Host) -> bool {
-        let Some(before) = &known.membership else {
-            return false;
-        };
-        match &host.membership {
-            Some(membership) => membership.epoch < before.epoch,
+    /// Such a host is queried before its next order, and its group has not ended. Otherwise the
+    /// head of an open group would look free while the store carries out a delayed write.
+    fn newer_epoch(&self, host: &Host, known: &Host) -> Option<u64> {
+        let shown = known.membership.as_ref().map(|m| m.epoch);
+        let highest = shown.max(self.outdated.get(&host.id).copied())?;
+        let is_outdated = match &host.membership {
+            Some(membership) => membership.epoch < highest,
             None => !self.ordered_to_leave.contains(&host.id),
-        }
+        };
+        is_outdated.then_some(highest)
+    }
+
+    /// Returns whether the entry of a host may be older than what the host showed before.
+    #[must_use]
+    pub fn is_outdated(&self, id: &str) -> bool {
+        self.outdated.contains_key(id)
     }
 
     /// Applies the answer of a host that was queried directly while its entry could not be
@@ -145,8 +160,7 @@
             self.expiring.entry(host.id.clone()).or_insert(until);
             return;
         }
-        self.hosts.remove(id);
-        self.ordered_to_leave.remove(id);
+        self.forget(id);
         self.expiring.remove(id);
     }
 
@@ -166,12 +180,17 @@
             keep
         });
         for id in &expired {
-            self.hosts.remove(id);
-            self.ordered_to_leave.remove(id);
+            self.forget(id);
         }
         expired
     }
 
+    fn forget(&mut self, id: &str) {
+        self.hosts.remove(id);
+        self.ordered_to_leave.remove(id);
+        self.outdated.remove(id);
+    }
+
     /// Records that the store answers again after an outage.
     pub fn mark_store_recovered(&mut self, now: Timestamp) {
         self.store_recovered_at = Some(now);
@@ -240,6 +259,7 @@
         }
         host.orders_begun = Some(report.orders_begun);
         host.hidden_work = HiddenWork::at_count(report.orders_begun);
+        self.outdated.remove(id);
         true
     }
 
--- a/crates/geranium_fleet/src/planner/state.rs
+++ b/crates/geranium_fleet/src/planner/state.rs
@@ -218,6 +218,7 @@
             return self.formed_groups.get(group).is_some_and(|f| f.abandoned);
         }
         let head = self.group_heads.get(group).and_then(|id| directory.get(id));
+        let head = head.filter(|h| !directory.is_outdated(&h.id));
         head.is_some_and(|head| guard::is_group_over(group, head.membership.as_ref()))
     }
 }
