Free no member of a group whose head serves it again after a restart (TWO)

What callers would see: the group stands still and its streams are cut, because a member was joined to another group while the head served.

Cause: HeadSighting::shows_end took any later incarnation of the head for the end of its group. It did not look at what that incarnation shows. A host may start anew under its id, with order count 0, and a join and an open that its former incarnation was sent a second time (the first got no answer) then fit it and are carried out late: the head serves the same group once more. The entry shows it open, without a count, so that the sighting was not renewed either, and the members were free.

Now the end is shown only by a head that is known elsewhere with its order count, at a later pair of incarnation and count, or by a broken group.

Ruled out by reading: the head that is gone (frees nothing, as before) and the earlier incarnation (the same).

--- a/crates/geranium_fleet/src/planner/head_sighting.rs
+++ b/crates/geranium_fleet/src/planner/head_sighting.rs
@@ -24,17 +24,20 @@
         })
     }
 
-    /// Returns whether the head certainly no longer serves the group: it has begun a further
-    /// order since and is not in the group, it has started anew, or the group is broken.
+    /// Returns whether the head certainly no longer serves the group: it is not in the group and
+    /// has begun a further order or started anew since, or the group is broken.
+    ///
+    /// A head that has started anew may serve the group once more, by orders that its former
+    /// incarnation was sent.
     pub(super) fn shows_end(&self, group: &str, head: Option<&Host>) -> bool {
-        let Some(head) = head else {
+        let Some(head) = head.filter(|h| h.incarnation >= self.incarnation) else {
             return false;
         };
-        if head.incarnation != self.incarnation {
-            return head.incarnation > self.incarnation;
-        }
         let is_over = guard::is_group_over(group, head.membership());
         let is_member = head.membership().is_some_and(|m| &*m.group == group);
-        is_over && (is_member || head.group.order_count() > Some(self.order_count))
+        let order_count = head.group.order_count();
+        let is_later = order_count
+            .is_some_and(|c| (head.incarnation, c) > (self.incarnation, self.order_count));
+        is_over && (is_member || is_later)
     }
 }
--- a/crates/geranium_fleet/tests/mixed_evidence.rs
+++ b/crates/geranium_fleet/tests/mixed_evidence.rs
@@ -319,6 +319,36 @@
     assert_eq!(kinds(&orders), Vec::<&str>::new());
 }
 
+/// Guards against TWO: orders that the head's former incarnation was sent twice are carried out
+/// by the one that has started since, so that the head serves the same group once more. That it
+/// has started anew does not free the members.
+#[test]
+fn a_head_that_serves_its_group_again_after_a_restart_frees_no_member() {
+    let (mut planner, mut directory, membership) = formed_group();
+    let now = START + Duration::from_secs(6);
+    let open = plan(&mut planner, &directory, now);
+    assert_eq!(kinds(&open), ["open"]);
+    planner.record_answer(&open[0], OrderAnswer::Begun.into(), &mut directory, now);
+    let open_head = Membership {
+        state: GroupState::Open,
+        ..membership
+    };
+    let head = host("h1", Some(open_head));
+    directory.put(head.clone());
+    directory.put(host("h3", None));
+    plan(&mut planner, &directory, now);
+
+    directory.put(Host {
+        incarnation: 2,
+        ..head
+    });
+    let orders = plan(&mut planner, &directory, now + Duration::from_secs(1));
+
+    let joins = orders.iter().filter(|o| o.kind.as_str() == "join");
+    let joined: Vec<&str> = joins.map(|o| &*o.host).collect();
+    assert_eq!(joined, Vec::<&str>::new());
+}
+
 /// Guards against a host that gets no order while an entry of an earlier incarnation is the last
 /// one that took effect: its reports are dropped for those of another incarnation.
 #[test]
