--- a/crates/geranium_fleet/src/byte_budget.rs
+++ b/crates/geranium_core/src/limit/byte_budget.rs
@@ -10,7 +10,7 @@
 /// # Examples
 ///
 /// ```
-/// use geranium_fleet::byte_budget::ByteBudget;
+/// use geranium_core::limit::ByteBudget;
 ///
 /// let mut budget = ByteBudget::new(100);
 /// assert!(budget.try_reserve(0, 50));
--- a/crates/geranium_core/src/limit/mod.rs
+++ b/crates/geranium_core/src/limit/mod.rs
@@ -1,4 +1,4 @@
-//! Admission per client account, cold-start budget, retry budget and deadlines.
+//! Admission per client account, cold-start budget, retry budget, memory and deadlines.
 //!
 //! | type | purpose |
 //! | --- | --- |
@@ -7,6 +7,7 @@
 //! | [`ColdCreditUser`] | spends the credits of one entry host |
 //! | [`RetryBudget`] | limits retries and hedges to a fraction of original requests |
 //! | [`CrashRegistry`] | identifies requests that crash backend servers |
+//! | [`ByteBudget`] | limits the memory of answers that callers have not taken |
 //! | [`TrialHolder`] | allows one suspect request at a time on each group |
 
 mod account_queue;
@@ -19,6 +20,7 @@
 mod admission_settings;
 mod authority;
 mod backoff;
+mod byte_budget;
 mod cold_group;
 mod cold_holder;
 mod cold_message;
@@ -42,6 +44,7 @@
 pub use admission_settings::AdmissionSettings;
 pub use authority::HolderAuthority;
 pub use backoff::RetryBackoff;
+pub use byte_budget::ByteBudget;
 pub use cold_holder::ColdBudgetHolder;
 pub use cold_message::{CreditGrant, CreditRequest};
 pub use cold_settings::ColdSettings;
--- a/crates/geranium_fleet/tests/byte_budget.rs
+++ b/crates/geranium_core/tests/byte_budget.rs
@@ -1,6 +1,6 @@
 //! Tests of the memory limit for incomplete answers, some of which never end.
 
-use geranium_fleet::prelude::ByteBudget;
+use geranium_core::limit::ByteBudget;
 use proptest::prelude::*;
 
 /// Total budget, in bytes.
--- a/crates/geranium_daemon/src/node.rs
+++ b/crates/geranium_daemon/src/node.rs
@@ -14,7 +14,7 @@
 use geranium_core::record::{RecordKey, StoredRecord, WriterId};
 use geranium_core::time::Timestamp;
 use geranium_engine::{HttpEngineClient, ServiceClient};
-use geranium_net::HttpClient;
+use geranium_net::{HttpClient, ResponseMemory};
 use geranium_operator::{HostView, InForceView};
 use geranium_peer::{PeerClient, PeerCommand, PeerReply};
 use geranium_platform::EtcdClient;
@@ -54,6 +54,8 @@
     pub services: ServiceClient,
     /// HTTP client that forwards requests to the caller listeners of other entry hosts.
     pub http: HttpClient,
+    /// Memory for all answers of backend servers that callers have not taken yet.
+    pub response_memory: ResponseMemory,
     /// Latest state published by the control task.
     pub published: Arc<PublishedControl>,
     /// Routing and limits of requests.
--- a/crates/geranium_daemon/src/relay/attempt.rs
+++ b/crates/geranium_daemon/src/relay/attempt.rs
@@ -104,9 +104,14 @@
             MAX_EVENT_BYTES,
         ));
     }
-    let body = read_response_body(address, res.into_body(), MAX_ERROR_BODY_BYTES)
-        .await
-        .unwrap_or_default();
+    let body = read_response_body(
+        address,
+        res.into_body(),
+        MAX_ERROR_BODY_BYTES,
+        &node.response_memory,
+    )
+    .await
+    .unwrap_or_default();
     let refusal = ApiError::parse(status, &body);
     let (kind, message) = refusal.map_or_else(Default::default, |e| (e.kind, e.message));
     Err(EngineError::Refused(
--- a/crates/geranium_daemon/src/settings.rs
+++ b/crates/geranium_daemon/src/settings.rs
@@ -80,6 +80,12 @@
     "Largest request body.",
 )
 .default_value("1048576");
+const RESPONSE_MEMORY: SettingSpec = SettingSpec::new(
+    "--response-memory-bytes",
+    "1048576 to 68719476736",
+    "Memory for all answers of backend servers that callers have not taken yet.",
+)
+.default_value("134217728");
 const MAX_CONNECTIONS: SettingSpec = SettingSpec::new(
     "--max-connections",
     "1 to 100000",
@@ -115,6 +121,7 @@
     REPORT_INTERVAL,
     DEFAULT_DEADLINE,
     MAX_BODY,
+    RESPONSE_MEMORY,
     MAX_CONNECTIONS,
     SHUTDOWN_TIMEOUT,
     MAX_LOADS,
@@ -154,6 +161,8 @@
     pub default_deadline: Duration,
     /// Maximum size of a request body, in bytes.
     pub max_body: usize,
+    /// Memory for all answers of backend servers that callers have not taken yet, in bytes.
+    pub response_memory: usize,
     /// Maximum number of concurrent caller connections.
     pub max_connections: usize,
     /// Maximum time that running requests get to complete during a shutdown.
@@ -234,6 +243,7 @@
     let report_interval = read_in_range(reader, &REPORT_INTERVAL, 50, 5_000);
     let default_deadline = read_in_range(reader, &DEFAULT_DEADLINE, 1, 3_600_000);
     let max_body = read_in_range(reader, &MAX_BODY, 1_024, 64 << 20);
+    let response_memory = read_in_range(reader, &RESPONSE_MEMORY, 1 << 20, 64 << 30);
     let max_connections = read_in_range(reader, &MAX_CONNECTIONS, 1, 100_000);
     let shutdown_timeout = read_in_range(reader, &SHUTDOWN_TIMEOUT, 1, 3_600_000);
     let max_loads = read_in_range(reader, &MAX_LOADS, 1, 1_000);
@@ -253,6 +263,7 @@
         report_interval: millis(report_interval?),
         default_deadline: millis(default_deadline?),
         max_body: max_body?,
+        response_memory: response_memory?,
         max_connections: max_connections?,
         shutdown_timeout: millis(shutdown_timeout?),
         max_loads: max_loads?,
--- a/crates/geranium_daemon/src/startup.rs
+++ b/crates/geranium_daemon/src/startup.rs
@@ -8,7 +8,7 @@
 use geranium_core::id::Incarnation;
 use geranium_core::once::ClaimConfig;
 use geranium_engine::{EngineClientConfig, HttpEngineClient, ServiceClient};
-use geranium_net::{ClientConfig, HttpClient, HttpServer, ServerConfig};
+use geranium_net::{ClientConfig, HttpClient, HttpServer, ResponseMemory, ServerConfig};
 use geranium_peer::{PeerClient, PeerClientConfig, PeerServer, PeerServerConfig, PeerToken};
 use geranium_platform::{EtcdClient, EtcdConfig};
 use geranium_telemetry::{EventRecorder, JsonLogger, ProcessClock, ProcessIdentity};
@@ -90,15 +90,23 @@
         let (peer_tx, peer_rx) = mpsc::channel(INPUT_QUEUE_CAPACITY);
         let token = PeerToken::new(&settings.peer_token);
         let peer_client = PeerClient::start(PeerClientConfig::new(token))?;
+        let response_memory = ResponseMemory::new(settings.response_memory);
+        let http = ClientConfig {
+            response_memory: response_memory.clone(),
+            ..ClientConfig::default()
+        };
+        let mut engines = EngineClientConfig::default();
+        engines.http.response_memory = response_memory.clone();
         let node = Node {
             traffic: Traffic::new(&identity),
             clock,
             recorder,
             metrics: Metrics::new(),
             store,
-            engines: HttpEngineClient::new(EngineClientConfig::default()),
-            services: ServiceClient::new(&ClientConfig::default()),
-            http: HttpClient::new(&ClientConfig::default()),
+            engines: HttpEngineClient::new(engines),
+            services: ServiceClient::new(&http),
+            http: HttpClient::new(&http),
+            response_memory,
             published: Arc::new(PublishedControl::default()),
             claims: Arc::new(claims),
             control,
--- a/crates/geranium_daemon/tests/settings.rs
+++ b/crates/geranium_daemon/tests/settings.rs
@@ -21,7 +21,7 @@
 ];
 
 /// One invalid value of each setting.
-const INVALID: [(&str, &str); 17] = [
+const INVALID: [(&str, &str); 18] = [
     ("--host", "lima 1"),
     ("--failure-domain", ""),
     ("--caller-address", "localhost:7001"),
@@ -36,6 +36,7 @@
     ("--report-interval-ms", "49"),
     ("--default-deadline-ms", "3600001"),
     ("--max-body-bytes", "1023"),
+    ("--response-memory-bytes", "1048575"),
     ("--max-connections", "-1"),
     ("--shutdown-timeout-ms", "soon"),
     ("--max-loads", "1001"),
@@ -126,6 +127,7 @@
         ("--report-interval-ms", "50", "5000"),
         ("--default-deadline-ms", "1", "3600000"),
         ("--max-body-bytes", "1024", "67108864"),
+        ("--response-memory-bytes", "1048576", "68719476736"),
         ("--max-connections", "1", "100000"),
         ("--shutdown-timeout-ms", "1", "3600000"),
         ("--max-loads", "1", "1000"),
--- a/crates/geranium_daemon/tests/system/load.rs
+++ b/crates/geranium_daemon/tests/system/load.rs
@@ -13,7 +13,7 @@
 use geranium_fakes::service::FakeService;
 use geranium_fakes::system::until;
 use geranium_fakes::system::{DESK_KEY, DomainSize, Entry, System, content, expected, open_groups};
-use geranium_net::{ApiError, HttpClient, HttpRequest};
+use geranium_net::{ApiError, HttpClient, HttpRequest, ResponseMemory, read_response_body};
 use hyper::StatusCode;
 
 use crate::GERANIUMD;
@@ -127,7 +127,8 @@
         };
         if res.status() != StatusCode::OK {
             let status = res.status();
-            let body = geranium_net::read_response_body(at, res.into_body(), 1 << 16).await;
+            let memory = ResponseMemory::new(1 << 20);
+            let body = read_response_body(at, res.into_body(), 1 << 16, &memory).await;
             let Ok(body) = body else {
                 return StreamOutcome::Interrupted;
             };
--- a/crates/geranium_daemon/tests/system/main.rs
+++ b/crates/geranium_daemon/tests/system/main.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod control;
 mod load;
+mod memory;
 mod operator_interface;
 mod operators;
 mod requests;
--- a/crates/geranium_engine/src/client.rs
+++ b/crates/geranium_engine/src/client.rs
@@ -28,7 +28,7 @@
 const OCTET_STREAM: HeaderValue = HeaderValue::from_static("application/octet-stream");
 
 /// Settings of an [`HttpEngineClient`].
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct EngineClientConfig {
     /// Timeout of a report, an order, a cancellation or a query for cache events.
     pub call_timeout: Duration,
@@ -175,7 +175,12 @@
         }
         let body = tokio::time::timeout(
             timeout,
-            read_response_body(address, res.into_body(), MAX_REFUSAL_BYTES),
+            read_response_body(
+                address,
+                res.into_body(),
+                MAX_REFUSAL_BYTES,
+                &self.cfg.http.response_memory,
+            ),
         )
         .await
         .map_err(|_| EngineError::NoAnswer(ClientError::Timeout(address, timeout)))?;
--- a/crates/geranium_engine/src/service.rs
+++ b/crates/geranium_engine/src/service.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use geranium_net::{ClientConfig, ClientError, HttpClient, HttpRequest, read_response_body};
+use geranium_net::{
+    ClientConfig, ClientError, HttpClient, HttpRequest, ResponseMemory, read_response_body,
+};
 use hyper::header::{
     ACCEPT, CACHE_CONTROL, CONTENT_LANGUAGE, CONTENT_TYPE, ETAG, HeaderMap, HeaderName,
     HeaderValue, IF_MATCH, IF_NONE_MATCH, LAST_MODIFIED, LOCATION, RETRY_AFTER,
@@ -68,6 +70,7 @@
 pub struct ServiceClient {
     http: HttpClient,
     max_body: usize,
+    response_memory: ResponseMemory,
 }
 
 impl ServiceClient {
@@ -77,6 +80,7 @@
         Self {
             http: HttpClient::new(cfg),
             max_body: cfg.max_body,
+            response_memory: cfg.response_memory.clone(),
         }
     }
 
@@ -120,7 +124,7 @@
             headers: select_headers(&head.headers, &RESPONSE_HEADERS)
                 .map(|(name, value)| (name.clone(), value.clone()))
                 .collect(),
-            body: read_response_body(address, body, self.max_body).await?,
+            body: read_response_body(address, body, self.max_body, &self.response_memory).await?,
         })
     }
 }
--- a/crates/geranium_entry/src/relay/buffer_reservation.rs
+++ b/crates/geranium_entry/src/relay/buffer_reservation.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::{Bytes, BytesMut};
-use geranium_fleet::byte_budget::ByteBudget;
+use geranium_net::ResponseMemory;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::Notify;
@@ -16,25 +16,6 @@
 /// Bytes of a stream that wait for its caller before no more is read from the backend server.
 const MAX_QUEUED: usize = 64 << 10;
 
-/// Memory budget for the responses of all backend servers.
-#[derive(Clone, Debug)]
-pub(crate) struct ResponseMemory {
-    budget: Arc<Mutex<ByteBudget>>,
-}
-
-impl ResponseMemory {
-    /// Creates a budget of `total` bytes, all of which are free.
-    pub(crate) fn new(total: usize) -> Self {
-        Self {
-            budget: Arc::new(Mutex::new(ByteBudget::new(total))),
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, ByteBudget> {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Memory that one response uses of the process-wide budget: bytes that are still being read,
 /// until this is dropped, and bytes on their way to the caller, until its connection has taken
 /// them.
@@ -79,14 +60,14 @@
     /// not, the reservation stays as it was.
     pub(super) fn resize(&mut self, bytes: usize) -> bool {
         let mut counts = self.held.counts();
-        let mut budget = self.held.memory.lock();
+        let memory = &self.held.memory;
         let allowed = match bytes.checked_sub(counts.reading) {
             Some(more) => {
                 let own = counts.reading + counts.queued;
-                bytes <= MAX_BUFFERED_RESPONSE && budget.try_reserve(own, more)
+                bytes <= MAX_BUFFERED_RESPONSE && memory.try_reserve(own, more)
             }
             None => {
-                budget.release(counts.reading - bytes);
+                memory.release(counts.reading - bytes);
                 true
             }
         };
@@ -186,7 +167,7 @@
 impl Drop for QueuedBytes {
     fn drop(&mut self) {
         self.held.counts().queued -= self.bytes.len();
-        self.held.memory.lock().release(self.bytes.len());
+        self.held.memory.release(self.bytes.len());
         self.held.taken.notify_one();
     }
 }
--- a/crates/geranium_entry/src/relay/mod.rs
+++ b/crates/geranium_entry/src/relay/mod.rs
@@ -30,7 +30,6 @@
 use crate::state::{Phase, SharedState};
 
 pub(crate) use body::RelayBody;
-pub(crate) use buffer_reservation::ResponseMemory;
 pub(crate) use forward::Origin;
 
 /// Handles one request of a caller, or one that another entry host forwards.
--- a/crates/geranium_fakes/src/system/entry.rs
+++ b/crates/geranium_fakes/src/system/entry.rs
@@ -156,6 +156,20 @@
         self.child.id()
     }
 
+    /// Returns the most memory that the process has used so far, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process is not there.
+    #[must_use]
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.pid());
+        let text = std::fs::read_to_string(path).expect("the process is ours");
+        let peak = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = peak.and_then(|peak| peak.split_whitespace().next()?.parse::<u64>().ok());
+        kib.expect("the peak in KiB") << 10
+    }
+
     fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill")
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -16,7 +16,6 @@
 //! | [`exchange`] | which entry hosts report to which others |
 //! | [`peer_load`] | the load caused by other entry hosts |
 //! | [`attempts`] | whether a failed attempt may be retried |
-//! | [`byte_budget`] | memory limit for answers that callers have not taken |
 //! | [`notice`] | what a backend server announces about itself in an answer |
 //! | [`reach`] | whether this entry host can reach the backend servers |
 //! | [`forward_targets`] | which entry host takes over the requests of one that cannot |
@@ -32,7 +31,6 @@
 
 pub mod admission;
 pub mod attempts;
-pub mod byte_budget;
 pub mod capacity;
 pub mod crash;
 mod decay;
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -1,7 +1,6 @@
 //! The most commonly used types of this crate.
 
 pub use crate::admission::{AdmissionLimits, AdmissionQuery, Admissions, ModelAdmission};
-pub use crate::byte_budget::ByteBudget;
 pub use crate::capacity::{DemandShares, ModelDemand, ModelLoad, RequestMix};
 pub use crate::crash::{CrashSubject, CrashTracker};
 pub use crate::demand::DemandMeter;
--- a/crates/geranium_net/src/body.rs
+++ b/crates/geranium_net/src/body.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use viz::{Body, Request};
 
-use crate::{ApiError, ClientError};
+use crate::{ApiError, ClientError, ResponseMemory};
 
 /// Maximum number of bytes that are read and discarded after the size limit. A caller that
 /// is still sending when the connection closes loses the error response, so the rest of
@@ -111,12 +111,15 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the body exceeds `limit` bytes or is incomplete.
+/// Returns an error if the body exceeds `limit` bytes, does not fit into `memory` or is
+/// incomplete.
 pub async fn read_response_body(
     address: std::net::SocketAddr,
     mut body: Incoming,
     limit: usize,
+    memory: &ResponseMemory,
 ) -> Result<Bytes, ClientError> {
+    let mut reservation = memory.reservation();
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| ClientError::BrokenBody(address, e.to_string()))?;
@@ -126,7 +129,10 @@
         if buf.len() + data.len() > limit {
             return Err(ClientError::OversizeBody(address, limit));
         }
+        if !reservation.resize(buf.len() + data.len()) {
+            return Err(ClientError::NoMemory(address, buf.len()));
+        }
         buf.extend_from_slice(data);
     }
-    Ok(buf.freeze())
+    Ok(reservation.attach(buf.freeze()))
 }
--- a/crates/geranium_net/src/client.rs
+++ b/crates/geranium_net/src/client.rs
@@ -14,14 +14,17 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{ClientError, read_response_body};
+use crate::{ClientError, ResponseMemory, read_response_body};
 
 /// Maximum buffer size of a connection, in bytes. It bounds the head of a response, so that
 /// a server that sends an endless head cannot exhaust the memory of this process.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
+/// Memory for the buffered responses of a client that shares none, in bytes.
+const DEFAULT_RESPONSE_MEMORY: usize = 256 << 20;
+
 /// Limits of a client.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct ClientConfig {
     /// Timeout for establishing a connection.
     pub connect_timeout: Duration,
@@ -33,6 +36,8 @@
     pub max_idle_per_host: usize,
     /// Maximum size of a buffered response body, in bytes.
     pub max_body: usize,
+    /// Memory for all buffered responses.
+    pub response_memory: ResponseMemory,
 }
 
 impl Default for ClientConfig {
@@ -42,6 +47,7 @@
             idle_timeout: Duration::from_secs(4),
             max_idle_per_host: 64,
             max_body: 4 << 20,
+            response_memory: ResponseMemory::new(DEFAULT_RESPONSE_MEMORY),
         }
     }
 }
@@ -138,6 +144,7 @@
 pub struct HttpClient {
     inner: Client<HttpConnector, Full<Bytes>>,
     max_body: usize,
+    response_memory: ResponseMemory,
 }
 
 impl HttpClient {
@@ -156,6 +163,7 @@
         Self {
             inner,
             max_body: cfg.max_body,
+            response_memory: cfg.response_memory.clone(),
         }
     }
 
@@ -221,7 +229,8 @@
         let address = req.address;
         let buffered = async {
             let (head, body) = self.send(req, limit).await?.into_parts();
-            let body = read_response_body(address, body, self.max_body).await?;
+            let body =
+                read_response_body(address, body, self.max_body, &self.response_memory).await?;
             Ok(Response::from_parts(head, body))
         };
         match tokio::time::timeout(limit, buffered).await {
--- a/crates/geranium_net/src/client_error.rs
+++ b/crates/geranium_net/src/client_error.rs
@@ -29,6 +29,10 @@
         OversizeBody(address: SocketAddr, limit: usize) {
             display("response from {} exceeds {} bytes", address, limit)
         }
+        /// The response body does not fit into the memory for all responses.
+        NoMemory(address: SocketAddr, read: usize) {
+            display("no memory for the response from {} after {} bytes", address, read)
+        }
         /// The response body is not the expected JSON.
         Malformed(address: SocketAddr, detail: String) {
             display("response from {} is malformed: {}", address, detail)
--- a/crates/geranium_net/src/lib.rs
+++ b/crates/geranium_net/src/lib.rs
@@ -2,14 +2,16 @@
 //!
 //! [`HttpClient`] calls servers by IP address and reports whether a failed call may have
 //! reached the server. [`HttpServer`] serves a `viz` router with limits on connections
-//! and headers, and [`read_body`] limits bodies. [`ApiError`] is the JSON error response
-//! to every rejected call.
+//! and headers, and [`read_body`] limits bodies. [`ResponseMemory`] limits the responses of
+//! all servers together. [`ApiError`] is the JSON error response to every rejected call.
 
 mod api_error;
 mod body;
 mod client;
 mod client_error;
 mod lines;
+mod memory_reservation;
+mod response_memory;
 mod server;
 mod server_error;
 
@@ -20,5 +22,7 @@
 pub use client::{ClientConfig, HttpClient, HttpRequest};
 pub use client_error::ClientError;
 pub use lines::{LineError, LineSplitter};
+pub use memory_reservation::MemoryReservation;
+pub use response_memory::ResponseMemory;
 pub use server::{HttpServer, ServerConfig};
 pub use server_error::ServerError;
