Bound the completions of geraniumd together (bytes without end)

What callers would see: the requests of all clients of an entry host end, because its process runs out of memory while an engine sends more than callers take.

Cause: a completion was bounded event by event (256 KiB), not as a whole. A whole completion kept its text without a bound until the deadline, a stream up to 64 events for a caller that does not read, up to 64 chunks out of order, and 256 KiB of text to resume; nothing bounded all of them together.

Texts, events that are not complete, chunks out of order and frames that the caller's connection has not taken now count in the memory for answers; the last is released with the bytes. An answer for which there is none fails with `no_memory` (502); a stream that has started gets an error event and no end marker.

--- a/crates/geranium_core/src/stream/assembler.rs
+++ b/crates/geranium_core/src/stream/assembler.rs
@@ -106,6 +106,15 @@
         self.ready_bytes < self.limits.max_buffered_bytes / 2
     }
 
+    /// Returns the number of bytes of text that are kept: for the reader, to resume, and until
+    /// the chunks before them arrive.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        let resume = self.resume_text.as_ref().map_or(0, String::len);
+        let out_of_order: usize = self.out_of_order.values().map(ChunkBody::text_len).sum();
+        self.ready_bytes + resume + out_of_order
+    }
+
     /// Processes one chunk; an invalid chunk ends the stream with an error.
     pub fn accept(&mut self, chunk: StreamChunk) -> ChunkOutcome {
         let mismatched = chunk.request != self.request || chunk.attempt != self.attempt;
--- a/crates/geranium_core/src/stream/chunk.rs
+++ b/crates/geranium_core/src/stream/chunk.rs
@@ -50,6 +50,18 @@
     },
 }
 
+impl ChunkBody {
+    /// Returns the length of the text, in bytes.
+    #[must_use]
+    pub fn text_len(&self) -> usize {
+        match self {
+            Self::Tokens { text, .. } | Self::Whole { text, .. } => text.len(),
+            Self::Failure { detail } => detail.len(),
+            Self::End { .. } => 0,
+        }
+    }
+}
+
 /// One chunk of an answer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct StreamChunk {
--- a/crates/geranium_daemon/src/caller/chat.rs
+++ b/crates/geranium_daemon/src/caller/chat.rs
@@ -239,6 +239,7 @@
     let output = RelayOutput::Stream {
         started: Some(started_tx),
         frames: frames_tx,
+        memory: node.response_memory.clone(),
     };
     tokio::spawn(RelayJob::new(node.clone(), relay, output, admission).run());
     started
@@ -266,17 +267,22 @@
     let output = RelayOutput::Complete {
         done: Some(done_tx),
         text: String::new(),
+        memory: Some(node.response_memory.reservation()),
     };
     let created = node.clock.now().as_millis() / 1_000;
     tokio::spawn(RelayJob::new(node.clone(), relay, output, admission).run());
-    let answer = done
+    let mut answer = done
         .await
         .unwrap_or_else(|_| Err(refusal::interrupted("the relay ended")))?;
-    let body = render_answer(&request, &model, created, &answer).to_string();
+    let body = Bytes::from(render_answer(&request, &model, created, &answer).to_string());
+    if !answer.memory.resize(body.len()) {
+        return Err(refusal::no_memory());
+    }
+    let body = answer.memory.attach(body);
     Ok(reply::with_content_type(
         StatusCode::OK,
         "application/json",
-        Bytes::from(body),
+        body,
     ))
 }
 
--- a/crates/geranium_daemon/src/caller/refusal.rs
+++ b/crates/geranium_daemon/src/caller/refusal.rs
@@ -114,6 +114,12 @@
     ApiError::new(StatusCode::BAD_GATEWAY, "interrupted", message).retry_after(NO_GROUP_RETRY_AFTER)
 }
 
+/// Returns the failure of an answer for which there is no memory.
+pub fn no_memory() -> ApiError {
+    let message = "the answer does not fit into the memory for answers";
+    ApiError::new(StatusCode::BAD_GATEWAY, "no_memory", message)
+}
+
 /// Returns the refusal of a request that crashed backend servers.
 pub fn crashes_servers() -> ApiError {
     let message = "the request crashed two replica groups and is not run again";
--- a/crates/geranium_daemon/src/relay/attempt.rs
+++ b/crates/geranium_daemon/src/relay/attempt.rs
@@ -102,6 +102,7 @@
             address,
             res.into_body(),
             MAX_EVENT_BYTES,
+            &node.response_memory,
         ));
     }
     let body = read_response_body(
--- a/crates/geranium_daemon/src/relay/attempt_outcome.rs
+++ b/crates/geranium_daemon/src/relay/attempt_outcome.rs
@@ -6,7 +6,8 @@
 use geranium_core::time::Timestamp;
 use geranium_net::ApiError;
 
-use super::RelayRequest;
+use super::{OutputError, RelayRequest};
+use crate::caller::refusal;
 use crate::node::Node;
 
 /// Timeout for the first token of an attempt.
@@ -39,6 +40,15 @@
     Failed(ApiError),
 }
 
+impl From<OutputError> for AttemptOutcome {
+    fn from(e: OutputError) -> Self {
+        match e {
+            OutputError::CallerGone => Self::CallerGone,
+            OutputError::NoMemory => Self::Failed(refusal::no_memory()),
+        }
+    }
+}
+
 /// Returns the outcome of an attempt that must end now; `None` if it may continue.
 pub(super) fn check_attempt(
     node: &Node,
--- a/crates/geranium_daemon/src/relay/job.rs
+++ b/crates/geranium_daemon/src/relay/job.rs
@@ -12,7 +12,7 @@
 use geranium_core::stream::{ResumePoint, StreamAssembler, StreamLimits};
 use geranium_core::time::Timestamp;
 use geranium_engine::{EngineApi, Resume};
-use geranium_net::ApiError;
+use geranium_net::{ApiError, MemoryReservation};
 use hyper::StatusCode;
 
 use super::attempt_outcome::AttemptOutcome;
@@ -40,6 +40,8 @@
     pub(super) trial: Option<Trial>,
     pub(super) crash_detector: Option<CrashDetector>,
     pub(super) any_sent: bool,
+    /// Memory of what is kept of the answer, beside the output.
+    pub(super) memory: MemoryReservation,
     _admission: AdmissionGuard,
 }
 
@@ -59,6 +61,7 @@
             .clone()
             .map_or((0, String::new()), |r| (r.from_index, r.text));
         Self {
+            memory: node.response_memory.reservation(),
             node,
             req,
             output,
--- a/crates/geranium_daemon/src/relay/mod.rs
+++ b/crates/geranium_daemon/src/relay/mod.rs
@@ -18,5 +18,5 @@
 
 pub use chunk::finish_text;
 pub use job::RelayJob;
-pub use output::{CompleteAnswer, RelayOutput};
+pub use output::{CompleteAnswer, OutputError, RelayOutput};
 pub use request::RelayRequest;
--- a/crates/geranium_daemon/src/relay/output.rs
+++ b/crates/geranium_daemon/src/relay/output.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use geranium_core::stream::FinishReason;
-use geranium_net::ApiError;
+use geranium_net::{ApiError, MemoryReservation, ResponseMemory};
 use tokio::sync::{mpsc, oneshot};
 
 /// Maximum time that one frame may wait for a slow reader.
@@ -14,12 +14,17 @@
 /// Bytes that a frame adds to its data.
 const FRAME_OVERHEAD: usize = 40;
 
-/// The caller disconnected or reads too slowly.
+/// Why a part of an answer cannot be delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CallerGone;
+pub enum OutputError {
+    /// The caller disconnected or reads too slowly.
+    CallerGone,
+    /// There is no memory for what the caller has not taken.
+    NoMemory,
+}
 
 /// A complete answer for a caller that does not stream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct CompleteAnswer {
     /// Generated text.
     pub text: String,
@@ -27,6 +32,8 @@
     pub tokens: u64,
     /// Why the model stopped.
     pub reason: FinishReason,
+    /// Memory of the text.
+    pub memory: MemoryReservation,
 }
 
 /// Destination of a relayed answer.
@@ -37,6 +44,8 @@
         started: Option<oneshot::Sender<Result<(), ApiError>>>,
         /// Server-sent event frames for the caller.
         frames: mpsc::Sender<Bytes>,
+        /// Memory for the frames that the caller has not taken.
+        memory: ResponseMemory,
     },
     /// A caller that waits for the complete answer.
     Complete {
@@ -44,6 +53,8 @@
         done: Option<oneshot::Sender<Result<CompleteAnswer, ApiError>>>,
         /// Text received so far.
         text: String,
+        /// Memory of the text; `None` after the answer was sent.
+        memory: Option<MemoryReservation>,
     },
 }
 
@@ -52,24 +63,34 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the caller disconnected or reads too slowly.
+    /// Returns an error if the caller disconnected or reads too slowly, or if there is no memory
+    /// for the chunk.
     pub async fn write_chunk(
         &mut self,
         index: u64,
         data: &[u8],
         text: &str,
-    ) -> Result<(), CallerGone> {
+    ) -> Result<(), OutputError> {
         match self {
-            Self::Stream { started, frames } => {
+            Self::Stream {
+                started,
+                frames,
+                memory,
+            } => {
                 notify_started(started);
-                send_frame(frames, event_frame(index, data)).await
+                send_counted_frame(frames, event_frame(index, data), memory).await
             }
             Self::Complete {
                 text: answer_text,
                 done,
+                memory,
             } => {
                 if done.as_ref().is_none_or(oneshot::Sender::is_closed) {
-                    return Err(CallerGone);
+                    return Err(OutputError::CallerGone);
+                }
+                let bytes = answer_text.len() + text.len();
+                if !memory.as_mut().is_some_and(|m| m.resize(bytes)) {
+                    return Err(OutputError::NoMemory);
                 }
                 answer_text.push_str(text);
                 Ok(())
@@ -81,30 +102,35 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the caller disconnected or reads too slowly.
+    /// Returns an error if the caller disconnected or reads too slowly, or if there is no memory
+    /// for the last event.
     pub async fn finish(
         &mut self,
         last: Option<(u64, Bytes)>,
         tokens: u64,
         reason: FinishReason,
-    ) -> Result<(), CallerGone> {
+    ) -> Result<(), OutputError> {
         match self {
-            Self::Stream { started, frames } => {
+            Self::Stream {
+                started,
+                frames,
+                memory,
+            } => {
                 notify_started(started);
                 if let Some((index, data)) = last {
-                    send_frame(frames, event_frame(index, &data)).await?;
+                    send_counted_frame(frames, event_frame(index, &data), memory).await?;
                 }
                 send_frame(frames, Bytes::from_static(b"data: [DONE]\n\n")).await
             }
-            Self::Complete { done, text } => {
-                let text = std::mem::take(text);
+            Self::Complete { done, text, memory } => {
                 let answer = CompleteAnswer {
-                    text,
+                    text: std::mem::take(text),
                     tokens,
                     reason,
+                    memory: memory.take().ok_or(OutputError::CallerGone)?,
                 };
-                let done = done.take().ok_or(CallerGone)?;
-                done.send(Ok(answer)).map_err(|_| CallerGone)
+                let done = done.take().ok_or(OutputError::CallerGone)?;
+                done.send(Ok(answer)).map_err(|_| OutputError::CallerGone)
             }
         }
     }
@@ -113,7 +139,9 @@
     /// and no end marker, so that it never appears complete.
     pub async fn fail(&mut self, e: ApiError) {
         match self {
-            Self::Stream { started, frames } => match started.take() {
+            Self::Stream {
+                started, frames, ..
+            } => match started.take() {
                 Some(started) => {
                     let _ = started.send(Err(e));
                 }
@@ -148,13 +176,26 @@
     }
 }
 
-async fn send_frame(frames: &mpsc::Sender<Bytes>, frame: Bytes) -> Result<(), CallerGone> {
+/// Sends a frame that counts as memory until the caller's connection has taken it.
+async fn send_counted_frame(
+    frames: &mpsc::Sender<Bytes>,
+    frame: Bytes,
+    memory: &ResponseMemory,
+) -> Result<(), OutputError> {
+    let mut reservation = memory.reservation();
+    if !reservation.resize(frame.len()) {
+        return Err(OutputError::NoMemory);
+    }
+    send_frame(frames, reservation.attach(frame)).await
+}
+
+async fn send_frame(frames: &mpsc::Sender<Bytes>, frame: Bytes) -> Result<(), OutputError> {
     if let Err(full) = frames.try_send(frame) {
         let frame = full.into_inner();
         return frames
             .send_timeout(frame, READER_TIMEOUT)
             .await
-            .map_err(|_| CallerGone);
+            .map_err(|_| OutputError::CallerGone);
     }
     Ok(())
 }
--- a/crates/geranium_daemon/src/relay/stream_reader.rs
+++ b/crates/geranium_daemon/src/relay/stream_reader.rs
@@ -1,5 +1,6 @@
 //! Reads the stream of a group and delivers its tokens to the caller.
 
+use bytes::Bytes;
 use futures::StreamExt;
 use geranium_core::route::{Dispatch, RouteChoice};
 use geranium_core::stream::{ChunkBody, Delivery, FinishReason, StreamChunk, StreamEnd};
@@ -10,7 +11,7 @@
 use super::attempt;
 use super::attempt_outcome::{AttemptOutcome, CHECK_INTERVAL, check_attempt};
 use super::chunk::parse_chunk;
-use super::output::CallerGone;
+use super::output::OutputError;
 use crate::caller::refusal;
 
 impl RelayJob {
@@ -105,9 +106,19 @@
             sequence,
             body,
         });
+        self.reserve_memory()?;
         self.deliver().await
     }
 
+    /// Reserves the memory of what is kept of the answer, beside the output.
+    fn reserve_memory(&mut self) -> Result<(), AttemptOutcome> {
+        let pending: usize = self.pending_data.values().map(Bytes::len).sum();
+        if self.memory.resize(self.assembler.held_bytes() + pending) {
+            return Ok(());
+        }
+        Err(AttemptOutcome::from(OutputError::NoMemory))
+    }
+
     /// Makes token indexes relative to the first token that this job sends to the caller.
     fn rebase(&self, body: ChunkBody) -> ChunkBody {
         match body {
@@ -131,7 +142,7 @@
                     let index = first + self.token_offset;
                     let data = self.pending_data.remove(&index).unwrap_or_default();
                     let sent = self.output.write_chunk(index, &data, &text).await;
-                    sent.map_err(|CallerGone| AttemptOutcome::CallerGone)?;
+                    sent.map_err(AttemptOutcome::from)?;
                     self.node.metrics.tokens.inc();
                 }
                 Delivery::End(end) => self.finish(end).await?,
@@ -145,7 +156,7 @@
         let index = end.tokens + self.token_offset;
         let last = self.pending_data.remove(&index).map(|data| (index, data));
         let sent = self.output.finish(last, end.tokens, end.reason).await;
-        sent.map_err(|CallerGone| AttemptOutcome::CallerGone)?;
+        sent.map_err(AttemptOutcome::from)?;
         Err(AttemptOutcome::Completed)
     }
 
--- a/crates/geranium_daemon/tests/system/load.rs
+++ b/crates/geranium_daemon/tests/system/load.rs
@@ -136,7 +136,8 @@
             check_stopping(&refusal);
             return StreamOutcome::Refused;
         }
-        let mut stream = CompletionStream::new(at, res.into_body(), 1 << 20);
+        let mut stream =
+            CompletionStream::new(at, res.into_body(), 1 << 20, &ResponseMemory::new(4 << 20));
         let outcome = read_text(&mut stream, &expected(prompt, TOKENS_PER_COMPLETION)).await;
         let stopping = self.stopping_entry.get() == Some(entry);
         let interrupted = stopping && outcome != StreamOutcome::Complete;
--- a/crates/geranium_daemon/tests/system/memory.rs
+++ b/crates/geranium_daemon/tests/system/memory.rs
@@ -4,12 +4,17 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use geranium_fakes::system::{DESK_KEY, DomainSize, System, account, until};
-use geranium_net::HttpRequest;
+use geranium_engine::ChatRequest;
+use geranium_fakes::FakeEngine;
+use geranium_fakes::engine::EngineFault;
+use geranium_fakes::system::{
+    DESK_KEY, DomainSize, RESPONSE_MEMORY_BYTES, System, account, expected, until,
+};
+use geranium_net::{ClientConfig, HttpClient, HttpRequest};
 use hyper::StatusCode;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::GERANIUMD;
 
@@ -17,8 +22,16 @@
 const CALLS: usize = 120;
 /// Bytes that the service sends of each answer, just under the most of one answer.
 const SENT_BYTES: usize = 4_000_000;
-/// Memory that the entry host may use at most: its limit for answers, and as much for all else.
-const MEMORY_BYTES: u64 = 2 * (128 << 20);
+/// Concurrent completions of an engine that sends long pieces.
+const COMPLETIONS: usize = 12;
+/// Pieces of each completion, fewer than are buffered for a caller that reads slowly.
+const PIECES: u32 = 60;
+/// Bytes of each piece, less than the most of one event.
+const PIECE_BYTES: usize = 200_000;
+/// Memory that the entry host uses for all but answers, at most.
+const OTHER_MEMORY_BYTES: u64 = 40 << 20;
+/// Memory that the entry host may use at most. Buffers that grow take up to twice what they hold.
+const MEMORY_BYTES: u64 = 2 * RESPONSE_MEMORY_BYTES + OTHER_MEMORY_BYTES;
 /// Longest time for the answers to all calls.
 const TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -92,3 +105,111 @@
     let peak = system.entries[0].peak_memory();
     assert!(peak < MEMORY_BYTES, "{peak} bytes");
 }
+
+/// Starts a system with one group whose head sends long pieces.
+async fn system_with_long_pieces() -> System {
+    let domain = DomainSize::new("lima-1", 1, 2);
+    let system = System::start(GERANIUMD, &[domain], |cfg| {
+        cfg.token_time = Duration::from_millis(1);
+    })
+    .await;
+    system.apply_model(&[(domain.name, 1)], 2).await;
+    system.wait_serving(domain.name, 1).await;
+    system.warm_up(0).await;
+    set_piece_bytes(&system, PIECE_BYTES);
+    system
+}
+
+fn set_piece_bytes(system: &System, bytes: usize) {
+    for engine in system.engines.iter().flatten() {
+        engine.set_fault(&EngineFault {
+            pad_pieces: Some(bytes),
+            ..EngineFault::default()
+        });
+    }
+}
+
+/// Returns the number of completions that an engine has worked on and has ended.
+fn ended_completions(system: &System) -> u64 {
+    let engines = system.engines.iter().flatten();
+    let stats = engines.map(FakeEngine::stats);
+    stats.map(|s| s.completed + s.cancelled + s.cut).sum()
+}
+
+/// Sends a completion request on a connection of its own, whose kernel buffer is small.
+async fn send_without_reading(system: &System, chat: &ChatRequest) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("a small buffer");
+    let connecting = socket.connect(system.entry(0).caller);
+    let mut stream = connecting.await.expect("a connection");
+    let body = serde_json::to_string(chat).expect("JSON");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\ncontent-type: application/json\r\n\
+         authorization: Bearer {DESK_KEY}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let sent = stream.write_all((head + &body).as_bytes()).await;
+    sent.expect("the request is sent");
+    stream
+}
+
+/// Guards against an entry host that runs out of memory by the texts of completions that callers
+/// get as a whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_whole_completions_stay_within_the_memory_limit() {
+    let system = system_with_long_pieces().await;
+
+    let mut chat = ChatRequest::user("summary", "long");
+    chat.stream = false;
+    chat.max_tokens = PIECES;
+    let cfg = ClientConfig {
+        max_body: 2 * PIECES as usize * PIECE_BYTES,
+        ..ClientConfig::default()
+    };
+    let callers = HttpClient::new(&cfg);
+
+    let calls = (0..COMPLETIONS).map(|_| {
+        let req = system.chat_request(0, &chat);
+        callers.send_buffered(req, TIMEOUT)
+    });
+    let answers = join_all(calls).await;
+
+    for answer in answers {
+        let (status, _) = answer.expect("an answer");
+        let allowed = [StatusCode::OK, StatusCode::BAD_GATEWAY];
+        assert!(allowed.contains(&status), "{status}");
+    }
+    let peak = system.entries[0].peak_memory();
+    assert!(peak < MEMORY_BYTES, "{peak} bytes");
+    set_piece_bytes(&system, 0);
+    assert_eq!(
+        system.chat_until_ok(0, "short", 4).await,
+        expected("short", 4)
+    );
+}
+
+/// Guards against an entry host that runs out of memory by the events for callers that do not
+/// read them.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_events_for_callers_that_do_not_read_stay_within_the_memory_limit() {
+    let system = system_with_long_pieces().await;
+    let mut chat = ChatRequest::user("summary", "long");
+    chat.max_tokens = PIECES;
+    let ended_before = ended_completions(&system);
+
+    let callers = (0..COMPLETIONS).map(|_| send_without_reading(&system, &chat));
+    let unread = join_all(callers).await;
+    until("the end of all completions", || async {
+        (ended_completions(&system) - ended_before >= COMPLETIONS as u64).then_some(())
+    })
+    .await;
+
+    let peak = system.entries[0].peak_memory();
+    assert!(peak < MEMORY_BYTES, "{peak} bytes");
+    drop(unread);
+    set_piece_bytes(&system, 0);
+    assert_eq!(
+        system.chat_until_ok(0, "short", 4).await,
+        expected("short", 4)
+    );
+}
--- a/crates/geranium_daemon/tests/system/requests.rs
+++ b/crates/geranium_daemon/tests/system/requests.rs
@@ -3,7 +3,7 @@
 use futures::StreamExt;
 use geranium_engine::{ChatRequest, CompletionEvent, CompletionStream};
 use geranium_fakes::engine::EngineFault;
-use geranium_net::ApiError;
+use geranium_net::{ApiError, ResponseMemory};
 use hyper::StatusCode;
 use std::time::Duration;
 
@@ -33,7 +33,9 @@
         let req = system.chat_request(entry, &chat);
         let res = system.http.send(req, Duration::from_secs(20)).await.ok()?;
         let whole = res.status() == StatusCode::OK;
-        whole.then(|| CompletionStream::new(at, res.into_body(), 1 << 20))
+        whole.then(|| {
+            CompletionStream::new(at, res.into_body(), 1 << 20, &ResponseMemory::new(4 << 20))
+        })
     })
     .await
 }
--- a/crates/geranium_engine/src/client.rs
+++ b/crates/geranium_engine/src/client.rs
@@ -171,6 +171,7 @@
                 address,
                 body,
                 self.cfg.max_event_bytes,
+                &self.cfg.http.response_memory,
             ));
         }
         let body = tokio::time::timeout(
--- a/crates/geranium_engine/src/sse.rs
+++ b/crates/geranium_engine/src/sse.rs
@@ -88,6 +88,16 @@
     MultiLine(BytesMut),
 }
 
+impl EventData {
+    fn len(&self) -> usize {
+        match self {
+            Self::None => 0,
+            Self::SingleLine(line) => line.len(),
+            Self::MultiLine(buf) => buf.len(),
+        }
+    }
+}
+
 impl SseDecoder {
     /// Creates a decoder that rejects events with more than `max_event_bytes` of data.
     #[must_use]
@@ -107,6 +117,12 @@
         self.lines.push(chunk);
     }
 
+    /// Returns the number of bytes that have not been returned as an event yet.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.lines.buffered_bytes() + self.data.len()
+    }
+
     /// Returns the next complete event, or `None` if more bytes are needed.
     ///
     /// # Errors
--- a/crates/geranium_engine/src/stream.rs
+++ b/crates/geranium_engine/src/stream.rs
@@ -5,6 +5,7 @@
 use std::task::{Context, Poll, ready};
 
 use futures::Stream;
+use geranium_net::{MemoryReservation, ResponseMemory};
 use hyper::body::{Body, Incoming};
 
 use crate::sse::{SseDecoder, SseError, SseEvent, SseEventKind};
@@ -32,17 +33,25 @@
     address: SocketAddr,
     body: Incoming,
     decoder: SseDecoder,
+    reservation: MemoryReservation,
     ended: bool,
 }
 
 impl CompletionStream {
-    /// Creates a stream that reads from a response body.
+    /// Creates a stream that reads from a response body. Events that are not complete yet take
+    /// their bytes from `memory`; one for which there is none ends the stream.
     #[must_use]
-    pub fn new(address: SocketAddr, body: Incoming, max_event_bytes: usize) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        body: Incoming,
+        max_event_bytes: usize,
+        memory: &ResponseMemory,
+    ) -> Self {
         Self {
             address,
             body,
             decoder: SseDecoder::new(max_event_bytes),
+            reservation: memory.reservation(),
             ended: false,
         }
     }
@@ -97,6 +106,9 @@
                 Some(Ok(frame)) => {
                     if let Ok(chunk) = frame.into_data() {
                         self.decoder.push(chunk);
+                        if !self.reservation.resize(self.decoder.buffered_bytes()) {
+                            return Poll::Ready(Err(truncated("no memory for it".to_owned())));
+                        }
                     }
                 }
                 Some(Err(e)) => return Poll::Ready(Err(truncated(e.to_string()))),
--- a/crates/geranium_fakes/src/engine/condition.rs
+++ b/crates/geranium_fakes/src/engine/condition.rs
@@ -30,6 +30,8 @@
     pub repeat_every: u64,
     /// Every how many pieces one is never sent.
     pub lose_every: u64,
+    /// Bytes to which the text of each piece is padded.
+    pub pad_pieces: usize,
 }
 
 impl Default for Condition {
@@ -44,6 +46,7 @@
             swap_every: 0,
             repeat_every: 0,
             lose_every: 0,
+            pad_pieces: 0,
         }
     }
 }
@@ -63,5 +66,6 @@
         self.swap_every = fault.swap_every.unwrap_or(self.swap_every);
         self.repeat_every = fault.repeat_every.unwrap_or(self.repeat_every);
         self.lose_every = fault.lose_every.unwrap_or(self.lose_every);
+        self.pad_pieces = fault.pad_pieces.unwrap_or(self.pad_pieces);
     }
 }
--- a/crates/geranium_fakes/src/engine/fault.rs
+++ b/crates/geranium_fakes/src/engine/fault.rs
@@ -31,6 +31,8 @@
     /// Never sends a piece whose index is a multiple of this, though the end marker
     /// comes; zero sends all.
     pub lose_every: Option<u64>,
+    /// Pads the text of each piece of a stream to this many bytes; zero pads none.
+    pub pad_pieces: Option<usize>,
     /// Cuts every stream and goes on.
     pub cut_streams: bool,
 }
--- a/crates/geranium_fakes/src/engine/output.rs
+++ b/crates/geranium_fakes/src/engine/output.rs
@@ -57,6 +57,7 @@
     frame: ChunkFrame,
     seed: TokenSeed,
     held: Option<u64>,
+    pad_pieces: usize,
     buf: String,
 }
 
@@ -67,12 +68,14 @@
             frame: ChunkFrame::new(&facts.request, &facts.model),
             seed: session.seed(),
             held: None,
+            pad_pieces: 0,
             buf: String::new(),
         }
     }
 
     /// Adds a piece, unless it is lost or to be sent after its successor.
     fn push(&mut self, index: u64, condition: &Condition) {
+        self.pad_pieces = condition.pad_pieces;
         let is_due = |every: u64| every > 0 && index.is_multiple_of(every);
         if is_due(condition.lose_every) {
             return;
@@ -95,8 +98,10 @@
     }
 
     fn push_token(&mut self, index: u64) {
-        let token = self.seed.token(index);
-        self.frame.push_token(&mut self.buf, index, &token);
+        let mut text = self.seed.token(index);
+        let padding = self.pad_pieces.saturating_sub(text.len());
+        text.extend(std::iter::repeat_n('.', padding));
+        self.frame.push_token(&mut self.buf, index, &text);
     }
 
     fn push_end(&mut self, index: u64) {
--- a/crates/geranium_fakes/src/system/entry.rs
+++ b/crates/geranium_fakes/src/system/entry.rs
@@ -17,6 +17,9 @@
 /// Peer token of every entry host.
 pub const PEER_TOKEN: &str = "system-test-peer-token";
 
+/// Memory of every entry host for answers that callers have not taken, in bytes.
+pub const RESPONSE_MEMORY_BYTES: u64 = 16 << 20;
+
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
 /// Returns a free loopback address.
@@ -94,6 +97,10 @@
             .env("GERANIUM_PEERS", peers.join(","))
             .env("GERANIUM_OPERATOR_TOKEN", OPERATOR_TOKEN)
             .env("GERANIUM_PEER_TOKEN", PEER_TOKEN)
+            .env(
+                "GERANIUM_RESPONSE_MEMORY_BYTES",
+                RESPONSE_MEMORY_BYTES.to_string(),
+            )
             .env("GERANIUM_LOG_LEVEL", "off")
             .stdin(Stdio::null())
             .spawn()
--- a/crates/geranium_fakes/src/system/mod.rs
+++ b/crates/geranium_fakes/src/system/mod.rs
@@ -8,7 +8,9 @@
 mod small_system;
 mod wait;
 
-pub use entry::{Entry, EntryAddresses, OPERATOR_TOKEN, PEER_TOKEN, free_address};
+pub use entry::{
+    Entry, EntryAddresses, OPERATOR_TOKEN, PEER_TOKEN, RESPONSE_MEMORY_BYTES, free_address,
+};
 pub use small_system::{
     DESK_KEY, DomainSize, System, VERSION, WEIGHTS, account, content, expected, model, open_groups,
 };
--- a/crates/geranium_measure/src/experiment/latency.rs
+++ b/crates/geranium_measure/src/experiment/latency.rs
@@ -10,6 +10,7 @@
     EngineClientConfig, HttpEngineClient,
 };
 use geranium_fakes::system::{DomainSize, System};
+use geranium_net::ResponseMemory;
 use hdrhistogram::Histogram;
 
 use crate::measure_error::MeasureError;
@@ -116,7 +117,7 @@
     at: SocketAddr,
     res: hyper::Response<hyper::body::Incoming>,
 ) -> CompletionStream {
-    CompletionStream::new(at, res.into_body(), 1 << 20)
+    CompletionStream::new(at, res.into_body(), 1 << 20, &ResponseMemory::new(4 << 20))
 }
 
 fn chat_request(prompt: &str) -> ChatRequest {
--- a/crates/geranium_net/src/body.rs
+++ b/crates/geranium_net/src/body.rs
@@ -129,8 +129,13 @@
         if buf.len() + data.len() > limit {
             return Err(ClientError::OversizeBody(address, limit));
         }
-        if !reservation.resize(buf.len() + data.len()) {
-            return Err(ClientError::NoMemory(address, buf.len()));
+        let needed = buf.len() + data.len();
+        if needed > buf.capacity() {
+            let capacity = needed.next_power_of_two().min(limit);
+            if !reservation.resize(capacity) {
+                return Err(ClientError::NoMemory(address, buf.len()));
+            }
+            buf.reserve(capacity - buf.len());
         }
         buf.extend_from_slice(data);
     }
--- a/crates/geranium_net/src/lines.rs
+++ b/crates/geranium_net/src/lines.rs
@@ -93,7 +93,13 @@
     /// Returns whether any pushed bytes have not been returned as a line yet.
     #[must_use]
     pub fn has_partial_line(&self) -> bool {
-        !self.partial.is_empty() || !self.chunk.is_empty()
+        self.buffered_bytes() > 0
+    }
+
+    /// Returns the number of bytes that have not been returned as a line yet.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.partial.len() + self.chunk.len()
     }
 
     fn skip_line_feed_of_crlf(&mut self) {
