--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -194,8 +194,8 @@
         host.group.order_count().is_some()
     }
 
-    /// Takes note of an order that did not match the state or the order count of its host,
-    /// which has to be queried then.
+    /// Takes note of an order that did not match the state, the order count or the epoch of its
+    /// host, which has to be queried then.
     pub fn record_conflict(&mut self, order: &HostOrder) {
         if let Some(host) = self.get_incarnation_mut(&order.host, order.incarnation) {
             host.group.record_conflict(order);
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -206,8 +206,13 @@
         now: Timestamp,
     ) {
         let answer = reply.answer;
-        if answer == OrderAnswer::Conflict {
+        // A host that has seen a higher epoch has had orders of another manager.
+        let is_contradicted = matches!(answer, OrderAnswer::Conflict | OrderAnswer::Outdated);
+        if is_contradicted {
             directory.record_conflict(order);
+            self.staging.remove(&order.host);
+            self.hosts_to_query
+                .insert(order.host.clone(), now + REPORT_DELAY);
         }
         if matches!(answer, OrderAnswer::Begun | OrderAnswer::Done)
             && !directory.record_accepted_order(order, answer)
@@ -224,23 +229,17 @@
                     pending.begun = true;
                 }
                 OrderAnswer::Unknown => pending.until = now + PENDING_ORDER_TIMEOUT,
-                OrderAnswer::Conflict => pending.until = now + REPORT_DELAY,
+                _ if is_contradicted => pending.until = now + REPORT_DELAY,
                 _ => pending.until = now + reply.notice.pause.unwrap_or_default(),
             }
         }
-        match (&order.kind, answer) {
-            (_, OrderAnswer::Conflict) => {
-                self.staging.remove(&order.host);
-                self.hosts_to_query
-                    .insert(order.host.clone(), now + REPORT_DELAY);
-            }
-            (OrderKind::Join { group, .. }, OrderAnswer::Outdated) => {
-                self.epoch += EPOCH_STEP;
-                if let Some(formed) = self.formed_groups.get_mut(group) {
-                    formed.abandoned = true;
-                }
+        if let (OrderKind::Join { group, epoch, .. }, OrderAnswer::Outdated) = (&order.kind, answer)
+        {
+            // Once for all members of the group.
+            self.epoch = self.epoch.max(epoch + EPOCH_STEP);
+            if let Some(formed) = self.formed_groups.get_mut(group) {
+                formed.abandoned = true;
             }
-            _ => {}
         }
     }
 
--- a/crates/geranium_fleet/tests/mixed_evidence.rs
+++ b/crates/geranium_fleet/tests/mixed_evidence.rs
@@ -349,6 +349,32 @@
     assert_eq!(joined, Vec::<&str>::new());
 }
 
+/// Guards against TWO: a host that has seen a higher epoch than the manager has joined a group
+/// that the manager does not know of. What is known of the host is of another time, perhaps of
+/// its former incarnation, and no order may rest on it.
+#[test]
+fn a_host_that_refuses_an_epoch_is_asked_before_it_gets_another_order() {
+    let mut planner = planner("m", START);
+    let mut directory = Directory::default();
+    for id in ["h1", "h2"] {
+        directory.put(host(id, None));
+    }
+    let now = START + Duration::from_secs(5);
+    let joins = plan(&mut planner, &directory, now);
+    assert_eq!(kinds(&joins), ["join", "join"]);
+
+    for join in &joins {
+        planner.record_answer(join, OrderAnswer::Outdated.into(), &mut directory, now);
+    }
+    let later = now + Duration::from_secs(1);
+    let orders = plan(&mut planner, &directory, later);
+    let mut asked = planner.take_hosts_to_query(later);
+    asked.sort();
+
+    assert_eq!(kinds(&orders), Vec::<&str>::new());
+    assert_eq!(asked, ["h1".into(), "h2".into()] as [HostId; 2]);
+}
+
 /// Guards against a host that gets no order while an entry of an earlier incarnation is the last
 /// one that took effect: its reports are dropped for those of another incarnation.
 #[test]
