--- a/crates/geranium_entry/src/election.rs
+++ b/crates/geranium_entry/src/election.rs
@@ -17,6 +17,7 @@
 use crate::peers::PeerLink;
 use crate::state::{Phase, SharedState};
 use crate::store_watcher::back_off;
+use crate::term::{ManagerTerm, StoredTerm, TERM_KEY};
 
 /// Shortest lease of the manager role. After the manager has failed, groups are not
 /// repaired until the lease expires.
@@ -48,6 +49,7 @@
             store: store.clone(),
             elected: tx.clone(),
             manager_lease: Cell::new(None),
+            stored_term: Cell::new(StoredTerm::ABSENT),
         };
         let began = shared.now();
         if let Err(e) = candidate.keep_registered(&mut phase).await {
@@ -66,9 +68,11 @@
 struct Candidate<D: Dialect, S: KvStore> {
     shared: Rc<SharedState<D>>,
     store: S,
-    elected: watch::Sender<Option<Timestamp>>,
+    elected: watch::Sender<Option<ManagerTerm>>,
     /// Lease of the manager role, while this entry host holds it.
     manager_lease: Cell<Option<LeaseId>>,
+    /// What the store holds of the last term, as far as is known.
+    stored_term: Cell<StoredTerm>,
 }
 
 impl<D: Dialect, S: KvStore> Candidate<D, S> {
@@ -272,21 +276,49 @@
                 return;
             }
         };
-        let swap = Swap {
-            key: self.shared.dialect.internal_key(MANAGER_KEY),
-            expected: StoreRevision(0),
-            value: Some(self.registration_value()),
-            lease: Some(lease),
-        };
-        match self.store.transact(vec![swap]).await {
-            Ok(CasOutcome::Applied(_)) => {
-                log::info!("this entry host is now the manager of the groups");
+        match self.begin_term(lease).await {
+            Ok(Some(term)) => {
+                log::info!(first_epoch = term.first_epoch; "this entry host is now the manager of the groups");
                 self.manager_lease.set(Some(lease));
                 self.shared.is_manager.set(true);
-                self.elected.send_replace(Some(self.shared.now()));
+                self.elected.send_replace(Some(term));
             }
-            Ok(CasOutcome::Conflict(_)) => {}
+            Ok(None) => {}
             Err(e) => log::warn!("candidacy as manager failed: {e}"),
         }
     }
+
+    /// Takes the manager role for the time of a lease and records the term, both or neither;
+    /// returns `None` if another entry host has the role.
+    async fn begin_term(&self, lease: LeaseId) -> Result<Option<ManagerTerm>, StoreError> {
+        let manager_key = self.shared.dialect.internal_key(MANAGER_KEY);
+        let term_key = self.shared.dialect.internal_key(TERM_KEY);
+        loop {
+            let last = self.stored_term.get();
+            let term = ManagerTerm::after(last.record, self.shared.now());
+            let manager = Swap {
+                key: manager_key.clone(),
+                expected: StoreRevision(0),
+                value: Some(self.registration_value()),
+                lease: Some(lease),
+            };
+            let record = Swap {
+                key: term_key.clone(),
+                expected: last.revision,
+                value: Some(term.record().to_bytes()),
+                lease: None,
+            };
+            let present = match self.store.transact(vec![manager, record]).await? {
+                CasOutcome::Applied(_) => return Ok(Some(term)),
+                CasOutcome::Conflict(present) => present,
+            };
+            let stored = present.iter().find(|v| v.key == term_key);
+            let stored = stored.map_or(StoredTerm::ABSENT, StoredTerm::read);
+            self.stored_term.set(stored);
+            let is_taken = present.iter().any(|v| v.key == manager_key);
+            if is_taken || stored == last {
+                return Ok(None);
+            }
+        }
+    }
 }
--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -60,6 +60,7 @@
 mod store_restore;
 pub mod store_update;
 mod store_watcher;
+mod term;
 mod watchdog;
 
 pub use dialect::{Dialect, HeaderNames};
--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -22,6 +22,7 @@
 use crate::model_shares::ModelShares;
 use crate::peers::PeerLink;
 use crate::state::SharedState;
+use crate::term::ManagerTerm;
 
 /// Delay between a change and the next planning run, so that further changes are included.
 const PLAN_DELAY: Duration = Duration::from_millis(10);
@@ -46,19 +47,19 @@
 /// Plans after each change and at regular intervals while this process is the manager.
 pub(crate) async fn run_manager<D: Dialect>(
     shared: Rc<SharedState<D>>,
-    mut elected: watch::Receiver<Option<Timestamp>>,
+    mut elected: watch::Receiver<Option<ManagerTerm>>,
     peers: Rc<PeerLink>,
 ) {
     loop {
-        let elected_at = *elected.borrow_and_update();
-        let Some(elected_at) = elected_at else {
+        let term = *elected.borrow_and_update();
+        let Some(term) = term else {
             if elected.changed().await.is_err() {
                 return;
             }
             continue;
         };
         shared.core.borrow_mut().directory.clear_order_counts();
-        let manager = Rc::new(Manager::new(shared.clone(), elected_at, peers.clone()));
+        let manager = Rc::new(Manager::new(shared.clone(), term, peers.clone()));
         loop {
             manager.probe_suspects();
             manager.poll_hosts_in_transition();
@@ -88,20 +89,20 @@
     announced_stops: RefCell<HashMap<HostId, Timestamp>>,
     last_polled: Cell<Timestamp>,
     peers: Rc<PeerLink>,
-    elected_at: Timestamp,
+    term: ManagerTerm,
 }
 
 impl<D: Dialect> Manager<D> {
-    fn new(shared: Rc<SharedState<D>>, elected_at: Timestamp, peers: Rc<PeerLink>) -> Self {
+    fn new(shared: Rc<SharedState<D>>, term: ManagerTerm, peers: Rc<PeerLink>) -> Self {
         Self {
             shared,
             planners: RefCell::default(),
             model_shares: RefCell::default(),
             last_probed: RefCell::default(),
             announced_stops: RefCell::default(),
-            last_polled: Cell::new(elected_at),
+            last_polled: Cell::new(term.began_at),
             peers,
-            elected_at,
+            term,
         }
     }
 
@@ -153,8 +154,9 @@
             nonce: format!(
                 "{}-{:x}-{index}",
                 self.shared.cfg.name,
-                self.elected_at.as_millis()
+                self.term.began_at.as_millis()
             ),
+            first_epoch: self.term.first_epoch,
             load_window: self.shared.bounds.get().load_window,
         }
     }
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -71,6 +71,9 @@
 pub struct PlannerSettings {
     /// Prefix of group names that no other manager uses.
     pub nonce: String,
+    /// Epoch above those of the joins that earlier managers ordered: a host refuses these joins
+    /// once it is in a group of this manager.
+    pub first_epoch: u64,
     /// Window of the rate limit on loads from the weight store.
     pub load_window: Duration,
 }
@@ -109,15 +112,14 @@
     #[must_use]
     pub fn new(settings: PlannerSettings, now: Timestamp) -> Self {
         let load_limiter = RateLimiter::new(settings.load_window);
+        let epoch = settings.first_epoch.min(MAX_ADOPTED_EPOCH);
         Self {
             settings,
             started_at: now,
             newest_host_at: now,
             pruned_at: now,
             next_group: 0,
-            // Higher than the epochs of earlier managers, also those that no host has shown: a
-            // host refuses joins that these managers sent once it is in a group of this one.
-            epoch: now.as_millis().min(MAX_ADOPTED_EPOCH),
+            epoch,
             has_adopted_epoch: false,
             formed_groups: HashMap::default(),
             first_seen: HashMap::default(),
--- a/crates/geranium_fleet/tests/order_counts.rs
+++ b/crates/geranium_fleet/tests/order_counts.rs
@@ -204,6 +204,7 @@
     let mut planner = GroupPlanner::new(
         PlannerSettings {
             nonce: "m".into(),
+            first_epoch: start.as_millis(),
             load_window: Duration::from_secs(5),
         },
         start,
--- a/crates/geranium_fleet/tests/outdated_entries.rs
+++ b/crates/geranium_fleet/tests/outdated_entries.rs
@@ -51,6 +51,7 @@
     let profile = profile(vec![model("m", 2, 1.0)]);
     let settings = PlannerSettings {
         nonce: "n".into(),
+        first_epoch: NOW.as_millis(),
         load_window: Duration::from_secs(5),
     };
     let mut planner = GroupPlanner::new(settings, NOW);
--- a/crates/geranium_fleet/tests/simulation/mod.rs
+++ b/crates/geranium_fleet/tests/simulation/mod.rs
@@ -575,6 +575,7 @@
 pub fn planner(nonce: &str, now: Timestamp) -> GroupPlanner {
     let settings = PlannerSettings {
         nonce: nonce.into(),
+        first_epoch: now.as_millis(),
         load_window: Duration::from_secs(5),
     };
     GroupPlanner::new(settings, now)
