--- a/crates/geranium_engine/src/service.rs
+++ b/crates/geranium_engine/src/service.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use geranium_net::{
-    ClientConfig, ClientError, HttpClient, HttpRequest, ResponseMemory, read_response_body,
+    BodyFraming, ClientConfig, ClientError, HttpClient, HttpRequest, ResponseMemory,
+    read_response_body,
 };
 use hyper::header::{
     ACCEPT, CACHE_CONTROL, CONTENT_LANGUAGE, CONTENT_TYPE, ETAG, HeaderMap, HeaderName,
@@ -118,13 +119,20 @@
             req = req.header(name.clone(), value.clone());
         }
         let res = self.http.send(req, timeout).await?;
+        let framing = BodyFraming::of(&res);
         let (head, body) = res.into_parts();
+        let body = read_response_body(address, body, self.max_body, &self.response_memory).await?;
+        // A service that stopped right after the head looks the same.
+        if framing == BodyFraming::Connection && body.is_empty() {
+            let detail = "it has no byte after its head".to_owned();
+            return Err(ClientError::BrokenBody(address, detail));
+        }
         Ok(ServiceResponse {
             status: head.status,
             headers: select_headers(&head.headers, &RESPONSE_HEADERS)
                 .map(|(name, value)| (name.clone(), value.clone()))
                 .collect(),
-            body: read_response_body(address, body, self.max_body, &self.response_memory).await?,
+            body,
         })
     }
 }
--- a/crates/geranium_entry/src/relay/buffer_reservation.rs
+++ b/crates/geranium_entry/src/relay/buffer_reservation.rs
@@ -3,13 +3,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::{Bytes, BytesMut};
-use geranium_net::ResponseMemory;
+use geranium_net::{BodyFraming, ResponseMemory};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::Notify;
 
 use super::attempt::AttemptError;
-use super::body_framing::BodyFraming;
 
 /// Largest response that is buffered, in bytes.
 const MAX_BUFFERED_RESPONSE: usize = 16 << 20;
--- a/crates/geranium_entry/src/relay/buffered.rs
+++ b/crates/geranium_entry/src/relay/buffered.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use geranium_net::BodyFraming;
 use hyper::Response;
 use hyper::http::response::Parts;
 
 use super::active_request::ActiveRequest;
 use super::attempt::{self, AttemptError};
 use super::body::RelayBody;
-use super::body_framing::BodyFraming;
 use super::buffer_reservation::BufferReservation;
 use super::headers::caller_response;
 use super::host_slot::{HostSlot, SelectedHop};
--- a/crates/geranium_entry/src/relay/event_reader.rs
+++ b/crates/geranium_entry/src/relay/event_reader.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
+use geranium_net::BodyFraming;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 use tokio::sync::Notify;
 
 use super::attempt::{BackendResponse, ReusableConnection};
-use super::body_framing::BodyFraming;
 use super::buffer_reservation::BufferReservation;
 use super::host_slot::HostSlot;
 use super::next_hop::NextHop;
--- a/crates/geranium_entry/src/relay/mod.rs
+++ b/crates/geranium_entry/src/relay/mod.rs
@@ -4,7 +4,6 @@
 mod admission;
 mod attempt;
 mod body;
-mod body_framing;
 mod buffer_reservation;
 mod buffered;
 mod event_reader;
--- a/crates/geranium_entry/src/relay/body_framing.rs
+++ b/crates/geranium_net/src/body_framing.rs
@@ -6,7 +6,7 @@
 
 /// How a response shows where its body ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum BodyFraming {
+pub enum BodyFraming {
     /// By a length or by chunks, or it cannot have a body.
     Explicit,
     /// By the end of its connection.
@@ -15,7 +15,8 @@
 
 impl BodyFraming {
     /// Returns the framing of a response whose body was not read yet.
-    pub(super) fn of<B: Body>(res: &Response<B>) -> Self {
+    #[must_use]
+    pub fn of<B: Body>(res: &Response<B>) -> Self {
         let has_length = res.body().size_hint().exact().is_some();
         if has_length || is_chunked(res.headers()) {
             Self::Explicit
--- a/crates/geranium_net/src/lib.rs
+++ b/crates/geranium_net/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod api_error;
 mod body;
+mod body_framing;
 mod client;
 mod client_error;
 mod lines;
@@ -19,6 +20,7 @@
 
 pub use api_error::ApiError;
 pub use body::{discard_body, read_body, read_body_with_timeout, read_response_body};
+pub use body_framing::BodyFraming;
 pub use client::{ClientConfig, HttpClient, HttpRequest};
 pub use client_error::ClientError;
 pub use lines::{LineError, LineSplitter};
