Entry host: one place that parses what entry hosts store

Three types parsed their stored values with the same eight lines. The tests of mixed evidence have one fixture for the joins of a group.

--- a/crates/geranium_entry/src/crash_record.rs
+++ b/crates/geranium_entry/src/crash_record.rs
@@ -3,6 +3,8 @@
 use geranium_fleet::crash::{CrashCount, CrashReport, Trial};
 use serde::{Deserialize, Serialize};
 
+use crate::stored_record;
+
 /// Prefix of the values that hold crash records.
 pub(crate) const CRASH_PREFIX: &str = "crash/";
 
@@ -20,13 +22,7 @@
 impl CrashRecord {
     /// Parses a stored record; one that is malformed is ignored.
     pub(crate) fn parse(value: &[u8]) -> Option<Self> {
-        match serde_json::from_slice(value) {
-            Ok(record) => Some(record),
-            Err(e) => {
-                log::warn!("crash record is malformed: {e}");
-                None
-            }
-        }
+        stored_record::parse("crash record", value)
     }
 
     /// Returns the name of the record in the store. Two entry hosts that have the same to say
--- a/crates/geranium_entry/src/entry_registration.rs
+++ b/crates/geranium_entry/src/entry_registration.rs
@@ -5,6 +5,8 @@
 use geranium_fleet::exchange::Peer;
 use serde::{Deserialize, Serialize};
 
+use crate::stored_record;
+
 /// Prefix of the values by which entry hosts discover each other.
 pub(crate) const ENTRY_PREFIX: &str = "entry/";
 /// Name of the value that holds the registration of the manager.
@@ -42,12 +44,6 @@
 
     /// Parses a stored registration; one that is malformed counts as missing.
     pub(crate) fn parse(value: &[u8]) -> Option<Self> {
-        match serde_json::from_slice(value) {
-            Ok(entry) => Some(entry),
-            Err(e) => {
-                log::warn!("registration of an entry host is malformed: {e}");
-                None
-            }
-        }
+        stored_record::parse("registration of an entry host", value)
     }
 }
--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -60,6 +60,7 @@
 mod store_restore;
 pub mod store_update;
 mod store_watcher;
+mod stored_record;
 mod term;
 mod watchdog;
 
--- a/crates/geranium_entry/src/term/term_record.rs
+++ b/crates/geranium_entry/src/term/term_record.rs
@@ -3,6 +3,8 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::stored_record;
+
 /// Name of the value that holds the record of the last term. It has no lease.
 pub(crate) const TERM_KEY: &str = "term";
 
@@ -21,12 +23,6 @@
 
     /// Parses a stored record; one that is malformed counts as missing.
     pub(crate) fn parse(value: &[u8]) -> Option<Self> {
-        match serde_json::from_slice(value) {
-            Ok(record) => Some(record),
-            Err(e) => {
-                log::warn!("record of the manager's term is malformed: {e}");
-                None
-            }
-        }
+        stored_record::parse("record of the manager's term", value)
     }
 }
--- a/crates/geranium_fleet/tests/mixed_evidence.rs
+++ b/crates/geranium_fleet/tests/mixed_evidence.rs
@@ -71,17 +71,26 @@
     orders.iter().map(|o| o.kind.as_str()).collect()
 }
 
-/// Returns a planner, the directory and the head's membership of a group that the planner has
-/// formed of `h1` and `h2`, which are ready.
-fn formed_group() -> (GroupPlanner, Directory, Membership) {
+/// When the planner of [`ordered_joins`] has ordered the joins.
+const JOINS_AT: Timestamp = Timestamp::from_millis(START.as_millis() + 5_000);
+
+/// Returns a planner, the directory and the joins with which the planner forms a group of `h1`
+/// and `h2`.
+fn ordered_joins() -> (GroupPlanner, Directory, Vec<HostOrder>) {
     let mut planner = planner("m", START);
     let mut directory = Directory::default();
     for id in ["h1", "h2"] {
         directory.put(host(id, None));
     }
-    let now = START + Duration::from_secs(5);
-    let joins = plan(&mut planner, &directory, now);
+    let joins = plan(&mut planner, &directory, JOINS_AT);
     assert_eq!(kinds(&joins), ["join", "join"]);
+    (planner, directory, joins)
+}
+
+/// Returns a planner, the directory and the head's membership of a group that the planner has
+/// formed of `h1` and `h2`, which are ready.
+fn formed_group() -> (GroupPlanner, Directory, Membership) {
+    let (mut planner, mut directory, joins) = ordered_joins();
     let mut head = None;
     for (rank, join) in joins.iter().enumerate() {
         let OrderKind::Join {
@@ -100,7 +109,7 @@
             rank,
             state: GroupState::Ready,
         };
-        planner.record_answer(join, OrderAnswer::Begun.into(), &mut directory, now);
+        planner.record_answer(join, OrderAnswer::Begun.into(), &mut directory, JOINS_AT);
         directory.put(host(&join.host, Some(membership.clone())));
         head = head.or(Some(membership));
     }
@@ -354,19 +363,12 @@
 /// its former incarnation, and no order may rest on it.
 #[test]
 fn a_host_that_refuses_an_epoch_is_asked_before_it_gets_another_order() {
-    let mut planner = planner("m", START);
-    let mut directory = Directory::default();
-    for id in ["h1", "h2"] {
-        directory.put(host(id, None));
-    }
-    let now = START + Duration::from_secs(5);
-    let joins = plan(&mut planner, &directory, now);
-    assert_eq!(kinds(&joins), ["join", "join"]);
+    let (mut planner, mut directory, joins) = ordered_joins();
 
     for join in &joins {
-        planner.record_answer(join, OrderAnswer::Outdated.into(), &mut directory, now);
+        planner.record_answer(join, OrderAnswer::Outdated.into(), &mut directory, JOINS_AT);
     }
-    let later = now + Duration::from_secs(1);
+    let later = JOINS_AT + Duration::from_secs(1);
     let orders = plan(&mut planner, &directory, later);
     let mut asked = planner.take_hosts_to_query(later);
     asked.sort();
