Keep the epochs of two terms within reach of an earlier version

An earlier version that becomes manager in an upgrade knows no recorded terms. It takes over the epochs that groups show, and climbs by a million for each refusal where none is shown. With terms 2^30 apart that could take a thousand refusals; with 2^24 it takes 17.

The types of the relay's output stand in a file each; no change there.

--- a/crates/geranium_daemon/src/relay/mod.rs
+++ b/crates/geranium_daemon/src/relay/mod.rs
@@ -7,16 +7,20 @@
 mod attempt;
 mod attempt_outcome;
 mod chunk;
+mod complete_answer;
 mod crash_detector;
 mod crashes;
 mod job;
 mod output;
+mod output_error;
 mod request;
 mod selection;
 mod stream_reader;
 mod trial;
 
 pub use chunk::finish_text;
+pub use complete_answer::CompleteAnswer;
 pub use job::RelayJob;
-pub use output::{CompleteAnswer, OutputError, RelayOutput};
+pub use output::RelayOutput;
+pub use output_error::OutputError;
 pub use request::RelayRequest;
--- a/crates/geranium_daemon/src/relay/output.rs
+++ b/crates/geranium_daemon/src/relay/output.rs
@@ -8,34 +8,15 @@
 use geranium_net::{ApiError, MemoryReservation, ResponseMemory};
 use tokio::sync::{mpsc, oneshot};
 
+use super::complete_answer::CompleteAnswer;
+use super::output_error::OutputError;
+
 /// Maximum time that one frame may wait for a slow reader.
 const READER_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Bytes that a frame adds to its data.
 const FRAME_OVERHEAD: usize = 40;
 
-/// Why a part of an answer cannot be delivered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OutputError {
-    /// The caller disconnected or reads too slowly.
-    CallerGone,
-    /// There is no memory for what the caller has not taken.
-    NoMemory,
-}
-
-/// A complete answer for a caller that does not stream.
-#[derive(Debug)]
-pub struct CompleteAnswer {
-    /// Generated text.
-    pub text: String,
-    /// Number of generated tokens.
-    pub tokens: u64,
-    /// Why the model stopped.
-    pub reason: FinishReason,
-    /// Memory of the text.
-    pub memory: MemoryReservation,
-}
-
 /// Destination of a relayed answer.
 pub enum RelayOutput {
     /// A caller that reads a stream.
--- a/crates/geranium_daemon/src/relay/stream_reader.rs
+++ b/crates/geranium_daemon/src/relay/stream_reader.rs
@@ -11,7 +11,7 @@
 use super::attempt;
 use super::attempt_outcome::{AttemptOutcome, CHECK_INTERVAL, check_attempt};
 use super::chunk::parse_chunk;
-use super::output::OutputError;
+use super::output_error::OutputError;
 use crate::caller::refusal;
 
 impl RelayJob {
--- a/crates/geranium_entry/src/term/manager_term.rs
+++ b/crates/geranium_entry/src/term/manager_term.rs
@@ -4,8 +4,9 @@
 
 use super::TermRecord;
 
-/// Number of epochs between the first ones of two terms.
-const EPOCHS_PER_TERM: u64 = 1 << 30;
+/// Number of epochs between the first ones of two terms. An earlier version that becomes manager
+/// after later ones reaches them by a few refusals.
+const EPOCHS_PER_TERM: u64 = 1 << 24;
 /// Highest epoch that is taken over from a record. An odd one must not end the supply.
 const MAX_RECORDED_EPOCH: u64 = 1 << 51;
 
