Return a drained server to service by the entry of a later heartbeat

A late entry had returned a draining host to service; the fix kept it draining until it starts anew, so that a later entry could not return it either. An operator who takes a drain back without a restart loses the server. The order of two entries of one incarnation was not known; the entry does state it, as it numbers its heartbeats (`seq`), which was read nowhere. Now only an entry of a later heartbeat ends the draining, also that which is kept after the store has returned from an older copy. What a server announces of itself in an answer (it is about to leave) stays final; without a number all is as before.

--- a/crates/geranium_fleet/examples/admission_time.rs
+++ b/crates/geranium_fleet/examples/admission_time.rs
@@ -51,6 +51,7 @@
         failure_domain: "a".into(),
         slots: SLOTS,
         state: HostState::Ready,
+        heartbeat: None,
         cold_until: None,
         last_model: None,
         fabric_domain: None,
--- a/crates/geranium_fleet/src/directory.rs
+++ b/crates/geranium_fleet/src/directory.rs
@@ -6,7 +6,7 @@
 use geranium_core::collections::{HashMap, HashSet};
 use geranium_core::time::Timestamp;
 
-use crate::host::{GroupState, Host, HostId, HostReport, HostState, Membership};
+use crate::host::{GroupState, Host, HostId, HostReport, HostState, Membership, is_later};
 use crate::order::{HostOrder, OrderAnswer};
 use crate::report_effect::ReportEffect;
 
@@ -19,10 +19,13 @@
 /// expire and come back in this time.
 const LEAVING_RETENTION: Duration = Duration::from_secs(600);
 
-/// An incarnation of a host that announced that it leaves.
+/// An incarnation of a host that leaves.
 #[derive(Clone, Copy, Debug)]
 struct Leaving {
     incarnation: u64,
+    /// Heartbeat with which its entry said so; a later one may take it back. `None` if the host
+    /// announced it, which is final.
+    heartbeat: Option<u64>,
     at: Timestamp,
 }
 
@@ -49,7 +52,7 @@
             return false;
         }
         self.expiring.remove(&host.id);
-        if self.is_leaving(&host.id, host.incarnation) {
+        if self.is_leaving(&host.id, host.incarnation, host.heartbeat) {
             host.state = HostState::Draining;
         }
         let known = self.hosts.get(&host.id);
@@ -89,24 +92,25 @@
     /// Marks an incarnation of a host as leaving, whatever its entry says, because the host
     /// announced it; returns whether this is new.
     pub fn mark_leaving(&mut self, id: &HostId, incarnation: u64, now: Timestamp) -> bool {
-        let known = self.is_leaving(id, incarnation);
-        self.leaving.insert(
-            id.clone(),
-            Leaving {
-                incarnation,
-                at: now,
-            },
-        );
+        let known = self.is_leaving(id, incarnation, None);
+        let leaving = Leaving {
+            incarnation,
+            heartbeat: None,
+            at: now,
+        };
+        self.leaving.insert(id.clone(), leaving);
         if let Some(host) = self.get_incarnation_mut(id, incarnation) {
             host.state = HostState::Draining;
         }
         !known
     }
 
-    fn is_leaving(&self, id: &str, incarnation: u64) -> bool {
-        self.leaving
-            .get(id)
-            .is_some_and(|l| l.incarnation == incarnation)
+    /// Returns whether an incarnation leaves, as far as an entry of this heartbeat does not take
+    /// it back.
+    fn is_leaving(&self, id: &str, incarnation: u64, heartbeat: Option<u64>) -> bool {
+        let leaving = self.leaving.get(id);
+        let leaving = leaving.filter(|l| l.incarnation == incarnation);
+        leaving.is_some_and(|l| !is_later(heartbeat, l.heartbeat))
     }
 
     /// Handles the removal of a host's entry.
@@ -156,16 +160,24 @@
         self.store_recovered_at = Some(now);
     }
 
-    /// Keeps all draining incarnations draining, whatever their entries say from now on.
+    /// Keeps all draining incarnations draining, whatever their entries from before say.
     pub fn keep_draining(&mut self, now: Timestamp) {
         let draining = self
             .hosts
             .values()
             .filter(|h| h.state == HostState::Draining);
-        let draining: Vec<(HostId, u64)> =
-            draining.map(|h| (h.id.clone(), h.incarnation)).collect();
-        for (id, incarnation) in draining {
-            self.mark_leaving(&id, incarnation, now);
+        for host in draining {
+            let leaving = Leaving {
+                incarnation: host.incarnation,
+                heartbeat: host.heartbeat,
+                at: now,
+            };
+            let known = self.leaving.get(&host.id);
+            let is_announced =
+                |l: &Leaving| l.incarnation == host.incarnation && l.heartbeat.is_none();
+            if !known.is_some_and(is_announced) {
+                self.leaving.insert(host.id.clone(), leaving);
+            }
         }
     }
 
--- a/crates/geranium_fleet/src/host.rs
+++ b/crates/geranium_fleet/src/host.rs
@@ -113,6 +113,9 @@
     pub slots: u32,
     /// Whether the host takes new work.
     pub state: HostState,
+    /// Number of the heartbeat with which this incarnation wrote its entry, if the entry states
+    /// one.
+    pub heartbeat: Option<u64>,
     /// End of the cold start, if the host is cold.
     pub cold_until: Option<Timestamp>,
     /// Fabric domain, for hosts of model engines.
@@ -132,10 +135,11 @@
 impl Host {
     /// Adds what is known of the same incarnation to a host that was read from its entry.
     pub(crate) fn merge_known(&mut self, known: &Self) {
-        // A host that is about to stop does not return to service.
-        if known.state == HostState::Draining {
+        // An entry from before does not return a draining host to service.
+        if known.state == HostState::Draining && !is_later(self.heartbeat, known.heartbeat) {
             self.state = HostState::Draining;
         }
+        self.heartbeat = self.heartbeat.max(known.heartbeat);
         self.cold_until = self.cold_until.max(known.cold_until);
         self.last_model.clone_from(&known.last_model);
         let shown = std::mem::replace(&mut self.group, known.group.clone());
@@ -219,3 +223,8 @@
         self.staged.iter().any(|s| &**s == model)
     }
 }
+
+/// Returns whether one heartbeat of an incarnation is certainly later than another.
+pub(crate) fn is_later(heartbeat: Option<u64>, than: Option<u64>) -> bool {
+    than.is_some() && heartbeat > than
+}
--- a/crates/geranium_fleet/tests/mixed_evidence.rs
+++ b/crates/geranium_fleet/tests/mixed_evidence.rs
@@ -409,6 +409,34 @@
     assert_eq!(known(&directory, HOST).state, HostState::Draining);
 }
 
+/// Guards against a service without servers: each of them was drained once and taken back without
+/// a restart, as an operator may do. Its entry is of a later heartbeat, also after the store has
+/// returned from an older copy.
+#[test]
+fn a_host_whose_later_heartbeat_says_ready_returns_to_service() {
+    for restored in [false, true] {
+        let entry = |state, heartbeat| Host {
+            state,
+            heartbeat: Some(heartbeat),
+            ..host(HOST, None)
+        };
+        let mut directory = Directory::default();
+        directory.put(entry(HostState::Ready, 3));
+        directory.put(entry(HostState::Draining, 5));
+        if restored {
+            directory.keep_draining(START);
+        }
+
+        directory.put(entry(HostState::Ready, 3));
+        let after_late = known(&directory, HOST).state;
+        directory.put(entry(HostState::Ready, 6));
+        let after_later = known(&directory, HOST).state;
+
+        assert_eq!(after_late, HostState::Draining, "restored: {restored}");
+        assert_eq!(after_later, HostState::Ready, "restored: {restored}");
+    }
+}
+
 /// Runs failures, restarts, changes of the demand and outdated evidence of each kind. With a
 /// second manager, both take turns with directories of their own.
 fn run_with_outdated_evidence(seed: u64, with_second: bool) -> Simulation {
