Engine client: one place that knows the length of an event's data

The count of bytes that wait for their event had repeated the match of append_data. No change of behaviour: an event has as many bytes as before.

--- a/crates/geranium_engine/src/sse.rs
+++ b/crates/geranium_engine/src/sse.rs
@@ -174,12 +174,8 @@
     }
 
     fn append_data(&mut self, value: Bytes) -> Result<(), SseError> {
-        let buffered_bytes = match &self.data {
-            EventData::None => 0,
-            EventData::SingleLine(first) => first.len() + 1,
-            EventData::MultiLine(buf) => buf.len() + 1,
-        };
-        if buffered_bytes + value.len() > self.max_event_bytes {
+        let separator_len = usize::from(!matches!(self.data, EventData::None));
+        if self.data.len() + separator_len + value.len() > self.max_event_bytes {
             return Err(SseError::TooLarge(self.max_event_bytes));
         }
         self.data = match std::mem::take(&mut self.data) {
