Entry host: logs and a metric say how far its view of the store is behind

The hypotheses of the incident could not be told apart: a time-out didn't say how much had come, a failed fetch from another entry host was logged at debug level only, and neither a line nor a metric showed how far an entry host is behind.

Responses between entry hosts state the newest revision of the sender (builds from before leave it out and ignore it).

Ruled out: an age from the time of the operator's write, which no entry host learns.

--- a/crates/geranium_entry/src/change_history.rs
+++ b/crates/geranium_entry/src/change_history.rs
@@ -167,6 +167,12 @@
         Some(page)
     }
 
+    /// Returns the revision up to which changes were appended.
+    #[must_use]
+    pub const fn last_revision(&self) -> u64 {
+        self.last_revision
+    }
+
     /// Returns the estimated memory of all changes, in bytes.
     #[must_use]
     pub const fn held_bytes(&self) -> usize {
--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -17,6 +17,7 @@
 //! | `pool` | connection pool for backend servers |
 //! | `store_watcher`, `peer_fallback` | store changes, received directly or from other entry hosts |
 //! | [`change_history`], `recent_changes`, `peer_changes` | recent store changes; server and client for passing them on |
+//! | [`freshness`] | how far the local view is behind the store |
 //! | `election`, `manager` | manager election, group planning and orders to hosts |
 //! | `entry_registration` | registrations by which entry hosts discover each other |
 //! | `store_restore` | returns of the store from an older copy of its data |
@@ -37,6 +38,7 @@
 mod election;
 pub mod entry_host;
 mod entry_registration;
+pub mod freshness;
 mod in_flight;
 mod log_writer;
 mod manager;
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -86,6 +86,8 @@
     pub(crate) configuration_age: Gauge,
     /// Milliseconds since the last contact with the store.
     pub(crate) directory_age: Gauge,
+    /// Milliseconds since the last moment for which the local view is known to be complete.
+    pub(crate) view_behind: Gauge,
     /// Memory of the store changes kept for other entry hosts, in bytes.
     pub(crate) recent_change_bytes: Gauge,
     /// Delay of a timer in the single thread of the event loop, in seconds.
@@ -172,6 +174,11 @@
                 "Age of the version",
             ),
             directory_age: register_metric(r, "directory_age_milliseconds", "Time since the store"),
+            view_behind: register_metric(
+                r,
+                "view_behind_milliseconds",
+                "Time since the view was known to be complete",
+            ),
             recent_change_bytes: register_metric(
                 r,
                 "recent_change_bytes",
--- a/crates/geranium_entry/src/metrics/observer.rs
+++ b/crates/geranium_entry/src/metrics/observer.rs
@@ -25,6 +25,9 @@
         metrics.running.set(gauge(shared.running.count()));
         let heard = now.since(shared.last_store_contact.get());
         metrics.directory_age.set(gauge(heard.as_millis()));
+        let behind = shared.freshness.borrow().behind(now);
+        metrics.view_behind.set(gauge(behind.as_millis()));
+        shared.check_freshness();
         let held = shared.recent_changes.held_bytes();
         metrics.recent_change_bytes.set(gauge(held));
         let in_force = shared.configured_at.get().map(|at| now.since(at));
--- a/crates/geranium_entry/src/peer_changes.rs
+++ b/crates/geranium_entry/src/peer_changes.rs
@@ -25,6 +25,10 @@
     pub(crate) era: Option<StoreEra>,
     /// Time since the last contact with the store of the entry host that watches it.
     pub(crate) age: Duration,
+    /// Whether the other entry host has no further changes.
+    pub(crate) is_complete: bool,
+    /// Size of the response, in bytes.
+    pub(crate) received_bytes: usize,
 }
 
 /// Fetches the changes after a revision from another entry host; `None` if it cannot
@@ -45,13 +49,20 @@
     }
     let changes: ChangesResponse =
         serde_json::from_slice(&body).map_err(|e| ClientError::Malformed(peer, e.to_string()))?;
+    let is_complete = changes.newest.is_none_or(|n| n <= changes.revision);
     let batch = WatchBatch {
         revision: StoreRevision(changes.revision),
         changes: changes.changes.into_iter().filter_map(decode).collect(),
     };
     let age = Duration::from_millis(changes.age_ms);
     let era = changes.era.map(StoreEra);
-    Ok(Some(PeerChanges { batch, era, age }))
+    Ok(Some(PeerChanges {
+        batch,
+        era,
+        age,
+        is_complete,
+        received_bytes: body.len(),
+    }))
 }
 
 fn decode(change: Change) -> Option<WatchChange> {
--- a/crates/geranium_entry/src/peer_fallback.rs
+++ b/crates/geranium_entry/src/peer_fallback.rs
@@ -7,7 +7,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::dialect::Dialect;
-use crate::peer_changes::{self, PeerChanges};
+use crate::peer_changes;
 use crate::state::SharedState;
 use crate::store_watcher::StoreWatcher;
 
@@ -26,10 +26,11 @@
         let (Some(revision), Some(peer)) = (revision, random_peer(shared, &watcher)) else {
             continue;
         };
+        let asked_at = shared.now();
         match peer_changes::fetch(watcher.client(), peer, revision).await {
-            Ok(Some(PeerChanges { batch, .. })) if !batch.changes.is_empty() => {
-                log::info!(peer:% = peer, changes = batch.changes.len(), revision = batch.revision.0; "changes come from another entry host");
-                watcher.apply_batch(batch);
+            Ok(Some(changes)) if !changes.batch.changes.is_empty() => {
+                log::info!(peer:% = peer, changes = changes.batch.changes.len(), revision = changes.batch.revision.0; "changes come from another entry host");
+                watcher.apply_peer_changes(peer, changes, asked_at);
             }
             Ok(_) => {}
             Err(e) => log::debug!(peer:% = peer; "failed to fetch changes from a peer: {e}"),
--- a/crates/geranium_entry/src/recent_changes.rs
+++ b/crates/geranium_entry/src/recent_changes.rs
@@ -38,6 +38,9 @@
     pub(crate) changes: Vec<Change>,
     /// Revision up to which the changes are complete.
     pub(crate) revision: u64,
+    /// Revision of the newest change that the sender has; earlier builds do not state it.
+    #[serde(default)]
+    pub(crate) newest: Option<u64>,
     /// Milliseconds since the last contact with the store of the entry host that watches it.
     pub(crate) age_ms: u64,
     /// Era of the store that they are from, if it states eras.
@@ -131,6 +134,7 @@
         Some(ChangesResponse {
             changes: page.changes,
             revision: page.revision,
+            newest: Some(current.history.last_revision()),
             age_ms: age.as_millis() as u64,
             era: current.era.map(|e| e.0),
         })
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -35,6 +35,7 @@
 use crate::connections_in_use::ConnectionsInUse;
 use crate::crash_reports::CrashOutbox;
 use crate::dialect::Dialect;
+use crate::freshness::{Freshness, FreshnessChange};
 use crate::in_flight::InFlight;
 use crate::metrics::Metrics;
 use crate::pool::{ConnectError, ConnectionPool};
@@ -200,6 +201,8 @@
     pub(crate) store_unreachable: Cell<bool>,
     /// Time of the last contact with the store, directly or through another entry host.
     pub(crate) last_store_contact: Cell<Timestamp>,
+    /// How far the local view is behind the store.
+    pub(crate) freshness: RefCell<Freshness>,
     /// Time at which the current configuration took effect.
     pub(crate) configured_at: Cell<Option<Timestamp>>,
     /// Store revision up to which changes were applied.
@@ -250,6 +253,7 @@
             cfg,
             dialect,
             last_store_contact: Cell::new(clock.now()),
+            freshness: RefCell::new(Freshness::new(clock.now())),
             configured_at: Cell::new(None),
             clock,
             core: RefCell::new(core),
@@ -374,6 +378,22 @@
         restored_at.is_some_and(|at| self.now().since(at) < RESTORE_GRACE)
     }
 
+    /// Logs whether the local view has become outdated or is up to date again.
+    pub(crate) fn check_freshness(&self) {
+        let change = self.freshness.borrow_mut().check(self.now());
+        let version = self.metrics.version.get();
+        let revision = self.revision.get().map(|r| r.0);
+        match change {
+            Some(FreshnessChange::Outdated) => {
+                log::warn!(version = version, revision = revision; "view of the store is outdated");
+            }
+            Some(FreshnessChange::Recovered(behind)) => {
+                log::info!(behind_ms = behind.as_millis() as u64, version = version, revision = revision; "view of the store is up to date again");
+            }
+            None => {}
+        }
+    }
+
     /// Recomputes the result of the readiness check.
     pub(crate) fn update_readiness(&self) {
         let core = self.core.borrow();
--- a/crates/geranium_entry/src/store_watcher.rs
+++ b/crates/geranium_entry/src/store_watcher.rs
@@ -39,6 +39,9 @@
 /// Same delay for the manager; shorter, as its orders wait for the reports of hosts.
 const MANAGER_BATCH_INTERVAL: Duration = Duration::from_millis(40);
 
+/// Size from which a read of changes is logged, in bytes.
+const LARGE_READ_BYTES: usize = 64 << 10;
+
 /// Watches the store until the process ends.
 pub(crate) async fn run<D: Dialect, S: KvStore>(watcher: Rc<StoreWatcher<D>>, store: S) {
     let mut failures = 0;
@@ -148,27 +151,58 @@
     }
 
     async fn poll_source(&self, source: SocketAddr, after: StoreRevision) -> bool {
+        let asked_at = self.shared.now();
         match peer_changes::fetch(&self.client, source, after).await {
             Ok(Some(changes)) if self.is_from_another_era(&changes) => {
                 log::info!(source:% = source, era = changes.era.map(|e| e.0); "changes of another entry host are from another era of the store");
                 false
             }
-            Ok(Some(PeerChanges { batch, age, .. })) => {
-                self.record_store_contact(age);
-                if !batch.changes.is_empty() {
-                    self.apply_batch(batch);
+            Ok(Some(changes)) => {
+                self.record_store_contact(changes.age);
+                let is_empty = changes.batch.changes.is_empty();
+                self.apply_peer_changes(source, changes, asked_at);
+                if !is_empty {
                     tokio::time::sleep(BATCH_INTERVAL).await;
                 }
                 true
             }
-            Ok(None) => false,
+            Ok(None) => {
+                log::info!(source:% = source, after = after.0; "another entry host cannot pass on changes");
+                false
+            }
             Err(e) => {
-                log::debug!(source:% = source; "failed to fetch changes from a peer: {e}");
+                log::info!(source:% = source, after = after.0; "failed to fetch changes from another entry host: {e}");
                 false
             }
         }
     }
 
+    /// Applies the changes that another entry host returned for a request sent at `asked_at`.
+    pub(crate) fn apply_peer_changes(
+        &self,
+        source: SocketAddr,
+        changes: PeerChanges,
+        asked_at: Timestamp,
+    ) {
+        let took = self.shared.now().since(asked_at);
+        let complete_at = self.shared.now() - changes.age;
+        if changes.received_bytes >= LARGE_READ_BYTES {
+            log::info!(source:% = source, bytes = changes.received_bytes, changes = changes.batch.changes.len(), revision = changes.batch.revision.0, took_ms = took.as_millis() as u64; "many bytes of changes came from another entry host");
+        }
+        if !changes.batch.changes.is_empty() {
+            self.apply_batch(changes.batch);
+        }
+        if changes.is_complete {
+            self.record_complete(complete_at);
+        }
+    }
+
+    /// Records that the local view holds all changes that the store had at a moment.
+    fn record_complete(&self, at: Timestamp) {
+        self.shared.freshness.borrow_mut().record_complete(at);
+        self.shared.check_freshness();
+    }
+
     fn is_from_another_era(&self, changes: &PeerChanges) -> bool {
         let own = self.shared.store_era.get();
         own.is_some() && changes.era.is_some() && own != changes.era
@@ -178,6 +212,7 @@
     async fn read_all<S: KvStore>(&self, store: &S) -> Result<(), StoreError> {
         // A restore during the read makes another one due.
         self.shared.snapshot_due.set(false);
+        let began = self.shared.now();
         let read = store.range("").await.inspect_err(|_| {
             self.shared.snapshot_due.set(true);
         })?;
@@ -205,9 +240,12 @@
         }
         self.remove_unlisted(&hosts, &domains_out, &internal_names);
         let entry_hosts = self.shared.core.borrow().entry_hosts.len();
-        log::info!(revision = read.revision.0, hosts = hosts.len(), entry_hosts = entry_hosts, values = read.values.len(); "read a full snapshot of the store");
+        let bytes: usize = read.values.iter().map(|v| v.value.len()).sum();
+        let took = self.shared.now().since(began);
+        log::info!(revision = read.revision.0, hosts = hosts.len(), entry_hosts = entry_hosts, values = read.values.len(), bytes = bytes, took_ms = took.as_millis() as u64; "read a full snapshot of the store");
         self.shared.revision.set(Some(read.revision));
         self.shared.recent_changes.start(read.revision, era);
+        self.record_complete(began);
         self.shared.update_readiness();
         self.shared.state_changed.notify_waiters();
         Ok(())
@@ -257,8 +295,13 @@
             self.record_store_contact(Duration::ZERO);
             let changed = !batch.changes.is_empty();
             if changed {
+                let bytes: usize = batch.changes.iter().map(value_bytes).sum();
+                if bytes >= LARGE_READ_BYTES {
+                    log::info!(bytes = bytes, changes = batch.changes.len(), revision = batch.revision.0; "many bytes of changes came from the store");
+                }
                 self.apply_batch(batch);
             }
+            self.record_complete(self.shared.now());
             if !self.sources().is_empty() || self.shared.snapshot_due.get() {
                 return Ok(());
             }
@@ -325,6 +368,13 @@
     }
 }
 
+const fn value_bytes(change: &WatchChange) -> usize {
+    match change {
+        WatchChange::Put(value) => value.value.len(),
+        WatchChange::Deleted { .. } => 0,
+    }
+}
+
 const fn revision_of(change: &WatchChange) -> StoreRevision {
     match change {
         WatchChange::Put(value) => value.revision,
--- a/crates/geranium_net/src/body.rs
+++ b/crates/geranium_net/src/body.rs
@@ -5,10 +5,9 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use viz::{Body, Request};
 
-use crate::{ApiError, ClientError, ResponseMemory};
+use crate::ApiError;
 
 /// Maximum number of bytes that are read and discarded after the size limit. A caller that
 /// is still sending when the connection closes loses the error response, so the rest of
@@ -106,38 +105,3 @@
     // The error response is sent whether or not the rest arrives in time.
     let _ = tokio::time::timeout(DISCARD_TIMEOUT, read).await;
 }
-
-/// Reads the whole body of a response.
-///
-/// # Errors
-///
-/// Returns an error if the body exceeds `limit` bytes, does not fit into `memory` or is
-/// incomplete.
-pub async fn read_response_body(
-    address: std::net::SocketAddr,
-    mut body: Incoming,
-    limit: usize,
-    memory: &ResponseMemory,
-) -> Result<Bytes, ClientError> {
-    let mut reservation = memory.reservation();
-    let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| ClientError::BrokenBody(address, e.to_string()))?;
-        let Some(data) = frame.data_ref() else {
-            continue;
-        };
-        if buf.len() + data.len() > limit {
-            return Err(ClientError::OversizeBody(address, limit));
-        }
-        let needed = buf.len() + data.len();
-        if needed > buf.capacity() {
-            let capacity = needed.next_power_of_two().min(limit);
-            if !reservation.resize(capacity) {
-                return Err(ClientError::NoMemory(address, buf.len()));
-            }
-            buf.reserve(capacity - buf.len());
-        }
-        buf.extend_from_slice(data);
-    }
-    Ok(reservation.attach(buf.freeze()))
-}
--- a/crates/geranium_net/src/client.rs
+++ b/crates/geranium_net/src/client.rs
@@ -13,8 +13,9 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::Instant;
 
-use crate::{ClientError, ResponseMemory, read_response_body};
+use crate::{ClientError, ResponseBody, ResponseMemory};
 
 /// Maximum buffer size of a connection, in bytes. It bounds the head of a response, so that
 /// a server that sends an endless head cannot exhaust the memory of this process.
@@ -227,16 +228,20 @@
         limit: Duration,
     ) -> Result<Response<Bytes>, ClientError> {
         let address = req.address;
-        let buffered = async {
-            let (head, body) = self.send(req, limit).await?.into_parts();
-            let body =
-                read_response_body(address, body, self.max_body, &self.response_memory).await?;
-            Ok(Response::from_parts(head, body))
+        let deadline = Instant::now() + limit;
+        let (head, body) = self.send(req, limit).await?.into_parts();
+        let mut body = ResponseBody::new(address, body, self.max_body, &self.response_memory);
+        let read = async {
+            while body.read_part().await? {}
+            Ok(())
         };
-        match tokio::time::timeout(limit, buffered).await {
-            Ok(outcome) => outcome,
-            Err(_) => Err(ClientError::Timeout(address, limit)),
+        match tokio::time::timeout_at(deadline, read).await {
+            Ok(outcome) => outcome?,
+            Err(_) => {
+                return Err(ClientError::Incomplete(address, limit, body.read_bytes()));
+            }
         }
+        Ok(Response::from_parts(head, body.into_bytes()))
     }
 
     /// Sends a request and parses the response body as JSON.
--- a/crates/geranium_net/src/client_error.rs
+++ b/crates/geranium_net/src/client_error.rs
@@ -21,6 +21,10 @@
         Timeout(address: SocketAddr, limit: Duration) {
             display("no response from {} within {} ms", address, limit.as_millis())
         }
+        /// The response body was not complete in time; so many bytes of it had arrived.
+        Incomplete(address: SocketAddr, limit: Duration, read: usize) {
+            display("response from {} was not complete within {} ms: {} bytes had arrived", address, limit.as_millis(), read)
+        }
         /// The response body ended early.
         BrokenBody(address: SocketAddr, detail: String) {
             display("response from {} ended early: {}", address, detail)
