--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -88,6 +88,8 @@
     pub(crate) directory_age: Gauge,
     /// Milliseconds since the last moment for which the local view is known to be complete.
     pub(crate) view_behind: Gauge,
+    /// Bytes of the responses with changes that other entry hosts sent.
+    pub(crate) peer_change_bytes: Counter,
     /// Memory of the store changes kept for other entry hosts, in bytes.
     pub(crate) recent_change_bytes: Gauge,
     /// Delay of a timer in the single thread of the event loop, in seconds.
@@ -179,6 +181,11 @@
                 "view_behind_milliseconds",
                 "Time since the view was known to be complete",
             ),
+            peer_change_bytes: register_metric(
+                r,
+                "peer_change_bytes",
+                "Bytes of changes from other entry hosts",
+            ),
             recent_change_bytes: register_metric(
                 r,
                 "recent_change_bytes",
--- a/crates/geranium_entry/src/store_watcher.rs
+++ b/crates/geranium_entry/src/store_watcher.rs
@@ -186,8 +186,10 @@
     ) {
         let took = self.shared.now().since(asked_at);
         let complete_at = self.shared.now() - changes.age;
-        if changes.received_bytes >= LARGE_READ_BYTES {
-            log::info!(source:% = source, bytes = changes.received_bytes, changes = changes.batch.changes.len(), revision = changes.batch.revision.0, took_ms = took.as_millis() as u64; "many bytes of changes came from another entry host");
+        let bytes = changes.received_bytes;
+        self.shared.metrics.peer_change_bytes.inc_by(bytes as u64);
+        if bytes >= LARGE_READ_BYTES {
+            log::info!(source:% = source, bytes = bytes, changes = changes.batch.changes.len(), revision = changes.batch.revision.0, took_ms = took.as_millis() as u64; "many bytes of changes came from another entry host");
         }
         if !changes.batch.changes.is_empty() {
             self.apply_batch(changes.batch);
