HTTP client: a response under way is read on while parts of it arrive

Callers saw changes in force late on entry hosts with links of 14 Mbit/s.

Cause (hypothesis 1): the whole answer had a fixed time, 700 ms from an entry host, 900 or 1,000 ms from the store, whatever its size. One value of 0.74 MB needs over a second on the slow link of the test; what had come (400 to 640 KB) was thrown away, and the same was asked for again, without end.

A source that is silent is noticed as soon as before. A body whose announced length is over its limit is refused before it is read. Writes are as before.

--- a/crates/geranium_entry/src/peer_changes.rs
+++ b/crates/geranium_entry/src/peer_changes.rs
@@ -7,15 +7,19 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use geranium_core::id::StoreRevision;
-use geranium_net::{ClientError, HttpClient, HttpRequest};
+use geranium_net::{ClientError, HttpClient, HttpRequest, ResponseTimeout};
 use geranium_platform::{StoreEra, StoredValue, WatchBatch, WatchChange};
 use hyper::StatusCode;
 
 use crate::change_history::Change;
 use crate::recent_changes::ChangesResponse;
 
-/// Timeout of a request to another entry host.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(700);
+/// Timeouts of a request to another entry host, which may wait for a change before it responds.
+const REQUEST_TIMEOUT: ResponseTimeout = ResponseTimeout {
+    head: Duration::from_millis(700),
+    pause: Duration::from_millis(500),
+    total: Duration::from_secs(3),
+};
 
 /// Changes received from another entry host.
 #[derive(Debug)]
--- a/crates/geranium_net/src/client.rs
+++ b/crates/geranium_net/src/client.rs
@@ -15,7 +15,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
-use crate::{ClientError, ResponseBody, ResponseMemory};
+use crate::{ClientError, ResponseBody, ResponseMemory, ResponseTimeout};
 
 /// Maximum buffer size of a connection, in bytes. It bounds the head of a response, so that
 /// a server that sends an endless head cannot exhaust the memory of this process.
@@ -211,7 +211,7 @@
     pub async fn send_buffered(
         &self,
         req: HttpRequest,
-        limit: Duration,
+        limit: impl Into<ResponseTimeout>,
     ) -> Result<(StatusCode, Bytes), ClientError> {
         let res = self.send_buffered_with_headers(req, limit).await?;
         Ok((res.status(), res.into_body()))
@@ -225,20 +225,23 @@
     pub async fn send_buffered_with_headers(
         &self,
         req: HttpRequest,
-        limit: Duration,
+        limit: impl Into<ResponseTimeout>,
     ) -> Result<Response<Bytes>, ClientError> {
+        let limit = limit.into();
         let address = req.address;
-        let deadline = Instant::now() + limit;
-        let (head, body) = self.send(req, limit).await?.into_parts();
+        let sent_at = Instant::now();
+        let (head, body) = self.send(req, limit.head).await?.into_parts();
         let mut body = ResponseBody::new(address, body, self.max_body, &self.response_memory);
-        let read = async {
-            while body.read_part().await? {}
-            Ok(())
-        };
-        match tokio::time::timeout_at(deadline, read).await {
-            Ok(outcome) => outcome?,
-            Err(_) => {
-                return Err(ClientError::Incomplete(address, limit, body.read_bytes()));
+        loop {
+            let deadline = (sent_at + limit.total).min(Instant::now() + limit.pause);
+            match tokio::time::timeout_at(deadline, body.read_part()).await {
+                Ok(Ok(true)) => {}
+                Ok(Ok(false)) => break,
+                Ok(Err(e)) => return Err(e),
+                Err(_) => {
+                    let waited = sent_at.elapsed();
+                    return Err(ClientError::Incomplete(address, waited, body.read_bytes()));
+                }
             }
         }
         Ok(Response::from_parts(head, body.into_bytes()))
--- a/crates/geranium_net/src/client_error.rs
+++ b/crates/geranium_net/src/client_error.rs
@@ -22,8 +22,8 @@
             display("no response from {} within {} ms", address, limit.as_millis())
         }
         /// The response body was not complete in time; so many bytes of it had arrived.
-        Incomplete(address: SocketAddr, limit: Duration, read: usize) {
-            display("response from {} was not complete within {} ms: {} bytes had arrived", address, limit.as_millis(), read)
+        Incomplete(address: SocketAddr, waited: Duration, read: usize) {
+            display("response from {} was not complete after {} ms: {} bytes had arrived", address, waited.as_millis(), read)
         }
         /// The response body ended early.
         BrokenBody(address: SocketAddr, detail: String) {
--- a/crates/geranium_net/src/lib.rs
+++ b/crates/geranium_net/src/lib.rs
@@ -14,6 +14,7 @@
 mod memory_reservation;
 mod response_body;
 mod response_memory;
+mod response_timeout;
 mod server;
 mod server_error;
 
@@ -28,5 +29,6 @@
 pub use memory_reservation::MemoryReservation;
 pub use response_body::{ResponseBody, read_response_body};
 pub use response_memory::ResponseMemory;
+pub use response_timeout::ResponseTimeout;
 pub use server::{HttpServer, ServerConfig};
 pub use server_error::ServerError;
--- a/crates/geranium_net/src/response_body.rs
+++ b/crates/geranium_net/src/response_body.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use crate::{ClientError, MemoryReservation, ResponseMemory};
 
@@ -43,6 +43,10 @@
     ///
     /// Returns an error if the body exceeds its limit, does not fit into memory or ends early.
     pub async fn read_part(&mut self) -> Result<bool, ClientError> {
+        let announced = usize::try_from(self.body.size_hint().lower()).unwrap_or(usize::MAX);
+        if self.buf.len().saturating_add(announced) > self.limit {
+            return Err(ClientError::OversizeBody(self.address, self.limit));
+        }
         let Some(frame) = self.body.frame().await else {
             return Ok(false);
         };
