Store watcher: whoever is far behind reads the contents, not the log of changes

Callers saw old configurations for seconds after a cut or an outage, at the entry hosts that had been away.

For 14 missed versions of 0.74 MB that is 14 MB in Base64, 8 s on a link of 14 Mbit/s, growing while it is read; after the failure the same was asked for again.

Ruled out: a full read after every failed call, as 134 entry hosts would read everything after each outage, though nothing was written meanwhile.

--- a/crates/geranium_entry/src/store_watcher.rs
+++ b/crates/geranium_entry/src/store_watcher.rs
@@ -58,7 +58,7 @@
             continue;
         };
         watcher.record_store_failure(&e);
-        if matches!(e, StoreError::Compacted(_) | StoreError::Restored(..)) {
+        if needs_snapshot(&e) {
             watcher.shared.snapshot_due.set(true);
             continue;
         }
@@ -67,6 +67,14 @@
     }
 }
 
+/// Returns whether changes cannot be followed further from the present revision.
+const fn needs_snapshot(e: &StoreError) -> bool {
+    matches!(
+        e,
+        StoreError::Compacted(_) | StoreError::TooManyChanges(..) | StoreError::Restored(..)
+    )
+}
+
 /// Waits after a failed call, with exponential backoff and jitter so that entry hosts do
 /// not retry at the same time.
 pub(crate) async fn back_off(failures: u32) {
--- a/crates/geranium_platform/src/counter.rs
+++ b/crates/geranium_platform/src/counter.rs
@@ -96,7 +96,7 @@
     pub const fn of<T>(outcome: &Result<T, StoreError>) -> Self {
         match outcome {
             Ok(_) => Self::Answered,
-            Err(StoreError::Unreachable(..)) => Self::Unreachable,
+            Err(StoreError::Unreachable(..) | StoreError::TooManyChanges(..)) => Self::Unreachable,
             Err(StoreError::Ambiguous(..)) => Self::Ambiguous,
             Err(StoreError::Malformed(..)) => Self::Malformed,
             Err(StoreError::RateLimited(..)) => Self::RateLimited,
--- a/crates/geranium_platform/src/error.rs
+++ b/crates/geranium_platform/src/error.rs
@@ -42,6 +42,11 @@
         Outdated(seen: u64, current: u64) {
             display("answer of the platform service states era {}, but the present one is {}", seen, current)
         }
+        /// The changes since a revision are too many to arrive in one answer; a full read
+        /// brings their result.
+        TooManyChanges(revision: u64, detail: String) {
+            display("changes since revision {} are too many: {}", revision, detail)
+        }
         /// Changes before the wanted revision are gone; a full read is needed.
         Compacted(revision: u64) {
             display("changes since revision {} are compacted", revision)
--- a/crates/geranium_platform/src/store.rs
+++ b/crates/geranium_platform/src/store.rs
@@ -150,7 +150,8 @@
     ///
     /// Returns an error if the watch could not be opened. If those changes are
     /// gone, this call or the first item of the stream gives
-    /// [`StoreError::Compacted`]. The stream ends after its first error.
+    /// [`StoreError::Compacted`]; if they are too many to be read one by one,
+    /// [`StoreError::TooManyChanges`]. The stream ends after its first error.
     fn watch(
         &self,
         prefix: &str,
