Entry hosts pass on what changed in a large value, not the whole of it

Cause (hypothesis 2): one value holds the whole configuration, and each change of one key of it went out whole, Base64 in JSON, from the manager to the leaders and from each of them to 21 to 23 followers, one response built for each: 0.78 MB each for 3,051 routes.

Now whoever holds the earlier version gets a patch: a zstd frame compressed against it, some hundred bytes for one route, with a checksum of the result. It is made once, where the version comes from the store, and passed on as it is. Whoever holds none of the versions that patches start from gets the value compressed; a patch that does not fit is answered by asking for that. A reader asks for patches by a query that builds from before ignore, and only then gets any; such builds still get and send whole values. Patches are bounded to a sixteenth of the value, and all that is held to a twentieth of the process memory, as before.

--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `connections_in_use` | connections that the exit of the process would cut |
 //! | `pool` | connection pool for backend servers |
 //! | `store_watcher`, `peer_fallback` | store changes, received directly or from other entry hosts |
+//! | [`large_value`], [`value_patch`] | differences between versions of a large value |
 //! | [`change_history`], `recent_changes`, `peer_changes` | recent store changes; server and client for passing them on |
 //! | [`freshness`] | how far the local view is behind the store |
 //! | `election`, `manager` | manager election, group planning and orders to hosts |
@@ -40,6 +41,7 @@
 mod entry_registration;
 pub mod freshness;
 mod in_flight;
+pub mod large_value;
 mod log_writer;
 mod manager;
 mod metrics;
@@ -64,6 +66,7 @@
 mod store_watcher;
 mod stored_record;
 mod term;
+pub mod value_patch;
 mod watchdog;
 
 pub use dialect::{Dialect, HeaderNames};
--- a/crates/geranium_entry/src/peer_changes.rs
+++ b/crates/geranium_entry/src/peer_changes.rs
@@ -3,16 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
-use bytes::Bytes;
 use geranium_core::id::StoreRevision;
 use geranium_net::{ClientError, HttpClient, HttpRequest, ResponseTimeout};
-use geranium_platform::{StoreEra, StoredValue, WatchBatch, WatchChange};
+use geranium_platform::StoreEra;
 use hyper::StatusCode;
 
-use crate::change_history::Change;
-use crate::recent_changes::ChangesResponse;
+use crate::change_history::{Change, ChangeForm};
+use crate::recent_changes::{ChangesResponse, changes_path};
 
 /// Timeouts of a request to another entry host, which may wait for a change before it responds.
 const REQUEST_TIMEOUT: ResponseTimeout = ResponseTimeout {
@@ -24,7 +21,10 @@
 /// Changes received from another entry host.
 #[derive(Debug)]
 pub(crate) struct PeerChanges {
-    pub(crate) batch: WatchBatch,
+    /// The changes in ascending order of their revisions.
+    pub(crate) changes: Vec<Change>,
+    /// Revision up to which the changes are complete.
+    pub(crate) revision: StoreRevision,
     /// Era of the store that they are from, if it states eras.
     pub(crate) era: Option<StoreEra>,
     /// Time since the last contact with the store of the entry host that watches it.
@@ -35,8 +35,15 @@
     pub(crate) received_bytes: usize,
 }
 
+impl PeerChanges {
+    /// Returns whether nothing has changed.
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+}
+
 /// Fetches the changes after a revision from another entry host; `None` if it cannot
-/// provide all of them.
+/// provide all of them. One of an earlier build returns whole values in either form.
 ///
 /// # Errors
 ///
@@ -45,47 +52,21 @@
     client: &HttpClient,
     peer: SocketAddr,
     after: StoreRevision,
+    form: ChangeForm,
 ) -> Result<Option<PeerChanges>, ClientError> {
-    let req = HttpRequest::get(peer, format!("/changes/{}", after.0));
+    let req = HttpRequest::get(peer, changes_path(after, form));
     let (status, body) = client.send_buffered(req, REQUEST_TIMEOUT).await?;
     if status != StatusCode::OK {
         return Ok(None);
     }
-    let changes: ChangesResponse =
+    let res: ChangesResponse =
         serde_json::from_slice(&body).map_err(|e| ClientError::Malformed(peer, e.to_string()))?;
-    let is_complete = changes.newest.is_none_or(|n| n <= changes.revision);
-    let batch = WatchBatch {
-        revision: StoreRevision(changes.revision),
-        changes: changes.changes.into_iter().filter_map(decode).collect(),
-    };
-    let age = Duration::from_millis(changes.age_ms);
-    let era = changes.era.map(StoreEra);
     Ok(Some(PeerChanges {
-        batch,
-        era,
-        age,
-        is_complete,
+        is_complete: res.newest.is_none_or(|n| n <= res.revision),
+        changes: res.changes,
+        revision: StoreRevision(res.revision),
+        era: res.era.map(StoreEra),
+        age: Duration::from_millis(res.age_ms),
         received_bytes: body.len(),
     }))
 }
-
-fn decode(change: Change) -> Option<WatchChange> {
-    let revision = StoreRevision(change.revision);
-    let Some(text) = change.value else {
-        return Some(WatchChange::Deleted {
-            key: change.key.to_string(),
-            revision,
-        });
-    };
-    match STANDARD.decode(&*text) {
-        Ok(bytes) => Some(WatchChange::Put(StoredValue {
-            key: change.key.to_string(),
-            value: Bytes::from(bytes),
-            revision,
-        })),
-        Err(e) => {
-            log::warn!("ignoring a malformed change from another entry host: {e}");
-            None
-        }
-    }
-}
--- a/crates/geranium_entry/src/peer_fallback.rs
+++ b/crates/geranium_entry/src/peer_fallback.rs
@@ -27,10 +27,11 @@
             continue;
         };
         let asked_at = shared.now();
-        match peer_changes::fetch(watcher.client(), peer, revision).await {
-            Ok(Some(changes)) if !changes.batch.changes.is_empty() => {
-                log::info!(peer:% = peer, changes = changes.batch.changes.len(), revision = changes.batch.revision.0; "changes come from another entry host");
-                watcher.apply_peer_changes(peer, changes, asked_at);
+        let form = watcher.next_form();
+        match peer_changes::fetch(watcher.client(), peer, revision, form).await {
+            Ok(Some(changes)) if !changes.is_empty() => {
+                log::info!(peer:% = peer, changes = changes.changes.len(), revision = changes.revision.0; "changes come from another entry host");
+                watcher.apply_peer_changes(peer, &changes, asked_at);
             }
             Ok(_) => {}
             Err(e) => log::debug!(peer:% = peer; "failed to fetch changes from a peer: {e}"),
--- a/crates/geranium_entry/src/recent_changes.rs
+++ b/crates/geranium_entry/src/recent_changes.rs
@@ -5,10 +5,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
 use geranium_net::{HttpServer, ServerConfig, ServerError};
-use geranium_platform::{StoreEra, WatchBatch};
+use geranium_platform::{StoreEra, StoredValue, WatchBatch, WatchChange};
 use geranium_telemetry::ProcessClock;
 use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
@@ -16,7 +17,9 @@
 use tokio_util::sync::CancellationToken;
 use viz::{IntoResponse, RequestExt, Router, get};
 
-use crate::change_history::{Change, ChangeHistory};
+use crate::change_history::{Change, ChangeForm, ChangeHistory, ReceivedPatches};
+use crate::peer_changes::PeerChanges;
+use crate::value_patch::PatchError;
 
 /// Fraction of the process memory that recent changes may hold.
 const MEMORY_FRACTION: f64 = 0.05;
@@ -30,6 +33,28 @@
 const MAX_CONTACT_AGE: Duration = Duration::from_secs(2);
 /// Path that returns the changes after a revision.
 const CHANGES_PATH: &str = "/changes/:after";
+/// Query of a reader that takes patches. Earlier builds ignore it.
+const PATCHED_QUERY: &str = "patched";
+/// Query of a reader that takes whole values compressed. Earlier builds ignore it.
+const COMPRESSED_QUERY: &str = "compressed";
+
+/// Returns the path of a request for the changes after a revision.
+pub(crate) fn changes_path(after: StoreRevision, form: ChangeForm) -> String {
+    match form {
+        ChangeForm::Whole => format!("/changes/{}", after.0),
+        ChangeForm::Patched => format!("/changes/{}?{PATCHED_QUERY}", after.0),
+        ChangeForm::Compressed => format!("/changes/{}?{COMPRESSED_QUERY}", after.0),
+    }
+}
+
+/// Returns the form that a request asks for.
+fn requested_form(req: &viz::Request) -> ChangeForm {
+    match req.uri().query() {
+        Some(PATCHED_QUERY) => ChangeForm::Patched,
+        Some(COMPRESSED_QUERY) => ChangeForm::Compressed,
+        _ => ChangeForm::Whole,
+    }
+}
 
 /// The changes up to a revision, as sent in a response.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -110,27 +135,66 @@
         current.era = None;
     }
 
-    /// Discards all changes and starts anew from a revision of an era.
-    pub(crate) fn start(&self, revision: StoreRevision, era: Option<StoreEra>) {
+    /// Discards all changes and starts anew from a revision of an era, with the contents of the
+    /// store.
+    pub(crate) fn start(
+        &self,
+        revision: StoreRevision,
+        era: Option<StoreEra>,
+        values: &[StoredValue],
+    ) {
         let mut current = self.lock();
         current.history.start(revision);
+        values.iter().for_each(|value| current.history.hold(value));
         current.era = era;
     }
 
-    /// Appends the changes of a batch that are newer than those in the buffer.
-    pub(crate) fn append(&self, batch: &WatchBatch) {
-        self.lock().history.append(batch);
+    /// Appends the changes of a batch that are newer than those in the buffer. `received` are the
+    /// patches by which large values came.
+    pub(crate) fn append(&self, batch: &WatchBatch, received: &ReceivedPatches) {
+        self.lock().history.append_received(batch, received);
         self.appended.notify_waiters();
     }
 
+    /// Returns the changes that another entry host sent with their values, and the patches by
+    /// which they came.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a patch applies to another value than the one that is held.
+    pub(crate) fn resolve(
+        &self,
+        sent: &PeerChanges,
+    ) -> Result<(WatchBatch, ReceivedPatches), PatchError> {
+        let current = self.lock();
+        let mut batch = WatchBatch {
+            changes: Vec::with_capacity(sent.changes.len()),
+            revision: sent.revision,
+        };
+        let mut received = ReceivedPatches::default();
+        for change in &sent.changes {
+            let value = current.history.resolve(change)?;
+            batch.changes.push(watch_change(change, value));
+            if !change.patches.is_empty() {
+                received.insert(change.key.clone(), change.patches.clone());
+            }
+        }
+        Ok((batch, received))
+    }
+
     /// Returns the next changes after a revision, or `None` if some of them were already
     /// dropped or the last contact with the store is too long ago.
-    fn changes_after(&self, revision: u64, now: Timestamp) -> Option<ChangesResponse> {
+    fn changes_after(
+        &self,
+        revision: u64,
+        form: ChangeForm,
+        now: Timestamp,
+    ) -> Option<ChangesResponse> {
         let age = self.contact_age(now)?;
-        let current = self.lock();
+        let mut current = self.lock();
         let page = current
             .history
-            .page_after(StoreRevision(revision), MAX_RESPONSE_BYTES)?;
+            .page_after(StoreRevision(revision), MAX_RESPONSE_BYTES, form)?;
         Some(ChangesResponse {
             changes: page.changes,
             revision: page.revision,
@@ -144,19 +208,34 @@
     async fn wait_for_changes(
         &self,
         revision: u64,
+        form: ChangeForm,
         clock: ProcessClock,
     ) -> Option<ChangesResponse> {
         let appended = self.appended.notified();
-        let changes = self.changes_after(revision, clock.now())?;
+        let changes = self.changes_after(revision, form, clock.now())?;
         if changes.changes.is_empty() {
             // On a timeout the empty response still tells that the store is reachable.
             let _ = tokio::time::timeout(LONG_POLL_TIMEOUT, appended).await;
-            return self.changes_after(revision, clock.now());
+            return self.changes_after(revision, form, clock.now());
         }
         Some(changes)
     }
 }
 
+/// Returns a change with its value.
+fn watch_change(change: &Change, value: Option<Bytes>) -> WatchChange {
+    let revision = StoreRevision(change.revision);
+    let key = change.key.to_string();
+    match value {
+        Some(value) => WatchChange::Put(StoredValue {
+            key,
+            value,
+            revision,
+        }),
+        None => WatchChange::Deleted { key, revision },
+    }
+}
+
 /// Serves changes to other entry hosts until the process ends.
 ///
 /// # Errors
@@ -171,7 +250,8 @@
         let recent = recent.clone();
         async move {
             let (after,) = req.params::<(u64,)>()?;
-            let res = match recent.wait_for_changes(after, clock).await {
+            let form = requested_form(&req);
+            let res = match recent.wait_for_changes(after, form, clock).await {
                 Some(changes) => viz::types::Json(changes).into_response(),
                 None => StatusCode::GONE.into_response(),
             };
--- a/crates/geranium_entry/src/store_watcher.rs
+++ b/crates/geranium_entry/src/store_watcher.rs
@@ -2,7 +2,7 @@
 
 mod apply;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -17,6 +17,7 @@
 use geranium_platform::{KvStore, StoreError, WatchBatch, WatchChange};
 use rand::seq::IndexedRandom;
 
+use crate::change_history::{ChangeForm, ReceivedPatches};
 use crate::dialect::Dialect;
 use crate::entry_registration::{ENTRY_PREFIX, MANAGER_KEY};
 use crate::peer_changes::{self, PeerChanges};
@@ -90,6 +91,8 @@
     client: HttpClient,
     /// Entry hosts that failed to pass on changes, and until when they are not asked.
     source_cooldowns: RefCell<HashMap<SocketAddr, Timestamp>>,
+    /// Whether the next request for changes asks for whole values, as patches did not fit.
+    whole_values_due: Cell<bool>,
 }
 
 impl<D: Dialect> StoreWatcher<D> {
@@ -100,6 +103,7 @@
             peers,
             client: HttpClient::new(&ClientConfig::default()),
             source_cooldowns: RefCell::default(),
+            whole_values_due: Cell::default(),
         }
     }
 
@@ -160,19 +164,19 @@
 
     async fn poll_source(&self, source: SocketAddr, after: StoreRevision) -> bool {
         let asked_at = self.shared.now();
-        match peer_changes::fetch(&self.client, source, after).await {
+        let form = self.next_form();
+        match peer_changes::fetch(&self.client, source, after, form).await {
             Ok(Some(changes)) if self.is_from_another_era(&changes) => {
                 log::info!(source:% = source, era = changes.era.map(|e| e.0); "changes of another entry host are from another era of the store");
                 false
             }
             Ok(Some(changes)) => {
                 self.record_store_contact(changes.age);
-                let is_empty = changes.batch.changes.is_empty();
-                self.apply_peer_changes(source, changes, asked_at);
-                if !is_empty {
+                let is_applied = self.apply_peer_changes(source, &changes, asked_at);
+                if is_applied && !changes.is_empty() {
                     tokio::time::sleep(BATCH_INTERVAL).await;
                 }
-                true
+                is_applied || form == ChangeForm::Patched
             }
             Ok(None) => {
                 log::info!(source:% = source, after = after.0; "another entry host cannot pass on changes");
@@ -185,26 +189,43 @@
         }
     }
 
-    /// Applies the changes that another entry host returned for a request sent at `asked_at`.
+    /// Returns the form in which to ask for the next changes.
+    pub(crate) fn next_form(&self) -> ChangeForm {
+        if self.whole_values_due.replace(false) {
+            ChangeForm::Compressed
+        } else {
+            ChangeForm::Patched
+        }
+    }
+
+    /// Applies the changes that another entry host returned for a request sent at `asked_at`;
+    /// returns whether it could. If not, whole values are asked for next.
     pub(crate) fn apply_peer_changes(
         &self,
         source: SocketAddr,
-        changes: PeerChanges,
+        changes: &PeerChanges,
         asked_at: Timestamp,
-    ) {
+    ) -> bool {
         let took = self.shared.now().since(asked_at);
         let complete_at = self.shared.now() - changes.age;
         let bytes = changes.received_bytes;
         self.shared.metrics.peer_change_bytes.inc_by(bytes as u64);
         if bytes >= LARGE_READ_BYTES {
-            log::info!(source:% = source, bytes = bytes, changes = changes.batch.changes.len(), revision = changes.batch.revision.0, took_ms = took.as_millis() as u64; "many bytes of changes came from another entry host");
+            log::info!(source:% = source, bytes = bytes, changes = changes.changes.len(), revision = changes.revision.0, took_ms = took.as_millis() as u64; "many bytes of changes came from another entry host");
         }
-        if !changes.batch.changes.is_empty() {
-            self.apply_batch(changes.batch);
+        match self.shared.recent_changes.resolve(changes) {
+            Ok((batch, _)) if batch.changes.is_empty() => {}
+            Ok((batch, received)) => self.apply_batch(batch, &received),
+            Err(e) => {
+                log::warn!(source:% = source, revision = changes.revision.0; "changes of another entry host do not fit: {e}");
+                self.whole_values_due.set(true);
+                return false;
+            }
         }
         if changes.is_complete {
             self.record_complete(complete_at);
         }
+        true
     }
 
     /// Records that the local view holds all changes that the store had at a moment.
@@ -254,7 +275,8 @@
         let took = self.shared.now().since(began);
         log::info!(revision = read.revision.0, hosts = hosts.len(), entry_hosts = entry_hosts, values = read.values.len(), bytes = bytes, took_ms = took.as_millis() as u64; "read a full snapshot of the store");
         self.shared.revision.set(Some(read.revision));
-        self.shared.recent_changes.start(read.revision, era);
+        let recent = &self.shared.recent_changes;
+        recent.start(read.revision, era, &read.values);
         self.record_complete(began);
         self.shared.update_readiness();
         self.shared.state_changed.notify_waiters();
@@ -305,11 +327,11 @@
             self.record_store_contact(Duration::ZERO);
             let changed = !batch.changes.is_empty();
             if changed {
-                let bytes: usize = batch.changes.iter().map(value_bytes).sum();
+                let bytes: usize = batch.changes.iter().map(WatchChange::value_bytes).sum();
                 if bytes >= LARGE_READ_BYTES {
                     log::info!(bytes = bytes, changes = batch.changes.len(), revision = batch.revision.0; "many bytes of changes came from the store");
                 }
-                self.apply_batch(batch);
+                self.apply_batch(batch, &ReceivedPatches::default());
             }
             self.record_complete(self.shared.now());
             if !self.sources().is_empty() || self.shared.snapshot_due.get() {
@@ -329,11 +351,11 @@
     }
 
     /// Applies changes from the store or from another entry host, except those that were
-    /// applied already.
-    pub(crate) fn apply_batch(&self, mut batch: WatchBatch) {
+    /// applied already. `received` are the patches by which large values came.
+    fn apply_batch(&self, mut batch: WatchBatch, received: &ReceivedPatches) {
         let current = self.shared.revision.get().unwrap_or_default();
-        batch.changes.retain(|c| revision_of(c) > current);
-        self.shared.recent_changes.append(&batch);
+        batch.changes.retain(|c| c.revision() > current);
+        self.shared.recent_changes.append(&batch, received);
         self.shared.revision.set(Some(batch.revision.max(current)));
         for change in batch.changes {
             self.apply_change(change);
@@ -377,17 +399,3 @@
         log::warn!(silent_ms = silent.as_millis() as u64; "store call failed: {e}");
     }
 }
-
-const fn value_bytes(change: &WatchChange) -> usize {
-    match change {
-        WatchChange::Put(value) => value.value.len(),
-        WatchChange::Deleted { .. } => 0,
-    }
-}
-
-const fn revision_of(change: &WatchChange) -> StoreRevision {
-    match change {
-        WatchChange::Put(value) => value.revision,
-        WatchChange::Deleted { revision, .. } => *revision,
-    }
-}
--- a/crates/geranium_entry/tests/change_history.rs
+++ b/crates/geranium_entry/tests/change_history.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use geranium_core::id::StoreRevision;
-use geranium_entry::change_history::{Change, ChangeHistory};
+use geranium_entry::change_history::{Change, ChangeForm, ChangeHistory};
 use geranium_platform::{StoredValue, WatchBatch, WatchChange};
 use proptest::prelude::*;
 
@@ -64,14 +64,14 @@
 
 /// Reads pages after a revision to the end; `None` if some changes were dropped.
 fn read_from(
-    history: &ChangeHistory,
+    history: &mut ChangeHistory,
     after: u64,
     page_bytes: usize,
 ) -> Option<BTreeMap<String, Option<String>>> {
     let mut contents = BTreeMap::new();
     let mut revision = after;
     loop {
-        let page = history.page_after(StoreRevision(revision), page_bytes)?;
+        let page = history.page_after(StoreRevision(revision), page_bytes, ChangeForm::Whole)?;
         if page.changes.is_empty() {
             return Some(contents);
         }
@@ -104,12 +104,12 @@
             if revision > after {
                 let mut alone = history(UNLIMITED);
                 alone.append(&batch(of_one.clone(), revision));
-                let page = alone.page_after(StoreRevision(1), UNLIMITED);
+                let page = alone.page_after(StoreRevision(1), UNLIMITED, ChangeForm::Whole);
                 apply(&mut expected, &page.expect("nothing was dropped").changes);
             }
         }
 
-        let contents = read_from(&small, after, page_bytes);
+        let contents = read_from(&mut small, after, page_bytes);
 
         prop_assert_eq!(contents, Some(expected));
     }
@@ -143,7 +143,7 @@
         ));
     }
 
-    let page = history.page_after(StoreRevision(1), UNLIMITED);
+    let page = history.page_after(StoreRevision(1), UNLIMITED, ChangeForm::Whole);
     let page = page.expect("nothing was dropped");
     assert_eq!(page.changes.len(), 1);
     assert_eq!(page.revision, 999);
@@ -160,9 +160,15 @@
         history.append(&batch(vec![put(&key, vec![0; 900], revision)], revision));
     }
 
-    assert_eq!(history.page_after(StoreRevision(1), UNLIMITED), None);
-    assert_eq!(history.page_after(StoreRevision(2), UNLIMITED), None);
-    let page = history.page_after(StoreRevision(3), UNLIMITED);
+    assert_eq!(
+        history.page_after(StoreRevision(1), UNLIMITED, ChangeForm::Whole),
+        None
+    );
+    assert_eq!(
+        history.page_after(StoreRevision(2), UNLIMITED, ChangeForm::Whole),
+        None
+    );
+    let page = history.page_after(StoreRevision(3), UNLIMITED, ChangeForm::Whole);
     assert_eq!(page.map(|p| p.changes.len()), Some(2));
 }
 
@@ -174,7 +180,7 @@
     history.append(&batch(both, 2));
     history.append(&batch(vec![put("c", vec![0; 900], 3)], 3));
 
-    let page = history.page_after(StoreRevision(1), 1);
+    let page = history.page_after(StoreRevision(1), 1, ChangeForm::Whole);
 
     let page = page.expect("nothing was dropped");
     let keys: Vec<&str> = page.changes.iter().map(|c| &*c.key).collect();
@@ -190,7 +196,10 @@
     history.stop();
     history.append(&batch(vec![put("a", vec![0; 9], 7)], 7));
 
-    assert_eq!(history.page_after(StoreRevision(6), UNLIMITED), None);
+    assert_eq!(
+        history.page_after(StoreRevision(6), UNLIMITED, ChangeForm::Whole),
+        None
+    );
     assert_eq!(history.held_bytes(), 0);
 }
 
@@ -200,7 +209,7 @@
     let mut history = history(UNLIMITED);
     history.append(&batch(vec![put("a", vec![0; 9], 2)], 2));
 
-    let page = history.page_after(StoreRevision(u64::MAX), UNLIMITED);
+    let page = history.page_after(StoreRevision(u64::MAX), UNLIMITED, ChangeForm::Whole);
 
     let page = page.expect("nothing was dropped");
     assert_eq!(page.changes, []);
--- a/crates/geranium_platform/src/store.rs
+++ b/crates/geranium_platform/src/store.rs
@@ -70,6 +70,35 @@
     },
 }
 
+impl WatchChange {
+    /// Returns the key that changed.
+    #[must_use]
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(value) => &value.key,
+            Self::Deleted { key, .. } => key,
+        }
+    }
+
+    /// Returns the revision of the change.
+    #[must_use]
+    pub const fn revision(&self) -> StoreRevision {
+        match self {
+            Self::Put(value) => value.revision,
+            Self::Deleted { revision, .. } => *revision,
+        }
+    }
+
+    /// Returns the size of the new value, in bytes; 0 for a deletion.
+    #[must_use]
+    pub const fn value_bytes(&self) -> usize {
+        match self {
+            Self::Put(value) => value.value.len(),
+            Self::Deleted { .. } => 0,
+        }
+    }
+}
+
 /// Changes of one revision or several; an empty batch only shows progress.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WatchBatch {
