Election: the entry hosts with the largest processor shares stand first, and nobody out of turn

Callers saw changes in force later while a host with a link of 14 Mbit/s was the manager.

Now `Candidacy` holds the turn of an entry host for one vacancy, with the present time as an argument: 30 ms a rank, 0.9 s at most, larger processor shares first, then names. A renewal does not bring it forward.

Ruled out: leaders that watch the store themselves while a small host is the manager; with patches it passes on some hundred bytes, and only its own read of the store is slow.

After an outage entry hosts that could not pass on changes are asked again at once, as their sources may be back as well; before, up to 2 s of versions came whole from the store to each.

Tests: candidacy (nobody_stands_before_its_turn and larger_entry_hosts_stand_first fail by construction on the code before, which had neither); tests of elections, cuts and outages pass.

--- a/crates/geranium_entry/src/election.rs
+++ b/crates/geranium_entry/src/election.rs
@@ -1,12 +1,13 @@
 //! Registration of entry hosts in the store, and election of the manager.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use geranium_core::id::StoreRevision;
 use geranium_core::time::Timestamp;
+use geranium_fleet::candidacy::Candidacy;
 use geranium_fleet::dispatch::REGISTRATION_LEASE;
 use geranium_platform::{CasOutcome, KvStore, LeaseId, StoreError, Swap};
 use tokio::sync::watch;
@@ -24,9 +25,6 @@
 const MANAGER_LEASE: Duration = Duration::from_millis(1_400);
 /// Number of renewals within the time of one lease.
 const RENEWALS_PER_LEASE: u32 = 4;
-/// Delay per position in the sorted list of entry hosts, so that they do not all try to
-/// become manager at the same time.
-const CANDIDACY_STAGGER: Duration = Duration::from_millis(30);
 
 /// Keeps this entry host registered, takes part in the election and manages groups while
 /// elected, until the process shuts down.
@@ -36,7 +34,7 @@
     peers: Rc<PeerLink>,
 ) {
     let (tx, rx) = watch::channel(None);
-    let managing = run_manager(shared.clone(), rx, peers);
+    let managing = run_manager(shared.clone(), rx, peers.clone());
     tokio::task::spawn_local(managing);
     let mut phase = shared.phase.subscribe();
     let mut failures = 0;
@@ -47,9 +45,11 @@
         let candidate = Candidate {
             shared: shared.clone(),
             store: store.clone(),
+            peers: peers.clone(),
             elected: tx.clone(),
             manager_lease: Cell::new(None),
             stored_term: Cell::new(StoredTerm::ABSENT),
+            candidacy: RefCell::default(),
         };
         let began = shared.now();
         if let Err(e) = candidate.keep_registered(&mut phase).await {
@@ -68,11 +68,13 @@
 struct Candidate<D: Dialect, S: KvStore> {
     shared: Rc<SharedState<D>>,
     store: S,
+    peers: Rc<PeerLink>,
     elected: watch::Sender<Option<ManagerTerm>>,
     /// Lease of the manager role, while this entry host holds it.
     manager_lease: Cell<Option<LeaseId>>,
     /// What the store holds of the last term, as far as is known.
     stored_term: Cell<StoredTerm>,
+    candidacy: RefCell<Candidacy>,
 }
 
 impl<D: Dialect, S: KvStore> Candidate<D, S> {
@@ -95,11 +97,7 @@
             let renewal = renewed_at + lease_time / RENEWALS_PER_LEASE;
             tokio::select! {
                 () = tokio::time::sleep(self.pause_until(renewal)) => {}
-                () = self.wait_for_vacancy() => {
-                    let pause = CANDIDACY_STAGGER * self.rank();
-                    tokio::time::sleep(pause).await;
-                    continue;
-                }
+                () = self.wait_for_vacancy() => continue,
                 _ = phase.changed() => return self.resign(lease).await,
                 // The leases may be gone and their numbers given to others.
                 _ = restores.changed() => return Err(StoreError::LeaseNotFound(lease.0)),
@@ -120,9 +118,11 @@
         minimum.max(self.shared.cfg.min_lease)
     }
 
-    /// Returns the time until the next renewal is due.
+    /// Returns the time until the next renewal is due, or the turn to stand as manager.
     fn pause_until(&self, renewal: Timestamp) -> Duration {
-        let pause = renewal.since(self.shared.now());
+        let now = self.shared.now();
+        let turn = self.candidacy.borrow().turn();
+        let pause = turn.map_or(renewal, |turn| turn.min(renewal)).since(now);
         match self.manager_lease.get() {
             Some(_) => pause.min(self.lease_time(MANAGER_LEASE) / RENEWALS_PER_LEASE),
             None => pause,
@@ -207,17 +207,18 @@
         }
     }
 
+    /// Returns whether nobody is known to be the manager.
     fn is_vacant(&self) -> bool {
         let core = self.shared.core.borrow();
-        core.snapshot_loaded && core.manager.is_none()
+        let is_known = core.manager.is_some() || self.shared.is_manager.get();
+        core.snapshot_loaded && !is_known
     }
 
+    /// Waits until the role becomes vacant or is taken, compared with the last look at it.
     async fn wait_for_vacancy(&self) {
-        loop {
+        let was_vacant = self.candidacy.borrow().turn().is_some();
+        while self.is_vacant() == was_vacant {
             self.shared.state_changed.notified().await;
-            if self.is_vacant() {
-                return;
-            }
         }
     }
 
@@ -253,21 +254,25 @@
         }
     }
 
-    fn rank(&self) -> u32 {
-        let core = self.shared.core.borrow();
-        let before = core
-            .entry_hosts
-            .iter()
-            .filter(|n| ***n < *self.shared.cfg.name);
-        u32::try_from(before.count()).unwrap_or(u32::MAX)
-    }
-
-    /// Tries to become manager if there is none.
+    /// Becomes manager if there is none and it is this entry host's turn.
     async fn try_become_manager(&self) {
-        let is_able = !self.shared.is_manager.get() && !self.shared.is_cut_off();
-        if !is_able || !self.is_vacant() {
+        let rank = self.peers.candidacy_rank(&self.shared.cfg.name);
+        let now = self.shared.now();
+        self.candidacy
+            .borrow_mut()
+            .observe(self.is_vacant(), rank, now);
+        if !self.candidacy.borrow().is_due(now) {
             return;
         }
+        if !self.shared.is_cut_off() {
+            self.stand().await;
+        }
+        let mut candidacy = self.candidacy.borrow_mut();
+        candidacy.record_attempt(self.is_vacant(), rank, self.shared.now());
+    }
+
+    /// Stands for the role of the manager.
+    async fn stand(&self) {
         let lease_time = self.lease_time(MANAGER_LEASE);
         let lease = match self.store.grant_lease(lease_time).await {
             Ok(lease) => lease,
--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -7,7 +7,7 @@
 
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
-use geranium_fleet::exchange::{ExchangeTopology, Peer, REPORT_INTERVAL};
+use geranium_fleet::exchange::{ExchangeTopology, Peer, REPORT_INTERVAL, candidacy_rank};
 use geranium_fleet::host::{HostId, HostReport};
 use geranium_fleet::peer_load::{LoadSum, PeerLoads, RunningRequests};
 use geranium_fleet::server_limit::LimitReport;
@@ -113,6 +113,12 @@
         others.map(|p| p.address).collect()
     }
 
+    /// Returns the number of entry hosts that stand for the role of the manager before this one.
+    pub(crate) fn candidacy_rank(&self, own_name: &str) -> u32 {
+        let peers: Vec<Peer> = self.peers.borrow().values().cloned().collect();
+        u32::try_from(candidacy_rank(&peers, own_name)).unwrap_or(u32::MAX)
+    }
+
     /// Returns the exchange topology from the point of view of this entry host.
     pub(crate) fn topology(&self, name: &str, failure_domain: &str) -> Rc<ExchangeTopology> {
         let mut topology = self.topology.borrow_mut();
--- a/crates/geranium_entry/src/store_watcher.rs
+++ b/crates/geranium_entry/src/store_watcher.rs
@@ -385,6 +385,8 @@
                 .borrow_mut()
                 .directory
                 .mark_store_recovered(now);
+            // They were asked during the outage, and may have changes again.
+            self.source_cooldowns.borrow_mut().clear();
             log::info!(away_ms = outage.as_millis() as u64; "store answers again");
         }
     }
--- a/crates/geranium_fleet/src/lib.rs
+++ b/crates/geranium_fleet/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`first_token_delay`] | the part of that time that does not depend on the load |
 //! | [`admission`] | at which load a group is full for a request, by priority and account |
 //! | [`exchange`] | which entry hosts report to which others |
+//! | [`candidacy`] | when an entry host stands for the role of the manager |
 //! | [`peer_load`] | the load caused by other entry hosts |
 //! | [`attempts`] | whether a failed attempt may be retried |
 //! | [`notice`] | what a backend server announces about itself in an answer |
@@ -31,6 +32,7 @@
 
 pub mod admission;
 pub mod attempts;
+pub mod candidacy;
 pub mod capacity;
 pub mod crash;
 mod decay;
