Relay: an outdated entry host refuses unknown routes and keys as not run, not for good

These statuses are final: nobody retries them.

Cause: a host that knows that its view is old answered as if it were the newest. Routes and keys that it knows are served as before, as each failure domain serves what it can when cut off.

Ruled out: refusing everything while outdated; an outage of the store would end all service.

--- a/crates/geranium_entry/src/relay/active_request.rs
+++ b/crates/geranium_entry/src/relay/active_request.rs
@@ -318,10 +318,10 @@
     let host = text(&HOST).unwrap_or_default();
     let route = table
         .route(host, head.uri.path())
-        .ok_or(RefusalReason::NoRoute)?;
+        .ok_or_else(|| unknown_reason(shared, RefusalReason::NoRoute))?;
     let account = text(&names.account_key).and_then(|k| table.account(k));
     if table.needs_key(route) && account.is_none() {
-        return Err(RefusalReason::UnknownKey);
+        return Err(unknown_reason(shared, RefusalReason::UnknownKey));
     }
     let point = shared.core.borrow_mut().rng.random::<f64>();
     let services = &table.deployment().services;
@@ -337,6 +337,16 @@
     })
 }
 
+/// Returns why a request is refused whose route or key is not known here. The refusal is final only
+/// if the local view is up to date.
+fn unknown_reason<D: Dialect>(shared: &SharedState<D>, unknown: RefusalReason) -> RefusalReason {
+    if shared.freshness.borrow().is_outdated(shared.now()) {
+        RefusalReason::OutdatedConfiguration
+    } else {
+        unknown
+    }
+}
+
 async fn read_body(body: Incoming, max: usize) -> Result<Bytes, RefusalReason> {
     let limited = Limited::new(body, max).collect();
     match tokio::time::timeout(BODY_TIMEOUT, limited).await {
--- a/crates/geranium_entry/src/relay/forward.rs
+++ b/crates/geranium_entry/src/relay/forward.rs
@@ -58,6 +58,7 @@
     let value = match reason {
         RefusalReason::NoHost(NoHost::CutOff)
         | RefusalReason::NoConfiguration
+        | RefusalReason::OutdatedConfiguration
         | RefusalReason::Leaving => NO_PATH,
         RefusalReason::NoHost(NoHost::AtColdLimit | NoHost::AtServerLimit)
         | RefusalReason::NoCapacity("connect" | "silent") => NOT_NOW,
--- a/crates/geranium_entry/src/relay/refusal.rs
+++ b/crates/geranium_entry/src/relay/refusal.rs
@@ -15,6 +15,9 @@
 pub(crate) enum RefusalReason {
     /// No configuration is known yet.
     NoConfiguration,
+    /// The local view is outdated and has no such route or key, which a newer configuration may
+    /// have.
+    OutdatedConfiguration,
     /// No route matches the request.
     NoRoute,
     /// The account key is missing or unknown.
@@ -45,6 +48,7 @@
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no_configuration",
+            Self::OutdatedConfiguration => "outdated_configuration",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLong => "body_too_long",
@@ -67,6 +71,7 @@
             Self::BodyBroken => StatusCode::REQUEST_TIMEOUT,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::NoConfiguration
+            | Self::OutdatedConfiguration
             | Self::CrashesServers(_)
             | Self::NoHost(_)
             | Self::NoCapacity(_)
--- a/crates/geranium_entry/src/relay/retry_after.rs
+++ b/crates/geranium_entry/src/relay/retry_after.rs
@@ -19,6 +19,9 @@
 const RETRY_AFTER_CUT_OFF: Duration = Duration::from_millis(100);
 /// `Retry-After` while a trial of another request with the same refused prompt part runs.
 pub(super) const RETRY_AFTER_TRIAL: Duration = Duration::from_secs(3);
+/// `Retry-After` while a newer configuration may be in force elsewhere; the caller gets another
+/// entry host.
+const RETRY_AFTER_OUTDATED: Duration = Duration::from_millis(500);
 /// `Retry-After` while no configuration is known.
 const RETRY_AFTER_NO_CONFIGURATION: Duration = Duration::from_millis(1_000);
 
@@ -30,6 +33,7 @@
             Self::NoCapacity(_) => Some(RETRY_AFTER_FULL),
             Self::Leaving => Some(RETRY_AFTER_SHUTDOWN),
             Self::CrashesServers(retry_after) => Some(retry_after),
+            Self::OutdatedConfiguration => Some(RETRY_AFTER_OUTDATED),
             Self::NoConfiguration => Some(RETRY_AFTER_NO_CONFIGURATION),
             _ => None,
         }
