Relay and HTTP client: a status that the protocol does not have is no answer

Checked: 000, 099, two and four digits are refused by the parser already; the caller gets 502, or the request goes elsewhere if it may be repeated. Not so 600 to 999: they were passed on to the caller as an answer, of plain services, of streams, and of engines and services behind geraniumd.

Now such a response fails the attempt, which may have run (`odd_status`), and HttpClient returns an error for it. Its connection is not used again.

--- a/crates/geranium_entry/src/relay/attempt.rs
+++ b/crates/geranium_entry/src/relay/attempt.rs
@@ -7,6 +7,7 @@
 use geranium_core::time::Timestamp;
 use geranium_fleet::attempts::Failure;
 use geranium_fleet::notice::{LimitNotice, ServerNotice};
+use geranium_net::is_protocol_status;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -295,6 +296,9 @@
     if headers.get(&names.request_id) != Some(&request.request_id) {
         return Err(AttemptError::MayHaveRun("foreign_answer"));
     }
+    if !is_protocol_status(res.status()) {
+        return Err(AttemptError::MayHaveRun("odd_status"));
+    }
     // No request asks for another protocol, and to a caller it would be no final response.
     if res.status().is_informational() {
         return Err(AttemptError::MayHaveRun("informational"));
--- a/crates/geranium_net/src/client.rs
+++ b/crates/geranium_net/src/client.rs
@@ -15,7 +15,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
-use crate::{ClientError, ResponseBody, ResponseMemory, ResponseTimeout};
+use crate::{ClientError, ResponseBody, ResponseMemory, ResponseTimeout, is_protocol_status};
 
 /// Maximum buffer size of a connection, in bytes. It bounds the head of a response, so that
 /// a server that sends an endless head cannot exhaust the memory of this process.
@@ -172,7 +172,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if no response started within `limit`.
+    /// Returns an error if no response started within `limit`, or if its status is none of the
+    /// protocol's.
     /// [`ClientError::is_not_sent`] returns whether the server may have received the request.
     pub async fn send(
         &self,
@@ -181,7 +182,11 @@
     ) -> Result<Response<Incoming>, ClientError> {
         let address = req.address;
         match tokio::time::timeout(limit, self.request_with_retry(req.into_hyper()?)).await {
-            Ok(Ok(res)) => Ok(res),
+            Ok(Ok(res)) if is_protocol_status(res.status()) => Ok(res),
+            Ok(Ok(res)) => {
+                let detail = format!("status {}", res.status().as_u16());
+                Err(ClientError::Malformed(address, detail))
+            }
             Ok(Err(e)) if e.is_connect() => {
                 Err(ClientError::Connect(address, error_chain_text(&e)))
             }
--- a/crates/geranium_net/src/client_error.rs
+++ b/crates/geranium_net/src/client_error.rs
@@ -37,7 +37,7 @@
         NoMemory(address: SocketAddr, read: usize) {
             display("no memory for the response from {} after {} bytes", address, read)
         }
-        /// The response body is not the expected JSON.
+        /// The status is none of the protocol's, or the response body is not the expected JSON.
         Malformed(address: SocketAddr, detail: String) {
             display("response from {} is malformed: {}", address, detail)
         }
