--- a/crates/geranium_entry/src/freshness.rs
+++ b/crates/geranium_entry/src/freshness.rs
@@ -4,8 +4,9 @@
 
 use geranium_core::time::Timestamp;
 
-/// Time behind the store from which the local view counts as outdated.
-pub const OUTDATED_AFTER: Duration = Duration::from_millis(1_500);
+/// Time behind the store from which the local view counts as outdated. It is above the age that the
+/// waits on the way from the store through the manager and the leaders add up to.
+pub const OUTDATED_AFTER: Duration = Duration::from_millis(2_000);
 
 /// A change between an up-to-date and an outdated view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,11 +29,11 @@
 ///
 /// let start = Timestamp::from_millis(1_000);
 /// let mut freshness = Freshness::new(start);
-/// let late = start + Duration::from_secs(2);
+/// let late = start + Duration::from_secs(3);
 /// assert_eq!(freshness.check(late), Some(FreshnessChange::Outdated));
 /// assert_eq!(freshness.check(late), None);
 /// freshness.record_complete(late);
-/// let behind = Duration::from_secs(2);
+/// let behind = Duration::from_secs(3);
 /// assert_eq!(freshness.check(late), Some(FreshnessChange::Recovered(behind)));
 /// ```
 #[derive(Clone, Debug)]
--- a/crates/geranium_entry/src/large_value.rs
+++ b/crates/geranium_entry/src/large_value.rs
@@ -69,9 +69,12 @@
         self.value.len() + self.patch_bytes() + whole
     }
 
-    /// Replaces the value by a later one. `received` are patches that led to the later value at
+    /// Replaces the value by a later one; another one is ignored. `received` are patches that led to the later value at
     /// this entry host, if it came by patches.
     pub fn replace(&mut self, revision: u64, value: Bytes, received: &[ValuePatch]) {
+        if revision <= self.revision {
+            return;
+        }
         let next = received.iter().position(|p| p.from == self.revision);
         let is_led = received.last().is_some_and(|p| p.to == revision);
         match next.filter(|_| is_led) {
--- a/crates/geranium_entry/src/lib.rs
+++ b/crates/geranium_entry/src/lib.rs
@@ -16,6 +16,7 @@
 //! | `connections_in_use` | connections that the exit of the process would cut |
 //! | `pool` | connection pool for backend servers |
 //! | `store_watcher`, `peer_fallback` | store changes, received directly or from other entry hosts |
+//! | [`change`], [`change_form`] | a change of the store as entry hosts exchange it |
 //! | [`large_value`], [`value_patch`] | differences between versions of a large value |
 //! | [`change_history`], `recent_changes`, `peer_changes` | recent store changes; server and client for passing them on |
 //! | [`freshness`] | how far the local view is behind the store |
@@ -29,6 +30,8 @@
 //! | `metrics`, `beliefs` | metrics, and a snapshot of the local state for operators |
 
 mod beliefs;
+pub mod change;
+pub mod change_form;
 pub mod change_history;
 mod connections_in_use;
 mod crash_probe;
--- a/crates/geranium_entry/src/peer_changes.rs
+++ b/crates/geranium_entry/src/peer_changes.rs
@@ -8,7 +8,8 @@
 use geranium_platform::StoreEra;
 use hyper::StatusCode;
 
-use crate::change_history::{Change, ChangeForm};
+use crate::change::Change;
+use crate::change_form::ChangeForm;
 use crate::recent_changes::{ChangesResponse, changes_path};
 
 /// Timeouts of a request to another entry host, which may wait for a change before it responds.
--- a/crates/geranium_entry/src/recent_changes.rs
+++ b/crates/geranium_entry/src/recent_changes.rs
@@ -17,7 +17,9 @@
 use tokio_util::sync::CancellationToken;
 use viz::{IntoResponse, RequestExt, Router, get};
 
-use crate::change_history::{Change, ChangeForm, ChangeHistory, ReceivedPatches};
+use crate::change::Change;
+use crate::change_form::ChangeForm;
+use crate::change_history::{ChangeHistory, ReceivedPatches};
 use crate::peer_changes::PeerChanges;
 use crate::value_patch::PatchError;
 
--- a/crates/geranium_entry/tests/change_history.rs
+++ b/crates/geranium_entry/tests/change_history.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use geranium_core::id::StoreRevision;
-use geranium_entry::change_history::{Change, ChangeForm, ChangeHistory};
+use geranium_entry::change::Change;
+use geranium_entry::change_form::ChangeForm;
+use geranium_entry::change_history::ChangeHistory;
 use geranium_platform::{StoredValue, WatchBatch, WatchChange};
 use proptest::prelude::*;
 
--- a/crates/geranium_entry/tests/patched_changes.rs
+++ b/crates/geranium_entry/tests/patched_changes.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use geranium_core::id::StoreRevision;
-use geranium_entry::change_history::{Change, ChangeForm, ChangeHistory, ReceivedPatches};
+use geranium_entry::change::Change;
+use geranium_entry::change_form::ChangeForm;
+use geranium_entry::change_history::{ChangeHistory, ReceivedPatches};
 use geranium_entry::large_value::LARGE_VALUE_BYTES;
 use geranium_entry::value_patch::{PatchError, ValuePatch};
 use geranium_platform::{StoredValue, WatchBatch, WatchChange};
