--- a/crates/geranium_entry/src/election.rs
+++ b/crates/geranium_entry/src/election.rs
@@ -256,7 +256,8 @@
 
     /// Becomes manager if there is none and it is this entry host's turn.
     async fn try_become_manager(&self) {
-        let rank = self.peers.candidacy_rank(&self.shared.cfg.name);
+        let cfg = &self.shared.cfg;
+        let rank = self.peers.candidacy_rank(&cfg.name, cfg.processor_share);
         let now = self.shared.now();
         self.candidacy
             .borrow_mut()
--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -114,9 +114,10 @@
     }
 
     /// Returns the number of entry hosts that stand for the role of the manager before this one.
-    pub(crate) fn candidacy_rank(&self, own_name: &str) -> u32 {
-        let peers: Vec<Peer> = self.peers.borrow().values().cloned().collect();
-        u32::try_from(candidacy_rank(&peers, own_name)).unwrap_or(u32::MAX)
+    pub(crate) fn candidacy_rank(&self, own_name: &str, processor_share: f64) -> u32 {
+        let peers = self.peers.borrow();
+        let rank = candidacy_rank(peers.values(), own_name, processor_share);
+        u32::try_from(rank).unwrap_or(u32::MAX)
     }
 
     /// Returns the exchange topology from the point of view of this entry host.
--- a/crates/geranium_fleet/src/exchange.rs
+++ b/crates/geranium_fleet/src/exchange.rs
@@ -41,17 +41,19 @@
     pub processor_share: f64,
 }
 
-/// Returns the number of entry hosts that stand for the role of the manager before `name`: those
-/// with larger processor shares, as all changes of the store pass through the manager.
+/// Returns the number of entry hosts that stand for the role of the manager before `name` with its
+/// processor share: those with larger shares, as all changes of the store pass through the manager.
 #[must_use]
-pub fn candidacy_rank(peers: &[Peer], name: &str) -> usize {
-    let own = peers.iter().find(|p| *p.name == *name);
-    let own_share = own.map_or(0.0, |p| p.processor_share);
+pub fn candidacy_rank<'a>(
+    peers: impl IntoIterator<Item = &'a Peer>,
+    name: &str,
+    processor_share: f64,
+) -> usize {
     let stands_before = |p: &&Peer| {
-        let by_share = p.processor_share.total_cmp(&own_share);
+        let by_share = p.processor_share.total_cmp(&processor_share);
         by_share.then_with(|| name.cmp(&p.name)).is_gt()
     };
-    peers.iter().filter(stands_before).count()
+    peers.into_iter().filter(stands_before).count()
 }
 
 /// The entry hosts with which one entry host exchanges loads and store changes.
--- a/crates/geranium_fleet/tests/candidacy.rs
+++ b/crates/geranium_fleet/tests/candidacy.rs
@@ -30,7 +30,9 @@
         peer("d", 0.5),
     ];
 
-    let ranks = ["a", "b", "c", "d"].map(|name| candidacy_rank(&peers, name));
+    let ranks = peers
+        .each_ref()
+        .map(|p| candidacy_rank(&peers, &p.name, p.processor_share));
 
     assert_eq!(ranks, [2, 0, 3, 1]);
 }
