Change history: no change of a page is later than the page

Its change in the history then went out under the revision of that value, after the page; a reader took that for the last revision that it had, and left out of its own history what came between, so that those behind it would not have got it.

apply_patches takes a reference to the held bytes, in place of a copy of the whole value for each change.

--- a/crates/geranium_entry/src/change_history.rs
+++ b/crates/geranium_entry/src/change_history.rs
@@ -159,7 +159,9 @@
         for ((at, key), held) in self.changes.range(newer..) {
             let change = match (held, self.large_values.get_mut(key)) {
                 (HeldChange::Small(change), _) => change.clone(),
-                (HeldChange::Large, Some(value)) => large_change(key, value, revision.0, form)?,
+                (HeldChange::Large, Some(value)) => {
+                    large_change(key, *at, value, revision.0, form)?
+                }
                 (HeldChange::Large, None) => return None,
             };
             bytes += change.size();
@@ -190,7 +192,7 @@
             return change.decode_value();
         }
         let held = self.large_values.get(&change.key);
-        let held = held.map(|v| (v.revision(), &**v.value()));
+        let held = held.map(|v| (v.revision(), v.value()));
         let result = apply_patches(held, &change.patches)?;
         Ok(result.map(|(_, value)| value))
     }
@@ -275,15 +277,16 @@
     }
 }
 
-/// Returns the change to a large value for a reader with the contents of a revision; `None` if
-/// the value cannot be compressed.
+/// Returns the change to a large value at a revision, for a reader with the contents of the
+/// revision `after`; `None` if the value cannot be compressed. The value may be a later one, if it is
+/// from a snapshot whose pages were read at different revisions.
 fn large_change(
     key: &Arc<str>,
+    revision: u64,
     value: &mut LargeValue,
     after: u64,
     form: ChangeForm,
 ) -> Option<Change> {
-    let revision = value.revision();
     let patches = match form {
         ChangeForm::Whole => return Some(Change::put(key.clone(), revision, value.value())),
         ChangeForm::Patched => value.patches_after(after),
--- a/crates/geranium_entry/src/large_value.rs
+++ b/crates/geranium_entry/src/large_value.rs
@@ -17,15 +17,16 @@
 /// # Examples
 ///
 /// ```
+/// use bytes::Bytes;
 /// use geranium_entry::large_value::{LargeValue, apply_patches};
 ///
-/// let (old, new) = (vec![7; 90_000], vec![7; 90_001]);
-/// let mut value = LargeValue::new(3, old.clone().into());
-/// value.replace(5, new.clone().into(), &[]);
+/// let (old, new) = (Bytes::from(vec![7; 90_000]), Bytes::from(vec![7; 90_001]));
+/// let mut value = LargeValue::new(3, old.clone());
+/// value.replace(5, new.clone(), &[]);
 /// let patches = value.patches_after(4)?;
 /// assert_eq!(patches[0].from, 3);
 /// let latest = apply_patches(Some((3, &old)), &patches)?;
-/// assert_eq!(latest, Some((5, new.into())));
+/// assert_eq!(latest, Some((5, new)));
 /// # Ok::<_, geranium_entry::value_patch::PatchError>(())
 /// ```
 #[derive(Debug)]
@@ -138,10 +139,10 @@
 ///
 /// Returns an error if a patch applies to another value than the one at hand.
 pub fn apply_patches(
-    held: Option<(u64, &[u8])>,
+    held: Option<(u64, &Bytes)>,
     patches: &[ValuePatch],
 ) -> Result<Option<(u64, Bytes)>, PatchError> {
-    let mut current = held.map(|(revision, value)| (revision, Bytes::copy_from_slice(value)));
+    let mut current = held.map(|(revision, value)| (revision, value.clone()));
     for patch in patches {
         let known = current.as_ref().map(|(revision, _)| *revision);
         if known.is_some_and(|known| known >= patch.to) {
--- a/crates/geranium_entry/tests/patched_changes.rs
+++ b/crates/geranium_entry/tests/patched_changes.rs
@@ -54,7 +54,8 @@
 }
 
 impl Reader {
-    /// Creates a reader with a snapshot of the store.
+    /// Creates a reader with a snapshot of the store that may hold later values than those of its
+    /// revision, as its pages are read one after the other.
     fn start(contents: &BTreeMap<String, StoredValue>, revision: u64, max_bytes: usize) -> Self {
         let mut history = ChangeHistory::new(max_bytes);
         history.start(StoreRevision(revision));
@@ -141,7 +142,8 @@
     Delete(u8),
     LeaderFollows,
     FollowerFollows,
-    LeaderRestarts,
+    /// The leader starts anew, with the first page of its snapshot so many revisions ago.
+    LeaderRestarts(u64),
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
@@ -151,7 +153,7 @@
         1 => (0_u8..2).prop_map(Step::Delete),
         2 => Just(Step::LeaderFollows),
         2 => Just(Step::FollowerFollows),
-        1 => Just(Step::LeaderRestarts),
+        1 => (0_u64..4).prop_map(Step::LeaderRestarts),
     ];
     prop::collection::vec(step, 1..24)
 }
@@ -194,8 +196,9 @@
                     }
                     continue;
                 }
-                Step::LeaderRestarts => {
-                    leader = Reader::start(&store, revision, max_bytes);
+                Step::LeaderRestarts(lag) => {
+                    let first_page = revision.saturating_sub(lag).max(1);
+                    leader = Reader::start(&store, first_page, max_bytes);
                     continue;
                 }
             };
@@ -273,3 +276,29 @@
     assert!(page.changes[0].value.is_some());
     assert_eq!(page.changes[0].patches, []);
 }
+
+/// Guards against CONFIG by a gap: a large value of a snapshot whose pages were read at different
+/// revisions goes out under a revision after the page, so that readers skip what comes between.
+#[test]
+fn no_change_of_a_page_is_later_than_the_page() {
+    let mut history = ChangeHistory::new(UNLIMITED);
+    history.start(StoreRevision(100));
+    history.hold(&StoredValue {
+        key: "config".to_owned(),
+        value: large_value(5).into(),
+        revision: StoreRevision(105),
+    });
+    history.append(&batch(put("config", large_value(3), 103)));
+
+    for form in [
+        ChangeForm::Whole,
+        ChangeForm::Patched,
+        ChangeForm::Compressed,
+    ] {
+        let page = history.page_after(StoreRevision(100), UNLIMITED, form);
+
+        let page = page.expect("nothing was dropped");
+        assert_eq!(page.revision, 103);
+        assert_eq!(page.changes[0].revision, 103, "{form:?}");
+    }
+}
