Names and layout found on reading the whole change once more

The flag that made a reader ask for compressed values was named for whole ones; a doc line was too long, a field had no doc and a constant no blank line after it.

Read for and left as it is: ChangeForm::Whole is asked for by builds from before only; Freshness beside last_store_contact, as a contact whose page was cut is no complete view; the limit of a body is checked by its announced length and again as parts come, as some have no length.

--- a/crates/geranium_entry/src/election.rs
+++ b/crates/geranium_entry/src/election.rs
@@ -74,6 +74,7 @@
     manager_lease: Cell<Option<LeaseId>>,
     /// What the store holds of the last term, as far as is known.
     stored_term: Cell<StoredTerm>,
+    /// Turn of this entry host while the role of the manager is vacant.
     candidacy: RefCell<Candidacy>,
 }
 
--- a/crates/geranium_entry/src/large_value.rs
+++ b/crates/geranium_entry/src/large_value.rs
@@ -70,8 +70,8 @@
         self.value.len() + self.patch_bytes() + whole
     }
 
-    /// Replaces the value by a later one; another one is ignored. `received` are patches that led to the later value at
-    /// this entry host, if it came by patches.
+    /// Replaces the value by a later one; another one is ignored. `received` are the patches that
+    /// led to it at this entry host, if it came by patches.
     pub fn replace(&mut self, revision: u64, value: Bytes, received: &[ValuePatch]) {
         if revision <= self.revision {
             return;
--- a/crates/geranium_entry/src/store_watcher.rs
+++ b/crates/geranium_entry/src/store_watcher.rs
@@ -85,8 +85,8 @@
     client: HttpClient,
     /// Entry hosts that failed to pass on changes, and until when they are not asked.
     source_cooldowns: RefCell<HashMap<SocketAddr, Timestamp>>,
-    /// Whether the next request for changes asks for whole values, as patches did not fit.
-    whole_values_due: Cell<bool>,
+    /// Whether the next request for changes asks for compressed values, as patches did not fit.
+    compressed_due: Cell<bool>,
 }
 
 impl<D: Dialect> StoreWatcher<D> {
@@ -97,7 +97,7 @@
             peers,
             client: HttpClient::new(&ClientConfig::default()),
             source_cooldowns: RefCell::default(),
-            whole_values_due: Cell::default(),
+            compressed_due: Cell::default(),
         }
     }
 
--- a/crates/geranium_entry/src/store_watcher/sources.rs
+++ b/crates/geranium_entry/src/store_watcher/sources.rs
@@ -14,6 +14,7 @@
 
 /// Time for which an entry host that failed to pass on changes is not asked again.
 const SOURCE_COOLDOWN: Duration = Duration::from_secs(2);
+
 impl<D: Dialect> StoreWatcher<D> {
     /// Returns the entry hosts to ask for changes, in order of preference. A leader asks the
     /// manager; all others ask the leaders of their own failure domain first, then one leader
@@ -85,7 +86,7 @@
 
     /// Returns the form in which to ask for the next changes.
     pub(crate) fn next_form(&self) -> ChangeForm {
-        if self.whole_values_due.replace(false) {
+        if self.compressed_due.replace(false) {
             ChangeForm::Compressed
         } else {
             ChangeForm::Patched
@@ -93,7 +94,7 @@
     }
 
     /// Applies the changes that another entry host returned for a request sent at `asked_at`;
-    /// returns whether it could. If not, whole values are asked for next.
+    /// returns whether it could. If not, compressed values are asked for next.
     pub(crate) fn apply_peer_changes(
         &self,
         source: SocketAddr,
@@ -112,7 +113,7 @@
             Ok((batch, received)) => self.apply_batch(batch, &received),
             Err(e) => {
                 log::warn!(source:% = source, revision = changes.revision.0; "changes of another entry host do not fit: {e}");
-                self.whole_values_due.set(true);
+                self.compressed_due.set(true);
                 return false;
             }
         }
