Manager and entry hosts say how many groups a model has, and how much of it is refused

Ruled out: reading it from the entries of the hosts in the logs; a log of 91 entry hosts has 170,000 such lines and none says what the manager planned for.

Conclusion: a line of the manager every 2 s and two counters at each entry host.

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -15,6 +15,7 @@
 use geranium_fleet::order::{HostOrder, OrderAnswer};
 use geranium_fleet::planner::{GroupPlanner, PlannerSettings};
 use geranium_fleet::report_effect::ReportEffect;
+use geranium_fleet::service::Service;
 use tokio::sync::watch;
 
 use crate::dialect::Dialect;
@@ -41,6 +42,8 @@
 const STOP_ANNOUNCEMENT_COOLDOWN: Duration = Duration::from_secs(8);
 /// Interval at which hosts are polled while the store is unreachable.
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval at which the hosts and groups of the models are logged.
+const SUPPLY_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of hosts polled at a time, as each poll is counted like a health check.
 const MAX_POLLED_HOSTS: usize = 32;
 
@@ -88,6 +91,7 @@
     /// Head hosts of stopped groups that were announced to the other entry hosts.
     announced_stops: RefCell<HashMap<HostId, Timestamp>>,
     last_polled: Cell<Timestamp>,
+    supply_logged: Cell<Timestamp>,
     peers: Rc<PeerLink>,
     term: ManagerTerm,
 }
@@ -101,6 +105,7 @@
             last_probed: RefCell::default(),
             announced_stops: RefCell::default(),
             last_polled: Cell::new(term.began_at),
+            supply_logged: Cell::new(term.began_at),
             peers,
             term,
         }
@@ -165,6 +170,10 @@
     fn plan(self: &Rc<Self>) {
         let now = self.shared.now();
         let mut pending_orders = Vec::new();
+        let is_supply_due = now.since(self.supply_logged.get()) >= SUPPLY_LOG_INTERVAL;
+        if is_supply_due {
+            self.supply_logged.set(now);
+        }
         {
             let mut core = self.shared.core.borrow_mut();
             for gone in core.directory.expire(now) {
@@ -203,6 +212,9 @@
                     traffic,
                     now,
                 );
+                if is_supply_due {
+                    log_supply(service, planner);
+                }
                 let metrics = &self.shared.metrics;
                 metrics.set_hosts_without_group(&core.directory, &service.name, engine);
                 for order in &orders {
@@ -362,6 +374,13 @@
     }
 }
 
+/// Logs the hosts and groups that each model has and should have.
+fn log_supply(service: &Service, planner: &GroupPlanner) {
+    for s in planner.supply() {
+        log::info!(service:% = service.name, model:% = s.model, target_hosts = s.target_hosts, hosts = s.hosts, open_groups = s.open_groups, forming_groups = s.forming_groups, ending_groups = s.ending_groups, prepared_hosts = s.prepared_hosts, loading_hosts = s.loading_hosts, staged_members = s.staged_members, reclaims = s.reclaims; "hosts and groups of a model");
+    }
+}
+
 /// Logs what an order rests on: what is known of its host and, for a join of a member of
 /// another group, of the head of that group.
 fn log_basis(order: &HostOrder, planner: &GroupPlanner, directory: &Directory) {
--- a/crates/geranium_entry/src/metrics.rs
+++ b/crates/geranium_entry/src/metrics.rs
@@ -27,6 +27,10 @@
     registry: Arc<Registry>,
     /// Requests by kind and outcome; the outcome of a refused request is the refusal reason.
     pub(crate) outcomes: Family<OutcomeLabels, Counter>,
+    /// Requests of callers by model.
+    pub(crate) model_requests: Family<ModelLabel, Counter>,
+    /// Requests of callers that were refused and have not run, by model.
+    pub(crate) model_refusals: Family<ModelLabel, Counter>,
     /// Requests for models with admission by priority or account, by decision and priority.
     pub(crate) admissions: Family<AdmissionLabels, Counter>,
     /// Attempts at backend servers by outcome.
@@ -135,6 +139,8 @@
         let r = &mut registry;
         Self {
             outcomes: register_metric(r, "requests", "Requests by kind and outcome"),
+            model_requests: register_metric(r, "model_requests", "Requests by model"),
+            model_refusals: register_metric(r, "model_refusals", "Refused requests by model"),
             admissions: register_metric(r, "admissions", "Requests by admission and priority"),
             attempts: register_metric(r, "attempts", "Attempts by how they ended"),
             retries: register_metric(r, "retries", "Further attempts by cause"),
--- a/crates/geranium_entry/src/relay/active_request.rs
+++ b/crates/geranium_entry/src/relay/active_request.rs
@@ -27,6 +27,7 @@
 use super::refusal::{Refusal, RefusalReason};
 use super::retry_after::RETRY_AFTER_TRIAL;
 use crate::dialect::Dialect;
+use crate::metrics::ModelLabel;
 use crate::state::SharedState;
 
 /// Deadline of a request whose caller does not send one.
@@ -254,8 +255,21 @@
         crashes.verdict(&self.crash_subjects, self.shared.now())
     }
 
+    /// Returns the label of the request's model in metrics, if its service has that model.
+    fn model_label(&self) -> Option<ModelLabel> {
+        let engine = self.service.engine.as_ref()?;
+        let model = engine.model(self.model.as_deref()?)?;
+        Some(ModelLabel {
+            model: model.name.to_string(),
+        })
+    }
+
     fn record_demand(&self, answer_tokens: f64) {
         let now = self.arrived;
+        if let Some(label) = self.model_label() {
+            let requests = &self.shared.metrics.model_requests;
+            requests.get_or_create(&label).inc();
+        }
         let mut core = self.shared.core.borrow_mut();
         core.budget(&self.service.name, &self.shared.bounds.get())
             .request(now);
@@ -285,8 +299,12 @@
         self.deadline.since(self.shared.now())
     }
 
-    /// Creates a refusal that says when to come back.
+    /// Creates a refusal that says when to come back, and counts it if the request has not run.
     pub(super) fn refusal(&self, reason: RefusalReason) -> Refusal {
+        if let Some(label) = self.model_label().filter(|_| reason.means_not_run()) {
+            let refusals = &self.shared.metrics.model_refusals;
+            refusals.get_or_create(&label).inc();
+        }
         Refusal {
             reason,
             request_id: Some(self.request_id.clone()),
--- a/crates/geranium_entry/src/relay/refusal.rs
+++ b/crates/geranium_entry/src/relay/refusal.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Returns whether the request has not run and never will, so that its caller may repeat it.
+    pub(super) fn means_not_run(self) -> bool {
+        self.status() == StatusCode::SERVICE_UNAVAILABLE
+    }
+
     const fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -18,6 +18,7 @@
 mod staging;
 mod standby;
 mod state;
+mod supply;
 mod view;
 
 use std::sync::Arc;
@@ -37,6 +38,8 @@
 use state::{FormedGroup, LastGroup, PendingOrder, Staging};
 use view::GroupView;
 
+pub use supply::ModelSupply;
+
 /// How long a host gets no further order while its last one has no visible effect.
 const PENDING_ORDER_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time after which a host's report shows what an order began. For so long a host gets no
@@ -105,6 +108,7 @@
     standby_groups: HashSet<Arc<str>>,
     standby: bool,
     standby_paused: bool,
+    supply: Vec<ModelSupply>,
 }
 
 impl GroupPlanner {
@@ -136,6 +140,7 @@
             standby_groups: HashSet::default(),
             standby: false,
             standby_paused: false,
+            supply: Vec::new(),
         }
     }
 
@@ -174,6 +179,7 @@
                 has_traffic,
                 now,
             );
+            self.record_supply(&hosts, &views, directory, &formation);
             self.reclaim(&hosts, &views, directory, &formation, &mut orders);
             let held = self.hold_domains(&hosts, &views, directory, &formation);
             self.form_groups(&hosts, directory, &held, &mut formation, &mut orders);
