--- /dev/null
+++ b/crates/geranium_fleet/tests/starved_models.rs
@@ -0,0 +1,124 @@
+//! Tests of a model that is far below its share while another one is served.
+
+mod engine;
+mod fixture;
+mod simulation;
+
+use std::time::Duration;
+
+use engine::{model, profile};
+use geranium_core::time::Timestamp;
+use geranium_fleet::prelude::*;
+use simulation::SERVICE;
+
+/// Interval at which the manager updates the shares.
+const INTERVAL: Duration = Duration::from_millis(200);
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+
+fn two_models() -> Vec<ModelProfile> {
+    vec![model("large", 4, 0.5), model("small", 2, 0.5)]
+}
+
+/// Creates the demand that needs a number of hosts.
+fn demand(hosts_needed: f64) -> Option<ModelDemand> {
+    Some(ModelDemand {
+        arrivals_per_s: hosts_needed * 10.0,
+        max_running: 10.0,
+        hosts_needed,
+    })
+}
+
+/// Creates a host that is ready and holds the weights of a model.
+fn host(id: &str, domain: &str, staged: &str) -> Host {
+    Host {
+        fabric_domain: Some(domain.into()),
+        staged: vec![staged.into()],
+        ..fixture::server(id, SERVICE, "a")
+    }
+}
+
+/// Creates the members of an open group.
+fn open_group(model: &str, size: usize, number: usize) -> Vec<Host> {
+    let member = |rank| Host {
+        model: Some(model.into()),
+        group: fixture::group(Some(Membership {
+            group: format!("g{number}").into(),
+            epoch: 1,
+            rank,
+            state: GroupState::Open,
+        })),
+        ..host(
+            &format!("{model}-{number}{rank}"),
+            &format!("fabric-{model}"),
+            model,
+        )
+    };
+    (0..size).map(member).collect()
+}
+
+/// Creates a directory that knows hosts and the reports of their state.
+fn directory(hosts: Vec<Host>) -> Directory {
+    let mut directory = Directory::default();
+    for host in hosts {
+        let report = fixture::report(&host, 1);
+        directory.put(host);
+        directory.apply_report(&report.0, &report.1);
+    }
+    directory
+}
+
+/// Guards against shares that are created before any host is known, so that the first readings,
+/// of groups that are only beginning to fill, take the hosts of the model that fills more slowly.
+#[test]
+fn the_first_readings_do_not_replace_the_initial_shares_of_hosts_known_later() {
+    let profile = profile(two_models());
+    let mut shares = DemandShares::new(&profile, 0, START);
+    let mut now = START;
+    for _ in 0..50 {
+        now = now + INTERVAL;
+        shares.update(&profile, &[demand(0.0), demand(0.0)], 48, now);
+    }
+
+    for i in 1..=5 {
+        now = now + INTERVAL;
+        let filled = f64::from(i) / 5.0;
+        shares.update(
+            &profile,
+            &[demand(4.0 * filled), demand(20.0 * filled)],
+            48,
+            now,
+        );
+    }
+
+    assert!(shares.shares()[0] > 0.42, "{shares:?}");
+}
+
+/// Guards against a model that lacks most of its groups and gets no loads, as the other one is
+/// a little below its share as well: hosts that no group can use count in the shares of both.
+#[test]
+fn the_model_that_lacks_more_of_its_share_gets_the_loads() {
+    let mut hosts = open_group("large", 4, 0);
+    hosts.extend((1..5).flat_map(|number| open_group("small", 2, number)));
+    hosts.extend((0..12).map(|i| host(&format!("alone-{i}"), &format!("fabric-{i}"), "small")));
+    let directory = directory(hosts);
+    let mut planner = simulation::planner("m", START);
+    planner.set_favours_deficits(true);
+
+    let shares = [0.5, 0.5];
+    let orders = planner.plan(
+        &directory,
+        SERVICE,
+        &profile(two_models()),
+        &shares,
+        true,
+        START,
+    );
+
+    let loads = orders
+        .iter()
+        .filter(|o| matches!(o.kind, OrderKind::Stage { .. }));
+    let loading: Vec<&str> = loads.map(|o| &*o.host).collect();
+    let of_large = loading.iter().filter(|id| id.starts_with("large")).count();
+    let of_small = loading.iter().filter(|id| id.starts_with("small")).count();
+    assert!(of_small >= 5 && of_large <= 1, "{loading:?}");
+}
