Model shares: until there is demand, the initial shares of the hosts known by then are needed

Ruled out: a start from the first reading. Requests at a group are few in the first second, and fewest where they stay longest.

Later causes remain.

--- a/crates/geranium_fleet/src/capacity/shares.rs
+++ b/crates/geranium_fleet/src/capacity/shares.rs
@@ -21,10 +21,12 @@
 
 /// Shares of the models of a service; lists are in the order of the profile's models.
 ///
-/// The shares begin at the operator's initial ones and follow the hosts that the models need.
+/// The shares begin at the operator's initial ones and follow the hosts that the models need. Until
+/// there is any demand, the models need their initial shares of the hosts known by then.
 #[derive(Clone, Debug)]
 pub struct DemandShares {
     hosts_needed: Vec<f64>,
+    has_demand: bool,
     shares: Vec<f64>,
     updated_at: Timestamp,
 }
@@ -35,7 +37,8 @@
     pub fn new(profile: &EngineProfile, hosts: usize, now: Timestamp) -> Self {
         let shares = initial_shares(profile);
         Self {
-            hosts_needed: shares.iter().map(|s| s * hosts as f64).collect(),
+            hosts_needed: hosts_by_share(&shares, hosts),
+            has_demand: false,
             shares,
             updated_at: now,
         }
@@ -56,13 +59,24 @@
         }
         let elapsed = now.since(self.updated_at).min(MAX_INTERVAL).as_secs_f64();
         self.updated_at = self.updated_at.max(now);
+        let is_demand = |d: &ModelDemand| d.arrivals_per_s > 0.0;
+        self.has_demand |= demands.iter().flatten().any(is_demand);
+        if self.has_demand {
+            self.follow(demands, elapsed);
+        } else {
+            self.hosts_needed = hosts_by_share(&initial_shares(profile), hosts);
+        }
+        let wanted = self.wanted_shares(profile, hosts);
+        self.approach(&wanted, MAX_CHANGE_PER_S * elapsed);
+    }
+
+    /// Moves the needed hosts towards the observed ones, `elapsed` seconds after the last time.
+    fn follow(&mut self, demands: &[Option<ModelDemand>], elapsed: f64) {
         let weight = 1.0 - (-elapsed / SMOOTHING_TIME.as_secs_f64()).exp();
         for (needed, demand) in self.hosts_needed.iter_mut().zip(demands) {
             let observed = demand.map(|d| d.hosts_needed).filter(|n| n.is_finite());
             *needed += (observed.unwrap_or(*needed) - *needed) * weight;
         }
-        let wanted = self.wanted_shares(profile, hosts);
-        self.approach(&wanted, MAX_CHANGE_PER_S * elapsed);
     }
 
     /// Returns the shares that the needed hosts would give, without the limit on changes.
@@ -106,6 +120,11 @@
     }
 }
 
+/// Returns the number of hosts that make up each share.
+fn hosts_by_share(shares: &[f64], hosts: usize) -> Vec<f64> {
+    shares.iter().map(|s| s * hosts as f64).collect()
+}
+
 fn initial_shares(profile: &EngineProfile) -> Vec<f64> {
     normalize(profile.models.iter().map(|m| m.initial_share).collect())
 }
