Planner: free hosts and loads go to the model that lacks most of its share

Callers saw the large model refuse a third of their requests for ten seconds and more, beside groups of the small one that ran a third of their slots.

Cause: a share is a part of all hosts, but in a fabric domain some hosts are left over, so that all models together stay below their shares. Free hosts and loads went to the model that lacks most groups, which is the one with the smaller groups.

Now both follow which model lacks more of its share than the other, by the ratio at which hosts are reclaimed; the next group goes to the model with the fewest hosts for its share (highest averages).

The shares themselves still come from what runs.

--- a/crates/geranium_fleet/src/planner/formation.rs
+++ b/crates/geranium_fleet/src/planner/formation.rs
@@ -5,6 +5,7 @@
 use geranium_core::time::Timestamp;
 
 use super::hold::HeldDomains;
+use super::reclaim::MAX_DONOR_DEFICIT_RATIO;
 use super::state::{FormedGroup, FormedMember};
 use super::view::{GroupView, by_domain};
 use super::{GroupPlanner, order_to};
@@ -25,6 +26,8 @@
     pub(super) profile: &'a EngineProfile,
     /// Whether any request has arrived yet.
     pub(super) has_traffic: bool,
+    /// Whether free hosts and loads go first to the model that lacks most of its share.
+    pub(super) favours_deficits: bool,
     pub(super) now: Timestamp,
 }
 
@@ -33,6 +36,28 @@
     pub(super) fn relative_deficit(&self, model: usize, fewer: f64) -> f64 {
         (self.deficits[model] + fewer) / self.targets[model].max(1.0)
     }
+
+    /// Returns how urgently a model needs a group, to compare it with the other models.
+    ///
+    /// If deficits are favoured, that is the number of hosts of its share for each host that it has,
+    /// with half of the group (highest averages method of A. Sainte-Laguë): where the hosts do not
+    /// suffice for all shares, the models lack about the same part. Otherwise it is the number of
+    /// groups that the model lacks.
+    fn urgency(&self, model: usize) -> f64 {
+        let group_size = self.profile.models[model].group_size as f64;
+        if !self.favours_deficits {
+            return self.deficits[model] / group_size;
+        }
+        let hosts = (self.targets[model] - self.deficits[model]).max(0.0);
+        self.targets[model] / (hosts + group_size / 2.0).max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns whether a model lacks hosts, and far more of its share than another one.
+    pub(super) fn lacks_more_than(&self, model: usize, other: usize) -> bool {
+        let relative_deficit = self.relative_deficit(model, 0.0);
+        self.deficits[model] > 0.0
+            && self.relative_deficit(other, 0.0) < relative_deficit * MAX_DONOR_DEFICIT_RATIO
+    }
 }
 
 impl GroupPlanner {
@@ -134,6 +159,7 @@
             targets,
             profile,
             has_traffic,
+            favours_deficits: self.favours_deficits,
             now,
         };
         for view in views {
@@ -199,17 +225,15 @@
     }
 }
 
-/// Returns the model that lacks the most groups, among those that fit.
+/// Returns the model that needs a group most urgently, among those that fit.
 pub(super) fn best_model(
     formation: &Formation<'_>,
     fits: impl Fn(&ModelProfile) -> bool,
 ) -> Option<usize> {
-    let candidates = formation
-        .profile
-        .models
-        .iter()
-        .enumerate()
-        .filter(|(_, m)| fits(m));
-    let by_groups = candidates.map(|(i, m)| (i, formation.deficits[i] / m.group_size as f64));
-    by_groups.max_by(|a, b| a.1.total_cmp(&b.1)).map(|(i, _)| i)
+    let models = formation.profile.models.iter().enumerate();
+    let candidates = models.filter(|(_, m)| fits(m));
+    let by_urgency = candidates.map(|(i, _)| (i, formation.urgency(i)));
+    by_urgency
+        .max_by(|a, b| a.1.total_cmp(&b.1))
+        .map(|(i, _)| i)
 }
--- a/crates/geranium_fleet/src/planner/load_rank.rs
+++ b/crates/geranium_fleet/src/planner/load_rank.rs
@@ -7,12 +7,12 @@
     Unused,
     /// Another host without a group.
     Spare,
-    /// Member of a group whose model is above its share; would load the weights of a model
-    /// below its share.
+    /// Member of a group; would load the weights of a model that lacks more of its share.
     Donor,
     /// Another member of a group.
     Member,
-    /// Member of a group whose model is below its share.
+    /// Member of a group whose model is below its share, or a host without a group whose last
+    /// model lacks more of its share than the one that it would load.
     BelowShare,
     /// In a failure domain that is out of service.
     OutOfService,
--- a/crates/geranium_fleet/src/planner/staging.rs
+++ b/crates/geranium_fleet/src/planner/staging.rs
@@ -25,9 +25,9 @@
     /// are served, no more loads run than the weight store can sustain at once.
     ///
     /// If models below their share are favoured, members of groups follow in this order: those
-    /// that load weights of a model below its share beside one above it, then the others.
-    /// Members of a model below its share leave part of the concurrent loads to those before
-    /// them, if there are any.
+    /// that load weights of a model that lacks more of its share than theirs, then the others.
+    /// Members of a model below its share, and hosts without a group that can join one of the model
+    /// that lacks more, leave part of the concurrent loads to those before them, if there are any.
     pub(super) fn stage(
         &mut self,
         hosts: &[&Host],
@@ -180,33 +180,40 @@
     /// Returns the rank of a host that could load weights.
     fn load_rank(&self, host: &Host, directory: &Directory, formation: &Formation<'_>) -> LoadRank {
         if directory.is_domain_out(&host.failure_domain) {
-            LoadRank::OutOfService
-        } else if self.last_model(host).is_none() && host.staged.is_empty() {
-            LoadRank::Unused
-        } else if host.membership().is_none() {
-            LoadRank::Spare
-        } else {
-            self.member_load_rank(host, formation)
+            return LoadRank::OutOfService;
+        }
+        if self.last_model(host).is_none() && host.staged.is_empty() {
+            return LoadRank::Unused;
         }
+        let is_favoured = self.favours_deficits && formation.has_traffic;
+        let by_deficit = is_favoured.then(|| self.load_rank_by_deficit(host, formation));
+        by_deficit
+            .flatten()
+            .unwrap_or(if host.membership().is_none() {
+                LoadRank::Spare
+            } else {
+                LoadRank::Member
+            })
     }
 
-    /// Returns the rank of a member of a group.
-    fn member_load_rank(&self, host: &Host, formation: &Formation<'_>) -> LoadRank {
-        let own = self.last_model(host).or(host.model.as_ref());
-        let own = own.and_then(|m| formation.profile.model_index(m));
-        let Some(own) = own.filter(|_| self.favours_deficits && formation.has_traffic) else {
-            return LoadRank::Member;
-        };
-        if formation.deficits[own] > 0.0 {
-            return LoadRank::BelowShare;
-        }
+    /// Returns the rank of a host that runs or ran a model, if that or the model whose weights it
+    /// would load lacks more of its share than the other.
+    fn load_rank_by_deficit(&self, host: &Host, formation: &Formation<'_>) -> Option<LoadRank> {
+        let own = self.last_model(host).or(host.model.as_ref())?;
+        let own = formation.profile.model_index(own)?;
         let name = &formation.profile.models[own].name;
-        let other = best_model(formation, |m| m.name != *name);
-        if other.is_some_and(|i| formation.deficits[i] > 0.0) {
-            LoadRank::Donor
-        } else {
-            LoadRank::Member
+        let other = best_model(formation, |m| m.name != *name)?;
+        if formation.lacks_more_than(other, own) {
+            let is_member = host.membership().is_some();
+            return Some(if is_member {
+                LoadRank::Donor
+            } else {
+                LoadRank::Spare
+            });
         }
+        let is_below_share = formation.deficits[own] > 0.0;
+        let is_needed = host.membership().is_some() || formation.lacks_more_than(own, other);
+        (is_below_share && is_needed).then_some(LoadRank::BelowShare)
     }
 
     fn try_acquire_load(&mut self, formation: &Formation<'_>) -> bool {
