Model shares: they stay the initial ones while no host is known

Ruled out: that this alone hurts; the share is 0.50 again once the hosts are known.

Figures: the test failed before (0.571 instead of 0.5).

--- a/crates/geranium_fleet/src/capacity/shares.rs
+++ b/crates/geranium_fleet/src/capacity/shares.rs
@@ -44,7 +44,8 @@
         }
     }
 
-    /// Updates the shares by the demand for each model; `None` keeps what the model needed last.
+    /// Updates the shares by the demand for each model; `None` keeps what the model needed last, and
+    /// all stays while no host is known.
     ///
     /// Starts again from the initial shares if the number of models has changed.
     pub fn update(
@@ -59,6 +60,9 @@
         }
         let elapsed = now.since(self.updated_at).min(MAX_INTERVAL).as_secs_f64();
         self.updated_at = self.updated_at.max(now);
+        if hosts == 0 {
+            return;
+        }
         let is_demand = |d: &ModelDemand| d.arrivals_per_s > 0.0;
         self.has_demand |= demands.iter().flatten().any(is_demand);
         if self.has_demand {
--- a/crates/geranium_fleet/tests/starved_models.rs
+++ b/crates/geranium_fleet/tests/starved_models.rs
@@ -93,6 +93,20 @@
     assert!(shares.shares()[0] > 0.42, "{shares:?}");
 }
 
+/// Guards against shares that leave the operator's initial ones while no host is known: every share
+/// was at least that of one group then, which is no small part of no hosts.
+#[test]
+fn the_initial_shares_stay_while_no_host_is_known() {
+    let profile = profile(two_models());
+    let mut shares = DemandShares::new(&profile, 0, START);
+
+    for i in 1..=10 {
+        shares.update(&profile, &[None, None], 0, START + INTERVAL * i);
+    }
+
+    assert_eq!(shares.shares(), [0.5, 0.5]);
+}
+
 /// Guards against a model that lacks most of its groups and gets no loads, as the other one is
 /// a little below its share as well: hosts that no group can use count in the shares of both.
 #[test]
