Demand: entry hosts report what callers ask for, and the manager plans by all of them

Callers of the large model were refused for seconds on end, while the manager saw less demand for it the more it refused, and a new manager planned for other numbers than the last one under the same load.

Now each entry host counts requests and refusals by model and reports the rates, sizes, objective and fixed delay beside its load, to those that say in their registration that they read it; the sums pass the way of the loads. Half of the refusals are taken off, as callers come back and count again.

The new tests need types that were not there; what the first one asserts of the old way (by the load of a full group) holds in it beside the new one.

--- a/crates/geranium_entry/src/election.rs
+++ b/crates/geranium_entry/src/election.rs
@@ -178,6 +178,7 @@
             peers: self.shared.cfg.peer_address,
             forward: self.shared.cfg.forward_address,
             processor_share: self.shared.cfg.processor_share,
+            reads_demand: true,
         };
         match serde_json::to_vec(&registration) {
             Ok(bytes) => Bytes::from(bytes),
--- a/crates/geranium_entry/src/entry_registration.rs
+++ b/crates/geranium_entry/src/entry_registration.rs
@@ -28,6 +28,9 @@
     /// Number of processor cores that it may use; may be a fraction.
     #[serde(default)]
     pub(crate) processor_share: f64,
+    /// Whether it reads reports of what callers ask for; older versions do not.
+    #[serde(default)]
+    pub(crate) reads_demand: bool,
 }
 
 impl EntryRegistration {
@@ -39,6 +42,7 @@
             address: self.peers,
             forward_address: self.forward,
             processor_share: self.processor_share,
+            reads_demand: self.reads_demand,
         }
     }
 
--- a/crates/geranium_entry/src/model_shares.rs
+++ b/crates/geranium_entry/src/model_shares.rs
@@ -1,10 +1,12 @@
 //! Shares of the models of each service, as the manager plans by them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
-use geranium_fleet::capacity::{DemandShares, ModelDemand, ModelLoad, RequestMix};
+use geranium_fleet::capacity::{DemandShares, ModelDemand, ModelLoad};
+use geranium_fleet::demand::{DemandSum, ModelRequests};
 use geranium_fleet::engine_profile::EngineProfile;
 use geranium_fleet::host::{Host, HostState};
 use geranium_fleet::service::Service;
@@ -12,6 +14,8 @@
 use crate::metrics::{Metrics, ModelLabel};
 use crate::state::Core;
 
+/// Interval at which the demand for the models is logged.
+const DEMAND_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Change of a share that is logged.
 const LOGGED_CHANGE: f64 = 0.05;
 
@@ -55,6 +59,7 @@
 struct ServiceShares {
     demand: DemandShares,
     logged: Vec<f64>,
+    demand_logged: Timestamp,
     discarded: usize,
 }
 
@@ -66,6 +71,7 @@
         Self {
             logged: shares.shares().to_vec(),
             demand: shares,
+            demand_logged: now,
             discarded: 0,
         }
     }
@@ -73,19 +79,28 @@
     /// Updates the shares from the load reports of all entry hosts.
     fn update(
         &mut self,
-        core: &Core,
+        core: &mut Core,
         service: &Service,
         engine: &EngineProfile,
         metrics: &Metrics,
         now: Timestamp,
     ) {
-        let hosts = hosts_in_service(core, service);
-        let running = |id: &str| core.dispatcher.total_running(id);
-        let loads = ModelLoad::collect(engine, hosts.iter().copied(), running);
+        let (loads, hosts) = {
+            let hosts = hosts_in_service(core, service);
+            let running = |id: &str| core.dispatcher.total_running(id);
+            let loads = ModelLoad::collect(engine, hosts.iter().copied(), running);
+            (loads, hosts.len())
+        };
         self.log_discarded(service, &loads);
-        let demands = estimate_demands(core, service, engine, &loads, now);
-        self.demand.update(engine, &demands, hosts.len(), now);
+        let total = core.total_demand(now);
+        let is_reported = total.entry_hosts * 2 > core.entry_hosts.len();
+        let demands = estimate_demands(service, engine, &loads, &total, is_reported);
+        self.demand.update(engine, &demands, hosts, now);
         self.log_changes(service, engine, &demands);
+        if now.since(self.demand_logged) >= DEMAND_LOG_INTERVAL {
+            self.demand_logged = now;
+            log_demand(service, engine, &total);
+        }
         self.set_metrics(engine, metrics);
     }
 
@@ -134,26 +149,38 @@
     }
 }
 
-/// Estimates the demand for each model of the engine.
+/// Estimates the demand for each model of the engine; `is_reported` tells whether most entry hosts
+/// report what their callers ask for.
 fn estimate_demands(
-    core: &Core,
     service: &Service,
     engine: &EngineProfile,
     loads: &[ModelLoad],
-    now: Timestamp,
+    total: &DemandSum,
+    is_reported: bool,
 ) -> Vec<Option<ModelDemand>> {
-    let meter = core.demand.get(&service.name);
-    let unknown = RequestMix::default();
+    let unknown = ModelRequests::default();
     let models = engine.models.iter().zip(loads);
-    models
-        .map(|(model, load)| {
-            let mix = meter.and_then(|m| m.mix(&model.name)).unwrap_or(&unknown);
-            let fixed_delay = core
-                .admissions
-                .first_token_delay(&service.name, &model.name);
-            ModelDemand::estimate(engine, model, load, mix, fixed_delay, now)
-        })
-        .collect()
+    let estimates = models.map(|(model, load)| {
+        let requests = total.model(&service.name, &model.name);
+        ModelDemand::estimate(
+            engine,
+            model,
+            load,
+            requests.unwrap_or(&unknown),
+            is_reported,
+        )
+    });
+    estimates.collect()
+}
+
+/// Logs what the callers of all entry hosts ask for.
+fn log_demand(service: &Service, engine: &EngineProfile, total: &DemandSum) {
+    for model in &engine.models {
+        let Some(r) = total.model(&service.name, &model.name) else {
+            continue;
+        };
+        log::info!(service:% = service.name, model:% = model.name, entry_hosts = total.entry_hosts, asked_per_s = r.asked_per_s, refused_per_s = r.refused_per_s, objective_ms = r.objective_ms, first_token_delay_ms = r.first_token_delay().as_millis() as u64; "demand for a model");
+    }
 }
 
 /// Returns the hosts of a service that take work, without failure domains out of service.
--- a/crates/geranium_entry/src/peers.rs
+++ b/crates/geranium_entry/src/peers.rs
@@ -7,6 +7,7 @@
 
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
+use geranium_fleet::demand::DemandSum;
 use geranium_fleet::exchange::{ExchangeTopology, Peer, REPORT_INTERVAL, candidacy_rank};
 use geranium_fleet::host::{HostId, HostReport};
 use geranium_fleet::peer_load::{LoadSum, PeerLoads, RunningRequests};
@@ -26,9 +27,11 @@
 enum Datagram {
     /// Running requests of the sender at each backend server.
     Load(RunningRequests),
-    /// Running requests of all entry hosts of a failure domain at each backend server.
+    /// What callers ask the sender for.
+    Demand(DemandSum),
+    /// Load of all entry hosts of a failure domain.
     Domain(Arc<str>, LoadSum),
-    /// Running requests of all entry hosts except the receiver at each backend server.
+    /// Load of all entry hosts except the receiver.
     Sum(LoadSum),
     /// State reports fetched directly from hosts while the store was unreachable.
     Reports(Vec<(HostId, HostReport)>),
@@ -135,14 +138,18 @@
         &self,
         topology: &ExchangeTopology,
         domain: &Arc<str>,
-        own: &RunningRequests,
+        own: &LoadSum,
         round: usize,
         now: Timestamp,
     ) {
-        let report = Datagram::Load(own.clone());
+        let report = Datagram::Load(own.running.clone());
         for to in &topology.reports_to {
             self.send(*to, &report);
         }
+        let demand = Datagram::Demand(own.demand.clone());
+        for to in &topology.reports_demand_to {
+            self.send(*to, &demand);
+        }
         if topology.is_leader {
             let sum = self.loads.borrow_mut().domain_sum(own, now);
             let datagram = Datagram::Domain(domain.clone(), sum);
@@ -189,11 +196,7 @@
     loop {
         tokio::time::sleep(REPORT_INTERVAL).await;
         round += 1;
-        let load: RunningRequests = {
-            let core = shared.core.borrow();
-            let running = core.dispatcher.running();
-            running.map(|(id, n)| (id.clone(), n)).collect()
-        };
+        let load = shared.core.borrow_mut().own_load(shared.now());
         send_leaving(&shared, &link);
         let domain = &shared.cfg.failure_domain;
         let topology = link.topology(&shared.cfg.name, domain);
@@ -238,11 +241,18 @@
                 let mut loads = link.loads.borrow_mut();
                 loads.record_report(from, load, shared.now());
             }
-            Ok(Datagram::Domain(domain, sum)) => {
+            Ok(Datagram::Demand(mut demand)) => {
+                check_demand(&mut demand, from);
+                let mut loads = link.loads.borrow_mut();
+                loads.record_demand(from, demand, shared.now());
+            }
+            Ok(Datagram::Domain(domain, mut sum)) => {
+                check_demand(&mut sum.demand, from);
                 let mut loads = link.loads.borrow_mut();
                 loads.record_domain_sum(domain, sum, shared.now());
             }
-            Ok(Datagram::Sum(sum)) => {
+            Ok(Datagram::Sum(mut sum)) => {
+                check_demand(&mut sum.demand, from);
                 link.loads
                     .borrow_mut()
                     .record_overall_sum(sum, shared.now());
@@ -283,6 +293,14 @@
     }
 }
 
+/// Removes impossible numbers from a report of what callers ask for.
+fn check_demand(demand: &mut DemandSum, from: SocketAddr) {
+    let discarded = demand.discard_impossible();
+    if discarded > 0 {
+        log::warn!(from:% = from, models = discarded; "impossible demand for models is ignored");
+    }
+}
+
 /// Moves the attempts away from a group in which the manager found an unresponsive member,
 /// unless this entry host heard from the group recently.
 fn handle_stopped<D: Dialect>(shared: &SharedState<D>, head: &HostId, from: SocketAddr) {
@@ -295,10 +313,12 @@
     shared.reroute_from(head);
 }
 
-/// Updates the dispatcher with the load that all other entry hosts reported.
+/// Updates the local view with the load and the demand that all other entry hosts reported.
 fn apply_loads<D: Dialect>(shared: &SharedState<D>, link: &PeerLink) {
     let now = shared.now();
-    let running = link.loads.borrow_mut().peer_requests(now);
+    let mut loads = link.loads.borrow_mut();
     let mut core = shared.core.borrow_mut();
-    core.dispatcher.set_peer_requests(&running, now);
+    core.dispatcher
+        .set_peer_requests(&loads.peer_requests(now), now);
+    core.peer_demand = loads.peer_demand(now);
 }
--- a/crates/geranium_entry/src/relay/active_request.rs
+++ b/crates/geranium_entry/src/relay/active_request.rs
@@ -283,6 +283,15 @@
         }
     }
 
+    fn record_refusal(&self, model: &ModelLabel) {
+        let refusals = &self.shared.metrics.model_refusals;
+        refusals.get_or_create(model).inc();
+        let mut core = self.shared.core.borrow_mut();
+        if let Some(meter) = core.demand.get_mut(&self.service.name) {
+            meter.record_refusal(&model.model, self.shared.now());
+        }
+    }
+
     /// Returns the identifier of the request for logs.
     pub(super) fn id(&self) -> &str {
         self.request_id.to_str().unwrap_or_default()
@@ -302,8 +311,7 @@
     /// Creates a refusal that says when to come back, and counts it if the request has not run.
     pub(super) fn refusal(&self, reason: RefusalReason) -> Refusal {
         if let Some(label) = self.model_label().filter(|_| reason.means_not_run()) {
-            let refusals = &self.shared.metrics.model_refusals;
-            refusals.get_or_create(&label).inc();
+            self.record_refusal(&label);
         }
         Refusal {
             reason,
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -13,12 +13,13 @@
 use geranium_core::time::Timestamp;
 use geranium_fleet::admission::Admissions;
 use geranium_fleet::crash::{CrashId, CrashTracker};
-use geranium_fleet::demand::DemandMeter;
+use geranium_fleet::demand::{DemandMeter, DemandSum};
 use geranium_fleet::directory::Directory;
 use geranium_fleet::dispatch::{ColdLimit, Dispatcher};
 use geranium_fleet::exchange::{FULL_MESH_LIMIT, Peer};
 use geranium_fleet::forward_targets::ForwardTargets;
 use geranium_fleet::host::{HostId, HostReport};
+use geranium_fleet::peer_load::LoadSum;
 use geranium_fleet::rate_limiter::limit_per_entry_host;
 use geranium_fleet::reach::BackendReach;
 use geranium_fleet::report_effect::ReportEffect;
@@ -75,6 +76,8 @@
     pub(crate) admissions: Admissions,
     /// Observed demand by service.
     pub(crate) demand: HashMap<Arc<str>, DemandMeter>,
+    /// What the callers of the other entry hosts ask for, as far as these report it.
+    pub(crate) peer_demand: DemandSum,
     /// Retry budgets by service.
     pub(crate) budgets: HashMap<Arc<str>, RetryBudget>,
     /// Tracks requests and prompt parts that crash backend servers.
@@ -127,6 +130,34 @@
         changed
     }
 
+    /// Returns the requests of this entry host at the backend servers, and what its callers ask for.
+    pub(crate) fn own_load(&mut self, now: Timestamp) -> LoadSum {
+        let running = self.dispatcher.running();
+        let running = running.map(|(id, n)| (id.clone(), n)).collect();
+        LoadSum::single(running, self.own_demand(now))
+    }
+
+    /// Returns what the callers of all entry hosts ask for, as far as these report it.
+    pub(crate) fn total_demand(&mut self, now: Timestamp) -> DemandSum {
+        DemandSum::of([&self.own_demand(now), &self.peer_demand])
+    }
+
+    fn own_demand(&mut self, now: Timestamp) -> DemandSum {
+        let services = self.demand.iter_mut();
+        let mut models: Vec<_> = services
+            .flat_map(|(service, meter)| meter.report(service, now))
+            .collect();
+        for requests in &mut models {
+            if let Some(delay) = self.admissions.delay(&requests.service, &requests.model) {
+                requests.add_first_tokens(&delay);
+            }
+        }
+        DemandSum {
+            entry_hosts: 1,
+            models,
+        }
+    }
+
     /// Returns the retry budget of a service.
     pub(crate) fn budget(&mut self, service: &Arc<str>, bounds: &SharedBounds) -> &mut RetryBudget {
         let limit_divisor = self.limit_divisor();
@@ -234,6 +265,7 @@
             dispatcher,
             admissions: Admissions::default(),
             demand: HashMap::default(),
+            peer_demand: DemandSum::default(),
             budgets: HashMap::default(),
             crashes: CrashTracker::default(),
             reach: BackendReach::default(),
--- a/crates/geranium_fleet/src/admission/admissions.rs
+++ b/crates/geranium_fleet/src/admission/admissions.rs
@@ -1,11 +1,11 @@
 //! Admission to the groups of all models.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use geranium_core::collections::HashMap;
 
 use super::ModelAdmission;
+use crate::first_token_delay::FirstTokenDelay;
 
 /// What an entry host knows of the recent requests, by service and model.
 #[derive(Clone, Debug, Default)]
@@ -20,12 +20,11 @@
         by_model.entry(model.clone()).or_default()
     }
 
-    /// Returns the part of the time to a model's first token that does not depend on the load;
-    /// zero until it is learned.
+    /// Returns what is known of the part of the time to a model's first token that does not depend
+    /// on the load.
     #[must_use]
-    pub fn first_token_delay(&self, service: &str, model: &str) -> Duration {
-        let by_model = self.by_service.get(service);
-        let admission = by_model.and_then(|m| m.get(model));
-        admission.map_or(Duration::ZERO, ModelAdmission::first_token_delay)
+    pub fn delay(&self, service: &str, model: &str) -> Option<FirstTokenDelay> {
+        let admission = self.by_service.get(service)?.get(model)?;
+        Some(admission.first_token_delay())
     }
 }
--- a/crates/geranium_fleet/src/admission/model_admission.rs
+++ b/crates/geranium_fleet/src/admission/model_admission.rs
@@ -90,8 +90,8 @@
 
     /// Returns the part of the time to the first token that does not depend on the load.
     #[must_use]
-    pub fn first_token_delay(&self) -> Duration {
-        self.delay.get()
+    pub const fn first_token_delay(&self) -> FirstTokenDelay {
+        self.delay
     }
 
     /// Records the time to the first token of a request that was sent to a group with a known
--- a/crates/geranium_fleet/src/capacity/model_demand.rs
+++ b/crates/geranium_fleet/src/capacity/model_demand.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use geranium_core::time::Timestamp;
-
-use super::{ModelLoad, RequestMix};
+use super::ModelLoad;
+use crate::demand::ModelRequests;
 use crate::engine_profile::{EngineProfile, ModelProfile};
 use crate::first_token::FirstTokenEstimate;
 
@@ -20,26 +19,30 @@
 }
 
 impl ModelDemand {
-    /// Estimates the demand for a model from the load of its groups; `None` if no load is known.
+    /// Estimates the demand for a model from its requests over all entry hosts.
     ///
-    /// `fixed_delay` is the part of the time to the first token that no load changes.
+    /// If most entry hosts report what their callers ask for (`is_reported`), the arrivals are these;
+    /// otherwise they follow from the load of the model's groups. Returns `None` if neither is known.
     #[must_use]
     pub fn estimate(
         profile: &EngineProfile,
         model: &ModelProfile,
         load: &ModelLoad,
-        mix: &RequestMix,
-        fixed_delay: Duration,
-        now: Timestamp,
+        requests: &ModelRequests,
+        is_reported: bool,
     ) -> Option<Self> {
-        let per_group = load.per_group()?;
-        let profile = mix.apply(profile);
+        let profile = requests.apply(profile);
         let estimate = FirstTokenEstimate::new(&profile, model);
-        let arrivals_per_s = rate(load.running, estimate.request_time(per_group));
-        let max_running = mix.objective(now).map_or_else(
+        let arrivals_per_s = if is_reported {
+            requests.arrivals_per_s()
+        } else {
+            rate(load.running, estimate.request_time(load.per_group()?))
+        };
+        let max_running = requests.objective().map_or_else(
             || f64::from(profile.slots),
             |objective| {
                 let prompt_tokens = profile.mean_prompt_tokens;
+                let fixed_delay = requests.first_token_delay();
                 estimate.max_running_in_time(prompt_tokens, objective, fixed_delay)
             },
         );
--- a/crates/geranium_fleet/src/capacity/request_mix.rs
+++ b/crates/geranium_fleet/src/capacity/request_mix.rs
@@ -5,13 +5,11 @@
 use geranium_core::time::Timestamp;
 
 use crate::decay::Decay;
-use crate::engine_profile::EngineProfile;
+use crate::demand::ModelRequests;
 
 /// Time after which a past request counts half. One of many entry hosts sees a request for a
 /// model only every few seconds.
 const HALF_LIFE: Duration = Duration::from_secs(60);
-/// Number of requests as which the published means count.
-const PUBLISHED_WEIGHT: f64 = 4.0;
 /// Time after which the objective of a route without requests no longer counts.
 const OBJECTIVE_RETENTION: Duration = Duration::from_secs(120);
 /// Maximum number of distinct objectives that are kept.
@@ -101,16 +99,21 @@
         recent.map(|(objective, _)| *objective).min()
     }
 
-    /// Returns the engine's profile with the means of these requests.
-    #[must_use]
-    pub fn apply(&self, profile: &EngineProfile) -> EngineProfile {
-        let mean = |sum: f64, published: f64| {
-            (sum + published * PUBLISHED_WEIGHT) / (self.requests + PUBLISHED_WEIGHT)
-        };
-        EngineProfile {
-            mean_prompt_tokens: mean(self.prompt_tokens, profile.mean_prompt_tokens),
-            mean_output_tokens: mean(self.output_tokens, profile.mean_output_tokens),
-            ..profile.clone()
-        }
+    /// Adds the sizes of these requests, and the tightest objective, to those of other entry hosts.
+    pub fn add_to(&self, total: &mut ModelRequests, now: Timestamp) {
+        total.add(&ModelRequests {
+            requests: self.requests,
+            prompt_tokens: self.prompt_tokens,
+            output_tokens: self.output_tokens,
+            objective_ms: self.objective(now).map(objective_ms),
+            ..ModelRequests::default()
+        });
     }
 }
+
+/// Returns an objective in whole milliseconds, at least 1.
+fn objective_ms(objective: Duration) -> u32 {
+    u32::try_from(objective.as_millis())
+        .unwrap_or(u32::MAX)
+        .max(1)
+}
--- a/crates/geranium_fleet/src/demand.rs
+++ b/crates/geranium_fleet/src/demand.rs
@@ -1,108 +1,17 @@
-//! Observed work of each model.
-
-use std::sync::Arc;
-use std::time::Duration;
-
-use geranium_core::collections::HashMap;
-use geranium_core::time::Timestamp;
-
-use crate::capacity::RequestMix;
-use crate::decay::Decay;
-use crate::engine_profile::EngineProfile;
-
-/// Time after which past work counts half.
-const HALF_LIFE: Duration = Duration::from_secs(8);
-
-/// Work of the models of one service, in host milliseconds, with exponential decay.
-#[derive(Clone, Debug)]
-pub struct DemandMeter {
-    work: HashMap<Arc<str>, f64>,
-    mixes: HashMap<Arc<str>, RequestMix>,
-    decay: Decay,
-    requests: u64,
-}
-
-impl Default for DemandMeter {
-    fn default() -> Self {
-        Self {
-            work: HashMap::default(),
-            mixes: HashMap::default(),
-            decay: Decay::new(HALF_LIFE),
-            requests: 0,
-        }
-    }
-}
-
-impl DemandMeter {
-    /// Records a request for a model with its prompt and output tokens and the objective of its
-    /// route.
-    ///
-    /// Returns `false` and records nothing if a number of tokens is impossible. A request for a
-    /// model that is not in the profile is not recorded either, but returns `true`.
-    pub fn record(
-        &mut self,
-        profile: &EngineProfile,
-        model: &str,
-        prompt_tokens: f64,
-        output_tokens: f64,
-        objective: Duration,
-        now: Timestamp,
-    ) -> bool {
-        let Some(model) = profile.model(model) else {
-            return true;
-        };
-        if !RequestMix::are_possible(prompt_tokens, output_tokens) {
-            return false;
-        }
-        self.decay(now);
-        self.requests += 1;
-        let work = profile.work_ms(prompt_tokens, output_tokens)
-            * model.time_factor
-            * model.group_size as f64;
-        *self.work.entry(model.name.clone()).or_default() += work;
-        let mix = self.mixes.entry(model.name.clone()).or_default();
-        mix.record(prompt_tokens, output_tokens, objective, now)
-    }
-
-    /// Returns the mix of recent requests for a model, if there were any.
-    #[must_use]
-    pub fn mix(&self, model: &str) -> Option<&RequestMix> {
-        self.mixes.get(model)
-    }
-
-    /// Returns the number of requests recorded since the start.
-    #[must_use]
-    pub const fn requests(&self) -> u64 {
-        self.requests
-    }
-
-    /// Returns each model's share of the work, in the order of the profile.
-    ///
-    /// The published shares count as much as `prior` host milliseconds of work.
-    #[must_use]
-    pub fn shares(&self, profile: &EngineProfile, prior: f64) -> Vec<f64> {
-        let published_total: f64 = profile.models.iter().map(|m| m.initial_share).sum();
-        let work_by_model: Vec<f64> = profile
-            .models
-            .iter()
-            .map(|m| {
-                let observed = self.work.get(&m.name).copied().unwrap_or(0.0);
-                observed + prior * m.initial_share / published_total.max(f64::MIN_POSITIVE)
-            })
-            .collect();
-        let total: f64 = work_by_model.iter().sum();
-        work_by_model
-            .iter()
-            .map(|w| w / total.max(f64::MIN_POSITIVE))
-            .collect()
-    }
-
-    fn decay(&mut self, now: Timestamp) {
-        let Some(factor) = self.decay.factor(now) else {
-            return;
-        };
-        for work in self.work.values_mut() {
-            *work *= factor;
-        }
-    }
-}
+//! Requests of callers for each model, at this entry host and over all of them.
+//!
+//! Each entry host counts what its callers ask for, whether it is served or not, and reports it
+//! beside its load. The sums over all entry hosts tell the manager the demand for a model also
+//! while that has no group that could take a request, and do not depend on which entry host is
+//! the manager.
+
+mod demand_meter;
+mod demand_sum;
+mod model_requests;
+mod request_rate;
+
+pub use demand_meter::DemandMeter;
+pub use demand_sum::DemandSum;
+pub use model_requests::ModelRequests;
+
+use request_rate::RequestRate;
--- a/crates/geranium_fleet/src/exchange.rs
+++ b/crates/geranium_fleet/src/exchange.rs
@@ -39,6 +39,8 @@
     pub forward_address: Option<SocketAddr>,
     /// Share of a processor core that it may use; those with the largest shares lead.
     pub processor_share: f64,
+    /// Whether it reads reports of what callers ask for.
+    pub reads_demand: bool,
 }
 
 /// Returns the number of entry hosts that stand for the role of the manager before `name` with its
@@ -65,6 +67,8 @@
     pub rank: usize,
     /// Receivers of its own load.
     pub reports_to: Vec<SocketAddr>,
+    /// Those of them that read what its callers ask for.
+    pub reports_demand_to: Vec<SocketAddr>,
     /// Leaders of other failure domains, which receive the sum of its failure domain.
     pub remote_leaders: Vec<SocketAddr>,
     /// Entry hosts of its failure domain that do not lead; they receive the total.
@@ -119,8 +123,10 @@
         self.is_leader = own.is_some();
         self.rank = own.unwrap_or(0);
         let others = leaders.iter().filter(|p| *p.name != *name);
-        self.local_leaders = others.map(|p| p.address).collect();
+        self.local_leaders = others.clone().map(|p| p.address).collect();
         self.reports_to.clone_from(&self.local_leaders);
+        let readers = others.filter(|p| p.reads_demand);
+        self.reports_demand_to = readers.map(|p| p.address).collect();
         if self.is_leader {
             self.followers = rest.iter().map(|p| p.address).collect();
         }
--- a/crates/geranium_fleet/src/first_token_delay.rs
+++ b/crates/geranium_fleet/src/first_token_delay.rs
@@ -43,4 +43,10 @@
     pub fn get(&self) -> Duration {
         Duration::from_secs_f64(self.mean_ms.max(0.0) / 1_000.0)
     }
+
+    /// Returns the number of samples that the delay rests on, as a weight among those of others.
+    #[must_use]
+    pub fn weight(&self) -> f64 {
+        f64::from(self.samples).min(1.0 / SAMPLE_WEIGHT)
+    }
 }
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -3,7 +3,7 @@
 pub use crate::admission::{AdmissionLimits, AdmissionQuery, Admissions, ModelAdmission};
 pub use crate::capacity::{DemandShares, ModelDemand, ModelLoad, RequestMix};
 pub use crate::crash::{CrashSubject, CrashTracker};
-pub use crate::demand::DemandMeter;
+pub use crate::demand::{DemandMeter, DemandSum, ModelRequests};
 pub use crate::deployment::{Account, ClientLimits, Deployment};
 pub use crate::directory::Directory;
 pub use crate::dispatch::{
@@ -19,7 +19,7 @@
 pub use crate::known_group::KnownGroup;
 pub use crate::notice::{LimitNotice, ServerNotice};
 pub use crate::order::{HostOrder, OrderAnswer, OrderKind, OrderReply};
-pub use crate::planner::{GroupPlanner, PlannerSettings};
+pub use crate::planner::{GroupPlanner, ModelSupply, PlannerSettings};
 pub use crate::prompt_parts::{PartId, PromptParts};
 pub use crate::rate_limiter::RateLimiter;
 pub use crate::reach::BackendReach;
--- a/crates/geranium_fleet/tests/candidacy.rs
+++ b/crates/geranium_fleet/tests/candidacy.rs
@@ -16,6 +16,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         forward_address: None,
         processor_share,
+        reads_demand: true,
     }
 }
 
--- a/crates/geranium_fleet/tests/capacity.rs
+++ b/crates/geranium_fleet/tests/capacity.rs
@@ -20,11 +20,22 @@
     vec![model("large", 4, 0.4), model("small", 2, 0.6)]
 }
 
-/// Creates the mix of requests of an entry host that has seen only usual ones.
-fn mix(now: Timestamp) -> RequestMix {
+/// Creates the requests of entry hosts that have seen only usual ones.
+fn usual_requests(now: Timestamp) -> ModelRequests {
     let mut mix = RequestMix::default();
     mix.record(1_000.0, 150.0, OBJECTIVE, now);
-    mix
+    requests(&mix, Duration::ZERO, now)
+}
+
+/// Creates the requests of a mix, with a part of the time to the first token that no load changes.
+fn requests(mix: &RequestMix, fixed_delay: Duration, now: Timestamp) -> ModelRequests {
+    let mut requests = ModelRequests {
+        first_tokens: 1.0,
+        first_token_delay_ms: fixed_delay.as_secs_f64() * 1_000.0,
+        ..ModelRequests::default()
+    };
+    mix.add_to(&mut requests, now);
+    requests
 }
 
 fn estimate(
@@ -34,7 +45,7 @@
     now: Timestamp,
 ) -> Option<ModelDemand> {
     let model = &profile.models[index];
-    ModelDemand::estimate(profile, model, load, &mix(now), Duration::ZERO, now)
+    ModelDemand::estimate(profile, model, load, &usual_requests(now), false)
 }
 
 fn load(running: f64, groups: usize) -> ModelLoad {
@@ -241,8 +252,12 @@
     }
     for (running, bound) in [(1e12, None), (0.0, Some(1.0)), (1_000.0, Some(1.0))] {
         let (model, load) = (&profile.models[0], &loads(running)[0]);
-        let demand = ModelDemand::estimate(&profile, model, load, &mix, tight, START);
-        shares.update(&profile, &[demand, None], 0, START + Duration::from_secs(1));
+        let requests = requests(&mix, tight, START);
+        let demand = ModelDemand::estimate(&profile, model, load, &requests, false);
+        for (hosts, second) in [(0, 1), (48, 2)] {
+            let now = START + Duration::from_secs(second);
+            shares.update(&profile, &[demand, None], hosts, now);
+        }
         assert_eq!(demand.map(|d| d.max_running), bound);
         assert!(shares.shares().iter().all(|s| (0.0..=1.0).contains(s)));
         assert!((shares.shares().iter().sum::<f64>() - 1.0).abs() < 1e-9);
--- a/crates/geranium_fleet/tests/exchange.rs
+++ b/crates/geranium_fleet/tests/exchange.rs
@@ -14,6 +14,7 @@
         forward_address: None,
         // One in twelve has a large processor share.
         processor_share: if i.is_multiple_of(12) { 0.5 } else { 0.12 },
+        reads_demand: true,
     };
     (0..count).map(peer).collect()
 }
--- a/crates/geranium_fleet/tests/forward_targets.rs
+++ b/crates/geranium_fleet/tests/forward_targets.rs
@@ -21,6 +21,7 @@
         address: ([127, 0, 0, 1], i).into(),
         forward_address: Some(([127, 0, 0, 1], 1_000 + i).into()),
         processor_share: 0.25,
+        reads_demand: true,
     }
 }
 
--- a/crates/geranium_fleet/tests/load_balancing.rs
+++ b/crates/geranium_fleet/tests/load_balancing.rs
@@ -84,6 +84,7 @@
         address: ([127, 0, 0, 1], port).into(),
         forward_address: None,
         processor_share: 1.0,
+        reads_demand: true,
     }
 }
 
@@ -163,8 +164,9 @@
                 let loads = &mut self.entry_hosts[to].loads;
                 loads.record_report(from, running.clone(), now);
             }
+            let own = LoadSum::single(running, DemandSum::default());
             if topology.is_leader {
-                let sum = self.entry_hosts[from].loads.domain_sum(&running, now);
+                let sum = self.entry_hosts[from].loads.domain_sum(&own, now);
                 for to in indexes(&topology.remote_leaders) {
                     let loads = &mut self.entry_hosts[to].loads;
                     loads.record_domain_sum(domain(from), sum.clone(), now);
@@ -172,9 +174,7 @@
             }
             let followers: Vec<SocketAddr> = topology.followers_in_round(round).collect();
             for to in indexes(&followers) {
-                let sum = self.entry_hosts[from]
-                    .loads
-                    .sum_excluding(&to, &running, now);
+                let sum = self.entry_hosts[from].loads.sum_excluding(&to, &own, now);
                 self.entry_hosts[to].loads.record_overall_sum(sum, now);
                 self.entry_hosts[to].apply_loads(now);
             }
@@ -279,7 +279,8 @@
     loads.record_report("first", at(4), now);
     loads.record_report("second", at(8), now);
 
-    let sum = loads.sum_excluding(&"second", &at(16), now + Duration::from_millis(200));
+    let own = LoadSum::single(at(16), DemandSum::default());
+    let sum = loads.sum_excluding(&"second", &own, now + Duration::from_millis(200));
 
     assert_eq!(sum.entry_hosts, 2);
     assert_eq!(sum.running, at(20));
@@ -293,11 +294,13 @@
     let elsewhere = LoadSum {
         entry_hosts: 5,
         running: at(32),
+        ..LoadSum::default()
     };
     loads.record_domain_sum("d2".into(), elsewhere, START);
 
-    assert_eq!(loads.domain_sum(&at(2), START).running, at(3));
-    let sum = loads.sum_excluding(&"first", &at(2), START);
+    let own = LoadSum::single(at(2), DemandSum::default());
+    assert_eq!(loads.domain_sum(&own, START).running, at(3));
+    let sum = loads.sum_excluding(&"first", &own, START);
     assert_eq!((sum.entry_hosts, sum.running), (6, at(34)));
     assert_eq!(loads.peer_requests(START).get("g"), Some(&33.0));
     let later = START + Duration::from_secs(1);
--- a/crates/geranium_fleet/tests/peer_load.rs
+++ b/crates/geranium_fleet/tests/peer_load.rs
@@ -1,7 +1,8 @@
 //! Tests of the sums of load reports.
 
 use geranium_core::time::Timestamp;
-use geranium_fleet::peer_load::{PeerLoads, RunningRequests};
+use geranium_fleet::demand::DemandSum;
+use geranium_fleet::peer_load::{LoadSum, PeerLoads, RunningRequests};
 
 const NOW: Timestamp = Timestamp::from_millis(1_000_000);
 
@@ -14,7 +15,9 @@
     loads.record_report(1, impossible.clone(), NOW);
     loads.record_report(2, vec![("a".into(), 5)], NOW);
 
-    let sum = loads.domain_sum(&vec![("a".into(), 1)], NOW);
+    let own = LoadSum::single(vec![("a".into(), 1)], DemandSum::default());
+
+    let sum = loads.domain_sum(&own, NOW);
 
     assert_eq!(sum.running, impossible);
 }
