Admission: an overload does not pass for a delay that no load changes

Callers of the small model were answered late for seconds, as its need of hosts rose with its load and fell with it again.

Cause: the fixed part of the time to the first token was the mean of the differences between observed and predicted times at any load.

So high samples count a tenth, and only groups with half of their slots free count.

Ruled out: the predicted bound as the limit of the load; it falls with the delay, and then no sample would be left to correct it.

--- a/crates/geranium_fleet/src/admission/model_admission.rs
+++ b/crates/geranium_fleet/src/admission/model_admission.rs
@@ -97,9 +97,10 @@
     /// Records the time to the first token of a request that was sent to a group with a known
     /// load of `running` requests.
     ///
-    /// Times at a group with a queue are left out, as the prediction does not cover it.
+    /// Times at a group with less than half of its slots free are left out: they depend on its load
+    /// above all, and on requests there that are not known yet.
     pub fn record_first_token(&mut self, query: &AdmissionQuery<'_>, running: f64, took: Duration) {
-        if query.estimate.has_slot(running) {
+        if query.estimate.is_half_free(running) {
             let predicted = query.estimate.wait(running, known_prompt_tokens(query));
             self.delay.record(took, predicted);
         }
--- a/crates/geranium_fleet/src/first_token.rs
+++ b/crates/geranium_fleet/src/first_token.rs
@@ -88,6 +88,12 @@
         running < f64::from(self.profile.slots)
     }
 
+    /// Returns whether a group that runs `running` requests has half of its slots free.
+    #[must_use]
+    pub fn is_half_free(&self, running: f64) -> bool {
+        running <= f64::from(self.profile.slots) / 2.0
+    }
+
     /// Returns the expected wait for the first event of a usual request that finds no slot at a
     /// group that runs or queues `running` requests; zero while a slot is free.
     #[must_use]
--- a/crates/geranium_fleet/src/first_token_delay.rs
+++ b/crates/geranium_fleet/src/first_token_delay.rs
@@ -4,13 +4,16 @@
 
 /// Minimum weight of a new sample in the moving average.
 const SAMPLE_WEIGHT: f64 = 0.1;
+/// Factor on the weight of a sample above the average. Load that is not known yet only adds to the
+/// times, so that the low samples are those without it.
+const HIGH_SAMPLE_FACTOR: f64 = 0.1;
 /// Limit of a sample in both directions, in milliseconds. A larger difference comes from a
 /// load that was not known yet or from a fault of the group.
 const MAX_SAMPLE_MS: f64 = 200.0;
 
 /// Moving average of the difference between observed and predicted times to the first token.
 ///
-/// The first samples have equal weights, so that a few suffice.
+/// The first samples have equal weights, so that a few suffice. High samples count less.
 ///
 /// # Examples
 ///
@@ -33,8 +36,11 @@
     pub fn record(&mut self, observed: Duration, predicted: Duration) {
         let sample_ms = (observed.as_secs_f64() - predicted.as_secs_f64()) * 1_000.0;
         self.samples = self.samples.saturating_add(1);
-        let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
         let sample_ms = sample_ms.clamp(-MAX_SAMPLE_MS, MAX_SAMPLE_MS);
+        let mut weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
+        if self.samples > 1 && sample_ms > self.mean_ms {
+            weight *= HIGH_SAMPLE_FACTOR;
+        }
         self.mean_ms += (sample_ms - self.mean_ms) * weight;
     }
 
--- a/crates/geranium_fleet/tests/admission.rs
+++ b/crates/geranium_fleet/tests/admission.rs
@@ -171,6 +171,38 @@
     }
 }
 
+/// Guards against seconds of overload that pass for a delay that no load changes: the bound of the
+/// model would fall and its need of hosts grow several times over.
+#[test]
+fn an_overload_does_not_raise_the_fixed_delay() {
+    let profile = engine_profile();
+    let query = query(&profile, "", 1);
+    let wait = query.estimate.wait(4.0, query.prompt_tokens);
+    let mut admission = ModelAdmission::default();
+    let mut record = |requests, running, delay_ms| {
+        for _ in 0..requests {
+            admission.record_first_token(&query, running, wait + Duration::from_millis(delay_ms));
+        }
+        admission.first_token_delay().get()
+    };
+    let usual = record(30, 4.0, 40);
+
+    let at_busy_groups = record(100, 15.0, 240);
+    let at_groups_thought_idle = record(20, 4.0, 240);
+    let lasting = record(300, 4.0, 140);
+
+    assert!(
+        usual.abs_diff(Duration::from_millis(40)) < Duration::from_millis(2),
+        "{usual:?}"
+    );
+    assert_eq!(at_busy_groups, usual);
+    assert!(
+        at_groups_thought_idle < usual * 2,
+        "{at_groups_thought_idle:?}"
+    );
+    assert!(lasting > Duration::from_millis(120), "{lasting:?}");
+}
+
 /// Guards against one late answer that lowers the bound of all later requests to 1.
 #[test]
 fn the_fixed_delay_is_never_negative_and_ignores_the_extent_of_outliers() {
