Model shares: a manager that takes over starts at the reported demand

Ruled out: the hosts in groups as the first shares; what is formed may be what is wrong. Shares at once while most entry hosts do not report: the loads that one sees that is cut off say nothing.

Conclusion: with the sums that every entry host has, a new manager knows what the last one knew.

--- a/crates/geranium_entry/src/model_shares.rs
+++ b/crates/geranium_entry/src/model_shares.rs
@@ -64,10 +64,17 @@
 }
 
 impl ServiceShares {
-    /// Creates the operator's initial shares.
-    fn new(core: &Core, service: &Service, engine: &EngineProfile, now: Timestamp) -> Self {
+    /// Creates the operator's initial shares. If groups serve already and the demand is reported, it
+    /// replaces them at once.
+    fn new(core: &mut Core, service: &Service, engine: &EngineProfile, now: Timestamp) -> Self {
+        let total = core.total_demand(now);
+        let is_reported = core.is_reported(&total);
         let hosts = hosts_in_service(core, service);
-        let shares = DemandShares::new(engine, hosts.len(), now);
+        let shares = if is_reported && hosts.iter().any(|h| h.is_open_head()) {
+            DemandShares::take_over(engine, hosts.len(), now)
+        } else {
+            DemandShares::new(engine, hosts.len(), now)
+        };
         Self {
             logged: shares.shares().to_vec(),
             demand: shares,
@@ -93,7 +100,7 @@
         };
         self.log_discarded(service, &loads);
         let total = core.total_demand(now);
-        let is_reported = total.entry_hosts * 2 > core.entry_hosts.len();
+        let is_reported = core.is_reported(&total);
         let demands = estimate_demands(service, engine, &loads, &total, is_reported);
         self.demand.update(engine, &demands, hosts, now);
         self.log_changes(service, engine, &demands);
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -142,6 +142,11 @@
         DemandSum::of([&self.own_demand(now), &self.peer_demand])
     }
 
+    /// Returns whether a sum of demand includes most of the registered entry hosts.
+    pub(crate) fn is_reported(&self, demand: &DemandSum) -> bool {
+        demand.entry_hosts * 2 > self.entry_hosts.len()
+    }
+
     fn own_demand(&mut self, now: Timestamp) -> DemandSum {
         let services = self.demand.iter_mut();
         let mut models: Vec<_> = services
--- a/crates/geranium_fleet/src/capacity/shares.rs
+++ b/crates/geranium_fleet/src/capacity/shares.rs
@@ -27,6 +27,8 @@
 pub struct DemandShares {
     hosts_needed: Vec<f64>,
     has_demand: bool,
+    /// Whether the first complete demand replaces the initial shares at once.
+    is_taking_over: bool,
     shares: Vec<f64>,
     updated_at: Timestamp,
 }
@@ -39,11 +41,24 @@
         Self {
             hosts_needed: hosts_by_share(&shares, hosts),
             has_demand: false,
+            is_taking_over: false,
             shares,
             updated_at: now,
         }
     }
 
+    /// Creates the shares of a manager that takes over a service with groups that serve.
+    ///
+    /// The first demand that is known for all models gives the shares at once, so that no hosts move
+    /// towards the initial shares and back.
+    #[must_use]
+    pub fn take_over(profile: &EngineProfile, hosts: usize, now: Timestamp) -> Self {
+        Self {
+            is_taking_over: true,
+            ..Self::new(profile, hosts, now)
+        }
+    }
+
     /// Updates the shares by the demand for each model; `None` keeps what the model needed last, and
     /// all stays while no host is known.
     ///
@@ -65,15 +80,27 @@
         }
         let is_demand = |d: &ModelDemand| d.arrivals_per_s > 0.0;
         self.has_demand |= demands.iter().flatten().any(is_demand);
-        if self.has_demand {
-            self.follow(demands, elapsed);
-        } else {
+        if !self.has_demand {
             self.hosts_needed = hosts_by_share(&initial_shares(profile), hosts);
+        } else if let Some(needed) = self.first_needs(demands) {
+            self.is_taking_over = false;
+            self.hosts_needed = needed;
+            self.shares = self.wanted_shares(profile, hosts);
+        } else {
+            self.follow(demands, elapsed);
         }
         let wanted = self.wanted_shares(profile, hosts);
         self.approach(&wanted, MAX_CHANGE_PER_S * elapsed);
     }
 
+    /// Returns the needed hosts that replace the initial ones, if this manager is taking over and
+    /// the demand for all models is known.
+    fn first_needs(&self, demands: &[Option<ModelDemand>]) -> Option<Vec<f64>> {
+        let needed = |d: &Option<ModelDemand>| d.map(|d| d.hosts_needed).filter(|n| n.is_finite());
+        let needs: Option<Vec<f64>> = demands.iter().map(needed).collect();
+        needs.filter(|n| self.is_taking_over && n.len() == self.shares.len())
+    }
+
     /// Moves the needed hosts towards the observed ones, `elapsed` seconds after the last time.
     fn follow(&mut self, demands: &[Option<ModelDemand>], elapsed: f64) {
         let weight = 1.0 - (-elapsed / SMOOTHING_TIME.as_secs_f64()).exp();
--- a/crates/geranium_fleet/tests/starved_models.rs
+++ b/crates/geranium_fleet/tests/starved_models.rs
@@ -93,6 +93,27 @@
     assert!(shares.shares()[0] > 0.42, "{shares:?}");
 }
 
+/// Guards against a manager that takes over in the middle of a day and moves hosts towards the
+/// operator's initial shares, and back again.
+#[test]
+fn a_manager_that_takes_over_starts_at_the_demand() {
+    let profile = profile(two_models());
+    let mut shares = DemandShares::take_over(&profile, 48, START);
+
+    shares.update(&profile, &[demand(10.0), None], 48, START + INTERVAL);
+    let unknown = shares.shares()[0];
+    shares.update(
+        &profile,
+        &[demand(10.0), demand(30.0)],
+        48,
+        START + INTERVAL * 2,
+    );
+
+    assert!((unknown - 0.5).abs() < 0.03, "{unknown}");
+    // A quarter of the need, and a twentieth of the hosts by the initial shares.
+    assert!((shares.shares()[0] - 0.264).abs() < 0.01, "{shares:?}");
+}
+
 /// Guards against shares that leave the operator's initial ones while no host is known: every share
 /// was at least that of one group then, which is no small part of no hosts.
 #[test]
