Admission: priorities that other entry hosts see keep places free too

Whether requests of a higher priority exist was known from the requests of this entry host alone. One of 91 sees a request of route-brief every 3 s and one of 300 every 10 s; until then it fills groups of the large model with requests of a lower priority.

Ruled out: the priorities of the service's routes; which model a request asks for stands in the request alone, and a priority that no request for the model has would keep places free for nobody. The fixed delay of other entry hosts for admission: it decides there only what counts as contended.

Conclusion: one more field of the reports that exist now.

--- a/crates/geranium_entry/src/relay/admission.rs
+++ b/crates/geranium_entry/src/relay/admission.rs
@@ -23,7 +23,7 @@
         now: Timestamp,
     ) -> Option<AdmissionLimits> {
         let (engine, model) = self.admission_model(core)?;
-        let query = self.admission_query(engine, model);
+        let query = self.admission_query(core, engine, model);
         let admission = self.model_admission(core, model);
         if self.tried.is_empty() {
             admission.record_request(&query, now);
@@ -60,7 +60,7 @@
         };
         let mut core = self.shared.core.borrow_mut();
         if let Some((engine, model)) = self.admission_model(&core) {
-            let query = self.admission_query(engine, model);
+            let query = self.admission_query(&core, engine, model);
             self.model_admission(&mut core, model)
                 .record_first_token(&query, running, took);
         }
@@ -106,13 +106,16 @@
 
     fn admission_query<'a>(
         &'a self,
+        core: &Core,
         engine: &'a EngineProfile,
         model: &'a ModelProfile,
     ) -> AdmissionQuery<'a> {
+        let peers = core.peer_demand.model(&self.service.name, &model.name);
         AdmissionQuery {
             estimate: FirstTokenEstimate::new(engine, model),
             account: self.account().unwrap_or_default(),
             priority: self.priority,
+            peer_priorities: peers.map(|r| r.priorities).unwrap_or_default(),
             objective: self.route.objective,
             prompt_tokens: self.prompt_tokens,
         }
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -153,8 +153,9 @@
             .flat_map(|(service, meter)| meter.report(service, now))
             .collect();
         for requests in &mut models {
-            if let Some(delay) = self.admissions.delay(&requests.service, &requests.model) {
-                requests.add_first_tokens(&delay);
+            let admissions = &self.admissions;
+            if let Some(admission) = admissions.known_model(&requests.service, &requests.model) {
+                requests.add_learned(admission, now);
             }
         }
         DemandSum {
--- a/crates/geranium_fleet/examples/admission_time.rs
+++ b/crates/geranium_fleet/examples/admission_time.rs
@@ -81,6 +81,7 @@
             estimate: FirstTokenEstimate::new(&profile, &profile.models[0]),
             account,
             priority: 1,
+            peer_priorities: PrioritySet::default(),
             objective: Duration::from_millis(250),
             prompt_tokens: 714.0,
         };
--- a/crates/geranium_fleet/src/admission.rs
+++ b/crates/geranium_fleet/src/admission.rs
@@ -6,13 +6,15 @@
 //! others. Apart from that, each request has a number of requests at a group below which it is
 //! expected to meet its objective; a model is contended while requests are sent above it.
 //!
-//! The state is local to an entry host and follows from its own requests within seconds.
+//! The state is local to an entry host and follows from its own requests within seconds, but for the
+//! priorities that other entry hosts report.
 
 mod admission_limits;
 mod admission_query;
 mod admissions;
 mod model_admission;
 mod place_wait;
+mod priority_set;
 mod recent_requests;
 mod seen_priorities;
 
@@ -24,6 +26,7 @@
 pub use admissions::Admissions;
 pub use model_admission::ModelAdmission;
 pub use place_wait::PlaceWait;
+pub use priority_set::PrioritySet;
 
 /// Lowest priority that model engines support; a larger number is a lower priority.
 pub const LOWEST_PRIORITY: u8 = 9;
--- a/crates/geranium_fleet/src/admission/admission_query.rs
+++ b/crates/geranium_fleet/src/admission/admission_query.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::PrioritySet;
 use crate::first_token::FirstTokenEstimate;
 
 /// A request whose limits at the groups of its model are computed.
@@ -13,6 +14,8 @@
     pub account: &'a str,
     /// Priority; 0 is the highest.
     pub priority: u8,
+    /// Priorities of recent requests for the model at other entry hosts.
+    pub peer_priorities: PrioritySet,
     /// Latency objective of the route.
     pub objective: Duration,
     /// Number of prompt tokens; 0 or an impossible number if it is unknown.
--- a/crates/geranium_fleet/src/admission/admissions.rs
+++ b/crates/geranium_fleet/src/admission/admissions.rs
@@ -5,7 +5,6 @@
 use geranium_core::collections::HashMap;
 
 use super::ModelAdmission;
-use crate::first_token_delay::FirstTokenDelay;
 
 /// What an entry host knows of the recent requests, by service and model.
 #[derive(Clone, Debug, Default)]
@@ -20,11 +19,9 @@
         by_model.entry(model.clone()).or_default()
     }
 
-    /// Returns what is known of the part of the time to a model's first token that does not depend
-    /// on the load.
+    /// Returns the state of a model of a service, if there were requests for it.
     #[must_use]
-    pub fn delay(&self, service: &str, model: &str) -> Option<FirstTokenDelay> {
-        let admission = self.by_service.get(service)?.get(model)?;
-        Some(admission.first_token_delay())
+    pub fn known_model(&self, service: &str, model: &str) -> Option<&ModelAdmission> {
+        self.by_service.get(service)?.get(model)
     }
 }
--- a/crates/geranium_fleet/src/admission/model_admission.rs
+++ b/crates/geranium_fleet/src/admission/model_admission.rs
@@ -4,7 +4,9 @@
 
 use geranium_core::time::Timestamp;
 
-use super::{AdmissionLimits, AdmissionQuery, LOWEST_PRIORITY, RecentRequests, SeenPriorities};
+use super::{
+    AdmissionLimits, AdmissionQuery, LOWEST_PRIORITY, PrioritySet, RecentRequests, SeenPriorities,
+};
 use crate::first_token_delay::FirstTokenDelay;
 use crate::rate_limiter::RateLimiter;
 
@@ -78,7 +80,8 @@
     /// Returns the percentage of the places that a request leaves free for others.
     fn reserve_percent(&self, query: &AdmissionQuery<'_>, now: Timestamp) -> u32 {
         let priority = query.priority.min(LOWEST_PRIORITY);
-        let for_urgent = self.priorities.higher(priority, now) * PRIORITY_RESERVE_PERCENT;
+        let seen = self.seen_priorities(now) | query.peer_priorities;
+        let for_urgent = seen.higher(priority) * PRIORITY_RESERVE_PERCENT;
         let is_behind = self.is_contended(now) && self.recent.exceeds_share(query.account);
         let for_others = if is_behind {
             ACCOUNT_RESERVE_PERCENT
@@ -88,6 +91,12 @@
         (for_urgent + for_others).min(MAX_RESERVE_PERCENT)
     }
 
+    /// Returns the priorities of the recent requests of this entry host.
+    #[must_use]
+    pub fn seen_priorities(&self, now: Timestamp) -> PrioritySet {
+        self.priorities.recent(now)
+    }
+
     /// Returns the part of the time to the first token that does not depend on the load.
     #[must_use]
     pub const fn first_token_delay(&self) -> FirstTokenDelay {
--- a/crates/geranium_fleet/src/admission/seen_priorities.rs
+++ b/crates/geranium_fleet/src/admission/seen_priorities.rs
@@ -4,7 +4,7 @@
 
 use geranium_core::time::Timestamp;
 
-use super::LOWEST_PRIORITY;
+use super::{LOWEST_PRIORITY, PrioritySet};
 
 /// Time for which a priority counts after its last request, so that the priority of a route
 /// that is gone holds no capacity back for long.
@@ -26,10 +26,11 @@
         }
     }
 
-    /// Returns the number of distinct higher priorities that were seen recently.
-    pub(super) fn higher(&self, priority: u8, now: Timestamp) -> u32 {
-        let higher = self.last_seen.iter().take(usize::from(priority));
-        let recent = higher.flatten().filter(|at| now.since(**at) < RETENTION);
-        u32::try_from(recent.count()).unwrap_or(u32::MAX)
+    /// Returns the priorities that were seen recently.
+    pub(super) fn recent(&self, now: Timestamp) -> PrioritySet {
+        let priorities = self.last_seen.iter().zip(0..);
+        let is_recent = |at: &Option<Timestamp>| at.is_some_and(|at| now.since(at) < RETENTION);
+        let recent = priorities.filter(|(at, _)| is_recent(at));
+        recent.map(|(_, priority)| priority).collect()
     }
 }
--- a/crates/geranium_fleet/src/demand/model_requests.rs
+++ b/crates/geranium_fleet/src/demand/model_requests.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use geranium_core::time::Timestamp;
 use serde::{Deserialize, Serialize};
 
+use crate::admission::{ModelAdmission, PrioritySet};
 use crate::engine_profile::EngineProfile;
-use crate::first_token_delay::FirstTokenDelay;
 
 /// Largest number in a report that is possible.
 const MAX_VALUE: f64 = 1e12;
@@ -17,7 +18,7 @@
 
 /// Requests of callers for one model of a service, at one or several entry hosts.
 ///
-/// All numbers but the objective add up over entry hosts.
+/// All numbers but the objective add up over entry hosts, and so do the priorities as a set.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ModelRequests {
     /// Service.
@@ -36,6 +37,9 @@
     pub output_tokens: f64,
     /// Tightest latency objective of recent requests, in milliseconds, if any has one.
     pub objective_ms: Option<u32>,
+    /// Priorities of recent requests.
+    #[serde(default)]
+    pub priorities: PrioritySet,
     /// Number of recent first tokens in the sum of their delays.
     pub first_tokens: f64,
     /// Sum of the parts of the times to these first tokens that no load changes, in milliseconds.
@@ -52,6 +56,7 @@
         self.output_tokens += other.output_tokens;
         let objectives = [self.objective_ms, other.objective_ms];
         self.objective_ms = objectives.into_iter().flatten().min();
+        self.priorities = self.priorities | other.priorities;
         self.first_tokens += other.first_tokens;
         self.first_token_delay_ms += other.first_token_delay_ms;
     }
@@ -63,8 +68,10 @@
         (self.asked_per_s - self.refused_per_s * RETURNING_FRACTION).max(0.0)
     }
 
-    /// Adds the delays that an entry host has learned.
-    pub fn add_first_tokens(&mut self, delay: &FirstTokenDelay) {
+    /// Adds what the admission of an entry host has learned of its requests.
+    pub fn add_learned(&mut self, admission: &ModelAdmission, now: Timestamp) {
+        let delay = admission.first_token_delay();
+        self.priorities = self.priorities | admission.seen_priorities(now);
         self.first_tokens += delay.weight();
         self.first_token_delay_ms += delay.weight() * delay.get().as_secs_f64() * 1_000.0;
     }
--- a/crates/geranium_fleet/src/prelude.rs
+++ b/crates/geranium_fleet/src/prelude.rs
@@ -1,6 +1,8 @@
 //! The most commonly used types of this crate.
 
-pub use crate::admission::{AdmissionLimits, AdmissionQuery, Admissions, ModelAdmission};
+pub use crate::admission::{
+    AdmissionLimits, AdmissionQuery, Admissions, ModelAdmission, PrioritySet,
+};
 pub use crate::capacity::{DemandShares, ModelDemand, ModelLoad, RequestMix};
 pub use crate::crash::{CrashSubject, CrashTracker};
 pub use crate::demand::{DemandMeter, DemandSum, ModelRequests};
--- a/crates/geranium_fleet/tests/admission.rs
+++ b/crates/geranium_fleet/tests/admission.rs
@@ -27,6 +27,7 @@
         estimate: FirstTokenEstimate::new(profile, &profile.models[0]),
         account,
         priority,
+        peer_priorities: PrioritySet::default(),
         objective: OBJECTIVE,
         prompt_tokens: 1_000.0,
     }
