Retry budget: an entry host's share follows the number of entry hosts known now

The share of the common retries was set at the first request for a service, and stayed when more entry hosts registered; reloaded settings began a new budget, which forgot the retries that were spent.

--- a/crates/geranium_core/src/limit/retry_budget.rs
+++ b/crates/geranium_core/src/limit/retry_budget.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Replaces the settings; recorded requests and retries still count.
+    pub const fn set_settings(&mut self, settings: RetryBudgetSettings) {
+        self.settings = settings;
+    }
+
     /// Records an original request; retries and hedges must not be recorded here.
     pub fn request(&mut self, now: Timestamp) {
         self.bucket(now).requests += 1;
--- a/crates/geranium_core/tests/limit.rs
+++ b/crates/geranium_core/tests/limit.rs
@@ -189,3 +189,22 @@
     let distinct: std::collections::BTreeSet<_> = late.iter().collect();
     assert!(distinct.len() > 90);
 }
+
+/// Guards against a share of a common limit that stays as large as it was when fewer hosts were
+/// known, and against retries that are forgotten when it changes.
+#[test]
+fn a_smaller_share_counts_at_once_and_with_the_retries_before() {
+    let share = |base_retries| RetryBudgetSettings {
+        fraction: 0.0,
+        base_retries,
+    };
+    let now = Timestamp::from_millis(0);
+    let mut budget = RetryBudget::new(share(10));
+    for _ in 0..4 {
+        assert!(budget.try_retry(now));
+    }
+
+    budget.set_settings(share(5));
+
+    assert_eq!(budget.remaining(now), 1);
+}
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -164,17 +164,18 @@
         }
     }
 
-    /// Returns the retry budget of a service.
+    /// Returns the retry budget of a service, with this entry host's share among those known now.
     pub(crate) fn budget(&mut self, service: &Arc<str>, bounds: &SharedBounds) -> &mut RetryBudget {
-        let limit_divisor = self.limit_divisor();
-        self.budgets.entry(service.clone()).or_insert_with(|| {
-            let floor =
-                limit_per_entry_host(bounds.retry_slack * RETRY_BUDGET_FRACTION, limit_divisor);
-            RetryBudget::new(RetryBudgetSettings {
-                fraction: bounds.retry_ratio * RETRY_BUDGET_FRACTION,
-                base_retries: u32::try_from(floor).unwrap_or(u32::MAX),
-            })
-        })
+        let retries = bounds.retry_slack * RETRY_BUDGET_FRACTION;
+        let floor = limit_per_entry_host(retries, self.limit_divisor());
+        let settings = RetryBudgetSettings {
+            fraction: bounds.retry_ratio * RETRY_BUDGET_FRACTION,
+            base_retries: u32::try_from(floor).unwrap_or(u32::MAX),
+        };
+        let budgets = self.budgets.entry(service.clone());
+        let budget = budgets.or_insert_with(|| RetryBudget::new(settings));
+        budget.set_settings(settings);
+        budget
     }
 
     /// Returns this entry host's share of the request rate that is allowed at one cold
@@ -341,7 +342,6 @@
     pub(crate) fn set_bounds(&self, bounds: SharedBounds) {
         if self.bounds.replace(bounds) != bounds {
             log::info!(bounds:? = bounds; "limits in the settings changed");
-            self.core.borrow_mut().budgets.clear();
         }
     }
 
