Demand: a request that another entry host forwards counts where its caller sent it

Cause: found on reading the change again. A request that an entry host without a path to the servers forwards was counted at both, so that its model showed more demand while entry hosts are cut off, and model_requests_total counted more than callers sent.

Ruled out: the retry budget, which counts what each entry host sends as before.

Conclusion: each request counts once.

--- a/crates/geranium_entry/src/relay/active_request.rs
+++ b/crates/geranium_entry/src/relay/active_request.rs
@@ -266,13 +266,17 @@
 
     fn record_demand(&self, answer_tokens: f64) {
         let now = self.arrived;
+        let mut core = self.shared.core.borrow_mut();
+        core.budget(&self.service.name, &self.shared.bounds.get())
+            .request(now);
+        if self.origin == Origin::EntryHost {
+            // The entry host that its caller asked has counted it.
+            return;
+        }
         if let Some(label) = self.model_label() {
             let requests = &self.shared.metrics.model_requests;
             requests.get_or_create(&label).inc();
         }
-        let mut core = self.shared.core.borrow_mut();
-        core.budget(&self.service.name, &self.shared.bounds.get())
-            .request(now);
         if let (Some(engine), Some(model)) = (&self.service.engine, &self.model) {
             let meter = core.demand.entry(self.service.name.clone()).or_default();
             let objective = self.route.objective;
@@ -310,7 +314,8 @@
 
     /// Creates a refusal that says when to come back, and counts it if the request has not run.
     pub(super) fn refusal(&self, reason: RefusalReason) -> Refusal {
-        if let Some(label) = self.model_label().filter(|_| reason.means_not_run()) {
+        let is_counted = reason.means_not_run() && self.origin != Origin::EntryHost;
+        if let Some(label) = self.model_label().filter(|_| is_counted) {
             self.record_refusal(&label);
         }
         Refusal {
--- a/crates/geranium_fleet/src/planner/staging.rs
+++ b/crates/geranium_fleet/src/planner/staging.rs
@@ -185,35 +185,34 @@
         if self.last_model(host).is_none() && host.staged.is_empty() {
             return LoadRank::Unused;
         }
-        let is_favoured = self.favours_deficits && formation.has_traffic;
-        let by_deficit = is_favoured.then(|| self.load_rank_by_deficit(host, formation));
-        by_deficit
-            .flatten()
-            .unwrap_or(if host.membership().is_none() {
-                LoadRank::Spare
-            } else {
-                LoadRank::Member
-            })
+        let is_member = host.membership().is_some();
+        let usual = if is_member {
+            LoadRank::Member
+        } else {
+            LoadRank::Spare
+        };
+        if !formation.favours_deficits || !formation.has_traffic {
+            return usual;
+        }
+        let Some((own, other)) = self.own_and_next_model(host, formation) else {
+            return usual;
+        };
+        if formation.lacks_more_than(other, own) {
+            return if is_member { LoadRank::Donor } else { usual };
+        }
+        let is_kept = if is_member {
+            formation.deficits[own] > 0.0
+        } else {
+            formation.lacks_more_than(own, other)
+        };
+        if is_kept { LoadRank::BelowShare } else { usual }
     }
 
-    /// Returns the rank of a host that runs or ran a model, if that or the model whose weights it
-    /// would load lacks more of its share than the other.
-    fn load_rank_by_deficit(&self, host: &Host, formation: &Formation<'_>) -> Option<LoadRank> {
+    /// Returns the model that a host runs or ran, and the one whose weights it would load.
+    fn own_and_next_model(&self, host: &Host, formation: &Formation<'_>) -> Option<(usize, usize)> {
         let own = self.last_model(host).or(host.model.as_ref())?;
-        let own = formation.profile.model_index(own)?;
-        let name = &formation.profile.models[own].name;
-        let other = best_model(formation, |m| m.name != *name)?;
-        if formation.lacks_more_than(other, own) {
-            let is_member = host.membership().is_some();
-            return Some(if is_member {
-                LoadRank::Donor
-            } else {
-                LoadRank::Spare
-            });
-        }
-        let is_below_share = formation.deficits[own] > 0.0;
-        let is_needed = host.membership().is_some() || formation.lacks_more_than(own, other);
-        (is_below_share && is_needed).then_some(LoadRank::BelowShare)
+        let other = best_model(formation, |m| m.name != *own)?;
+        Some((formation.profile.model_index(own)?, other))
     }
 
     fn try_acquire_load(&mut self, formation: &Formation<'_>) -> bool {
