Model shares: where hosts are too few, a model leaves some for higher priorities

Callers of the most urgent kind were refused in a burst of a less urgent one for another model.

Cause: shares by need alone. A burst of a lower priority takes hosts in proportion; admission keeps places free for higher priorities at a group, but nothing did so between models.

Ruled out: needs in the order of priority alone, which would leave the large model nothing in a shortage.

Conclusion: a burst leaves more to the urgent model.

--- a/crates/geranium_entry/src/model_shares.rs
+++ b/crates/geranium_entry/src/model_shares.rs
@@ -166,6 +166,7 @@
     is_reported: bool,
 ) -> Vec<Option<ModelDemand>> {
     let unknown = ModelRequests::default();
+    let priorities = total.priorities(&service.name);
     let models = engine.models.iter().zip(loads);
     let estimates = models.map(|(model, load)| {
         let requests = total.model(&service.name, &model.name);
@@ -174,6 +175,7 @@
             model,
             load,
             requests.unwrap_or(&unknown),
+            priorities,
             is_reported,
         )
     });
--- a/crates/geranium_fleet/src/admission.rs
+++ b/crates/geranium_fleet/src/admission.rs
@@ -28,5 +28,9 @@
 pub use place_wait::PlaceWait;
 pub use priority_set::PrioritySet;
 
+/// Percentage of the places that requests leave free for each higher priority.
+pub(crate) const PRIORITY_RESERVE_PERCENT: u32 = 15;
+/// Maximum percentage of the places that requests leave free.
+pub(crate) const MAX_RESERVE_PERCENT: u32 = 50;
 /// Lowest priority that model engines support; a larger number is a lower priority.
 pub const LOWEST_PRIORITY: u8 = 9;
--- a/crates/geranium_fleet/src/admission/model_admission.rs
+++ b/crates/geranium_fleet/src/admission/model_admission.rs
@@ -5,18 +5,15 @@
 use geranium_core::time::Timestamp;
 
 use super::{
-    AdmissionLimits, AdmissionQuery, LOWEST_PRIORITY, PrioritySet, RecentRequests, SeenPriorities,
+    AdmissionLimits, AdmissionQuery, LOWEST_PRIORITY, MAX_RESERVE_PERCENT,
+    PRIORITY_RESERVE_PERCENT, PrioritySet, RecentRequests, SeenPriorities,
 };
 use crate::first_token_delay::FirstTokenDelay;
 use crate::rate_limiter::RateLimiter;
 
-/// Percentage of the places that a request leaves free for each higher priority.
-const PRIORITY_RESERVE_PERCENT: u32 = 15;
 /// Percentage of the places that an account above its share leaves free for the others; less
 /// than for a priority, as priority comes before shares.
 const ACCOUNT_RESERVE_PERCENT: u32 = 14;
-/// Maximum percentage of the places that a request leaves free.
-const MAX_RESERVE_PERCENT: u32 = 50;
 /// Time for which a model counts as contended after a request was sent to a group where it is
 /// expected to be late, or was refused.
 const CONTENTION_PERIOD: Duration = Duration::from_secs(1);
--- a/crates/geranium_fleet/src/admission/priority_set.rs
+++ b/crates/geranium_fleet/src/admission/priority_set.rs
@@ -11,6 +11,12 @@
 pub struct PrioritySet(u16);
 
 impl PrioritySet {
+    /// Returns the highest priority in the set, which is the smallest number.
+    #[must_use]
+    pub fn highest(self) -> Option<u8> {
+        (0..=LOWEST_PRIORITY).find(|priority| self.0 & (1 << priority) != 0)
+    }
+
     /// Returns the number of priorities in the set that are higher than `priority`.
     #[must_use]
     pub fn higher(self, priority: u8) -> u32 {
--- a/crates/geranium_fleet/src/capacity/model_demand.rs
+++ b/crates/geranium_fleet/src/capacity/model_demand.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::ModelLoad;
+use crate::admission::PrioritySet;
 use crate::demand::ModelRequests;
 use crate::engine_profile::{EngineProfile, ModelProfile};
 use crate::first_token::FirstTokenEstimate;
@@ -16,6 +17,9 @@
     pub max_running: f64,
     /// Hosts whose groups serve the arrivals in time; not a whole number of groups.
     pub hosts_needed: f64,
+    /// Number of distinct priorities of requests for the service that are higher than all of those
+    /// for the model.
+    pub higher_priorities: u32,
 }
 
 impl ModelDemand {
@@ -23,12 +27,14 @@
     ///
     /// If most entry hosts report what their callers ask for (`is_reported`), the arrivals are these;
     /// otherwise they follow from the load of the model's groups. Returns `None` if neither is known.
+    /// `priorities` are those of all requests for the service.
     #[must_use]
     pub fn estimate(
         profile: &EngineProfile,
         model: &ModelProfile,
         load: &ModelLoad,
         requests: &ModelRequests,
+        priorities: PrioritySet,
         is_reported: bool,
     ) -> Option<Self> {
         let profile = requests.apply(profile);
@@ -52,6 +58,10 @@
             arrivals_per_s,
             max_running,
             hosts_needed: arrivals_per_s / served_per_s * model.group_size as f64,
+            higher_priorities: requests
+                .priorities
+                .highest()
+                .map_or(0, |p| priorities.higher(p)),
         })
     }
 }
--- a/crates/geranium_fleet/src/capacity/shares.rs
+++ b/crates/geranium_fleet/src/capacity/shares.rs
@@ -5,6 +5,7 @@
 use geranium_core::time::Timestamp;
 
 use super::ModelDemand;
+use crate::admission::{MAX_RESERVE_PERCENT, PRIORITY_RESERVE_PERCENT};
 use crate::engine_profile::EngineProfile;
 
 /// Time constant of the smoothing. It is of the order of the time for which the requests at a group
@@ -26,6 +27,8 @@
 #[derive(Clone, Debug)]
 pub struct DemandShares {
     hosts_needed: Vec<f64>,
+    /// Number of priorities that are higher than those of a model's requests.
+    higher_priorities: Vec<u32>,
     has_demand: bool,
     /// Whether the first complete demand replaces the initial shares at once.
     is_taking_over: bool,
@@ -40,6 +43,7 @@
         let shares = initial_shares(profile);
         Self {
             hosts_needed: hosts_by_share(&shares, hosts),
+            higher_priorities: vec![0; shares.len()],
             has_demand: false,
             is_taking_over: false,
             shares,
@@ -80,6 +84,9 @@
         }
         let is_demand = |d: &ModelDemand| d.arrivals_per_s > 0.0;
         self.has_demand |= demands.iter().flatten().any(is_demand);
+        for (known, demand) in self.higher_priorities.iter_mut().zip(demands) {
+            *known = demand.map_or(*known, |d| d.higher_priorities);
+        }
         if !self.has_demand {
             self.hosts_needed = hosts_by_share(&initial_shares(profile), hosts);
         } else if let Some(needed) = self.first_needs(demands) {
@@ -114,7 +121,8 @@
     fn wanted_shares(&self, profile: &EngineProfile, hosts: usize) -> Vec<f64> {
         let reserve = hosts as f64 * INITIAL_SHARES_FRACTION;
         let initial = initial_shares(profile);
-        let weights = self.hosts_needed.iter().zip(&initial);
+        let granted = self.granted_hosts(hosts);
+        let weights = granted.iter().zip(&initial);
         let weights = weights.map(|(needed, share)| needed + reserve * share);
         let shares = normalize(weights.collect());
         // A model without a group shows no demand, so each keeps at least one.
@@ -124,6 +132,32 @@
         normalize(shares.map(|(s, size)| s.max(size as f64 / hosts)).collect())
     }
 
+    /// Returns the hosts that each model is to have of those it needs. Where there are too few, a
+    /// model leaves some for those with requests of higher priorities, as a request does at a group,
+    /// but all models together no more than is lacking.
+    fn granted_hosts(&self, hosts: usize) -> Vec<f64> {
+        let lacking = self.hosts_needed.iter().sum::<f64>() - hosts as f64;
+        let left: Vec<f64> = self.hosts_left_to_others().collect();
+        let total_left: f64 = left.iter().sum();
+        if lacking <= 0.0 || total_left <= 0.0 {
+            return self.hosts_needed.clone();
+        }
+        let fraction = (lacking / total_left).min(1.0);
+        let needed = self.hosts_needed.iter().zip(left);
+        needed
+            .map(|(needed, left)| needed - left * fraction)
+            .collect()
+    }
+
+    /// Returns the hosts that each model leaves at most for those with requests of higher priorities.
+    fn hosts_left_to_others(&self) -> impl Iterator<Item = f64> {
+        let needed = self.hosts_needed.iter().zip(&self.higher_priorities);
+        needed.map(|(needed, higher)| {
+            let percent = (higher * PRIORITY_RESERVE_PERCENT).min(MAX_RESERVE_PERCENT);
+            needed * f64::from(percent) / 100.0
+        })
+    }
+
     /// Moves all shares towards `wanted`, each by `limit` at most; their sum stays 1.
     fn approach(&mut self, wanted: &[f64], limit: f64) {
         let changes = self.shares.iter().zip(wanted).map(|(s, w)| (w - s).abs());
--- a/crates/geranium_fleet/src/demand/demand_sum.rs
+++ b/crates/geranium_fleet/src/demand/demand_sum.rs
@@ -1,8 +1,11 @@
 //! Demand for all models over several entry hosts.
 
+use std::ops::BitOr;
+
 use serde::{Deserialize, Serialize};
 
 use super::ModelRequests;
+use crate::admission::PrioritySet;
 
 /// Requests of callers for the models, summed over entry hosts.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -40,6 +43,15 @@
         models.find(|r| *r.service == *service && *r.model == *model)
     }
 
+    /// Returns the priorities of the recent requests for a service.
+    #[must_use]
+    pub fn priorities(&self, service: &str) -> PrioritySet {
+        let models = self.models.iter().filter(|r| *r.service == *service);
+        models
+            .map(|r| r.priorities)
+            .fold(PrioritySet::default(), BitOr::bitor)
+    }
+
     fn add(&mut self, requests: &ModelRequests) {
         let mut models = self.models.iter_mut();
         let known = models.find(|r| r.service == requests.service && r.model == requests.model);
--- a/crates/geranium_fleet/tests/capacity.rs
+++ b/crates/geranium_fleet/tests/capacity.rs
@@ -45,7 +45,14 @@
     now: Timestamp,
 ) -> Option<ModelDemand> {
     let model = &profile.models[index];
-    ModelDemand::estimate(profile, model, load, &usual_requests(now), false)
+    ModelDemand::estimate(
+        profile,
+        model,
+        load,
+        &usual_requests(now),
+        PrioritySet::default(),
+        false,
+    )
 }
 
 fn load(running: f64, groups: usize) -> ModelLoad {
@@ -253,7 +260,14 @@
     for (running, bound) in [(1e12, None), (0.0, Some(1.0)), (1_000.0, Some(1.0))] {
         let (model, load) = (&profile.models[0], &loads(running)[0]);
         let requests = requests(&mix, tight, START);
-        let demand = ModelDemand::estimate(&profile, model, load, &requests, false);
+        let demand = ModelDemand::estimate(
+            &profile,
+            model,
+            load,
+            &requests,
+            PrioritySet::default(),
+            false,
+        );
         for (hosts, second) in [(0, 1), (48, 2)] {
             let now = START + Duration::from_secs(second);
             shares.update(&profile, &[demand, None], hosts, now);
--- a/crates/geranium_fleet/tests/demand_reports.rs
+++ b/crates/geranium_fleet/tests/demand_reports.rs
@@ -61,8 +61,16 @@
         discarded: 0,
     };
 
-    let estimates = [full, ModelLoad::default()]
-        .map(|load| ModelDemand::estimate(&profile, &profile.models[0], &load, requests, true));
+    let estimates = [full, ModelLoad::default()].map(|load| {
+        ModelDemand::estimate(
+            &profile,
+            &profile.models[0],
+            &load,
+            requests,
+            PrioritySet::default(),
+            true,
+        )
+    });
 
     for demand in estimates {
         let arrivals = demand.expect("entry hosts report it").arrivals_per_s;
@@ -70,7 +78,14 @@
     }
     let refused = requests.refused_per_s / requests.asked_per_s;
     assert!((refused - 0.5).abs() < 0.1, "{requests:?}");
-    let by_load = ModelDemand::estimate(&profile, &profile.models[0], &full, requests, false);
+    let by_load = ModelDemand::estimate(
+        &profile,
+        &profile.models[0],
+        &full,
+        requests,
+        PrioritySet::default(),
+        false,
+    );
     assert!(by_load.expect("a group is open").arrivals_per_s < CALLERS_PER_S / 2.0);
 }
 
@@ -91,7 +106,14 @@
     learned.models[0].add_learned(&admission, NOW);
     let estimate = |requests: &ModelRequests| {
         let load = ModelLoad::default();
-        ModelDemand::estimate(&profile, &profile.models[0], &load, requests, true)
+        ModelDemand::estimate(
+            &profile,
+            &profile.models[0],
+            &load,
+            requests,
+            PrioritySet::default(),
+            true,
+        )
     };
 
     let total = DemandSum::of([&quiet, &learned, &demand_of(4)]);
--- a/crates/geranium_fleet/tests/starved_models.rs
+++ b/crates/geranium_fleet/tests/starved_models.rs
@@ -25,6 +25,7 @@
         arrivals_per_s: hosts_needed * 10.0,
         max_running: 10.0,
         hosts_needed,
+        higher_priorities: 0,
     })
 }
 
@@ -114,6 +115,31 @@
     assert!((shares.shares()[0] - 0.264).abs() < 0.01, "{shares:?}");
 }
 
+/// Guards against a burst for one model that takes the hosts of another one, whose requests have a
+/// higher priority, in proportion; and against hosts held back from it while there are enough.
+#[test]
+fn a_burst_of_a_lower_priority_leaves_hosts_to_the_higher_one() {
+    let profile = profile(two_models());
+    let share = |large, small| {
+        let mut shares = DemandShares::take_over(&profile, 48, START);
+        let large = demand(large).map(|d| ModelDemand {
+            higher_priorities: 1,
+            ..d
+        });
+        shares.update(&profile, &[large, demand(small)], 48, START + INTERVAL);
+        shares.shares()[1]
+    };
+
+    // By their needs alone, the small model would have a quarter of the hosts.
+    assert!(share(60.0, 20.0) > 0.28, "{}", share(60.0, 20.0));
+    let lacking_one = share(29.0, 20.0);
+    let enough = share(28.0, 20.0);
+    assert!(
+        (lacking_one - enough).abs() < 0.01,
+        "{lacking_one}, {enough}"
+    );
+}
+
 /// Guards against shares that leave the operator's initial ones while no host is known: every share
 /// was at least that of one group then, which is no small part of no hosts.
 #[test]
