Planner: hosts and groups of the models are counted when they are logged, not with every plan

Cause: found on reading the change again: counted with each plan, up to a hundred times a second, and logged every 2 s.

Ruled out: counting in the manager; what counts as free or loading is the planner's.

The test of the loads reads the counts as well.

Conclusion: one count each 2 s.

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -42,10 +42,10 @@
 const STOP_ANNOUNCEMENT_COOLDOWN: Duration = Duration::from_secs(8);
 /// Interval at which hosts are polled while the store is unreachable.
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
-/// Interval at which the hosts and groups of the models are logged.
-const SUPPLY_LOG_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of hosts polled at a time, as each poll is counted like a health check.
 const MAX_POLLED_HOSTS: usize = 32;
+/// Interval at which the hosts and groups of the models are logged.
+const SUPPLY_LOG_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Plans after each change and at regular intervals while this process is the manager.
 pub(crate) async fn run_manager<D: Dialect>(
@@ -204,6 +204,9 @@
                 planner.set_favours_deficits(has_many_entry_hosts);
                 planner.set_standby(has_many_entry_hosts);
                 planner.pause_standby(self.shared.store_unreachable.get());
+                if is_supply_due {
+                    planner.request_supply();
+                }
                 let orders = planner.plan(
                     &core.directory,
                     &service.name,
--- a/crates/geranium_fleet/src/planner.rs
+++ b/crates/geranium_fleet/src/planner.rs
@@ -108,6 +108,7 @@
     standby_groups: HashSet<Arc<str>>,
     standby: bool,
     standby_paused: bool,
+    supply_requested: bool,
     supply: Vec<ModelSupply>,
 }
 
@@ -140,6 +141,7 @@
             standby_groups: HashSet::default(),
             standby: false,
             standby_paused: false,
+            supply_requested: false,
             supply: Vec::new(),
         }
     }
@@ -179,7 +181,9 @@
                 has_traffic,
                 now,
             );
-            self.record_supply(&hosts, &views, directory, &formation);
+            if std::mem::take(&mut self.supply_requested) {
+                self.record_supply(&hosts, &views, directory, &formation);
+            }
             self.reclaim(&hosts, &views, directory, &formation, &mut orders);
             let held = self.hold_domains(&hosts, &views, directory, &formation);
             self.form_groups(&hosts, directory, &held, &mut formation, &mut orders);
--- a/crates/geranium_fleet/src/planner/supply.rs
+++ b/crates/geranium_fleet/src/planner/supply.rs
@@ -8,7 +8,7 @@
 use crate::directory::Directory;
 use crate::host::{GroupState, Host};
 
-/// Hosts and groups of one model, as of the last plan.
+/// Hosts and groups of one model, as of a plan.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ModelSupply {
     /// Name of the model.
@@ -34,7 +34,12 @@
 }
 
 impl GroupPlanner {
-    /// Returns the hosts and groups of each model as of the last plan, in the order of the profile.
+    /// Lets the next plan record the hosts and groups of each model.
+    pub const fn request_supply(&mut self) {
+        self.supply_requested = true;
+    }
+
+    /// Returns the hosts and groups of each model that were recorded last, in the order of the profile.
     #[must_use]
     pub fn supply(&self) -> &[ModelSupply] {
         &self.supply
--- a/crates/geranium_fleet/tests/starved_models.rs
+++ b/crates/geranium_fleet/tests/starved_models.rs
@@ -165,6 +165,8 @@
     let mut planner = simulation::planner("m", START);
     planner.set_favours_deficits(true);
 
+    planner.request_supply();
+
     let shares = [0.5, 0.5];
     let orders = planner.plan(
         &directory,
@@ -182,4 +184,9 @@
     let of_large = loading.iter().filter(|id| id.starts_with("large")).count();
     let of_small = loading.iter().filter(|id| id.starts_with("small")).count();
     assert!(of_small >= 5 && of_large <= 1, "{loading:?}");
+    let supply = planner.supply().iter();
+    let supply: Vec<(f64, f64, usize)> = supply
+        .map(|s| (s.target_hosts, s.hosts, s.open_groups))
+        .collect();
+    assert_eq!(supply, [(10.0, 4.0, 1), (10.0, 8.0, 4)]);
 }
