--- a/crates/geranium_fleet/tests/demand_reports.rs
+++ b/crates/geranium_fleet/tests/demand_reports.rs
@@ -196,17 +196,24 @@
     assert_eq!(follower.peer_demand(later), DemandSum::default());
 }
 
-/// Guards against sums of an older version that are malformed here, and against reports to one
-/// that does not read them.
+/// Guards against sums of an older version that are malformed here or the other way round, and
+/// against reports to one that does not read them.
 #[test]
 fn older_versions_send_no_demand_and_get_none() {
-    let old: LoadSum = serde_json::from_str(r#"{"entry_hosts":2,"running":[["h",3]]}"#)
-        .expect("a sum of an older version");
+    let text = r#"{"entry_hosts":2,"running":[["h",3]]}"#;
+    let old: LoadSum = serde_json::from_str(text).expect("a sum of an older version");
+    let new = LoadSum {
+        demand: demand_of(0),
+        ..old.clone()
+    };
+    let mut new = serde_json::to_value(&new).expect("it is plain data");
     let peers: Vec<Peer> = (0..12).map(|i| peer(i, i >= 2)).collect();
 
     let topology = ExchangeTopology::new(&peers, "e11", "d");
 
     assert_eq!(old.demand, DemandSum::default());
+    new.as_object_mut().expect("a record").remove("demand");
+    assert_eq!(new.to_string(), text);
     assert_eq!(topology.reports_to.len(), 2);
     assert!(topology.reports_demand_to.is_empty(), "{topology:?}");
 }
