Demand: an impossible number of entry hosts in a report does not overflow

Cause: found on reading the change again: twice a number from a datagram, which ends a debug build and wraps in a release build.

Ruled out: discarding such a sum; the loads in it are as good as before.

Conclusion: half of the known number is compared instead.

--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -144,7 +144,7 @@
 
     /// Returns whether a sum of demand includes most of the registered entry hosts.
     pub(crate) fn is_reported(&self, demand: &DemandSum) -> bool {
-        demand.entry_hosts * 2 > self.entry_hosts.len()
+        demand.entry_hosts > self.entry_hosts.len() / 2
     }
 
     fn own_demand(&mut self, now: Timestamp) -> DemandSum {
