Manager: one job a file; the plan of a service is a function of its own

Ruled out: a change of what is planned or logged; the lines have another target only.

Conclusion: suspects and log lines stand beside it.

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -1,17 +1,18 @@
-//! Group management by the elected entry host: planning, orders and probes.
+//! Group management by the elected entry host: planning and orders.
 
-use std::cell::{Cell, RefCell};
+mod log_lines;
+mod suspects;
+
+use std::cell::{Cell, RefCell, RefMut};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
 use geranium_core::collections::HashMap;
 use geranium_core::time::Timestamp;
-use geranium_fleet::directory::Directory;
-use geranium_fleet::host::{Host, HostId, HostReport};
+use geranium_fleet::engine_profile::EngineProfile;
+use geranium_fleet::host::{HostId, HostReport};
 use geranium_fleet::order::{HostOrder, OrderAnswer};
 use geranium_fleet::planner::{GroupPlanner, PlannerSettings};
 use geranium_fleet::report_effect::ReportEffect;
@@ -22,7 +23,7 @@
 use crate::metrics::CauseLabel;
 use crate::model_shares::ModelShares;
 use crate::peers::PeerLink;
-use crate::state::SharedState;
+use crate::state::{Core, SharedState};
 use crate::term::ManagerTerm;
 
 /// Delay between a change and the next planning run, so that further changes are included.
@@ -33,13 +34,6 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of a request for a host's state report.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Number of consecutive unanswered probes after which a host is considered dead.
-const PROBE_ATTEMPTS: u32 = 2;
-/// Time for which a suspected group is not probed again.
-const PROBE_COOLDOWN: Duration = Duration::from_millis(1_500);
-/// Time for which a stopped group is not announced again, so that the other entry hosts
-/// can find out with a request whether it serves after all.
-const STOP_ANNOUNCEMENT_COOLDOWN: Duration = Duration::from_secs(8);
 /// Interval at which hosts are polled while the store is unreachable.
 const POLL_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum number of hosts polled at a time, as each poll is counted like a health check.
@@ -182,51 +176,14 @@
             let Some(table) = core.route_table.clone() else {
                 return;
             };
-            let mut planners = self.planners.borrow_mut();
             for (i, service) in table.deployment().services.values().enumerate() {
                 let Some(engine) = &service.engine else {
                     continue;
                 };
-                let meter = core.demand.entry(service.name.clone()).or_default();
-                let traffic = meter.requests() > 0 || !self.shared.cfg.first_start;
-                let has_many_entry_hosts = core.has_many_entry_hosts();
-                let shares = self.model_shares.borrow_mut().update(
-                    &mut core,
-                    service,
-                    engine,
-                    &self.shared.metrics,
-                    now,
-                );
-                let planner = planners
-                    .entry(service.name.clone())
-                    .or_insert_with(|| GroupPlanner::new(self.settings(i), now));
-                // Entry hosts may register after the planner was created.
-                planner.set_favours_deficits(has_many_entry_hosts);
-                planner.set_standby(has_many_entry_hosts);
-                planner.pause_standby(self.shared.store_unreachable.get());
-                if is_supply_due {
-                    planner.request_supply();
-                }
-                let orders = planner.plan(
-                    &core.directory,
-                    &service.name,
-                    engine,
-                    &shares,
-                    traffic,
-                    now,
-                );
-                if is_supply_due {
-                    log_supply(service, planner);
-                }
-                let metrics = &self.shared.metrics;
-                metrics.set_hosts_without_group(&core.directory, &service.name, engine);
-                for order in &orders {
-                    log_basis(order, planner, &core.directory);
-                }
+                let planner = &mut *self.planner(i, service, now);
+                let orders =
+                    self.plan_service(planner, &mut core, service, engine, is_supply_due, now);
                 pending_orders.extend(orders.into_iter().map(|o| (service.name.clone(), o)));
-                for stale in planner.take_hosts_to_query(now) {
-                    self.query_order_count(stale);
-                }
             }
         }
         for (service, order) in pending_orders {
@@ -235,6 +192,52 @@
         }
     }
 
+    /// Returns the planner of the service with an index, which is created if there is none.
+    fn planner(&self, index: usize, service: &Service, now: Timestamp) -> RefMut<'_, GroupPlanner> {
+        RefMut::map(self.planners.borrow_mut(), |planners| {
+            let planner = planners.entry(service.name.clone());
+            planner.or_insert_with(|| GroupPlanner::new(self.settings(index), now))
+        })
+    }
+
+    /// Returns the orders that are due now for the groups of a service.
+    fn plan_service(
+        self: &Rc<Self>,
+        planner: &mut GroupPlanner,
+        core: &mut Core,
+        service: &Service,
+        engine: &EngineProfile,
+        is_supply_due: bool,
+        now: Timestamp,
+    ) -> Vec<HostOrder> {
+        let metrics = &self.shared.metrics;
+        let meter = core.demand.entry(service.name.clone()).or_default();
+        let has_traffic = meter.requests() > 0 || !self.shared.cfg.first_start;
+        let mut model_shares = self.model_shares.borrow_mut();
+        let shares = model_shares.update(core, service, engine, metrics, now);
+        // Entry hosts may register after the planner was created.
+        let has_many_entry_hosts = core.has_many_entry_hosts();
+        planner.set_favours_deficits(has_many_entry_hosts);
+        planner.set_standby(has_many_entry_hosts);
+        planner.pause_standby(self.shared.store_unreachable.get());
+        if is_supply_due {
+            planner.request_supply();
+        }
+        let directory = &core.directory;
+        let orders = planner.plan(directory, &service.name, engine, &shares, has_traffic, now);
+        if is_supply_due {
+            log_lines::log_supply(service, planner);
+        }
+        metrics.set_hosts_without_group(directory, &service.name, engine);
+        for order in &orders {
+            log_lines::log_basis(order, planner, directory);
+        }
+        for stale in planner.take_hosts_to_query(now) {
+            self.query_order_count(stale);
+        }
+        orders
+    }
+
     async fn send(self: Rc<Self>, service: Arc<str>, order: HostOrder) {
         let cause = CauseLabel {
             cause: order.kind.as_str(),
@@ -298,100 +301,4 @@
             manager.shared.state_changed.notify_waiters();
         });
     }
-
-    /// Probes the members of suspected groups.
-    fn probe_suspects(self: &Rc<Self>) {
-        let now = self.shared.now();
-        let suspects: Vec<(HostId, Timestamp)> = {
-            let mut suspects = self.shared.suspected_heads.borrow_mut();
-            suspects.retain(|_, at| now.since(*at) < PROBE_COOLDOWN);
-            suspects.iter().map(|(id, at)| (id.clone(), *at)).collect()
-        };
-        for (head, at) in suspects {
-            let mut probed = self.last_probed.borrow_mut();
-            let last = probed.get(&head).copied();
-            if last.is_some_and(|last| now.since(last) < PROBE_COOLDOWN || at <= last) {
-                continue;
-            }
-            probed.insert(head.clone(), now);
-            let manager = self.clone();
-            tokio::task::spawn_local(async move { manager.probe(&head).await });
-        }
-    }
-
-    /// Announces to all entry hosts that a group has lost a member.
-    fn announce_stopped(&self, head: &HostId) {
-        let now = self.shared.now();
-        let mut announced = self.announced_stops.borrow_mut();
-        announced.retain(|_, at| now.since(*at) < STOP_ANNOUNCEMENT_COOLDOWN);
-        if announced.contains_key(head) {
-            return;
-        }
-        announced.insert(head.clone(), now);
-        self.shared.reroute_from(head);
-        self.peers.send_stopped(&self.shared.cfg.name, head);
-    }
-
-    async fn probe(self: Rc<Self>, head: &HostId) {
-        let members: Vec<(Arc<str>, HostId, u64, SocketAddr)> = {
-            let core = self.shared.core.borrow();
-            let service = core.directory.get(head).map(|h| &h.service);
-            if !service.is_some_and(|s| self.planners.borrow().contains_key(s)) {
-                return;
-            }
-            let members = core.directory.group_of_head(head);
-            members
-                .into_iter()
-                .map(|h| (h.service.clone(), h.id.clone(), h.incarnation, h.address))
-                .collect()
-        };
-        let probes = members.into_iter().map(|(service, id, incarnation, address)| {
-            let manager = self.clone();
-            async move {
-                for _ in 0..PROBE_ATTEMPTS {
-                    if manager.fetch_host_report(&id, address).await.is_some() {
-                        return false;
-                    }
-                }
-                if !manager.shared.check_reach(Some(&id)).await {
-                    log::warn!(host:% = id; "backend server does not answer, nor does any other");
-                    return false;
-                }
-                log::warn!(host:% = id; "backend server does not answer and is taken to be dead");
-                if let Some(planner) = manager.planners.borrow_mut().get_mut(&service) {
-                    planner.mark_dead(&id, incarnation, manager.shared.now());
-                }
-                manager.shared.state_changed.notify_waiters();
-                true
-            }
-        });
-        let mut probes: FuturesUnordered<_> = probes.collect();
-        while let Some(dead) = probes.next().await {
-            if dead {
-                self.announce_stopped(head);
-                break;
-            }
-        }
-        // Finish the remaining probes, as more members may be dead.
-        while probes.next().await.is_some() {}
-    }
-}
-
-/// Logs the hosts and groups that each model has and should have.
-fn log_supply(service: &Service, planner: &GroupPlanner) {
-    for s in planner.supply() {
-        log::info!(service:% = service.name, model:% = s.model, target_hosts = s.target_hosts, hosts = s.hosts, open_groups = s.open_groups, forming_groups = s.forming_groups, ending_groups = s.ending_groups, prepared_hosts = s.prepared_hosts, loading_hosts = s.loading_hosts, staged_members = s.staged_members, reclaims = s.reclaims; "hosts and groups of a model");
-    }
-}
-
-/// Logs what an order rests on: what is known of its host and, for a join of a member of
-/// another group, of the head of that group.
-fn log_basis(order: &HostOrder, planner: &GroupPlanner, directory: &Directory) {
-    let host = directory.get(&order.host);
-    let group = host.and_then(Host::membership).map(|m| &*m.group);
-    let head = group.and_then(|g| planner.head_of(g));
-    let head = head.and_then(|id| directory.get(id));
-    let known = host.map(|h| h.group.to_string());
-    let head = head.map(|h| format!("{}: {}", h.id, h.group));
-    log::info!(host:% = order.host, order = order.kind.as_str(), expected_count = order.expected_count, known = known, head = head; "order is issued");
 }
