Store calls: totals hold while calls are counted

The answered calls were read after all calls, while others were counted, so that more were answered than sent.

In a release build the difference wraps.

Conclusion: each number is read once.

--- a/crates/geranium_platform/src/counter.rs
+++ b/crates/geranium_platform/src/counter.rs
@@ -129,21 +129,26 @@
     /// Returns the calls of a kind that were sent or tried, whatever their result.
     #[must_use]
     pub fn sent(&self, kind: StoreCallKind) -> u64 {
-        StoreCallResult::ALL
-            .into_iter()
-            .filter(|result| *result != StoreCallResult::RateLimited)
-            .map(|result| self.get(kind, result))
-            .sum()
+        self.get(kind, StoreCallResult::Answered) + self.unanswered(kind)
     }
 
     /// Returns the calls sent and the calls without a usable answer.
     #[must_use]
     pub fn totals(&self) -> (u64, u64) {
-        let calls = StoreCallKind::ALL.map(|kind| self.sent(kind)).iter().sum();
-        let answered = StoreCallKind::ALL
-            .map(|kind| self.get(kind, StoreCallResult::Answered))
-            .iter()
-            .sum::<u64>();
-        (calls, calls - answered)
+        // Each number is read once: calls are counted meanwhile.
+        let unanswered = StoreCallKind::ALL.map(|kind| self.unanswered(kind));
+        let answered = StoreCallKind::ALL.map(|kind| self.get(kind, StoreCallResult::Answered));
+        let unanswered = unanswered.iter().sum();
+        (answered.iter().sum::<u64>() + unanswered, unanswered)
+    }
+
+    fn unanswered(&self, kind: StoreCallKind) -> u64 {
+        let results = StoreCallResult::ALL.into_iter().filter(|result| {
+            !matches!(
+                result,
+                StoreCallResult::Answered | StoreCallResult::RateLimited
+            )
+        });
+        results.map(|result| self.get(kind, result)).sum()
     }
 }
