Manager: requests at any entry host are traffic

The weight store may get more loads than its limit, which slow each other down.

Before the first request loads have no limit.

--- a/crates/geranium_entry/src/manager.rs
+++ b/crates/geranium_entry/src/manager.rs
@@ -211,8 +211,7 @@
         now: Timestamp,
     ) -> Vec<HostOrder> {
         let metrics = &self.shared.metrics;
-        let meter = core.demand.entry(service.name.clone()).or_default();
-        let has_traffic = meter.requests() > 0 || !self.shared.cfg.first_start;
+        let has_traffic = !self.shared.cfg.first_start || core.has_traffic(&service.name);
         let mut model_shares = self.model_shares.borrow_mut();
         let shares = model_shares.update(core, service, engine, metrics, now);
         // Entry hosts may register after the planner was created.
--- a/crates/geranium_entry/src/state.rs
+++ b/crates/geranium_entry/src/state.rs
@@ -147,6 +147,12 @@
         demand.entry_hosts > self.entry_hosts.len() / 2
     }
 
+    /// Returns whether a request for a service has arrived, here or at an entry host that reports it.
+    pub(crate) fn has_traffic(&self, service: &str) -> bool {
+        let meter = self.demand.get(service);
+        meter.is_some_and(|m| m.requests() > 0) || self.peer_demand.has_requests(service)
+    }
+
     fn own_demand(&mut self, now: Timestamp) -> DemandSum {
         let services = self.demand.iter_mut();
         let mut models: Vec<_> = services
--- a/crates/geranium_fleet/src/demand/demand_sum.rs
+++ b/crates/geranium_fleet/src/demand/demand_sum.rs
@@ -43,6 +43,13 @@
         models.find(|r| *r.service == *service && *r.model == *model)
     }
 
+    /// Returns whether any request for a service has arrived at these entry hosts.
+    #[must_use]
+    pub fn has_requests(&self, service: &str) -> bool {
+        let mut models = self.models.iter();
+        models.any(|r| *r.service == *service && r.requests > 0.0)
+    }
+
     /// Returns the priorities of the recent requests for a service.
     #[must_use]
     pub fn priorities(&self, service: &str) -> PrioritySet {
--- a/crates/geranium_fleet/tests/demand_reports.rs
+++ b/crates/geranium_fleet/tests/demand_reports.rs
@@ -243,3 +243,14 @@
     assert_eq!(demand.discard_impossible(), 3);
     assert_eq!(demand.models.len(), 1);
 }
+
+/// Guards against a manager that has had no request itself and loads weights without a limit, as before
+/// the first request of the day.
+#[test]
+fn requests_at_any_entry_host_are_traffic() {
+    let total = DemandSum::of([&demand_of(0), &DemandSum::default()]);
+
+    assert!(total.has_requests("engines"));
+    assert!(!total.has_requests("another"));
+    assert!(!DemandSum::default().has_requests("engines"));
+}
