Peer loads: an impossible number of entry hosts in a sum does not overflow

Cause: found on reading the whole change once more: the numbers of entry hosts of other failure domains come from datagrams and were added up, which ends a debug build and wraps in a release build.

Ruled out: discarding such a sum; the loads in it are as good as before.

Figures: the new test failed before (attempt to add with overflow).

Conclusion: they saturate. FirstTokenEstimate::has_slot has no caller outside its file any more and is private.

--- a/crates/geranium_fleet/src/first_token.rs
+++ b/crates/geranium_fleet/src/first_token.rs
@@ -83,8 +83,7 @@
     }
 
     /// Returns whether a group that runs `running` requests has a slot for another one.
-    #[must_use]
-    pub fn has_slot(&self, running: f64) -> bool {
+    fn has_slot(&self, running: f64) -> bool {
         running < f64::from(self.profile.slots)
     }
 
--- a/crates/geranium_fleet/src/peer_load.rs
+++ b/crates/geranium_fleet/src/peer_load.rs
@@ -129,7 +129,8 @@
         let others: Vec<&RunningRequests> = others.map(|(_, r)| &r.running).collect();
         let demands = self.demands.iter().filter(|(from, _)| *from != receiver);
         let demands = demands.map(|(_, (_, d))| d).chain([&own.demand]);
-        let entry_hosts = others.len() + 1 + self.entry_hosts_in_other_domains();
+        let elsewhere = self.entry_hosts_in_other_domains();
+        let entry_hosts = elsewhere.saturating_add(others.len() + 1);
         let domains = self.other_domains();
         LoadSum::of(
             others
@@ -169,7 +170,8 @@
     /// Returns the sum that a leader sent, if it includes more entry hosts than are known
     /// directly.
     fn sum_of_leader(&self) -> Option<&LoadSum> {
-        let directly_known = self.reports.len() + self.entry_hosts_in_other_domains();
+        let elsewhere = self.entry_hosts_in_other_domains();
+        let directly_known = elsewhere.saturating_add(self.reports.len());
         let sum = self.sum.as_ref().map(|(_, sum)| sum);
         sum.filter(|sum| sum.entry_hosts > directly_known)
     }
@@ -180,7 +182,8 @@
     }
 
     fn entry_hosts_in_other_domains(&self) -> usize {
-        self.other_domains().map(|sum| sum.entry_hosts).sum()
+        let counts = self.other_domains().map(|sum| sum.entry_hosts);
+        counts.fold(0, usize::saturating_add)
     }
 
     fn prune_expired(&mut self, now: Timestamp) {
--- a/crates/geranium_fleet/tests/peer_load.rs
+++ b/crates/geranium_fleet/tests/peer_load.rs
@@ -21,3 +21,24 @@
 
     assert_eq!(sum.running, impossible);
 }
+
+/// Guards against a sum that claims an impossible number of entry hosts and stops one by an overflow.
+#[test]
+fn impossible_numbers_of_entry_hosts_do_not_overflow() {
+    let impossible = LoadSum {
+        entry_hosts: usize::MAX,
+        ..LoadSum::default()
+    };
+    let own = LoadSum::default();
+    let mut loads = PeerLoads::default();
+    loads.record_report(1, Vec::new(), NOW);
+    for domain in ["a", "b"] {
+        loads.record_domain_sum(domain.into(), impossible.clone(), NOW);
+    }
+    loads.record_overall_sum(impossible, NOW);
+
+    let sum = loads.sum_excluding(&2, &own, NOW);
+
+    assert_eq!(sum.entry_hosts, usize::MAX);
+    assert!(loads.peer_requests(NOW).is_empty());
+}
